--- /dev/null
+++ b/coord/runner/machine.go
@@ -0,0 +1,70 @@
+package runner
+
+import (
+	"fmt"
+	"time"
+)
+
+// Machine is the replicated state; a Runner calls its methods from one goroutine.
+type Machine interface {
+	// Apply executes a committed command and returns its result; equal logs must give equal states and results.
+	Apply(index uint64, cmd []byte) []byte
+	// Snapshot returns the whole state as of the last applied command.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state with that of a snapshot.
+	Restore(snapshot []byte) error
+}
+
+// Result is what a committed command returned, with its place in the log.
+type Result struct {
+	Index uint64
+	Data  []byte
+}
+
+// Member is one replica of the log.
+type Member struct {
+	ID      uint64
+	Addr    string
+	Learner bool
+}
+
+// Status is a replica's view of the group at one moment.
+type Status struct {
+	ID       uint64
+	Leader   uint64
+	Term     uint64
+	Commit   uint64
+	Applied  uint64
+	Members  []Member
+	LeaseEnd time.Time
+}
+
+// IsLeader reports whether the replica holds a quorum-confirmed leader lease at now.
+func (s Status) IsLeader(now time.Time) bool {
+	return s.ID != 0 && s.Leader == s.ID && now.Before(s.LeaseEnd)
+}
+
+// NotLeaderError says that a replica can't take a command or a read, and which one could; the command was not appended.
+type NotLeaderError struct {
+	Leader uint64
+	Addr   string
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == 0 {
+		return "not the leader, and no leader is known"
+	}
+	return fmt.Sprintf("not the leader; the leader is replica %d at %s", e.Leader, e.Addr)
+}
+
+// UncertainError says that a command was appended but its fate isn't known, so it may still be committed.
+type UncertainError struct {
+	Index uint64
+	Term  uint64
+}
+
+// Error implements error.
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("command at index %d of term %d may or may not be committed", e.Index, e.Term)
+}
--- /dev/null
+++ b/serving/configurer/build.go
@@ -0,0 +1,159 @@
+package configurer
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Catalog is the whole configuration at one revision; it is never changed, so that traffic can read it without locks.
+type Catalog struct {
+	revision uint64
+	classes  map[string]Class
+	services map[string]Service
+	adapters map[string]Adapter
+}
+
+// NewCatalog builds a catalog from a document.
+func NewCatalog(revision uint64, doc Doc) (*Catalog, error) {
+	c := &Catalog{
+		revision: revision,
+		classes:  make(map[string]Class, len(doc.Classes)),
+		services: make(map[string]Service, len(doc.Services)),
+		adapters: make(map[string]Adapter, len(doc.Adapters)),
+	}
+	for _, s := range doc.Classes {
+		class, err := newClass(s)
+		if err != nil {
+			return nil, errors.Wrapf(err, "class %q", s.Name)
+		}
+		c.classes[s.Name] = class
+	}
+	for _, s := range doc.Services {
+		c.services[s.Name] = newService(s)
+	}
+	for _, s := range doc.Adapters {
+		c.adapters[s.Name] = newAdapter(s)
+	}
+	return c, nil
+}
+
+// Revision returns the revision of the last accepted change.
+func (c *Catalog) Revision() uint64 { return c.revision }
+
+// Class returns the class with the name.
+func (c *Catalog) Class(name string) (Class, bool) {
+	v, ok := c.classes[name]
+	return v, ok
+}
+
+// Service returns the service with the name.
+func (c *Catalog) Service(name string) (Service, bool) {
+	v, ok := c.services[name]
+	return v, ok
+}
+
+// Adapter returns the adapter with the name.
+func (c *Catalog) Adapter(name string) (Adapter, bool) {
+	v, ok := c.adapters[name]
+	return v, ok
+}
+
+// UnknownModelError says that no service, adapter or version has the name that a request asked for.
+type UnknownModelError struct{ Model string }
+
+// Error implements error.
+func (e *UnknownModelError) Error() string {
+	return "no model or adapter version named " + strconv.Quote(e.Model)
+}
+
+// Resolve returns the target that a request's model names: "adapter", "adapter@version" or a model service.
+func (c *Catalog) Resolve(model string) (Target, error) {
+	name, version, pinned := strings.Cut(model, "@")
+	if s, ok := c.services[name]; ok && !pinned && s.kind == KindModel {
+		return Target{Service: name}, nil
+	}
+	a, ok := c.adapters[name]
+	if !ok {
+		return Target{}, &UnknownModelError{Model: model}
+	}
+	number := a.current
+	if pinned {
+		n, err := strconv.Atoi(version)
+		if err != nil {
+			return Target{}, &UnknownModelError{Model: model}
+		}
+		number = n
+	}
+	if _, ok := a.Version(number); !ok {
+		return Target{}, &UnknownModelError{Model: model}
+	}
+	return Target{Service: a.service, Adapter: name, Version: number}, nil
+}
+
+// ClassOf returns the class of a request for the target that names the class, or "" for the default.
+func (c *Catalog) ClassOf(t Target, name string) (Class, error) {
+	s, ok := c.services[t.Service]
+	if !ok {
+		return Class{}, errors.Errorf("no service named %q", t.Service)
+	}
+	if name == "" {
+		name = s.Class()
+		if a, ok := c.adapters[t.Adapter]; ok && a.class != "" {
+			name = a.class
+		}
+	} else if !s.AllowsClass(name) {
+		return Class{}, errors.Errorf("service %q does not allow class %q", t.Service, name)
+	}
+	class, ok := c.classes[name]
+	if !ok {
+		return Class{}, errors.Errorf("no class named %q", name)
+	}
+	return class, nil
+}
+
+// String returns the target as it stands in engines' lists of adapters.
+func (t Target) String() string {
+	if t.Adapter == "" {
+		return t.Service
+	}
+	return t.Adapter + "@" + strconv.Itoa(t.Version)
+}
+
+func newClass(s ClassSpec) (Class, error) {
+	first, err := parseBudget(s.First)
+	if err != nil {
+		return Class{}, errors.Wrap(err, "first")
+	}
+	total, err := parseBudget(s.Total)
+	if err != nil {
+		return Class{}, errors.Wrap(err, "total")
+	}
+	return Class{name: s.Name, urgent: s.Urgent, long: s.Long, firstToken: first, total: total}, nil
+}
+
+// parseBudget reads a duration; an empty one is zero, which means no limit.
+func parseBudget(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(s)
+}
+
+func newService(s ServiceSpec) Service {
+	calls := make([]Call, 0, len(s.Calls))
+	for _, c := range s.Calls {
+		calls = append(calls, Call{method: c.Method, pattern: c.Path, idempotent: c.Idempotent})
+	}
+	return Service{name: s.Name, kind: s.Kind, classes: s.Classes, calls: calls}
+}
+
+func newAdapter(s AdapterSpec) Adapter {
+	versions := make([]Version, 0, len(s.Versions))
+	for _, v := range s.Versions {
+		versions = append(versions, Version{number: v.Number, source: v.Source, digest: v.Digest})
+	}
+	return Adapter{name: s.Name, service: s.Service, class: s.Class, current: s.Current, versions: versions}
+}
--- /dev/null
+++ b/serving/marker/doc.go
@@ -0,0 +1,2 @@
+// Package marker names the HTTP headers that the serving layer shares with callers and backend servers.
+package marker
--- /dev/null
+++ b/serving/recorder/doc.go
@@ -0,0 +1,2 @@
+// Package recorder keeps the records of non-idempotent calls, so that each key runs at most once.
+package recorder
--- /dev/null
+++ b/serving/registrar/roster.go
@@ -0,0 +1,99 @@
+package registrar
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"redwingstage.org/serving/configurer"
+)
+
+// Server is what a backend server announced of itself.
+type Server struct {
+	Name        string
+	Kind        configurer.Kind
+	Addr        string
+	Zone        string
+	Service     string
+	Incarnation string
+	Slots       int
+	Batch       int
+	Fenced      bool
+	Leaving     bool
+}
+
+// Entry is a live entry process.
+type Entry struct {
+	Name        string
+	Incarnation uint64
+	Addr        string
+	Zone        string
+}
+
+// Owner is the one entry that may send requests and orders to a backend server.
+type Owner struct {
+	Entry string
+	Addr  string
+	Epoch uint64
+	// Clean says that the last owner handed over or never ordered, so that the first order need not wait.
+	Clean bool
+	// OrderAfter is the wait from the grant to the first order, in which an old owner's lease ends.
+	OrderAfter time.Duration
+	// Pinned are the adapters that still serve requests of the last owner, as it reports them.
+	Pinned []configurer.Target
+}
+
+// Roster is the set of live entries and backend servers at one revision; it is never changed.
+type Roster struct {
+	revision uint64
+	servers  map[string]Server
+	services map[string][]Server
+	owners   map[string]Owner
+	entries  []Entry
+}
+
+// NewRoster builds a roster; owners are by server name.
+func NewRoster(revision uint64, servers []Server, entries []Entry, owners map[string]Owner) *Roster {
+	r := &Roster{
+		revision: revision,
+		servers:  make(map[string]Server, len(servers)),
+		services: make(map[string][]Server),
+		owners:   owners,
+		entries:  entries,
+	}
+	for _, s := range servers {
+		r.servers[s.Name] = s
+		r.services[s.Service] = append(r.services[s.Service], s)
+	}
+	for _, list := range r.services {
+		slices.SortFunc(list, func(a, b Server) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return r
+}
+
+// Revision returns the roster's revision; within a control leader's term it only grows.
+func (r *Roster) Revision() uint64 { return r.revision }
+
+// Server returns the backend server with the name.
+func (r *Roster) Server(name string) (Server, bool) {
+	s, ok := r.servers[name]
+	return s, ok
+}
+
+// Servers returns the backend servers of a service by name, those that are leaving included; the caller must not change it.
+func (r *Roster) Servers(service string) []Server { return r.services[service] }
+
+// Owner returns the owner of a backend server.
+func (r *Roster) Owner(server string) (Owner, bool) {
+	o, ok := r.owners[server]
+	return o, ok
+}
+
+// Entries returns the live entries; the caller must not change it.
+func (r *Roster) Entries() []Entry { return r.entries }
+
+// Permit allows one adapter load from the weight store.
+type Permit struct {
+	ID      uint64
+	Expires time.Time
+}
--- /dev/null
+++ b/serving/scheduler/action.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"time"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+)
+
+// Reason says why a job was refused.
+type Reason string
+
+// The reasons of a refusal; a refused job was never written to a backend server.
+const (
+	// ReasonFull means that the queue is full.
+	ReasonFull Reason = "full"
+	// ReasonLate means that the budget can't be met here.
+	ReasonLate Reason = "late"
+	// ReasonLeaving means that the server is leaving, handed over or gone.
+	ReasonLeaving Reason = "leaving"
+	// ReasonLoad means that the adapter could not be loaded.
+	ReasonLoad Reason = "load"
+	// ReasonQuarantine means that the request crashed backend servers before.
+	ReasonQuarantine Reason = "quarantine"
+	// ReasonNotOwner means that this entry doesn't own the server.
+	ReasonNotOwner Reason = "not-owner"
+	// ReasonCancelled means that the caller went away.
+	ReasonCancelled Reason = "cancelled"
+)
+
+// Action is something that the entry must do now.
+type Action interface{ action() }
+
+// Send has a job written to its server.
+type Send struct {
+	Job   Job
+	Epoch uint64
+}
+
+// Refuse ends a job that was never written to a server; the router may try the next candidate.
+type Refuse struct {
+	Attempt retrier.Attempt
+	Reason  Reason
+	// RetryAfter is a hint for the caller when no candidate is left.
+	RetryAfter time.Duration
+}
+
+// AskPermit asks the control leader for a load permit.
+type AskPermit struct {
+	Server string
+	Target configurer.Target
+	Urgent bool
+}
+
+// ReturnPermit gives a permit back, used or not.
+type ReturnPermit struct{ Permit registrar.Permit }
+
+// Load orders a server to load an adapter's version.
+type Load struct {
+	Server string
+	Target configurer.Target
+	Epoch  uint64
+}
+
+// Unload orders a server to unload an adapter's version that no attempt uses.
+type Unload struct {
+	Server string
+	Target configurer.Target
+	Epoch  uint64
+}
+
+// Cancel has an attempt cancelled at its server; Ended follows.
+type Cancel struct {
+	Attempt retrier.Attempt
+	Server  string
+}
+
+// Fail ends an attempt that was sent and can't be finished here.
+type Fail struct {
+	Attempt retrier.Attempt
+	// Crashed says that the server's process died under it.
+	Crashed bool
+}
+
+// Accuse reports the attempts in flight at a crash, so that their digests become suspects everywhere.
+type Accuse struct {
+	Server   string
+	Attempts []retrier.Attempt
+}
+
+// Alarm says that waiting work is at risk of missing its deadline.
+type Alarm struct {
+	Attempt  retrier.Attempt
+	Class    string
+	Deadline time.Time
+}
+
+func (Send) action()         {}
+func (Refuse) action()       {}
+func (AskPermit) action()    {}
+func (ReturnPermit) action() {}
+func (Load) action()         {}
+func (Unload) action()       {}
+func (Cancel) action()       {}
+func (Fail) action()         {}
+func (Accuse) action()       {}
+func (Alarm) action()        {}
--- /dev/null
+++ b/serving/scheduler/event.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"time"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+)
+
+// Job is one attempt of a request at the server that a router picked.
+type Job struct {
+	Attempt    retrier.Attempt
+	Server     string
+	Target     configurer.Target
+	Class      string
+	Urgent     bool
+	Long       bool
+	Idempotent bool
+	Digest     quarantiner.Digest
+	Standing   quarantiner.Standing
+	Prefix     uint64
+	MaxTokens  int
+	Arrived    time.Time
+	FirstBy    time.Time
+	Deadline   time.Time
+	// Last says that no other candidate is left, so the job waits here rather than pass on.
+	Last bool
+}
+
+// Event is something that happened to the servers or jobs of this entry.
+type Event interface{ event() }
+
+// Owned says that this entry owns a server from now on, or that its announcement changed.
+type Owned struct {
+	Server registrar.Server
+	Epoch  uint64
+	// Residents are the adapters that the server itself reports as loaded.
+	Residents []configurer.Target
+	// Pinned are the residents that may still serve requests of the last owner.
+	Pinned []configurer.Target
+	// OrderAt is the time before which no order may be given.
+	OrderAt time.Time
+}
+
+// Released says that a server is handed over: its jobs end, nothing new starts.
+type Released struct{ Server string }
+
+// LeaseLost says that this entry's lease ended: no order until Owned comes again.
+type LeaseLost struct{}
+
+// Unpinned says that the last owner's requests on an inherited adapter have ended.
+type Unpinned struct {
+	Server string
+	Target configurer.Target
+}
+
+// Gone says that a server restarted or died; every attempt on it that hasn't ended has failed.
+type Gone struct {
+	Server string
+	// Crashed says that the process died with requests in flight, not that it was unreachable.
+	Crashed bool
+}
+
+// Arrived brings a new job.
+type Arrived struct{ Job Job }
+
+// Cancelled says that the caller no longer wants an answer.
+type Cancelled struct{ Attempt retrier.Attempt }
+
+// Granted brings a load permit that was asked for.
+type Granted struct {
+	Server string
+	Target configurer.Target
+	Permit registrar.Permit
+}
+
+// Denied says that no permit can be had now; the load is asked for again later.
+type Denied struct {
+	Server string
+	Target configurer.Target
+}
+
+// LoadEnded says how a load order ended; OK means that the server confirmed the adapter and version in this incarnation.
+type LoadEnded struct {
+	Server string
+	Target configurer.Target
+	OK     bool
+}
+
+// UnloadEnded says how an unload order ended.
+type UnloadEnded struct {
+	Server string
+	Target configurer.Target
+	OK     bool
+}
+
+// Progress says that tokens of an attempt arrived; traffic code reports the first token and then at intervals.
+type Progress struct {
+	Attempt retrier.Attempt
+	Tokens  int
+}
+
+// Ended says that the last byte of an attempt arrived, that its cancel was confirmed, or that it failed.
+type Ended struct {
+	Attempt retrier.Attempt
+	OK      bool
+	Tokens  int
+}
+
+// Reported brings a server's own load report, which lags.
+type Reported struct {
+	Server  string
+	Running int
+	Waiting int
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Owned) event()       {}
+func (Released) event()    {}
+func (LeaseLost) event()   {}
+func (Unpinned) event()    {}
+func (Gone) event()        {}
+func (Arrived) event()     {}
+func (Cancelled) event()   {}
+func (Granted) event()     {}
+func (Denied) event()      {}
+func (LoadEnded) event()   {}
+func (UnloadEnded) event() {}
+func (Progress) event()    {}
+func (Ended) event()       {}
+func (Reported) event()    {}
+func (Tick) event()        {}
--- /dev/null
+++ b/stage/cmd/redwingstaged/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
