--- /dev/null
+++ b/coord/carrier/carrier.go
@@ -0,0 +1,234 @@
+package carrier
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/replicator"
+)
+
+// Path is where Handler expects to be mounted.
+const Path = "/redwingstage.coord.Log/"
+
+const (
+	procedure      = Path + "Carry"
+	queueLength    = 1024
+	maxFrameBytes  = 16 << 20
+	defaultSilence = 1200 * time.Millisecond
+	idleTimeout    = 10 * time.Second
+	sendTimeout    = 5 * time.Second
+	minBackoff     = 50 * time.Millisecond
+	maxBackoff     = time.Second
+)
+
+var errSilent = errors.New("the peer does not answer")
+
+// Option changes how a Carrier works.
+type Option func(*Carrier)
+
+// WithErrors calls f with each broken stream and each malformed message; f must not block.
+func WithErrors(f func(peer uint64, err error)) Option {
+	return func(c *Carrier) { c.report = f }
+}
+
+// WithSilence sets after which time without an answer a connection is replaced; it should lie between the heartbeat
+// interval and the election timeout.
+func WithSilence(d time.Duration) Option {
+	return func(c *Carrier) { c.silence = d }
+}
+
+// Carrier is the transport of one replica.
+type Carrier struct {
+	id      uint64
+	cluster string
+	silence time.Duration
+	report  func(peer uint64, err error)
+	handler http.Handler
+	receive atomic.Pointer[func(replicator.Message) error]
+
+	mu      sync.Mutex
+	peers   map[uint64]*peer
+	inbound map[uint64]*inbound
+	closed  bool
+	wg      conc.WaitGroup
+}
+
+// peer is the sending side towards one replica.
+type peer struct {
+	id     uint64
+	addr   string
+	queue  chan replicator.Message
+	heard  atomic.Int64
+	cancel context.CancelFunc
+}
+
+// New returns the transport of replica id of the cluster.
+func New(id uint64, cluster string, opts ...Option) *Carrier {
+	c := &Carrier{
+		id: id, cluster: cluster, silence: defaultSilence, report: func(uint64, error) {},
+		peers: map[uint64]*peer{}, inbound: map[uint64]*inbound{},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.handler = connect.NewClientStreamHandler(procedure, c.carry, encoder.Option(),
+		connect.WithReadMaxBytes(maxFrameBytes))
+	return c
+}
+
+// Attach sets the receiver of the peers' messages.
+func (c *Carrier) Attach(receive func(replicator.Message) error) { c.receive.Store(&receive) }
+
+// SetPeers replaces the addresses, "host:port", of the other replicas.
+func (c *Carrier) SetPeers(addrs map[uint64]string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	for id, p := range c.peers {
+		if addrs[id] != p.addr {
+			p.cancel()
+			delete(c.peers, id)
+		}
+	}
+	for id, addr := range addrs {
+		if c.peers[id] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		p := &peer{id: id, addr: addr, queue: make(chan replicator.Message, queueLength), cancel: cancel}
+		c.peers[id] = p
+		c.wg.Go(func() { c.run(ctx, p) })
+	}
+}
+
+// Send queues m for its receiver, or drops it if the receiver is unknown or its queue is full.
+func (c *Carrier) Send(m replicator.Message) {
+	c.mu.Lock()
+	p := c.peers[m.To]
+	c.mu.Unlock()
+	if p == nil {
+		return
+	}
+	select {
+	case p.queue <- m:
+	default:
+	}
+}
+
+// Close ends all streams and waits for them.
+func (c *Carrier) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	for _, p := range c.peers {
+		p.cancel()
+	}
+	for _, in := range c.inbound {
+		in.end()
+	}
+	c.mu.Unlock()
+	c.wg.Wait()
+	return nil
+}
+
+// run keeps a stream to p while there is something to send.
+func (c *Carrier) run(ctx context.Context, p *peer) {
+	backoff := minBackoff
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.queue:
+			began := time.Now()
+			err := c.stream(ctx, p, m)
+			if err == nil || ctx.Err() != nil {
+				continue
+			}
+			c.report(p.id, err)
+			if time.Since(began) > maxBackoff {
+				backoff = minBackoff
+			}
+		}
+		wait(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+		p.drain()
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// drain drops what was queued while there was no stream; the sender repeats what still counts.
+func (p *peer) drain() {
+	for range len(p.queue) {
+		<-p.queue
+	}
+}
+
+// stream sends m and what follows on a connection of its own, until it breaks, is idle or the peer is silent.
+func (c *Carrier) stream(ctx context.Context, p *peer, m replicator.Message) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	httpClient := encoder.NewClient()
+	defer httpClient.CloseIdleConnections()
+	client := connect.NewClient[frame, ack](httpClient, "http://"+p.addr+procedure, encoder.Option())
+	s := client.CallClientStream(ctx)
+	setHeaders(s.RequestHeader(), c.cluster, c.id, p.id)
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	var unanswered time.Time
+	for {
+		if err := sendFrame(s, m, cancel); err != nil {
+			return c.cause(s, err)
+		}
+		now := time.Now()
+		if heard := time.Unix(0, p.heard.Load()); unanswered.IsZero() || heard.After(unanswered) {
+			unanswered = now
+		}
+		if now.Sub(unanswered) > c.silence {
+			return errSilent
+		}
+		idle.Reset(idleTimeout)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-idle.C:
+			return nil
+		case m = <-p.queue:
+		}
+	}
+}
+
+func sendFrame(s *connect.ClientStreamForClient[frame, ack], m replicator.Message, cancel func()) error {
+	f, err := toFrame(m)
+	if err != nil {
+		return err
+	}
+	t := time.AfterFunc(sendTimeout, cancel)
+	defer t.Stop()
+	return s.Send(f)
+}
+
+// cause returns the error with which the peer ended the stream, if it did.
+func (c *Carrier) cause(s *connect.ClientStreamForClient[frame, ack], err error) error {
+	if _, cerr := s.CloseAndReceive(); cerr != nil {
+		return cerr
+	}
+	return err
+}
--- /dev/null
+++ b/coord/journaler/files.go
@@ -0,0 +1,133 @@
+package journaler
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
+// File is an open file of a FileSystem; Write appends at its end.
+type File interface {
+	io.ReaderAt
+	io.Writer
+	io.Closer
+	Size() (int64, error)
+	Truncate(size int64) error
+	Sync() error
+}
+
+// FileSystem is what a journal needs of the operating system.
+type FileSystem interface {
+	MakeFolder(path string) error
+	SyncFolder(path string) error
+	List(path string) ([]string, error)
+	// Create opens an empty file, replacing an old one.
+	Create(path string) (File, error)
+	Open(path string) (File, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// Lock takes the file for this process or returns ErrLocked.
+	Lock(path string) (io.Closer, error)
+}
+
+// ErrLocked says that another process uses the data folder.
+var ErrLocked = errors.New("the data folder is in use by another process")
+
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+)
+
+// Disk is the FileSystem of the operating system.
+type Disk struct{}
+
+type diskFile struct{ *os.File }
+
+func (f diskFile) Size() (int64, error) {
+	st, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return st.Size(), nil
+}
+
+// MakeFolder implements FileSystem.
+func (Disk) MakeFolder(path string) error {
+	if st, err := os.Stat(path); err == nil && st.IsDir() {
+		return nil
+	}
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return err
+	}
+	return Disk{}.SyncFolder(filepath.Dir(path))
+}
+
+// SyncFolder implements FileSystem.
+func (Disk) SyncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// List implements FileSystem.
+func (Disk) List(path string) ([]string, error) {
+	es, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range es {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Create implements FileSystem.
+func (Disk) Create(path string) (File, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return diskFile{f}, nil
+}
+
+// Open implements FileSystem.
+func (Disk) Open(path string) (File, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return diskFile{f}, nil
+}
+
+// Rename implements FileSystem.
+func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FileSystem.
+func (Disk) Remove(path string) error { return os.Remove(path) }
+
+// Lock implements FileSystem.
+func (Disk) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return f, nil
+	}
+	_ = f.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, ErrLocked
+	}
+	return nil, err
+}
--- /dev/null
+++ b/coord/replicator/election.go
@@ -0,0 +1,194 @@
+package replicator
+
+import (
+	"time"
+)
+
+func (r *Replicator) becomeFollower(term, lead uint64) {
+	if r.role == leader {
+		r.loseReads()
+		r.probe = probe{}
+	}
+	if term > r.hard.Term {
+		r.hard = HardState{Term: term}
+		r.touchHard()
+	}
+	r.role, r.lead = follower, lead
+	r.peers, r.votes, r.transfer = nil, nil, transfer{}
+	r.timeout = r.cfg.Election + time.Duration(r.cfg.Rand.Int64N(int64(r.cfg.Election)))
+}
+
+func (r *Replicator) loseReads() {
+	for _, rd := range r.reads {
+		r.confirmed = append(r.confirmed, Read{ID: rd.id, Lost: true})
+	}
+	r.reads = nil
+}
+
+// campaign asks whether the others would vote, so that an isolated replica disturbs nobody by its term.
+func (r *Replicator) campaign(now time.Time) {
+	r.heard = now
+	r.becomeFollower(r.hard.Term, 0)
+	mb, ok := r.membership.Find(r.cfg.ID)
+	if !ok || mb.Learner {
+		return
+	}
+	if r.off.noPreVote {
+		r.elect(now, false)
+		return
+	}
+	r.role = preCandidate
+	r.votes = map[uint64]bool{r.cfg.ID: true}
+	if r.membership.quorum() == 1 {
+		r.elect(now, false)
+		return
+	}
+	r.askVotes(TypePreVote, r.hard.Term+1, false)
+}
+
+func (r *Replicator) elect(now time.Time, force bool) {
+	r.hard = HardState{Term: r.hard.Term + 1, Vote: r.cfg.ID}
+	r.touchHard()
+	r.role, r.lead = candidate, 0
+	r.heard = now
+	r.votes = map[uint64]bool{r.cfg.ID: true}
+	if r.membership.quorum() == 1 {
+		r.becomeLeader(now)
+		return
+	}
+	r.askVotes(TypeVote, r.hard.Term, force)
+}
+
+func (r *Replicator) askVotes(t Type, term uint64, force bool) {
+	for _, mb := range r.membership.voters() {
+		if mb.ID != r.cfg.ID {
+			r.send(Message{
+				Type: t, To: mb.ID, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm(), Force: force,
+			})
+		}
+	}
+}
+
+// isPromised reports whether a leader may still count on this replica for its lease.
+func (r *Replicator) isPromised(now time.Time) bool {
+	if r.off.noSticky {
+		return false
+	}
+	return now.Sub(r.heard) < r.cfg.Election && r.role != preCandidate && r.role != candidate
+}
+
+func (r *Replicator) isUpToDate(m Message) bool {
+	own := r.log.lastTerm()
+	return m.LogTerm > own || (m.LogTerm == own && m.Index >= r.log.last())
+}
+
+func (r *Replicator) onPreVote(now time.Time, m Message) {
+	grant := m.Term > r.hard.Term && r.isUpToDate(m) && !r.isPromised(now) && r.role != leader
+	term := m.Term
+	if !grant {
+		term = r.hard.Term
+	}
+	r.send(Message{Type: TypePreVoteResponse, To: m.From, Term: term, Reject: !grant})
+}
+
+func (r *Replicator) onPreVoteResponse(now time.Time, m Message) {
+	if r.role != preCandidate || (!m.Reject && m.Term != r.hard.Term+1) {
+		return
+	}
+	r.votes[m.From] = !m.Reject
+	if r.hasVotes() {
+		r.elect(now, false)
+	}
+}
+
+func (r *Replicator) onVote(now time.Time, m Message) {
+	if m.Term < r.hard.Term {
+		r.send(Message{Type: TypeVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	grant := (r.hard.Vote == 0 || r.hard.Vote == m.From) && r.lead == 0 && r.isUpToDate(m)
+	if grant && r.hard.Vote == 0 {
+		r.hard.Vote = m.From
+		r.touchHard()
+	}
+	if grant {
+		r.heard = now
+	}
+	r.send(Message{Type: TypeVoteResponse, To: m.From, Reject: !grant})
+}
+
+func (r *Replicator) onVoteResponse(now time.Time, m Message) {
+	if r.role != candidate || m.Term != r.hard.Term {
+		return
+	}
+	r.votes[m.From] = !m.Reject
+	if r.hasVotes() {
+		r.becomeLeader(now)
+	}
+}
+
+func (r *Replicator) hasVotes() bool {
+	n := 0
+	for _, mb := range r.membership.voters() {
+		if r.votes[mb.ID] {
+			n++
+		}
+	}
+	return n >= r.membership.quorum()
+}
+
+func (r *Replicator) becomeLeader(now time.Time) {
+	r.role, r.lead = leader, r.cfg.ID
+	r.votes = nil
+	r.nextBeat = now
+	r.began = r.nextStamp(now)
+	r.peers = map[uint64]*peer{}
+	r.syncPeers()
+	r.appendOwn(KindNoop, nil)
+	r.termStart = r.log.last()
+	r.broadcast(now)
+}
+
+func (r *Replicator) onTransfer(now time.Time, m Message) {
+	if m.Term == r.hard.Term && r.membership.isVoter(r.cfg.ID) && r.role != leader {
+		r.elect(now, true)
+	}
+}
+
+// Transfer hands leadership to the voter that holds most of the log; it reports false unless this replica leads others.
+func (r *Replicator) Transfer(now time.Time) bool {
+	if r.role != leader || r.transfer.to != 0 {
+		return r.transfer.to != 0
+	}
+	best := uint64(0)
+	for _, mb := range r.membership.voters() {
+		p := r.peers[mb.ID]
+		if p == nil || now.Sub(r.timeOf(p.acked)) > r.cfg.Election {
+			continue
+		}
+		if best == 0 || p.match > r.peers[best].match {
+			best = mb.ID
+		}
+	}
+	if best == 0 {
+		return false
+	}
+	r.transfer = transfer{to: best, until: now.Add(r.cfg.Election)}
+	r.tryTransfer(now)
+	return true
+}
+
+// tryTransfer gives up leadership, and with it the lease, before the target may ask for forced votes.
+func (r *Replicator) tryTransfer(now time.Time) {
+	p := r.peers[r.transfer.to]
+	if p == nil || now.After(r.transfer.until) {
+		r.transfer = transfer{}
+		return
+	}
+	if p.match != r.log.last() || r.durable != r.log.last() {
+		return
+	}
+	r.send(Message{Type: TypeTransfer, To: r.transfer.to})
+	r.becomeFollower(r.hard.Term, 0)
+	r.heard = now
+}
--- /dev/null
+++ b/coord/replicator/log.go
@@ -0,0 +1,78 @@
+package replicator
+
+// entryLog holds the entries after base in memory.
+type entryLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []Entry
+}
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry at index i, unless it is unknown.
+func (l *entryLog) term(i uint64) (uint64, bool) {
+	switch {
+	case i == l.base:
+		return l.baseTerm, true
+	case i < l.base || i > l.last():
+		return 0, false
+	default:
+		return l.entries[i-l.base-1].Term, true
+	}
+}
+
+// slice returns the entries from lo to hi, both included; the caller must not change them.
+func (l *entryLog) slice(lo, hi uint64) []Entry {
+	if lo <= l.base || lo > hi {
+		return nil
+	}
+	return l.entries[lo-l.base-1 : hi-l.base : hi-l.base]
+}
+
+// limited returns entries from lo on, at least one and not much more than size bytes.
+func (l *entryLog) limited(lo uint64, size int) []Entry {
+	es := l.slice(lo, l.last())
+	n := 0
+	for i, e := range es {
+		n += len(e.Data) + entryOverhead
+		if n > size && i > 0 {
+			return es[:i]
+		}
+	}
+	return es
+}
+
+func (l *entryLog) append(es ...Entry) { l.entries = append(l.entries, es...) }
+
+// truncate removes the entries from index i on; slices handed out before stay whole.
+func (l *entryLog) truncate(i uint64) {
+	n := i - l.base - 1
+	l.entries = l.entries[:n:n]
+}
+
+// compact forgets the entries up to index i.
+func (l *entryLog) compact(i uint64) {
+	t, ok := l.term(i)
+	if !ok || i <= l.base {
+		return
+	}
+	l.entries = append([]Entry(nil), l.entries[i-l.base:]...)
+	l.base, l.baseTerm = i, t
+}
+
+// conflict returns the first index of the term at i, less one.
+func (l *entryLog) conflict(i uint64) uint64 {
+	t, _ := l.term(i)
+	for i > l.base {
+		if u, ok := l.term(i - 1); !ok || u != t {
+			return i - 1
+		}
+		i--
+	}
+	return i
+}
--- /dev/null
+++ b/coord/replicator/step.go
@@ -0,0 +1,99 @@
+package replicator
+
+import (
+	"time"
+)
+
+// Step handles a message that passed CheckMessage.
+func (r *Replicator) Step(now time.Time, m Message) {
+	if m.To != r.cfg.ID || r.fenced != nil {
+		return
+	}
+	if !r.off.noNonce && m.Nonce != 0 && m.Nonce != r.cfg.Nonce {
+		r.fenced = &LostDiskError{ID: r.cfg.ID}
+		return
+	}
+	switch m.Type {
+	case TypeHello:
+		r.onHello(m)
+		return
+	case TypeHelloResponse:
+		r.onHelloResponse(now, m)
+		return
+	}
+	// A request without the nonce comes from a replica that doesn't count this one as a member.
+	if m.Nonce == 0 && m.isRequest() {
+		return
+	}
+	if r.stepTerm(now, m) {
+		r.dispatch(now, m)
+	}
+}
+
+func (m Message) isRequest() bool {
+	switch m.Type {
+	case TypePreVote, TypeVote, TypeAppend, TypeSnapshot, TypeTransfer:
+		return true
+	}
+	return false
+}
+
+// stepTerm compares the message's term with the own one and reports whether the message is to be handled.
+func (r *Replicator) stepTerm(now time.Time, m Message) bool {
+	if m.Type == TypePreVote || (m.Type == TypePreVoteResponse && !m.Reject) {
+		return true
+	}
+	switch {
+	case m.Term > r.hard.Term && m.Type == TypeVote:
+		if !m.Force && (r.isPromised(now) || (r.role == leader && !r.off.noSticky)) {
+			return false
+		}
+		r.becomeFollower(m.Term, 0)
+	case m.Term > r.hard.Term && (m.Type == TypeAppend || m.Type == TypeSnapshot):
+		r.becomeFollower(m.Term, m.From)
+	case m.Term > r.hard.Term:
+		r.becomeFollower(m.Term, 0)
+	case m.Term < r.hard.Term && (m.Type == TypeAppend || m.Type == TypeSnapshot):
+		// The higher term makes the old leader step down.
+		r.send(Message{Type: TypeAppendResponse, To: m.From, Reject: true})
+		return false
+	case m.Term < r.hard.Term:
+		return m.Type == TypeVote
+	}
+	return true
+}
+
+func (r *Replicator) dispatch(now time.Time, m Message) {
+	switch m.Type {
+	case TypePreVote:
+		r.onPreVote(now, m)
+	case TypePreVoteResponse:
+		r.onPreVoteResponse(now, m)
+	case TypeVote:
+		r.onVote(now, m)
+	case TypeVoteResponse:
+		r.onVoteResponse(now, m)
+	case TypeAppend:
+		r.onAppend(now, m)
+	case TypeAppendResponse:
+		r.onAppendResponse(now, m)
+	case TypeSnapshot:
+		r.onSnapshot(now, m)
+	case TypeSnapshotResponse:
+		r.onSnapshotResponse(now, m)
+	case TypeTransfer:
+		r.onTransfer(now, m)
+	}
+}
+
+// follow makes the sender of an append or a snapshot the leader and renews the promise to it.
+func (r *Replicator) follow(now time.Time, from uint64) bool {
+	if r.role == leader {
+		return false
+	}
+	if r.role != follower || r.lead != from {
+		r.becomeFollower(r.hard.Term, from)
+	}
+	r.heard = now
+	return true
+}
--- a/coord/runner/doc.go
+++ b/coord/runner/doc.go
@@ -1,2 +1,3 @@
-// Package runner drives one replica of a replicated log: it owns the goroutine, the journal and the transport around a replicator.Node.
+// Package runner runs one replica of a replicated log: the goroutine, the journal and the transport around a
+// replicator.Replicator.
 package runner
--- /dev/null
+++ b/coord/runner/loop.go
@@ -0,0 +1,393 @@
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/replicator"
+)
+
+type outcome struct {
+	result Result
+	err    error
+}
+
+// proposal is a command on its way; taken decides between its caller giving up and the loop appending it.
+type proposal struct {
+	cmd   []byte
+	taken atomic.Bool
+	index atomic.Uint64
+	term  atomic.Uint64
+	done  chan outcome
+}
+
+type call struct {
+	done chan error
+}
+
+// readRound is one confirmation by the quorum that serves several calls.
+type readRound struct {
+	id    uint64
+	index uint64
+	calls []*call
+}
+
+func (rr *readRound) finish(err error) {
+	for _, c := range rr.calls {
+		c.done <- err
+	}
+}
+
+// change is a step function that is called until it is done.
+type change struct {
+	ctx  context.Context
+	addr Member
+	step func(now time.Time) (bool, error)
+	stop func()
+	done chan error
+}
+
+// run owns the replica's state.
+func (r *Runner) run() {
+	defer close(r.done)
+	defer close(r.jobs)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.closing:
+			r.end(ErrClosed)
+			return
+		case p := <-r.proposals:
+			r.propose(time.Now(), p)
+		case c := <-r.confirms:
+			r.asked = append(r.asked, c)
+		case c := <-r.changeIn:
+			r.changes = append(r.changes, c)
+			if c.addr.ID != 0 {
+				r.extra[c.addr.ID] = c.addr.Addr
+				r.setPeers()
+			}
+		case m := <-r.inbox:
+			r.step(time.Now(), m)
+		case j := <-r.written:
+			r.persisted(time.Now(), j)
+		case <-timer.C:
+		}
+		now := time.Now()
+		r.rep.Tick(now)
+		r.flush(now)
+		if r.failure == nil {
+			r.failure = r.rep.Fenced()
+		}
+		if r.failure != nil {
+			r.end(r.failure)
+			return
+		}
+		timer.Reset(max(time.Until(r.rep.Deadline()), 0))
+	}
+}
+
+// end answers everybody who waits and takes back the lease.
+func (r *Runner) end(err error) {
+	for i, p := range r.waiters {
+		r.resolve(i, p, outcome{err: &UncertainError{Index: i, Term: p.term.Load(), Err: err}})
+	}
+	s := r.Status()
+	s.Leader, s.LeaseEnd = 0, time.Time{}
+	r.status.Store(&s)
+	if r.observe != nil {
+		r.observe(s)
+	}
+}
+
+func (r *Runner) resolve(i uint64, p *proposal, o outcome) {
+	delete(r.waiters, i)
+	p.done <- o
+}
+
+// step handles a message and those that wait behind it.
+func (r *Runner) step(now time.Time, m replicator.Message) {
+	r.rep.Step(now, m)
+	for range len(r.inbox) {
+		r.rep.Step(now, <-r.inbox)
+	}
+}
+
+// propose appends a command and those that wait behind it, so that they share one sync.
+func (r *Runner) propose(now time.Time, p *proposal) {
+	batch := []*proposal{p}
+	for range len(r.proposals) {
+		batch = append(batch, <-r.proposals)
+	}
+	var taken []*proposal
+	var cmds [][]byte
+	for _, p := range batch {
+		if p.taken.CompareAndSwap(false, true) {
+			taken = append(taken, p)
+			cmds = append(cmds, p.cmd)
+		}
+	}
+	if len(taken) == 0 {
+		return
+	}
+	index, term, ok := r.rep.Propose(now, cmds)
+	if !ok {
+		err := r.notLeader()
+		for _, p := range taken {
+			p.done <- outcome{err: err}
+		}
+		return
+	}
+	for i, p := range taken {
+		at := index + uint64(i)
+		if old := r.waiters[at]; old != nil {
+			// A leader's log lacks the old command at this place, so that one was never committed.
+			r.resolve(at, old, outcome{err: r.notLeader()})
+		}
+		p.index.Store(at)
+		p.term.Store(term)
+		r.waiters[at] = p
+	}
+}
+
+func (r *Runner) persisted(now time.Time, j job) {
+	if j.err != nil {
+		r.failure = errors.Wrap(j.err, "journal")
+		return
+	}
+	r.snapGen = j.gen
+	r.rep.Persisted(now, j.write)
+	if j.write.Install {
+		r.restoreSnapshot(j.write)
+	}
+}
+
+func (r *Runner) restoreSnapshot(w *replicator.Write) {
+	if err := r.machine.Restore(w.Data); err != nil {
+		r.failure = errors.Wrapf(err, "restore snapshot of index %d", w.Snapshot.Index)
+		return
+	}
+	for i, p := range r.waiters {
+		if i <= w.Snapshot.Index {
+			r.resolve(i, p, outcome{err: &UncertainError{Index: i, Term: p.term.Load()}})
+		}
+	}
+}
+
+// flush does everything that the replicator asks for.
+func (r *Runner) flush(now time.Time) {
+	r.finishReads()
+	r.startRead(now)
+	r.stepChanges(now)
+	r.startWrite()
+	r.sendAll()
+	r.apply()
+	r.finishReads()
+	r.dropWaiters(now)
+	r.publish(now)
+}
+
+func (r *Runner) sendAll() {
+	for _, m := range r.rep.Messages() {
+		if m.Type == replicator.TypeSnapshot && !r.fillPiece(&m) {
+			continue
+		}
+		r.transport.Send(m)
+	}
+}
+
+// fillPiece reads a piece of the snapshot; if a newer one took its place, the leader asks again.
+func (r *Runner) fillPiece(m *replicator.Message) bool {
+	s := r.rep.Snapshot()
+	if m.Snapshot.Index != s.Index {
+		return false
+	}
+	b, err := r.store.journal.ReadSnapshot(r.snapGen, int64(m.Offset), replicator.PieceSize(s, m.Offset))
+	if err != nil {
+		return false
+	}
+	m.Data = b
+	return true
+}
+
+func (r *Runner) apply() {
+	for _, e := range r.rep.Committed() {
+		var res []byte
+		if e.Kind == replicator.KindCommand {
+			res = r.machine.Apply(e.Index, e.Data)
+		}
+		p := r.waiters[e.Index]
+		if p == nil {
+			continue
+		}
+		if p.term.Load() != e.Term {
+			r.resolve(e.Index, p, outcome{err: r.notLeader()})
+			continue
+		}
+		r.resolve(e.Index, p, outcome{result: Result{Index: e.Index, Data: res}})
+	}
+}
+
+// startWrite hands the next write to the writer; a snapshot goes first when it is due.
+func (r *Runner) startWrite() {
+	if r.rep.IsWriting() {
+		return
+	}
+	var j job
+	since := r.rep.Applied() - r.rep.Snapshot().Index
+	if since >= r.snapEvery || (since > 0 && r.store.journal.Size() >= r.snapBytes) {
+		j.data, j.err = r.machine.Snapshot()
+		if j.err != nil {
+			r.failure = errors.Wrap(j.err, "take snapshot")
+			return
+		}
+		j.write = r.rep.Checkpoint(replicator.Snapshot{Index: r.rep.Applied(), Size: uint64(len(j.data))})
+	}
+	if j.write == nil {
+		j.write = r.rep.Write()
+		if j.write == nil {
+			return
+		}
+		j.data = j.write.Data
+	}
+	r.jobs <- j
+}
+
+func (r *Runner) startRead(now time.Time) {
+	if r.reading != nil || len(r.asked) == 0 {
+		return
+	}
+	for range len(r.confirms) {
+		r.asked = append(r.asked, <-r.confirms)
+	}
+	rr := &readRound{calls: r.asked}
+	r.asked = nil
+	id, ok := r.rep.Read(now)
+	if !ok {
+		rr.finish(r.notLeader())
+		return
+	}
+	rr.id = id
+	r.reading = rr
+}
+
+func (r *Runner) finishReads() {
+	for _, rd := range r.rep.Reads() {
+		rr := r.reading
+		if rr == nil || rr.id != rd.ID {
+			continue
+		}
+		r.reading = nil
+		if rd.Lost {
+			rr.finish(r.notLeader())
+			continue
+		}
+		rr.index = rd.Index
+		r.applying = append(r.applying, rr)
+	}
+	var rest []*readRound
+	for _, rr := range r.applying {
+		if r.rep.Applied() < rr.index {
+			rest = append(rest, rr)
+			continue
+		}
+		rr.finish(nil)
+	}
+	r.applying = rest
+}
+
+// dropWaiters gives up commands whose fate isn't seen two election timeouts after leadership was lost.
+func (r *Runner) dropWaiters(now time.Time) {
+	if r.rep.Leader() == r.cfg.ID {
+		r.lostAt = time.Time{}
+		return
+	}
+	if r.lostAt.IsZero() {
+		r.lostAt = now
+	}
+	if now.Sub(r.lostAt) < 2*r.rep.Election() {
+		return
+	}
+	for i, p := range r.waiters {
+		r.resolve(i, p, outcome{err: &UncertainError{Index: i, Term: p.term.Load()}})
+	}
+}
+
+func (r *Runner) stepChanges(now time.Time) {
+	var rest []*change
+	for _, c := range r.changes {
+		done, err := c.step(now)
+		if errors.Is(err, replicator.ErrNotLeader) {
+			err = r.notLeader()
+		}
+		switch {
+		case done || err != nil:
+			delete(r.extra, c.addr.ID)
+			c.done <- err
+		case c.ctx.Err() != nil:
+			if c.stop != nil {
+				c.stop()
+			}
+			delete(r.extra, c.addr.ID)
+			c.done <- c.ctx.Err()
+		default:
+			rest = append(rest, c)
+		}
+	}
+	r.changes = rest
+}
+
+func (r *Runner) stepTransfer(now time.Time) (bool, error) {
+	if lead := r.rep.Leader(); lead != 0 && lead != r.cfg.ID {
+		return true, nil
+	}
+	if r.rep.Leader() == r.cfg.ID && !r.rep.Transfer(now) {
+		return false, ErrNoTarget
+	}
+	return false, nil
+}
+
+func (r *Runner) setPeers() {
+	addrs := map[uint64]string{}
+	m, at := r.rep.Membership()
+	if len(m.Members) == 0 {
+		for _, mb := range r.cfg.Members {
+			addrs[mb.ID] = mb.Addr
+		}
+	}
+	for _, mb := range m.Members {
+		addrs[mb.ID] = mb.Addr
+	}
+	for id, addr := range r.extra {
+		addrs[id] = addr
+	}
+	delete(addrs, r.cfg.ID)
+	r.addrs = at
+	r.transport.SetPeers(addrs)
+}
+
+// publish replaces the status that other goroutines read.
+func (r *Runner) publish(now time.Time) {
+	m, at := r.rep.Membership()
+	s := &Status{
+		ID: r.cfg.ID, Leader: r.rep.Leader(), Term: r.rep.Term(), Commit: r.rep.Commit(), Applied: r.rep.Applied(),
+		LeaseEnd: r.rep.LeaseEnd(now),
+	}
+	for _, mb := range m.Members {
+		s.Members = append(s.Members, Member{ID: mb.ID, Addr: mb.Addr, Learner: mb.Learner})
+	}
+	old := r.status.Swap(s)
+	if old == nil {
+		return
+	}
+	if at != r.addrs {
+		r.setPeers()
+	}
+	if r.observe != nil && (old.Leader != s.Leader || old.Term != s.Term || len(old.Members) != len(s.Members)) {
+		r.observe(*s)
+	}
+}
--- a/coord/runner/machine.go
+++ b/coord/runner/machine.go
@@ -62,9 +62,13 @@
 type UncertainError struct {
 	Index uint64
 	Term  uint64
+	Err   error
 }
 
 // Error implements error.
 func (e *UncertainError) Error() string {
 	return fmt.Sprintf("command at index %d of term %d may or may not be committed", e.Index, e.Term)
 }
+
+// Unwrap returns why nobody waited any longer, if there is a reason.
+func (e *UncertainError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/coord/runner/runner_test.go
@@ -0,0 +1,178 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"redwingstage.org/coord/carrier"
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/runner"
+)
+
+// counter is a Machine that adds numbers.
+type counter struct {
+	mu    sync.Mutex
+	value uint64
+	count uint64
+}
+
+func (c *counter) Apply(_ uint64, cmd []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.value += binary.BigEndian.Uint64(cmd)
+	c.count++
+	return binary.BigEndian.AppendUint64(nil, c.value)
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, c.value), c.count), nil
+}
+
+func (c *counter) Restore(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(b) != 16 {
+		return errors.Errorf("snapshot of %d bytes", len(b))
+	}
+	c.value, c.count = binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])
+	return nil
+}
+
+// node is a replica over loopback.
+type node struct {
+	*runner.Runner
+	counter *counter
+	carrier *carrier.Carrier
+	server  *http.Server
+	served  chan struct{}
+}
+
+type group struct {
+	tb      testing.TB
+	members []runner.Member
+	lis     map[uint64]net.Listener
+	nodes   map[uint64]*node
+	folder  string
+	cfg     runner.Config
+	opts    []runner.Option
+}
+
+func newGroup(tb testing.TB, n int, opts ...runner.Option) *group {
+	g := &group{
+		tb: tb, lis: map[uint64]net.Listener{}, nodes: map[uint64]*node{}, folder: tb.TempDir(), opts: opts,
+		cfg: runner.Config{Cluster: "test", Heartbeat: 50 * time.Millisecond, Election: 400 * time.Millisecond},
+	}
+	for id := uint64(1); id <= uint64(n); id++ {
+		g.members = append(g.members, g.listen(id))
+	}
+	for _, mb := range g.members {
+		g.start(mb.ID, g.members)
+	}
+	tb.Cleanup(g.stopAll)
+	return g
+}
+
+func (g *group) listen(id uint64) runner.Member {
+	addr := "127.0.0.1:0"
+	if old := g.lis[id]; old != nil {
+		addr = old.Addr().String()
+	}
+	lis, err := net.Listen("tcp", addr)
+	qt.Assert(g.tb, err, qt.IsNil)
+	g.lis[id] = lis
+	return runner.Member{ID: id, Addr: lis.Addr().String()}
+}
+
+func (g *group) start(id uint64, founders []runner.Member) *node {
+	n := &node{counter: &counter{}, carrier: carrier.New(id, g.cfg.Cluster), served: make(chan struct{})}
+	cfg := g.cfg
+	cfg.ID, cfg.Members, cfg.Folder = id, founders, g.folder+"/"+string(rune('a'+id))
+	var err error
+	n.Runner, err = runner.New(cfg, n.counter, n.carrier, g.opts...)
+	qt.Assert(g.tb, err, qt.IsNil)
+	mux := http.NewServeMux()
+	mux.Handle(carrier.Path, n.carrier.Handler())
+	n.server = encoder.NewServer(mux)
+	lis := g.lis[id]
+	go func() {
+		defer close(n.served)
+		_ = n.server.Serve(lis)
+	}()
+	g.nodes[id] = n
+	return n
+}
+
+func (g *group) stop(id uint64) {
+	n := g.nodes[id]
+	delete(g.nodes, id)
+	qt.Check(g.tb, n.Close(), qt.IsNil)
+	qt.Check(g.tb, n.carrier.Close(), qt.IsNil)
+	qt.Check(g.tb, n.server.Close(), qt.IsNil)
+	<-n.served
+}
+
+func (g *group) stopAll() {
+	for id := range g.nodes {
+		g.stop(id)
+	}
+}
+
+// leader waits until a replica can confirm its leadership.
+func (g *group) leader() *node {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, n := range g.nodes {
+			if n.Confirm(ctx) == nil {
+				return n
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	g.tb.Fatal("no leader")
+	return nil
+}
+
+func (g *group) add(k uint64) uint64 {
+	for {
+		res, err := g.leader().Propose(context.Background(), binary.BigEndian.AppendUint64(nil, k))
+		var not *runner.NotLeaderError
+		if errors.As(err, &not) {
+			continue
+		}
+		qt.Assert(g.tb, err, qt.IsNil)
+		return binary.BigEndian.Uint64(res.Data)
+	}
+}
+
+func TestGroups(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for _, size := range []int{1, 3} {
+		g := newGroup(t, size)
+		for i := uint64(1); i <= 20; i++ {
+			qt.Assert(t, g.add(1), qt.Equals, i)
+		}
+		lead := g.leader()
+		s := lead.Status()
+		qt.Check(t, s.IsLeader(time.Now()), qt.IsTrue)
+		qt.Check(t, s.Members, qt.HasLen, size)
+		id := s.ID
+		g.stop(id)
+		g.listen(id)
+		n := g.start(id, g.members)
+		qt.Assert(t, g.add(1), qt.Equals, uint64(21))
+		_ = n
+		g.stopAll()
+	}
+}
