--- /dev/null
+++ b/coord/faulter/file.go
@@ -0,0 +1,97 @@
+package faulter
+
+import (
+	"io"
+	"syscall"
+)
+
+// file is an open file; it is dead once the file system has crashed.
+type file struct {
+	fs    *FileSystem
+	path  string
+	node  *inode
+	epoch int
+}
+
+func (f *file) enter(name string) (Failure, error) {
+	if f.epoch != f.fs.epoch {
+		return 0, ErrKilled
+	}
+	return f.fs.step(name, f.path)
+}
+
+// Write implements journaler.File.
+func (f *file) Write(b []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	failure, err := f.enter("write")
+	half := len(b) / 2
+	switch {
+	case failure == Kill:
+		f.node.data = append(f.node.data, b[:half]...)
+		return half, err
+	case err != nil:
+		return 0, err
+	case failure == Full:
+		f.node.data = append(f.node.data, b[:half]...)
+		return half, syscall.ENOSPC
+	case failure == Short:
+		f.node.data = append(f.node.data, b[:half]...)
+		return half, nil
+	}
+	f.node.data = append(f.node.data, b...)
+	return len(b), nil
+}
+
+// Sync implements journaler.File.
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	failure, err := f.enter("sync")
+	if err != nil {
+		return err
+	}
+	if failure == Unsynced {
+		f.node.lost = true
+		return syscall.EIO
+	}
+	if !f.fs.noSync && !f.node.lost {
+		f.node.synced = f.node.data[:len(f.node.data):len(f.node.data)]
+	}
+	return nil
+}
+
+// Truncate implements journaler.File.
+func (f *file) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if _, err := f.enter("truncate"); err != nil {
+		return err
+	}
+	f.node.data = f.node.data[:size:size]
+	return nil
+}
+
+// ReadAt implements journaler.File.
+func (f *file) ReadAt(b []byte, at int64) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if at >= int64(len(f.node.data)) {
+		return 0, io.EOF
+	}
+	n := copy(b, f.node.data[at:])
+	if n < len(b) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Size implements journaler.File.
+func (f *file) Size() (int64, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	return int64(len(f.node.data)), nil
+}
+
+// Close implements journaler.File.
+func (f *file) Close() error { return nil }
--- a/coord/journaler/append.go
+++ b/coord/journaler/append.go
@@ -29,10 +29,8 @@
 	if err := writeWhole(j.log, b); err != nil {
 		return j.fail("write", path, err)
 	}
-	if !j.unsynced {
-		if err := j.log.Sync(); err != nil {
-			return j.fail("sync", path, err)
-		}
+	if err := j.log.Sync(); err != nil {
+		return j.fail("sync", path, err)
 	}
 	j.size += int64(len(b))
 	return nil
@@ -141,19 +139,14 @@
 			return nil, j.fail("write", temp, err)
 		}
 	}
-	if !j.unsynced {
-		if err := f.Sync(); err != nil {
-			_ = f.Close()
-			return nil, j.fail("sync", temp, err)
-		}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return nil, j.fail("sync", temp, err)
 	}
 	if err := j.fs.Rename(temp, path); err != nil {
 		_ = f.Close()
 		return nil, j.fail("rename", temp, err)
 	}
-	if j.unsynced {
-		return f, nil
-	}
 	if err := j.fs.SyncFolder(j.cfg.Folder); err != nil {
 		_ = f.Close()
 		return nil, j.fail("sync", j.cfg.Folder, err)
--- a/coord/journaler/journal.go
+++ b/coord/journaler/journal.go
@@ -38,7 +38,6 @@
 type Journal struct {
 	fs       FileSystem
 	cfg      Config
-	unsynced bool
 	lock     io.Closer
 	identity identity
 	gen      uint64
--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -196,11 +196,7 @@
 
 // advanceCommit commits what a quorum holds durably, if it is of the own term.
 func (r *Replicator) advanceCommit(now time.Time) {
-	own := r.durable
-	if r.off.earlySelf {
-		own = r.log.last()
-	}
-	n := r.quorumOf(own, func(p *peer) uint64 { return p.match })
+	n := r.quorumOf(r.durable, func(p *peer) uint64 { return p.match })
 	if t, ok := r.log.term(n); n <= r.commit || !ok || t != r.hard.Term {
 		return
 	}
@@ -242,9 +238,6 @@
 	if r.role != leader || r.applied < r.termStart || r.fenced != nil {
 		return time.Time{}
 	}
-	if r.off.noLeaseCheck {
-		return now.Add(r.cfg.Election)
-	}
 	stamp := r.quorumStamp(now)
 	if stamp == 0 {
 		return time.Time{}
@@ -254,7 +247,7 @@
 
 func (r *Replicator) tickLeader(now time.Time) {
 	contact := r.timeOf(max(r.quorumStamp(now), r.began))
-	if now.Sub(contact) >= r.cfg.Election && !r.off.noLeaseCheck {
+	if now.Sub(contact) >= r.cfg.Election {
 		r.becomeFollower(r.hard.Term, 0)
 		r.heard = now
 		return
--- a/coord/replicator/change.go
+++ b/coord/replicator/change.go
@@ -128,7 +128,7 @@
 	if !ok || !mb.Learner || !r.canChange() {
 		return
 	}
-	if p.match < r.commit && !r.off.earlyPromote {
+	if p.match < r.commit {
 		return
 	}
 	mb.Learner = false
--- a/coord/replicator/election.go
+++ b/coord/replicator/election.go
@@ -33,10 +33,6 @@
 	if !ok || mb.Learner {
 		return
 	}
-	if r.off.noPreVote {
-		r.elect(now, false)
-		return
-	}
 	r.role = preCandidate
 	r.votes = map[uint64]bool{r.cfg.ID: true}
 	if r.membership.quorum() == 1 {
@@ -71,9 +67,6 @@
 
 // isPromised reports whether a leader may still count on this replica for its lease.
 func (r *Replicator) isPromised(now time.Time) bool {
-	if r.off.noSticky {
-		return false
-	}
 	return now.Sub(r.heard) < r.cfg.Election && r.role != preCandidate && r.role != candidate
 }
 
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -54,22 +54,9 @@
 	leader
 )
 
-// mechanisms can be turned off one at a time to show that the checks of the tests see what each prevents.
-type mechanisms struct {
-	noPreVote    bool
-	noVoteSync   bool
-	noLeaseCheck bool
-	noSticky     bool
-	noNonce      bool
-	noReadRound  bool
-	earlySelf    bool
-	earlyPromote bool
-}
-
 // Replicator is the state machine of one replica; its methods must not be called concurrently.
 type Replicator struct {
 	cfg   Config
-	off   mechanisms
 	start time.Time
 
 	hard       HardState
@@ -218,9 +205,6 @@
 	}
 	r.readID++
 	r.reads = append(r.reads, read{id: r.readID, index: max(r.commit, r.termStart), stamp: r.stamp + 1})
-	if r.off.noReadRound {
-		r.reads[len(r.reads)-1].stamp = 0
-	}
 	r.beat(now)
 	r.confirmReads(now)
 	return r.readID, true
@@ -237,8 +221,7 @@
 func (r *Replicator) Messages() []Message {
 	var ready []Message
 	r.out = slices.DeleteFunc(r.out, func(o outgoing) bool {
-		early := r.off.noVoteSync && o.msg.Type != TypeAppendResponse
-		if o.need > r.durableSeq && !early {
+		if o.need > r.durableSeq {
 			return false
 		}
 		ready = append(ready, o.msg)
@@ -307,9 +290,6 @@
 // Committed returns the next entries to apply, which are durable here and committed, and counts them as applied.
 func (r *Replicator) Committed() []Entry {
 	hi := min(r.commit, r.durable)
-	if r.off.earlySelf {
-		hi = r.commit
-	}
 	if r.applied < r.log.base || hi <= r.applied {
 		return nil
 	}
--- a/coord/replicator/step.go
+++ b/coord/replicator/step.go
@@ -9,7 +9,7 @@
 	if m.To != r.cfg.ID || r.fenced != nil {
 		return
 	}
-	if !r.off.noNonce && m.Nonce != 0 && m.Nonce != r.cfg.Nonce {
+	if m.Nonce != 0 && m.Nonce != r.cfg.Nonce {
 		r.fenced = &LostDiskError{ID: r.cfg.ID}
 		return
 	}
@@ -45,7 +45,7 @@
 	}
 	switch {
 	case m.Term > r.hard.Term && m.Type == TypeVote:
-		if !m.Force && (r.isPromised(now) || (r.role == leader && !r.off.noSticky)) {
+		if !m.Force && (r.isPromised(now) || r.role == leader) {
 			return false
 		}
 		r.becomeFollower(m.Term, 0)
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -81,6 +81,7 @@
 	machine   Machine
 	transport Transport
 	observe   func(Status)
+	random    func() uint32
 	snapEvery uint64
 	snapBytes int64
 
@@ -121,8 +122,19 @@
 
 // New opens the data folder, restores machine from it and starts the replica.
 func New(cfg Config, machine Machine, transport Transport, opts ...Option) (*Runner, error) {
+	r, err := open(cfg, machine, transport, time.Now(), opts...)
+	if err != nil {
+		return nil, err
+	}
+	r.wg.Go(r.write)
+	r.wg.Go(r.run)
+	return r, nil
+}
+
+// open does all of New but to start the goroutines.
+func open(cfg Config, machine Machine, transport Transport, now time.Time, opts ...Option) (*Runner, error) {
 	r := &Runner{
-		cfg: cfg, fs: journaler.Disk{}, machine: machine, transport: transport,
+		cfg: cfg, fs: journaler.Disk{}, machine: machine, transport: transport, random: randomUint32,
 		snapEvery: defaultSnapshotEvery, snapBytes: defaultSnapshotBytes,
 		waiters: map[uint64]*proposal{}, extra: map[uint64]string{},
 		proposals: make(chan *proposal, queueLength),
@@ -138,21 +150,19 @@
 		opt(r)
 	}
 	journal, err := journaler.Open(r.fs, journaler.Config{
-		Folder: cfg.Folder, Cluster: cfg.Cluster, Replica: cfg.ID, Random: randomUint32,
+		Folder: cfg.Folder, Cluster: cfg.Cluster, Replica: cfg.ID, Random: r.random,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open data folder")
 	}
 	r.store = &store{journal: journal}
-	if err := r.restore(); err != nil {
+	if err := r.restore(now); err != nil {
 		_ = journal.Close()
 		return nil, err
 	}
-	r.publish(time.Now())
+	r.publish(now)
 	transport.Attach(r.Receive)
 	r.setPeers()
-	r.wg.Go(r.write)
-	r.wg.Go(r.run)
 	return r, nil
 }
 
@@ -163,7 +173,7 @@
 	return binary.BigEndian.Uint32(b[:])
 }
 
-func (r *Runner) restore() error {
+func (r *Runner) restore(now time.Time) error {
 	st, data, err := r.store.recover()
 	if err != nil {
 		return errors.Wrap(err, "read data folder")
@@ -181,8 +191,8 @@
 	r.rep, err = replicator.New(replicator.Config{
 		ID: r.cfg.ID, Nonce: r.store.journal.Nonce(), Founders: founders,
 		Heartbeat: r.cfg.Heartbeat, Election: r.cfg.Election,
-		Rand: rand.New(rand.NewPCG(uint64(randomUint32()), uint64(randomUint32()))),
-	}, st, time.Now())
+		Rand: rand.New(rand.NewPCG(uint64(r.random()), uint64(r.random()))),
+	}, st, now)
 	return err
 }
 
