--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -180,8 +180,12 @@
 
 // quorumOf returns the largest value that a quorum of voters reaches, given the own value and one for each peer.
 func (r *Replicator) quorumOf(own uint64, of func(*peer) uint64) uint64 {
-	var vals []uint64
-	for _, mb := range r.membership.voters() {
+	var all [MaxMembers]uint64
+	vals := all[:0]
+	for _, mb := range r.membership.Members {
+		if mb.Learner {
+			continue
+		}
 		v := uint64(0)
 		if mb.ID == r.cfg.ID {
 			v = own
@@ -219,7 +223,7 @@
 
 func (r *Replicator) confirmReads(now time.Time) {
 	stamp := r.quorumStamp(now)
-	if len(r.membership.voters()) == 1 && r.membership.isVoter(r.cfg.ID) {
+	if r.membership.quorum() == 1 && r.membership.isVoter(r.cfg.ID) {
 		stamp++
 	}
 	n := 0
--- a/coord/replicator/membership.go
+++ b/coord/replicator/membership.go
@@ -100,7 +100,15 @@
 	return vs
 }
 
-func (m Membership) quorum() int { return len(m.voters())/2 + 1 }
+func (m Membership) quorum() int {
+	n := 0
+	for _, mb := range m.Members {
+		if !mb.Learner {
+			n++
+		}
+	}
+	return n/2 + 1
+}
 
 func (m Membership) isVoter(id uint64) bool {
 	mb, ok := m.Find(id)
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -13,13 +13,15 @@
 	DefaultHeartbeat = 400 * time.Millisecond
 	DefaultElection  = 1600 * time.Millisecond
 
-	entryOverhead   = 16
-	maxAppendBytes  = 512 << 10
-	maxInflight     = 4096
-	pieceBytes      = 256 << 10
-	trailingEntries = 1024
-	leasePercent    = 90
-	minElection     = 3
+	// DefaultTrailing is how many entries before a snapshot stay in memory.
+	DefaultTrailing = 1000
+
+	entryOverhead  = 16
+	maxAppendBytes = 512 << 10
+	maxInflight    = 4096
+	pieceBytes     = 256 << 10
+	leasePercent   = 90
+	minElection    = 3
 )
 
 // Config is what a replica is told at its start.
@@ -34,6 +36,8 @@
 	Heartbeat time.Duration
 	// Election is the silence after which a leader is replaced.
 	Election time.Duration
+	// Trailing is how many entries before a snapshot are kept for replicas that lag behind.
+	Trailing uint64
 	// Rand spreads the election timeouts.
 	Rand *rand.Rand
 }
@@ -126,6 +130,9 @@
 	if cfg.Election == 0 {
 		cfg.Election = DefaultElection
 	}
+	if cfg.Trailing == 0 {
+		cfg.Trailing = DefaultTrailing
+	}
 	if cfg.Election < minElection*cfg.Heartbeat {
 		return nil, errors.Errorf("replicator: election timeout %v is under %d heartbeats of %v",
 			cfg.Election, minElection, cfg.Heartbeat)
@@ -278,8 +285,8 @@
 		if w.Install {
 			r.applied = max(r.applied, w.Snapshot.Index)
 		}
-		if w.Snapshot.Index > trailingEntries {
-			r.log.compact(w.Snapshot.Index - trailingEntries)
+		if w.Snapshot.Index > r.cfg.Trailing {
+			r.log.compact(w.Snapshot.Index - r.cfg.Trailing)
 		}
 	}
 	if r.role == leader {
@@ -307,8 +314,13 @@
 // Election returns the silence after which a leader is replaced.
 func (r *Replicator) Election() time.Duration { return r.cfg.Election }
 
-// Leader returns the leader as far as known, or 0.
-func (r *Replicator) Leader() uint64 { return r.lead }
+// Leader returns the leader as far as known, or 0; a replica doesn't count as leader before its own vote is durable.
+func (r *Replicator) Leader() uint64 {
+	if r.role == leader && r.hardSeq > r.durableSeq {
+		return 0
+	}
+	return r.lead
+}
 
 // Term returns the current term.
 func (r *Replicator) Term() uint64 { return r.hard.Term }
--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -377,9 +377,13 @@
 		ID: r.cfg.ID, Leader: r.rep.Leader(), Term: r.rep.Term(), Commit: r.rep.Commit(), Applied: r.rep.Applied(),
 		LeaseEnd: r.rep.LeaseEnd(now),
 	}
-	for _, mb := range m.Members {
-		s.Members = append(s.Members, Member{ID: mb.ID, Addr: mb.Addr, Learner: mb.Learner})
+	if at != r.memberAt || len(m.Members) != len(r.members) {
+		r.memberAt, r.members = at, nil
+		for _, mb := range m.Members {
+			r.members = append(r.members, Member{ID: mb.ID, Addr: mb.Addr, Learner: mb.Learner})
+		}
 	}
+	s.Members = r.members
 	old := r.status.Swap(s)
 	if old == nil {
 		return
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -22,6 +22,7 @@
 	queueLength          = 1024
 	defaultSnapshotEvery = 10_000
 	defaultSnapshotBytes = 32 << 20
+	trailingShare        = 10
 )
 
 // ErrClosed says that the runner was closed before it took what was asked for.
@@ -90,6 +91,9 @@
 	snapGen uint64
 	addrs   uint64
 	extra   map[uint64]string
+	// members is the public form of the membership of memberAt; it is replaced, never changed.
+	members  []Member
+	memberAt uint64
 
 	waiters  map[uint64]*proposal
 	lostAt   time.Time
@@ -112,14 +116,6 @@
 	wg        conc.WaitGroup
 }
 
-type job struct {
-	write *replicator.Write
-	data  []byte
-	size  int64
-	gen   uint64
-	err   error
-}
-
 // New opens the data folder, restores machine from it and starts the replica.
 func New(cfg Config, machine Machine, transport Transport, opts ...Option) (*Runner, error) {
 	r, err := open(cfg, machine, transport, time.Now(), opts...)
@@ -190,7 +186,7 @@
 	}
 	r.rep, err = replicator.New(replicator.Config{
 		ID: r.cfg.ID, Nonce: r.store.journal.Nonce(), Founders: founders,
-		Heartbeat: r.cfg.Heartbeat, Election: r.cfg.Election,
+		Heartbeat: r.cfg.Heartbeat, Election: r.cfg.Election, Trailing: r.snapEvery / trailingShare,
 		Rand: rand.New(rand.NewPCG(uint64(r.random()), uint64(r.random()))),
 	}, st, now)
 	return err
@@ -237,9 +233,7 @@
 // write makes writes durable one after the other, beside the loop that keeps up the heartbeats.
 func (r *Runner) write() {
 	for j := range r.jobs {
-		j.err = r.store.persist(j.write, j.data)
-		j.size, j.gen = r.store.journal.Size(), r.store.journal.Generation()
-		r.written <- j
+		r.written <- r.store.do(j)
 	}
 }
 
--- a/coord/runner/store.go
+++ b/coord/runner/store.go
@@ -42,6 +42,20 @@
 	hard    replicator.HardState
 }
 
+// job is a write on its way to the journal and back.
+type job struct {
+	write *replicator.Write
+	data  []byte
+	gen   uint64
+	err   error
+}
+
+func (s *store) do(j job) job {
+	j.err = s.persist(j.write, j.data)
+	j.gen = s.journal.Generation()
+	return j
+}
+
 // persist makes w durable; data is the content of w.Snapshot, if it has one.
 func (s *store) persist(w *replicator.Write, data []byte) error {
 	var records [][]byte
