coord: a joining replica learns its caller's address; tests over loopback

Cause: TestMembers hung in AddMember: a replica that joins with an empty folder has no addresses, so its answer to the leader's first message had no way back. The matrix could not see it, since its network needs no addresses.

Ruled out: giving the joining replica a list of members - it would take part in founding a group.

Change: SetPeers gets all addresses, this replica's included; each stream names its sender's address, and a carrier that knows no other replica yet answers there. TestRestart restarts after 1,000, 10,000 and 100,000 changes: the number of records read stays under the same bound.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -56,6 +56,8 @@
 	receive atomic.Pointer[func(replicator.Message) error]
 
 	mu      sync.Mutex
+	addr    string
+	joining bool
 	peers   map[uint64]*peer
 	inbound map[uint64]*inbound
 	closed  bool
@@ -88,30 +90,41 @@
 // Attach sets the receiver of the peers' messages.
 func (c *Carrier) Attach(receive func(replicator.Message) error) { c.receive.Store(&receive) }
 
-// SetPeers replaces the addresses, "host:port", of the other replicas.
+// SetPeers replaces the addresses, "host:port", of all replicas, this one's included. A replica that knows no other one
+// yet learns the address of whoever calls it.
 func (c *Carrier) SetPeers(addrs map[uint64]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return
 	}
+	c.addr = addrs[c.id]
 	for id, p := range c.peers {
 		if addrs[id] != p.addr {
 			p.cancel()
 			delete(c.peers, id)
 		}
 	}
+	c.joining = true
 	for id, addr := range addrs {
-		if c.peers[id] != nil {
+		if id == c.id {
 			continue
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		p := &peer{id: id, addr: addr, queue: make(chan replicator.Message, queueLength), cancel: cancel}
-		c.peers[id] = p
-		c.wg.Go(func() { c.run(ctx, p) })
+		c.joining = false
+		if c.peers[id] == nil {
+			c.addPeer(id, addr)
+		}
 	}
 }
 
+// addPeer starts the sending side towards a replica; the caller holds the lock.
+func (c *Carrier) addPeer(id uint64, addr string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peer{id: id, addr: addr, queue: make(chan replicator.Message, queueLength), cancel: cancel}
+	c.peers[id] = p
+	c.wg.Go(func() { c.run(ctx, p) })
+}
+
 // Send queues m for its receiver, or drops it if the receiver is unknown or its queue is full.
 func (c *Carrier) Send(m replicator.Message) {
 	c.mu.Lock()
@@ -189,6 +202,9 @@
 	defer httpClient.CloseIdleConnections()
 	client := connect.NewClient[frame, ack](httpClient, "http://"+p.addr+procedure, encoder.Option())
 	s := client.CallClientStream(ctx)
+	c.mu.Lock()
+	s.RequestHeader().Set(addrHeader, c.addr)
+	c.mu.Unlock()
 	setHeaders(s.RequestHeader(), c.cluster, c.id, p.id)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
--- a/coord/carrier/handler.go
+++ b/coord/carrier/handler.go
@@ -8,12 +8,15 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/replicator"
 )
 
 const (
 	clusterHeader = "Redwingstage-Cluster"
 	fromHeader    = "Redwingstage-From"
 	toHeader      = "Redwingstage-To"
+	addrHeader    = "Redwingstage-Addr"
 )
 
 // inbound is the receiving side of a stream.
@@ -58,7 +61,7 @@
 			return
 		}
 		in := &inbound{w: w, done: make(chan struct{})}
-		if !c.enter(from, in) {
+		if !c.enter(from, r.Header.Get(addrHeader), in) {
 			http.Error(w, "the replica is closing", http.StatusServiceUnavailable)
 			return
 		}
@@ -68,7 +71,7 @@
 }
 
 // enter makes in the stream of a peer; an older one, which may have gone silent, is ended.
-func (c *Carrier) enter(from uint64, in *inbound) bool {
+func (c *Carrier) enter(from uint64, addr string, in *inbound) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -78,6 +81,9 @@
 		old.end()
 	}
 	c.inbound[from] = in
+	if c.joining && c.peers[from] == nil && addr != "" && len(c.peers) < replicator.MaxMembers {
+		c.addPeer(from, addr)
+	}
 	c.wg.Go(func() { <-in.done })
 	return true
 }
--- a/coord/runner/faults_test.go
+++ b/coord/runner/faults_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"os"
 	"regexp"
@@ -503,3 +504,30 @@
 	_, err = idle(t, weakness{promise: true}, part)
 	qt.Assert(t, err, qt.ErrorMatches, ".*hold leases")
 }
+
+// TestRestart restarts a replica after many changes: what it reads doesn't grow with them.
+func TestRestart(t *testing.T) {
+	const batch = 500
+	for _, changes := range []int{1000, 10_000, 100_000} {
+		s := newSim(1, 1, weakness{})
+		n := s.nodes[0]
+		s.run(outage, func() bool { return n.r.Status().IsLeader(n.time()) })
+		for range changes / batch {
+			for range batch {
+				a := simAsk{id: s.check.propose(), p: &proposal{done: make(chan outcome, 1)}}
+				a.p.cmd = binary.BigEndian.AppendUint64(nil, a.id)
+				n.asked = append(n.asked, a)
+				n.r.proposals <- a.p
+			}
+			n.drive(func(now time.Time) { n.r.propose(now, <-n.r.proposals) })
+			s.run(s.now+time.Minute, func() bool { return len(n.asked) == 0 })
+		}
+		qt.Assert(t, len(s.check.results), qt.Equals, changes)
+		n.kill()
+		n.start()
+		qt.Assert(t, len(n.r.store.journal.Records()) <= 3*batch, qt.IsTrue)
+		s.run(s.now+time.Minute, func() bool { return n.r.Status().IsLeader(n.time()) })
+		s.check.final(n.machine)
+		qt.Assert(t, s.check.err, qt.IsNil)
+	}
+}
--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -365,7 +365,6 @@
 	for id, addr := range r.extra {
 		addrs[id] = addr
 	}
-	delete(addrs, r.cfg.ID)
 	r.addrs = at
 	r.transport.SetPeers(addrs)
 }
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -35,7 +35,7 @@
 type Transport interface {
 	// Attach hands over the receiver of the peers' messages, before the first Send.
 	Attach(receive func(replicator.Message) error)
-	// SetPeers replaces the addresses of the other replicas.
+	// SetPeers replaces the addresses of all replicas, this one's included; a replica that joins knows none at first.
 	SetPeers(addrs map[uint64]string)
 	// Send queues a message without blocking, or drops it.
 	Send(m replicator.Message)
--- a/coord/runner/runner_test.go
+++ b/coord/runner/runner_test.go
@@ -5,6 +5,9 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +18,7 @@
 
 	"redwingstage.org/coord/carrier"
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
 )
 
@@ -97,7 +101,7 @@
 func (g *group) start(id uint64, founders []runner.Member) *node {
 	n := &node{counter: &counter{}, carrier: carrier.New(id, g.cfg.Cluster), served: make(chan struct{})}
 	cfg := g.cfg
-	cfg.ID, cfg.Members, cfg.Folder = id, founders, g.folder+"/"+string(rune('a'+id))
+	cfg.ID, cfg.Members, cfg.Folder = id, founders, g.path(id)
 	var err error
 	n.Runner, err = runner.New(cfg, n.counter, n.carrier, g.opts...)
 	qt.Assert(g.tb, err, qt.IsNil)
@@ -128,6 +132,8 @@
 	}
 }
 
+func (g *group) path(id uint64) string { return filepath.Join(g.folder, strconv.FormatUint(id, 10)) }
+
 // leader waits until a replica can confirm its leadership.
 func (g *group) leader() *node {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
@@ -176,3 +182,39 @@
 		g.stopAll()
 	}
 }
+
+func TestMembers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := newGroup(t, 3)
+	defer g.stopAll()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	g.add(5)
+	lead := g.leader()
+	old := lead.Status().ID
+	qt.Assert(t, lead.Transfer(ctx), qt.IsNil)
+	next := g.leader()
+	qt.Assert(t, next.Status().ID, qt.Not(qt.Equals), old)
+	_, err := lead.Propose(ctx, make([]byte, 8))
+	qt.Check(t, err, qt.ErrorMatches, "not the leader; the leader is replica .*")
+	_, err = next.Propose(ctx, make([]byte, runner.MaxCommandBytes+1))
+	qt.Check(t, err, qt.ErrorMatches, "command of .*")
+
+	// A replica that lost its disk is refused, and an unused ID takes its place.
+	g.stop(old)
+	qt.Assert(t, os.RemoveAll(g.path(old)), qt.IsNil)
+	g.listen(old)
+	lost := g.start(old, g.members)
+	<-lost.Done()
+	var typed *replicator.LostDiskError
+	qt.Check(t, errors.As(lost.Err(), &typed), qt.IsTrue)
+	qt.Assert(t, g.leader().RemoveMember(ctx, old), qt.IsNil)
+	qt.Check(t, g.leader().RemoveMember(ctx, 9), qt.ErrorMatches, "change of replica 9: it never was a member")
+	qt.Check(t, g.leader().AddMember(ctx, runner.Member{ID: old, Addr: "a"}), qt.ErrorMatches, ".*used before.*")
+	mb := g.listen(4)
+	g.start(4, nil)
+	qt.Assert(t, g.leader().AddMember(ctx, mb), qt.IsNil)
+	qt.Check(t, g.leader().AddMember(ctx, mb), qt.IsNil)
+	qt.Check(t, g.add(2), qt.Equals, uint64(7))
+	qt.Check(t, g.leader().Status().Members, qt.HasLen, 3)
+}
