coord/replicator: bound each write and check the founders

A list of founders without the own ID or with an ID twice was taken silently, and such a group would never begin.

Ruled out: splitting in the store - the replicator must know what is durable between the parts, and messages must wait for the last one.

Change: Write hands out at most 16 MB of entries; New names what is wrong with the founders.

--- a/coord/replicator/change.go
+++ b/coord/replicator/change.go
@@ -137,6 +137,26 @@
 	}
 }
 
+func checkFounders(cfg Config) error {
+	if len(cfg.Founders) == 0 {
+		return nil
+	}
+	var m Membership
+	for _, mb := range cfg.Founders {
+		if _, twice := m.Find(mb.ID); twice {
+			return errors.Errorf("replicator: founder %d is listed twice", mb.ID)
+		}
+		m = m.with(mb)
+	}
+	if _, ok := m.Find(cfg.ID); !ok {
+		return errors.Errorf("replicator: replica %d isn't among the founders", cfg.ID)
+	}
+	if err := m.check(); err != nil {
+		return errors.Wrap(err, "replicator: founders")
+	}
+	return nil
+}
+
 func (r *Replicator) isUnborn() bool {
 	return len(r.membership.Members) == 0 && r.log.last() == 0 && r.hard == HardState{}
 }
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -18,6 +18,7 @@
 
 	entryOverhead  = 16
 	maxAppendBytes = 512 << 10
+	maxWriteBytes  = 16 << 20
 	maxInflight    = 4096
 	pieceBytes     = 256 << 10
 	leasePercent   = 90
@@ -137,8 +138,8 @@
 		return nil, errors.Errorf("replicator: election timeout %v is under %d heartbeats of %v",
 			cfg.Election, minElection, cfg.Heartbeat)
 	}
-	if len(cfg.Founders) > MaxMembers {
-		return nil, errors.Errorf("replicator: %d founders, at most %d", len(cfg.Founders), MaxMembers)
+	if err := checkFounders(cfg); err != nil {
+		return nil, err
 	}
 	r := &Replicator{cfg: cfg, start: now, hard: st.Hard, nonces: map[uint64]uint32{}}
 	r.snapshot = st.Snapshot
@@ -244,10 +245,9 @@
 	}
 	w := r.install
 	if w == nil {
-		w = &Write{Entries: r.log.slice(r.unwritten, r.log.last())}
-	} else {
-		w.Entries = r.log.slice(w.Snapshot.Index+1, r.log.last())
+		return r.begin(&Write{Entries: r.log.limited(r.unwritten, maxWriteBytes)})
 	}
+	w.Entries = r.log.slice(w.Snapshot.Index+1, r.log.last())
 	r.install = nil
 	return r.begin(w)
 }
@@ -270,7 +270,11 @@
 func (r *Replicator) begin(w *Write) *Write {
 	w.Hard, w.seq = r.hard, r.seq
 	w.last, w.term = r.log.last(), r.log.lastTerm()
-	r.writing, r.unwritten = true, r.log.last()+1
+	if n := len(w.Entries); n > 0 && w.Entries[n-1].Index < w.last {
+		// Messages wait for the write that completes the log.
+		w.last, w.term, w.seq = w.Entries[n-1].Index, w.Entries[n-1].Term, r.durableSeq
+	}
+	r.writing, r.unwritten = true, w.last+1
 	return w
 }
 
--- /dev/null
+++ b/coord/replicator/replicator_test.go
@@ -0,0 +1,82 @@
+package replicator
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestLargeWrites(t *testing.T) {
+	now := time.Unix(0, 0)
+	r, err := New(Config{ID: 1, Nonce: 1, Founders: []Member{{ID: 1}}, Rand: rand.New(rand.NewPCG(1, 1))}, Stored{}, now)
+	qt.Assert(t, err, qt.IsNil)
+	r.Tick(now)
+	r.Persisted(now, r.Write())
+	cmd := make([]byte, maxWriteBytes/4)
+	_, _, ok := r.Propose(now, [][]byte{cmd, cmd, cmd, cmd, cmd, cmd, cmd})
+	qt.Assert(t, ok, qt.IsTrue)
+	writes := 0
+	for w := r.Write(); w != nil; w = r.Write() {
+		size := 0
+		for _, e := range w.Entries {
+			size += len(e.Data)
+		}
+		qt.Assert(t, size <= maxWriteBytes, qt.IsTrue)
+		r.Persisted(now, w)
+		qt.Assert(t, r.Commit(), qt.Equals, w.Entries[len(w.Entries)-1].Index)
+		writes++
+	}
+	qt.Assert(t, writes, qt.Equals, 3)
+	qt.Assert(t, r.Commit(), qt.Equals, r.log.last())
+}
+
+func TestNewErrors(t *testing.T) {
+	base := Config{ID: 1, Nonce: 1, Rand: rand.New(rand.NewPCG(1, 1))}
+	entry := Entry{Index: 2, Term: 1}
+	tests := []struct {
+		change func(*Config, *Stored)
+		want   string
+	}{
+		{func(c *Config, _ *Stored) { c.ID = 0 }, ".*must be set"},
+		{func(c *Config, _ *Stored) { c.Heartbeat = time.Second }, ".*election timeout 1.6s is under 3 heartbeats of 1s"},
+		{func(c *Config, _ *Stored) { c.Founders = []Member{{ID: 2}} }, ".*replica 1 isn't among the founders"},
+		{func(c *Config, _ *Stored) { c.Founders = []Member{{ID: 1}, {ID: 1}} }, ".*founder 1 is listed twice"},
+		{func(c *Config, _ *Stored) {
+			for id := uint64(1); id <= 8; id++ {
+				c.Founders = append(c.Founders, Member{ID: id})
+			}
+		}, ".*8 members, at most 7"},
+		{func(_ *Config, s *Stored) { s.Entries = []Entry{entry} }, ".*stored entry 2 follows entry 0"},
+		{func(_ *Config, s *Stored) {
+			s.Snapshot.Membership = Membership{Members: []Member{{ID: 1, Nonce: 5}}, MaxID: 1}
+		}, "replica 1 is known to the group with another data folder.*"},
+	}
+	for _, tt := range tests {
+		cfg, st := base, Stored{}
+		tt.change(&cfg, &st)
+		_, err := New(cfg, st, time.Unix(0, 0))
+		qt.Check(t, err, qt.ErrorMatches, tt.want)
+	}
+}
+
+func FuzzMembership(f *testing.F) {
+	b, err := EncodeMembership(Membership{Members: []Member{{ID: 1, Addr: "a", Nonce: 3}, {ID: 4, Learner: true}}, MaxID: 5})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add(b[:len(b)-1])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := DecodeMembership(b)
+		if err != nil {
+			return
+		}
+		again, err := EncodeMembership(m)
+		qt.Assert(t, err, qt.IsNil)
+		n, err := DecodeMembership(again)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, n, qt.DeepEquals, m)
+	})
+}
