recorder: keep the records of bookings as a deterministic table

Cause: a non-idempotent call may run at most once, so each key needs a record that outlives its sender.

--- a/coord/encoder/encoder.go
+++ b/coord/encoder/encoder.go
@@ -28,7 +28,9 @@
 )
 
 func newEncMode() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339NanoUTC
+	m, err := opts.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/serving/recorder/record.go
+++ b/serving/recorder/record.go
@@ -23,9 +23,9 @@
 	VerdictRun Verdict = iota + 1
 	// VerdictWait means that another attempt runs it.
 	VerdictWait
-	// VerdictDone means that it ran; the stored answer comes along.
+	// VerdictDone means that it ran; the stored answer comes along, and its status is 0 when it is no longer stored.
 	VerdictDone
-	// VerdictUnknown means that it may have run and its answer is lost or no longer stored.
+	// VerdictUnknown means that it may have run and its answer is lost.
 	VerdictUnknown
 	// VerdictConflict means that the key was used with another content.
 	VerdictConflict
