--- /dev/null
+++ b/standin/launcher/launcher.go
@@ -0,0 +1,181 @@
+package launcher
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
+// logMode are the permissions of the processes' logs.
+const logMode = 0o644
+
+// Spec says how a process is started; its output goes to a file named after it.
+type Spec struct {
+	Name string
+	Path string
+	Args []string
+}
+
+// Launcher owns the processes that it started and no others.
+type Launcher struct {
+	dir string
+
+	mu    sync.Mutex
+	procs map[string]*proc
+}
+
+type proc struct {
+	spec Spec
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	err  error
+}
+
+// New returns a launcher that writes the processes' output into dir.
+func New(dir string) *Launcher {
+	return &Launcher{dir: dir, procs: make(map[string]*proc)}
+}
+
+// Start starts a process; one of the same name must have ended.
+func (l *Launcher) Start(spec Spec) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.procs[spec.Name]; p != nil && !p.hasEnded() {
+		return errors.Errorf("process %q runs already", spec.Name)
+	}
+	log, err := os.OpenFile(filepath.Join(l.dir, spec.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	cmd := exec.CommandContext(context.Background(), spec.Path, spec.Args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	// The kernel ends the process with this one, so that a crashed test leaves nothing behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Join(errors.Wrapf(err, "start %q", spec.Name), log.Close())
+	}
+	p := &proc{spec: spec, cmd: cmd, log: log, done: make(chan struct{})}
+	l.procs[spec.Name] = p
+	go p.wait()
+	return nil
+}
+
+func (p *proc) wait() {
+	defer close(p.done)
+	p.err = errors.Join(p.cmd.Wait(), p.log.Close())
+}
+
+func (p *proc) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Launcher) find(name string) (*proc, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.procs[name]
+	if p == nil {
+		return nil, errors.Errorf("no process %q was started", name)
+	}
+	return p, nil
+}
+
+// Signal sends a signal to a process that runs; to one that has ended it does nothing.
+func (l *Launcher) Signal(name string, sig syscall.Signal) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return errors.Wrapf(err, "signal %q", name)
+	}
+	return nil
+}
+
+// Freeze stops a process without its knowing; Thaw lets it go on.
+func (l *Launcher) Freeze(name string) error { return l.Signal(name, syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (l *Launcher) Thaw(name string) error { return l.Signal(name, syscall.SIGCONT) }
+
+// Kill ends a process at once and waits for its end.
+func (l *Launcher) Kill(name string) error { return l.end(name, syscall.SIGKILL) }
+
+// Stop asks a process to shut down and waits for its end; the error is that of its exit.
+func (l *Launcher) Stop(name string) error {
+	if err := l.end(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	return p.err
+}
+
+func (l *Launcher) end(name string, sig syscall.Signal) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	if err := l.Signal(name, sig); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// Ended returns a channel that is closed when the process ends.
+func (l *Launcher) Ended(name string) (<-chan struct{}, error) {
+	p, err := l.find(name)
+	if err != nil {
+		return nil, err
+	}
+	return p.done, nil
+}
+
+// Restart kills a process and starts it again as it was started before.
+func (l *Launcher) Restart(name string) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	if err := l.Kill(name); err != nil {
+		return err
+	}
+	return l.Start(p.spec)
+}
+
+// PID returns the process's id.
+func (l *Launcher) PID(name string) (int, error) {
+	p, err := l.find(name)
+	if err != nil {
+		return 0, err
+	}
+	return p.cmd.Process.Pid, nil
+}
+
+// Close kills all processes that still run and waits for them.
+func (l *Launcher) Close() error {
+	l.mu.Lock()
+	var names []string
+	for name := range l.procs {
+		names = append(names, name)
+	}
+	l.mu.Unlock()
+	var errs []error
+	for _, name := range names {
+		errs = append(errs, l.Kill(name))
+	}
+	return errors.Join(errs...)
+}
