Thin: scheduler, router, queues, slots and the straggler detector

The entry needs something real to wire: the scheduler queues by urgency and due time, asks a permit for each load, shares one load among all that wait for it, evicts only what no attempt uses, refuses early, watches silence and cancels; the router gives candidates from a consistent hash ring, lets popular adapters spread and learns from feedback. Events and actions gained: LoadEnded/UnloadEnded.Order (echo of Load/Unload.Order, so that a late answer can't confirm a newer order), Ended.Missing (404: adapter not resident), Reported.Residents, Judged, Absolve.

Policy and faults are not measured yet.

--- /dev/null
+++ b/serving/placer/slots.go
@@ -0,0 +1,359 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"redwingstage.org/serving/configurer"
+)
+
+// State is where an adapter's version stands on a server.
+type State int
+
+// The states of a slot.
+const (
+	// Absent means that the server doesn't hold the adapter.
+	Absent State = iota
+	// Loading means that a load order is out.
+	Loading
+	// Resident means that the server confirmed the adapter.
+	Resident
+	// Unloading means that an unload order is out; no request may be sent.
+	Unloading
+	// Lost means that the server denied holding an adapter that attempts still use; it goes with its last pin.
+	Lost
+)
+
+// Rule says how a victim is chosen.
+type Rule int
+
+// The rules for victims.
+const (
+	// ByRate evicts the adapter with the lowest decayed rate of use.
+	ByRate Rule = iota
+	// ByRecency evicts the adapter that was used longest ago, as a baseline for comparisons.
+	ByRecency
+)
+
+// RateHalfLife is the time in which a use counts half for the choice of victims.
+const RateHalfLife = 2 * time.Minute
+
+// BusyWait is how long an adapter that the server refused to unload isn't chosen again.
+const BusyWait = 500 * time.Millisecond
+
+type slot struct {
+	state     State
+	order     uint64
+	since     time.Time
+	pins      int
+	inherited bool
+	draining  bool
+	busyUntil time.Time
+	used      time.Time
+	rate      float64
+}
+
+// Slots is the table of one server's adapters.
+type Slots struct {
+	size int
+	rule Rule
+	m    map[configurer.Target]*slot
+	// free stands in for the pins' check where a test shows that it is needed.
+	free bool
+}
+
+// New returns an empty table for a server with size slots.
+func New(size int, rule Rule) *Slots {
+	return &Slots{size: size, rule: rule, m: make(map[configurer.Target]*slot, size)}
+}
+
+// Resize changes the number of slots.
+func (s *Slots) Resize(size int) { s.size = size }
+
+// IgnorePins switches the protection of pinned adapters off, so that a test can show that the checker notices.
+func (s *Slots) IgnorePins() { s.free = true }
+
+// Reset takes over what the server itself reports; pins of attempts and own orders that are still in flight stay.
+func (s *Slots) Reset(now time.Time, residents, pinned []configurer.Target) {
+	old := s.m
+	s.m = make(map[configurer.Target]*slot, s.size)
+	for t, sl := range old {
+		switch {
+		case sl.state == Loading || sl.state == Unloading:
+			s.m[t] = sl
+		case sl.pins > 0:
+			s.m[t] = &slot{state: Lost, pins: sl.pins, used: sl.used, rate: sl.rate}
+		}
+	}
+	for _, t := range residents {
+		sl := s.m[t]
+		if sl == nil {
+			sl = &slot{used: now}
+			s.m[t] = sl
+		}
+		if sl.state == Lost || sl.state == Absent {
+			sl.state = Resident
+		}
+	}
+	for _, t := range pinned {
+		sl := s.m[t]
+		if sl == nil {
+			sl = &slot{state: Lost, used: now}
+			s.m[t] = sl
+		}
+		sl.inherited = true
+	}
+}
+
+// State returns where a target stands.
+func (s *Slots) State(t configurer.Target) State {
+	if sl, ok := s.m[t]; ok {
+		return sl.state
+	}
+	return Absent
+}
+
+// CanServe reports whether a request for the target may be sent now.
+func (s *Slots) CanServe(t configurer.Target) bool {
+	sl, ok := s.m[t]
+	return ok && sl.state == Resident && !sl.draining
+}
+
+// Use counts a use of the target for the choice of victims.
+func (s *Slots) Use(now time.Time, t configurer.Target) {
+	if sl, ok := s.m[t]; ok {
+		sl.rate = sl.rateAt(now) + 1
+		sl.used = now
+	}
+}
+
+// Pin protects a target from eviction until Unpin.
+func (s *Slots) Pin(t configurer.Target) {
+	if sl, ok := s.m[t]; ok {
+		sl.pins++
+	}
+}
+
+// Unpin ends one pin.
+func (s *Slots) Unpin(t configurer.Target) {
+	sl, ok := s.m[t]
+	if !ok || sl.pins == 0 {
+		return
+	}
+	sl.pins--
+	s.forget(t, sl)
+}
+
+// Disinherit ends the protection of what the last owner's requests may use.
+func (s *Slots) Disinherit(t configurer.Target) {
+	if sl, ok := s.m[t]; ok {
+		sl.inherited = false
+		s.forget(t, sl)
+	}
+}
+
+// Missing records that the server answered that it doesn't hold the target.
+func (s *Slots) Missing(t configurer.Target) {
+	sl, ok := s.m[t]
+	if !ok || sl.state == Loading {
+		return
+	}
+	sl.state = Lost
+	s.forget(t, sl)
+}
+
+// Adopt records adapters that the server reports and that no order of this table accounts for.
+func (s *Slots) Adopt(now time.Time, residents []configurer.Target) {
+	for _, t := range residents {
+		if s.m[t] == nil {
+			s.m[t] = &slot{state: Resident, used: now}
+		}
+	}
+}
+
+// HasRoom reports whether another adapter can be loaded without an eviction.
+func (s *Slots) HasRoom() bool { return s.held() < s.size }
+
+// BeginLoad takes a slot for a load order.
+func (s *Slots) BeginLoad(now time.Time, t configurer.Target, order uint64, rate float64) {
+	pins := 0
+	if sl, ok := s.m[t]; ok {
+		pins = sl.pins
+	}
+	s.m[t] = &slot{state: Loading, order: order, since: now, used: now, rate: rate, pins: pins}
+}
+
+// EndLoad records a load's result and reports whether the order was the one in flight.
+func (s *Slots) EndLoad(now time.Time, t configurer.Target, order uint64, ok bool) bool {
+	sl := s.m[t]
+	if sl == nil || sl.state != Loading || order != 0 && order != sl.order {
+		return false
+	}
+	if ok {
+		sl.state, sl.since = Resident, now
+		return true
+	}
+	sl.state = Lost
+	s.forget(t, sl)
+	return true
+}
+
+// BeginUnload marks a target whose unload order goes out.
+func (s *Slots) BeginUnload(now time.Time, t configurer.Target, order uint64) {
+	if sl, ok := s.m[t]; ok {
+		sl.state, sl.order, sl.since = Unloading, order, now
+	}
+}
+
+// EndUnload records an unload's result and reports whether the order was the one in flight; a refused one leaves the adapter resident.
+func (s *Slots) EndUnload(now time.Time, t configurer.Target, order uint64, ok bool) bool {
+	sl := s.m[t]
+	if sl == nil || sl.state != Unloading || order != 0 && order != sl.order {
+		return false
+	}
+	if !ok {
+		sl.state, sl.since, sl.draining = Resident, now, false
+		sl.busyUntil = now.Add(BusyWait)
+		return true
+	}
+	sl.state = Lost
+	s.forget(t, sl)
+	return true
+}
+
+// Victim returns the adapter to evict, never a pinned one; keep protects targets that queued work wants.
+func (s *Slots) Victim(now time.Time, keep func(configurer.Target) bool) (configurer.Target, bool) {
+	return s.worst(now, func(t configurer.Target, sl *slot) bool {
+		return sl.state == Resident && (s.free || sl.pins == 0 && !sl.inherited) && !now.Before(sl.busyUntil) && (sl.draining || !keep(t))
+	})
+}
+
+// Drain stops new sends to the pinned adapter that is used least, so that its slot becomes free, and reports whether there is one.
+func (s *Slots) Drain(now time.Time, keep func(configurer.Target) bool) bool {
+	for _, sl := range s.m {
+		if sl.draining {
+			return true
+		}
+	}
+	t, ok := s.worst(now, func(t configurer.Target, sl *slot) bool {
+		return sl.state == Resident && !sl.inherited && !keep(t)
+	})
+	if ok {
+		s.m[t].draining = true
+	}
+	return ok
+}
+
+// EndDrain lets requests be sent to every resident adapter again.
+func (s *Slots) EndDrain() {
+	for _, sl := range s.m {
+		sl.draining = false
+	}
+}
+
+// Stuck returns the unpinned targets whose order has had no answer since the bound before now, in a fixed order.
+func (s *Slots) Stuck(now time.Time, state State, bound time.Duration) []configurer.Target {
+	var out []configurer.Target
+	for t, sl := range s.m {
+		if sl.state == state && sl.pins == 0 && now.Sub(sl.since) >= bound {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, byName)
+	return out
+}
+
+// Count returns how many slots stand in a state.
+func (s *Slots) Count(state State) int {
+	n := 0
+	for _, sl := range s.m {
+		if sl.state == state {
+			n++
+		}
+	}
+	return n
+}
+
+// Pins returns the number of pins, an inherited one counted as one.
+func (s *Slots) Pins() int {
+	n := 0
+	for _, sl := range s.m {
+		n += sl.pins
+		if sl.inherited {
+			n++
+		}
+	}
+	return n
+}
+
+// Pinned returns the targets that are in use, in a fixed order.
+func (s *Slots) Pinned() []configurer.Target {
+	var out []configurer.Target
+	for t, sl := range s.m {
+		if sl.pins > 0 || sl.inherited {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, byName)
+	return out
+}
+
+func (s *Slots) held() int {
+	n := 0
+	for _, sl := range s.m {
+		if sl.state != Lost {
+			n++
+		}
+	}
+	return n
+}
+
+// forget drops a slot that the server doesn't hold once nothing uses it.
+func (s *Slots) forget(t configurer.Target, sl *slot) {
+	if sl.state == Lost && sl.pins == 0 && !sl.inherited {
+		delete(s.m, t)
+	}
+}
+
+func (s *Slots) worst(now time.Time, may func(configurer.Target, *slot) bool) (configurer.Target, bool) {
+	var best configurer.Target
+	var bestSlot *slot
+	for t, sl := range s.m {
+		if may(t, sl) && (bestSlot == nil || s.isWorse(now, t, sl, best, bestSlot)) {
+			best, bestSlot = t, sl
+		}
+	}
+	return best, bestSlot != nil
+}
+
+func (s *Slots) isWorse(now time.Time, t configurer.Target, sl *slot, u configurer.Target, other *slot) bool {
+	if sl.draining != other.draining {
+		return sl.draining
+	}
+	if s.rule == ByRate {
+		if a, b := sl.rateAt(now), other.rateAt(now); math.Abs(a-b) > rateEqual {
+			return a < b
+		}
+	}
+	if !sl.used.Equal(other.used) {
+		return sl.used.Before(other.used)
+	}
+	return byName(t, u) < 0
+}
+
+// rateEqual is the difference in rate under which recency decides.
+const rateEqual = 1e-9
+
+func (sl *slot) rateAt(now time.Time) float64 {
+	age := now.Sub(sl.used)
+	if age <= 0 {
+		return sl.rate
+	}
+	return sl.rate * math.Exp2(-age.Seconds()/RateHalfLife.Seconds())
+}
+
+func byName(a, b configurer.Target) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+}
--- /dev/null
+++ b/serving/router/router.go
@@ -0,0 +1,320 @@
+package router
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/registrar"
+)
+
+// Part is a part of the policy that can be switched off for comparisons.
+type Part uint
+
+// The parts of the policy.
+const (
+	// PartSpread lets popular adapters be served by more than one server.
+	PartSpread Part = 1 << iota
+	// PartWarm sends one request to a server that joins in, and more only after it answered.
+	PartWarm
+	// PartFeedback takes refusals and straggler marks into account.
+	PartFeedback
+	// PartPrefix prefers the server that saw a prompt's prefix before.
+	PartPrefix
+)
+
+// Config holds the bounds of a router.
+type Config struct {
+	// Zone is the entry's data centre; servers in it are preferred where load allows.
+	Zone string
+	// Candidates is the largest number of servers that a request is offered to.
+	Candidates int
+	// Bound is the load, as a share of a batch, above which a popular adapter spreads.
+	Bound float64
+	// Popular is the share of a batch from which an adapter may spread.
+	Popular float64
+	// Memory is the time constant in which reported loads and marks fade.
+	Memory time.Duration
+	// Idle is the time without use after which a server leaves an adapter's set.
+	Idle time.Duration
+	// Quiet is how long a server that did not answer gets nothing.
+	Quiet time.Duration
+	// MaxPopular bounds the number of adapters for which state is kept.
+	MaxPopular int
+	// Off names the parts of the policy that are switched off.
+	Off Part
+}
+
+// Default bounds of a router.
+const (
+	DefaultCandidates = 4
+	DefaultBound      = 0.75
+	DefaultPopular    = 0.2
+	DefaultMemory     = time.Second
+	DefaultIdle       = 20 * time.Second
+	DefaultQuiet      = 2 * time.Second
+	DefaultMaxPopular = 512
+)
+
+// Candidate is a server to offer a request to, and the entry that owns it.
+type Candidate struct {
+	Server string
+	Owner  string
+	Addr   string
+}
+
+// Result says how an offer ended, as far as routing is concerned.
+type Result int
+
+// The results of an offer.
+const (
+	// Served means that the server answered.
+	Served Result = iota
+	// Refused means that the owner passed the request on: late or full.
+	Refused
+	// LoadFailed means that the adapter could not be loaded there.
+	LoadFailed
+	// Lagging means that the answer showed the server to be a straggler.
+	Lagging
+	// Unreachable means that the owner or the server did not answer.
+	Unreachable
+)
+
+// Feedback reports the end of an offer.
+type Feedback struct {
+	Server string
+	Target configurer.Target
+	Result Result
+	// Load is the owner's count of sent and queued jobs as a share of the batch; negative when it isn't known.
+	Load float64
+}
+
+type node struct {
+	server   registrar.Server
+	owner    registrar.Owner
+	load     float64
+	loadAt   time.Time
+	penalty  float64
+	markedAt time.Time
+	quiet    time.Time
+	mine     int
+}
+
+// Router decides for one entry; its methods must not be called at the same time.
+type Router struct {
+	cfg     Config
+	rng     *rand.Rand
+	nodes   map[string]*node
+	rings   map[string]*ring
+	entries int
+	popular map[uint64]*popularity
+}
+
+// New returns a router without servers.
+func New(cfg Config, seed uint64) *Router {
+	setDefault(&cfg.Candidates, DefaultCandidates)
+	setDefault(&cfg.Bound, DefaultBound)
+	setDefault(&cfg.Popular, DefaultPopular)
+	setDefault(&cfg.Memory, DefaultMemory)
+	setDefault(&cfg.Idle, DefaultIdle)
+	setDefault(&cfg.Quiet, DefaultQuiet)
+	setDefault(&cfg.MaxPopular, DefaultMaxPopular)
+	return &Router{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(seed, seed^0xd1b54a32d192ed03)),
+		nodes:   make(map[string]*node),
+		rings:   make(map[string]*ring),
+		popular: make(map[uint64]*popularity),
+	}
+}
+
+// Rebuild takes a new roster over; what was learnt of servers that stay in the same incarnation is kept.
+func (r *Router) Rebuild(roster *registrar.Roster, services ...string) {
+	old := r.nodes
+	r.nodes = make(map[string]*node)
+	r.rings = make(map[string]*ring, len(services))
+	r.entries = max(len(roster.Entries()), 1)
+	for _, service := range services {
+		var live []*node
+		for _, sv := range roster.Servers(service) {
+			owner, ok := roster.Owner(sv.Name)
+			if sv.Leaving || !ok {
+				continue
+			}
+			n := old[sv.Name]
+			if n == nil || n.server.Incarnation != sv.Incarnation {
+				n = &node{}
+			}
+			n.server, n.owner = sv, owner
+			r.nodes[sv.Name] = n
+			live = append(live, n)
+		}
+		r.rings[service] = newRing(live)
+	}
+}
+
+// Route appends the candidates for a target to buf, best first; prefix is a hash of the prompt's start, or zero.
+func (r *Router) Route(now time.Time, t configurer.Target, prefix uint64, buf []Candidate) []Candidate {
+	rg := r.rings[t.Service]
+	if rg == nil || len(rg.nodes) == 0 {
+		return buf
+	}
+	key := hashTarget(t)
+	var order [maxCandidates]*node
+	var list []*node
+	if t.Adapter == "" {
+		list = r.spreadAll(now, rg, order[:0])
+	} else {
+		list = r.routeAdapter(now, rg, key, prefix, order[:0])
+	}
+	for _, n := range list {
+		if len(buf) == cap(buf) && len(buf) >= r.cfg.Candidates {
+			break
+		}
+		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
+	}
+	return buf
+}
+
+// maxCandidates bounds the servers that one decision looks at.
+const maxCandidates = 16
+
+// spreadAll orders servers for work that every server can do: the less loaded of two random ones first.
+func (r *Router) spreadAll(now time.Time, rg *ring, out []*node) []*node {
+	count := min(r.cfg.Candidates, len(rg.nodes), maxCandidates)
+	start := r.rng.IntN(len(rg.nodes))
+	for i := 0; i < len(rg.nodes) && len(out) < count; i++ {
+		n := rg.nodes[(start+i)%len(rg.nodes)]
+		if now.Before(n.quiet) {
+			continue
+		}
+		out = append(out, n)
+	}
+	r.sortByLoad(now, out)
+	return out
+}
+
+// routeAdapter orders servers for an adapter: those that serve it by load, then the next ones on the ring.
+func (r *Router) routeAdapter(now time.Time, rg *ring, key, prefix uint64, out []*node) []*node {
+	out = rg.walk(key, maxCandidates, func(n *node) bool { return !now.Before(n.quiet) }, out)
+	if len(out) == 0 {
+		return out
+	}
+	p := r.touch(now, key)
+	if r.cfg.Off&PartSpread == 0 {
+		r.arrange(now, p, out, prefix)
+	}
+	return out[:min(r.cfg.Candidates, len(out))]
+}
+
+// Begin counts a request that is offered to a server.
+func (r *Router) Begin(now time.Time, server string, t configurer.Target) {
+	if n := r.nodes[server]; n != nil {
+		n.mine++
+	}
+	if t.Adapter != "" {
+		r.touch(now, hashTarget(t)).begin(now)
+	}
+}
+
+// Done takes in how an offer that Begin counted ended.
+func (r *Router) Done(now time.Time, fb Feedback) {
+	n := r.nodes[fb.Server]
+	if n != nil && n.mine > 0 {
+		n.mine--
+	}
+	var p *popularity
+	if fb.Target.Adapter != "" {
+		p = r.touch(now, hashTarget(fb.Target))
+		p.end(now)
+	}
+	if n == nil {
+		return
+	}
+	r.learn(now, n, fb)
+	if p != nil {
+		p.learn(now, fb)
+	}
+}
+
+// Note takes in what is learnt of an offer before its end, such as its first token.
+func (r *Router) Note(now time.Time, fb Feedback) {
+	n := r.nodes[fb.Server]
+	if n == nil {
+		return
+	}
+	r.learn(now, n, fb)
+	if fb.Target.Adapter != "" {
+		r.touch(now, hashTarget(fb.Target)).learn(now, fb)
+	}
+}
+
+func (r *Router) learn(now time.Time, n *node, fb Feedback) {
+	if r.cfg.Off&PartFeedback != 0 {
+		return
+	}
+	if fb.Load >= 0 {
+		n.load, n.loadAt = fb.Load, now
+	}
+	switch fb.Result {
+	case Refused:
+		r.mark(now, n, refusedPenalty)
+	case Lagging:
+		r.mark(now, n, laggingPenalty)
+	case Unreachable:
+		n.quiet = now.Add(r.cfg.Quiet)
+	case Served, LoadFailed:
+	}
+}
+
+// What a refusal and a straggler's answer add to a server's load, as shares of a batch.
+const (
+	refusedPenalty = 0.5
+	laggingPenalty = 1.5
+)
+
+func (r *Router) mark(now time.Time, n *node, penalty float64) {
+	n.penalty = max(r.fade(now, n.markedAt, n.penalty), penalty)
+	n.markedAt = now
+}
+
+func (r *Router) fade(now, at time.Time, v float64) float64 {
+	if v == 0 || at.IsZero() {
+		return 0
+	}
+	return v * math.Exp(-max(now.Sub(at), 0).Seconds()/r.cfg.Memory.Seconds())
+}
+
+// zonePenalty is what another data centre adds to a server's load.
+const zonePenalty = 0.03
+
+// loadOf estimates a server's load as a share of its batch, from reports that fade and from this entry's own requests.
+func (r *Router) loadOf(now time.Time, n *node) float64 {
+	own := float64(n.mine) / float64(max(n.server.Batch, 1))
+	load := max(own, r.fade(now, n.loadAt, n.load)) + r.fade(now, n.markedAt, n.penalty)
+	if n.server.Zone != r.cfg.Zone {
+		load += zonePenalty
+	}
+	return load
+}
+
+func (r *Router) sortByLoad(now time.Time, list []*node) {
+	slices.SortStableFunc(list, func(a, b *node) int { return cmp.Compare(r.loadOf(now, a), r.loadOf(now, b)) })
+}
+
+// Load returns the estimated load of a server as a share of its batch.
+func (r *Router) Load(now time.Time, server string) float64 {
+	if n := r.nodes[server]; n != nil {
+		return r.loadOf(now, n)
+	}
+	return 0
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -61,6 +61,8 @@
 	Server string
 	Target configurer.Target
 	Epoch  uint64
+	// Order is returned in LoadEnded.
+	Order uint64
 }
 
 // Unload orders a server to unload an adapter's version that no attempt uses.
@@ -68,6 +70,8 @@
 	Server string
 	Target configurer.Target
 	Epoch  uint64
+	// Order is returned in UnloadEnded.
+	Order uint64
 }
 
 // Cancel has an attempt cancelled at its server; Ended follows.
@@ -89,6 +93,9 @@
 	Attempts []retrier.Attempt
 }
 
+// Absolve reports that a suspect ran to its end, so that the suspicion can be dropped everywhere.
+type Absolve struct{ Attempt retrier.Attempt }
+
 // Alarm says that waiting work is at risk of missing its deadline.
 type Alarm struct {
 	Attempt  retrier.Attempt
@@ -105,4 +112,5 @@
 func (Cancel) action()       {}
 func (Fail) action()         {}
 func (Accuse) action()       {}
+func (Absolve) action()      {}
 func (Alarm) action()        {}
--- a/serving/scheduler/event.go
+++ b/serving/scheduler/event.go
@@ -86,14 +86,18 @@
 type LoadEnded struct {
 	Server string
 	Target configurer.Target
-	OK     bool
+	// Order is the number of the order that ended; zero matches any order for the target.
+	Order uint64
+	OK    bool
 }
 
 // UnloadEnded says how an unload order ended.
 type UnloadEnded struct {
 	Server string
 	Target configurer.Target
-	OK     bool
+	// Order is the number of the order that ended; zero matches any order for the target.
+	Order uint64
+	OK    bool
 }
 
 // Progress says that tokens of an attempt arrived; traffic code reports the first token and then at intervals.
@@ -106,14 +110,24 @@
 type Ended struct {
 	Attempt retrier.Attempt
 	OK      bool
+	// Missing says that the server refused the attempt because the adapter isn't resident.
+	Missing bool
 	Tokens  int
 }
 
+// Judged brings the standing of a request's digest from the control leader.
+type Judged struct {
+	Digest   quarantiner.Digest
+	Standing quarantiner.Standing
+}
+
 // Reported brings a server's own load report, which lags.
 type Reported struct {
 	Server  string
 	Running int
 	Waiting int
+	// Residents are the adapters that the server reports as loaded, if it was asked.
+	Residents []configurer.Target
 }
 
 // Tick lets time pass.
@@ -132,5 +146,6 @@
 func (UnloadEnded) event() {}
 func (Progress) event()    {}
 func (Ended) event()       {}
+func (Judged) event()      {}
 func (Reported) event()    {}
 func (Tick) event()        {}
--- /dev/null
+++ b/serving/scheduler/jobs.go
@@ -0,0 +1,343 @@
+package scheduler
+
+import (
+	"time"
+
+	"redwingstage.org/coord/detector"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/retrier"
+)
+
+// job is a queued or sent attempt.
+type job struct {
+	Job
+	n         uint64
+	long      bool
+	apart     bool
+	sent      bool
+	failed    bool
+	cancelled bool
+	sentAt    time.Time
+	firstAt   time.Time
+	lastAt    time.Time
+	cancelAt  time.Time
+	tokens    int
+}
+
+// maxCopies is the number of attempts with one digest that may be in flight, so that copies of a request can't crash more servers than a conviction takes.
+const maxCopies = 2
+
+func (s *Scheduler) arrived(now time.Time, jb Job) {
+	if s.jobs[jb.Attempt] != nil || s.ended.has(jb.Attempt) {
+		return
+	}
+	s.order++
+	j := &job{Job: jb, n: s.order, long: jb.Long || s.isLongClass(jb.Class)}
+	if j.Arrived.IsZero() {
+		j.Arrived = now
+	}
+	s.jobs[j.Attempt] = j
+	sv := s.servers[j.Server]
+	if reason, wait, ok := s.admits(now, sv, j); !ok {
+		s.refuse(now, j, reason, wait)
+		return
+	}
+	item := queued{Value: j, Urgent: j.Urgent, Arrived: j.Arrived, FirstBy: j.FirstBy, Deadline: j.Deadline}
+	if !sv.queue.Push(item) {
+		s.refuse(now, j, ReasonFull, sv.drainTime())
+		return
+	}
+	s.pump(now, sv)
+}
+
+// admits reports whether a job may be queued, or else why not and when to try again.
+func (s *Scheduler) admits(now time.Time, sv *server, j *job) (Reason, time.Duration, bool) {
+	switch {
+	case sv == nil || !sv.open && !sv.reg.Leaving:
+		return ReasonNotOwner, 0, false
+	case !sv.open:
+		return ReasonLeaving, 0, false
+	case s.standing(now, j) == quarantiner.Convicted:
+		return ReasonQuarantine, 0, false
+	case isPast(now, j.FirstBy) || isPast(now, j.Deadline):
+		return ReasonLate, 0, false
+	case !j.Last && sv.cool[j.Target].After(now):
+		return ReasonLoad, sv.cool[j.Target].Sub(now), false
+	case !j.Last && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
+		return ReasonLate, 0, false
+	}
+	if !s.cfg.has(PartPass) || j.FirstBy.IsZero() {
+		return "", 0, true
+	}
+	budget, wait := j.FirstBy.Sub(now), sv.waitFor(j)
+	if j.Last {
+		// The estimate may be wrong; without another candidate only hopeless work is refused at once.
+		budget *= 2
+	}
+	if wait > budget {
+		return ReasonLate, wait - budget, false
+	}
+	return "", 0, true
+}
+
+// waitFor estimates the time until the first token of a job: the queue's length over the rate of service, as
+// Spandana's SLO director does (Dehigama et al., section 5.2), plus the usual time to the first token.
+func (sv *server) waitFor(j *job) time.Duration {
+	ahead := sv.queue.Ahead(j.Urgent, j.FirstBy)
+	free := sv.batch() - len(sv.inFlight)
+	first := sv.first.duration()
+	if ahead < free {
+		return first
+	}
+	lanes := max(sv.batch()-sv.longs, 1)
+	return first + time.Duration(float64(ahead-free+1)/float64(lanes)*float64(sv.service.duration()))
+}
+
+// drainTime estimates how long the queue takes to empty.
+func (sv *server) drainTime() time.Duration {
+	return time.Duration(float64(sv.queue.Len()) / float64(sv.batch()) * float64(sv.service.duration()))
+}
+
+// pump sends what may be sent, then sees to the loads that queued work waits for.
+func (s *Scheduler) pump(now time.Time, sv *server) {
+	if s.servers[sv.reg.Name] != sv {
+		return
+	}
+	for sv.open && len(sv.inFlight) < sv.batch() {
+		it, ok := sv.queue.Next(func(j *job) bool { return s.isReady(now, sv, j) })
+		if !ok {
+			break
+		}
+		s.send(now, sv, it.Value)
+	}
+	s.arrangeLoads(now, sv)
+}
+
+func (s *Scheduler) isReady(now time.Time, sv *server, j *job) bool {
+	if !sv.holds(j.Target) && !s.broken.residency {
+		return false
+	}
+	if j.long && s.cfg.has(PartLongShare) && sv.longs >= s.longLimit(sv) {
+		return false
+	}
+	if s.broken.suspects || j.Digest == (quarantiner.Digest{}) {
+		return true
+	}
+	if s.standing(now, j) == quarantiner.Suspect {
+		return sv.suspects == 0 && s.digests[j.Digest] == 0
+	}
+	return s.digests[j.Digest] < maxCopies
+}
+
+func (s *Scheduler) longLimit(sv *server) int {
+	return max(int(s.cfg.LongShare*float64(sv.batch())), 1)
+}
+
+func (s *Scheduler) send(now time.Time, sv *server, j *job) {
+	j.sent, j.sentAt, j.lastAt = true, now, now
+	sv.inFlight[j.Attempt] = j
+	sv.slots.Pin(j.Target)
+	sv.slots.Use(now, j.Target)
+	if j.long {
+		sv.longs++
+	}
+	if j.apart = s.standing(now, j) == quarantiner.Suspect; j.apart {
+		sv.suspects++
+	}
+	if j.Digest != (quarantiner.Digest{}) {
+		s.digests[j.Digest]++
+	}
+	s.emit(Send{Job: j.Job, Epoch: sv.epoch})
+}
+
+// detach takes a sent job off its server.
+func (s *Scheduler) detach(sv *server, j *job) {
+	delete(sv.inFlight, j.Attempt)
+	delete(s.jobs, j.Attempt)
+	s.ended.add(j.Attempt)
+	sv.slots.Unpin(j.Target)
+	if j.long {
+		sv.longs--
+	}
+	if j.apart {
+		sv.suspects--
+	}
+	if j.Digest != (quarantiner.Digest{}) {
+		if s.digests[j.Digest]--; s.digests[j.Digest] == 0 {
+			delete(s.digests, j.Digest)
+		}
+	}
+}
+
+// refuse ends a job that was never sent.
+func (s *Scheduler) refuse(_ time.Time, j *job, reason Reason, wait time.Duration) {
+	delete(s.jobs, j.Attempt)
+	s.ended.add(j.Attempt)
+	s.emit(Refuse{Attempt: j.Attempt, Reason: reason, RetryAfter: wait})
+}
+
+func (s *Scheduler) cancelled(now time.Time, a retrier.Attempt) {
+	j := s.jobs[a]
+	if j == nil || j.cancelled {
+		return
+	}
+	sv := s.servers[j.Server]
+	j.cancelled = true
+	if !j.sent {
+		sv.queue.Remove(j)
+		s.refuse(now, j, ReasonCancelled, 0)
+		s.pump(now, sv)
+		return
+	}
+	s.cancel(now, j)
+}
+
+func (s *Scheduler) cancel(now time.Time, j *job) {
+	j.cancelAt = now
+	s.emit(Cancel{Attempt: j.Attempt, Server: j.Server})
+}
+
+func (s *Scheduler) progress(now time.Time, ev Progress) {
+	j := s.jobs[ev.Attempt]
+	if j == nil || !j.sent || ev.Tokens <= j.tokens {
+		return
+	}
+	sv := s.servers[j.Server]
+	if j.firstAt.IsZero() {
+		j.firstAt = now
+		took := now.Sub(j.sentAt)
+		sv.first.add(took.Seconds())
+		s.slow.Observe(now, j.Server, detector.First, took)
+	} else {
+		gap := now.Sub(j.lastAt) / time.Duration(ev.Tokens-j.tokens)
+		sv.gap.add(gap.Seconds())
+		s.slow.Observe(now, j.Server, detector.Gap, gap)
+	}
+	j.tokens, j.lastAt = ev.Tokens, now
+	if !j.long && j.tokens >= s.cfg.LongTokens {
+		j.long = true
+		sv.longs++
+	}
+}
+
+func (s *Scheduler) endedAttempt(now time.Time, ev Ended) {
+	j := s.jobs[ev.Attempt]
+	if j == nil || !j.sent {
+		return
+	}
+	sv := s.servers[j.Server]
+	if ev.OK {
+		s.observeEnd(now, sv, j, max(ev.Tokens, j.tokens))
+	}
+	s.detach(sv, j)
+	if ev.Missing {
+		sv.slots.Missing(j.Target)
+	}
+	if j.apart && ev.OK {
+		s.suspect.Clear(j.Digest)
+		s.emit(Absolve{Attempt: j.Attempt})
+	}
+	s.pump(now, sv)
+	s.forget(j.Server, sv)
+}
+
+func (s *Scheduler) observeEnd(now time.Time, sv *server, j *job, tokens int) {
+	took := now.Sub(j.sentAt)
+	if !j.long {
+		sv.service.add(took.Seconds())
+	}
+	if j.firstAt.IsZero() {
+		s.slow.Observe(now, j.Server, detector.First, took)
+	}
+	c := s.class(j.Class)
+	c.n++
+	weight := max(averageWeight, 1/float64(c.n))
+	c.tokens += weight * (float64(tokens) - c.tokens)
+	c.seconds += weight * (took.Seconds() - c.seconds)
+}
+
+// isLongClass reports whether a class's jobs were observed to be long.
+func (s *Scheduler) isLongClass(name string) bool {
+	c := s.classes[name]
+	return c != nil && c.n > 0 && c.tokens >= float64(s.cfg.LongTokens)
+}
+
+// need estimates how long a job runs once it is sent.
+func (s *Scheduler) need(sv *server, j *job) time.Duration {
+	if c := s.classes[j.Class]; c != nil && c.n > 0 {
+		return time.Duration(c.seconds * float64(time.Second))
+	}
+	return sv.first.duration() + time.Duration(j.MaxTokens)*sv.gap.duration()
+}
+
+func (s *Scheduler) standing(now time.Time, j *job) quarantiner.Standing {
+	if s.broken.suspects {
+		return quarantiner.Clear
+	}
+	return max(j.Standing, s.suspect.Standing(now, j.Digest))
+}
+
+// expire refuses queued work that can't be answered in time any more or whose request was convicted, and looks after waiting work's deadlines.
+func (s *Scheduler) expire(now time.Time, sv *server) {
+	for _, j := range sv.queue.Drop(func(it queued) bool {
+		return isPast(now, it.Value.FirstBy) || isPast(now, it.Value.Deadline)
+	}) {
+		s.refuse(now, j, ReasonLate, sv.drainTime())
+	}
+	for _, j := range sv.queue.Drop(func(it queued) bool { return s.standing(now, it.Value) == quarantiner.Convicted }) {
+		s.refuse(now, j, ReasonQuarantine, 0)
+	}
+	need := func(j *job) time.Duration { return s.need(sv, j) + startMargin }
+	if s.cfg.has(PartClasses) {
+		sv.queue.Promote(now, need)
+	}
+	for _, j := range sv.queue.AtRisk(now, func(j *job) time.Duration {
+		return need(j) + min(s.cfg.AlarmLead, j.Deadline.Sub(j.Arrived)/alarmSpan)
+	}) {
+		if !j.Urgent {
+			s.emit(Alarm{Attempt: j.Attempt, Class: j.Class, Deadline: j.Deadline})
+		}
+	}
+}
+
+// startMargin is how long before its latest start waiting work becomes urgent.
+const startMargin = 3 * time.Second
+
+// alarmSpan bounds the alarm's lead to a share of the time that the work was given.
+const alarmSpan = 4
+
+// watch finds silent attempts and stragglers and repeats cancels that weren't confirmed.
+func (s *Scheduler) watch(now time.Time, sv *server) {
+	for _, a := range sortedAttempts(sv.inFlight) {
+		j := sv.inFlight[a]
+		switch {
+		case j.failed || j.cancelled:
+			if now.Sub(j.cancelAt) >= s.cfg.CancelRetry {
+				s.cancel(now, j)
+			}
+		case detector.Silent(now, j.lastAt, s.silence(sv, j)):
+			j.failed = true
+			s.emit(Fail{Attempt: a})
+			s.cancel(now, j)
+		case j.firstAt.IsZero():
+			s.slow.Overdue(now, j.Server, detector.First, now.Sub(j.sentAt))
+		default:
+			s.slow.Overdue(now, j.Server, detector.Gap, now.Sub(j.lastAt)/progressTokens)
+		}
+	}
+}
+
+// progressTokens is the largest number of tokens that one report of progress covers.
+const progressTokens = 8
+
+func (s *Scheduler) silence(sv *server, j *job) time.Duration {
+	switch {
+	case !sv.isModel():
+		return s.cfg.SilentPlain
+	case j.firstAt.IsZero():
+		return s.cfg.SilentFirst
+	}
+	return s.cfg.SilentAfter
+}
+
+func isPast(now, t time.Time) bool { return !t.IsZero() && !now.Before(t) }
--- /dev/null
+++ b/serving/scheduler/ring.go
@@ -0,0 +1,32 @@
+package scheduler
+
+import "redwingstage.org/serving/retrier"
+
+// endedMemory is the number of ended attempts that are remembered, so that a repeated arrival isn't run again.
+const endedMemory = 4096
+
+type endedRing struct {
+	set  map[retrier.Attempt]struct{}
+	ring []retrier.Attempt
+	next int
+}
+
+func newEndedRing() endedRing {
+	return endedRing{set: make(map[retrier.Attempt]struct{}, endedMemory)}
+}
+
+func (r *endedRing) add(a retrier.Attempt) {
+	if len(r.ring) < endedMemory {
+		r.ring = append(r.ring, a)
+	} else {
+		delete(r.set, r.ring[r.next])
+		r.ring[r.next] = a
+		r.next = (r.next + 1) % endedMemory
+	}
+	r.set[a] = struct{}{}
+}
+
+func (r *endedRing) has(a retrier.Attempt) bool {
+	_, ok := r.set[a]
+	return ok
+}
--- /dev/null
+++ b/serving/scheduler/scheduler.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"redwingstage.org/coord/detector"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/retrier"
+)
+
+// Scheduler decides for all backend servers that one entry owns; one goroutine calls it.
+type Scheduler struct {
+	cfg     Config
+	rng     *rand.Rand
+	servers map[string]*server
+	jobs    map[retrier.Attempt]*job
+	ended   endedRing
+	suspect *quarantiner.Registry
+	digests map[quarantiner.Digest]int
+	classes map[string]*classStats
+	slow    *detector.Detector
+	order   uint64
+	actions []Action
+	broken  breaks
+}
+
+// breaks switches mechanisms off, so that tests can show that the checker notices.
+type breaks struct {
+	pins, residency, leaving, lease, orders, suspects, reset, inherit bool
+}
+
+// classStats is what was observed of a class.
+type classStats struct {
+	tokens  float64
+	seconds float64
+	n       int
+}
+
+// New returns a scheduler that owns no server yet.
+func New(cfg Config, seed uint64) *Scheduler {
+	return &Scheduler{
+		cfg:     cfg.withDefaults(),
+		rng:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		servers: make(map[string]*server),
+		jobs:    make(map[retrier.Attempt]*job),
+		ended:   newEndedRing(),
+		suspect: quarantiner.New(quarantiner.Config{}),
+		digests: make(map[quarantiner.Digest]int),
+		classes: make(map[string]*classStats),
+		slow:    detector.New(detector.Config{}),
+	}
+}
+
+// Handle takes an event in and returns what to do, in order; the slice is valid until the next call.
+func (s *Scheduler) Handle(now time.Time, ev Event) []Action {
+	s.actions = s.actions[:0]
+	switch ev := ev.(type) {
+	case Owned:
+		s.owned(now, ev)
+	case Released:
+		s.released(now, ev.Server)
+	case LeaseLost:
+		s.leaseLost(now)
+	case Gone:
+		s.gone(now, ev.Server, ev.Crashed)
+	case Arrived:
+		s.arrived(now, ev.Job)
+	case Cancelled:
+		s.cancelled(now, ev.Attempt)
+	case Progress:
+		s.progress(now, ev)
+	case Ended:
+		s.endedAttempt(now, ev)
+	case Judged:
+		s.judged(now, ev)
+	case Tick:
+		s.tick(now)
+	default:
+		s.handleServer(now, ev)
+	}
+	return s.actions
+}
+
+// handleServer handles the events on adapters of one server; those of a server that isn't known only give their permit back.
+func (s *Scheduler) handleServer(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case Unpinned:
+		s.with(now, ev.Server, func(sv *server) { sv.slots.Disinherit(ev.Target) })
+	case Granted:
+		if sv := s.servers[ev.Server]; sv == nil || !s.granted(now, sv, ev) {
+			s.emit(ReturnPermit{Permit: ev.Permit})
+		}
+		s.with(now, ev.Server, func(*server) {})
+	case Denied:
+		s.with(now, ev.Server, func(sv *server) { s.denied(now, sv, ev.Target) })
+	case LoadEnded:
+		s.with(now, ev.Server, func(sv *server) { s.loadEnded(now, sv, ev) })
+	case UnloadEnded:
+		s.with(now, ev.Server, func(sv *server) { sv.slots.EndUnload(now, ev.Target, ev.Order, ev.OK) })
+	case Reported:
+		s.with(now, ev.Server, func(sv *server) { sv.slots.Adopt(now, ev.Residents) })
+	}
+}
+
+// with calls f for a known server and lets its queue move on.
+func (s *Scheduler) with(now time.Time, name string, f func(*server)) {
+	if sv := s.servers[name]; sv != nil {
+		f(sv)
+		s.pump(now, sv)
+	}
+}
+
+// tick handles what only time brings about.
+func (s *Scheduler) tick(now time.Time) {
+	for _, name := range s.names() {
+		sv := s.servers[name]
+		s.watch(now, sv)
+		s.watchLoads(now, sv)
+		s.expire(now, sv)
+		s.pump(now, sv)
+	}
+	s.suspect.Expire(now)
+}
+
+func (s *Scheduler) judged(now time.Time, ev Judged) {
+	if ev.Standing == quarantiner.Clear {
+		s.suspect.Clear(ev.Digest)
+	}
+	for _, name := range s.names() {
+		sv := s.servers[name]
+		sv.queue.Each(func(it queued) {
+			if it.Value.Digest == ev.Digest {
+				it.Value.Standing = ev.Standing
+			}
+		})
+		s.expire(now, sv)
+		s.pump(now, sv)
+	}
+}
+
+func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
+
+func (s *Scheduler) names() []string {
+	names := make([]string, 0, len(s.servers))
+	for name := range s.servers {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, strings.Compare)
+	return names
+}
+
+// jitter returns a time between d/2 and 3d/2.
+func (s *Scheduler) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.rng.Int64N(int64(d)+1))
+}
+
+func (s *Scheduler) class(name string) *classStats {
+	c := s.classes[name]
+	if c == nil {
+		c = &classStats{}
+		s.classes[name] = c
+	}
+	return c
+}
+
+// Stats is a count of what a scheduler holds.
+type Stats struct {
+	Servers        int
+	UrgentQueued   int
+	WaitingQueued  int
+	InFlight       int
+	Batch          int
+	Resident       int
+	Loading        int
+	Pins           int
+	PermitsAwaited int
+	Stragglers     int
+}
+
+// Stats returns the counts over all owned servers.
+func (s *Scheduler) Stats(now time.Time) Stats {
+	var st Stats
+	for name := range s.servers {
+		one := s.ServerStats(now, name)
+		st.Servers++
+		st.UrgentQueued += one.UrgentQueued
+		st.WaitingQueued += one.WaitingQueued
+		st.InFlight += one.InFlight
+		st.Batch += one.Batch
+		st.Resident += one.Resident
+		st.Loading += one.Loading
+		st.Pins += one.Pins
+		st.PermitsAwaited += one.PermitsAwaited
+		st.Stragglers += one.Stragglers
+	}
+	return st
+}
+
+// ServerStats returns the counts of one server.
+func (s *Scheduler) ServerStats(now time.Time, name string) Stats {
+	sv := s.servers[name]
+	if sv == nil {
+		return Stats{}
+	}
+	st := Stats{
+		Servers: 1, InFlight: len(sv.inFlight), Batch: sv.batch(),
+		Resident: sv.residents(), Loading: len(sv.loading), Pins: sv.slots.Pins(),
+	}
+	st.UrgentQueued, st.WaitingQueued = sv.queue.Lanes()
+	for _, w := range sv.wants {
+		if w.asked {
+			st.PermitsAwaited++
+		}
+	}
+	if s.slow.Slow(now, name) {
+		st.Stragglers = 1
+	}
+	return st
+}
+
+// IsSlow reports whether a server is a straggler by this entry's own observations.
+func (s *Scheduler) IsSlow(now time.Time, server string) bool { return s.slow.Slow(now, server) }
+
+// Pinned returns the adapters of a server that attempts or inherited pins use.
+func (s *Scheduler) Pinned(server string) []configurer.Target {
+	if sv := s.servers[server]; sv != nil {
+		return sv.slots.Pinned()
+	}
+	return nil
+}
+
+// InFlight returns the number of attempts that were sent to a server and haven't ended.
+func (s *Scheduler) InFlight(server string) int {
+	if sv := s.servers[server]; sv != nil {
+		return len(sv.inFlight)
+	}
+	return 0
+}
+
+// Owns reports whether new work for a server is taken.
+func (s *Scheduler) Owns(server string) bool {
+	sv := s.servers[server]
+	return sv != nil && sv.open
+}
--- /dev/null
+++ b/serving/scheduler/server.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"redwingstage.org/serving/admitter"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/placer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+)
+
+type queued = admitter.Item[*job]
+
+// server is the state of one owned backend server.
+type server struct {
+	reg     registrar.Server
+	epoch   uint64
+	orderAt time.Time
+	// leased says that orders may be given; open that new work is taken.
+	leased   bool
+	open     bool
+	slots    *placer.Slots
+	queue    *admitter.Queue[*job]
+	inFlight map[retrier.Attempt]*job
+	longs    int
+	suspects int
+	wants    []*want
+	loading  map[configurer.Target]registrar.Permit
+	cool     map[configurer.Target]time.Time
+	service  average
+	first    average
+	gap      average
+}
+
+// average is an exponentially weighted mean of seconds.
+type average struct {
+	value float64
+	known bool
+}
+
+// averageWeight is the weight of a new value in an average.
+const averageWeight = 0.1
+
+func (a *average) add(v float64) {
+	if !a.known {
+		a.value, a.known = v, true
+		return
+	}
+	a.value += averageWeight * (v - a.value)
+}
+
+func (a *average) duration() time.Duration { return time.Duration(a.value * float64(time.Second)) }
+
+func (sv *server) batch() int { return max(sv.reg.Batch, 1) }
+
+func (sv *server) isModel() bool { return sv.reg.Kind == configurer.KindModel }
+
+// residents returns the number of adapters that can serve or are being unloaded.
+func (sv *server) residents() int {
+	return sv.slots.Count(placer.Resident) + sv.slots.Count(placer.Unloading)
+}
+
+// holds reports whether the server can serve the target now.
+func (sv *server) holds(t configurer.Target) bool {
+	return t.Adapter == "" || sv.slots.CanServe(t)
+}
+
+func (sv *server) mayOrder(now time.Time) bool {
+	return sv.leased && !now.Before(sv.orderAt) && sv.isModel()
+}
+
+// owned takes a server over, or notes what its new announcement changed.
+func (s *Scheduler) owned(now time.Time, ev Owned) {
+	name := ev.Server.Name
+	sv := s.servers[name]
+	if sv != nil && ev.Epoch < sv.epoch {
+		return
+	}
+	if sv != nil && sv.reg.Incarnation != ev.Server.Incarnation && !s.broken.reset {
+		s.gone(now, name, len(sv.inFlight) > 0)
+		sv = nil
+	}
+	fresh := sv == nil || sv.epoch != ev.Epoch
+	if sv == nil {
+		sv = &server{
+			slots:    placer.New(ev.Server.Slots, s.cfg.victimRule()),
+			queue:    admitter.New[*job](s.cfg.Queue),
+			inFlight: make(map[retrier.Attempt]*job),
+			loading:  make(map[configurer.Target]registrar.Permit),
+			cool:     make(map[configurer.Target]time.Time),
+		}
+		if s.broken.pins {
+			sv.slots.IgnorePins()
+		}
+		s.servers[name] = sv
+	}
+	sv.reg = ev.Server
+	sv.slots.Resize(ev.Server.Slots)
+	if fresh {
+		pinned := ev.Pinned
+		if s.broken.inherit {
+			pinned = nil
+		}
+		s.dropPermits(sv)
+		sv.slots.Reset(now, ev.Residents, pinned)
+		sv.epoch, sv.orderAt = ev.Epoch, ev.OrderAt
+	}
+	sv.leased, sv.open = true, !ev.Server.Leaving || s.broken.leaving
+	if !sv.open {
+		s.refuseAll(now, sv, ReasonLeaving)
+	}
+	s.pump(now, sv)
+}
+
+// released stops new work on a server that is handed over; what was sent goes on to its end.
+func (s *Scheduler) released(now time.Time, name string) {
+	sv := s.servers[name]
+	if sv == nil {
+		return
+	}
+	sv.open, sv.leased = false, false
+	s.refuseAll(now, sv, ReasonLeaving)
+	s.dropPermits(sv)
+	s.forget(name, sv)
+}
+
+func (s *Scheduler) leaseLost(now time.Time) {
+	if s.broken.lease {
+		return
+	}
+	for _, name := range s.names() {
+		sv := s.servers[name]
+		sv.leased = false
+		s.dropPermits(sv)
+		s.pump(now, sv)
+	}
+}
+
+// gone ends everything on a server that died or restarted.
+func (s *Scheduler) gone(now time.Time, name string, crashed bool) {
+	sv := s.servers[name]
+	if sv == nil {
+		return
+	}
+	attempts := sortedAttempts(sv.inFlight)
+	if crashed && len(attempts) > 0 {
+		digests := make([]quarantiner.Digest, 0, len(attempts))
+		for _, a := range attempts {
+			if d := sv.inFlight[a].Digest; d != (quarantiner.Digest{}) {
+				digests = append(digests, d)
+			}
+		}
+		s.suspect.Accuse(now, name+"/"+sv.reg.Incarnation, digests)
+		s.emit(Accuse{Server: name, Attempts: attempts})
+	}
+	for _, a := range attempts {
+		j := sv.inFlight[a]
+		if !j.failed {
+			s.emit(Fail{Attempt: a, Crashed: crashed})
+		}
+		s.detach(sv, j)
+	}
+	s.refuseAll(now, sv, ReasonLeaving)
+	s.dropPermits(sv)
+	for _, t := range sortedTargets(sv.loading) {
+		s.emit(ReturnPermit{Permit: sv.loading[t]})
+	}
+	delete(s.servers, name)
+	s.slow.Forget(name)
+	for _, other := range s.names() {
+		s.expire(now, s.servers[other])
+		s.pump(now, s.servers[other])
+	}
+}
+
+func (s *Scheduler) refuseAll(now time.Time, sv *server, reason Reason) {
+	for _, j := range sv.queue.Drop(func(queued) bool { return true }) {
+		s.refuse(now, j, reason, 0)
+	}
+}
+
+// forget drops a released server once nothing of it is left.
+func (s *Scheduler) forget(name string, sv *server) {
+	if !sv.leased && !sv.open && len(sv.inFlight) == 0 && len(sv.loading) == 0 && s.servers[name] == sv {
+		delete(s.servers, name)
+		s.slow.Forget(name)
+	}
+}
+
+func sortedAttempts(m map[retrier.Attempt]*job) []retrier.Attempt {
+	jobs := make([]*job, 0, len(m))
+	for _, j := range m {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return int(a.n) - int(b.n) })
+	out := make([]retrier.Attempt, len(jobs))
+	for i, j := range jobs {
+		out[i] = j.Attempt
+	}
+	return out
+}
+
+func sortedTargets(m map[configurer.Target]registrar.Permit) []configurer.Target {
+	out := make([]configurer.Target, 0, len(m))
+	for t := range m {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b configurer.Target) int { return strings.Compare(a.String(), b.String()) })
+	return out
+}
