Thin: model an engine and a weight store at a virtual time

Cause: schedulers, placement and load permits have to be measured against engines that batch, prefill, load and crash, with the same verdict each run.

Ruled out: sleeping servers, whose figures depend on the machine.

Change: modeler.Engine has step times that grow with the batch, chunked prefill, priorities, adapter slots, a prefix cache, cold start, a speed factor, failed loads, crashes on a request, and counts evictions of serving adapters. modeler.Store limits loads by rate, by loads at once and by loads in flight.

Proof: go test -race ./standin/modeler; step times, stretches and refusals are checked to the millisecond against numbers worked out by hand.

--- /dev/null
+++ b/standin/modeler/engine.go
@@ -0,0 +1,237 @@
+package modeler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Engine is a model engine at a virtual time; it is not safe for concurrent use.
+type Engine struct {
+	cfg         Config
+	rng         *rand.Rand
+	speed       float64
+	incarnation int
+	coldUntil   time.Time
+	crash       func(Request) bool
+	failNext    map[string]int
+
+	residents map[string]bool
+	loads     []load
+	waiting   []*job
+	running   []*job
+	jobs      map[string]*job
+	done      []finished
+	cache     *cache
+	stepEnd   time.Time // zero while no step runs
+	stall     time.Duration
+	events    []Event
+	evicted   int
+}
+
+// load is an adapter load in flight.
+type load struct {
+	model string
+	end   time.Time
+}
+
+// job is a request with its progress.
+type job struct {
+	req     Request
+	prefill int // prompt tokens left
+	chunk   int // prompt tokens in the current step
+	tokens  int // generated so far
+}
+
+// finished is a stream that is still resumable.
+type finished struct {
+	id     string
+	tokens int
+	until  time.Time
+}
+
+// New returns an idle engine that has started; the seed decides jitter and failed loads.
+func New(cfg Config, seed uint64) *Engine {
+	cfg = cfg.withDefaults()
+	e := &Engine{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), speed: 1, failNext: make(map[string]int)}
+	e.reset()
+	return e
+}
+
+func (e *Engine) reset() {
+	e.incarnation++
+	e.residents = make(map[string]bool)
+	e.jobs = make(map[string]*job)
+	e.loads, e.waiting, e.running, e.done = nil, nil, nil, nil
+	e.cache = newCache(e.cfg.Cache)
+	e.stepEnd = time.Time{}
+	e.stall = 0
+}
+
+// Submit queues a request.
+func (e *Engine) Submit(now time.Time, r Request) error {
+	if now.Before(e.coldUntil) {
+		return &RefusedError{Refusal: Cold}
+	}
+	if !e.IsResident(r.Model) {
+		return &RefusedError{Refusal: NotResident, Name: r.Model}
+	}
+	if _, ok := e.jobs[r.ID]; ok {
+		return &RefusedError{Refusal: Duplicate, Name: r.ID}
+	}
+	if r.Shared <= 0 || r.Shared > r.Prompt {
+		r.Shared = r.Prompt
+	}
+	r.Output = max(r.Output, 1)
+	j := &job{req: r, prefill: max(r.Prompt, 1)}
+	e.jobs[r.ID] = j
+	i, _ := slices.BinarySearchFunc(e.waiting, r.Priority+1, func(w *job, p int) int { return w.req.Priority - p })
+	e.waiting = slices.Insert(e.waiting, i, j)
+	if e.stepEnd.IsZero() {
+		e.beginStep(now)
+	}
+	return nil
+}
+
+// Cancel ends a request at once and reports whether it was queued or running.
+func (e *Engine) Cancel(_ time.Time, id string) bool {
+	j, ok := e.jobs[id]
+	if ok {
+		e.remove(j)
+	}
+	return ok
+}
+
+// Load starts to load an adapter; a Loaded or LoadFailed event follows.
+func (e *Engine) Load(now time.Time, model string) error {
+	if now.Before(e.coldUntil) {
+		return &RefusedError{Refusal: Cold}
+	}
+	if slices.ContainsFunc(e.loads, func(l load) bool { return l.model == model }) {
+		return nil
+	}
+	if e.IsResident(model) {
+		e.loads = append(e.loads, load{model: model, end: now})
+		return nil
+	}
+	if len(e.residents)+e.newLoads() >= e.cfg.Slots {
+		return &RefusedError{Refusal: Full, Name: model}
+	}
+	e.loads = append(e.loads, load{model: model, end: e.cfg.Store.Begin(now)})
+	return nil
+}
+
+// newLoads counts the loads in flight of adapters that aren't resident yet.
+func (e *Engine) newLoads() int {
+	n := 0
+	for _, l := range e.loads {
+		if !e.IsResident(l.model) {
+			n++
+		}
+	}
+	return n
+}
+
+// Unload removes an adapter; the requests that it still serves fail, unless the engine protects them by a refusal.
+func (e *Engine) Unload(now time.Time, model string) error {
+	if !e.residents[model] {
+		return &RefusedError{Refusal: NotResident, Name: model}
+	}
+	var victims []*job
+	for _, j := range e.jobs {
+		if j.req.Model == model {
+			victims = append(victims, j)
+		}
+	}
+	if len(victims) > 0 && e.cfg.Protects {
+		return &RefusedError{Refusal: Busy, Name: model}
+	}
+	delete(e.residents, model)
+	slices.SortFunc(victims, func(a, b *job) int { return strings.Compare(a.req.ID, b.req.ID) })
+	for _, j := range victims {
+		e.evicted++
+		e.remove(j)
+		e.emit(Event{At: now, Kind: Failed, ID: j.req.ID, Model: model})
+	}
+	return nil
+}
+
+// Evicted returns how many requests lost their adapter to an unload while they were queued or running.
+func (e *Engine) Evicted() int { return e.evicted }
+
+// SetSpeed makes the following steps run at a share of full speed; below 1 the engine is a straggler.
+func (e *Engine) SetSpeed(factor float64) {
+	if factor > 0 {
+		e.speed = factor
+	}
+}
+
+// CrashOn makes the engine crash on each request that match accepts, during its first step.
+func (e *Engine) CrashOn(match func(Request) bool) { e.crash = match }
+
+// FailLoads makes the next n loads of the model fail.
+func (e *Engine) FailLoads(model string, n int) { e.failNext[model] = n }
+
+// Restart loses all requests and adapters; the engine is ready again after its cold start.
+func (e *Engine) Restart(now time.Time) {
+	e.reset()
+	e.coldUntil = now.Add(e.cfg.ColdStart)
+}
+
+// Incarnation returns the number of the engine's starts.
+func (e *Engine) Incarnation() int { return e.incarnation }
+
+// IsCold reports whether the engine is still starting.
+func (e *Engine) IsCold(now time.Time) bool { return now.Before(e.coldUntil) }
+
+// IsResident reports whether requests for the model can run.
+func (e *Engine) IsResident(model string) bool { return model == e.cfg.Base || e.residents[model] }
+
+// Residents returns the resident adapters by name.
+func (e *Engine) Residents() []string {
+	list := make([]string, 0, len(e.residents))
+	for m := range e.residents {
+		list = append(list, m)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Serving returns the models of queued and running requests by name.
+func (e *Engine) Serving() []string {
+	var list []string
+	for _, j := range e.jobs {
+		list = append(list, j.req.Model)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int { return len(e.running) }
+
+// Waiting returns the number of queued requests.
+func (e *Engine) Waiting() int { return len(e.waiting) }
+
+// Progress returns how many tokens of a request exist for a resume, also for a while after its end.
+func (e *Engine) Progress(now time.Time, id string) (tokens int, ok bool) {
+	if j, ok := e.jobs[id]; ok {
+		return j.tokens, true
+	}
+	for _, f := range e.done {
+		if f.id == id && now.Before(f.until) {
+			return f.tokens, true
+		}
+	}
+	return 0, false
+}
+
+func (e *Engine) emit(ev Event) { e.events = append(e.events, ev) }
+
+func (e *Engine) remove(j *job) {
+	delete(e.jobs, j.req.ID)
+	same := func(o *job) bool { return o == j }
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	e.running = slices.DeleteFunc(e.running, same)
+}
--- /dev/null
+++ b/standin/modeler/modeler_test.go
@@ -0,0 +1,194 @@
+package modeler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+)
+
+var start = time.Unix(1000, 0)
+
+func ms(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+
+// config has round numbers: a step takes 10 ms, 1 ms for each decoded token and 1 ms for each 10 prompt tokens.
+func config() Config {
+	return Config{
+		Slots: 2, Batch: 2, Step: 10 * time.Millisecond, Token: time.Millisecond, Prefill: 100 * time.Microsecond,
+		Chunk: 100, Load: 250 * time.Millisecond, Cache: 150, ColdStart: time.Second,
+	}
+}
+
+// loaded returns an engine with the adapters resident at ms(0).
+func loaded(c *quicktest.C, cfg Config, models ...string) *Engine {
+	e := New(cfg, 1)
+	for _, m := range models {
+		c.Assert(e.Load(start.Add(-time.Minute), m), quicktest.IsNil)
+	}
+	e.Advance(start)
+	c.Assert(e.Residents(), quicktest.DeepEquals, models)
+	return e
+}
+
+// timeline returns the milliseconds of events of a kind for a request or model.
+func timeline(events []Event, kind Kind, name string) []int {
+	var list []int
+	for _, ev := range events {
+		if ev.Kind == kind && (ev.ID == name || ev.Model == name) {
+			list = append(list, int(ev.At.Sub(start).Milliseconds()))
+		}
+	}
+	return list
+}
+
+func refusal(err error) Refusal {
+	var r *RefusedError
+	if errors.As(err, &r) {
+		return r.Refusal
+	}
+	return 0
+}
+
+func TestStepTimeGrowsWithBatch(t *testing.T) {
+	c := quicktest.New(t)
+	e := loaded(c, config(), "a@1")
+	c.Assert(e.Submit(start, Request{ID: "x", Model: "a@1", Prompt: 100, Output: 3}), quicktest.IsNil)
+	c.Assert(e.Submit(ms(1), Request{ID: "y", Model: "a@1", Prompt: 150, Output: 2}), quicktest.IsNil)
+	events := e.Advance(ms(1000))
+	// x alone prefills 100 tokens to 20; y's 150 tokens take two steps beside one decode of x each, 21 and 16.
+	c.Assert(timeline(events, Token, "x"), quicktest.DeepEquals, []int{20, 41, 57})
+	c.Assert(timeline(events, Token, "y"), quicktest.DeepEquals, []int{57, 68})
+	c.Assert(timeline(events, Finished, "y"), quicktest.DeepEquals, []int{68})
+	n, ok := e.Progress(ms(1000), "y")
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(n, quicktest.Equals, 2)
+	_, ok = e.Progress(ms(60000), "y")
+	c.Assert(ok, quicktest.IsFalse)
+}
+
+func TestPriorityAndCancel(t *testing.T) {
+	c := quicktest.New(t)
+	cfg := config()
+	cfg.Batch = 1
+	e := loaded(c, cfg, "a@1")
+	for _, r := range []Request{{ID: "first"}, {ID: "slow", Priority: 1}, {ID: "late"}, {ID: "gone"}} {
+		r.Model, r.Prompt, r.Output = "a@1", 100, 1
+		c.Assert(e.Submit(start, r), quicktest.IsNil)
+	}
+	c.Assert(e.Cancel(start, "gone"), quicktest.IsTrue)
+	c.Assert(e.Cancel(start, "gone"), quicktest.IsFalse)
+	events := e.Advance(ms(1000))
+	c.Assert(timeline(events, Finished, "late"), quicktest.DeepEquals, []int{40})
+	c.Assert(timeline(events, Finished, "slow"), quicktest.DeepEquals, []int{60})
+	c.Assert(timeline(events, Finished, "gone"), quicktest.HasLen, 0)
+}
+
+func TestPrefixCacheIsLimited(t *testing.T) {
+	c := quicktest.New(t)
+	e := loaded(c, config(), "a@1")
+	now := start
+	first := func(prefix uint64) time.Duration {
+		now = now.Add(time.Second)
+		c.Assert(e.Submit(now, Request{ID: "x", Model: "a@1", Prompt: 100, Prefix: prefix, Shared: 90, Output: 1}), quicktest.IsNil)
+		at, _ := e.Next()
+		e.Advance(now.Add(500 * time.Millisecond))
+		return at.Sub(now)
+	}
+	c.Assert(first(7), quicktest.Equals, 20*time.Millisecond)
+	c.Assert(first(7), quicktest.Equals, 11*time.Millisecond)
+	c.Assert(first(8), quicktest.Equals, 20*time.Millisecond) // 180 tokens don't fit, so 7 is dropped
+	c.Assert(first(7), quicktest.Equals, 20*time.Millisecond)
+}
+
+func TestSlotsAndUnload(t *testing.T) {
+	for _, protects := range []bool{true, false} {
+		c := quicktest.New(t)
+		cfg := config()
+		cfg.Protects = protects
+		e := loaded(c, cfg, "a@1", "b@1")
+		c.Assert(refusal(e.Load(start, "c@1")), quicktest.Equals, Full)
+		c.Assert(refusal(e.Submit(start, Request{ID: "x", Model: "c@1"})), quicktest.Equals, NotResident)
+		c.Assert(e.Submit(start, Request{ID: "x", Model: "a@1", Prompt: 10, Output: 5}), quicktest.IsNil)
+		c.Assert(refusal(e.Submit(start, Request{ID: "x", Model: "a@1"})), quicktest.Equals, Duplicate)
+		c.Assert(e.Unload(start, "b@1"), quicktest.IsNil)
+		err := e.Unload(start, "a@1")
+		if protects {
+			c.Assert(refusal(err), quicktest.Equals, Busy)
+			c.Assert(e.Evicted(), quicktest.Equals, 0)
+			c.Assert(e.Serving(), quicktest.DeepEquals, []string{"a@1"})
+			continue
+		}
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(e.Evicted(), quicktest.Equals, 1)
+		c.Assert(timeline(e.Advance(ms(1000)), Failed, "x"), quicktest.DeepEquals, []int{0})
+	}
+}
+
+func TestCrashRestartsCold(t *testing.T) {
+	c := quicktest.New(t)
+	e := loaded(c, config(), "a@1")
+	e.CrashOn(func(r Request) bool { return r.Prefix == 13 })
+	c.Assert(e.Submit(start, Request{ID: "ok", Model: "a@1", Prompt: 10, Output: 9}), quicktest.IsNil)
+	c.Assert(e.Submit(start, Request{ID: "bad", Model: "a@1", Prompt: 10, Prefix: 13, Output: 9}), quicktest.IsNil)
+	events := e.Advance(ms(100))
+	c.Assert(timeline(events, Crashed, "bad"), quicktest.DeepEquals, []int{23})
+	c.Assert(e.Incarnation(), quicktest.Equals, 2)
+	c.Assert(e.Residents(), quicktest.HasLen, 0)
+	c.Assert(refusal(e.Submit(ms(200), Request{ID: "z", Model: "base"})), quicktest.Equals, Cold)
+	c.Assert(timeline(e.Advance(ms(2000)), Ready, ""), quicktest.DeepEquals, []int{1023})
+	c.Assert(e.Submit(ms(2000), Request{ID: "z", Model: "base"}), quicktest.IsNil)
+}
+
+func TestStragglerAndFailedLoad(t *testing.T) {
+	c := quicktest.New(t)
+	e := loaded(c, config(), "a@1")
+	e.SetSpeed(0.5)
+	c.Assert(e.Submit(start, Request{ID: "x", Model: "a@1", Prompt: 100, Output: 1}), quicktest.IsNil)
+	e.FailLoads("b@1", 1)
+	c.Assert(e.Load(start, "b@1"), quicktest.IsNil)
+	events := e.Advance(ms(1000))
+	c.Assert(timeline(events, Token, "x"), quicktest.DeepEquals, []int{40})
+	c.Assert(timeline(events, LoadFailed, "b@1"), quicktest.DeepEquals, []int{250})
+	c.Assert(e.Load(ms(1000), "b@1"), quicktest.IsNil)
+	c.Assert(timeline(e.Advance(ms(2000)), Loaded, "b@1"), quicktest.DeepEquals, []int{1250})
+}
+
+func TestStoreLimits(t *testing.T) {
+	tests := []struct {
+		name string
+		cfg  StoreConfig
+		ends []int // of loads begun together
+	}{
+		{"free", StoreConfig{}, []int{250, 250, 250, 250}},
+		{"rate", StoreConfig{Rate: 2}, []int{250, 750, 1250}},
+		{"burst", StoreConfig{Rate: 2, Parallel: 2}, []int{250, 250, 750, 1250}},
+		{"parallel", StoreConfig{Parallel: 2}, []int{250, 250, 375, 500}},
+		{"in flight", StoreConfig{InFlight: 2}, []int{250, 250, 375, 500}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := NewStore(tt.cfg)
+			for _, end := range tt.ends {
+				c.Assert(s.Begin(start), quicktest.Equals, ms(end))
+			}
+			c.Assert(s.InFlight(start), quicktest.Equals, len(tt.ends))
+			c.Assert(s.InFlight(ms(5000)), quicktest.Equals, 0)
+		})
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	c := quicktest.New(t)
+	run := func(seed uint64) []Event {
+		cfg := config()
+		cfg.Jitter, cfg.FailLoads = 0.5, 0.5
+		e := New(cfg, seed)
+		c.Assert(e.Submit(start, Request{ID: "x", Model: "base", Prompt: 300, Output: 20}), quicktest.IsNil)
+		c.Assert(e.Load(start, "a@1"), quicktest.IsNil)
+		return e.Advance(ms(5000))
+	}
+	c.Assert(run(3), quicktest.DeepEquals, run(3))
+	c.Assert(run(3), quicktest.Not(quicktest.DeepEquals), run(4))
+}
--- /dev/null
+++ b/standin/modeler/store.go
@@ -0,0 +1,104 @@
+package modeler
+
+import "time"
+
+// StoreConfig limits a weight store; a zero limit is none.
+type StoreConfig struct {
+	// Rate is the number of loads that may start in a second.
+	Rate float64
+	// Parallel is the number of loads at once at full speed; more share that speed.
+	Parallel int
+	// InFlight is the number of loads in flight, waiting ones included, beyond which all are stretched in proportion.
+	InFlight int
+	// Load is the time of a load at full speed.
+	Load time.Duration
+}
+
+// Store is a weight store that engines load adapters from.
+type Store struct {
+	cfg   StoreConfig
+	next  time.Time // the earliest start under the rate limit if the burst is spent
+	loads []span
+	total int
+	worst int
+}
+
+// span is one load from its request to its end; it runs from start.
+type span struct{ start, end time.Time }
+
+// NewStore returns a store without loads.
+func NewStore(cfg StoreConfig) *Store {
+	setDefault(&cfg.Load, defaultLoad)
+	return &Store{cfg: cfg}
+}
+
+// Begin starts a load and returns when it ends.
+func (s *Store) Begin(now time.Time) time.Time {
+	s.forget(now)
+	start := s.reserve(now)
+	d := s.cfg.Load
+	inFlight := len(s.loads) + 1
+	if n := s.cfg.InFlight; n > 0 && inFlight > n {
+		d = d * time.Duration(inFlight) / time.Duration(n)
+	}
+	if n := s.cfg.Parallel; n > 0 {
+		if at := s.runningAt(start) + 1; at > n {
+			d = d * time.Duration(at) / time.Duration(n)
+		}
+	}
+	end := start.Add(d)
+	s.loads = append(s.loads, span{start: start, end: end})
+	s.total++
+	s.worst = max(s.worst, inFlight)
+	return end
+}
+
+// InFlight returns the number of loads that wait or run.
+func (s *Store) InFlight(now time.Time) int {
+	s.forget(now)
+	return len(s.loads)
+}
+
+// Total returns the number of loads begun.
+func (s *Store) Total() int { return s.total }
+
+// Worst returns the largest number of loads that were in flight at once.
+func (s *Store) Worst() int { return s.worst }
+
+// reserve returns the start of the next load under the rate limit, which allows a burst of the parallel loads.
+func (s *Store) reserve(now time.Time) time.Time {
+	if s.cfg.Rate <= 0 {
+		return now
+	}
+	gap := time.Duration(float64(time.Second) / s.cfg.Rate)
+	burst := gap * time.Duration(max(s.cfg.Parallel, 1)-1)
+	if s.next.Before(now) {
+		s.next = now
+	}
+	start := s.next.Add(-burst)
+	if start.Before(now) {
+		start = now
+	}
+	s.next = s.next.Add(gap)
+	return start
+}
+
+func (s *Store) runningAt(t time.Time) int {
+	n := 0
+	for _, l := range s.loads {
+		if !l.start.After(t) && l.end.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Store) forget(now time.Time) {
+	kept := s.loads[:0]
+	for _, l := range s.loads {
+		if l.end.After(now) {
+			kept = append(kept, l)
+		}
+	}
+	s.loads = kept
+}
