--- /dev/null
+++ b/coord/leaser/fence.go
@@ -0,0 +1,35 @@
+package leaser
+
+import "strconv"
+
+// eraShift is the number of bits of an epoch below its era.
+const eraShift = 24
+
+// ExhaustedError says that an era has no numbers left; a new era must begin.
+type ExhaustedError struct{ Era uint64 }
+
+// Error implements error.
+func (e *ExhaustedError) Error() string {
+	return "era " + strconv.FormatUint(e.Era, 10) + " has no numbers left"
+}
+
+// Sequence gives out numbers that grow within an era and from era to era.
+type Sequence struct {
+	era  uint64
+	last uint64
+}
+
+// NewSequence returns the sequence of an era.
+func NewSequence(era uint64) Sequence { return Sequence{era: era} }
+
+// Next returns the next number.
+func (s *Sequence) Next() (uint64, error) {
+	if s.last+1 >= 1<<eraShift {
+		return 0, &ExhaustedError{Era: s.era}
+	}
+	s.last++
+	return s.era<<eraShift | s.last, nil
+}
+
+// EraOf returns the era in which a number was given out.
+func EraOf(number uint64) uint64 { return number >> eraShift }
--- a/serving/configurer/build.go
+++ b/serving/configurer/build.go
@@ -11,33 +11,35 @@
 // Catalog is the whole configuration at one revision; it is never changed, so that traffic can read it without locks.
 type Catalog struct {
 	revision uint64
-	classes  map[string]Class
-	services map[string]Service
-	adapters map[string]Adapter
+	classes  index[Class]
+	services index[Service]
+	adapters index[Adapter]
 }
 
 // NewCatalog builds a catalog from a document.
 func NewCatalog(revision uint64, doc Doc) (*Catalog, error) {
-	c := &Catalog{
-		revision: revision,
-		classes:  make(map[string]Class, len(doc.Classes)),
-		services: make(map[string]Service, len(doc.Services)),
-		adapters: make(map[string]Adapter, len(doc.Adapters)),
-	}
+	classes := make([]Class, 0, len(doc.Classes))
 	for _, s := range doc.Classes {
 		class, err := newClass(s)
 		if err != nil {
 			return nil, errors.Wrapf(err, "class %q", s.Name)
 		}
-		c.classes[s.Name] = class
+		classes = append(classes, class)
 	}
+	services := make([]Service, 0, len(doc.Services))
 	for _, s := range doc.Services {
-		c.services[s.Name] = newService(s)
+		services = append(services, newService(s))
 	}
+	adapters := make([]Adapter, 0, len(doc.Adapters))
 	for _, s := range doc.Adapters {
-		c.adapters[s.Name] = newAdapter(s)
+		adapters = append(adapters, newAdapter(s))
 	}
-	return c, nil
+	return &Catalog{
+		revision: revision,
+		classes:  index[Class]{}.merge(classes),
+		services: index[Service]{}.merge(services),
+		adapters: index[Adapter]{}.merge(adapters),
+	}, nil
 }
 
 // Revision returns the revision of the last accepted change.
@@ -45,22 +47,38 @@
 
 // Class returns the class with the name.
 func (c *Catalog) Class(name string) (Class, bool) {
-	v, ok := c.classes[name]
-	return v, ok
+	return c.classes.get(name)
 }
 
 // Service returns the service with the name.
 func (c *Catalog) Service(name string) (Service, bool) {
-	v, ok := c.services[name]
-	return v, ok
+	return c.services.get(name)
 }
 
 // Adapter returns the adapter with the name.
 func (c *Catalog) Adapter(name string) (Adapter, bool) {
-	v, ok := c.adapters[name]
-	return v, ok
+	return c.adapters.get(name)
+}
+
+// Page returns up to limit adapters in the order of their names, from the first after the given name.
+func (c *Catalog) Page(after string, limit int) []Adapter { return c.adapters.page(after, limit) }
+
+// Classes returns all classes in the order of their names.
+func (c *Catalog) Classes() []Class { return c.classes.page("", c.classes.size) }
+
+// Services returns all services in the order of their names.
+func (c *Catalog) Services() []Service { return c.services.page("", c.services.size) }
+
+// withoutAdapter returns the same revision without an adapter, for working out a change.
+func (c *Catalog) withoutAdapter(name string) *Catalog {
+	next := *c
+	next.adapters = c.adapters.without(name)
+	return &next
 }
 
+// Len returns the number of adapters.
+func (c *Catalog) Len() int { return c.adapters.size }
+
 // UnknownModelError says that no service, adapter or version has the name that a request asked for.
 type UnknownModelError struct{ Model string }
 
@@ -72,10 +90,10 @@
 // Resolve returns the target that a request's model names: "adapter", "adapter@version" or a model service.
 func (c *Catalog) Resolve(model string) (Target, error) {
 	name, version, pinned := strings.Cut(model, "@")
-	if s, ok := c.services[name]; ok && !pinned && s.kind == KindModel {
+	if s, ok := c.services.get(name); ok && !pinned && s.kind == KindModel {
 		return Target{Service: name}, nil
 	}
-	a, ok := c.adapters[name]
+	a, ok := c.adapters.get(name)
 	if !ok {
 		return Target{}, &UnknownModelError{Model: model}
 	}
@@ -95,19 +113,19 @@
 
 // ClassOf returns the class of a request for the target that names the class, or "" for the default.
 func (c *Catalog) ClassOf(t Target, name string) (Class, error) {
-	s, ok := c.services[t.Service]
+	s, ok := c.services.get(t.Service)
 	if !ok {
 		return Class{}, errors.Errorf("no service named %q", t.Service)
 	}
 	if name == "" {
 		name = s.Class()
-		if a, ok := c.adapters[t.Adapter]; ok && a.class != "" {
+		if a, ok := c.adapters.get(t.Adapter); ok && a.class != "" {
 			name = a.class
 		}
 	} else if !s.AllowsClass(name) {
 		return Class{}, errors.Errorf("service %q does not allow class %q", t.Service, name)
 	}
-	class, ok := c.classes[name]
+	class, ok := c.classes.get(name)
 	if !ok {
 		return Class{}, errors.Errorf("no class named %q", name)
 	}
@@ -142,6 +160,13 @@
 	return time.ParseDuration(s)
 }
 
+func formatBudget(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
 func newService(s ServiceSpec) Service {
 	calls := make([]Call, 0, len(s.Calls))
 	for _, c := range s.Calls {
--- /dev/null
+++ b/serving/configurer/check.go
@@ -0,0 +1,258 @@
+package configurer
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// Limits of a change, in objects and bytes.
+const (
+	maxObjects  = 5000
+	maxName     = 64
+	maxSource   = 1024
+	maxDigest   = 128
+	maxVersions = 256
+	maxCalls    = 128
+	maxClasses  = 32
+	maxFindings = 200
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
+)
+
+// checker collects the findings of one change.
+type checker struct {
+	findings []Finding
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	if len(c.findings) < maxFindings {
+		c.findings = append(c.findings, Finding{Path: path, Reason: fmt.Sprintf(format, args...)})
+	}
+}
+
+// CheckName returns what is wrong with the name of an object, or "".
+func CheckName(name string) string {
+	switch {
+	case name == "":
+		return "is missing"
+	case len(name) > maxName:
+		return fmt.Sprintf("is longer than %d characters", maxName)
+	case !namePattern.MatchString(name):
+		return "must be of a-z, 0-9, '.', '_' and '-', and begin and end with a letter or digit"
+	default:
+		return ""
+	}
+}
+
+func (c *checker) name(path, name string, seen map[string]bool) {
+	if reason := CheckName(name); reason != "" {
+		c.add(path+".name", "%s", reason)
+	}
+	if seen[name] {
+		c.add(path+".name", "%q stands twice", name)
+	}
+	seen[name] = true
+}
+
+// shape checks what can be checked without the catalog.
+func (c *checker) shape(ch Change) {
+	n := len(ch.Put.Classes) + len(ch.Put.Services) + len(ch.Put.Adapters) + len(ch.Delete)
+	if n > maxObjects {
+		c.add("doc", "has %d objects, more than %d; split the change", n, maxObjects)
+		return
+	}
+	seen := make(map[string]bool)
+	for i, s := range ch.Put.Classes {
+		c.class(fmt.Sprintf("doc.classes[%d]", i), s, seen)
+	}
+	seen = make(map[string]bool)
+	for i, s := range ch.Put.Services {
+		c.service(fmt.Sprintf("doc.services[%d]", i), s, seen)
+	}
+	seen = make(map[string]bool)
+	for i, s := range ch.Put.Adapters {
+		c.adapter(fmt.Sprintf("doc.adapters[%d]", i), s, seen)
+	}
+}
+
+func (c *checker) class(path string, s ClassSpec, seen map[string]bool) {
+	c.name(path, s.Name, seen)
+	first, err := parseBudget(s.First)
+	if err != nil || first < 0 {
+		c.add(path+".first", `%q is not a duration such as "800ms"`, s.First)
+	}
+	total, err := parseBudget(s.Total)
+	if err != nil || total < 0 {
+		c.add(path+".total", `%q is not a duration such as "30s"`, s.Total)
+	}
+	if total > 0 && first > total {
+		c.add(path+".first", "is longer than total")
+	}
+}
+
+func (c *checker) service(path string, s ServiceSpec, seen map[string]bool) {
+	c.name(path, s.Name, seen)
+	if s.Kind != KindModel && s.Kind != KindPlain {
+		c.add(path+".kind", `%q is neither "model" nor "plain"`, s.Kind)
+	}
+	if len(s.Classes) == 0 {
+		c.add(path+".classes", "is empty; the first is the default class")
+	}
+	if len(s.Classes) > maxClasses {
+		c.add(path+".classes", "has more than %d", maxClasses)
+	}
+	if len(s.Calls) > 0 && s.Kind == KindModel {
+		c.add(path+".calls", "are declared for plain services only")
+	}
+	if len(s.Calls) > maxCalls {
+		c.add(path+".calls", "has more than %d", maxCalls)
+	}
+	for i, call := range s.Calls {
+		at := fmt.Sprintf("%s.calls[%d]", path, i)
+		if !methodPattern.MatchString(call.Method) {
+			c.add(at+".method", "%q is not an HTTP method in capitals", call.Method)
+		}
+		if !strings.HasPrefix(call.Path, "/") || len(call.Path) > maxSource {
+			c.add(at+".path", "%q does not begin with / or is too long", call.Path)
+		}
+	}
+}
+
+func (c *checker) adapter(path string, s AdapterSpec, seen map[string]bool) {
+	c.name(path, s.Name, seen)
+	if s.Service == "" {
+		c.add(path+".service", "is missing")
+	}
+	if s.Current < 0 {
+		c.add(path+".current", "is negative")
+	}
+	numbers := make(map[int]bool, len(s.Versions))
+	for i, v := range s.Versions {
+		at := fmt.Sprintf("%s.versions[%d]", path, i)
+		if v.Number < 1 {
+			c.add(at+".number", "%d is not a number from 1", v.Number)
+		}
+		if numbers[v.Number] {
+			c.add(at+".number", "%d stands twice", v.Number)
+		}
+		numbers[v.Number] = true
+		c.text(at+".source", v.Source, maxSource)
+		c.text(at+".digest", v.Digest, maxDigest)
+	}
+}
+
+func (c *checker) text(path, s string, limit int) {
+	if s == "" {
+		c.add(path, "is missing")
+	}
+	if len(s) > limit {
+		c.add(path, "is longer than %d characters", limit)
+	}
+}
+
+// refs checks that everything the change names exists in the catalog that it would lead to.
+func (c *checker) refs(ch Change, next *Catalog) {
+	for i, s := range ch.Put.Services {
+		c.serviceRefs(fmt.Sprintf("doc.services[%d]", i), s, next)
+	}
+	for i, s := range ch.Put.Adapters {
+		c.adapterRefs(fmt.Sprintf("doc.adapters[%d]", i), s, next)
+	}
+}
+
+func (c *checker) serviceRefs(path string, s ServiceSpec, next *Catalog) {
+	for i, name := range s.Classes {
+		if _, ok := next.Class(name); !ok {
+			c.add(fmt.Sprintf("%s.classes[%d]", path, i), "no class named %q", name)
+		}
+	}
+	if _, ok := next.Adapter(s.Name); ok {
+		c.add(path+".name", "%q is the name of an adapter", s.Name)
+	}
+}
+
+func (c *checker) adapterRefs(path string, s AdapterSpec, next *Catalog) {
+	service, ok := next.Service(s.Service)
+	switch {
+	case s.Service == "":
+	case !ok:
+		c.add(path+".service", "no service named %q", s.Service)
+	case service.kind != KindModel:
+		c.add(path+".service", "%q is not a model service", s.Service)
+	case s.Class != "" && !service.AllowsClass(s.Class):
+		c.add(path+".class", "service %q does not allow class %q", s.Service, s.Class)
+	}
+	if _, ok := next.Service(s.Name); ok {
+		c.add(path+".name", "%q is the name of a service", s.Name)
+	}
+	a, _ := next.Adapter(s.Name)
+	if _, ok := a.Version(s.Current); !ok && s.Current > 0 {
+		c.add(path+".current", "no version %d", s.Current)
+	}
+	if len(a.versions) > maxVersions {
+		c.add(path+".versions", "would be more than %d", maxVersions)
+	}
+}
+
+// users checks that nothing which stays needs what the change takes away.
+func (c *checker) users(ch Change, old, next *Catalog) {
+	gone := make(map[Ref]string, len(ch.Delete))
+	for i, ref := range ch.Delete {
+		gone[ref] = fmt.Sprintf("delete[%d]", i)
+	}
+	for _, s := range next.Services() {
+		for _, name := range s.classes {
+			if path, ok := gone[Ref{ObjectClass, name}]; ok {
+				c.add(path, "class %q is used by service %q", name, s.name)
+			}
+		}
+	}
+	narrowed := narrowedServices(ch, old)
+	needsScan := len(narrowed) > 0
+	for ref := range gone {
+		needsScan = needsScan || ref.Kind == ObjectService
+	}
+	if needsScan {
+		next.adapters.each(func(a Adapter) { c.user(a, gone, narrowed, next) })
+	}
+}
+
+// user checks one adapter against services that are deleted or changed.
+func (c *checker) user(a Adapter, gone map[Ref]string, narrowed map[string]string, next *Catalog) {
+	if path, ok := gone[Ref{ObjectService, a.service}]; ok {
+		c.add(path, "service %q is used by adapter %q", a.service, a.name)
+		return
+	}
+	path, ok := narrowed[a.service]
+	if !ok {
+		return
+	}
+	s, _ := next.Service(a.service)
+	if s.kind != KindModel {
+		c.add(path+".kind", "adapter %q needs a model service", a.name)
+	}
+	if a.class != "" && !s.AllowsClass(a.class) {
+		c.add(path+".classes", "class %q is used by adapter %q", a.class, a.name)
+	}
+}
+
+// narrowedServices returns the places of services that lose a class or their kind.
+func narrowedServices(ch Change, old *Catalog) map[string]string {
+	out := make(map[string]string)
+	for i, s := range ch.Put.Services {
+		before, ok := old.Service(s.Name)
+		if !ok {
+			continue
+		}
+		lost := slices.ContainsFunc(before.classes, func(name string) bool { return !slices.Contains(s.Classes, name) })
+		if lost || before.kind != s.Kind {
+			out[s.Name] = fmt.Sprintf("doc.services[%d]", i)
+		}
+	}
+	return out
+}
--- a/serving/registrar/roster.go
+++ b/serving/registrar/roster.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -89,6 +90,13 @@
 	return o, ok
 }
 
+// Owners calls f with every backend server that has an owner, in the order of their names.
+func (r *Roster) Owners(f func(server string, o Owner)) {
+	for _, name := range slices.Sorted(maps.Keys(r.owners)) {
+		f(name, r.owners[name])
+	}
+}
+
 // Entries returns the live entries; the caller must not change it.
 func (r *Roster) Entries() []Entry { return r.entries }
 
--- /dev/null
+++ b/stage/controller/agent.go
@@ -0,0 +1,386 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/leaser"
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+)
+
+const (
+	// beatEvery is how often an entry renews its lease.
+	beatEvery = time.Second
+	// retryAfter is the wait before a call that could not be carried out is sent again.
+	retryAfter = 100 * time.Millisecond
+	// keepBeats bounds the renewals whose times are remembered for dating answers.
+	keepBeats = 32
+	// announceTTL is how long an entry passes on what a backend server last announced.
+	announceTTL = 4 * time.Second
+)
+
+// agent is an entry's side of the streams: what it knows, holds and asks for; it has no clock.
+type agent struct {
+	name        string
+	incarnation uint64
+	addr        string
+	zone        string
+
+	tenure    *leaser.Tenure
+	ttl       time.Duration
+	era       uint64
+	welcomed  bool
+	nextBeat  time.Time
+	beats     map[uint64]time.Time
+	catalogs  spreader.Joiner
+	lives     spreader.Joiner
+	catalog   *configurer.Catalog
+	roster    *registrar.Roster
+	standings *quarantiner.Standings
+
+	announced map[string]*announced
+	calls     map[uint64]*pendingCall
+	lastCall  uint64
+	permits   map[uint64]time.Time
+	locks     map[quarantiner.Digest]bool
+	// withdrawn are given-up calls that may be granted all the same.
+	withdrawn map[uint64]callFrame
+	out       []up
+}
+
+type announced struct {
+	server registrar.Server
+	at     time.Time
+	// whole says that the leader has the whole announcement, seen that it knows of the last repetition.
+	whole bool
+	seen  bool
+}
+
+// pendingCall is a call whose answer is awaited.
+type pendingCall struct {
+	frame callFrame
+	asked time.Time
+	again time.Time
+	done  func(answerFrame)
+}
+
+func newAgent(cfg ClientConfig) *agent {
+	return &agent{
+		name: cfg.Name, incarnation: cfg.Incarnation, addr: cfg.Addr, zone: cfg.Zone,
+		tenure:    leaser.NewTenure(),
+		beats:     make(map[uint64]time.Time),
+		catalog:   &configurer.Catalog{},
+		roster:    registrar.NewRoster(0, nil, nil, nil),
+		standings: &quarantiner.Standings{},
+		announced: make(map[string]*announced),
+		calls:     make(map[uint64]*pendingCall),
+		permits:   make(map[uint64]time.Time),
+		locks:     make(map[quarantiner.Digest]bool),
+		withdrawn: make(map[uint64]callFrame),
+	}
+}
+
+// connected opens a session.
+func (a *agent) connected(now time.Time) {
+	a.disconnected()
+	a.out = append(a.out, up{Hello: &helloFrame{
+		Name: a.name, Incarnation: a.incarnation, Addr: a.addr, Zone: a.zone,
+		Catalog: a.catalogs.Revision(), Live: a.lives.Revision(),
+	}})
+	a.nextBeat = now
+}
+
+// disconnected forgets what belongs to the last session.
+func (a *agent) disconnected() {
+	a.welcomed = false
+	a.catalogs.Reset()
+	a.lives.Reset()
+	a.out = nil
+}
+
+// receive takes a message of the leader; changed says that catalog, roster or standings are new.
+func (a *agent) receive(now time.Time, f down) (changed bool, err error) {
+	if f.Welcome != nil {
+		a.welcome(now, *f.Welcome)
+	}
+	var ack up
+	if f.Catalog != nil {
+		if changed, err = a.takeCatalog(*f.Catalog); err != nil {
+			return false, err
+		}
+		if changed {
+			ack.Catalog = a.catalogs.Revision()
+		}
+	}
+	if f.Live != nil {
+		live, err := a.takeLive(*f.Live)
+		if err != nil {
+			return changed, err
+		}
+		if live {
+			ack.Live = a.lives.Revision()
+		}
+		changed = changed || live
+	}
+	if ack.Catalog+ack.Live > 0 {
+		a.out = append(a.out, ack)
+	}
+	if f.Beat > 0 {
+		a.tenure.Renewed(f.Beat, a.ttl)
+	}
+	for _, ans := range f.Answers {
+		a.answer(now, ans)
+	}
+	for _, name := range f.Need {
+		if s, ok := a.announced[name]; ok {
+			s.whole = false
+		}
+	}
+	return changed, nil
+}
+
+// welcome claims what is held since an earlier leader and repeats open calls and announcements.
+func (a *agent) welcome(now time.Time, w welcomeFrame) {
+	f := up{Catalog: a.catalogs.Revision(), Live: a.lives.Revision()}
+	f.Claims = a.claims(now, w.Era)
+	a.era, a.ttl, a.welcomed = w.Era, time.Duration(w.TTL)*time.Millisecond, true
+	for _, s := range a.announced {
+		s.whole = false
+	}
+	for _, id := range slices.Sorted(maps.Keys(a.calls)) {
+		f.Calls = append(f.Calls, a.calls[id].frame)
+	}
+	a.out = append(a.out, f)
+	a.nextBeat = now
+	a.tick(now)
+}
+
+// claims lists what this entry holds; without a running lease it owns no server.
+func (a *agent) claims(now time.Time, era uint64) *claimsFrame {
+	c := &claimsFrame{Era: era}
+	if a.tenure.Held(now) {
+		a.roster.Owners(func(server string, o registrar.Owner) {
+			if o.Entry == a.name && o.Addr == a.addr {
+				c.Servers = append(c.Servers, claimFrame{Server: server, Epoch: o.Epoch})
+			}
+		})
+	}
+	for id, until := range a.permits {
+		if now.Before(until) {
+			c.Permits = append(c.Permits, id)
+		}
+	}
+	for d := range a.locks {
+		c.Locks = append(c.Locks, d)
+	}
+	for d, s := range a.standings.Known() {
+		c.Standings = append(c.Standings, standingFrame{Digest: d, Standing: s})
+	}
+	if len(c.Servers)+len(c.Permits)+len(c.Locks)+len(c.Standings) == 0 {
+		return nil
+	}
+	return c
+}
+
+func (a *agent) takeCatalog(d spreader.Delta) (bool, error) {
+	whole, ok, err := a.catalogs.Join(d)
+	if err != nil || !ok {
+		return false, err
+	}
+	base := a.catalog
+	if whole.Full {
+		base = &configurer.Catalog{}
+	}
+	next, err := base.With(whole.To, whole.Items)
+	if err != nil {
+		a.catalogs.Back(a.catalog.Revision())
+		return false, errors.Wrap(err, "catalog")
+	}
+	a.catalog = next
+	return true, nil
+}
+
+func (a *agent) takeLive(d spreader.Delta) (bool, error) {
+	whole, ok, err := a.lives.Join(d)
+	if err != nil || !ok {
+		return false, err
+	}
+	next, err := a.roster.With(whole.To, whole.Full, whole.Items)
+	if err != nil {
+		a.lives.Back(a.roster.Revision())
+		return false, errors.Wrap(err, "roster")
+	}
+	a.roster = next
+	a.standings = a.standings.With(whole.Full, whole.Items)
+	return true, nil
+}
+
+// tick sends what is due: heartbeats, announcements, calls that are to be asked again.
+func (a *agent) tick(now time.Time) {
+	if !a.welcomed {
+		return
+	}
+	var f up
+	beat := !now.Before(a.nextBeat)
+	if beat {
+		a.nextBeat = now.Add(beatEvery)
+		f.Beat = a.tenure.Renew(now)
+		a.beats[f.Beat] = now
+		delete(a.beats, f.Beat-keepBeats)
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.announced)) {
+		a.passOn(now, name, beat, &f)
+	}
+	for _, id := range slices.Sorted(maps.Keys(a.calls)) {
+		if c := a.calls[id]; !c.again.IsZero() && !now.Before(c.again) {
+			c.again = time.Time{}
+			f.Calls = append(f.Calls, c.frame)
+		}
+	}
+	maps.DeleteFunc(a.permits, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+	if f.Beat > 0 || len(f.Servers)+len(f.Calls) > 0 {
+		a.out = append(a.out, f)
+	}
+}
+
+// passOn adds a backend server's announcement: whole when it is new to the leader, else shortly with each heartbeat.
+func (a *agent) passOn(now time.Time, name string, beat bool, f *up) {
+	s := a.announced[name]
+	switch {
+	case now.Sub(s.at) > announceTTL:
+		delete(a.announced, name)
+	case !s.whole:
+		s.whole, s.seen = true, true
+		f.Servers = append(f.Servers, newServerFrame(s.server))
+	case beat && !s.seen:
+		s.seen = true
+		f.Seen = append(f.Seen, seenFrame{Name: name, Incarnation: s.server.Incarnation})
+	}
+}
+
+// announce takes what a backend server says of itself.
+func (a *agent) announce(now time.Time, s registrar.Server) {
+	old, ok := a.announced[s.Name]
+	if !ok {
+		old = &announced{}
+		a.announced[s.Name] = old
+	}
+	if old.server != s {
+		old.server, old.whole = s, false
+	}
+	old.at, old.seen = now, false
+	if !old.whole {
+		a.tick(now)
+	}
+}
+
+// call asks the leader; done is called once with the final answer.
+func (a *agent) call(now time.Time, f callFrame, done func(answerFrame)) *pendingCall {
+	c := &pendingCall{frame: f, done: done}
+	a.ask(now, c)
+	return c
+}
+
+// ask sends a call under a new number.
+func (a *agent) ask(now time.Time, c *pendingCall) {
+	delete(a.calls, c.frame.ID)
+	a.lastCall++
+	c.frame.ID, c.asked, c.again = a.lastCall, now, time.Time{}
+	a.calls[c.frame.ID] = c
+	if a.welcomed {
+		a.out = append(a.out, up{Calls: []callFrame{c.frame}})
+	}
+}
+
+// withdraw gives a call up; what it is granted all the same is given back.
+func (a *agent) withdraw(c *pendingCall) {
+	id := c.frame.ID
+	if a.calls[id] != c {
+		return
+	}
+	delete(a.calls, id)
+	if c.frame.Kind != callPermit && c.frame.Kind != callLock {
+		return
+	}
+	a.withdrawn[id] = c.frame
+	delete(a.withdrawn, id-keepAnswered)
+	if a.welcomed {
+		a.out = append(a.out, up{Withdrawn: []uint64{id}})
+	}
+}
+
+func (a *agent) answer(now time.Time, ans answerFrame) {
+	c, ok := a.calls[ans.ID]
+	if !ok {
+		a.giveBack(now, ans)
+		return
+	}
+	if ans.Code == answerRetry {
+		c.again = now.Add(retryAfter)
+		return
+	}
+	if ans.Code == answerOK && c.frame.Kind == callPermit {
+		until := a.permitEnd(c, ans)
+		if !now.Before(until) {
+			// It came too late to be used.
+			a.call(now, callFrame{Kind: callReturn, Permit: ans.Permit}, nil)
+			a.ask(now, c)
+			return
+		}
+		ans.until = until
+		a.permits[ans.Permit] = until
+	}
+	if ans.Code == answerOK && c.frame.Kind == callLock {
+		a.locks[c.frame.Digests[0]] = true
+	}
+	delete(a.calls, ans.ID)
+	if c.done != nil {
+		c.done(ans)
+	}
+}
+
+// permitEnd dates a permit on this entry's clock, from before the leader granted it.
+func (a *agent) permitEnd(c *pendingCall, ans answerFrame) time.Time {
+	granted := c.asked
+	if sent, ok := a.beats[ans.Beat]; ok {
+		if at := sent.Add(time.Duration(ans.After) * time.Millisecond); at.After(granted) {
+			granted = at
+		}
+	}
+	return granted.Add(registrar.PermitTTL())
+}
+
+// giveBack returns what a withdrawn call was granted.
+func (a *agent) giveBack(now time.Time, ans answerFrame) {
+	frame, ok := a.withdrawn[ans.ID]
+	if !ok || ans.Code != answerOK {
+		return
+	}
+	delete(a.withdrawn, ans.ID)
+	a.forgo(now, frame, ans)
+}
+
+// forgo gives back what a call was granted.
+func (a *agent) forgo(now time.Time, f callFrame, ans answerFrame) {
+	switch f.Kind {
+	case callPermit:
+		delete(a.permits, ans.Permit)
+		a.call(now, callFrame{Kind: callReturn, Permit: ans.Permit}, nil)
+	case callLock:
+		delete(a.locks, f.Digests[0])
+		a.call(now, callFrame{Kind: callUnlock, Digests: f.Digests}, nil)
+	}
+}
+
+// take returns what is to be sent, as one message where that is possible.
+func (a *agent) take() []up {
+	out := a.out
+	a.out = nil
+	return out
+}
--- /dev/null
+++ b/stage/controller/api.go
@@ -0,0 +1,228 @@
+package controller
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v3"
+
+	"redwingstage.org/serving/auditor"
+	"redwingstage.org/serving/configurer"
+)
+
+const (
+	// maxBody bounds an operator's request, in bytes.
+	maxBody = 6 << 20
+	// exportPage is the records of the audit trail that are read at a time for an export.
+	exportPage = 500
+
+	typeJSON  = "application/json"
+	typeLines = "application/x-ndjson"
+)
+
+type tokenHash [sha256.Size]byte
+
+// hashTokens keeps tokens as hashes, so that a look-up tells nothing of them by its time.
+func hashTokens(tokens []Token) map[tokenHash]string {
+	out := make(map[tokenHash]string, len(tokens))
+	for _, t := range tokens {
+		out[sha256.Sum256([]byte(t.Token))] = t.Name
+	}
+	return out
+}
+
+// opRequest is an operator's call on its way to the leader.
+type opRequest struct {
+	Op       opKind            `cbor:"1,keyasint"`
+	Operator string            `cbor:"2,keyasint"`
+	From     string            `cbor:"3,keyasint"`
+	Args     map[string]string `cbor:"4,keyasint,omitempty"`
+	Body     []byte            `cbor:"5,keyasint,omitempty"`
+}
+
+// opResponse is the answer to an operator's call.
+type opResponse struct {
+	Status int    `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint"`
+	// Next continues an export.
+	Next uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+type opKind string
+
+const (
+	opApply     opKind = "apply"
+	opDelete    opKind = "delete"
+	opWait      opKind = "wait"
+	opClasses   opKind = "classes"
+	opServices  opKind = "services"
+	opAdapters  opKind = "adapters"
+	opStatus    opKind = "status"
+	opAudit     opKind = "audit"
+	opExport    opKind = "export"
+	opDrains    opKind = "drains"
+	opDrain     opKind = "drain"
+	opUndrain   opKind = "undrain"
+	opAddMember opKind = "add-replica"
+	opRemove    opKind = "remove-replica"
+)
+
+// errorBody is the form of every error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code     string               `json:"code"`
+	Message  string               `json:"message"`
+	Findings []configurer.Finding `json:"findings,omitempty"`
+	Revision uint64               `json:"revision,omitempty"`
+	Winner   *recordJSON          `json:"winner,omitempty"`
+}
+
+func failure(status int, d errorDetail) opResponse { return success(status, errorBody{d}) }
+
+func success(status int, v any) opResponse {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return opResponse{Status: http.StatusInternalServerError, Body: []byte(`{"error":{"code":"internal","message":"answer"}}`)}
+	}
+	return opResponse{Status: status, Body: body}
+}
+
+// newAPI builds the operators' API.
+func (c *Controller) newAPI() *fiber.App {
+	app := fiber.New(fiber.Config{
+		BodyLimit: maxBody, Immutable: true, ReadTimeout: maxWait + shutdownWait, StrictRouting: true,
+		ErrorHandler: apiError,
+	})
+	app.Use(c.authenticate)
+	app.Post("/v1/apply", c.operator(opApply))
+	app.Delete("/v1/:kind<regex(^(classes|services|adapters)$)>/:name", c.operator(opDelete))
+	app.Delete("/v1/adapters/:name/versions/:number", c.operator(opDelete))
+	app.Get("/v1/wait", c.operator(opWait))
+	app.Get("/v1/classes/:name?", c.operator(opClasses))
+	app.Get("/v1/services/:name?", c.operator(opServices))
+	app.Get("/v1/adapters/:name?", c.operator(opAdapters))
+	app.Get("/v1/status", c.operator(opStatus))
+	app.Get("/v1/audit", c.operator(opAudit))
+	app.Get("/v1/audit/export", c.export)
+	app.Get("/v1/drains", c.operator(opDrains))
+	app.Post("/v1/drains", c.operator(opDrain))
+	app.Delete("/v1/drains/:kind/:name", c.operator(opUndrain))
+	app.Post("/v1/replicas", c.operator(opAddMember))
+	app.Delete("/v1/replicas/:id", c.operator(opRemove))
+	return app
+}
+
+func (c *Controller) serveAPI(l net.Listener) {
+	err := c.api.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	if err != nil && c.ctx.Err() == nil {
+		c.logger.Error().Err(err).Msg("control: operators' listener ended")
+	}
+}
+
+func apiError(ctx fiber.Ctx, err error) error {
+	d, status := errorDetail{Code: "internal", Message: err.Error()}, http.StatusInternalServerError
+	var fe *fiber.Error
+	if errors.As(err, &fe) {
+		status = fe.Code
+		d.Code = "malformed"
+		if status == http.StatusNotFound || status == http.StatusMethodNotAllowed {
+			d.Code = "not_found"
+		}
+	}
+	return reply(ctx, failure(status, d))
+}
+
+func reply(ctx fiber.Ctx, r opResponse) error {
+	ctx.Set(fiber.HeaderContentType, typeJSON)
+	return ctx.Status(r.Status).Send(r.Body)
+}
+
+// authenticate lets in who has a token.
+func (c *Controller) authenticate(ctx fiber.Ctx) error {
+	token, ok := strings.CutPrefix(ctx.Get(fiber.HeaderAuthorization), "Bearer ")
+	name, known := c.tokens[sha256.Sum256([]byte(token))]
+	if !ok || !known {
+		return reply(ctx, failure(http.StatusUnauthorized, errorDetail{Code: "unauthorized", Message: "a known bearer token is needed"}))
+	}
+	ctx.Locals(localOperator, name)
+	return ctx.Next()
+}
+
+type localKey int
+
+const localOperator localKey = 1
+
+// request copies an operator's call out of the handler's memory.
+func request(ctx fiber.Ctx, op opKind) opRequest {
+	args := ctx.Queries()
+	for _, name := range ctx.Route().Params {
+		if v := ctx.Params(name); v != "" {
+			args["path."+name] = v
+		}
+	}
+	operator, _ := ctx.Locals(localOperator).(string)
+	return opRequest{Op: op, Operator: operator, From: ctx.IP(), Args: args, Body: append([]byte(nil), ctx.Body()...)}
+}
+
+// operator handles a call by the leader, wherever it is.
+func (c *Controller) operator(op opKind) fiber.Handler {
+	return func(ctx fiber.Ctx) error {
+		r := c.operate(c.ctx, request(ctx, op))
+		c.metrics.changes.WithLabelValues(string(op), http.StatusText(r.Status)).Inc()
+		return reply(ctx, r)
+	}
+}
+
+// export streams the audit trail, one record a line.
+func (c *Controller) export(ctx fiber.Ctx) error {
+	req := request(ctx, opExport)
+	first := c.operate(c.ctx, req)
+	if first.Status != http.StatusOK {
+		return reply(ctx, first)
+	}
+	ctx.Set(fiber.HeaderContentType, typeLines)
+	return ctx.SendStreamWriter(func(w *bufio.Writer) {
+		r := first
+		for {
+			if _, err := w.Write(r.Body); err != nil {
+				return
+			}
+			if r.Next == 0 {
+				return
+			}
+			req.Args["after"] = formatUint(r.Next)
+			if r = c.operate(c.ctx, req); r.Status != http.StatusOK {
+				// The line tells a reader that the export is not whole.
+				_, _ = w.Write(append(r.Body, '\n'))
+				return
+			}
+		}
+	})
+}
+
+// recordJSON is a record of the audit trail as operators read it.
+type recordJSON struct {
+	Seq      uint64         `json:"seq"`
+	Revision uint64         `json:"revision"`
+	At       string         `json:"at"`
+	Operator string         `json:"operator"`
+	From     string         `json:"from"`
+	Change   string         `json:"change"`
+	Action   auditor.Action `json:"action"`
+	Items    []itemJSON     `json:"items"`
+}
+
+type itemJSON struct {
+	Kind   configurer.Object `json:"kind"`
+	Name   string            `json:"name"`
+	Before any               `json:"before,omitempty"`
+	After  any               `json:"after,omitempty"`
+}
--- /dev/null
+++ b/stage/controller/command.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"time"
+
+	"redwingstage.org/serving/auditor"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/recorder"
+)
+
+// command is one entry of the control log; exactly one of its parts is set.
+type command struct {
+	// Now is the leader's wall clock in milliseconds since 1970.
+	Now      int64            `cbor:"1,keyasint"`
+	Lead     bool             `cbor:"2,keyasint,omitempty"`
+	Change   *changeCommand   `cbor:"3,keyasint,omitempty"`
+	Bookings []bookingCommand `cbor:"4,keyasint,omitempty"`
+	Lost     []lostCommand    `cbor:"5,keyasint,omitempty"`
+	Drain    *drainCommand    `cbor:"6,keyasint,omitempty"`
+	Replica  *replicaCommand  `cbor:"7,keyasint,omitempty"`
+}
+
+// origin says who asked for a command.
+type origin struct {
+	Operator string `cbor:"1,keyasint"`
+	From     string `cbor:"2,keyasint"`
+	Change   string `cbor:"3,keyasint"`
+}
+
+type changeCommand struct {
+	Origin origin            `cbor:"1,keyasint"`
+	Action auditor.Action    `cbor:"2,keyasint"`
+	Change configurer.Change `cbor:"3,keyasint"`
+}
+
+type bookingCommand struct {
+	Begin *recorder.Begin `cbor:"1,keyasint,omitempty"`
+	End   *recorder.End   `cbor:"2,keyasint,omitempty"`
+}
+
+type lostCommand struct {
+	Entry       string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+type drainCommand struct {
+	Origin origin `cbor:"1,keyasint"`
+	Kind   string `cbor:"2,keyasint"`
+	Name   string `cbor:"3,keyasint"`
+	Off    bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// replicaCommand records in the audit trail that a replica was added or removed.
+type replicaCommand struct {
+	Origin origin         `cbor:"1,keyasint"`
+	Action auditor.Action `cbor:"2,keyasint"`
+	ID     uint64         `cbor:"3,keyasint"`
+	Addr   string         `cbor:"4,keyasint"`
+}
+
+// result is what a command returned.
+type result struct {
+	Bad    string            `cbor:"1,keyasint,omitempty"`
+	Era    uint64            `cbor:"2,keyasint,omitempty"`
+	Reply  *configurer.Reply `cbor:"3,keyasint,omitempty"`
+	Winner *auditor.Record   `cbor:"4,keyasint,omitempty"`
+	Begun  []recorder.Begun  `cbor:"5,keyasint,omitempty"`
+}
+
+func newCommand(now time.Time) command { return command{Now: now.UnixMilli()} }
--- /dev/null
+++ b/stage/controller/controller.go
@@ -0,0 +1,266 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/registrar"
+)
+
+// Pings of idle and silent streams, and the wait for open calls at the end.
+const (
+	serverPing     = 5 * time.Second
+	serverPingWait = 3 * time.Second
+	shutdownWait   = 2 * time.Second
+	healthPath     = "/healthz"
+	readyPath      = "/readyz"
+	metricsPath    = "/metrics"
+)
+
+// Log is the replicated log that a Controller drives its state by.
+type Log interface {
+	// Propose appends a command and returns what the machine made of it.
+	Propose(ctx context.Context, cmd []byte) (runner.Result, error)
+	// Confirm returns once a quorum has confirmed that this replica leads.
+	Confirm(ctx context.Context) error
+	// Status returns this replica's view of the group.
+	Status() runner.Status
+	// AddMember adds a replica, which catches up as a learner first.
+	AddMember(ctx context.Context, m runner.Member) error
+	// RemoveMember removes a replica.
+	RemoveMember(ctx context.Context, id uint64) error
+	// Close stops the replica and waits for it.
+	Close() error
+}
+
+// Token lets an operator in.
+type Token struct {
+	Name  string `json:"name"`
+	Token string `json:"token"`
+}
+
+// Config says which replica this is and what it serves.
+type Config struct {
+	// ID is the replica's number; one whose disk was lost comes back under a new one.
+	ID uint64
+	// Cluster names the group of replicas.
+	Cluster string
+	// Addr is the listener for entries and other replicas, as ip:port.
+	Addr string
+	// Operators is the operators' listener.
+	Operators string
+	// Metrics is the listener for metrics and health, none if empty.
+	Metrics string
+	// Folder is the data folder.
+	Folder string
+	// Members are the first replicas of a new group; a replica that joins a running one has none.
+	Members []runner.Member
+	// Tokens are the operators' tokens.
+	Tokens []Token
+	// Store is what the weight store allows.
+	Store registrar.StoreLimits
+}
+
+// Option changes a Controller.
+type Option func(*Controller)
+
+// WithLogger sets where the controller logs.
+func WithLogger(l *log.Logger) Option { return func(c *Controller) { c.logger = l } }
+
+// WithLog replaces the replicated log, as for a test.
+func WithLog(open func(m runner.Machine) (Log, error)) Option {
+	return func(c *Controller) { c.open = open }
+}
+
+// Controller is one running replica of the control process.
+type Controller struct {
+	cfg     Config
+	logger  *log.Logger
+	open    func(m runner.Machine) (Log, error)
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      conc.WaitGroup
+	machine *machine
+	log     Log
+	hub     *hub
+	peers   *http.Server
+	watch   *http.Server
+	api     *fiber.App
+	tokens  map[tokenHash]string
+	metrics *metrics
+	reg     *prometheus.Registry
+}
+
+// New starts a replica; everything listens once it has returned.
+func New(cfg Config, opts ...Option) (*Controller, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	c := &Controller{cfg: cfg, logger: &log.DefaultLogger, machine: newMachine(), reg: prometheus.NewRegistry()}
+	c.open = c.openLog
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.metrics = newMetrics(c.reg)
+	c.tokens = hashTokens(cfg.Tokens)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if err := c.start(); err != nil {
+		c.cancel()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (cfg Config) check() error {
+	switch {
+	case cfg.ID == 0:
+		return errors.New("control settings: id must be at least 1")
+	case cfg.Addr == "":
+		return errors.New("control settings: addr is missing")
+	case len(cfg.Members) > 0 && !hasMember(cfg.Members, cfg.ID):
+		return errors.Errorf("control settings: members do not list replica %d", cfg.ID)
+	}
+	return nil
+}
+
+func hasMember(members []runner.Member, id uint64) bool {
+	for _, m := range members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// start opens the listeners first, so that a taken address is found before the data folder is touched.
+func (c *Controller) start() error {
+	var lc net.ListenConfig
+	var listeners []net.Listener
+	fail := func(err error) error {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+		return err
+	}
+	for _, addr := range []string{c.cfg.Addr, c.cfg.Operators, c.cfg.Metrics} {
+		if addr == "" {
+			listeners = append(listeners, noListener{})
+			continue
+		}
+		l, err := lc.Listen(c.ctx, "tcp", addr)
+		if err != nil {
+			return fail(errors.Wrapf(err, "control: listen on %s", addr))
+		}
+		listeners = append(listeners, l)
+	}
+	mux := http.NewServeMux()
+	if err := c.openState(mux); err != nil {
+		return fail(err)
+	}
+	c.mount(mux)
+	c.peers = encoder.NewServer(mux)
+	c.peers.HTTP2 = &http.HTTP2Config{SendPingTimeout: serverPing, PingTimeout: serverPingWait, WriteByteTimeout: serverPing}
+	c.spawn(func() { c.hub.run(c.ctx) })
+	c.serve(c.peers, listeners[0])
+	if c.cfg.Operators != "" {
+		c.api = c.newAPI()
+		c.spawn(func() { c.serveAPI(listeners[1]) })
+	}
+	if c.cfg.Metrics != "" {
+		c.watch = c.newWatch()
+		c.serve(c.watch, listeners[2])
+	}
+	return nil
+}
+
+// noListener stands for a listener that the settings leave out.
+type noListener struct{ net.Listener }
+
+// Close implements net.Listener.
+func (noListener) Close() error { return nil }
+
+// openState opens the log and prepares the control goroutine.
+func (c *Controller) openState(mux *http.ServeMux) error {
+	var err error
+	if c.log, err = c.open(c.machine); err != nil {
+		return errors.Wrap(err, "control: open log")
+	}
+	if h, ok := c.log.(interface{ Handler() (string, http.Handler) }); ok {
+		path, handler := h.Handler()
+		mux.Handle(path, handler)
+	}
+	c.hub = &hub{
+		log: c.log, machine: c.machine, limits: c.cfg.Store, clock: time.Now, logger: c.logger, metrics: c.metrics,
+		http: encoder.NewClient(), spawn: c.spawn, events: make(chan func(now time.Time), maxEvents),
+		live: spreader.New(), sessions: make(map[uint64]*session), links: make(map[uint64]*linkPeer),
+	}
+	return nil
+}
+
+// openLog opens the log of the settings.
+func (c *Controller) openLog(m runner.Machine) (Log, error) {
+	return openSolo(runner.Member{ID: c.cfg.ID, Addr: c.cfg.Addr})(m)
+}
+
+// serve runs an HTTP server until Close.
+func (c *Controller) serve(srv *http.Server, l net.Listener) {
+	c.spawn(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			c.logger.Error().Err(err).Str("addr", l.Addr().String()).Msg("control: listener ended")
+		}
+	})
+}
+
+// newWatch serves metrics and health.
+func (c *Controller) newWatch() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, promhttp.HandlerFor(c.reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc(healthPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc(readyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if c.log.Status().Leader == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: shutdownWait}
+}
+
+func (c *Controller) spawn(f func()) { c.wg.Go(f) }
+
+// Close stops the replica: listeners first, then streams, then the log; it waits for all of them.
+func (c *Controller) Close() error {
+	c.cancel()
+	var err error
+	if c.api != nil {
+		if e := c.api.ShutdownWithTimeout(shutdownWait); e != nil {
+			err = errors.Join(err, e)
+		}
+	}
+	for _, srv := range []*http.Server{c.peers, c.watch} {
+		if srv == nil {
+			continue
+		}
+		if e := srv.Close(); e != nil {
+			err = errors.Join(err, e)
+		}
+	}
+	c.hub.http.CloseIdleConnections()
+	if e := c.log.Close(); e != nil {
+		err = errors.Join(err, e)
+	}
+	c.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/stage/controller/controller_test.go
@@ -0,0 +1,155 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
+)
+
+// patience bounds a whole test; nothing is judged by how long it took.
+const patience = time.Minute
+
+const testToken = "at-least-16-characters"
+
+func freeAddr(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
+
+// operators is an operators' client.
+type operators struct {
+	c    *qt.C
+	addr string
+}
+
+func (o operators) call(method, path string, body any, out any) int {
+	data, err := json.Marshal(body)
+	o.c.Assert(err, qt.IsNil)
+	req, err := http.NewRequest(method, "http://"+o.addr+path, bytes.NewReader(data))
+	o.c.Assert(err, qt.IsNil)
+	req.Close = true
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	res, err := http.DefaultClient.Do(req)
+	o.c.Assert(err, qt.IsNil)
+	defer func() { _ = res.Body.Close() }()
+	got, err := io.ReadAll(res.Body)
+	o.c.Assert(err, qt.IsNil)
+	if out != nil {
+		o.c.Assert(json.Unmarshal(got, out), qt.IsNil, qt.Commentf("%s", got))
+	}
+	return res.StatusCode
+}
+
+func until(ctx context.Context, c *qt.C, cl *Client, ok func() bool) {
+	for {
+		ch := cl.Updated()
+		if ok() {
+			return
+		}
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			c.Fatal("not reached")
+		}
+	}
+}
+
+func sampleDoc() configurer.Doc {
+	return configurer.Doc{
+		Classes:  []configurer.ClassSpec{{Name: "chat", Urgent: true, First: "2s"}},
+		Services: []configurer.ServiceSpec{{Name: "base", Kind: configurer.KindModel, Classes: []string{"chat"}}},
+		Adapters: []configurer.AdapterSpec{{
+			Name: "ipoh", Service: "base", Current: 1,
+			Versions: []configurer.VersionSpec{{Number: 1, Source: "store/ipoh/1", Digest: "d1"}},
+		}},
+	}
+}
+
+func TestEntryThroughOneReplica(t *testing.T) {
+	// fasthttp keeps two goroutines that only sleep.
+	defer goleak.VerifyNone(
+		t, goleak.IgnoreCurrent(), goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	)
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	cfg := Config{
+		ID: 1, Cluster: "test", Addr: freeAddr(c), Operators: freeAddr(c), Folder: t.TempDir(),
+		Tokens: []Token{{Name: "aisyah", Token: testToken}}, Store: registrar.StoreLimits{Rate: 1000, Parallel: 2},
+	}
+	ctl, err := New(cfg, WithLogger(quiet()), WithLog(openSolo(runner.Member{ID: cfg.ID, Addr: cfg.Addr})))
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Assert(ctl.Close(), qt.IsNil) }()
+	cl, err := NewClient(ClientConfig{Name: "entry-1", Incarnation: 7, Addr: "127.0.0.1:1", Zone: "kl-1", Controls: []string{cfg.Addr}}, WithClientLogger(quiet()))
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Assert(cl.Close(), qt.IsNil) }()
+
+	server := registrar.Server{Name: "engine-1", Kind: configurer.KindModel, Addr: "127.0.0.1:2", Zone: "kl-1", Service: "base", Incarnation: "i1", Slots: 4, Batch: 8}
+	cl.Announce(server)
+	until(ctx, c, cl, func() bool { o, ok := cl.Roster().Owner("engine-1"); return ok && o.Entry == "entry-1" })
+	o, _ := cl.Roster().Owner("engine-1")
+	c.Assert(o.Epoch > 0, qt.IsTrue)
+	c.Assert(o.Clean, qt.IsTrue)
+	c.Assert(cl.LeaseEnd().After(time.Time{}), qt.IsTrue)
+
+	op := operators{c, cfg.Operators}
+	var applied appliedBody
+	zero := uint64(0)
+	c.Assert(op.call("POST", "/v1/apply", applyBody{Change: "c1", Expect: &zero, Doc: sampleDoc(), Wait: true, Timeout: "60s"}, &applied), qt.Equals, http.StatusOK)
+	c.Assert(applied, qt.DeepEquals, appliedBody{Revision: 1, InForce: true, Changed: []configurer.Ref{
+		{Kind: "class", Name: "chat"}, {Kind: "service", Name: "base"}, {Kind: "adapter", Name: "ipoh"},
+	}})
+	c.Assert(cl.Catalog().Revision(), qt.Equals, uint64(1))
+	target, err := cl.Catalog().Resolve("ipoh")
+	c.Assert(err, qt.IsNil)
+
+	var bad errorBody
+	c.Assert(op.call("POST", "/v1/apply", applyBody{Change: "c2", Expect: &zero}, &bad), qt.Equals, http.StatusConflict)
+	c.Assert(bad.Error.Winner.Change, qt.Equals, "c1")
+	c.Assert(bad.Error.Winner.Operator, qt.Equals, "aisyah")
+	var st statusJSON
+	c.Assert(op.call("GET", "/v1/status", nil, &st), qt.Equals, http.StatusOK)
+	c.Assert(st.Servers[0].Owner, qt.Equals, "entry-1")
+	c.Assert(st.Entries[0].Revision, qt.Equals, uint64(1))
+
+	p, err := cl.Permit(ctx, "engine-1", target, true)
+	c.Assert(err, qt.IsNil)
+	cl.Return(p)
+	digest := quarantiner.Digest{1}
+	c.Assert(cl.Accuse(ctx, "engine-1", []quarantiner.Digest{digest}), qt.IsNil)
+	c.Assert(cl.Standing(digest), qt.Equals, quarantiner.Suspect)
+	release, err := cl.Lock(ctx, digest)
+	c.Assert(err, qt.IsNil)
+	release()
+	c.Assert(cl.Accuse(ctx, "engine-1", []quarantiner.Digest{digest}), qt.IsNil)
+	c.Assert(cl.Standing(digest), qt.Equals, quarantiner.Convicted)
+
+	key := recorder.Key{Caller: "gym", Service: "orders", Key: "k1"}
+	begun, err := cl.Begin(ctx, recorder.Begin{Key: key, Attempt: "a1"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(begun.Verdict, qt.Equals, recorder.VerdictRun)
+	c.Assert(cl.End(ctx, recorder.End{Key: key, Attempt: "a1", Ending: recorder.EndingDone, Answer: recorder.Answer{Status: 201}}), qt.IsNil)
+	begun, err = cl.Begin(ctx, recorder.Begin{Key: key, Attempt: "a2"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(begun, qt.DeepEquals, recorder.Begun{Verdict: recorder.VerdictDone, Answer: recorder.Answer{Status: 201}})
+}
--- /dev/null
+++ b/stage/controller/desk.go
@@ -0,0 +1,382 @@
+package controller
+
+import (
+	"time"
+
+	"redwingstage.org/coord/leaser"
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+)
+
+const (
+	// lagGrace is how often the catalog revision is noted that a lease needs; an entry may lag one to two of it.
+	lagGrace = 3 * time.Second
+	// keepAnswered bounds the answers that are kept for calls sent again, for each entry.
+	keepAnswered = 512
+	// maxBatch bounds the bookings of one command.
+	maxBatch = 256
+	// maxProposals bounds the commands with bookings that are under way at once.
+	maxProposals = 4
+)
+
+// peerKey names an entry's session at the leader: the link that it comes through, 0 for the leader's own, and its number there.
+type peerKey struct {
+	link    uint64
+	session uint64
+}
+
+// outFrame is a message to a session; Close ends the session after it.
+type outFrame struct {
+	to    peerKey
+	frame down
+	close bool
+}
+
+// proposal is a command that the leader wants in the log.
+type proposal struct {
+	cmd command
+	// refs are the calls that the command's bookings answer, in order.
+	refs []callRef
+}
+
+type callRef struct {
+	holder string
+	id     uint64
+}
+
+// desk decides for the leader of one era: leases, ownership, permits, quarantine and what is spread; it has no clock.
+type desk struct {
+	era       uint64
+	granter   *leaser.Granter
+	registry  *registrar.Registry
+	permits   *registrar.Permits
+	suspects  *quarantiner.Registry
+	live      *spreader.State
+	revisions leaser.Sequence
+	settled   bool
+	catalog   uint64
+	// required is the catalog revision below which no lease is renewed, next the one that follows it.
+	required uint64
+	next     uint64
+	nextAt   time.Time
+	peers    map[peerKey]*peer
+	holders  map[string]*peer
+	answered map[string]*answered
+	waits    []wait
+	bookings []pendingBooking
+	flying   int
+	out      []outFrame
+	proposed []proposal
+	// eager switches off what --wait and leases wait for, to show that its tests can fail.
+	eager bool
+}
+
+// peer is an entry's session.
+type peer struct {
+	key    peerKey
+	holder string
+	hello  helloFrame
+	// needCatalog and needLive are what the entry must acknowledge before its lease is renewed.
+	needCatalog uint64
+	needLive    uint64
+	catalog     uint64
+	live        uint64
+	// beat is the last renewal and beatAt when it came; owed is one that isn't answered yet.
+	beat   uint64
+	beatAt time.Time
+	owed   bool
+}
+
+// answered keeps the latest answers to an entry's calls.
+type answered struct {
+	byID  map[uint64]answerFrame
+	order []uint64
+	open  map[uint64]bool
+}
+
+type pendingBooking struct {
+	ref callRef
+	cmd bookingCommand
+}
+
+// wait is something that happens once a revision is in force everywhere.
+type wait struct {
+	catalog uint64
+	live    uint64
+	done    chan<- bool
+	// ref is the call to answer, if done is nil.
+	ref callRef
+}
+
+func newDesk(era uint64, now time.Time, fresh bool, limits registrar.StoreLimits, live *spreader.State) *desk {
+	g := leaser.New(era, now, fresh)
+	return &desk{
+		era:       era,
+		granter:   g,
+		registry:  registrar.New(g),
+		permits:   registrar.NewPermits(era, now, fresh, limits),
+		suspects:  quarantiner.New(g.SettledAt()),
+		live:      live,
+		revisions: leaser.NewSequence(era),
+		nextAt:    now.Add(lagGrace),
+		peers:     make(map[peerKey]*peer),
+		holders:   make(map[string]*peer),
+		answered:  make(map[string]*answered),
+	}
+}
+
+// receive takes a message of a session.
+func (d *desk) receive(now time.Time, key peerKey, f up) {
+	if f.Hello != nil {
+		d.hello(now, key, *f.Hello)
+	}
+	p, ok := d.peers[key]
+	if !ok {
+		d.out = append(d.out, outFrame{to: key, close: true})
+		return
+	}
+	if f.Claims != nil && f.Claims.Era == d.era {
+		d.claim(now, p, *f.Claims)
+	}
+	p.catalog, p.live = max(p.catalog, f.Catalog), max(p.live, f.Live)
+	d.registry.Acknowledge(p.holder, p.live)
+	if f.Beat > 0 {
+		p.beat, p.beatAt, p.owed = f.Beat, now, true
+	}
+	d.renew(now, p)
+	if len(d.waits) > 0 && f.Catalog+f.Live > 0 {
+		d.finishWaits(now)
+	}
+	d.announce(now, p, f)
+	for _, id := range f.Withdrawn {
+		d.permits.Withdraw(p.holder, id)
+		d.suspects.Withdraw(p.holder, id)
+		delete(d.memory(p.holder).open, id)
+	}
+	for _, c := range f.Calls {
+		d.call(now, p, c)
+	}
+}
+
+// hello opens a session; an older one of the same process ends.
+func (d *desk) hello(now time.Time, key peerKey, h helloFrame) {
+	holder := registrar.Holder(h.Name, h.Incarnation)
+	if old, ok := d.holders[holder]; ok && old.key != key {
+		d.out = append(d.out, outFrame{to: old.key, close: true})
+		delete(d.peers, old.key)
+	}
+	p := &peer{key: key, holder: holder, hello: h, catalog: h.Catalog, live: h.Live}
+	d.peers[key] = p
+	d.holders[holder] = p
+	d.resync(now, p)
+}
+
+// resync has a session confirm the present state before its lease is renewed.
+func (d *desk) resync(now time.Time, p *peer) {
+	d.publish(now)
+	p.needCatalog, p.needLive = d.catalog, d.live.Revision()
+	d.out = append(d.out, outFrame{to: p.key, frame: down{Welcome: &welcomeFrame{
+		Era: d.era, Catalog: p.needCatalog, Live: p.needLive, TTL: d.granter.TTL().Milliseconds(),
+	}}})
+}
+
+// claim takes up what an entry holds since an earlier leader.
+func (d *desk) claim(now time.Time, p *peer, c claimsFrame) {
+	if len(c.Servers) > 0 || len(c.Locks) > 0 {
+		d.registry.Join(now, p.entry())
+	}
+	claims := make([]registrar.Claim, 0, len(c.Servers))
+	for _, s := range c.Servers {
+		claims = append(claims, registrar.Claim{Server: s.Server, Epoch: s.Epoch})
+	}
+	d.registry.Claim(now, p.holder, claims)
+	for _, id := range c.Permits {
+		d.permits.Claim(p.holder, id)
+	}
+	for _, l := range c.Locks {
+		d.suspects.Claim(now, l, p.holder)
+	}
+	for _, s := range c.Standings {
+		d.suspects.Report(now, s.Digest, s.Standing)
+	}
+}
+
+func (p *peer) entry() registrar.Entry {
+	return registrar.Entry{Name: p.hello.Name, Incarnation: p.hello.Incarnation, Addr: p.hello.Addr, Zone: p.hello.Zone}
+}
+
+// renew renews an entry's lease and answers its heartbeat, if it has in force what it must.
+func (d *desk) renew(now time.Time, p *peer) {
+	if !p.owed {
+		return
+	}
+	inForce := p.catalog >= max(p.needCatalog, d.required) && p.live >= p.needLive
+	if !inForce && !d.eager {
+		return
+	}
+	if p.beatAt.Before(now.Add(-d.granter.TTL())) {
+		return
+	}
+	d.registry.Join(now, p.entry())
+	p.owed = false
+	d.out = append(d.out, outFrame{to: p.key, frame: down{Beat: p.beat}})
+}
+
+func (d *desk) announce(now time.Time, p *peer, f up) {
+	for _, s := range f.Servers {
+		// A bad announcement is dropped here; the entry that took it has told its sender why.
+		_ = d.registry.Announce(now, s.server())
+	}
+	var need []string
+	for _, s := range f.Seen {
+		if !d.registry.Seen(now, s.Name, s.Incarnation) {
+			need = append(need, s.Name)
+		}
+	}
+	if len(need) > 0 {
+		d.out = append(d.out, outFrame{to: p.key, frame: down{Need: need}})
+	}
+}
+
+// closed forgets a session; the entry's lease runs on.
+func (d *desk) closed(key peerKey) {
+	p, ok := d.peers[key]
+	if !ok {
+		return
+	}
+	delete(d.peers, key)
+	if d.holders[p.holder] == p {
+		delete(d.holders, p.holder)
+	}
+	if !d.granter.Live(p.beatAt, p.holder) {
+		delete(d.answered, p.holder)
+	}
+}
+
+// advance tells of the catalog's revision.
+func (d *desk) advance(revision uint64) { d.catalog = max(d.catalog, revision) }
+
+// tick lets time pass.
+func (d *desk) tick(now time.Time) {
+	if !now.Before(d.nextAt) {
+		d.required, d.next, d.nextAt = d.next, d.catalog, now.Add(lagGrace)
+	}
+	for _, lost := range d.registry.Tick(now) {
+		holder := registrar.Holder(lost.Name, lost.Incarnation)
+		d.permits.Drop(holder)
+		d.suspects.Drop(holder)
+		delete(d.answered, holder)
+		if p, ok := d.holders[holder]; ok {
+			d.resync(now, p)
+		}
+		d.lose(now, []lostCommand{{lost.Name, lost.Incarnation}})
+	}
+	d.suspects.Expire(now)
+	d.grant(now)
+	d.publish(now)
+	d.finishWaits(now)
+	d.propose(now)
+}
+
+// lose records that processes are lost, so that their bookings end as unknown.
+func (d *desk) lose(now time.Time, list []lostCommand) {
+	cmd := newCommand(now)
+	cmd.Lost = list
+	d.proposed = append(d.proposed, proposal{cmd: cmd})
+}
+
+// publish makes what changed a new revision of the live state; a new leader lists nothing before it has settled.
+func (d *desk) publish(now time.Time) {
+	items := d.suspects.Changes()
+	whole := false
+	if d.settled || d.granter.Settled(now) {
+		roster, err := d.registry.Changes()
+		if err != nil {
+			return
+		}
+		items = append(items, roster...)
+		whole = !d.settled
+	}
+	if len(items) == 0 && !whole {
+		return
+	}
+	revision, err := d.revisions.Next()
+	if err != nil {
+		return
+	}
+	if whole {
+		err = d.live.Replace(revision, d.withSuspects(items))
+		d.settled = true
+	} else {
+		err = d.live.Change(revision, items)
+	}
+	if err == nil && d.settled {
+		d.registry.Published(revision)
+	}
+}
+
+// withSuspects adds what was published of the quarantine before the leader settled, and leaves out what is gone.
+func (d *desk) withSuspects(items []spreader.Item) []spreader.Item {
+	all := append(d.suspects.All(), items...)
+	out := all[:0]
+	for _, it := range all {
+		if it.Value != nil {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// inForce reports whether every live entry has confirmed the revisions and the leases of all others have run out.
+func (d *desk) inForce(now time.Time, catalog, live uint64) bool {
+	if d.eager {
+		return true
+	}
+	if !d.granter.Settled(now) {
+		return false
+	}
+	return d.registry.All(func(holder string) bool {
+		p, ok := d.holders[holder]
+		return ok && p.catalog >= catalog && p.live >= live
+	})
+}
+
+// await reports on done once the catalog revision is in force everywhere; done has room for one.
+func (d *desk) await(now time.Time, revision uint64, done chan<- bool) {
+	d.waits = append(d.waits, wait{catalog: revision, done: done})
+	d.finishWaits(now)
+}
+
+func (d *desk) finishWaits(now time.Time) {
+	rest := d.waits[:0]
+	for _, w := range d.waits {
+		switch {
+		case !d.inForce(now, w.catalog, w.live):
+			rest = append(rest, w)
+		case w.done != nil:
+			w.done <- true
+		default:
+			d.answer(w.ref, answerFrame{})
+		}
+	}
+	clear(d.waits[len(rest):])
+	d.waits = rest
+}
+
+// abandon tells those who wait that this leader can't say.
+func (d *desk) abandon() {
+	for _, w := range d.waits {
+		if w.done != nil {
+			w.done <- false
+		}
+	}
+	d.waits = nil
+}
+
+// take returns what is to be sent and proposed, and forgets it.
+func (d *desk) take() ([]outFrame, []proposal) {
+	out, proposed := d.out, d.proposed
+	d.out, d.proposed = nil, nil
+	return out, proposed
+}
--- /dev/null
+++ b/stage/controller/frame.go
@@ -0,0 +1,162 @@
+package controller
+
+import (
+	"time"
+
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
+)
+
+// up is a message of an entry to the control leader; unused parts cost nothing.
+type up struct {
+	Hello   *helloFrame   `cbor:"1,keyasint,omitempty"`
+	Beat    uint64        `cbor:"2,keyasint,omitempty"`
+	Catalog uint64        `cbor:"3,keyasint,omitempty"`
+	Live    uint64        `cbor:"4,keyasint,omitempty"`
+	Servers []serverFrame `cbor:"5,keyasint,omitempty"`
+	Seen    []seenFrame   `cbor:"6,keyasint,omitempty"`
+	Claims  *claimsFrame  `cbor:"7,keyasint,omitempty"`
+	Calls   []callFrame   `cbor:"8,keyasint,omitempty"`
+	// Withdrawn are calls whose askers gave up.
+	Withdrawn []uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+type helloFrame struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Addr        string `cbor:"3,keyasint"`
+	Zone        string `cbor:"4,keyasint,omitempty"`
+	Catalog     uint64 `cbor:"5,keyasint,omitempty"`
+	Live        uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+type serverFrame struct {
+	Name        string          `cbor:"1,keyasint"`
+	Kind        configurer.Kind `cbor:"2,keyasint"`
+	Addr        string          `cbor:"3,keyasint"`
+	Zone        string          `cbor:"4,keyasint,omitempty"`
+	Service     string          `cbor:"5,keyasint"`
+	Incarnation string          `cbor:"6,keyasint"`
+	Slots       int             `cbor:"7,keyasint,omitempty"`
+	Batch       int             `cbor:"8,keyasint,omitempty"`
+	Fenced      bool            `cbor:"9,keyasint,omitempty"`
+	Leaving     bool            `cbor:"10,keyasint,omitempty"`
+}
+
+type seenFrame struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+}
+
+// claimsFrame is what an entry holds since an earlier leader, sent to the leader of Era.
+type claimsFrame struct {
+	Era       uint64               `cbor:"1,keyasint"`
+	Servers   []claimFrame         `cbor:"2,keyasint,omitempty"`
+	Permits   []uint64             `cbor:"3,keyasint,omitempty"`
+	Locks     []quarantiner.Digest `cbor:"4,keyasint,omitempty"`
+	Standings []standingFrame      `cbor:"5,keyasint,omitempty"`
+}
+
+type claimFrame struct {
+	Server string `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+}
+
+type standingFrame struct {
+	Digest   quarantiner.Digest   `cbor:"1,keyasint"`
+	Standing quarantiner.Standing `cbor:"2,keyasint"`
+}
+
+// callKind says what an entry asks for.
+type callKind int
+
+const (
+	callPermit callKind = iota + 1
+	callReturn
+	callAccuse
+	callLock
+	callUnlock
+	callBegin
+	callEnd
+	callRelease
+)
+
+type callFrame struct {
+	ID      uint64               `cbor:"1,keyasint"`
+	Kind    callKind             `cbor:"2,keyasint"`
+	Server  string               `cbor:"3,keyasint,omitempty"`
+	Urgent  bool                 `cbor:"4,keyasint,omitempty"`
+	Permit  uint64               `cbor:"5,keyasint,omitempty"`
+	Digests []quarantiner.Digest `cbor:"6,keyasint,omitempty"`
+	Begin   *recorder.Begin      `cbor:"7,keyasint,omitempty"`
+	End     *recorder.End        `cbor:"8,keyasint,omitempty"`
+	Pinned  []targetFrame        `cbor:"9,keyasint,omitempty"`
+}
+
+type targetFrame struct {
+	Service string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint,omitempty"`
+	Version int    `cbor:"3,keyasint,omitempty"`
+}
+
+// down is a message of the control leader to an entry.
+type down struct {
+	Welcome *welcomeFrame   `cbor:"1,keyasint,omitempty"`
+	Beat    uint64          `cbor:"2,keyasint,omitempty"`
+	Catalog *spreader.Delta `cbor:"3,keyasint,omitempty"`
+	Live    *spreader.Delta `cbor:"4,keyasint,omitempty"`
+	Answers []answerFrame   `cbor:"5,keyasint,omitempty"`
+	// Need names servers whose whole announcement is missing.
+	Need []string `cbor:"6,keyasint,omitempty"`
+}
+
+// welcomeFrame opens a session; the lease runs once the entry has acknowledged the two revisions.
+type welcomeFrame struct {
+	Era     uint64 `cbor:"1,keyasint"`
+	Catalog uint64 `cbor:"2,keyasint"`
+	Live    uint64 `cbor:"3,keyasint"`
+	// TTL is in milliseconds.
+	TTL int64 `cbor:"4,keyasint"`
+}
+
+// answerCode says how a call ended.
+type answerCode int
+
+const (
+	answerOK answerCode = iota
+	// answerRetry asks for the same call again, since it may not have been carried out.
+	answerRetry
+	// answerRefused is final; the text says why.
+	answerRefused
+)
+
+type answerFrame struct {
+	ID     uint64          `cbor:"1,keyasint"`
+	Code   answerCode      `cbor:"2,keyasint,omitempty"`
+	Text   string          `cbor:"3,keyasint,omitempty"`
+	Permit uint64          `cbor:"4,keyasint,omitempty"`
+	Begun  *recorder.Begun `cbor:"5,keyasint,omitempty"`
+	// Beat and After date the answer: After milliseconds passed at the leader since it had received that renewal.
+	Beat  uint64 `cbor:"6,keyasint,omitempty"`
+	After int64  `cbor:"7,keyasint,omitempty"`
+
+	// until is when a permit ends on the entry's own clock; it isn't sent.
+	until time.Time
+}
+
+func (f serverFrame) server() registrar.Server {
+	return registrar.Server{
+		Name: f.Name, Kind: f.Kind, Addr: f.Addr, Zone: f.Zone, Service: f.Service,
+		Incarnation: f.Incarnation, Slots: f.Slots, Batch: f.Batch, Fenced: f.Fenced, Leaving: f.Leaving,
+	}
+}
+
+func newServerFrame(s registrar.Server) serverFrame {
+	return serverFrame{
+		Name: s.Name, Kind: s.Kind, Addr: s.Addr, Zone: s.Zone, Service: s.Service,
+		Incarnation: s.Incarnation, Slots: s.Slots, Batch: s.Batch, Fenced: s.Fenced, Leaving: s.Leaving,
+	}
+}
--- /dev/null
+++ b/stage/controller/hub.go
@@ -0,0 +1,360 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/registrar"
+)
+
+const (
+	// tickEvery is how often time passes for the control goroutine.
+	tickEvery = 50 * time.Millisecond
+	// silentAfter is when a stream without a message is closed.
+	silentAfter = 4 * time.Second
+	// proposeTimeout bounds the wait for a command's fate.
+	proposeTimeout = 5 * time.Second
+	// maxEvents bounds the events that wait for the control goroutine.
+	maxEvents = 4096
+	// maxStalled bounds the messages that wait while the leader's lease is in doubt.
+	maxStalled = 8192
+)
+
+// hub is the control state of a replica: sessions of entries, links to other replicas and, on the leader, the desk.
+//
+// All its methods but post run on the control goroutine.
+type hub struct {
+	log     Log
+	machine *machine
+	limits  registrar.StoreLimits
+	clock   func() time.Time
+	logger  *log.Logger
+	metrics *metrics
+	http    *http.Client
+	spawn   func(func())
+	events  chan func(now time.Time)
+
+	desk     *desk
+	deskTerm uint64
+	leading  bool
+	fresh    bool
+	stalled  []stalledFrame
+
+	live     *spreader.State
+	joiner   spreader.Joiner
+	sessions map[uint64]*session
+	links    map[uint64]*linkPeer
+	uplink   *uplink
+	lastID   uint64
+}
+
+type stalledFrame struct {
+	key   peerKey
+	frame up
+}
+
+// session is an entry's stream at this replica.
+type session struct {
+	id       uint64
+	out      *queue[down]
+	heard    time.Time
+	welcome  *welcomeFrame
+	catalog  uint64
+	live     uint64
+	finished bool
+}
+
+// linkPeer is another replica's stream at the leader.
+type linkPeer struct {
+	id    uint64
+	out   *queue[linkDown]
+	heard time.Time
+	sent  time.Time
+	live  uint64
+}
+
+// post runs f on the control goroutine; false means that the hub has ended.
+func (h *hub) post(ctx context.Context, f func(now time.Time)) bool {
+	select {
+	case h.events <- f:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run is the control goroutine.
+func (h *hub) run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.closeAll()
+			return
+		case f := <-h.events:
+			f(h.clock())
+		case <-h.machine.changed:
+		case <-t.C:
+			h.tick(ctx, h.clock())
+		}
+		h.flush(ctx)
+	}
+}
+
+// tick lets time pass.
+func (h *hub) tick(ctx context.Context, now time.Time) {
+	h.lead(ctx, now)
+	for _, s := range h.sessions {
+		if now.Sub(s.heard) > silentAfter {
+			h.drop(s)
+		}
+	}
+	for _, l := range h.links {
+		if now.Sub(l.heard) > silentAfter {
+			h.dropLink(l)
+		}
+	}
+	if h.inCharge(now) {
+		for _, f := range h.stalled {
+			h.desk.receive(now, f.key, f.frame)
+		}
+		h.stalled = nil
+		h.desk.advance(h.machine.catalogRevision())
+		h.desk.registry.Drain(h.machine.drained())
+		h.desk.tick(now)
+		if h.desk.settled && !h.fresh {
+			h.settle(now)
+		}
+	}
+	h.relay(ctx, now)
+	h.metrics.observe(h, now)
+}
+
+// settle ends the bookings of processes that no entry came back as.
+func (h *hub) settle(now time.Time) {
+	h.fresh = true
+	gone := h.machine.absent(func(entry string, incarnation uint64) bool {
+		return h.desk.registry.Live(now, registrar.Holder(entry, incarnation))
+	})
+	if len(gone) > 0 {
+		h.desk.lose(now, gone)
+	}
+}
+
+// inCharge reports whether this replica may decide as the leader at now.
+func (h *hub) inCharge(now time.Time) bool {
+	st := h.log.Status()
+	return h.desk != nil && st.IsLeader(now) && st.Term == h.deskTerm
+}
+
+// lead begins and ends this replica's time as the leader.
+func (h *hub) lead(ctx context.Context, now time.Time) {
+	st := h.log.Status()
+	if h.desk != nil && (st.Term != h.deskTerm || st.Leader != st.ID) {
+		h.logger.Warn().Uint64("era", h.desk.era).Msg("control: no longer the leader")
+		h.desk.abandon()
+		h.desk = nil
+		h.stalled = nil
+		h.closeAll()
+	}
+	if h.desk != nil || h.leading || !st.IsLeader(now) {
+		return
+	}
+	h.leading = true
+	cmd := newCommand(now)
+	cmd.Lead = true
+	h.propose(ctx, cmd, func(now time.Time, data []byte, err error) {
+		h.leading = false
+		h.begin(now, st.Term, data, err)
+	})
+}
+
+// begin takes up the lead under the era that the log has given.
+func (h *hub) begin(now time.Time, term uint64, data []byte, err error) {
+	var res result
+	if err == nil {
+		err = encoder.Unmarshal(data, &res)
+	}
+	st := h.log.Status()
+	if err != nil || !st.IsLeader(now) || st.Term != term || res.Era == 0 {
+		return
+	}
+	h.closeAll()
+	h.fresh = res.Era == 1
+	h.deskTerm = term
+	h.desk = newDesk(res.Era, now, h.fresh, h.limits, h.live)
+	h.desk.advance(h.machine.catalogRevision())
+	h.logger.Info().Uint64("era", res.Era).Msg("control: leading")
+}
+
+// propose puts a command into the log and brings the outcome back to the control goroutine.
+func (h *hub) propose(ctx context.Context, cmd command, done func(now time.Time, data []byte, err error)) {
+	data, err := encoder.Marshal(cmd)
+	if err != nil {
+		done(h.clock(), nil, err)
+		return
+	}
+	h.spawn(func() {
+		pctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		var res runner.Result
+		res, err := h.log.Propose(pctx, data)
+		h.post(ctx, func(now time.Time) { done(now, res.Data, err) })
+	})
+}
+
+// receive passes a message of an entry to the leader's desk, here or through the uplink.
+func (h *hub) receive(now time.Time, key peerKey, f up) {
+	switch {
+	case h.inCharge(now):
+		h.desk.advance(h.machine.catalogRevision())
+		h.desk.receive(now, key, f)
+	case h.desk != nil:
+		if len(h.stalled) < maxStalled {
+			h.stalled = append(h.stalled, stalledFrame{key, f})
+		}
+	case h.uplink != nil && key.link == 0:
+		if !h.uplink.out.push(linkUp{Session: key.session, Frame: &f}) {
+			h.loseUplink(h.uplink)
+		}
+	}
+}
+
+// flush sends what the desk decided and what sessions and links lack of the state.
+func (h *hub) flush(ctx context.Context) {
+	if h.desk != nil {
+		out, proposed := h.desk.take()
+		for _, f := range out {
+			h.send(f)
+		}
+		desk := h.desk
+		for _, p := range proposed {
+			h.propose(ctx, p.cmd, func(now time.Time, data []byte, err error) {
+				if h.desk == desk {
+					h.desk.committed(now, p, data, err)
+				}
+			})
+		}
+	}
+	h.spread()
+}
+
+// send passes a decision to a session, here or behind a link.
+func (h *hub) send(f outFrame) {
+	if f.to.link != 0 {
+		l, ok := h.links[f.to.link]
+		if ok && !l.out.push(linkDown{Session: f.to.session, Frame: &f.frame, Close: f.close}) {
+			h.dropLink(l)
+		}
+		return
+	}
+	if s, ok := h.sessions[f.to.session]; ok {
+		h.deliver(s, f.frame, f.close)
+	}
+}
+
+func (h *hub) deliver(s *session, f down, last bool) {
+	if f.Welcome != nil {
+		s.welcome = f.Welcome
+	}
+	if last || !s.out.push(f) {
+		h.drop(s)
+	}
+}
+
+// spread sends each session and link the deltas that it lacks; a session gets none before the leader has welcomed it.
+func (h *hub) spread() {
+	catalog, live := h.machine.catalogRevision(), h.live.Revision()
+	catalogs, lives := make(map[uint64][]spreader.Delta), make(map[uint64][]spreader.Delta)
+	for _, s := range h.sessions {
+		if s.welcome == nil {
+			continue
+		}
+		if catalog >= s.welcome.Catalog && catalog > s.catalog {
+			for _, d := range since(catalogs, s.catalog, h.machine.since) {
+				h.deliver(s, down{Catalog: &d}, false)
+			}
+			s.catalog = catalog
+		}
+		if live >= s.welcome.Live && live > s.live {
+			for _, d := range since(lives, s.live, h.live.Since) {
+				h.deliver(s, down{Live: &d}, false)
+			}
+			s.live = live
+		}
+	}
+	for _, l := range h.links {
+		if live > l.live {
+			for _, d := range since(lives, l.live, h.live.Since) {
+				l.out.push(linkDown{Live: &d})
+			}
+			l.live = live
+		}
+	}
+}
+
+// since computes the deltas from a revision once for all who need them.
+func since(known map[uint64][]spreader.Delta, from uint64, f func(uint64) []spreader.Delta) []spreader.Delta {
+	d, ok := known[from]
+	if !ok {
+		d = f(from)
+		known[from] = d
+	}
+	return d
+}
+
+// drop ends a session.
+func (h *hub) drop(s *session) {
+	if s.finished {
+		return
+	}
+	s.finished = true
+	s.out.close()
+	delete(h.sessions, s.id)
+	switch {
+	case h.desk != nil:
+		h.desk.closed(peerKey{session: s.id})
+	case h.uplink != nil:
+		h.uplink.out.push(linkUp{Session: s.id, Close: true})
+	}
+}
+
+// dropLink ends a link and the sessions behind it.
+func (h *hub) dropLink(l *linkPeer) {
+	l.out.close()
+	delete(h.links, l.id)
+	if h.desk == nil {
+		return
+	}
+	for key := range h.desk.peers {
+		if key.link == l.id {
+			h.desk.closed(key)
+		}
+	}
+}
+
+// closeAll ends all sessions and links; entries come back to whoever can serve them.
+func (h *hub) closeAll() {
+	for _, s := range h.sessions {
+		h.drop(s)
+	}
+	for _, l := range h.links {
+		h.dropLink(l)
+	}
+	if h.uplink != nil {
+		h.loseUplink(h.uplink)
+	}
+}
+
+// nextID numbers sessions and links.
+func (h *hub) nextID() uint64 {
+	h.lastID++
+	return h.lastID
+}
--- /dev/null
+++ b/stage/controller/link.go
@@ -0,0 +1,171 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/spreader"
+)
+
+// linkBeat is how often an idle link carries a message.
+const linkBeat = time.Second
+
+// linkUp is a message of a replica's session to the leader; an empty one is a heartbeat.
+type linkUp struct {
+	Session uint64 `cbor:"1,keyasint,omitempty"`
+	Frame   *up    `cbor:"2,keyasint,omitempty"`
+	Close   bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// linkDown is a message of the leader to a session of the replica, or a part of the live state for the replica itself.
+type linkDown struct {
+	Session uint64          `cbor:"1,keyasint,omitempty"`
+	Frame   *down           `cbor:"2,keyasint,omitempty"`
+	Close   bool            `cbor:"3,keyasint,omitempty"`
+	Live    *spreader.Delta `cbor:"4,keyasint,omitempty"`
+	// Opened says that the leader serves this link.
+	Opened bool `cbor:"5,keyasint,omitempty"`
+}
+
+// linkUps and linkDowns carry what has gathered, so that many entries share one message.
+type linkUps struct {
+	Items []linkUp `cbor:"1,keyasint,omitempty"`
+}
+
+type linkDowns struct {
+	Items []linkDown `cbor:"1,keyasint,omitempty"`
+}
+
+// uplink is this replica's stream to the leader.
+type uplink struct {
+	leader uint64
+	out    *queue[linkUp]
+	opened bool
+	heard  time.Time
+	sent   time.Time
+	cancel context.CancelFunc
+}
+
+// relay keeps a stream to the leader while another replica leads.
+func (h *hub) relay(ctx context.Context, now time.Time) {
+	for _, l := range h.links {
+		if now.Sub(l.sent) >= linkBeat {
+			l.sent = now
+			l.out.push(linkDown{})
+		}
+	}
+	st := h.log.Status()
+	u := h.uplink
+	if u != nil && (st.Leader != u.leader || now.Sub(u.heard) > silentAfter) {
+		h.loseUplink(u)
+		u = nil
+	}
+	if u != nil {
+		if now.Sub(u.sent) >= linkBeat {
+			u.sent = now
+			u.out.push(linkUp{})
+		}
+		return
+	}
+	if st.Leader == 0 || st.Leader == st.ID || h.desk != nil || h.leading {
+		return
+	}
+	for _, m := range st.Members {
+		if m.ID == st.Leader {
+			h.openUplink(ctx, now, m.ID, m.Addr)
+		}
+	}
+}
+
+func (h *hub) openUplink(ctx context.Context, now time.Time, leader uint64, addr string) {
+	lctx, cancel := context.WithCancel(ctx)
+	u := &uplink{leader: leader, out: newQueue[linkUp](), heard: now, sent: now, cancel: cancel}
+	h.uplink = u
+	client := connect.NewClient[linkUps, linkDowns](h.http, "http://"+addr+pathLink, encoder.Option())
+	h.spawn(func() {
+		stream := client.CallBidiStream(lctx)
+		defer h.post(ctx, func(time.Time) { h.loseUplink(u) })
+		h.spawn(func() {
+			writeUps(lctx, stream, u.out)
+			cancel()
+		})
+		for {
+			msg, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			h.post(ctx, func(now time.Time) { h.fromLeader(now, u, msg.Items) })
+		}
+	})
+}
+
+func writeUps(ctx context.Context, stream *connect.BidiStreamForClient[linkUps, linkDowns], q *queue[linkUp]) {
+	// The empty message opens the stream.
+	if err := stream.Send(&linkUps{}); err != nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.ready:
+		}
+		items, more := q.take()
+		if !more {
+			return
+		}
+		if err := stream.Send(&linkUps{Items: items}); err != nil {
+			return
+		}
+	}
+}
+
+// fromLeader takes messages of the leader.
+func (h *hub) fromLeader(now time.Time, u *uplink, items []linkDown) {
+	if h.uplink != u {
+		return
+	}
+	u.heard = now
+	for _, it := range items {
+		u.opened = u.opened || it.Opened
+		if it.Live != nil {
+			h.mirror(u, *it.Live)
+		}
+		if s, ok := h.sessions[it.Session]; ok && (it.Frame != nil || it.Close) {
+			f := down{}
+			if it.Frame != nil {
+				f = *it.Frame
+			}
+			h.deliver(s, f, it.Close)
+		}
+	}
+}
+
+// mirror follows the leader's live state.
+func (h *hub) mirror(u *uplink, d spreader.Delta) {
+	whole, ok, err := h.joiner.Join(d)
+	if err == nil && ok {
+		err = h.live.Apply(whole)
+	}
+	if err != nil {
+		h.logger.Warn().Err(err).Msg("control: live state of the leader does not fit")
+		h.loseUplink(u)
+	}
+}
+
+// loseUplink ends the stream to the leader and the sessions that lived by it.
+func (h *hub) loseUplink(u *uplink) {
+	if h.uplink != u || u == nil {
+		return
+	}
+	h.uplink = nil
+	h.joiner.Reset()
+	u.out.close()
+	u.cancel()
+	for _, s := range h.sessions {
+		h.drop(s)
+	}
+}
--- /dev/null
+++ b/stage/controller/machine.go
@@ -0,0 +1,302 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/auditor"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/recorder"
+)
+
+// machine is the replicated state of the control process; the log applies to it, others read it under its lock.
+type machine struct {
+	mu       sync.Mutex
+	index    uint64
+	now      time.Time
+	era      uint64
+	config   *configurer.State
+	trail    *auditor.Trail
+	bookings *recorder.Table
+	drains   map[string]bool
+	// senders are the entry processes that began bookings and aren't known to be lost.
+	senders map[lostCommand]bool
+	// spread holds the encoded catalog by revision for the watch streams.
+	spread *spreader.State
+	// changed wakes the reader of spread and drains.
+	changed chan struct{}
+}
+
+type machineSnapshot struct {
+	Index    uint64        `cbor:"1,keyasint"`
+	Now      int64         `cbor:"2,keyasint"`
+	Era      uint64        `cbor:"3,keyasint"`
+	Config   []byte        `cbor:"4,keyasint"`
+	Trail    []byte        `cbor:"5,keyasint"`
+	Bookings []byte        `cbor:"6,keyasint"`
+	Drains   []string      `cbor:"7,keyasint"`
+	Senders  []lostCommand `cbor:"8,keyasint"`
+}
+
+func newMachine() *machine {
+	return &machine{
+		config:   configurer.NewState(),
+		trail:    auditor.New(),
+		bookings: recorder.New(),
+		drains:   make(map[string]bool),
+		senders:  make(map[lostCommand]bool),
+		spread:   spreader.New(),
+		changed:  make(chan struct{}, 1),
+	}
+}
+
+// Apply implements runner.Machine.
+func (m *machine) Apply(index uint64, cmd []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index = index
+	out, err := encoder.Marshal(m.execute(cmd))
+	if err != nil {
+		// The result holds only plain types, so this can't be reached by a command.
+		return nil
+	}
+	return out
+}
+
+func (m *machine) execute(data []byte) result {
+	var cmd command
+	if err := encoder.Unmarshal(data, &cmd); err != nil {
+		return result{Bad: err.Error()}
+	}
+	if at := time.UnixMilli(cmd.Now).UTC(); at.After(m.now) {
+		m.now = at
+	}
+	switch {
+	case cmd.Lead:
+		m.era++
+		m.bookings.Expire(m.now)
+		return result{Era: m.era}
+	case cmd.Change != nil:
+		return m.change(*cmd.Change)
+	case cmd.Bookings != nil:
+		return m.book(cmd.Bookings)
+	case cmd.Lost != nil:
+		for _, l := range cmd.Lost {
+			m.bookings.Lost(m.now, l.Entry, l.Incarnation)
+			delete(m.senders, l)
+		}
+		return result{}
+	case cmd.Drain != nil:
+		return m.drain(*cmd.Drain)
+	case cmd.Replica != nil:
+		m.record(cmd.Replica.Origin, cmd.Replica.Action, []configurer.Diff{{
+			Ref: configurer.Ref{Kind: "replica", Name: strconv.FormatUint(cmd.Replica.ID, 10)},
+		}})
+		return result{}
+	default:
+		return result{Bad: "empty command"}
+	}
+}
+
+func (m *machine) change(c changeCommand) result {
+	reply, diffs := m.config.Apply(c.Change)
+	out := result{Reply: &reply}
+	if len(diffs) > 0 && reply.Verdict == configurer.VerdictAccepted {
+		items := make([]spreader.Item, 0, len(diffs))
+		for _, d := range diffs {
+			items = append(items, d.Item())
+		}
+		if err := m.spread.Change(reply.Revision, items); err != nil {
+			// Revisions of the catalog grow by one a change, so this can't be reached.
+			out.Bad = err.Error()
+		}
+		m.record(c.Origin, c.Action, diffs)
+		m.wake()
+	}
+	if reply.Verdict == configurer.VerdictConflict {
+		out.Winner = m.winner(c.Change.Expect, reply)
+	}
+	return out
+}
+
+// winner returns the record of the change that a conflicting one lost against.
+func (m *machine) winner(expect uint64, reply configurer.Reply) *auditor.Record {
+	rec, ok := m.trail.At(expect + 1)
+	if reply.Winner.Name != "" {
+		if adapter, version, err := configurer.ParseVersion(reply.Winner.Name); err == nil {
+			rec, ok = m.trail.Made(adapter, version)
+		}
+	}
+	if !ok {
+		return nil
+	}
+	return &rec
+}
+
+func (m *machine) record(o origin, action auditor.Action, items []configurer.Diff) {
+	m.trail.Add(auditor.Record{
+		Revision: m.config.Catalog().Revision(), At: m.now.Truncate(time.Second),
+		Operator: o.Operator, From: o.From, Change: o.Change, Action: action, Items: items,
+	})
+}
+
+func (m *machine) book(list []bookingCommand) result {
+	m.bookings.Expire(m.now)
+	out := result{Begun: make([]recorder.Begun, len(list))}
+	for i, b := range list {
+		switch {
+		case b.Begin != nil:
+			out.Begun[i] = m.bookings.Begin(m.now, *b.Begin)
+			if out.Begun[i].Verdict == recorder.VerdictRun {
+				m.senders[lostCommand{b.Begin.Entry, b.Begin.Incarnation}] = true
+			}
+		case b.End != nil:
+			m.bookings.End(m.now, *b.End)
+		}
+	}
+	return out
+}
+
+func (m *machine) drain(d drainCommand) result {
+	key := d.Kind + "/" + d.Name
+	if m.drains[key] != d.Off {
+		return result{}
+	}
+	action := auditor.ActionDrain
+	if d.Off {
+		delete(m.drains, key)
+		action = auditor.ActionUndrain
+	} else {
+		m.drains[key] = true
+	}
+	ref := configurer.Ref{Kind: configurer.Object(d.Kind), Name: d.Name}
+	m.record(d.Origin, action, []configurer.Diff{{Ref: ref}})
+	m.wake()
+	return result{}
+}
+
+func (m *machine) wake() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Snapshot implements runner.Machine.
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	snap := machineSnapshot{Index: m.index, Now: m.now.UnixMilli(), Era: m.era}
+	var err error
+	if snap.Config, err = m.config.Snapshot(); err != nil {
+		return nil, err
+	}
+	if snap.Trail, err = m.trail.Snapshot(); err != nil {
+		return nil, err
+	}
+	if snap.Bookings, err = m.bookings.Snapshot(); err != nil {
+		return nil, err
+	}
+	snap.Drains = slices.Sorted(maps.Keys(m.drains))
+	snap.Senders = slices.SortedFunc(maps.Keys(m.senders), func(a, b lostCommand) int {
+		if c := strings.Compare(a.Entry, b.Entry); c != 0 {
+			return c
+		}
+		return int(int64(a.Incarnation - b.Incarnation))
+	})
+	return encoder.Marshal(snap)
+}
+
+// Restore implements runner.Machine; a bad snapshot leaves the state as it was.
+func (m *machine) Restore(data []byte) error {
+	var snap machineSnapshot
+	if err := encoder.Unmarshal(data, &snap); err != nil {
+		return errors.Wrap(err, "control snapshot")
+	}
+	next := newMachine()
+	if err := next.config.Restore(snap.Config); err != nil {
+		return err
+	}
+	if err := next.trail.Restore(snap.Trail); err != nil {
+		return err
+	}
+	if err := next.bookings.Restore(snap.Bookings); err != nil {
+		return err
+	}
+	items, err := next.config.Catalog().Items()
+	if err != nil {
+		return err
+	}
+	if err := next.spread.Replace(next.config.Catalog().Revision(), items); err != nil {
+		return err
+	}
+	for _, key := range snap.Drains {
+		next.drains[key] = true
+	}
+	for _, s := range snap.Senders {
+		next.senders[s] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index, m.now, m.era = snap.Index, time.UnixMilli(snap.Now).UTC(), snap.Era
+	m.config, m.trail, m.bookings, m.spread = next.config, next.trail, next.bookings, next.spread
+	m.drains, m.senders = next.drains, next.senders
+	m.wake()
+	return nil
+}
+
+// catalog returns the configuration as of the last applied command.
+func (m *machine) catalog() *configurer.Catalog {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.config.Catalog()
+}
+
+// CatalogRevision returns the revision of the configuration.
+func (m *machine) catalogRevision() uint64 { return m.catalog().Revision() }
+
+// since returns what leads a holder of a catalog revision to the present.
+func (m *machine) since(revision uint64) []spreader.Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.spread.Since(revision)
+}
+
+func (m *machine) drained() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.drains)
+}
+
+// absent returns the processes that began bookings and for which live is false.
+func (m *machine) absent(live func(entry string, incarnation uint64) bool) []lostCommand {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []lostCommand
+	for s := range m.senders {
+		if !live(s.Entry, s.Incarnation) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (m *machine) audit(q auditor.Query, limit int) ([]auditor.Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.trail.Find(q, limit)
+}
+
+func (m *machine) isDrained(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.drains[key]
+}
--- /dev/null
+++ b/stage/controller/operate.go
@@ -0,0 +1,186 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/configurer"
+)
+
+const (
+	// defaultWait and maxWait bound the wait for a change to be in force everywhere.
+	defaultWait = 18 * time.Second
+	maxWait     = 60 * time.Second
+	// leaderWait bounds the search for a leader by one call.
+	leaderWait = 3 * time.Second
+	leaderPoll = 50 * time.Millisecond
+)
+
+// operate carries an operator's call out at the leader, wherever it is.
+func (c *Controller) operate(ctx context.Context, req opRequest) opResponse {
+	deadline := time.Now().Add(leaderWait)
+	for {
+		st := c.log.Status()
+		switch {
+		case st.IsLeader(time.Now()):
+			return c.execute(ctx, req)
+		case st.Leader != 0 && st.Leader != st.ID:
+			r, err := c.forward(ctx, st, req)
+			if err == nil {
+				return r
+			}
+			if connect.CodeOf(err) != connect.CodeUnavailable {
+				// The leader may have taken the call before the connection broke.
+				return failure(http.StatusServiceUnavailable, errorDetail{Code: "uncertain", Message: err.Error()})
+			}
+		}
+		if time.Now().After(deadline) || !sleep(ctx, leaderPoll) {
+			return noLeader()
+		}
+	}
+}
+
+func noLeader() opResponse {
+	return failure(http.StatusServiceUnavailable, errorDetail{Code: "no_leader", Message: errNoLeader.Error()})
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// forward passes a call to the leader; CodeUnavailable means that it was not taken.
+func (c *Controller) forward(ctx context.Context, st runner.Status, req opRequest) (opResponse, error) {
+	for _, m := range st.Members {
+		if m.ID != st.Leader {
+			continue
+		}
+		fctx, cancel := context.WithTimeout(ctx, maxWait+leaderWait)
+		defer cancel()
+		client := connect.NewClient[opRequest, opResponse](c.hub.http, "http://"+m.Addr+pathOperate, encoder.Option())
+		res, err := client.CallUnary(fctx, connect.NewRequest(&req))
+		if err != nil {
+			var netErr interface{ Timeout() bool }
+			if errors.As(err, &netErr) && netErr.Timeout() {
+				return opResponse{}, connect.NewError(connect.CodeDeadlineExceeded, err)
+			}
+			return opResponse{}, err
+		}
+		return *res.Msg, nil
+	}
+	return opResponse{}, connect.NewError(connect.CodeUnavailable, errNoLeader)
+}
+
+// serveOperate takes calls that operators made at other replicas.
+func (c *Controller) serveOperate(ctx context.Context, req *connect.Request[opRequest]) (*connect.Response[opResponse], error) {
+	if !c.log.Status().IsLeader(time.Now()) {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoLeader)
+	}
+	r := c.execute(ctx, *req.Msg)
+	return connect.NewResponse(&r), nil
+}
+
+// execute carries a call out at this replica, the leader.
+func (c *Controller) execute(ctx context.Context, req opRequest) opResponse {
+	if err := c.log.Confirm(ctx); err != nil {
+		return noLeader()
+	}
+	switch req.Op {
+	case opApply:
+		return c.apply(ctx, req)
+	case opDelete:
+		return c.remove(ctx, req)
+	case opWait:
+		return c.wait(ctx, req)
+	case opClasses, opServices, opAdapters:
+		return c.get(req)
+	case opStatus:
+		return c.status(ctx)
+	case opAudit, opExport:
+		return c.readAudit(req)
+	case opDrains:
+		return c.listDrains()
+	case opDrain, opUndrain:
+		return c.drain(ctx, req)
+	case opAddMember, opRemove:
+		return c.changeReplica(ctx, req)
+	default:
+		return failure(http.StatusNotFound, errorDetail{Code: "not_found", Message: "no such call"})
+	}
+}
+
+// findings collects what is wrong with the parameters of a call.
+type findings []configurer.Finding
+
+func (f *findings) add(path, reason string) {
+	*f = append(*f, configurer.Finding{Path: path, Reason: reason})
+}
+
+func (f findings) response() opResponse {
+	return failure(http.StatusBadRequest, errorDetail{
+		Code: "malformed", Message: strconv.Itoa(len(f)) + " findings", Findings: f,
+	})
+}
+
+// number reads a number parameter; an absent one is def.
+func (f *findings) number(args map[string]string, name string, def uint64) uint64 {
+	s, ok := args[name]
+	if !ok || s == "" {
+		return def
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		f.add(name, strconv.Quote(s)+" is not a whole number")
+	}
+	return n
+}
+
+// limit reads the size of a page.
+func (f *findings) limit(args map[string]string) int {
+	n := f.number(args, "limit", defaultPage)
+	if n < 1 || n > maxPage {
+		f.add("limit", "must be from 1 to "+strconv.Itoa(maxPage))
+	}
+	return int(min(n, maxPage))
+}
+
+// timeout reads how long a call may wait.
+func (f *findings) timeout(path, s string) time.Duration {
+	if s == "" {
+		return defaultWait
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d <= 0 || d > maxWait {
+		f.add(path, strconv.Quote(s)+` is not a duration such as "18s", at most `+maxWait.String())
+		return defaultWait
+	}
+	return d
+}
+
+// instant reads a time parameter.
+func (f *findings) instant(args map[string]string, name string) time.Time {
+	s := args[name]
+	if s == "" {
+		return time.Time{}
+	}
+	at, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		f.add(name, strconv.Quote(s)+" is not a time such as 2026-03-02T09:00:00Z")
+	}
+	return at
+}
+
+func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/stage/controller/queue.go
@@ -0,0 +1,52 @@
+package controller
+
+import "sync"
+
+// maxQueued bounds the messages that wait for one stream; a stream that falls behind is closed.
+const maxQueued = 8192
+
+// queue passes messages from the control goroutine to the goroutine that writes a stream.
+type queue[T any] struct {
+	mu     sync.Mutex
+	items  []T
+	closed bool
+	ready  chan struct{}
+}
+
+func newQueue[T any]() *queue[T] { return &queue[T]{ready: make(chan struct{}, 1)} }
+
+// push adds a message; false means that the stream is closed or has fallen behind.
+func (q *queue[T]) push(v T) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed || len(q.items) >= maxQueued {
+		return false
+	}
+	q.items = append(q.items, v)
+	q.signal()
+	return true
+}
+
+// close ends the queue; what waits is still taken.
+func (q *queue[T]) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.signal()
+}
+
+func (q *queue[T]) signal() {
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns what waits, and whether more may come.
+func (q *queue[T]) take() ([]T, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	items := q.items
+	q.items = nil
+	return items, !q.closed
+}
