Thin: keep the quarantine's registry and spread it by a board

Change: the registry is back as it was; quarantiner.Board adds spreading, reports from entries and the lock of a suspect. Conclusion: go vet and go test -race of serving and stage pass.

--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -51,7 +51,7 @@
 	granter   *leaser.Granter
 	registry  *registrar.Registry
 	permits   *registrar.Permits
-	suspects  *quarantiner.Registry
+	suspects  *quarantiner.Board
 	live      *spreader.State
 	revisions leaser.Sequence
 	settled   bool
@@ -116,7 +116,7 @@
 		granter:   g,
 		registry:  registrar.New(g),
 		permits:   registrar.NewPermits(era, now, fresh, limits),
-		suspects:  quarantiner.New(g.SettledAt()),
+		suspects:  quarantiner.NewBoard(quarantiner.New(quarantiner.Config{}), g.SettledAt()),
 		live:      live,
 		revisions: leaser.NewSequence(era),
 		nextAt:    now.Add(lagGrace),
@@ -288,7 +288,7 @@
 
 // publish makes what changed a new revision of the live state; a new leader lists nothing before it has settled.
 func (d *desk) publish(now time.Time) {
-	items := d.suspects.Changes()
+	items := d.suspects.Changes(now)
 	whole := false
 	if d.settled || d.granter.Settled(now) {
 		roster, err := d.registry.Changes()
@@ -306,7 +306,7 @@
 		return
 	}
 	if whole {
-		err = d.live.Replace(revision, d.withSuspects(items))
+		err = d.live.Replace(revision, d.withSuspects(now, items))
 		d.settled = true
 	} else {
 		err = d.live.Change(revision, items)
@@ -317,8 +317,8 @@
 }
 
 // withSuspects adds what was published of the quarantine before the leader settled, and leaves out what is gone.
-func (d *desk) withSuspects(items []spreader.Item) []spreader.Item {
-	all := append(d.suspects.All(), items...)
+func (d *desk) withSuspects(now time.Time, items []spreader.Item) []spreader.Item {
+	all := append(d.suspects.All(now), items...)
 	out := all[:0]
 	for _, it := range all {
 		if it.Value != nil {
