scheduler: withdraw permits that nobody waits for any more, and say whether a returned one was used

Change: WithdrawPermit ends a wish, ReturnPermit.Used lets the leader give the rate back, AskPermit.Waiters lets it prefer loads that many wait for; the candidate carries Warm for hedges.

--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -64,6 +64,8 @@
 	Server string
 	Owner  string
 	Addr   string
+	// Warm says that the server served the adapter lately, so that a hedge there needs no load.
+	Warm bool
 }
 
 // Result says how an offer ended, as far as routing is concerned.
@@ -165,16 +167,17 @@
 	key := hashTarget(t)
 	var order [maxCandidates]*node
 	var list []*node
+	var sets map[string]membership
 	if t.Adapter == "" {
 		list = r.spreadAll(now, rg, order[:0])
 	} else {
 		list = r.routeAdapter(now, rg, key, prefix, order[:0])
+		sets = r.touch(now, key).sets
 	}
 	for _, n := range list {
-		if len(buf) == cap(buf) && len(buf) >= r.cfg.Candidates {
-			break
-		}
-		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
+		_, warm := sets[n.server.Name]
+		warm = warm || t.Adapter == ""
+		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr, Warm: warm})
 	}
 	return buf
 }
--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -51,10 +51,21 @@
 	Server string
 	Target configurer.Target
 	Urgent bool
+	// Waiters is the number of jobs that wait for the load.
+	Waiters int
 }
 
-// ReturnPermit gives a permit back, used or not.
-type ReturnPermit struct{ Permit registrar.Permit }
+// WithdrawPermit says that a permit that was asked for isn't needed any more.
+type WithdrawPermit struct {
+	Server string
+	Target configurer.Target
+}
+
+// ReturnPermit gives a permit back; one that wasn't used counts against no limit of the store.
+type ReturnPermit struct {
+	Permit registrar.Permit
+	Used   bool
+}
 
 // Load orders a server to load an adapter's version.
 type Load struct {
@@ -103,14 +114,15 @@
 	Deadline time.Time
 }
 
-func (Send) action()         {}
-func (Refuse) action()       {}
-func (AskPermit) action()    {}
-func (ReturnPermit) action() {}
-func (Load) action()         {}
-func (Unload) action()       {}
-func (Cancel) action()       {}
-func (Fail) action()         {}
-func (Accuse) action()       {}
-func (Absolve) action()      {}
-func (Alarm) action()        {}
+func (Send) action()           {}
+func (Refuse) action()         {}
+func (AskPermit) action()      {}
+func (ReturnPermit) action()   {}
+func (WithdrawPermit) action() {}
+func (Load) action()           {}
+func (Unload) action()         {}
+func (Cancel) action()         {}
+func (Fail) action()           {}
+func (Accuse) action()         {}
+func (Absolve) action()        {}
+func (Alarm) action()          {}
--- a/serving/scheduler/loads.go
+++ b/serving/scheduler/loads.go
@@ -58,10 +58,10 @@
 		if w.waiters > 0 || sv.slots.State(w.target) == placer.Loading {
 			return false
 		}
-		s.returnPermit(w)
+		s.withdraw(sv, w)
 		return true
 	})
-	if len(sv.wants) == 0 {
+	if !slices.ContainsFunc(sv.wants, func(w *want) bool { return canLoad(sv.slots.State(w.target)) }) {
 		sv.slots.EndDrain()
 	}
 	slices.SortStableFunc(sv.wants, func(a, b *want) int {
@@ -153,7 +153,7 @@
 		}
 		w.asked, w.askedAt = true, now
 		out++
-		s.emit(AskPermit{Server: sv.reg.Name, Target: w.target, Urgent: w.urgent})
+		s.emit(AskPermit{Server: sv.reg.Name, Target: w.target, Urgent: w.urgent, Waiters: w.waiters})
 	}
 }
 
@@ -214,11 +214,19 @@
 	}
 }
 
-// dropPermits gives back what is held and forgets what was asked.
+// withdraw gives back a permit that is held or asked for.
+func (s *Scheduler) withdraw(sv *server, w *want) {
+	s.returnPermit(w)
+	if w.asked {
+		w.asked = false
+		s.emit(WithdrawPermit{Server: sv.reg.Name, Target: w.target})
+	}
+}
+
+// dropPermits gives back what is held or asked for.
 func (s *Scheduler) dropPermits(sv *server) {
 	for _, w := range sv.wants {
-		s.returnPermit(w)
-		w.asked = false
+		s.withdraw(sv, w)
 	}
 }
 
@@ -230,7 +238,7 @@
 	if !sv.slots.EndLoad(now, ev.Target, order, ev.OK) {
 		return
 	}
-	s.emit(ReturnPermit{Permit: sv.loading[ev.Target]})
+	s.emit(ReturnPermit{Permit: sv.loading[ev.Target], Used: true})
 	delete(sv.loading, ev.Target)
 	if ev.OK {
 		delete(sv.cool, ev.Target)
@@ -283,7 +291,7 @@
 	for _, st := range []placer.State{placer.Loading, placer.Unloading} {
 		for _, t := range sv.slots.Stuck(now, st, s.cfg.LoadLost) {
 			if permit, ok := sv.loading[t]; ok {
-				s.emit(ReturnPermit{Permit: permit})
+				s.emit(ReturnPermit{Permit: permit, Used: true})
 				delete(sv.loading, t)
 				s.loadFailed(now, sv, t)
 			}
@@ -304,7 +312,7 @@
 func (s *Scheduler) dropLost(now time.Time, sv *server) {
 	for _, t := range sv.slots.Stuck(now, placer.Loading, s.cfg.LoadLost) {
 		if permit, ok := sv.loading[t]; ok {
-			s.emit(ReturnPermit{Permit: permit})
+			s.emit(ReturnPermit{Permit: permit, Used: true})
 			delete(sv.loading, t)
 		}
 	}
--- a/serving/scheduler/scheduler_test.go
+++ b/serving/scheduler/scheduler_test.go
@@ -66,14 +66,14 @@
 func TestLoadIsSharedAndSlotIsEvicted(t *testing.T) {
 	f := newFixture(t, Config{}, engine(1, 4))
 	a, b := f.job(1, nil), f.job(1, nil)
-	f.c.Assert(f.do(Arrived{Job: a}), qt.DeepEquals, []Action{AskPermit{Server: "e1", Target: target(1), Urgent: true}})
+	f.c.Assert(f.do(Arrived{Job: a}), qt.DeepEquals, []Action{AskPermit{Server: "e1", Target: target(1), Urgent: true, Waiters: 1}})
 	f.c.Assert(f.do(Arrived{Job: b}), qt.HasLen, 0)
 	permit := registrar.Permit{ID: 7}
 	loads := only[Load](f.do(Granted{Server: "e1", Target: target(1), Permit: permit}))
 	f.c.Assert(loads, qt.HasLen, 1)
 	got := f.do(LoadEnded{Server: "e1", Target: target(1), Order: loads[0].Order, OK: true})
 	f.c.Assert(only[Send](got), qt.HasLen, 2)
-	f.c.Assert(only[ReturnPermit](got), qt.DeepEquals, []ReturnPermit{{Permit: permit}})
+	f.c.Assert(only[ReturnPermit](got), qt.DeepEquals, []ReturnPermit{{Permit: permit, Used: true}})
 
 	other := f.job(2, nil)
 	f.c.Assert(only[AskPermit](f.do(Arrived{Job: other})), qt.HasLen, 0)
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -167,7 +167,7 @@
 	s.refuseAll(now, sv, ReasonLeaving)
 	s.dropPermits(sv)
 	for _, t := range sortedTargets(sv.loading) {
-		s.emit(ReturnPermit{Permit: sv.loading[t]})
+		s.emit(ReturnPermit{Permit: sv.loading[t], Used: true})
 	}
 	delete(s.servers, name)
 	s.slow.Forget(name)
