--- /dev/null
+++ b/stage/attempter/attempter.go
@@ -0,0 +1,262 @@
+package attempter
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/router"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/streamer"
+)
+
+const (
+	firstPause   = 10 * time.Millisecond
+	maxPause     = 200 * time.Millisecond
+	defaultFirst = 5 * time.Second
+	lockTimeout  = 10 * time.Second
+	// maxRounds bounds the attempts of one request, whatever ends them.
+	maxRounds = 200
+)
+
+// Control is what the attempter needs of the control role.
+type Control interface {
+	Roster() *registrar.Roster
+	Standing(d quarantiner.Digest) quarantiner.Standing
+	Lock(ctx context.Context, d quarantiner.Digest) (release func(), err error)
+}
+
+// Local serves requests at backend servers that this entry owns.
+type Local interface {
+	Serve(ctx context.Context, req *streamer.Request, server string, last bool, sink streamer.Sink) streamer.End
+}
+
+// Peers serves requests at backend servers that other entries own.
+type Peers interface {
+	Serve(ctx context.Context, addr string, req *streamer.Request, server string, last bool, sink streamer.Sink) streamer.End
+}
+
+// Deps are the parts that an attempter works with; it alone calls the router and the retrier.
+type Deps struct {
+	Name    string
+	Control Control
+	Router  *router.Router
+	Retrier *retrier.Retrier
+	Local   Local
+	Peers   Peers
+	Meter   *meter.Meter
+}
+
+// Attempter tries a request at one candidate after the other.
+type Attempter struct {
+	Deps
+	policy *policy
+	// hopeful keeps the last attempt's "not run" after an earlier one may have run, to show that tests notice.
+	hopeful bool
+}
+
+// New returns an Attempter.
+func New(deps Deps) *Attempter {
+	return &Attempter{Deps: deps, policy: newPolicy(deps.Router, deps.Retrier)}
+}
+
+// run is one request on its way through its attempts.
+type run struct {
+	*Attempter
+	req  *streamer.Request
+	sink streamer.Sink
+	// ran says that an attempt may have run, after which "not run" is never true again.
+	ran     bool
+	tries   int
+	paused  time.Duration
+	left    []router.Candidate
+	release func()
+}
+
+// Do returns the end of the request after all attempts.
+func (a *Attempter) Do(ctx context.Context, req *streamer.Request, sink streamer.Sink) streamer.End {
+	a.policy.arrive()
+	r := &run{Attempter: a, req: req, sink: sink, paused: firstPause}
+	defer r.unlock()
+	var end streamer.End
+	for range maxRounds {
+		end = r.attempt(ctx)
+		if end.Outcome == retrier.Unknown {
+			r.ran = true
+		}
+		if !r.goOn(ctx, end) {
+			break
+		}
+		a.Meter.Retried(string(end.Reason))
+	}
+	if r.ran && end.Outcome == retrier.NotRun && !a.hopeful {
+		end.Outcome = retrier.Unknown
+	}
+	return end
+}
+
+// attempt offers the request to the next candidate, after a look at its standing.
+func (r *run) attempt(ctx context.Context) streamer.End {
+	switch r.Control.Standing(r.req.Digest) {
+	case quarantiner.Convicted:
+		return notRun(streamer.ReasonQuarantine, "this request crashed backend servers and is refused for a while")
+	case quarantiner.Suspect:
+		if err := r.lock(ctx); err != nil {
+			return notRun(streamer.ReasonQuarantine, "this request was in flight at a crash and could not be run alone: "+err.Error())
+		}
+	case quarantiner.Clear:
+	}
+	roster := r.Control.Roster()
+	if roster == nil {
+		return notRun(streamer.ReasonNoServer, "this entry has no roster yet")
+	}
+	if len(r.left) == 0 {
+		r.left = r.policy.route(roster, r.req)
+	}
+	if len(r.left) == 0 {
+		return notRun(streamer.ReasonNoServer, "no backend server answers for "+r.req.Target.Service+" now")
+	}
+	c := r.left[0]
+	r.left = r.left[1:]
+	if len(r.left) > 0 {
+		if after, ok := r.policy.hedgeAfter(r.facts()); ok && r.release == nil {
+			return r.serveHedged(ctx, after, c, r.left[0], false)
+		}
+	}
+	return r.serve(ctx, c, len(r.left) == 0, r.sink)
+}
+
+// serve makes one attempt at the candidate's owner.
+func (r *run) serve(ctx context.Context, c router.Candidate, last bool, sink streamer.Sink) streamer.End {
+	r.policy.begin(c, r.req)
+	timed := &timedSink{Sink: sink, begun: time.Now(), policy: r.policy}
+	var end streamer.End
+	if c.Owner == r.Name {
+		end = r.Local.Serve(ctx, r.req, c.Server, last, timed)
+	} else {
+		end = r.Peers.Serve(ctx, c.Addr, r.req, c.Server, last, timed)
+	}
+	r.policy.done(c, r.req, end)
+	return end
+}
+
+// timedSink tells the retrier how long the first token took.
+type timedSink struct {
+	streamer.Sink
+	begun  time.Time
+	policy *policy
+}
+
+// Head implements streamer.Sink.
+func (s *timedSink) Head(h streamer.Head) {
+	s.policy.first(time.Since(s.begun))
+	s.Sink.Head(h)
+}
+
+func (r *run) facts() retrier.Request {
+	return retrier.Request{
+		Idempotent: r.req.Idempotent, Urgent: r.req.Urgent, Deadline: r.req.Deadline, Tries: r.tries,
+		MayHaveRun: r.ran, Delivered: r.sink.Opened(),
+	}
+}
+
+// goOn decides whether another attempt follows, and waits for its time.
+func (r *run) goOn(ctx context.Context, end streamer.End) bool {
+	if ctx.Err() != nil || r.sink.Opened() || end.Outcome == retrier.Done {
+		return false
+	}
+	final := false
+	switch end.Reason {
+	case streamer.ReasonConflict, streamer.ReasonQuarantine, streamer.ReasonCancelled, streamer.ReasonRecord,
+		streamer.ReasonSlow, streamer.ReasonDeadline, streamer.ReasonOversized, streamer.ReasonClosing:
+		final = true
+	case streamer.ReasonStanding:
+		r.left = nil
+		return true
+	case streamer.ReasonPeer:
+		if r.req.IsBooking() && end.Outcome == retrier.Unknown {
+			// The record answers a second question by the same key, and lets nothing run twice.
+			return r.pause(ctx)
+		}
+	}
+	if !final && end.Outcome == retrier.NotRun && len(r.left) == 0 && isAbsence(end.Reason) {
+		return r.pause(ctx)
+	}
+	res := retrier.Result{
+		Outcome: end.Outcome, Refused: end.Outcome == retrier.NotRun, Final: final, More: len(r.left) > 0,
+		RetryAfter: end.RetryAfter,
+	}
+	d := r.policy.decide(r.facts(), res)
+	switch d.Step {
+	case retrier.Next:
+		return true
+	case retrier.Retry:
+		r.tries++
+		r.left = nil
+		return sleep(ctx, d.After)
+	case retrier.Finish:
+	}
+	return false
+}
+
+// isAbsence reports whether nobody could take the request, which passes once ownership has moved.
+func isAbsence(reason streamer.Reason) bool {
+	switch reason {
+	case streamer.ReasonNoServer, streamer.ReasonPeer, streamer.ReasonUnreachable, streamer.ReasonRunning,
+		streamer.Reason(scheduler.ReasonNotOwner), streamer.Reason(scheduler.ReasonLeaving):
+		return true
+	}
+	return false
+}
+
+// pause waits with jitter until the budget for the first token is spent.
+func (r *run) pause(ctx context.Context) bool {
+	wait := r.paused/2 + rand.N(r.paused)
+	r.paused = min(2*r.paused, maxPause)
+	limit := r.req.FirstBy
+	if limit.IsZero() {
+		limit = r.req.Arrived.Add(defaultFirst)
+	}
+	if time.Now().Add(wait).After(limit) {
+		return false
+	}
+	r.left = nil
+	return sleep(ctx, wait)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (r *run) lock(ctx context.Context) error {
+	if r.release != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, lockTimeout)
+	defer cancel()
+	release, err := r.Control.Lock(ctx, r.req.Digest)
+	if err != nil {
+		return err
+	}
+	r.release = release
+	return nil
+}
+
+func (r *run) unlock() {
+	if r.release != nil {
+		r.release()
+	}
+}
+
+func notRun(reason streamer.Reason, message string) streamer.End {
+	return streamer.End{Outcome: retrier.NotRun, Reason: reason, Message: message}
+}
--- /dev/null
+++ b/stage/attempter/policy.go
@@ -0,0 +1,97 @@
+package attempter
+
+import (
+	"sync"
+	"time"
+
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/router"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/streamer"
+)
+
+// policy lets many requests share the router and the retrier.
+type policy struct {
+	mu       sync.Mutex
+	router   *router.Router
+	retrier  *retrier.Retrier
+	roster   *registrar.Roster
+	services map[string]bool
+}
+
+func newPolicy(r *router.Router, t *retrier.Retrier) *policy {
+	return &policy{router: r, retrier: t, services: make(map[string]bool)}
+}
+
+func (p *policy) arrive() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retrier.Begin()
+}
+
+// route returns the candidates for the request under the roster.
+func (p *policy) route(roster *registrar.Roster, req *streamer.Request) []router.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.roster != roster || !p.services[req.Target.Service] {
+		p.roster = roster
+		p.services[req.Target.Service] = true
+		names := make([]string, 0, len(p.services))
+		for name := range p.services {
+			names = append(names, name)
+		}
+		p.router.Rebuild(roster, names...)
+	}
+	return p.router.Route(time.Now(), req.Target, req.Prefix, nil)
+}
+
+func (p *policy) begin(c router.Candidate, req *streamer.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Begin(time.Now(), c.Server, req.Target)
+}
+
+func (p *policy) done(c router.Candidate, req *streamer.Request, end streamer.End) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Done(time.Now(), router.Feedback{Server: c.Server, Target: req.Target, Result: resultOf(end), Load: -1})
+}
+
+func (p *policy) first(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retrier.ObserveFirst(took)
+}
+
+func (p *policy) decide(req retrier.Request, res retrier.Result) retrier.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retrier.Decide(time.Now(), req, res)
+}
+
+func (p *policy) hedgeAfter(req retrier.Request) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retrier.HedgeAfter(req)
+}
+
+func (p *policy) takeHedge() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retrier.TakeHedge()
+}
+
+// resultOf says what an attempt's end tells of its server.
+func resultOf(end streamer.End) router.Result {
+	switch end.Reason {
+	case streamer.Reason(scheduler.ReasonFull), streamer.Reason(scheduler.ReasonLate),
+		streamer.Reason(scheduler.ReasonNotOwner), streamer.Reason(scheduler.ReasonLeaving):
+		return router.Refused
+	case streamer.Reason(scheduler.ReasonLoad):
+		return router.LoadFailed
+	case streamer.ReasonPeer, streamer.ReasonUnreachable, streamer.ReasonCrashed, streamer.ReasonSilent:
+		return router.Unreachable
+	}
+	return router.Served
+}
--- /dev/null
+++ b/stage/dispatcher/dispatcher.go
@@ -0,0 +1,228 @@
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/router"
+	"redwingstage.org/stage/attempter"
+	"redwingstage.org/stage/booker"
+	"redwingstage.org/stage/forwarder"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/owner"
+	"redwingstage.org/stage/receiver"
+	"redwingstage.org/stage/sender"
+)
+
+const headerTimeout = 5 * time.Second
+
+// Control is the control role as an entry sees it.
+type Control interface {
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog() *configurer.Catalog
+	// Roster returns the servers, their owners and the entries, or nil before the first.
+	Roster() *registrar.Roster
+	// Standing returns what is known of a request's digest.
+	Standing(d quarantiner.Digest) quarantiner.Standing
+	// Updated is closed at the next change of catalog, roster, standings or lease.
+	Updated() <-chan struct{}
+	// LeaseEnd returns the time before which orders may be given.
+	LeaseEnd() time.Time
+	// Announce passes on a backend server's announcement.
+	Announce(s registrar.Server)
+	// Permit asks for one adapter load.
+	Permit(ctx context.Context, server string, t configurer.Target, urgent bool) (registrar.Permit, error)
+	// Return gives a permit back.
+	Return(p registrar.Permit)
+	// Accuse makes digests that were in flight at a crash suspects everywhere.
+	Accuse(ctx context.Context, server string, ds []quarantiner.Digest) error
+	// Lock lets one suspect run at a time.
+	Lock(ctx context.Context, d quarantiner.Digest) (release func(), err error)
+	// Begin records a booking before it is sent.
+	Begin(ctx context.Context, b recorder.Begin) (recorder.Begun, error)
+	// End records how a booking ended.
+	End(ctx context.Context, e recorder.End) error
+	// Release hands a server over, with the adapters that open requests still use.
+	Release(ctx context.Context, server string, pinned []configurer.Target) error
+}
+
+// Config says where an entry listens and who it is.
+type Config struct {
+	Name        string
+	Incarnation uint64
+	// Zone is the data centre.
+	Zone string
+	// Callers, Peers and Metrics are ip:port; an empty Metrics address means none.
+	Callers string
+	Peers   string
+	Metrics string
+	Limits  receiver.Config
+}
+
+// Option changes a Dispatcher.
+type Option func(*parts)
+
+// parts are those that options may replace.
+type parts struct {
+	decider  owner.Decider
+	router   *router.Router
+	retrier  *retrier.Retrier
+	sender   *sender.Sender
+	log      *logger.Logger
+	registry *prometheus.Registry
+}
+
+// WithSender replaces the client to backend servers.
+func WithSender(s *sender.Sender) Option { return func(p *parts) { p.sender = s } }
+
+// WithLog sets where logs go.
+func WithLog(l *logger.Logger) Option { return func(p *parts) { p.log = l } }
+
+// WithRegistry sets where metrics are registered.
+func WithRegistry(r *prometheus.Registry) Option { return func(p *parts) { p.registry = r } }
+
+// WithDecider replaces the scheduler.
+func WithDecider(d owner.Decider) Option { return func(p *parts) { p.decider = d } }
+
+// WithRouter replaces the choice of candidates.
+func WithRouter(r *router.Router) Option { return func(p *parts) { p.router = r } }
+
+// Dispatcher is a running entry.
+type Dispatcher struct {
+	receiver *receiver.Receiver
+	owner    *owner.Owner
+	booker   *booker.Booker
+	sender   *sender.Sender
+	client   *forwarder.Client
+	peers    *http.Server
+	metrics  *http.Server
+	log      *logger.Part
+	wg       conc.WaitGroup
+
+	callersAddr, peersAddr, metricsAddr string
+}
+
+// New starts an entry; it serves callers as soon as control has told it of a catalog and a roster.
+func New(cfg Config, control Control, opts ...Option) (*Dispatcher, error) {
+	p := newParts(cfg, opts)
+	var lns listeners
+	callers, peers, metrics := lns.open("callers", cfg.Callers), lns.open("peers", cfg.Peers), lns.open("metrics", cfg.Metrics)
+	if lns.err != nil {
+		lns.close()
+		return nil, lns.err
+	}
+	if callers == nil || peers == nil {
+		lns.close()
+		return nil, errors.New("callers and peers: an address is missing")
+	}
+	m := meter.New(p.registry)
+	id := booker.Identity{Entry: cfg.Name, Incarnation: cfg.Incarnation}
+	d := &Dispatcher{sender: p.sender, client: forwarder.NewClient(), log: p.log.Part("entry")}
+	d.booker = booker.New(control, id)
+	d.owner = owner.New(id, owner.Deps{
+		Control: control, Decider: p.decider, Sender: p.sender, Booker: d.booker, Meter: m, Log: p.log.Part("owner"),
+	})
+	doer := attempter.New(attempter.Deps{
+		Name: cfg.Name, Control: control, Router: p.router, Retrier: p.retrier, Local: d.owner, Peers: d.client, Meter: m,
+	})
+	limits := cfg.Limits
+	limits.Entry, limits.Incarnation = cfg.Name, cfg.Incarnation
+	d.receiver = receiver.New(callers, limits, receiver.Deps{Control: control, Doer: doer, Meter: m, Log: p.log.Part("entry")})
+	d.callersAddr = callers.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle(forwarder.NewHandler(d.owner))
+	d.peers, d.peersAddr = encoder.NewServer(mux), peers.Addr().String()
+	d.serve(d.peers, peers)
+	if metrics != nil {
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+		d.metrics, d.metricsAddr = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, metrics.Addr().String()
+		d.serve(d.metrics, metrics)
+	}
+	return d, nil
+}
+
+func (d *Dispatcher) serve(s *http.Server, ln net.Listener) {
+	d.wg.Go(func() {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("listener ended", err)
+		}
+	})
+}
+
+// Callers returns the address of the callers' listener.
+func (d *Dispatcher) Callers() string { return d.callersAddr }
+
+// Peers returns the address of the peers' listener.
+func (d *Dispatcher) Peers() string { return d.peersAddr }
+
+// Metrics returns the address of the metrics listener, or "".
+func (d *Dispatcher) Metrics() string { return d.metricsAddr }
+
+// Close shuts the entry down: not ready, servers handed over with their pins, open requests ended; none is cut before ctx is done.
+func (d *Dispatcher) Close(ctx context.Context) error {
+	d.log.Info("shutting down", "")
+	d.receiver.Leave()
+	failures := []error{d.owner.Drain(ctx), d.receiver.Wait(ctx), d.receiver.Close(ctx), d.peers.Shutdown(ctx)}
+	d.owner.Close()
+	d.booker.Close()
+	d.client.Close()
+	d.sender.Close()
+	failures = append(failures, d.peers.Close())
+	if d.metrics != nil {
+		failures = append(failures, d.metrics.Close())
+	}
+	d.wg.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return errors.Wrap(err, "shut down")
+		}
+	}
+	return nil
+}
+
+// listeners opens listeners until one fails.
+type listeners struct {
+	opened []net.Listener
+	err    error
+}
+
+func (l *listeners) open(name, addr string) net.Listener {
+	if l.err != nil || addr == "" {
+		return nil
+	}
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		l.err = errors.Wrapf(err, "%s: listen on %s", name, addr)
+		return nil
+	}
+	l.opened = append(l.opened, ln)
+	return ln
+}
+
+func (l *listeners) close() {
+	for _, ln := range l.opened {
+		_ = ln.Close()
+	}
+}
+
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
--- /dev/null
+++ b/stage/forwarder/wire.go
@@ -0,0 +1,130 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/stage/streamer"
+)
+
+const procedure = "/redwing.forwarder/Serve"
+
+// serveRequest is a request on its way to the owner; times are left as durations, because clocks differ.
+type serveRequest struct {
+	Server     string        `cbor:"1,keyasint"`
+	Last       bool          `cbor:"2,keyasint,omitempty"`
+	ID         string        `cbor:"3,keyasint"`
+	Caller     string        `cbor:"4,keyasint"`
+	Service    string        `cbor:"5,keyasint"`
+	Adapter    string        `cbor:"6,keyasint,omitempty"`
+	Version    int           `cbor:"7,keyasint,omitempty"`
+	Kind       string        `cbor:"8,keyasint"`
+	Class      string        `cbor:"9,keyasint"`
+	Urgent     bool          `cbor:"10,keyasint,omitempty"`
+	Long       bool          `cbor:"11,keyasint,omitempty"`
+	Idempotent bool          `cbor:"12,keyasint,omitempty"`
+	Stream     bool          `cbor:"13,keyasint,omitempty"`
+	Method     string        `cbor:"14,keyasint"`
+	URI        string        `cbor:"15,keyasint"`
+	Type       string        `cbor:"16,keyasint,omitempty"`
+	Accept     string        `cbor:"17,keyasint,omitempty"`
+	Body       []byte        `cbor:"18,keyasint,omitempty"`
+	Key        string        `cbor:"19,keyasint,omitempty"`
+	Digest     [16]byte      `cbor:"20,keyasint"`
+	Prefix     uint64        `cbor:"21,keyasint,omitempty"`
+	MaxTokens  int           `cbor:"22,keyasint,omitempty"`
+	Waited     time.Duration `cbor:"23,keyasint"`
+	FirstIn    time.Duration `cbor:"24,keyasint,omitempty"`
+	EndIn      time.Duration `cbor:"25,keyasint,omitempty"`
+}
+
+// frame is a piece of an answer; an empty one only shows that the connection lives.
+type frame struct {
+	Head *headFrame `cbor:"1,keyasint,omitempty"`
+	Data []byte     `cbor:"2,keyasint,omitempty"`
+	End  *endFrame  `cbor:"3,keyasint,omitempty"`
+}
+
+type headFrame struct {
+	Status int    `cbor:"1,keyasint"`
+	Type   string `cbor:"2,keyasint"`
+}
+
+type endFrame struct {
+	Outcome    string        `cbor:"1,keyasint"`
+	Reason     string        `cbor:"2,keyasint,omitempty"`
+	Message    string        `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+func newServeRequest(r *streamer.Request, server string, last bool, now time.Time) *serveRequest {
+	return &serveRequest{
+		Server: server, Last: last, ID: r.ID, Caller: r.Caller, Service: r.Target.Service, Adapter: r.Target.Adapter,
+		Version: r.Target.Version, Kind: string(r.Kind), Class: r.Class, Urgent: r.Urgent, Long: r.Long,
+		Idempotent: r.Idempotent, Stream: r.Stream, Method: r.Method, URI: r.URI, Type: r.Type, Accept: r.Accept,
+		Body: r.Body, Key: r.Key, Digest: r.Digest, Prefix: r.Prefix, MaxTokens: r.MaxTokens,
+		Waited: now.Sub(r.Arrived), FirstIn: until(r.FirstBy, now), EndIn: until(r.Deadline, now),
+	}
+}
+
+// until keeps zero for no limit and never returns zero for a limit that has passed.
+func until(t, now time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	if d := t.Sub(now); d != 0 {
+		return d
+	}
+	return -1
+}
+
+func after(d time.Duration, now time.Time) time.Time {
+	if d == 0 {
+		return time.Time{}
+	}
+	return now.Add(d)
+}
+
+// request checks a peer's message and returns the request that it carries.
+func (w *serveRequest) request(now time.Time) (*streamer.Request, error) {
+	kind := configurer.Kind(w.Kind)
+	switch {
+	case w.Server == "":
+		return nil, errors.New("server: missing")
+	case w.Service == "":
+		return nil, errors.New("service: missing")
+	case kind != configurer.KindModel && kind != configurer.KindPlain:
+		return nil, errors.Errorf("kind: unknown %q", w.Kind)
+	case w.Method == "" || w.URI == "" || w.URI[0] != '/':
+		return nil, errors.Errorf("call: bad method %q or URI %q", w.Method, w.URI)
+	case w.Version < 0 || w.MaxTokens < 0:
+		return nil, errors.New("version or tokens: negative")
+	case !w.Idempotent && w.Key == "":
+		return nil, errors.New("key: missing on a non-idempotent call")
+	}
+	return &streamer.Request{
+		ID: w.ID, Caller: w.Caller, Kind: kind, Class: w.Class, Urgent: w.Urgent, Long: w.Long,
+		Target:     configurer.Target{Service: w.Service, Adapter: w.Adapter, Version: w.Version},
+		Idempotent: w.Idempotent, Stream: w.Stream, Method: w.Method, URI: w.URI, Type: w.Type, Accept: w.Accept,
+		Body: w.Body, Key: w.Key, Digest: w.Digest, Prefix: w.Prefix, MaxTokens: w.MaxTokens,
+		Arrived: now.Add(-w.Waited), FirstBy: after(w.FirstIn, now), Deadline: after(w.EndIn, now),
+	}, nil
+}
+
+func newEndFrame(e streamer.End) *endFrame {
+	return &endFrame{Outcome: e.Outcome.String(), Reason: string(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter}
+}
+
+func (e *endFrame) end() (streamer.End, error) {
+	end := streamer.End{Reason: streamer.Reason(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter}
+	for _, o := range []retrier.Outcome{retrier.Unknown, retrier.NotRun, retrier.Done} {
+		if o.String() == e.Outcome {
+			end.Outcome = o
+			return end, nil
+		}
+	}
+	return end, errors.Errorf("end: unknown outcome %q", e.Outcome)
+}
--- /dev/null
+++ b/stage/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter keeps the metrics of an entry process.
+package meter
--- /dev/null
+++ b/stage/owner/action.go
@@ -0,0 +1,211 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/sender"
+)
+
+const (
+	accuseTimeout = 3 * time.Second
+	permitTimeout = 5 * time.Second
+	loadTimeout   = 10 * time.Second
+)
+
+// execute carries out what the scheduler decided; whatever waits goes to goroutines of its own.
+func (o *Owner) execute(actions []scheduler.Action) {
+	var failed []scheduler.Fail
+	var accused *scheduler.Accuse
+	for _, a := range actions {
+		switch a := a.(type) {
+		case scheduler.Send:
+			o.decide(a.Job.Attempt, decision{send: true})
+		case scheduler.Refuse:
+			o.decide(a.Attempt, decision{reason: a.Reason, retryAfter: a.RetryAfter})
+			o.Meter.Refused(string(a.Reason))
+		case scheduler.Cancel:
+			if j := o.jobs[a.Attempt]; j != nil {
+				j.cancel()
+			}
+		case scheduler.Fail:
+			failed = append(failed, a)
+		case scheduler.Accuse:
+			accused = &a
+		case scheduler.AskPermit:
+			o.askPermit(a)
+		case scheduler.ReturnPermit:
+			o.tasks.Go(func() { o.Control.Return(a.Permit) })
+		case scheduler.Load:
+			o.load(a)
+		case scheduler.Unload:
+			o.unload(a)
+		case scheduler.Alarm:
+			o.Meter.AtRisk(a.Class)
+			o.Log.Warn("deadline at risk for class "+a.Class, a.Attempt.String())
+		}
+	}
+	o.fail(failed, accused)
+}
+
+func (o *Owner) decide(a retrier.Attempt, d decision) {
+	j := o.jobs[a]
+	if j == nil {
+		return
+	}
+	if d.send {
+		j.sent = true
+	} else {
+		delete(o.jobs, a)
+	}
+	select {
+	case j.decided <- d:
+	default:
+	}
+}
+
+// fail tells attempts that they can't be finished; when their server is gone, the accusation goes before any answer to a caller.
+func (o *Owner) fail(failed []scheduler.Fail, accused *scheduler.Accuse) {
+	if len(failed) == 0 && accused == nil {
+		return
+	}
+	var digests []quarantiner.Digest
+	if accused != nil {
+		for _, a := range accused.Attempts {
+			if j := o.jobs[a]; j != nil {
+				digests = append(digests, j.req.Digest)
+			}
+		}
+	}
+	var cut []*job
+	for _, f := range failed {
+		j := o.jobs[f.Attempt]
+		switch {
+		case j == nil:
+		case o.going:
+			j.crashed.Store(f.Crashed)
+			cut = append(cut, j)
+			delete(o.jobs, f.Attempt)
+		default:
+			// The server still runs it: the attempt ends once the cancel is confirmed.
+			j.silent.Store(true)
+			j.cancel()
+		}
+	}
+	o.tasks.Go(func() {
+		if len(digests) > 0 {
+			o.accuse(accused.Server, digests)
+		}
+		for _, j := range cut {
+			close(j.failed)
+			j.cancel()
+		}
+	})
+}
+
+func (o *Owner) accuse(server string, digests []quarantiner.Digest) {
+	ctx, cancel := context.WithTimeout(o.ctx, accuseTimeout)
+	defer cancel()
+	if err := o.Control.Accuse(ctx, server, digests); err != nil {
+		o.Log.Error("reporting a crash of "+server+" failed", err)
+	}
+}
+
+func (o *Owner) askPermit(a scheduler.AskPermit) {
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, permitTimeout)
+		defer cancel()
+		p, err := o.Control.Permit(ctx, a.Server, a.Target, a.Urgent)
+		if err != nil {
+			o.feed(scheduler.Denied{Server: a.Server, Target: a.Target})
+			return
+		}
+		if !o.feed(scheduler.Granted{Server: a.Server, Target: a.Target, Permit: p}) {
+			o.Control.Return(p)
+		}
+	})
+}
+
+// mayOrder reports whether an order under the epoch is still allowed; it is asked right before the order is written.
+func (o *Owner) mayOrder(server string, epoch uint64) (held, bool) {
+	h := o.held[server]
+	if h == nil || h.owner.Epoch != epoch || !h.adopted {
+		return held{}, false
+	}
+	now := time.Now()
+	return *h, now.Before(o.Control.LeaseEnd()) && !now.Before(h.orderAt)
+}
+
+func (o *Owner) load(a scheduler.Load) {
+	h, ok := o.mayOrder(a.Server, a.Epoch)
+	lease := o.Control.LeaseEnd()
+	source := o.source(a.Target)
+	o.tasks.Go(func() {
+		if !ok || source == "" {
+			o.feed(scheduler.LoadEnded{Server: a.Server, Target: a.Target, Order: a.Order})
+			return
+		}
+		begun := time.Now()
+		ctx, cancel := context.WithDeadline(o.ctx, lease)
+		defer cancel()
+		incarnation, err := o.Sender.Load(ctx, sender.Order{
+			Attempt: o.attempt().String(), Addr: h.server.Addr, Name: a.Target.String(), Path: source,
+			Fence: a.Epoch, Wait: loadTimeout,
+		})
+		confirmed := err == nil && incarnation == h.server.Incarnation
+		o.Meter.Loaded(confirmed, time.Since(begun))
+		o.post(func() { o.ordered(a.Server, a.Epoch, err, incarnation) })
+		o.feed(scheduler.LoadEnded{Server: a.Server, Target: a.Target, Order: a.Order, OK: confirmed})
+	})
+}
+
+func (o *Owner) unload(a scheduler.Unload) {
+	h, ok := o.mayOrder(a.Server, a.Epoch)
+	lease := o.Control.LeaseEnd()
+	o.tasks.Go(func() {
+		if !ok {
+			o.feed(scheduler.UnloadEnded{Server: a.Server, Target: a.Target, Order: a.Order})
+			return
+		}
+		ctx, cancel := context.WithDeadline(o.ctx, lease)
+		defer cancel()
+		err := o.Sender.Unload(ctx, sender.Order{
+			Attempt: o.attempt().String(), Addr: h.server.Addr, Name: a.Target.String(), Fence: a.Epoch, Wait: loadTimeout,
+		})
+		o.post(func() { o.ordered(a.Server, a.Epoch, err, "") })
+		o.feed(scheduler.UnloadEnded{Server: a.Server, Target: a.Target, Order: a.Order, OK: err == nil})
+	})
+}
+
+// ordered looks at an order's end for signs of a newer owner or a restart.
+func (o *Owner) ordered(server string, epoch uint64, err error, incarnation string) {
+	h := o.held[server]
+	if h == nil || h.owner.Epoch != epoch {
+		return
+	}
+	switch {
+	case errors.Is(err, sender.ErrOldFence):
+		o.Log.Warn("a newer owner orders the backend server", server)
+		o.release(h)
+	case err != nil || incarnation != "" && incarnation != h.server.Incarnation:
+		o.poll(h)
+	}
+}
+
+func (o *Owner) source(t configurer.Target) string {
+	a, ok := o.Control.Catalog().Adapter(t.Adapter)
+	if !ok {
+		return ""
+	}
+	v, ok := a.Version(t.Version)
+	if !ok {
+		return ""
+	}
+	return v.Source()
+}
--- /dev/null
+++ b/stage/owner/owner.go
@@ -0,0 +1,201 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/booker"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/sender"
+)
+
+const (
+	tickInterval   = 10 * time.Millisecond
+	pollInterval   = 500 * time.Millisecond
+	pollTimeout    = 2 * time.Second
+	silentLimit    = 5 * time.Second
+	isolationLimit = 30 * time.Second
+	inboxSize      = 1024
+)
+
+// Control is what the owner needs of the control role.
+type Control interface {
+	Catalog() *configurer.Catalog
+	Roster() *registrar.Roster
+	Standing(d quarantiner.Digest) quarantiner.Standing
+	Updated() <-chan struct{}
+	LeaseEnd() time.Time
+	Permit(ctx context.Context, server string, t configurer.Target, urgent bool) (registrar.Permit, error)
+	Return(p registrar.Permit)
+	Accuse(ctx context.Context, server string, ds []quarantiner.Digest) error
+	Release(ctx context.Context, server string, pinned []configurer.Target) error
+}
+
+// Decider decides what happens to jobs, adapters and servers.
+type Decider interface {
+	Handle(now time.Time, ev scheduler.Event) []scheduler.Action
+}
+
+// Deps are the parts that an owner works with.
+type Deps struct {
+	Control Control
+	Decider Decider
+	Sender  *sender.Sender
+	Booker  *booker.Booker
+	Meter   *meter.Meter
+	Log     *logger.Part
+}
+
+// Owner owns some backend servers: it alone sends them requests and orders.
+type Owner struct {
+	Deps
+	id    booker.Identity
+	next  atomic.Uint64
+	inbox chan func()
+	ctx   context.Context
+	stop  context.CancelFunc
+	loop  conc.WaitGroup
+	tasks conc.WaitGroup
+
+	// The fields below belong to the loop's goroutine.
+	held    map[string]*held
+	jobs    map[retrier.Attempt]*job
+	leased  bool
+	lapsed  time.Time
+	closing bool
+	// going says that the actions at hand follow a server's end.
+	going   bool
+	drained chan struct{}
+}
+
+// New starts an owner for the entry process with the identity.
+func New(id booker.Identity, deps Deps) *Owner {
+	ctx, stop := context.WithCancel(context.Background())
+	o := &Owner{
+		Deps: deps, id: id, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
+		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job),
+	}
+	o.loop.Go(o.run)
+	return o
+}
+
+// run is the one goroutine that owns the control state.
+func (o *Owner) run() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	updated := o.Control.Updated()
+	o.sync(time.Now())
+	for {
+		select {
+		case f := <-o.inbox:
+			f()
+		case <-updated:
+			updated = o.Control.Updated()
+			o.sync(time.Now())
+		case <-ticker.C:
+			o.tick(time.Now())
+		case <-o.ctx.Done():
+			return
+		}
+	}
+}
+
+// post has f run by the loop; it reports false once the owner is closed.
+func (o *Owner) post(f func()) bool {
+	select {
+	case o.inbox <- f:
+		return true
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+// feed has the scheduler handle an event.
+func (o *Owner) feed(ev scheduler.Event) bool {
+	return o.post(func() { o.handle(ev) })
+}
+
+func (o *Owner) handle(ev scheduler.Event) {
+	o.execute(o.Decider.Handle(time.Now(), ev))
+}
+
+func (o *Owner) tick(now time.Time) {
+	o.checkLease(now)
+	for _, h := range o.held {
+		if !h.polling && !now.Before(h.nextPoll) {
+			o.poll(h)
+		}
+	}
+	o.handle(scheduler.Tick{})
+	o.Meter.Owned(len(o.held), len(o.jobs))
+	o.checkDrained()
+}
+
+// checkLease stops orders when the lease has passed, and all sending a while later.
+func (o *Owner) checkLease(now time.Time) {
+	valid := now.Before(o.Control.LeaseEnd())
+	switch {
+	case valid && !o.leased:
+		o.leased = true
+		o.Log.Info("lease is valid", "")
+		o.readopt(now)
+	case !valid && o.leased:
+		o.leased, o.lapsed = false, now
+		o.Log.Warn("lease has ended, no orders until it is renewed", "")
+		o.handle(scheduler.LeaseLost{})
+	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > isolationLimit:
+		o.lapsed = time.Time{}
+		for _, h := range o.held {
+			o.release(h)
+		}
+	}
+	o.Meter.Lease(valid)
+}
+
+func (o *Owner) attempt() retrier.Attempt {
+	return retrier.NewAttempt(o.id.Entry, o.id.Incarnation, o.next.Add(1))
+}
+
+// Drain hands over all servers with their pins and waits until the last open request has ended.
+func (o *Owner) Drain(ctx context.Context) error {
+	drained := make(chan struct{})
+	ok := o.post(func() {
+		o.closing, o.drained = true, drained
+		for _, h := range o.held {
+			o.handover(h)
+		}
+		o.checkDrained()
+	})
+	if !ok {
+		return nil
+	}
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (o *Owner) checkDrained() {
+	if o.drained != nil && len(o.jobs) == 0 {
+		close(o.drained)
+		o.drained = nil
+	}
+}
+
+// Close ends all that is still open and waits for every goroutine.
+func (o *Owner) Close() {
+	o.stop()
+	o.loop.Wait()
+	o.tasks.Wait()
+}
--- /dev/null
+++ b/stage/owner/serve.go
@@ -0,0 +1,300 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/sender"
+	"redwingstage.org/stage/streamer"
+)
+
+const (
+	// holdLimit bounds how long an answer waits for news of a crash.
+	holdLimit     = 4 * time.Second
+	maxResumes    = 2
+	cancelTimeout = 1 * time.Second
+	cancelBackoff = 20 * time.Millisecond
+	maxBackoff    = 500 * time.Millisecond
+	bookingLimit  = 60 * time.Second
+	progressEvery = 8
+)
+
+// decision is the scheduler's word on a queued job.
+type decision struct {
+	send       bool
+	reason     scheduler.Reason
+	retryAfter time.Duration
+}
+
+// job is one attempt between its arrival and its end.
+type job struct {
+	attempt retrier.Attempt
+	req     *streamer.Request
+	server  registrar.Server
+	job     scheduler.Job
+	// sent and standing belong to the loop's goroutine.
+	sent     bool
+	standing quarantiner.Standing
+	decided  chan decision
+	failed   chan struct{}
+	crashed  atomic.Bool
+	silent   atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// Serve queues the request for the server, and answers into sink once it has run.
+func (o *Owner) Serve(ctx context.Context, req *streamer.Request, server string, last bool, sink streamer.Sink) streamer.End {
+	j := o.newJob(ctx, req, server, last)
+	defer j.cancel()
+	arrived := o.post(func() { o.arrive(j) })
+	if !arrived {
+		return refused(streamer.ReasonClosing, "this entry shuts down")
+	}
+	d, ok := o.await(ctx, j)
+	if !ok {
+		return refused(streamer.ReasonClosing, "this entry shuts down")
+	}
+	if !d.send {
+		return streamer.End{
+			Outcome: retrier.NotRun, Reason: streamer.Reason(d.reason), RetryAfter: d.retryAfter,
+			Message: "the request was refused before it was sent: " + string(d.reason),
+		}
+	}
+	if req.IsBooking() {
+		return o.book(j, sink)
+	}
+	return o.exchange(j, sink)
+}
+
+func (o *Owner) newJob(ctx context.Context, req *streamer.Request, server string, last bool) *job {
+	if req.IsBooking() {
+		// A booking that was begun goes on without its caller, so that its answer is there for the next try.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	j := &job{
+		attempt: o.attempt(), req: req, decided: make(chan decision, 2), failed: make(chan struct{}),
+		ctx: ctx, cancel: cancel,
+	}
+	j.job = scheduler.Job{
+		Attempt: j.attempt, Server: server, Target: req.Target, Class: req.Class, Urgent: req.Urgent, Long: req.Long,
+		Idempotent: req.Idempotent, Digest: req.Digest, Standing: o.Control.Standing(req.Digest), Prefix: req.Prefix,
+		MaxTokens: req.MaxTokens, Arrived: req.Arrived, FirstBy: req.FirstBy, Deadline: req.Deadline, Last: last,
+	}
+	return j
+}
+
+func (o *Owner) arrive(j *job) {
+	h := o.held[j.job.Server]
+	if h == nil || !h.adopted || o.closing {
+		j.decided <- decision{reason: scheduler.ReasonNotOwner}
+		return
+	}
+	j.server, j.standing = h.server, j.job.Standing
+	o.jobs[j.attempt] = j
+	o.handle(scheduler.Arrived{Job: j.job})
+}
+
+// await returns the scheduler's decision; a caller who leaves the queue has it decided at once.
+func (o *Owner) await(ctx context.Context, j *job) (decision, bool) {
+	select {
+	case d := <-j.decided:
+		return d, true
+	case <-o.ctx.Done():
+		return decision{}, false
+	case <-ctx.Done():
+	}
+	o.feed(scheduler.Cancelled{Attempt: j.attempt})
+	select {
+	case d := <-j.decided:
+		return d, true
+	case <-o.ctx.Done():
+		return decision{}, false
+	}
+}
+
+// ended tells the scheduler that nothing of the attempt is left at its server.
+func (o *Owner) ended(j *job, ev scheduler.Ended) {
+	ev.Attempt = j.attempt
+	o.post(func() {
+		if o.jobs[j.attempt] == nil {
+			return
+		}
+		delete(o.jobs, j.attempt)
+		o.handle(ev)
+		o.checkDrained()
+	})
+}
+
+// exchange sends a call that may run again elsewhere.
+func (o *Owner) exchange(j *job, sink streamer.Sink) streamer.End {
+	if end, ok := o.recheck(j); !ok {
+		o.ended(j, scheduler.Ended{})
+		return end
+	}
+	out := o.observe(j, sink)
+	reply := o.Sender.Call(j.ctx, o.call(j), out)
+	for n := 0; n < maxResumes && o.mayResume(j, reply); n++ {
+		next := o.call(j)
+		next.Attempt, next.Resume, next.Offset = o.attempt().String(), j.attempt.String(), out.events
+		resumed := o.Sender.Call(j.ctx, next, out)
+		if resumed.End.Outcome == retrier.NotRun || !resumed.Settled && resumed.Events == 0 && resumed.Status != 0 {
+			break
+		}
+		reply = resumed
+	}
+	if reply.Settled {
+		o.ended(j, scheduler.Ended{
+			OK: reply.End.Outcome == retrier.Done, Tokens: out.events, Missing: reply.Missing,
+		})
+		return o.finish(j, reply, sink)
+	}
+	return o.settle(j, reply.End, out.events)
+}
+
+func (o *Owner) mayResume(j *job, reply sender.Reply) bool {
+	if reply.Settled || !j.req.Stream || j.ctx.Err() != nil {
+		return false
+	}
+	return reply.End.Reason == streamer.ReasonSilent || reply.End.Reason == streamer.ReasonBroken
+}
+
+// finish hands over a whole answer, or the failure that it tells.
+func (o *Owner) finish(j *job, reply sender.Reply, sink streamer.Sink) streamer.End {
+	streamed := j.req.Stream && reply.Body == nil
+	if streamed || reply.End.Outcome != retrier.Done {
+		return reply.End
+	}
+	sink.Head(streamer.Head{Status: reply.Status, Type: reply.Type})
+	if err := sink.Data(reply.Body); err != nil {
+		return streamer.End{Outcome: retrier.Done, Reason: streamer.ReasonCancelled, Message: err.Error()}
+	}
+	return reply.End
+}
+
+// recheck looks at what may have changed while the job was queued.
+func (o *Owner) recheck(j *job) (streamer.End, bool) {
+	if j.ctx.Err() != nil {
+		return refused(streamer.ReasonCancelled, "the caller went away"), false
+	}
+	if o.Control.Standing(j.req.Digest) != j.job.Standing {
+		return refused(streamer.ReasonStanding, "the request became suspect while it was queued"), false
+	}
+	return streamer.End{}, true
+}
+
+func (o *Owner) call(j *job) sender.Call {
+	c := sender.Call{
+		Attempt: j.attempt.String(), Addr: j.server.Addr, Method: j.req.Method, URI: j.req.URI, Type: j.req.Type,
+		Accept: j.req.Accept, Request: j.req.ID, Body: j.req.Body, Stream: j.req.Stream, Key: j.req.Key,
+		Fresh: j.req.IsBooking(),
+	}
+	if j.req.Kind == configurer.KindModel {
+		c.Model, c.Incarnation = j.req.Target.String(), j.server.Incarnation
+	}
+	if !j.req.Stream {
+		c.Wait = bookingLimit
+	}
+	return c
+}
+
+// settle makes sure that a broken attempt runs no longer; its caller waits a bounded time for news of a crash.
+func (o *Owner) settle(j *job, end streamer.End, tokens int) streamer.End {
+	settled := make(chan struct{})
+	o.tasks.Go(func() {
+		defer close(settled)
+		o.stopAttempt(j)
+		o.ended(j, scheduler.Ended{Tokens: tokens})
+	})
+	hold := time.NewTimer(holdLimit)
+	defer hold.Stop()
+	select {
+	case <-settled:
+	case <-j.failed:
+	case <-hold.C:
+	}
+	select {
+	case <-j.failed:
+		if j.crashed.Load() {
+			end.Reason, end.Message = streamer.ReasonCrashed, "the backend server's process died under the request"
+		}
+	default:
+		if j.silent.Load() {
+			end.Reason, end.Message = streamer.ReasonSilent, "the backend server went silent"
+		}
+	}
+	return end
+}
+
+// stopAttempt returns once the server confirmed that the attempt no longer runs, or its end was noticed.
+func (o *Owner) stopAttempt(j *job) {
+	for backoff := cancelBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		if o.stopped(j) {
+			return
+		}
+		select {
+		case <-j.failed:
+			return
+		case <-o.ctx.Done():
+			return
+		case <-time.After(backoff):
+		}
+	}
+}
+
+// stopped asks the server once; a dead or restarted process is reported, and the failure of its jobs follows.
+func (o *Owner) stopped(j *job) bool {
+	ctx, cancel := context.WithTimeout(o.ctx, cancelTimeout)
+	defer cancel()
+	incarnation, err := o.stopCall(ctx, j)
+	if err == nil && (incarnation == "" || incarnation == j.server.Incarnation) {
+		return true
+	}
+	known := make(chan bool, 1)
+	ok := o.post(func() { known <- o.suspect(j, err) })
+	return !ok || <-known
+}
+
+func (o *Owner) stopCall(ctx context.Context, j *job) (string, error) {
+	if j.req.Kind == configurer.KindModel {
+		return o.Sender.Cancel(ctx, j.server.Addr, j.attempt.String(), o.attempt().String())
+	}
+	report, err := o.Sender.Poll(ctx, j.server.Addr, o.attempt().String())
+	return report.Incarnation, err
+}
+
+// suspect handles an attempt whose server didn't confirm; it reports whether the attempt has ended for the scheduler.
+func (o *Owner) suspect(j *job, err error) bool {
+	h := o.held[j.server.Name]
+	if h == nil {
+		// Handed over: the new owner sees the restart, and what ran here is gone with the process.
+		return err == nil
+	}
+	if err != nil {
+		o.unanswered(h, err, time.Now())
+	} else if h.adopted && h.server.Incarnation == j.server.Incarnation {
+		o.gone(h, true)
+		o.poll(h)
+	}
+	return o.jobs[j.attempt] == nil && j.isFailed()
+}
+
+func (j *job) isFailed() bool {
+	select {
+	case <-j.failed:
+		return true
+	default:
+		return false
+	}
+}
+
+func refused(reason streamer.Reason, message string) streamer.End {
+	return streamer.End{Outcome: retrier.NotRun, Reason: reason, Message: message}
+}
--- /dev/null
+++ b/stage/owner/server.go
@@ -0,0 +1,246 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/sender"
+)
+
+// held is a backend server that this entry owns.
+type held struct {
+	server registrar.Server
+	owner  registrar.Owner
+	// announced is the last announcement that the scheduler was told.
+	announced registrar.Server
+	since     time.Time
+	orderAt   time.Time
+	adopted   bool
+	polling   bool
+	nextPoll  time.Time
+	answered  time.Time
+	dead      bool
+	// pinned are the adapters inherited from the last owner.
+	pinned []configurer.Target
+}
+
+// sync compares the roster with what is held.
+func (o *Owner) sync(now time.Time) {
+	roster := o.Control.Roster()
+	if roster == nil {
+		return
+	}
+	o.rejudge()
+	if c := o.Control.Catalog(); c != nil {
+		o.Meter.Revision(c.Revision(), roster.Revision())
+	}
+	owned := make(map[string]bool)
+	for _, s := range roster.Owned(o.id.Entry) {
+		owner, _ := roster.Owner(s.Name)
+		owned[s.Name] = true
+		o.claim(s, owner, now)
+	}
+	for name, h := range o.held {
+		if !owned[name] {
+			o.release(h)
+		}
+	}
+}
+
+// rejudge tells the scheduler of standings that changed while requests were queued.
+func (o *Owner) rejudge() {
+	for _, j := range o.jobs {
+		if j.sent {
+			continue
+		}
+		if now := o.Control.Standing(j.req.Digest); now != j.standing {
+			j.standing = now
+			o.handle(scheduler.Judged{Digest: j.req.Digest, Standing: now})
+		}
+	}
+}
+
+// claim takes up a server or a change of its announcement; the scheduler hears of it after the server's own report.
+func (o *Owner) claim(s registrar.Server, owner registrar.Owner, now time.Time) {
+	if o.closing || !now.Before(o.Control.LeaseEnd()) {
+		return
+	}
+	h := o.held[s.Name]
+	if h != nil && h.owner.Epoch > owner.Epoch {
+		return
+	}
+	if h == nil || h.owner.Epoch != owner.Epoch {
+		h = &held{server: s, owner: owner, since: now, orderAt: now, answered: now}
+		if !owner.Clean {
+			h.orderAt = now.Add(owner.OrderAfter)
+		}
+		o.held[s.Name] = h
+		o.poll(h)
+		return
+	}
+	if h.server == s {
+		return
+	}
+	if s.Incarnation != h.server.Incarnation && h.adopted {
+		o.gone(h, true)
+	}
+	leaving := h.server.Leaving || s.Leaving
+	h.server = s
+	h.server.Leaving = leaving && s.Incarnation == h.announced.Incarnation || s.Leaving
+	o.poll(h)
+}
+
+// readopt takes up again what was held before the lease ended.
+func (o *Owner) readopt(now time.Time) {
+	o.sync(now)
+	for _, h := range o.held {
+		h.adopted = false
+		o.poll(h)
+	}
+}
+
+func (o *Owner) release(h *held) {
+	delete(o.held, h.server.Name)
+	o.handle(scheduler.Released{Server: h.server.Name})
+	o.Log.Info("released backend server", h.server.Name)
+}
+
+// handover releases a server and names the adapters that its open requests still use.
+func (o *Owner) handover(h *held) {
+	var pinned []configurer.Target
+	for _, j := range o.jobs {
+		if j.server.Name == h.server.Name && j.sent && !slices.Contains(pinned, j.req.Target) {
+			pinned = append(pinned, j.req.Target)
+		}
+	}
+	o.release(h)
+	name := h.server.Name
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, accuseTimeout)
+		defer cancel()
+		if err := o.Control.Release(ctx, name, pinned); err != nil {
+			o.Log.Error("handing over "+name+" failed", err)
+		}
+	})
+}
+
+// poll asks the server for its report in the background.
+func (o *Owner) poll(h *held) {
+	h.nextPoll = time.Now().Add(pollInterval)
+	if h.polling {
+		return
+	}
+	h.polling = true
+	name, addr := h.server.Name, h.server.Addr
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, pollTimeout)
+		defer cancel()
+		report, err := o.Sender.Poll(ctx, addr, o.attempt().String())
+		o.post(func() {
+			h.polling = false
+			if o.held[name] == h {
+				o.polled(h, report, err, time.Now())
+			}
+		})
+	})
+}
+
+func (o *Owner) polled(h *held, report sender.Report, err error, now time.Time) {
+	if err != nil {
+		o.unanswered(h, err, now)
+		return
+	}
+	h.answered, h.dead = now, false
+	if report.Incarnation != h.server.Incarnation {
+		if h.adopted {
+			o.gone(h, true)
+		}
+		h.server.Incarnation = report.Incarnation
+	}
+	h.server.Leaving = h.server.Leaving || report.Leaving
+	if !h.adopted || h.announced != h.server {
+		o.adopt(h, report)
+	}
+	o.unpin(h, report, now)
+	o.handle(scheduler.Reported{
+		Server: h.server.Name, Running: report.Running, Waiting: report.Waiting,
+		Residents: parseTargets(report.Resident, h.server.Service),
+	})
+	o.Meter.Fill(h.server.Name, report.Running, h.server.Batch)
+}
+
+// unanswered tells a process that is gone from one that is only silent.
+func (o *Owner) unanswered(h *held, err error, now time.Time) {
+	var dead *sender.DeadError
+	switch {
+	case errors.As(err, &dead) && !h.dead:
+		h.dead = true
+		o.gone(h, true)
+	case now.Sub(h.answered) > silentLimit && h.adopted:
+		o.gone(h, false)
+	}
+}
+
+// gone ends what runs on a server that restarted or died.
+func (o *Owner) gone(h *held, crashed bool) {
+	h.adopted, h.pinned = false, nil
+	o.Sender.Drop(h.server.Addr)
+	o.Log.Warn("backend server is gone or restarted", h.server.Name)
+	o.going = true
+	o.handle(scheduler.Gone{Server: h.server.Name, Crashed: crashed})
+	o.going = false
+}
+
+// adopt tells the scheduler of a server with what the server itself reports as resident.
+func (o *Owner) adopt(h *held, report sender.Report) {
+	first := !h.adopted
+	h.adopted, h.announced = true, h.server
+	residents := parseTargets(report.Resident, h.server.Service)
+	if first && h.owner.Clean {
+		h.pinned = slices.Clone(h.owner.Pinned)
+	} else if first {
+		h.pinned = slices.Clone(residents)
+	}
+	o.handle(scheduler.Owned{
+		Server: h.server, Epoch: h.owner.Epoch, Residents: residents, Pinned: slices.Clone(h.pinned), OrderAt: h.orderAt,
+	})
+	o.Log.Info("owns backend server", h.server.Name)
+}
+
+// unpin frees inherited adapters once the server reports them idle and no old owner can send any more.
+func (o *Owner) unpin(h *held, report sender.Report, now time.Time) {
+	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(isolationLimit)) {
+		return
+	}
+	serving := parseTargets(report.Serving, h.server.Service)
+	kept := h.pinned[:0]
+	for _, t := range h.pinned {
+		if slices.Contains(serving, t) {
+			kept = append(kept, t)
+			continue
+		}
+		o.handle(scheduler.Unpinned{Server: h.server.Name, Target: t})
+	}
+	h.pinned = kept
+}
+
+func parseTargets(names []string, service string) []configurer.Target {
+	targets := make([]configurer.Target, 0, len(names))
+	for _, name := range names {
+		adapter, version, ok := strings.Cut(name, "@")
+		n, err := strconv.Atoi(version)
+		if !ok || err != nil {
+			continue
+		}
+		targets = append(targets, configurer.Target{Service: service, Adapter: adapter, Version: n})
+	}
+	return targets
+}
--- /dev/null
+++ b/stage/receiver/doc.go
@@ -0,0 +1,2 @@
+// Package receiver is the HTTP API for callers, and the place where backend servers announce themselves.
+package receiver
--- /dev/null
+++ b/stage/receiver/listener.go
@@ -0,0 +1,63 @@
+package receiver
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// tooMany is the whole answer to a connection over the limit.
+const tooMany = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
+	"Redwing-Outcome: not-run\r\nConnection: close\r\nContent-Length: 132\r\n\r\n" +
+	`{"error":{"message":"too many open connections at this entry","type":"server_error","param":null,"code":"full","outcome":"not-run"}}`
+
+// listener limits open connections, and the time of each write on them.
+type listener struct {
+	net.Listener
+	max     int64
+	timeout time.Duration
+	open    atomic.Int64
+}
+
+func newListener(ln net.Listener, maxConns int, timeout time.Duration) *listener {
+	return &listener{Listener: ln, max: int64(maxConns), timeout: timeout}
+}
+
+// Accept implements net.Listener; connections over the limit get an answer and are closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.max {
+			return &conn{Conn: c, timeout: l.timeout, closed: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+		}
+		l.open.Add(-1)
+		_ = c.SetWriteDeadline(time.Now().Add(l.timeout))
+		_, _ = c.Write([]byte(tooMany))
+		_ = c.Close()
+	}
+}
+
+// conn gives each write a deadline of its own, so that long streams last and stuck callers don't.
+type conn struct {
+	net.Conn
+	timeout time.Duration
+	closed  func()
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements io.Closer.
+func (c *conn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/stage/receiver/receiver.go
@@ -0,0 +1,187 @@
+package receiver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/streamer"
+)
+
+const (
+	maxHeader     = 16 << 10
+	readTimeout   = 30 * time.Second
+	idleTimeout   = 60 * time.Second
+	closeInterval = 10 * time.Millisecond
+)
+
+// Control is what the receiver needs of the control role.
+type Control interface {
+	Catalog() *configurer.Catalog
+	Roster() *registrar.Roster
+	Announce(s registrar.Server)
+}
+
+// Doer takes a request to its end.
+type Doer interface {
+	Do(ctx context.Context, req *streamer.Request, sink streamer.Sink) streamer.End
+}
+
+// Config has the limits of the callers' listener; zero values take defaults.
+type Config struct {
+	// Entry names this process in request ids.
+	Entry       string
+	Incarnation uint64
+	// MaxBody limits the bytes of a request's body.
+	MaxBody int
+	// MaxConns limits the open connections.
+	MaxConns int
+	// MaxUnread limits the bytes of an answer that its caller hasn't read.
+	MaxUnread int
+	// WriteTimeout limits each write to a caller.
+	WriteTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxBody == 0 {
+		c.MaxBody = 8 << 20
+	}
+	if c.MaxConns == 0 {
+		c.MaxConns = 20_000
+	}
+	if c.MaxUnread == 0 {
+		c.MaxUnread = 4 << 20
+	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = 10 * time.Second
+	}
+	return c
+}
+
+// Deps are the parts that a receiver works with.
+type Deps struct {
+	Control Control
+	Doer    Doer
+	Meter   *meter.Meter
+	Log     *logger.Part
+}
+
+// Receiver serves callers.
+type Receiver struct {
+	Deps
+	cfg     Config
+	app     *fiber.App
+	ctx     context.Context
+	stop    context.CancelFunc
+	closing atomic.Bool
+	open    atomic.Int64
+	ids     atomic.Uint64
+	wg      conc.WaitGroup
+}
+
+// New starts a receiver on the listener.
+func New(ln net.Listener, cfg Config, deps Deps) *Receiver {
+	cfg = cfg.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	r := &Receiver{Deps: deps, cfg: cfg, ctx: ctx, stop: stop}
+	r.app = fiber.New(fiber.Config{
+		BodyLimit: cfg.MaxBody, ReadBufferSize: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Concurrency: cfg.MaxConns + 1, ErrorHandler: r.failed, StrictRouting: true, CaseSensitive: true,
+	})
+	r.routes()
+	guarded := newListener(ln, cfg.MaxConns, cfg.WriteTimeout)
+	r.wg.Go(func() {
+		err := r.app.Listener(guarded, fiber.ListenConfig{DisableStartupMessage: true})
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			r.Log.Error("callers' listener ended", err)
+		}
+	})
+	return r
+}
+
+func (r *Receiver) routes() {
+	r.app.Post("/v1/chat/completions", r.counted(r.generate))
+	r.app.Post("/v1/completions", r.counted(r.generate))
+	r.app.Post("/v1/announce", r.announce)
+	r.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendStatus(http.StatusOK) })
+	r.app.Get("/readyz", r.ready)
+	r.app.All("/services/:name", r.counted(r.plain))
+	r.app.All("/services/:name/*", r.counted(r.plain))
+	r.app.Use(func(c fiber.Ctx) error {
+		return r.refuse(c, problem{status: http.StatusNotFound, code: "no_route", message: "nothing answers " + c.Method() + " " + c.Path()})
+	})
+}
+
+// counted keeps the number of open requests, for which a shutdown waits.
+func (r *Receiver) counted(h fiber.Handler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		r.open.Add(1)
+		defer r.open.Add(-1)
+		return h(c)
+	}
+}
+
+// ready tells the platform's balancer whether to send callers here.
+func (r *Receiver) ready(c fiber.Ctx) error {
+	if r.closing.Load() || r.Control.Catalog() == nil || r.Control.Roster() == nil {
+		return c.SendStatus(http.StatusServiceUnavailable)
+	}
+	return c.SendStatus(http.StatusOK)
+}
+
+// Leave makes the receiver not ready, while it goes on serving.
+func (r *Receiver) Leave() { r.closing.Store(true) }
+
+// Wait returns once no request is open.
+func (r *Receiver) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(closeInterval)
+	defer ticker.Stop()
+	for r.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Close takes no new connections, lets open requests end until ctx is done, and waits for every goroutine.
+func (r *Receiver) Close(ctx context.Context) error {
+	r.Leave()
+	err := r.app.ShutdownWithContext(ctx)
+	r.stop()
+	r.wg.Wait()
+	return err
+}
+
+// failed answers errors that fiber itself found, such as a body over the limit.
+func (r *Receiver) failed(c fiber.Ctx, err error) error {
+	p := problem{status: http.StatusInternalServerError, code: "internal", message: "the entry failed"}
+	var fe *fiber.Error
+	if errors.As(err, &fe) {
+		p = problem{status: fe.Code, code: "bad_request", message: fe.Message}
+	} else {
+		r.Log.Error("handler failed", err)
+	}
+	return r.refuse(c, p)
+}
+
+// refuse answers a request that was never written to a backend server.
+func (r *Receiver) refuse(c fiber.Ctx, p problem) error {
+	r.Meter.Refused(p.code)
+	c.Set(marker.Outcome, "not-run")
+	p.outcome = "not-run"
+	return p.send(c)
+}
--- /dev/null
+++ b/stage/receiver/request.go
@@ -0,0 +1,192 @@
+package receiver
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v3"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/stage/streamer"
+)
+
+const (
+	anonymous     = "anonymous"
+	callerBytes   = 16
+	maxID         = 128
+	maxKey        = 256
+	defaultTotal  = 10 * time.Minute
+	prefixBytes   = 1024
+	servicePrefix = "/services/"
+)
+
+// generation reads a request for a model, and whether its caller wants a stream; everything it returns is a copy.
+func (r *Receiver) generation(c fiber.Ctx, now time.Time) (*streamer.Request, bool, *problem) {
+	catalog := r.Control.Catalog()
+	if catalog == nil {
+		return nil, false, notReady()
+	}
+	body := append([]byte{}, c.Body()...)
+	doc, p := parseGeneration(body)
+	if p != nil {
+		return nil, false, p
+	}
+	target, err := catalog.Resolve(doc.model)
+	if err != nil {
+		return nil, false, &problem{status: http.StatusNotFound, code: "model_not_found", param: "model", message: err.Error()}
+	}
+	req := &streamer.Request{
+		Target: target, Kind: configurer.KindModel, Idempotent: true, Stream: true, MaxTokens: doc.maxTokens,
+		Method: http.MethodPost, URI: strings.Clone(c.Path()), Type: "application/json",
+	}
+	if p := r.fill(c, catalog, req, body, now); p != nil {
+		return nil, false, p
+	}
+	req.Prefix = prefixOf(doc)
+	req.Body, err = doc.rewrite(target.String(), req.Urgent)
+	if err != nil {
+		return nil, false, badRequest("", err.Error())
+	}
+	return req, doc.stream, nil
+}
+
+// service reads a call to a plain service; everything it returns is a copy.
+func (r *Receiver) service(c fiber.Ctx, now time.Time) (*streamer.Request, *problem) {
+	catalog := r.Control.Catalog()
+	if catalog == nil {
+		return nil, notReady()
+	}
+	name := strings.Clone(c.Params("name"))
+	s, ok := catalog.Service(name)
+	if !ok || s.Kind() != configurer.KindPlain {
+		return nil, &problem{status: http.StatusNotFound, code: "service_not_found", message: fmt.Sprintf("no plain service named %q", name)}
+	}
+	uri := strings.TrimPrefix(strings.Clone(c.OriginalURL()), servicePrefix+name)
+	if !strings.HasPrefix(uri, "/") {
+		uri = "/" + uri
+	}
+	path, _, _ := strings.Cut(uri, "?")
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return nil, badRequest("", "the path has a segment "+segment)
+		}
+	}
+	method := strings.Clone(c.Method())
+	req := &streamer.Request{
+		Target: configurer.Target{Service: name}, Kind: configurer.KindPlain, Idempotent: s.IsIdempotent(method, path),
+		Method: method, URI: uri, Type: strings.Clone(c.Get(fiber.HeaderContentType)),
+		Accept: strings.Clone(c.Get(fiber.HeaderAccept)), Body: append([]byte{}, c.Body()...),
+	}
+	if req.IsBooking() {
+		key, p := keyOf(c)
+		if p != nil {
+			return nil, p
+		}
+		req.Key = key
+		c.Set(marker.Key, key)
+	}
+	if p := r.fill(c, catalog, req, req.Body, now); p != nil {
+		return nil, p
+	}
+	return req, nil
+}
+
+// fill adds what all requests have: caller, class, deadlines, digest.
+func (r *Receiver) fill(c fiber.Ctx, catalog *configurer.Catalog, req *streamer.Request, body []byte, now time.Time) *problem {
+	req.ID, req.Caller, req.Arrived = r.requestID(c), callerOf(c), now
+	c.Set(marker.Request, req.ID)
+	class, err := catalog.ClassOf(req.Target, c.Get(marker.Class))
+	if err != nil {
+		return badRequest(marker.Class, err.Error())
+	}
+	req.Class, req.Urgent, req.Long = strings.Clone(class.Name()), class.IsUrgent(), class.IsLong()
+	req.Deadline = now.Add(defaultTotal)
+	if class.FirstToken() > 0 {
+		req.FirstBy = now.Add(class.FirstToken())
+	}
+	if class.Total() > 0 {
+		req.Deadline = now.Add(class.Total())
+	}
+	if s := c.Get(marker.Deadline); s != "" {
+		deadline, err := time.Parse(time.RFC3339Nano, s)
+		if err != nil {
+			return badRequest(marker.Deadline, "the deadline is not a time of RFC 3339: "+err.Error())
+		}
+		if !deadline.After(now) {
+			return &problem{status: http.StatusGatewayTimeout, code: "deadline", param: marker.Deadline, message: "the deadline has passed"}
+		}
+		req.Deadline = deadline
+	}
+	req.Digest = digestOf(req, body)
+	return nil
+}
+
+func (r *Receiver) requestID(c fiber.Ctx) string {
+	id := c.Get(marker.Request)
+	if id != "" && len(id) <= maxID && isToken(id) {
+		return strings.Clone(id)
+	}
+	return fmt.Sprintf("%s.%x.%x", r.cfg.Entry, r.cfg.Incarnation, r.ids.Add(1))
+}
+
+// callerOf names the caller by the hash of its token, so that no secret is kept or logged.
+func callerOf(c fiber.Ctx) string {
+	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if !ok || token == "" {
+		return anonymous
+	}
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:callerBytes])
+}
+
+// keyOf returns the idempotency key of a call, or makes one.
+func keyOf(c fiber.Ctx) (string, *problem) {
+	key := c.Get(marker.Key)
+	if key == "" {
+		return rand.Text(), nil
+	}
+	if len(key) > maxKey || !isToken(key) {
+		return "", badRequest(marker.Key, fmt.Sprintf("the key is longer than %d bytes or not printable ASCII", maxKey))
+	}
+	return strings.Clone(key), nil
+}
+
+func digestOf(req *streamer.Request, body []byte) quarantiner.Digest {
+	h := sha256.New()
+	for _, s := range []string{req.Caller, req.Target.Service, req.Target.String(), req.Method, req.URI} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(s), s)
+	}
+	_, _ = h.Write(body)
+	var d quarantiner.Digest
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+func prefixOf(doc generationDoc) uint64 {
+	return xxhash.Sum64(doc.prompt[:min(len(doc.prompt), prefixBytes)])
+}
+
+func isToken(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func badRequest(param, message string) *problem {
+	return &problem{status: http.StatusBadRequest, code: "bad_request", param: param, message: message}
+}
+
+func notReady() *problem {
+	return &problem{status: http.StatusServiceUnavailable, code: "not_ready", message: "this entry has no configuration yet", retryAfter: minRetryAfter}
+}
