--- a/stage/controller/controller.go
+++ b/stage/controller/controller.go
@@ -209,11 +209,6 @@
 	return nil
 }
 
-// openLog opens the log of the settings.
-func (c *Controller) openLog(m runner.Machine) (Log, error) {
-	return openSolo(runner.Member{ID: c.cfg.ID, Addr: c.cfg.Addr})(m)
-}
-
 // serve runs an HTTP server until Close.
 func (c *Controller) serve(srv *http.Server, l net.Listener) {
 	c.spawn(func() {
@@ -240,10 +235,13 @@
 
 func (c *Controller) spawn(f func()) { c.wg.Go(f) }
 
-// Close stops the replica: listeners first, then streams, then the log; it waits for all of them.
+// Close stops the replica: first the log, so that another can lead, then streams and listeners; it waits for all of them.
 func (c *Controller) Close() error {
-	c.cancel()
 	var err error
+	if e := c.log.Close(); e != nil {
+		err = errors.Join(err, e)
+	}
+	c.cancel()
 	if c.api != nil {
 		if e := c.api.ShutdownWithTimeout(shutdownWait); e != nil {
 			err = errors.Join(err, e)
@@ -258,9 +256,6 @@
 		}
 	}
 	c.hub.http.CloseIdleConnections()
-	if e := c.log.Close(); e != nil {
-		err = errors.Join(err, e)
-	}
 	c.wg.Wait()
 	return err
 }
--- /dev/null
+++ b/stage/controller/log.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/carrier"
+	"redwingstage.org/coord/runner"
+)
+
+// transferWait bounds the hand-over of the lead when the leader shuts down.
+const transferWait = 2 * time.Second
+
+// quorumLog is the log on disk, replicated over the peers' listener.
+type quorumLog struct {
+	*runner.Runner
+	carrier *carrier.Carrier
+}
+
+// openLog opens the log of the settings.
+func (c *Controller) openLog(m runner.Machine) (Log, error) {
+	if c.cfg.Folder == "" {
+		return nil, errors.New("control settings: folder is missing")
+	}
+	t := carrier.New(c.cfg.ID, c.cfg.Cluster, carrier.WithErrors(func(peer uint64, err error) {
+		c.logger.Debug().Uint64("replica", peer).Err(err).Msg("control: stream to a replica broke")
+	}))
+	r, err := runner.New(runner.Config{
+		ID: c.cfg.ID, Cluster: c.cfg.Cluster, Folder: c.cfg.Folder, Members: c.cfg.Members,
+	}, m, t)
+	if err != nil {
+		_ = t.Close()
+		return nil, err
+	}
+	return &quorumLog{Runner: r, carrier: t}, nil
+}
+
+// Handler returns what peers reach this replica by, and its path.
+func (l *quorumLog) Handler() (string, http.Handler) { return carrier.Path, l.carrier.Handler() }
+
+// Close hands the lead over if another replica can take it, and stops the replica.
+func (l *quorumLog) Close() error {
+	if st := l.Status(); st.IsLeader(time.Now()) && len(st.Members) > 1 {
+		ctx, cancel := context.WithTimeout(context.Background(), transferWait)
+		defer cancel()
+		// Without a hand-over the others elect a leader after the election timeout.
+		_ = l.Transfer(ctx)
+	}
+	err := l.Runner.Close()
+	if e := l.carrier.Close(); e != nil {
+		err = errors.Join(err, e)
+	}
+	return err
+}
+
+// Done is closed when the replica has stopped, by Close or because its data folder failed.
+func (c *Controller) Done() <-chan struct{} {
+	if l, ok := c.log.(*quorumLog); ok {
+		return l.Runner.Done()
+	}
+	return c.ctx.Done()
+}
+
+// Err returns why the replica stopped by itself, once Done is closed.
+func (c *Controller) Err() error {
+	if l, ok := c.log.(*quorumLog); ok {
+		return l.Err()
+	}
+	return nil
+}
