--- a/serving/placer/slots.go
+++ b/serving/placer/slots.go
@@ -43,6 +43,15 @@
 // BusyWait is how long an adapter that the server refused to unload isn't chosen again.
 const BusyWait = 500 * time.Millisecond
 
+// pastSize is the number of adapters without a slot whose rates are kept.
+const pastSize = 512
+
+// usage is a decayed rate of use and when it was computed.
+type usage struct {
+	rate float64
+	used time.Time
+}
+
 type slot struct {
 	state     State
 	order     uint64
@@ -51,8 +60,7 @@
 	inherited bool
 	draining  bool
 	busyUntil time.Time
-	used      time.Time
-	rate      float64
+	usage
 }
 
 // Slots is the table of one server's adapters.
@@ -60,13 +68,15 @@
 	size int
 	rule Rule
 	m    map[configurer.Target]*slot
+	// past keeps the rates of adapters that aren't loaded.
+	past map[configurer.Target]usage
 	// free stands in for the pins' check where a test shows that it is needed.
 	free bool
 }
 
 // New returns an empty table for a server with size slots.
 func New(size int, rule Rule) *Slots {
-	return &Slots{size: size, rule: rule, m: make(map[configurer.Target]*slot, size)}
+	return &Slots{size: size, rule: rule, m: make(map[configurer.Target]*slot, size), past: make(map[configurer.Target]usage)}
 }
 
 // Resize changes the number of slots.
@@ -84,13 +94,13 @@
 		case sl.state == Loading || sl.state == Unloading:
 			s.m[t] = sl
 		case sl.pins > 0:
-			s.m[t] = &slot{state: Lost, pins: sl.pins, used: sl.used, rate: sl.rate}
+			s.m[t] = &slot{state: Lost, pins: sl.pins, usage: sl.usage}
 		}
 	}
 	for _, t := range residents {
 		sl := s.m[t]
 		if sl == nil {
-			sl = &slot{used: now}
+			sl = &slot{usage: usage{used: now}}
 			s.m[t] = sl
 		}
 		if sl.state == Lost || sl.state == Absent {
@@ -100,7 +110,7 @@
 	for _, t := range pinned {
 		sl := s.m[t]
 		if sl == nil {
-			sl = &slot{state: Lost, used: now}
+			sl = &slot{state: Lost, usage: usage{used: now}}
 			s.m[t] = sl
 		}
 		sl.inherited = true
@@ -121,12 +131,41 @@
 	return ok && sl.state == Resident && !sl.draining
 }
 
-// Use counts a use of the target for the choice of victims.
+// Use counts a use of the target, loaded or not, for the choice of victims.
 func (s *Slots) Use(now time.Time, t configurer.Target) {
 	if sl, ok := s.m[t]; ok {
-		sl.rate = sl.rateAt(now) + 1
-		sl.used = now
+		sl.count(now)
+		return
+	}
+	if len(s.past) >= pastSize {
+		s.forgetPast(now)
+	}
+	u := s.past[t]
+	u.count(now)
+	s.past[t] = u
+}
+
+// Rate returns the decayed rate of use of a target.
+func (s *Slots) Rate(now time.Time, t configurer.Target) float64 {
+	if sl, ok := s.m[t]; ok {
+		return sl.rateAt(now)
+	}
+	u := s.past[t]
+	return u.rateAt(now)
+}
+
+// IsWorth reports whether the target is used at least as much as the resident adapter that would go for it.
+func (s *Slots) IsWorth(now time.Time, t configurer.Target) bool {
+	if s.HasRoom() {
+		return true
+	}
+	rate := s.Rate(now, t)
+	for _, sl := range s.m {
+		if sl.state == Resident && !sl.inherited && sl.rateAt(now) <= rate {
+			return true
+		}
 	}
+	return false
 }
 
 // Pin protects a target from eviction until Unpin.
@@ -168,7 +207,7 @@
 func (s *Slots) Adopt(now time.Time, residents []configurer.Target) {
 	for _, t := range residents {
 		if s.m[t] == nil {
-			s.m[t] = &slot{state: Resident, used: now}
+			s.m[t] = &slot{state: Resident, usage: usage{used: now}}
 		}
 	}
 }
@@ -177,12 +216,14 @@
 func (s *Slots) HasRoom() bool { return s.held() < s.size }
 
 // BeginLoad takes a slot for a load order.
-func (s *Slots) BeginLoad(now time.Time, t configurer.Target, order uint64, rate float64) {
+func (s *Slots) BeginLoad(now time.Time, t configurer.Target, order uint64) {
+	u := usage{rate: s.Rate(now, t), used: now}
 	pins := 0
 	if sl, ok := s.m[t]; ok {
 		pins = sl.pins
 	}
-	s.m[t] = &slot{state: Loading, order: order, since: now, used: now, rate: rate, pins: pins}
+	delete(s.past, t)
+	s.m[t] = &slot{state: Loading, order: order, since: now, usage: u, pins: pins}
 }
 
 // EndLoad records a load's result and reports whether the order was the one in flight.
@@ -314,6 +355,21 @@
 func (s *Slots) forget(t configurer.Target, sl *slot) {
 	if sl.state == Lost && sl.pins == 0 && !sl.inherited {
 		delete(s.m, t)
+		s.past[t] = sl.usage
+	}
+}
+
+// forgetPast drops the adapters without a slot that were used less than the mean.
+func (s *Slots) forgetPast(now time.Time) {
+	sum := 0.0
+	for _, u := range s.past {
+		sum += u.rateAt(now)
+	}
+	limit := sum / float64(len(s.past))
+	for t, u := range s.past {
+		if u.rateAt(now) <= limit {
+			delete(s.past, t)
+		}
 	}
 }
 
@@ -346,12 +402,17 @@
 // rateEqual is the difference in rate under which recency decides.
 const rateEqual = 1e-9
 
-func (sl *slot) rateAt(now time.Time) float64 {
-	age := now.Sub(sl.used)
+func (u *usage) rateAt(now time.Time) float64 {
+	age := now.Sub(u.used)
 	if age <= 0 {
-		return sl.rate
+		return u.rate
 	}
-	return sl.rate * math.Exp2(-age.Seconds()/RateHalfLife.Seconds())
+	return u.rate * math.Exp2(-age.Seconds()/RateHalfLife.Seconds())
+}
+
+func (u *usage) count(now time.Time) {
+	u.rate = u.rateAt(now) + 1
+	u.used = now
 }
 
 func byName(a, b configurer.Target) int {
--- a/serving/router/popular.go
+++ b/serving/router/popular.go
@@ -81,7 +81,7 @@
 			p.sets = make(map[string]membership, 1)
 		}
 		p.sets[fb.Server] = membership{warm: true, used: now}
-	case LoadFailed, Unreachable:
+	case LoadFailed, Passed, Unreachable:
 		delete(p.sets, fb.Server)
 	case Refused:
 	}
--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -77,6 +77,8 @@
 	Served Result = iota
 	// Refused means that the owner passed the request on: late or full.
 	Refused
+	// Passed means that the owner prefers another candidate to load the adapter.
+	Passed
 	// LoadFailed means that the adapter could not be loaded there.
 	LoadFailed
 	// Lagging means that the answer showed the server to be a straggler.
@@ -269,7 +271,7 @@
 		r.mark(now, n, laggingPenalty)
 	case Unreachable:
 		n.quiet = now.Add(r.cfg.Quiet)
-	case Served, LoadFailed:
+	case Served, Passed, LoadFailed:
 	}
 }
 
--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -21,6 +21,8 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonLoad means that the adapter could not be loaded.
 	ReasonLoad Reason = "load"
+	// ReasonSlots means that the slots here hold adapters that are used more.
+	ReasonSlots Reason = "slots"
 	// ReasonQuarantine means that the request crashed backend servers before.
 	ReasonQuarantine Reason = "quarantine"
 	// ReasonNotOwner means that this entry doesn't own the server.
@@ -51,8 +53,8 @@
 	Server string
 	Target configurer.Target
 	Urgent bool
-	// Waiters is the number of jobs that wait for the load.
-	Waiters int
+	// Rate says how much the adapter was used lately, so that the leader may prefer loads that many will use.
+	Rate float64
 }
 
 // WithdrawPermit says that a permit that was asked for isn't needed any more.
--- a/serving/scheduler/config.go
+++ b/serving/scheduler/config.go
@@ -20,8 +20,10 @@
 	PartLongShare
 	// PartRates chooses victims by their decayed rate of use rather than by recency.
 	PartRates
-	// PartStragglers turns new work away from stragglers.
+	// PartStragglers gives stragglers no new loads.
 	PartStragglers
+	// PartWorth has adapters that are used less than all that a server holds tried at the next candidate.
+	PartWorth
 )
 
 // Config holds the bounds of a scheduler.
--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingstage.org/coord/detector"
+	"redwingstage.org/serving/placer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/retrier"
 )
@@ -38,6 +39,9 @@
 	}
 	s.jobs[j.Attempt] = j
 	sv := s.servers[j.Server]
+	if sv != nil && j.Target.Adapter != "" {
+		sv.slots.Use(now, j.Target)
+	}
 	if reason, wait, ok := s.admits(now, sv, j); !ok {
 		s.refuse(now, j, reason, wait)
 		return
@@ -63,8 +67,10 @@
 		return ReasonLate, 0, false
 	case !j.Last && sv.cool[j.Target].After(now):
 		return ReasonLoad, sv.cool[j.Target].Sub(now), false
-	case !j.Last && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
+	case !j.Last && s.needsLoad(sv, j) && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
 		return ReasonLate, 0, false
+	case !j.Last && s.needsLoad(sv, j) && s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target):
+		return ReasonSlots, 0, false
 	}
 	if !s.cfg.has(PartPass) || j.FirstBy.IsZero() {
 		return "", 0, true
@@ -80,6 +86,11 @@
 	return "", 0, true
 }
 
+// needsLoad reports whether a job's adapter is neither loaded nor asked for.
+func (s *Scheduler) needsLoad(sv *server, j *job) bool {
+	return sv.isModel() && !sv.holds(j.Target) && sv.slots.State(j.Target) != placer.Loading && sv.want(j.Target) == nil
+}
+
 // waitFor estimates the time until the first token of a job: the queue's length over the rate of service, as
 // Spandana's SLO director does (Dehigama et al., section 5.2), plus the usual time to the first token.
 func (sv *server) waitFor(j *job) time.Duration {
@@ -137,7 +148,6 @@
 	j.sent, j.sentAt, j.lastAt = true, now, now
 	sv.inFlight[j.Attempt] = j
 	sv.slots.Pin(j.Target)
-	sv.slots.Use(now, j.Target)
 	if j.long {
 		sv.longs++
 	}
--- a/serving/scheduler/loads.go
+++ b/serving/scheduler/loads.go
@@ -120,7 +120,7 @@
 		s.order++
 		sv.loading[w.target] = *w.permit
 		w.permit = nil
-		sv.slots.BeginLoad(now, w.target, s.order, 0)
+		sv.slots.BeginLoad(now, w.target, s.order)
 		s.emit(Load{Server: sv.reg.Name, Target: w.target, Epoch: sv.epoch, Order: s.order})
 	}
 }
@@ -153,7 +153,7 @@
 		}
 		w.asked, w.askedAt = true, now
 		out++
-		s.emit(AskPermit{Server: sv.reg.Name, Target: w.target, Urgent: w.urgent, Waiters: w.waiters})
+		s.emit(AskPermit{Server: sv.reg.Name, Target: w.target, Urgent: w.urgent, Rate: sv.slots.Rate(now, w.target)})
 	}
 }
 
--- a/serving/scheduler/scheduler_test.go
+++ b/serving/scheduler/scheduler_test.go
@@ -66,7 +66,7 @@
 func TestLoadIsSharedAndSlotIsEvicted(t *testing.T) {
 	f := newFixture(t, Config{}, engine(1, 4))
 	a, b := f.job(1, nil), f.job(1, nil)
-	f.c.Assert(f.do(Arrived{Job: a}), qt.DeepEquals, []Action{AskPermit{Server: "e1", Target: target(1), Urgent: true, Waiters: 1}})
+	f.c.Assert(f.do(Arrived{Job: a}), qt.DeepEquals, []Action{AskPermit{Server: "e1", Target: target(1), Urgent: true, Rate: 1}})
 	f.c.Assert(f.do(Arrived{Job: b}), qt.HasLen, 0)
 	permit := registrar.Permit{ID: 7}
 	loads := only[Load](f.do(Granted{Server: "e1", Target: target(1), Permit: permit}))
