--- a/standin/cutter/cutter.go
+++ b/standin/cutter/cutter.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
@@ -36,6 +37,8 @@
 	cut    Way
 	links  map[*link]struct{}
 	closed bool
+	// forward and backward count the bytes that passed.
+	forward, backward atomic.Int64
 }
 
 // link is one relayed connection; silent is the way on which its bytes vanish for good.
@@ -166,6 +169,7 @@
 				l.close()
 				return
 			}
+			c.count(w, n)
 		}
 		if err != nil {
 			l.close()
@@ -174,6 +178,17 @@
 	}
 }
 
+func (c *Cutter) count(w Way, n int) {
+	if w == Forward {
+		c.forward.Add(int64(n))
+		return
+	}
+	c.backward.Add(int64(n))
+}
+
+// Bytes returns how many bytes have passed towards the target and back.
+func (c *Cutter) Bytes() (forward, backward int64) { return c.forward.Load(), c.backward.Load() }
+
 func (c *Cutter) isSilent(l *link, w Way) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
