Thin: stand-in model engine and order service that speak the backend servers' protocol

Cause: the whole path needs backend servers that announce themselves, serve streams, take orders and fail on demand.

Ruled out: fasthttp's Shutdown alone for closing. A server that was closed before it had begun to serve stayed open for ever (a test of cmd/standin hung until its time limit); the listener is closed first now, and refuses what it accepts late. Close is idempotent.

Change: inferer drives modeler in real time behind the OpenAI API, LoRA orders with fence numbers or without, a load report with lag, late cache events with gaps; orderer keeps a ledger of runs by key; faulter injects crashes, slowness, silent connections, failed loads, late, crossed, truncated and doubled answers by POST /faults or from Go; announcer repeats announcements; cmd/standin runs one as a process. The text of an answer names model and marker, so that cross-talk shows.

Proof: go test -race -count=3 ./standin/...; a test for each fault, goleak on the engine (fasthttp's own sleepers apart).

--- /dev/null
+++ b/standin/announcer/doc.go
@@ -0,0 +1,2 @@
+// Package announcer tells entries of a backend server, again and again.
+package announcer
--- /dev/null
+++ b/standin/faulter/listener.go
@@ -0,0 +1,139 @@
+package faulter
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// Listener accepts connections that can be made to fail.
+type Listener struct {
+	net.Listener
+	mu     sync.Mutex
+	conns  map[*Conn]bool
+	closed bool
+}
+
+// Listen listens on a TCP address.
+func Listen(ctx context.Context, addr string) (*Listener, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return &Listener{Listener: ln, conns: make(map[*Conn]bool)}, nil
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: nc, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = nc.Close()
+		return nil, net.ErrClosed
+	}
+	l.conns[c] = true
+	return c, nil
+}
+
+// Close implements net.Listener; it also closes the open connections, and closing again does nothing.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	closed := l.closed
+	l.closed = true
+	l.mu.Unlock()
+	l.Drop()
+	if closed {
+		return nil
+	}
+	return l.Listener.Close()
+}
+
+// Silence makes all open connections silent for good.
+func (l *Listener) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silent.Store(true)
+	}
+}
+
+// Drop closes all open connections.
+func (l *Listener) Drop() {
+	l.mu.Lock()
+	conns := l.conns
+	l.conns = make(map[*Conn]bool)
+	l.mu.Unlock()
+	for c := range conns {
+		_ = c.Conn.Close()
+	}
+}
+
+// Conn is a connection that can go silent, be cut within an answer, or send a write twice.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+	double   atomic.Bool
+	cut      atomic.Bool
+}
+
+// CutBody closes the connection in the middle of the next write's body.
+func (c *Conn) CutBody() { c.cut.Store(true) }
+
+// DoubleNext makes the next write go out twice.
+func (c *Conn) DoubleNext() { c.double.Store(true) }
+
+// Read implements net.Conn; a silent connection swallows what arrives.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn; a silent connection swallows what is sent.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	if c.cut.Swap(false) {
+		return c.writePart(p)
+	}
+	if c.double.Swap(false) {
+		if _, err := c.Conn.Write(p); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// writePart writes all of the answer's head and half of its body.
+func (c *Conn) writePart(p []byte) (int, error) {
+	body := bytes.Index(p, []byte("\r\n\r\n"))
+	n, err := c.Conn.Write(p[:(len(p)+max(body, 0))/2])
+	if err == nil {
+		err = errors.New("connection cut by a fault")
+	}
+	_ = c.Close()
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/inferer/orders.go
@@ -0,0 +1,251 @@
+package inferer
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/standin/modeler"
+	"redwingstage.org/standin/responder"
+)
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	ctx.Response.Header.Set(marker.Incarnation, s.incarnation)
+	s.mu.Unlock()
+	if a := ctx.Request.Header.Peek(marker.Attempt); len(a) > 0 {
+		ctx.Response.Header.SetBytesV(marker.Attempt, a)
+	}
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "POST /v1/chat/completions":
+		s.generate(ctx, true)
+	case "POST /v1/completions":
+		s.generate(ctx, false)
+	case "POST /v1/cancel":
+		s.cancelAttempt(ctx)
+	case "POST /v1/load_lora_adapter":
+		s.order(ctx, s.load)
+	case "POST /v1/unload_lora_adapter":
+		s.order(ctx, s.unload)
+	case "GET /v1/models":
+		s.models(ctx)
+	case "GET /load":
+		s.loadReport(ctx)
+	case "GET /v1/cache/events":
+		s.cacheEvents(ctx)
+	case "GET /health":
+		s.health(ctx)
+	case "GET /stats":
+		s.stats(ctx)
+	default:
+		if !responder.Admin(ctx, s) {
+			responder.Fail(ctx, fasthttp.StatusNotFound, "not_found", "no such call")
+		}
+	}
+}
+
+func (s *Server) cancelAttempt(ctx *fasthttp.RequestCtx) {
+	var body struct {
+		Attempt string `json:"attempt"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil || body.Attempt == "" {
+		responder.Fail(ctx, fasthttp.StatusBadRequest, "invalid_request_error", "attempt: missing")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engine.Cancel(time.Now(), body.Attempt) {
+		s.streams[body.Attempt].end(failed)
+		delete(s.streams, body.Attempt)
+	}
+	responder.JSON(ctx, struct{}{})
+}
+
+// order checks an order's fence number and adapter name before it runs.
+func (s *Server) order(ctx *fasthttp.RequestCtx, run func(*fasthttp.RequestCtx, string)) {
+	var body struct {
+		Name string `json:"lora_name"`
+		Path string `json:"lora_path"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil || body.Name == "" {
+		responder.Fail(ctx, fasthttp.StatusBadRequest, "invalid_request_error", "lora_name: missing")
+		return
+	}
+	if !s.passFence(string(ctx.Request.Header.Peek(marker.Fence))) {
+		responder.FailCode(ctx, fasthttp.StatusConflict, "fence", "old_fence", "the fence number is older than one seen before")
+		return
+	}
+	run(ctx, body.Name)
+}
+
+// passFence reports whether an order may run and remembers its number; an engine of the other kind takes any.
+func (s *Server) passFence(header string) bool {
+	if !s.cfg.Fenced {
+		return true
+	}
+	n, err := strconv.ParseUint(header, 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || n < s.fence {
+		return false
+	}
+	s.fence = n
+	return true
+}
+
+func (s *Server) load(ctx *fasthttp.RequestCtx, model string) {
+	s.mu.Lock()
+	if err := s.engine.Load(time.Now(), model); err != nil {
+		s.mu.Unlock()
+		r := refuse(err)
+		responder.Fail(ctx, r.status, r.kind, r.text)
+		return
+	}
+	ch := make(chan bool, 1)
+	s.loading[model] = append(s.loading[model], ch)
+	s.mu.Unlock()
+	s.wakeUp()
+	if !<-ch {
+		responder.Fail(ctx, fasthttp.StatusInternalServerError, "load_failed", "the weights could not be loaded")
+	}
+}
+
+func (s *Server) unload(ctx *fasthttp.RequestCtx, model string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.engine.IsResident(model) || model == s.cfg.Service {
+		return
+	}
+	if err := s.engine.Unload(time.Now(), model); err != nil {
+		r := refuse(err)
+		responder.Fail(ctx, r.status, r.kind, r.text)
+	}
+	s.wakeUp()
+}
+
+func (s *Server) models(ctx *fasthttp.RequestCtx) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+		Parent string `json:"parent,omitempty"`
+	}
+	list := []model{{ID: s.cfg.Service, Object: "model"}}
+	s.mu.Lock()
+	for _, name := range s.engine.Residents() {
+		list = append(list, model{ID: name, Object: "model", Parent: s.cfg.Service})
+	}
+	s.mu.Unlock()
+	responder.JSON(ctx, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", list})
+}
+
+func (s *Server) health(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engine.IsCold(time.Now()) {
+		responder.Fail(ctx, fasthttp.StatusServiceUnavailable, "not_run", "engine is starting")
+	}
+}
+
+func (s *Server) stats(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	responder.JSON(ctx, struct {
+		Requests int `json:"requests"`
+		Evicted  int `json:"evicted"`
+		Late     int `json:"late"`
+	}{s.requests, s.engine.Evicted(), s.late})
+}
+
+// sample is what the load report showed at a time.
+type sample struct {
+	at      time.Time
+	running int
+	waiting int
+}
+
+func (s *Server) addSample(now time.Time) {
+	s.lagging = append(s.lagging, sample{at: now, running: s.engine.Running(), waiting: s.engine.Waiting()})
+	old := now.Add(-s.cfg.Lag)
+	for len(s.lagging) > 1 && !s.lagging[1].at.After(old) {
+		s.lagging = s.lagging[1:]
+	}
+}
+
+func (s *Server) loadReport(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var shown sample
+	for _, l := range s.lagging {
+		if l.at.After(now.Add(-s.cfg.Lag)) {
+			break
+		}
+		shown = l
+	}
+	responder.JSON(ctx, struct {
+		Incarnation string   `json:"incarnation"`
+		Running     int      `json:"running"`
+		Waiting     int      `json:"waiting"`
+		Resident    []string `json:"resident"`
+		Serving     []string `json:"serving"`
+		Leaving     bool     `json:"leaving"`
+		AgeMS       int64    `json:"age_ms"`
+	}{
+		s.incarnation, shown.running, shown.waiting, s.engine.Residents(), s.servingAdapters(),
+		!s.leaving.IsZero(), s.cfg.Lag.Milliseconds(),
+	})
+}
+
+func (s *Server) servingAdapters() []string {
+	list := make([]string, 0, s.engine.Slots())
+	for _, m := range s.engine.Serving() {
+		if m != s.cfg.Service {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// cacheEvent is a change of the prefix cache, shown from a time on.
+type cacheEvent struct {
+	Seq    uint64 `json:"seq"`
+	Prefix string `json:"prefix"`
+	Op     string `json:"op"`
+	at     time.Time
+}
+
+// maxCacheEvents is the number of cache events that are kept.
+const maxCacheEvents = 1024
+
+func (s *Server) addCacheEvent(ev modeler.Event, op string) {
+	s.cacheSeq++
+	if s.cacheSeq%uint64(s.cfg.CacheGap) == 0 {
+		return
+	}
+	s.cache = append(s.cache, cacheEvent{
+		Seq: s.cacheSeq, Prefix: strconv.FormatUint(ev.Prefix, 16), Op: op, at: ev.At.Add(s.cfg.CacheLag),
+	})
+	s.cache = s.cache[max(0, len(s.cache)-maxCacheEvents):]
+}
+
+func (s *Server) cacheEvents(ctx *fasthttp.RequestCtx) {
+	after := uint64(ctx.QueryArgs().GetUintOrZero("after"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	list := make([]cacheEvent, 0, len(s.cache))
+	for _, ev := range s.cache {
+		if ev.Seq > after && !now.Before(ev.at) {
+			list = append(list, ev)
+		}
+	}
+	responder.JSON(ctx, struct {
+		Events []cacheEvent `json:"events"`
+	}{list})
+}
--- /dev/null
+++ b/standin/inferer/stream.go
@@ -0,0 +1,98 @@
+package inferer
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Answer returns the text that an engine generates: it names the model and the marker, which is the prompt's last word.
+func Answer(model, marker string, tokens int) string {
+	var b strings.Builder
+	for n := 1; n <= tokens; n++ {
+		b.WriteString(tokenText(model, marker, n, tokens))
+	}
+	return b.String()
+}
+
+func tokenText(model, marker string, n, total int) string {
+	switch n {
+	case 1:
+		return model
+	case 2:
+		return " " + marker
+	case total:
+		return " end"
+	}
+	return " " + strconv.Itoa(n)
+}
+
+// identity is whose answer it is.
+type identity struct {
+	attempt string
+	model   string
+	marker  string
+	total   int
+}
+
+// ending says whether and how a stream ended.
+type ending int
+
+const (
+	running ending = iota
+	finished
+	failed
+)
+
+// stream is the output of one request; it outlives its connection.
+type stream struct {
+	identity
+
+	prompt string
+	mu     sync.Mutex
+	cond   *sync.Cond
+	tokens int
+	ending ending
+}
+
+func newStream(id identity, prompt string) *stream {
+	st := &stream{identity: id, prompt: prompt}
+	st.cond = sync.NewCond(&st.mu)
+	return st
+}
+
+func (st *stream) add(tokens int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.tokens = tokens
+	st.cond.Broadcast()
+}
+
+func (st *stream) end(e ending) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.ending == running {
+		st.ending = e
+	}
+	st.cond.Broadcast()
+}
+
+// wait returns once there are more than n tokens or the stream ended.
+func (st *stream) wait(n int) (int, ending) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for st.tokens <= n && st.ending == running {
+		st.cond.Wait()
+	}
+	return st.tokens, st.ending
+}
+
+// waitEnd returns once the stream ended.
+func (st *stream) waitEnd() ending {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for st.ending == running {
+		st.cond.Wait()
+	}
+	return st.ending
+}
--- /dev/null
+++ b/standin/inferer/writer.go
@@ -0,0 +1,129 @@
+package inferer
+
+import (
+	"bufio"
+	"encoding/json"
+	"strconv"
+
+	"redwingstage.org/standin/faulter"
+)
+
+// writer renders the answer to one request.
+type writer struct {
+	id      identity
+	chat    bool
+	answer  faulter.Answer
+	created int64
+	buf     []byte
+}
+
+// quote returns s as a JSON string; strings always encode.
+func quote(s string) []byte {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return []byte(`""`)
+	}
+	return b
+}
+
+// stream writes the events after the first offset ones, as they are generated, and the end marker.
+func (w *writer) stream(bw *bufio.Writer, st *stream, offset int) {
+	head, tail := w.frame()
+	sent := offset
+	for {
+		n, ending := st.wait(sent)
+		w.buf = w.buf[:0]
+		for ; sent < n; sent++ {
+			if w.answer == faulter.Truncated && sent >= w.id.total/2 {
+				w.send(bw)
+				return
+			}
+			w.event(head, tail, sent+1)
+			if w.answer == faulter.Doubled {
+				w.event(head, tail, sent+1)
+			}
+		}
+		if ending == finished {
+			w.buf = append(w.buf, "data: [DONE]\n\n"...)
+		}
+		if !w.send(bw) || ending != running {
+			return
+		}
+	}
+}
+
+func (w *writer) send(bw *bufio.Writer) bool {
+	if _, err := bw.Write(w.buf); err != nil {
+		return false
+	}
+	return bw.Flush() == nil
+}
+
+// frame returns what stands before and after the text in each event.
+func (w *writer) frame() (head, tail []byte) {
+	object, open, end := "text_completion", `"text":`, `,"finish_reason":`
+	if w.chat {
+		object, open, end = "chat.completion.chunk", `"delta":{"content":`, `},"finish_reason":`
+	}
+	head = append(head, `data: {"id":`...)
+	head = append(head, quote(w.id.attempt)...)
+	head = append(head, `,"object":"`+object+`","created":`...)
+	head = strconv.AppendInt(head, w.created, 10)
+	head = append(head, `,"model":`...)
+	head = append(head, quote(w.id.model)...)
+	head = append(head, `,"choices":[{"index":0,`+open...)
+	return head, []byte(end)
+}
+
+func (w *writer) event(head, tail []byte, n int) {
+	w.buf = append(w.buf, head...)
+	w.buf = append(w.buf, quote(tokenText(w.id.model, w.id.marker, n, w.id.total))...)
+	w.buf = append(w.buf, tail...)
+	if n == w.id.total {
+		w.buf = append(w.buf, `"length"`...)
+	} else {
+		w.buf = append(w.buf, `null`...)
+	}
+	w.buf = append(w.buf, "}]}\n\n"...)
+}
+
+// whole returns the body of an answer that isn't streamed.
+func (w *writer) whole(st *stream) []byte {
+	type reply struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index   int    `json:"index"`
+		Message *reply `json:"message,omitempty"`
+		Text    string `json:"text,omitempty"`
+		Finish  string `json:"finish_reason"`
+	}
+	type usage struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+		Total      int `json:"total_tokens"`
+	}
+	body := struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+		Usage   usage    `json:"usage"`
+	}{ID: w.id.attempt, Object: "text_completion", Created: w.created, Model: w.id.model}
+	text := Answer(w.id.model, w.id.marker, w.id.total)
+	c := choice{Text: text, Finish: "length"}
+	if w.chat {
+		body.Object = "chat.completion"
+		c = choice{Message: &reply{Role: "assistant", Content: text}, Finish: "length"}
+	}
+	body.Choices = []choice{c}
+	prompt := len(st.prompt)/charsPerToken + 1
+	body.Usage = usage{Prompt: prompt, Completion: w.id.total, Total: prompt + w.id.total}
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil
+	}
+	return b
+}
--- a/standin/modeler/engine.go
+++ b/standin/modeler/engine.go
@@ -170,7 +170,7 @@
 // CrashOn makes the engine crash on each request that match accepts, during its first step.
 func (e *Engine) CrashOn(match func(Request) bool) { e.crash = match }
 
-// FailLoads makes the next n loads of the model fail.
+// FailLoads makes the next n loads of the model fail, or of any model when it is "".
 func (e *Engine) FailLoads(model string, n int) { e.failNext[model] = n }
 
 // Restart loses all requests and adapters; the engine is ready again after its cold start.
@@ -235,3 +235,9 @@
 	e.waiting = slices.DeleteFunc(e.waiting, same)
 	e.running = slices.DeleteFunc(e.running, same)
 }
+
+// Slots returns the number of adapters that fit.
+func (e *Engine) Slots() int { return e.cfg.Slots }
+
+// Batch returns the number of requests that run at once.
+func (e *Engine) Batch() int { return e.cfg.Batch }
--- a/standin/modeler/step.go
+++ b/standin/modeler/step.go
@@ -63,11 +63,7 @@
 		return
 	}
 	e.stall += e.cfg.Stall
-	fails := e.failNext[model] > 0
-	if fails {
-		e.failNext[model]--
-	}
-	if fails || e.cfg.FailLoads > 0 && e.rng.Float64() < e.cfg.FailLoads {
+	if e.takeFailure(model) || e.takeFailure("") || e.cfg.FailLoads > 0 && e.rng.Float64() < e.cfg.FailLoads {
 		e.emit(Event{At: at, Kind: LoadFailed, Model: model})
 		return
 	}
@@ -75,6 +71,14 @@
 	e.emit(Event{At: at, Kind: Loaded, Model: model})
 }
 
+func (e *Engine) takeFailure(model string) bool {
+	if e.failNext[model] == 0 {
+		return false
+	}
+	e.failNext[model]--
+	return true
+}
+
 // beginStep admits waiting requests to the batch and starts the next step, if there is work.
 func (e *Engine) beginStep(at time.Time) {
 	for len(e.waiting) > 0 && len(e.running) < e.cfg.Batch {
--- a/standin/modeler/store.go
+++ b/standin/modeler/store.go
@@ -1,6 +1,9 @@
 package modeler
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // StoreConfig limits a weight store; a zero limit is none.
 type StoreConfig struct {
@@ -14,9 +17,11 @@
 	Load time.Duration
 }
 
-// Store is a weight store that engines load adapters from.
+// Store is a weight store that engines load adapters from; engines that run at the same time may share it.
 type Store struct {
-	cfg   StoreConfig
+	cfg StoreConfig
+
+	mu    sync.Mutex
 	next  time.Time // the earliest start under the rate limit if the burst is spent
 	loads []span
 	total int
@@ -34,6 +39,8 @@
 
 // Begin starts a load and returns when it ends.
 func (s *Store) Begin(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.forget(now)
 	start := s.reserve(now)
 	d := s.cfg.Load
@@ -55,15 +62,25 @@
 
 // InFlight returns the number of loads that wait or run.
 func (s *Store) InFlight(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.forget(now)
 	return len(s.loads)
 }
 
 // Total returns the number of loads begun.
-func (s *Store) Total() int { return s.total }
+func (s *Store) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
 
 // Worst returns the largest number of loads that were in flight at once.
-func (s *Store) Worst() int { return s.worst }
+func (s *Store) Worst() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.worst
+}
 
 // reserve returns the start of the next load under the rate limit, which allows a burst of the parallel loads.
 func (s *Store) reserve(now time.Time) time.Time {
--- /dev/null
+++ b/standin/orderer/orderer.go
@@ -0,0 +1,383 @@
+package orderer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/standin/announcer"
+	"redwingstage.org/standin/faulter"
+	"redwingstage.org/standin/responder"
+)
+
+// Config describes one order service.
+type Config struct {
+	Name    string
+	Addr    string
+	Zone    string
+	Service string
+	// Entries are the callers' addresses that the service announces itself to.
+	Entries []string
+	// Batch is the number of calls that run at once.
+	Batch int
+	// Work is the time of one call.
+	Work time.Duration
+}
+
+// defaultBatch is the number of calls at once of a service whose Config has none.
+const defaultBatch = 64
+
+// leaveGrace is how long after its leaving a service may still be sent new work.
+const leaveGrace = 5 * time.Second
+
+// stock is the number of pieces of each item at the start.
+const stock = 1000
+
+// Option changes how a Server behaves.
+type Option func(*Server)
+
+// WithExit calls exit at a crash, instead of a restart within the process.
+func WithExit(exit func()) Option {
+	return func(s *Server) { s.exit = exit }
+}
+
+// Server is an order service that listens.
+type Server struct {
+	cfg       Config
+	exit      func()
+	faults    faulter.Injector
+	ln        *faulter.Listener
+	httpd     *fasthttp.Server
+	announcer *announcer.Announcer
+	slots     chan struct{}
+	cancel    context.CancelFunc
+	closed    <-chan struct{}
+	wg        conc.WaitGroup
+
+	mu          sync.Mutex
+	incarnation string
+	starts      int
+	ledger      map[string]int // runs by key; it outlives a crash
+	sold        map[string]int // pieces by item
+	last        reply
+	running     int
+	waiting     int
+	requests    int
+	late        int
+	leaving     time.Time // zero while the service stays
+}
+
+// reply is an answer with the attempt that it belongs to.
+type reply struct {
+	attempt string
+	status  int
+	body    []byte
+}
+
+// New listens and announces the service; Close stops it.
+func New(cfg Config, opts ...Option) (*Server, error) {
+	if cfg.Batch == 0 {
+		cfg.Batch = defaultBatch
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ln, err := faulter.Listen(ctx, cfg.Addr)
+	if err != nil {
+		cancel()
+		return nil, errors.Wrapf(err, "service %s", cfg.Name)
+	}
+	s := &Server{
+		cfg: cfg, ln: ln, cancel: cancel, closed: ctx.Done(),
+		slots:  make(chan struct{}, cfg.Batch),
+		ledger: make(map[string]int),
+		sold:   make(map[string]int),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	s.reset()
+	s.httpd = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: quiet{}}
+	s.wg.Go(s.serve)
+	s.announcer = announcer.New(cfg.Entries, s.announcement)
+	return s, nil
+}
+
+// quiet drops fasthttp's own log lines on connections that broke.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// Addr returns the address that the service listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Close stops the service at once and waits for its goroutines.
+func (s *Server) Close() error {
+	s.announcer.Close()
+	s.cancel()
+	// The server may not have begun to serve, and then Shutdown doesn't close the listener.
+	err := errors.Join(s.ln.Close(), s.httpd.Shutdown())
+	s.wg.Wait()
+	return err
+}
+
+// SetFaults switches faults on and off.
+func (s *Server) SetFaults(f faulter.Faults) error {
+	if err := s.faults.Set(f); err != nil {
+		return err
+	}
+	if f.Silent {
+		s.ln.Silence()
+	}
+	return nil
+}
+
+// Faults returns the faults that were set last.
+func (s *Server) Faults() faulter.Faults { return s.faults.Faults() }
+
+// Leave announces that the service leaves; it goes on to answer what still comes.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	if s.leaving.IsZero() {
+		s.leaving = time.Now()
+	}
+	s.mu.Unlock()
+	s.announcer.Now()
+}
+
+// Crash makes the service lose its connections and start again; the ledger stays.
+func (s *Server) Crash() {
+	log.Warn().Str("service", s.cfg.Name).Msg("orderer: crashed")
+	if s.exit != nil {
+		s.exit()
+	}
+	s.ln.Drop()
+	s.mu.Lock()
+	s.reset()
+	s.mu.Unlock()
+}
+
+// Ledger returns how often each booking ran, by its key.
+func (s *Server) Ledger() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.ledger))
+	for k, n := range s.ledger {
+		runs[k] = n
+	}
+	return runs
+}
+
+// Late returns how many calls came more than 5 s after the service announced its leaving.
+func (s *Server) Late() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late
+}
+
+// Requests returns the number of calls that the service took.
+func (s *Server) Requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+func (s *Server) serve() {
+	if err := s.httpd.Serve(s.ln); err != nil {
+		log.Debug().Str("service", s.cfg.Name).Err(err).Msg("orderer: stopped serving")
+	}
+}
+
+func (s *Server) reset() {
+	s.starts++
+	s.incarnation = strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(s.starts)
+}
+
+func (s *Server) announcement() announcer.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return announcer.Server{
+		Name: s.cfg.Name, Kind: "plain", Addr: s.Addr(), Zone: s.cfg.Zone, Service: s.cfg.Service,
+		Incarnation: s.incarnation, Batch: s.cfg.Batch, Leaving: !s.leaving.IsZero(),
+	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	ctx.Response.Header.Set(marker.Incarnation, s.incarnation)
+	s.mu.Unlock()
+	path, method := string(ctx.Path()), string(ctx.Method())
+	item, isStock := strings.CutPrefix(path, "/stock/")
+	switch {
+	case method == http.MethodPost && (path == "/bookings" || path == "/orders"):
+		s.call(ctx, s.book)
+	case method == http.MethodGet && isStock && item != "":
+		s.call(ctx, func(string, *fasthttp.RequestCtx) reply { return s.check(strings.Clone(item)) })
+	case method == http.MethodGet && path == "/ledger":
+		responder.JSON(ctx, struct {
+			Runs map[string]int `json:"runs"`
+		}{s.Ledger()})
+	case method == http.MethodGet && path == "/load":
+		s.loadReport(ctx)
+	case method == http.MethodGet && path == "/health":
+	default:
+		if !responder.Admin(ctx, s) {
+			responder.Fail(ctx, fasthttp.StatusNotFound, "not_found", "no such call")
+		}
+	}
+}
+
+// call runs a call once a slot is free and writes its answer, with the faults that are on.
+func (s *Server) call(ctx *fasthttp.RequestCtx, run func(string, *fasthttp.RequestCtx) reply) {
+	attempt := string(ctx.Request.Header.Peek(marker.Attempt))
+	if !s.enter() {
+		return
+	}
+	content := string(ctx.RequestURI()) + "\n" + string(ctx.PostBody())
+	f := s.faults.Faults()
+	s.pause(time.Duration(float64(s.cfg.Work) * max(f.Slow, 1)))
+	r := run(attempt, ctx)
+	r.attempt = attempt
+	s.leave()
+	if s.faults.Crashes(content) {
+		s.Crash()
+		return
+	}
+	answer, delay := s.faults.Take()
+	r = s.mix(r, answer)
+	if answer == faulter.Late {
+		s.pause(delay)
+	}
+	if r.attempt != "" {
+		ctx.Response.Header.Set(marker.Attempt, r.attempt)
+	}
+	ctx.SetStatusCode(r.status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(r.body)
+	responder.Spoil(ctx, answer)
+}
+
+// enter takes a slot; false means that the server was closed.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	s.requests++
+	s.waiting++
+	if !s.leaving.IsZero() && time.Since(s.leaving) > leaveGrace {
+		s.late++
+	}
+	s.mu.Unlock()
+	ok := true
+	select {
+	case s.slots <- struct{}{}:
+	case <-s.closed:
+		ok = false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	if ok {
+		s.running++
+	}
+	return ok
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	<-s.slots
+}
+
+// mix returns the answer of the call before when answers are crossed, and remembers this one.
+func (s *Server) mix(r reply, answer faulter.Answer) reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.last
+	s.last = r
+	if answer != faulter.Crossed {
+		return r
+	}
+	if before.body == nil {
+		return reply{attempt: "crossed.0", status: r.status, body: []byte(`{"crossed":true}`)}
+	}
+	return before
+}
+
+// pause waits for a time, or until the server is closed.
+func (s *Server) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-s.closed:
+	}
+}
+
+// book runs a booking; it does not look whether the key ran before, because that is what the ledger is to show.
+func (s *Server) book(attempt string, ctx *fasthttp.RequestCtx) reply {
+	var order struct {
+		Item     string `json:"item"`
+		Quantity int    `json:"quantity"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil || order.Item == "" || order.Quantity <= 0 {
+		return reply{status: fasthttp.StatusUnprocessableEntity, body: []byte(`{"error":{"message":"item or quantity missing","type":"invalid_request_error"}}`)}
+	}
+	key := string(ctx.Request.Header.Peek(marker.Key))
+	if key == "" {
+		key = "attempt:" + attempt
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger[key]++
+	s.sold[order.Item] += order.Quantity
+	return encode(fasthttp.StatusCreated, struct {
+		Booking  string `json:"booking"`
+		Key      string `json:"key"`
+		Item     string `json:"item"`
+		Quantity int    `json:"quantity"`
+		Runs     int    `json:"runs"`
+		Server   string `json:"server"`
+	}{fmt.Sprintf("%s-%d", s.cfg.Name, len(s.ledger)), key, order.Item, order.Quantity, s.ledger[key], s.cfg.Name})
+}
+
+// check answers a stock check, which changes nothing.
+func (s *Server) check(item string) reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encode(fasthttp.StatusOK, struct {
+		Item   string `json:"item"`
+		Left   int    `json:"left"`
+		Server string `json:"server"`
+	}{item, stock - s.sold[item], s.cfg.Name})
+}
+
+func encode(status int, v any) reply {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return reply{status: fasthttp.StatusInternalServerError, body: []byte("{}")}
+	}
+	return reply{status: status, body: b}
+}
+
+func (s *Server) loadReport(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	responder.JSON(ctx, struct {
+		Incarnation string `json:"incarnation"`
+		Running     int    `json:"running"`
+		Waiting     int    `json:"waiting"`
+		Leaving     bool   `json:"leaving"`
+		AgeMS       int64  `json:"age_ms"`
+	}{s.incarnation, s.running, s.waiting, !s.leaving.IsZero(), 0})
+}
