Fault matrix of bookings and streams over sockets; late Begins of given-up attempts no longer hold a key

Two entries, a control role in memory with the real recorder table, and backend servers with a ledger that break on order: single faults and pairs at begin, send, run, answer, end, hop, caller and owner of a booking, and at load, head, event, end and hop of a stream. The checker compares what callers were told with the ledger.

Found and mended: - 'begin late, then begin late' hung until the deadline: a second given-up attempt wasn't remembered by the record, so its delayed Begin took the key and nobody ended it. The record now remembers the last 8 given-up attempts (TestLateBeginsOfGivenUpAttempts). - A restart seen through a new epoch left attempts waiting for a cancel that the new process can't confirm. - Closing an entry twice panicked. - A server that the router passes over for 2 s after one broken connection was unreachable even when it was the only one; the attempter then takes it all the same.

--- a/serving/recorder/table.go
+++ b/serving/recorder/table.go
@@ -14,6 +14,7 @@
 	defaultRecords  = 200_000
 	defaultMemory   = 64 << 20 // bytes of stored answers
 	defaultMaxStore = 64 << 10 // bytes of one stored answer
+	maxGivenUp      = 8        // attempts remembered for each record
 )
 
 // state is where a booking stands.
@@ -42,6 +43,8 @@
 	State   state     `cbor:"6,keyasint"`
 	Answer  Answer    `cbor:"7,keyasint"`
 	Changed time.Time `cbor:"8,keyasint"`
+	// GivenUp are the last attempts that ended without a run; a late copy of their Begin finds nobody to send it.
+	GivenUp []string `cbor:"9,keyasint,omitempty"`
 	// turn counts the record's changes of state, so that an old place in a queue is told from the newest.
 	turn uint64
 }
@@ -168,7 +171,7 @@
 	case stateUnknown:
 		return VerdictUnknown
 	case stateNotRun:
-		if r.Attempt == attempt {
+		if r.Attempt == attempt || slices.Contains(r.GivenUp, attempt) {
 			// The attempt was given up before this late copy of its Begin; nobody will send it.
 			return VerdictUnknown
 		}
@@ -176,6 +179,17 @@
 	return VerdictRun
 }
 
+// giveUp remembers that nobody will send an attempt any more.
+func (r *record) giveUp(attempt string) {
+	if slices.Contains(r.GivenUp, attempt) {
+		return
+	}
+	if len(r.GivenUp) == maxGivenUp {
+		r.GivenUp = slices.Delete(r.GivenUp, 0, 1)
+	}
+	r.GivenUp = append(r.GivenUp, attempt)
+}
+
 // End closes an attempt; it returns false when the record belongs to another attempt or is closed already.
 func (t *Table) End(now time.Time, e End) bool {
 	t.Expire(now)
@@ -183,6 +197,9 @@
 	if rec == nil {
 		return t.endUnseen(e)
 	}
+	if e.Ending == EndingNotRun && rec.State != stateDone {
+		rec.giveUp(e.Attempt)
+	}
 	if rec.Attempt != e.Attempt {
 		return false
 	}
--- a/stage/attempter/policy.go
+++ b/stage/attempter/policy.go
@@ -43,7 +43,22 @@
 		}
 		p.router.Rebuild(roster, names...)
 	}
-	return p.router.Route(time.Now(), req.Target, req.Prefix, nil)
+	list := p.router.Route(time.Now(), req.Target, req.Prefix, nil)
+	if len(list) > 0 {
+		return list
+	}
+	return anyOf(roster, req.Target.Service)
+}
+
+// anyOf lists the servers that the router passes over for their recent failures: better than none.
+func anyOf(roster *registrar.Roster, service string) []router.Candidate {
+	var list []router.Candidate
+	for _, s := range roster.Servers(service) {
+		if owner, ok := roster.Owner(s.Name); ok && !s.Leaving {
+			list = append(list, router.Candidate{Server: s.Name, Owner: owner.Entry, Addr: owner.Addr})
+		}
+	}
+	return list
 }
 
 func (p *policy) begin(c router.Candidate, req *streamer.Request) {
--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -27,6 +27,8 @@
 	addr string
 	// fault breaks the n-th call that may run, counted from 0.
 	fault func(n int, c *call) bool
+	// loadFault breaks an order.
+	loadFault func(c *call) bool
 	// pace is the time between events.
 	pace   time.Duration
 	events int
@@ -113,6 +115,11 @@
 	}
 }
 
+func (b *backend) restart() {
+	b.kill()
+	b.listen(b.addr)
+}
+
 func (s *stream) halt() {
 	select {
 	case <-s.stop:
@@ -166,6 +173,9 @@
 			Name string `json:"lora_name"`
 		}
 		_ = json.Unmarshal(c.req.Body(), &o)
+		if c.loadFault != nil && c.loadFault(c) {
+			return false
+		}
 		c.mu.Lock()
 		c.resident[o.Name] = path == "/v1/load_lora_adapter"
 		c.mu.Unlock()
@@ -251,32 +261,41 @@
 
 // generate streams events that name the prompt's caller; the generation goes on when its connection breaks.
 func (c *call) generate() bool {
-	attempt, offset := c.attempt, 0
+	id, s, offset := c.open()
+	if s == nil {
+		return c.write(404, `{"error":{"type":"not_found"}}`)
+	}
+	return c.stream(id, s, offset, len(s.events))
+}
+
+// open starts a generation, or finds the one to resume.
+func (c *call) open() (string, *stream, int) {
+	id, offset := c.attempt, 0
 	c.mu.Lock()
-	if resume := string(c.req.Header.Peek(marker.Resume)); resume != "" {
-		attempt = resume
+	defer c.mu.Unlock()
+	resumed := string(c.req.Header.Peek(marker.Resume))
+	if resumed != "" {
+		id = resumed
 		offset, _ = strconv.Atoi(string(c.req.Header.Peek(marker.Offset)))
 	}
-	s := c.running[attempt]
-	ok := c.resident[c.model]
-	switch {
-	case offset > 0 && s == nil, !ok && c.model != "base":
-		c.mu.Unlock()
-		return c.write(404, `{"error":{"type":"not_found"}}`)
-	case s == nil:
-		s = &stream{stop: make(chan struct{})}
-		c.running[attempt] = s
-		for i := range c.events {
-			text := "end"
-			if i < c.events-1 {
-				text = c.text() + "/" + strconv.Itoa(i) + " "
-			}
-			s.events = append(s.events, fmt.Appendf(nil, `{"object":"chat.completion.chunk","model":%q,"choices":[{"index":0,"delta":{"content":%q}}]}`, c.model, text))
+	s := c.running[id]
+	if s != nil {
+		return id, s, offset
+	}
+	if resumed != "" || !c.resident[c.model] {
+		return id, nil, 0
+	}
+	s = &stream{stop: make(chan struct{})}
+	c.running[id] = s
+	for i := range c.events {
+		text := "end"
+		if i < c.events-1 {
+			text = c.text() + "/" + strconv.Itoa(i) + " "
 		}
+		s.events = append(s.events, fmt.Appendf(nil, `{"object":"chat.completion.chunk","model":%q,"choices":[{"index":0,"delta":{"content":%q}}]}`, c.model, text))
 	}
-	c.mu.Unlock()
-	c.run()
-	return c.stream(attempt, s, offset, len(s.events))
+	c.ledger = append(c.ledger, entry{request: string(c.req.Header.Peek(marker.Request)), attempt: id, body: c.model})
+	return id, s, 0
 }
 
 // text is the caller's mark in its prompt.
--- a/stage/dispatcher/dispatcher.go
+++ b/stage/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -106,6 +107,7 @@
 type Dispatcher struct {
 	receiver *receiver.Receiver
 	owner    *owner.Owner
+	doer     *attempter.Attempter
 	booker   *booker.Booker
 	sender   *sender.Sender
 	client   *forwarder.Client
@@ -113,6 +115,8 @@
 	metrics  *http.Server
 	log      *logger.Part
 	wg       conc.WaitGroup
+	once     sync.Once
+	failure  error
 
 	callersAddr, peersAddr, metricsAddr string
 }
@@ -137,12 +141,12 @@
 	d.owner = owner.New(id, owner.Deps{
 		Control: control, Decider: p.decider, Sender: p.sender, Booker: d.booker, Meter: m, Log: p.log.Part("owner"),
 	})
-	doer := attempter.New(attempter.Deps{
+	d.doer = attempter.New(attempter.Deps{
 		Name: cfg.Name, Control: control, Router: p.router, Retrier: p.retrier, Local: d.owner, Peers: d.client, Meter: m,
 	})
 	limits := cfg.Limits
 	limits.Entry, limits.Incarnation = cfg.Name, cfg.Incarnation
-	d.receiver = receiver.New(callers, limits, receiver.Deps{Control: control, Doer: doer, Meter: m, Log: p.log.Part("entry")})
+	d.receiver = receiver.New(callers, limits, receiver.Deps{Control: control, Doer: d.doer, Meter: m, Log: p.log.Part("entry")})
 	d.callersAddr = callers.Addr().String()
 	mux := http.NewServeMux()
 	mux.Handle(forwarder.NewHandler(d.owner))
@@ -176,6 +180,11 @@
 
 // Close shuts the entry down: not ready, servers handed over with their pins, open requests ended; none is cut before ctx is done.
 func (d *Dispatcher) Close(ctx context.Context) error {
+	d.once.Do(func() { d.failure = d.shutDown(ctx) })
+	return d.failure
+}
+
+func (d *Dispatcher) shutDown(ctx context.Context) error {
 	d.log.Info("shutting down", "")
 	d.receiver.Leave()
 	failures := []error{d.owner.Drain(ctx), d.receiver.Wait(ctx), d.receiver.Close(ctx), d.peers.Shutdown(ctx)}
--- /dev/null
+++ b/stage/dispatcher/streams_test.go
@@ -0,0 +1,301 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/standin/cutter"
+)
+
+// streamTrial streams one answer through two entries while faults strike.
+type streamTrial struct {
+	t         testing.TB
+	world     *world
+	near, far *Dispatcher
+	engines   []*backend
+	hop       *cutter.Cutter
+	// faults break the n-th generation call, a resumed one included; loads the n-th order.
+	faults []func(c *call)
+	loads  []func(c *call)
+	count  atomic.Int64
+	orders atomic.Int64
+}
+
+// streamFault arms a trial.
+type streamFault struct {
+	step, name string
+	arm        func(tr *streamTrial)
+}
+
+// cutAt is the number of events before a fault in the middle of a stream.
+const cutAt = 3
+
+func onEngine(step, name string, f func(tr *streamTrial, c *call)) streamFault {
+	return streamFault{step, name, func(tr *streamTrial) {
+		tr.faults = append(tr.faults, func(c *call) { f(tr, c) })
+	}}
+}
+
+// midway strikes after some events; the generation goes on at the engine.
+func midway(name string, f func(tr *streamTrial, c *call, id string, s *stream)) streamFault {
+	return onEngine("event", name, func(tr *streamTrial, c *call) {
+		id, s, offset := c.open()
+		if s == nil {
+			c.write(404, `{}`)
+			return
+		}
+		c.stream(id, s, offset, offset+cutAt)
+		f(tr, c, id, s)
+	})
+}
+
+func silent(c *call) { _, _ = io.Copy(io.Discard, c.conn) }
+
+var streamFaults = []streamFault{
+	onEngine("head", "killed", func(tr *streamTrial, c *call) { c.open(); tr.die(c.backend) }),
+	onEngine("head", "cut before running", func(*streamTrial, *call) {}),
+	onEngine("head", "cut while running", func(_ *streamTrial, c *call) { c.open() }),
+	onEngine("head", "silent", func(_ *streamTrial, c *call) { c.open(); silent(c) }),
+	onEngine("head", "refused", func(_ *streamTrial, c *call) { c.write(503, `{"error":{"type":"not_run"}}`) }),
+	onEngine("head", "failed", func(_ *streamTrial, c *call) { c.open(); c.write(500, `{}`) }),
+	onEngine("head", "not resident", func(_ *streamTrial, c *call) { c.write(404, `{}`) }),
+	onEngine("head", "crossed attempt", func(_ *streamTrial, c *call) { c.wrong(func() { c.attempt = "other.1.1" }) }),
+	onEngine("head", "crossed model", func(_ *streamTrial, c *call) { c.wrong(func() { c.model = "d@1" }) }),
+	midway("killed", func(tr *streamTrial, c *call, _ string, _ *stream) { tr.die(c.backend) }),
+	midway("cut", func(*streamTrial, *call, string, *stream) {}),
+	midway("silent", func(_ *streamTrial, c *call, _ string, _ *stream) { silent(c) }),
+	midway("ended early", func(_ *streamTrial, c *call, _ string, _ *stream) { c.raw("0\r\n\r\n") }),
+	midway("truncated", func(_ *streamTrial, c *call, id string, _ *stream) { c.raw("40\r\nid: " + id + "\ndata: {\"choices\"") }),
+	midway("crossed", func(_ *streamTrial, c *call, _ string, _ *stream) {
+		c.event("other.1.1", `{"choices":[{"delta":{"content":"other/3 "}}]}`)
+	}),
+	midway("oversized", func(_ *streamTrial, c *call, id string, _ *stream) { c.event(id, strings.Repeat("x", 2<<20)) }),
+	onEngine("end", "doubled", func(_ *streamTrial, c *call) {
+		c.generate()
+		c.raw(c.head(200, c.attempt, "Content-Length: 2\r\n") + "{}")
+	}),
+	onEngine("end", "silent before", func(_ *streamTrial, c *call) {
+		if id, s, offset := c.open(); s != nil {
+			c.stream(id, &stream{events: s.events, stop: s.stop}, offset, len(s.events)-1)
+		}
+		silent(c)
+	}),
+	onEngine("hop", "cut", func(tr *streamTrial, c *call) { tr.hop.Reset(); c.generate() }),
+	onEngine("hop", "silent", func(tr *streamTrial, c *call) { tr.hop.Silence(); c.generate() }),
+}
+
+var loadFaults = []streamFault{
+	{"load", "failed", func(tr *streamTrial) { tr.loads = append(tr.loads, func(c *call) { c.write(500, `{}`) }) }},
+	{"load", "cut", func(tr *streamTrial) { tr.loads = append(tr.loads, func(*call) {}) }},
+	{"load", "killed", func(tr *streamTrial) { tr.loads = append(tr.loads, func(c *call) { tr.die(c.backend) }) }},
+	{"load", "old fence", func(tr *streamTrial) {
+		tr.loads = append(tr.loads, func(c *call) { c.write(409, `{"error":{"type":"fence","code":"old_fence"}}`) })
+	}},
+	{"load", "crossed", func(tr *streamTrial) {
+		tr.loads = append(tr.loads, func(c *call) { c.attempt = "other.1.1"; c.write(200, `{}`) })
+	}},
+}
+
+// wrong answers whole and well formed, but under another name.
+func (c *call) wrong(rename func()) {
+	id, s, _ := c.open()
+	if s == nil {
+		c.write(404, `{}`)
+		return
+	}
+	rename()
+	c.stream(id, s, 0, len(s.events))
+}
+
+func newStreamTrial(t testing.TB) *streamTrial {
+	tr := &streamTrial{t: t, world: newWorld(t)}
+	tr.near, tr.far = tr.world.startEntry(t, "near", quick()...), tr.world.startEntry(t, "far", quick()...)
+	hop, err := cutter.New(context.Background(), "127.0.0.1:0", tr.near.Peers())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = hop.Close() })
+	tr.hop = hop
+	for i, name := range []string{"e1", "e2"} {
+		b := startBackend(t, name, configurer.KindModel)
+		tr.engines = append(tr.engines, b)
+		b.fault = func(_ int, c *call) bool {
+			n := int(tr.count.Add(1)) - 1
+			if n < len(tr.faults) {
+				tr.faults[n](c)
+			}
+			return n < len(tr.faults)
+		}
+		b.loadFault = func(c *call) bool {
+			n := int(tr.orders.Add(1)) - 1
+			if n < len(tr.loads) {
+				tr.loads[n](c)
+			}
+			return n < len(tr.loads)
+		}
+		if i == 0 {
+			tr.world.assign(b.server(), "near", hop.Addr())
+		} else {
+			tr.world.assign(b.server(), "far", tr.far.Peers())
+		}
+	}
+	return tr
+}
+
+func (tr *streamTrial) die(b *backend) {
+	b.restart()
+	tr.world.mu.Lock()
+	o := tr.world.owners[b.name]
+	tr.world.mu.Unlock()
+	tr.world.assign(b.server(), o.Entry, o.Addr)
+}
+
+// run streams from both entries, and once more when all faults are over.
+func (tr *streamTrial) run() []string {
+	found := tr.check("first", tr.far, "a")
+	found = append(found, tr.check("second", tr.near, "b@1")...)
+	tr.hop.Heal()
+	tr.count.Add(int64(len(tr.faults)))
+	tr.orders.Add(int64(len(tr.loads)))
+	for _, d := range []*Dispatcher{tr.near, tr.far} {
+		for _, f := range tr.check("last", d, "a") {
+			found = append(found, "without faults: "+f)
+		}
+		if a := tr.stream(d, "end", "a"); a.outcome != "done" {
+			found = append(found, "without faults: "+a.outcome+" "+a.body)
+		}
+	}
+	return found
+}
+
+func (tr *streamTrial) stream(d *Dispatcher, request, model string) answer {
+	return post(tr.t, d, "/v1/chat/completions", chat(model, request, true), marker.Request, request)
+}
+
+// check streams one answer and compares it with what the engine says to this caller.
+func (tr *streamTrial) check(request string, d *Dispatcher, model string) []string {
+	a := tr.stream(d, request, model)
+	var found []string
+	want := ""
+	for i := range 7 {
+		want += fmt.Sprintf("%s/%d ", request, i)
+	}
+	want += "end"
+	got := texts(a.body)
+	switch {
+	case a.outcome == "done" && (got != want || !strings.HasSuffix(a.body, "data: [DONE]\n\n") || a.status != http.StatusOK):
+		found = append(found, "done, but not whole: "+a.body)
+	case a.outcome != "done" && !strings.Contains(a.body, `"outcome":"`+a.outcome+`"`):
+		found = append(found, "broken, but not visibly: "+a.body)
+	case !strings.HasPrefix(want, got):
+		found = append(found, "text of another answer: "+got)
+	}
+	version := model
+	if model == "a" {
+		version = "a@2"
+	}
+	for _, b := range tr.engines {
+		if n := b.ran(func(e entry) bool { return e.request == request && e.body != version }); n > 0 {
+			found = append(found, request+" ran on another adapter or version")
+		}
+		if n := b.ran(func(e entry) bool { return e.request == request }); n > 0 && a.outcome == "not-run" {
+			found = append(found, request+" was told not run, but ran")
+		}
+	}
+	return found
+}
+
+// second are the faults that strike right after a first one, most of them the resumed stream.
+const second = "head killed, head cut while running, head silent, event killed, event cut, event silent, event crossed, hop cut,"
+
+func streamRows() []streamFault {
+	rows := append([]streamFault{}, streamFaults...)
+	rows = append(rows, loadFaults...)
+	for _, a := range streamFaults {
+		for _, b := range streamFaults {
+			if !strings.Contains(second, b.step+" "+b.name+",") {
+				continue
+			}
+			rows = append(rows, streamFault{a.step, a.name + " then " + b.step + " " + b.name, func(tr *streamTrial) { a.arm(tr); b.arm(tr) }})
+		}
+	}
+	for _, a := range loadFaults {
+		for _, b := range append(append([]streamFault{}, loadFaults...), streamFaults[0], streamFaults[9]) {
+			rows = append(rows, streamFault{a.step, a.name + " then " + b.step + " " + b.name, func(tr *streamTrial) { a.arm(tr); b.arm(tr) }})
+		}
+	}
+	return rows
+}
+
+// TestCheckerNoticesStreams switches mechanisms off one by one; the checker must object.
+func TestCheckerNoticesStreams(t *testing.T) {
+	tests := []struct {
+		step, fault, off string
+		part             func(d *Dispatcher) any
+		want             string
+	}{
+		{"event", "crossed", "unchecked", func(d *Dispatcher) any { return d.sender }, "done, but not whole.*|text of another answer.*"},
+		{"event", "ended early", "unmarked", func(d *Dispatcher) any { return d.sender }, "done, but not whole.*"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.off, func(t *testing.T) {
+			tr := newStreamTrial(t)
+			for _, f := range streamFaults {
+				if f.step == tt.step && f.name == tt.fault {
+					f.arm(tr)
+				}
+			}
+			switchOff(tt.part(tr.near), tt.off)
+			switchOff(tt.part(tr.far), tt.off)
+			found := tr.run()
+			t.Logf("%s switched off: %q", tt.off, found)
+			qt.Assert(t, found, qt.Any(qt.Matches), "(?s)("+tt.want+")")
+		})
+	}
+}
+
+// A caller that goes away has its generation cancelled at the engine, whichever entry it came through.
+func TestVanishedCaller(t *testing.T) {
+	for _, name := range []string{"near", "far"} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			engine := startBackend(t, "e1", configurer.KindModel)
+			engine.events, engine.pace = 100_000, time.Millisecond
+			near, far := w.startEntry(t, "near"), w.startEntry(t, "far")
+			w.assign(engine.server(), "near", near.Peers())
+			d := near
+			if name == "far" {
+				d = far
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), hang)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Callers()+"/v1/chat/completions", strings.NewReader(chat("a", "x", true)))
+			qt.Assert(t, err, qt.IsNil)
+			resp, err := http.DefaultClient.Do(req)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.ReadFull(resp.Body, make([]byte, 64))
+			qt.Assert(t, err, qt.IsNil)
+			_ = resp.Body.Close()
+			deadline := time.Now().Add(hang)
+			for engine.ended() != 1 && time.Now().Before(deadline) {
+				time.Sleep(5 * time.Millisecond)
+			}
+			qt.Assert(t, engine.ended(), qt.Equals, 1)
+		})
+	}
+}
+
+// ended counts the attempts that were cancelled.
+func (b *backend) ended() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.cancelled)
+}
--- a/stage/dispatcher/world_test.go
+++ b/stage/dispatcher/world_test.go
@@ -8,11 +8,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/recorder"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/sender"
 )
 
 // hang bounds waits that only a broken test reaches.
@@ -203,3 +206,29 @@
 	})
 	return d
 }
+
+// errLost stands for a message that got lost.
+var errLost = errors.New("lost")
+
+// quick makes entries of a test notice silence soon.
+func quick() []Option {
+	return []Option{
+		WithSender(sender.New(sender.WithSilence(150*time.Millisecond, 300*time.Millisecond), sender.WithMaxAnswer(1<<16))),
+		WithDecider(scheduler.New(scheduler.Config{SilentPlain: 400 * time.Millisecond}, 1)),
+	}
+}
+
+// adopted waits until the entry serves the server.
+func adopted(t testing.TB, d *Dispatcher, path string) {
+	deadline := time.Now().Add(hang)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get("http://" + d.Callers() + path)
+		qt.Assert(t, err, qt.IsNil)
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("no answer to %s", path)
+}
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
@@ -270,16 +272,17 @@
 	return report.Incarnation, err
 }
 
-// suspect handles an attempt whose server didn't confirm; it reports whether the attempt has ended for the scheduler.
+// suspect handles an attempt whose server didn't confirm; it reports whether nothing of the attempt can be left.
 func (o *Owner) suspect(j *job, err error) bool {
 	h := o.held[j.server.Name]
-	if h == nil {
-		// Handed over: the new owner sees the restart, and what ran here is gone with the process.
-		return err == nil
+	if h == nil || h.server.Incarnation != j.server.Incarnation {
+		// The server was handed over or restarted: its answer under a new name, or a dead process, settles the attempt.
+		var dead *sender.DeadError
+		return h != nil || err == nil || errors.As(err, &dead)
 	}
 	if err != nil {
 		o.unanswered(h, err, time.Now())
-	} else if h.adopted && h.server.Incarnation == j.server.Incarnation {
+	} else if h.adopted {
 		o.gone(h, true)
 		o.poll(h)
 	}
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -209,9 +209,12 @@
 	} else if first {
 		h.pinned = slices.Clone(residents)
 	}
+	// The scheduler ends what ran in an earlier incarnation.
+	o.going = true
 	o.handle(scheduler.Owned{
 		Server: h.server, Epoch: h.owner.Epoch, Residents: residents, Pinned: slices.Clone(h.pinned), OrderAt: h.orderAt,
 	})
+	o.going = false
 	o.Log.Info("owns backend server", h.server.Name)
 }
 
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -113,6 +113,7 @@
 func (r *Receiver) routes() {
 	r.app.Post("/v1/chat/completions", r.counted(r.generate))
 	r.app.Post("/v1/completions", r.counted(r.generate))
+	r.app.Get("/v1/models", r.models)
 	r.app.Post("/v1/announce", r.announce)
 	r.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendStatus(http.StatusOK) })
 	r.app.Get("/readyz", r.ready)
@@ -185,3 +186,6 @@
 	p.outcome = "not-run"
 	return p.send(c)
 }
+
+// Closing reports whether the receiver is shutting down.
+func (r *Receiver) Closing() bool { return r.closing.Load() }
