--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -65,12 +65,9 @@
 		return ReasonQuarantine, 0, false
 	case isPast(now, j.FirstBy) || isPast(now, j.Deadline):
 		return ReasonLate, 0, false
-	case !j.Last && sv.cool[j.Target].After(now):
-		return ReasonLoad, sv.cool[j.Target].Sub(now), false
-	case !j.Last && s.needsLoad(sv, j) && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
-		return ReasonLate, 0, false
-	case !j.Last && s.needsLoad(sv, j) && s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target):
-		return ReasonSlots, 0, false
+	}
+	if reason, wait, ok := s.admitsLoad(now, sv, j); !ok {
+		return reason, wait, false
 	}
 	if !s.cfg.has(PartPass) || j.FirstBy.IsZero() {
 		return "", 0, true
@@ -86,6 +83,21 @@
 	return "", 0, true
 }
 
+// admitsLoad reports whether a job that has another candidate may cause a load here.
+func (s *Scheduler) admitsLoad(now time.Time, sv *server, j *job) (Reason, time.Duration, bool) {
+	switch {
+	case j.Last:
+		return "", 0, true
+	case sv.cool[j.Target].After(now):
+		return ReasonLoad, sv.cool[j.Target].Sub(now), false
+	case s.needsLoad(sv, j) && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
+		return ReasonLate, 0, false
+	case s.needsLoad(sv, j) && s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target):
+		return ReasonSlots, 0, false
+	}
+	return "", 0, true
+}
+
 // needsLoad reports whether a job's adapter is neither loaded nor asked for.
 func (s *Scheduler) needsLoad(sv *server, j *job) bool {
 	return sv.isModel() && !sv.holds(j.Target) && sv.slots.State(j.Target) != placer.Loading && sv.want(j.Target) == nil
--- a/stage/cmd/redwingstaged/main.go
+++ b/stage/cmd/redwingstaged/main.go
@@ -1,3 +1,74 @@
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/stage/demonstrator"
+	"redwingstage.org/stage/logger"
+)
+
+// devArgs are the flags of the dev role.
+type devArgs struct {
+	Folder    string `arg:"--data" help:"data folder [default: a temporary one]"`
+	Callers   string `arg:"--callers" default:"127.0.0.1:8080" help:"callers' address of the first entry"`
+	Operators string `arg:"--operators" default:"127.0.0.1:8090" help:"operators' address"`
+	Metrics   string `arg:"--metrics" default:"127.0.0.1:8070" help:"metrics' address of the first entry"`
+}
+
+type args struct {
+	Dev   *devArgs `arg:"subcommand:dev" help:"run everything in one process, with stand-ins of the backend servers"`
+	Level string   `arg:"--level" default:"info" help:"lowest level of the log: debug, info, warn or error"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string {
+	return "redwingstaged runs one role of the serving layer."
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	if p.Subcommand() == nil {
+		p.Fail("missing subcommand")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, a, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "redwingstaged:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, a args, out io.Writer) error {
+	return runDev(ctx, a, out)
+}
+
+func runDev(ctx context.Context, a args, out io.Writer) (err error) {
+	folder := a.Dev.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "redwingstage-"); err != nil {
+			return errors.Wrap(err, "make data folder")
+		}
+		defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
+	}
+	d, err := demonstrator.New(ctx, demonstrator.Config{
+		Folder: folder, Callers: [2]string{a.Dev.Callers}, Operators: a.Dev.Operators, Metrics: a.Dev.Metrics,
+	}, logger.New(os.Stderr, a.Level))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "ready: callers at http://%s, operators at http://%s (token %s)\n",
+		d.Callers(), d.Operators(), demonstrator.Operator.Token)
+	if err == nil {
+		<-ctx.Done()
+	}
+	return errors.Join(err, d.Close())
+}
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -19,12 +19,11 @@
 )
 
 const (
-	tickInterval   = 10 * time.Millisecond
-	pollInterval   = 500 * time.Millisecond
-	pollTimeout    = 2 * time.Second
-	silentLimit    = 5 * time.Second
-	isolationLimit = 30 * time.Second
-	inboxSize      = 1024
+	tickInterval = 10 * time.Millisecond
+	pollInterval = 500 * time.Millisecond
+	pollTimeout  = 2 * time.Second
+	silentLimit  = 5 * time.Second
+	inboxSize    = 1024
 )
 
 // Control is what the owner needs of the control role.
@@ -152,7 +151,7 @@
 		o.leased, o.lapsed = false, now
 		o.Log.Warn("lease has ended, no orders until it is renewed", "")
 		o.handle(scheduler.LeaseLost{})
-	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > isolationLimit:
+	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > registrar.IsolationLimit:
 		o.lapsed = time.Time{}
 		for _, h := range o.held {
 			o.release(h)
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -209,15 +209,18 @@
 	} else if first {
 		h.pinned = slices.Clone(residents)
 	}
+	// The scheduler ends what ran in an earlier incarnation.
+	o.going = true
 	o.handle(scheduler.Owned{
 		Server: h.server, Epoch: h.owner.Epoch, Residents: residents, Pinned: slices.Clone(h.pinned), OrderAt: h.orderAt,
 	})
+	o.going = false
 	o.Log.Info("owns backend server", h.server.Name)
 }
 
 // unpin frees inherited adapters once the server reports them idle and no old owner can send any more.
 func (o *Owner) unpin(h *held, report sender.Report, now time.Time) {
-	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(isolationLimit)) {
+	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(registrar.IsolationLimit)) {
 		return
 	}
 	serving := parseTargets(report.Serving, h.server.Service)
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -30,6 +30,7 @@
 type Control interface {
 	Catalog() *configurer.Catalog
 	Roster() *registrar.Roster
+	LeaseEnd() time.Time
 	Announce(s registrar.Server)
 }
 
@@ -113,6 +114,7 @@
 func (r *Receiver) routes() {
 	r.app.Post("/v1/chat/completions", r.counted(r.generate))
 	r.app.Post("/v1/completions", r.counted(r.generate))
+	r.app.Get("/v1/models", r.models)
 	r.app.Post("/v1/announce", r.announce)
 	r.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendStatus(http.StatusOK) })
 	r.app.Get("/readyz", r.ready)
@@ -132,9 +134,22 @@
 	}
 }
 
+// catalog returns the configuration in force, or nil while this entry knows of none: it has not heard of any yet,
+// or it has been cut off for so long that a later one may be in force.
+func (r *Receiver) catalog() *configurer.Catalog {
+	c := r.Control.Catalog()
+	if c == nil || c.Revision() == 0 {
+		return nil
+	}
+	if time.Now().After(r.Control.LeaseEnd().Add(registrar.IsolationLimit)) {
+		return nil
+	}
+	return c
+}
+
 // ready tells the platform's balancer whether to send callers here.
 func (r *Receiver) ready(c fiber.Ctx) error {
-	if r.closing.Load() || r.Control.Catalog() == nil || r.Control.Roster() == nil {
+	if r.closing.Load() || r.catalog() == nil || r.Control.Roster() == nil {
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	return c.SendStatus(http.StatusOK)
@@ -185,3 +200,6 @@
 	p.outcome = "not-run"
 	return p.send(c)
 }
+
+// Closing reports whether the receiver is shutting down.
+func (r *Receiver) Closing() bool { return r.closing.Load() }
--- a/standin/inferer/writer.go
+++ b/standin/inferer/writer.go
@@ -44,7 +44,7 @@
 			}
 		}
 		if ending == finished {
-			w.buf = append(w.buf, "data: [DONE]\n\n"...)
+			w.buf = append(w.buf, "id: "+w.id.attempt+"\ndata: [DONE]\n\n"...)
 		}
 		if !w.send(bw) || ending != running {
 			return
@@ -65,6 +65,7 @@
 	if w.chat {
 		object, open, end = "chat.completion.chunk", `"delta":{"content":`, `},"finish_reason":`
 	}
+	head = append(head, "id: "+w.id.attempt+"\n"...)
 	head = append(head, `data: {"id":`...)
 	head = append(head, quote(w.id.attempt)...)
 	head = append(head, `,"object":"`+object+`","created":`...)
