Read the processes' settings strictly and report all findings together

Cause: a wrong setting must show at its place before a process starts, with all the others of the file and of the deployment.

Ruled out: encoding/json's DisallowUnknownFields, which stops at the first unknown field, accepts a field that stands twice and knows no units.

Conclusion: durations and sizes carry units, so a bare number is a finding.

--- /dev/null
+++ b/stage/checker/node.go
@@ -0,0 +1,345 @@
+package checker
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Node is a JSON value that is being read; a wrong or missing value becomes a finding and reads as zero.
+type Node struct {
+	report *report
+	path   string
+	value  any
+	broken bool
+	known  []string
+}
+
+// Path returns the node's JSON path.
+func (n *Node) Path() string { return n.path }
+
+// At returns the path of one of the node's fields.
+func (n *Node) At(key string) string { return join(n.path, key) }
+
+// Add adds a finding at one of the node's fields, or at the node itself if key is "".
+func (n *Node) Add(key, reason string) {
+	if key == "" {
+		n.report.add(n.path, reason)
+		return
+	}
+	n.report.add(n.At(key), reason)
+}
+
+// Findings returns what was found in the whole file so far.
+func (n *Node) Findings() []Finding { return n.report.findings }
+
+// IsBroken reports whether the value was no object, so that nothing can be read from it.
+func (n *Node) IsBroken() bool { return n.broken }
+
+// End reports the fields that nothing has asked for; it is called after the last read of an object.
+func (n *Node) End() {
+	o, ok := n.value.(*object)
+	if !ok {
+		return
+	}
+	for _, key := range o.keys {
+		if !slices.Contains(n.known, key) {
+			n.Add(key, "unknown field")
+		}
+	}
+}
+
+// Has reports whether a field is there.
+func (n *Node) Has(key string) bool {
+	_, ok := n.lookup(key)
+	return ok
+}
+
+func (n *Node) lookup(key string) (any, bool) {
+	n.known = append(n.known, key)
+	o, ok := n.value.(*object)
+	if !ok {
+		return nil, false
+	}
+	v, ok := o.fields[key]
+	return v, ok
+}
+
+// required returns a field's value; a missing one is a finding.
+func (n *Node) required(key string) (any, bool) {
+	v, ok := n.lookup(key)
+	if !ok && !n.broken {
+		n.Add(key, "is missing")
+	}
+	return v, ok
+}
+
+// Object returns a field that must be an object.
+func (n *Node) Object(key string) *Node {
+	v, ok := n.required(key)
+	return n.child(n.At(key), v, ok)
+}
+
+func (n *Node) child(path string, v any, found bool) *Node {
+	c := &Node{report: n.report, path: path, value: v, broken: !found}
+	if _, ok := v.(*object); found && !ok {
+		c.broken = true
+		c.Add("", "must be an object")
+	}
+	return c
+}
+
+// Objects returns the elements of a field that must be a list of objects with at least least elements.
+func (n *Node) Objects(key string, least int) []*Node {
+	list := n.list(key, least)
+	nodes := make([]*Node, 0, len(list))
+	for i, v := range list {
+		nodes = append(nodes, n.child(fmt.Sprintf("%s[%d]", n.At(key), i), v, true))
+	}
+	return nodes
+}
+
+// list returns a field that must be a list; without a least number it may be missing.
+func (n *Node) list(key string, least int) []any {
+	v, ok := n.lookup(key)
+	if !ok && least == 0 {
+		return nil
+	}
+	if !ok {
+		if !n.broken {
+			n.Add(key, "is missing")
+		}
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		n.Add(key, "must be a list")
+		return nil
+	}
+	if len(list) < least {
+		n.Add(key, fmt.Sprintf("has %d elements, needs %d", len(list), least))
+	}
+	return list
+}
+
+// Names returns a field that must be a list of names, each once.
+func (n *Node) Names(key string, least int) []string {
+	return n.texts(key, least, n.report.checkName)
+}
+
+// Addrs returns a field that must be a list of addresses, each once.
+func (n *Node) Addrs(key string, least int) []string {
+	return n.texts(key, least, n.report.checkAddr)
+}
+
+func (n *Node) texts(key string, least int, check func(path, text string)) []string {
+	var texts []string
+	for i, v := range n.list(key, least) {
+		path := fmt.Sprintf("%s[%d]", n.At(key), i)
+		s, ok := v.(string)
+		if !ok {
+			n.report.add(path, "must be a text")
+			continue
+		}
+		check(path, s)
+		if slices.Contains(texts, s) {
+			n.report.add(path, fmt.Sprintf("%q stands twice", s))
+		}
+		texts = append(texts, s)
+	}
+	return texts
+}
+
+// Text returns a field that must be a text that isn't empty.
+func (n *Node) Text(key string) string {
+	v, ok := n.required(key)
+	if !ok {
+		return ""
+	}
+	s, ok := v.(string)
+	if !ok {
+		n.Add(key, "must be a text")
+		return ""
+	}
+	if s == "" {
+		n.Add(key, "is empty")
+	}
+	return s
+}
+
+// Name returns a field that must be a name of lower-case letters, digits and hyphens.
+func (n *Node) Name(key string) string {
+	s := n.Text(key)
+	if s != "" {
+		n.report.checkName(n.At(key), s)
+	}
+	return s
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+func (r *report) checkName(path, s string) {
+	if !namePattern.MatchString(s) {
+		r.add(path, fmt.Sprintf("%q is no name: up to 63 lower-case letters, digits, hyphens and dots", s))
+	}
+}
+
+// Choice returns a field that must be one of some texts.
+func (n *Node) Choice(key string, choices ...string) string {
+	s := n.Text(key)
+	if s != "" && !slices.Contains(choices, s) {
+		n.Add(key, fmt.Sprintf("%q is none of %s", s, strings.Join(choices, ", ")))
+		return ""
+	}
+	return s
+}
+
+// Addr returns a field that must be ip:port.
+func (n *Node) Addr(key string) string {
+	s := n.Text(key)
+	if s != "" {
+		n.report.checkAddr(n.At(key), s)
+	}
+	return s
+}
+
+func (r *report) checkAddr(path, s string) {
+	a, err := netip.ParseAddrPort(s)
+	switch {
+	case err != nil:
+		r.add(path, fmt.Sprintf("%q is no address of the form ip:port", s))
+	case a.Port() == 0:
+		r.add(path, fmt.Sprintf("%q has port 0", s))
+	case a.Addr().IsUnspecified():
+		r.add(path, fmt.Sprintf("%q is no address that others can reach", s))
+	}
+}
+
+// IP returns a field that must be an IP number.
+func (n *Node) IP(key string) string {
+	s := n.Text(key)
+	if s == "" {
+		return ""
+	}
+	if a, err := netip.ParseAddr(s); err != nil || a.IsUnspecified() {
+		n.Add(key, fmt.Sprintf("%q is no IP number", s))
+	}
+	return s
+}
+
+// Bool returns a field that may be missing, which is false.
+func (n *Node) Bool(key string) bool {
+	v, ok := n.lookup(key)
+	if !ok {
+		return false
+	}
+	b, ok := v.(bool)
+	if !ok {
+		n.Add(key, "must be true or false")
+	}
+	return b
+}
+
+// Count returns a field that must be a whole number between two bounds.
+func (n *Node) Count(key string, least, most int) int {
+	v, ok := n.required(key)
+	if !ok {
+		return 0
+	}
+	num, ok := v.(json.Number)
+	if !ok {
+		n.Add(key, "must be a whole number without a unit")
+		return 0
+	}
+	i, err := strconv.Atoi(num.String())
+	if err != nil {
+		n.Add(key, fmt.Sprintf("%s is no whole number", num))
+		return 0
+	}
+	if i < least || i > most {
+		n.Add(key, fmt.Sprintf("%d is not between %d and %d", i, least, most))
+	}
+	return i
+}
+
+// Rate returns a field that must be a number above zero, by the second.
+func (n *Node) Rate(key string) float64 {
+	v, ok := n.required(key)
+	if !ok {
+		return 0
+	}
+	num, ok := v.(json.Number)
+	if !ok {
+		n.Add(key, "must be a number, by the second and without a unit")
+		return 0
+	}
+	f, err := num.Float64()
+	if err != nil || f <= 0 || math.IsInf(f, 0) {
+		n.Add(key, fmt.Sprintf("%s is not above 0", num))
+		return 0
+	}
+	return f
+}
+
+// Duration returns a field that must be a duration with a unit, above zero.
+func (n *Node) Duration(key string) time.Duration {
+	v, ok := n.required(key)
+	if !ok {
+		return 0
+	}
+	s, ok := v.(string)
+	if !ok {
+		n.Add(key, `must be a text with a unit, such as "250ms"`)
+		return 0
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		n.Add(key, fmt.Sprintf(`%q is no duration with a unit, such as "250ms"`, s))
+		return 0
+	}
+	if d <= 0 {
+		n.Add(key, fmt.Sprintf("%q is not above 0", s))
+	}
+	return d
+}
+
+// sizes are the units of Size, the longest name first.
+var sizes = []struct {
+	unit  string
+	bytes int
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}}
+
+// maxSize keeps sizes within an int on all machines.
+const maxSize = 1 << 30
+
+// Size returns a field that must be a size in bytes with a unit, above zero and at most 1 GiB.
+func (n *Node) Size(key string) int {
+	v, ok := n.required(key)
+	if !ok {
+		return 0
+	}
+	s, ok := v.(string)
+	if !ok {
+		n.Add(key, `must be a text with a unit, such as "8MiB"`)
+		return 0
+	}
+	for _, u := range sizes {
+		num, ok := strings.CutSuffix(s, u.unit)
+		if !ok {
+			continue
+		}
+		i, err := strconv.Atoi(num)
+		if err != nil || i <= 0 || i > maxSize/u.bytes {
+			break
+		}
+		return i * u.bytes
+	}
+	n.Add(key, fmt.Sprintf(`%q is no size up to 1GiB with a unit, such as "8MiB"`, s))
+	return 0
+}
--- /dev/null
+++ b/stage/checker/parse.go
@@ -0,0 +1,129 @@
+package checker
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// object is a JSON object with its fields in their order.
+type object struct {
+	keys   []string
+	fields map[string]any
+}
+
+// maxDepth limits the nesting of a file.
+const maxDepth = 32
+
+// Parse reads one JSON object; an object that can't be read gives a Node whose report says why.
+func Parse(file string, b []byte) *Node {
+	p := &parser{d: json.NewDecoder(bytes.NewReader(b)), report: &report{file: file}}
+	p.d.UseNumber()
+	v, err := p.value("", 0)
+	if err == nil {
+		if _, end := p.d.Token(); !errors.Is(end, io.EOF) {
+			err = errors.New("something follows the object")
+		}
+	}
+	n := &Node{report: p.report, value: v}
+	if err != nil {
+		line, column := place(b, p.d.InputOffset())
+		p.report.add("", fmt.Sprintf("not JSON at line %d, column %d: %v", line, column, err))
+		n.broken = true
+		return n
+	}
+	if _, ok := v.(*object); !ok {
+		p.report.add("", "must be an object")
+		n.broken = true
+	}
+	return n
+}
+
+// place returns the line and column of an offset, from 1.
+func place(b []byte, offset int64) (line, column int) {
+	before := b[:min(int(offset), len(b))]
+	line = bytes.Count(before, []byte("\n")) + 1
+	return line, len(before) - bytes.LastIndexByte(before, '\n')
+}
+
+// parser builds the tree of values and finds fields that stand twice.
+type parser struct {
+	d      *json.Decoder
+	report *report
+}
+
+func (p *parser) value(path string, depth int) (any, error) {
+	if depth > maxDepth {
+		return nil, errors.Errorf("nested deeper than %d", maxDepth)
+	}
+	t, err := p.token()
+	if err != nil {
+		return nil, err
+	}
+	switch t {
+	case json.Delim('{'):
+		return p.object(path, depth)
+	case json.Delim('['):
+		return p.list(path, depth)
+	}
+	return t, nil
+}
+
+// token returns the next token; the end of the input is an error here.
+func (p *parser) token() (json.Token, error) {
+	t, err := p.d.Token()
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return t, err
+}
+
+func (p *parser) object(path string, depth int) (any, error) {
+	o := &object{fields: make(map[string]any)}
+	for p.d.More() {
+		t, err := p.token()
+		if err != nil {
+			return nil, err
+		}
+		key, ok := t.(string)
+		if !ok {
+			return nil, errors.Errorf("field name %v is no text", t)
+		}
+		at := join(path, key)
+		v, err := p.value(at, depth+1)
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := o.fields[key]; ok {
+			p.report.add(at, "stands twice")
+			continue
+		}
+		o.keys = append(o.keys, key)
+		o.fields[key] = v
+	}
+	_, err := p.token()
+	return o, err
+}
+
+func (p *parser) list(path string, depth int) (any, error) {
+	list := []any{}
+	for p.d.More() {
+		v, err := p.value(fmt.Sprintf("%s[%d]", path, len(list)), depth+1)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, v)
+	}
+	_, err := p.token()
+	return list, err
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
