Generate checked settings from a questionnaire

Cause: a team answers questions; writing settings for eleven processes by hand is where addresses and data centres go wrong.

Ruled out: control replicas on the first instances of the list, which can put a quorum into one data centre; they are taken from the data centres in turn.

--- a/stage/checker/node.go
+++ b/stage/checker/node.go
@@ -227,10 +227,12 @@
 	if s == "" {
 		return ""
 	}
-	if a, err := netip.ParseAddr(s); err != nil || a.IsUnspecified() {
+	a, err := netip.ParseAddr(s)
+	if err != nil || a.IsUnspecified() {
 		n.Add(key, fmt.Sprintf("%q is no IP number", s))
+		return s
 	}
-	return s
+	return a.String() // one spelling, so that equal numbers are found
 }
 
 // Bool returns a field that may be missing, which is false.
--- /dev/null
+++ b/stage/questioner/generate.go
@@ -0,0 +1,218 @@
+package questioner
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"net"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/stage/checker"
+	"redwingstage.org/stage/loader"
+)
+
+// Ports of the processes on every instance.
+const (
+	callersPort        = 8080
+	entryPeersPort     = 7100
+	entryMetricsPort   = 9100
+	controlPeersPort   = 7000
+	operatorsPort      = 7070
+	controlMetricsPort = 9101
+)
+
+// Names of the generated files that are not settings of a process.
+const (
+	DocFile       = "configuration.json"
+	OperatorsFile = "operators.txt"
+	TokensFile    = "tokens.json"
+	TokenFile     = "operator.token"
+)
+
+// File is a generated file.
+type File struct {
+	name     string
+	content  []byte
+	settings bool
+	secret   bool
+}
+
+// Name returns the file's name.
+func (f File) Name() string { return f.name }
+
+// Content returns what the file holds.
+func (f File) Content() []byte { return f.content }
+
+// IsSettings reports whether the file holds the settings of a process.
+func (f File) IsSettings() bool { return f.settings }
+
+// IsSecret reports whether only the operator may read the file.
+func (f File) IsSecret() bool { return f.secret }
+
+// The generated settings have the form that package loader reads.
+type entrySettings struct {
+	Role     string   `json:"role"`
+	Name     string   `json:"name"`
+	Zone     string   `json:"zone"`
+	Zones    []string `json:"zones"`
+	Callers  string   `json:"callers"`
+	Peers    string   `json:"peers"`
+	Metrics  string   `json:"metrics"`
+	Controls []string `json:"controls"`
+}
+
+type controlSettings struct {
+	Role      string   `json:"role"`
+	Name      string   `json:"name"`
+	ID        int      `json:"id"`
+	Cluster   string   `json:"cluster"`
+	Zone      string   `json:"zone"`
+	Zones     []string `json:"zones"`
+	Folder    string   `json:"folder"`
+	Peers     string   `json:"peers"`
+	Operators string   `json:"operators"`
+	Metrics   string   `json:"metrics"`
+	Members   []member `json:"members"`
+	Tokens    string   `json:"tokens"`
+	Store     store    `json:"store"`
+}
+
+type member struct {
+	ID   int    `json:"id"`
+	Addr string `json:"addr"`
+}
+
+type tokens struct {
+	Tokens []token `json:"tokens"`
+}
+
+type token struct {
+	Name  string `json:"name"`
+	Token string `json:"token"`
+}
+
+// Generate makes the settings of every process, the first configuration, and a token for one operator.
+func Generate(a *Answers, operator string) ([]File, error) {
+	hosts := a.controlHosts()
+	var files []File
+	for _, in := range a.instances {
+		f, err := newFile("entry-"+in.Name+".json", a.entry(in, hosts))
+		if err != nil {
+			return nil, err
+		}
+		f.settings = true
+		files = append(files, f)
+	}
+	for i := range hosts {
+		f, err := newFile("control-"+hosts[i].Name+".json", a.control(i, hosts))
+		if err != nil {
+			return nil, err
+		}
+		f.settings = true
+		files = append(files, f)
+	}
+	if err := checkSettings(files); err != nil {
+		return nil, errors.Wrap(err, "check generated settings")
+	}
+	doc, err := newFile(DocFile, a.doc())
+	if err != nil {
+		return nil, err
+	}
+	secret := rand.Text()
+	list, err := newFile(TokensFile, tokens{Tokens: []token{{Name: operator, Token: secret}}})
+	if err != nil {
+		return nil, err
+	}
+	list.secret = true
+	var addrs []byte
+	for _, h := range hosts {
+		addrs = append(addrs, join(h, operatorsPort)+"\n"...)
+	}
+	return append(
+		files, doc, File{name: OperatorsFile, content: addrs},
+		list, File{name: TokenFile, content: []byte(secret + "\n"), secret: true},
+	), nil
+}
+
+// checkSettings reads the generated settings as the processes will.
+func checkSettings(files []File) error {
+	var findings []checker.Finding
+	for _, f := range files {
+		_, found := loader.Parse(f.name, f.content)
+		findings = append(findings, found...)
+	}
+	return checker.NewError(findings)
+}
+
+func newFile(name string, v any) (File, error) {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return File{}, errors.Wrapf(err, "encode %s", name)
+	}
+	return File{name: name, content: append(b, '\n')}, nil
+}
+
+func join(in instance, port int) string {
+	return net.JoinHostPort(in.Addr, strconv.Itoa(port))
+}
+
+// controlHosts picks the instances with a control replica, from the data centres in turn.
+func (a *Answers) controlHosts() []instance {
+	byZone := make(map[string][]instance)
+	for _, in := range a.instances {
+		if in.Disk {
+			byZone[in.Zone] = append(byZone[in.Zone], in)
+		}
+	}
+	var hosts []instance
+	for round := 0; len(hosts) < a.controls; round++ {
+		found := false
+		for _, zone := range a.zones {
+			if round < len(byZone[zone]) && len(hosts) < a.controls {
+				hosts = append(hosts, byZone[zone][round])
+				found = true
+			}
+		}
+		if !found {
+			break
+		}
+	}
+	return hosts
+}
+
+func (a *Answers) entry(in instance, hosts []instance) entrySettings {
+	s := entrySettings{
+		Role: string(loader.RoleEntry), Name: "entry-" + in.Name, Zone: in.Zone, Zones: a.zones,
+		Callers: join(in, callersPort), Peers: join(in, entryPeersPort), Metrics: join(in, entryMetricsPort),
+	}
+	for _, h := range hosts {
+		s.Controls = append(s.Controls, join(h, controlPeersPort))
+	}
+	return s
+}
+
+func (a *Answers) control(i int, hosts []instance) controlSettings {
+	in := hosts[i]
+	name := "control-" + in.Name
+	s := controlSettings{
+		Role: string(loader.RoleControl), Name: name, ID: i + 1, Cluster: a.team, Zone: in.Zone, Zones: a.zones,
+		Folder: filepath.ToSlash(filepath.Join("data", name)), Peers: join(in, controlPeersPort),
+		Operators: join(in, operatorsPort), Metrics: join(in, controlMetricsPort), Tokens: TokensFile, Store: a.store,
+	}
+	for k, h := range hosts {
+		s.Members = append(s.Members, member{ID: k + 1, Addr: join(h, controlPeersPort)})
+	}
+	return s
+}
+
+func (a *Answers) doc() configurer.Doc {
+	base := configurer.ServiceSpec{Name: a.model.Name, Kind: configurer.KindModel, Classes: a.model.Classes}
+	return configurer.Doc{
+		Classes:  a.classes,
+		Services: append([]configurer.ServiceSpec{base}, slices.Clone(a.services)...),
+	}
+}
