standin: name the attempt in the id field of every event and on every call

Cause: entries read the attempt from the id field of server-sent events, and take a plain service over only when its load report echoes the attempt; the stand-ins named it in the JSON alone, so that streams counted as crossed and no plain service was ever owned.

Change: an id field before each event, the end marker included; the order service echoes the attempt on every call.

Proof: go test -race -count=2 ./standin/inferer ./standin/orderer checks both.

--- a/standin/inferer/inferer_test.go
+++ b/standin/inferer/inferer_test.go
@@ -80,12 +80,17 @@
 // events returns the ids and the text of a stream and whether it has its end marker.
 func events(c *quicktest.C, body string) (ids []string, text string, whole bool) {
 	sc := bufio.NewScanner(strings.NewReader(body))
+	var field string
 	for sc.Scan() {
+		if id, ok := strings.CutPrefix(sc.Text(), "id: "); ok {
+			field = id
+		}
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
 		if !ok {
 			continue
 		}
 		if data == "[DONE]" {
+			c.Assert(field, quicktest.Equals, ids[len(ids)-1])
 			return ids, text, true
 		}
 		var ev struct {
@@ -96,6 +101,7 @@
 			}
 		}
 		c.Assert(json.Unmarshal([]byte(data), &ev), quicktest.IsNil)
+		c.Assert(field, quicktest.Equals, ev.ID)
 		ids = append(ids, ev.ID)
 		text += ev.Choices[0].Text + ev.Choices[0].Delta.Content
 	}
--- a/standin/inferer/writer.go
+++ b/standin/inferer/writer.go
@@ -44,7 +44,8 @@
 			}
 		}
 		if ending == finished {
-			w.buf = append(w.buf, "data: [DONE]\n\n"...)
+			w.buf = append(w.buf, w.field()...)
+			w.buf = append(w.buf, "[DONE]\n\n"...)
 		}
 		if !w.send(bw) || ending != running {
 			return
@@ -59,13 +60,19 @@
 	return bw.Flush() == nil
 }
 
+// field returns the start of an event, which names the attempt.
+func (w *writer) field() []byte {
+	return []byte("id: " + w.id.attempt + "\ndata: ")
+}
+
 // frame returns what stands before and after the text in each event.
 func (w *writer) frame() (head, tail []byte) {
 	object, open, end := "text_completion", `"text":`, `,"finish_reason":`
 	if w.chat {
 		object, open, end = "chat.completion.chunk", `"delta":{"content":`, `},"finish_reason":`
 	}
-	head = append(head, `data: {"id":`...)
+	head = w.field()
+	head = append(head, `{"id":`...)
 	head = append(head, quote(w.id.attempt)...)
 	head = append(head, `,"object":"`+object+`","created":`...)
 	head = strconv.AppendInt(head, w.created, 10)
--- a/standin/orderer/orderer.go
+++ b/standin/orderer/orderer.go
@@ -216,6 +216,9 @@
 	s.mu.Lock()
 	ctx.Response.Header.Set(marker.Incarnation, s.incarnation)
 	s.mu.Unlock()
+	if a := ctx.Request.Header.Peek(marker.Attempt); len(a) > 0 {
+		ctx.Response.Header.SetBytesV(marker.Attempt, a)
+	}
 	path, method := string(ctx.Path()), string(ctx.Method())
 	item, isStock := strings.CutPrefix(path, "/stock/")
 	switch {
@@ -258,7 +261,7 @@
 	if answer == faulter.Late {
 		s.pause(delay)
 	}
-	if r.attempt != "" {
+	if answer == faulter.Crossed {
 		ctx.Response.Header.Set(marker.Attempt, r.attempt)
 	}
 	ctx.SetStatusCode(r.status)
--- a/standin/orderer/orderer_test.go
+++ b/standin/orderer/orderer_test.go
@@ -55,7 +55,8 @@
 	c.Assert(status, quicktest.Equals, 422)
 	_, body, _, _ = call(c, s, "GET", "/ledger", "")
 	c.Assert(body, quicktest.Equals, `{"runs":{"k1":2}}`)
-	_, body, _, _ = call(c, s, "GET", "/load", "")
+	_, body, h, _ := call(c, s, "GET", "/load", "", marker.Attempt, "e1.1.2")
+	c.Assert(h.Get(marker.Attempt), quicktest.Equals, "e1.1.2")
 	c.Assert(body, quicktest.Contains, `"running":0,"waiting":0,"leaving":false`)
 }
 
