--- a/stage/dispatcher/dispatcher_test.go
+++ b/stage/dispatcher/dispatcher_test.go
@@ -26,7 +26,7 @@
 func post(t testing.TB, d *Dispatcher, path, body string, header ...string) answer {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.Callers()+path, strings.NewReader(body))
 	qt.Assert(t, err, qt.IsNil)
-	for i := 0; i+1 < len(header); i += 2 {
+	for i := 0; i+1 < len(header) && header[i] != ""; i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
 	client := http.Client{Timeout: hang, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/stage/receiver/listener.go
+++ b/stage/receiver/listener.go
@@ -1,12 +1,18 @@
 package receiver
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+const (
+	lingerTimeout = 2 * time.Second
+	maxLinger     = 64 << 20
+)
+
 // tooMany is the whole answer to a connection over the limit.
 const tooMany = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n" +
 	"Redwing-Outcome: not-run\r\nConnection: close\r\nContent-Length: 132\r\n\r\n" +
@@ -46,6 +52,8 @@
 	net.Conn
 	timeout time.Duration
 	closed  func()
+	// unread says that a refused body is still on its way.
+	unread atomic.Bool
 }
 
 // Write implements io.Writer.
@@ -56,8 +64,21 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements io.Closer.
+// Close implements io.Closer; a caller that still sends a refused body is read for a while, or it would miss the refusal.
 func (c *conn) Close() error {
 	c.closed()
+	if c.unread.CompareAndSwap(true, false) {
+		c.linger()
+	}
 	return c.Conn.Close()
 }
+
+func (c *conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLinger)
+	}
+}
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -173,6 +173,9 @@
 	var fe *fiber.Error
 	if errors.As(err, &fe) {
 		p = problem{status: fe.Code, code: "bad_request", message: fe.Message}
+		if lc, ok := c.RequestCtx().Conn().(*conn); ok && fe.Code == http.StatusRequestEntityTooLarge {
+			lc.unread.Store(true)
+		}
 	} else {
 		r.Log.Error("handler failed", err)
 	}
--- a/stage/receiver/request.go
+++ b/stage/receiver/request.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -74,10 +75,8 @@
 		uri = "/" + uri
 	}
 	path, _, _ := strings.Cut(uri, "?")
-	for segment := range strings.SplitSeq(path, "/") {
-		if segment == "." || segment == ".." {
-			return nil, badRequest("", "the path has a segment "+segment)
-		}
+	if !isPlainPath(path) {
+		return nil, badRequest("", "the path has dot segments or encoded slashes, which services read differently")
 	}
 	method := strings.Clone(c.Method())
 	req := &streamer.Request{
@@ -174,6 +173,17 @@
 	return xxhash.Sum64(doc.prompt[:min(len(doc.prompt), prefixBytes)])
 }
 
+// isPlainPath reports whether all readers of a path agree on its segments, on which idempotency is declared.
+func isPlainPath(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		s, err := url.PathUnescape(segment)
+		if err != nil || s == "." || s == ".." || strings.ContainsAny(s, `/\`) {
+			return false
+		}
+	}
+	return true
+}
+
 func isToken(s string) bool {
 	for i := range len(s) {
 		if s[i] <= ' ' || s[i] > '~' {
--- /dev/null
+++ b/stage/sender/sender_test.go
@@ -0,0 +1,162 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/stage/streamer"
+)
+
+// socket accepts connections and lets answer deal with each request; it counts both.
+type socket struct {
+	ln              net.Listener
+	conns, requests atomic.Int64
+}
+
+func listen(t *testing.T, answer func(n int64, c net.Conn, req *fasthttp.Request) bool) *socket {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &socket{ln: ln}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					req := &fasthttp.Request{}
+					if req.Read(br) != nil || !answer(s.requests.Add(1), c, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *socket) addr() string { return s.ln.Addr().String() }
+
+func reply(c net.Conn, req *fasthttp.Request, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRedwing-Attempt: %s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Peek(marker.Attempt), len(body), body)
+	return err == nil
+}
+
+// Whatever closes a connection and whatever the method, each call reaches the socket at most once.
+func TestNoRetryAtTheSocket(t *testing.T) {
+	for _, method := range []string{"GET", "PUT", "DELETE", "POST"} {
+		for _, warm := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/warm=%v", method, warm), func(t *testing.T) {
+				s := listen(t, func(_ int64, c net.Conn, req *fasthttp.Request) bool {
+					return string(req.URI().Path()) == "/warm" && reply(c, req, "ok")
+				})
+				snd := New()
+				defer snd.Close()
+				want := int64(1)
+				if warm {
+					r := snd.Call(context.Background(), Call{Attempt: "w", Addr: s.addr(), Method: "GET", URI: "/warm"}, nil)
+					qt.Assert(t, r.End.Outcome, qt.Equals, retrier.Done)
+					want++
+				}
+				r := snd.Call(context.Background(), Call{Attempt: "a", Addr: s.addr(), Method: method, URI: "/x"}, nil)
+				qt.Check(t, r.End.Outcome, qt.Equals, retrier.Unknown)
+				qt.Check(t, s.requests.Load(), qt.Equals, want)
+			})
+		}
+	}
+}
+
+// The library's own client does repeat a call; so the test above would notice if it were used.
+func TestLibraryClientRepeats(t *testing.T) {
+	s := listen(t, func(int64, net.Conn, *fasthttp.Request) bool { return false })
+	_, _, err := (&fasthttp.Client{}).Get(nil, "http://"+s.addr()+"/x")
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, s.requests.Load() > 1, qt.IsTrue, qt.Commentf("%d requests", s.requests.Load()))
+}
+
+// An answer that its reader gave up is never left on a connection for the next call.
+func TestAbandonedConnectionIsClosed(t *testing.T) {
+	s := listen(t, func(n int64, c net.Conn, req *fasthttp.Request) bool {
+		if n > 1 {
+			return reply(c, req, "second")
+		}
+		event := fmt.Sprintf("id: %s\ndata: {}\n\n", req.Header.Peek(marker.Attempt))
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRedwing-Attempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(event), event)
+		return err == nil
+	})
+	snd := New()
+	defer snd.Close()
+	answer := streamer.New(1)
+	r := snd.Call(context.Background(), Call{Attempt: "a1", Addr: s.addr(), Method: "POST", URI: "/x", Stream: true}, answer)
+	qt.Check(t, r.End.Reason, qt.Equals, streamer.ReasonSlow)
+	r = snd.Call(context.Background(), Call{Attempt: "a2", Addr: s.addr(), Method: "GET", URI: "/x"}, nil)
+	qt.Check(t, string(r.Body), qt.Equals, "second")
+	qt.Check(t, s.conns.Load(), qt.Equals, int64(2))
+}
+
+// A second answer to a call is never taken for the answer to the next call on the connection.
+func TestDoubledAnswerOnOneConnection(t *testing.T) {
+	s := listen(t, func(n int64, c net.Conn, req *fasthttp.Request) bool {
+		if n == 1 {
+			reply(c, req, "first")
+			time.Sleep(30 * time.Millisecond)
+		}
+		return reply(c, req, "first")
+	})
+	snd := New()
+	defer snd.Close()
+	call := Call{Addr: s.addr(), Method: "GET", URI: "/x"}
+	for i, want := range []string{"done", "any", "any"} {
+		call.Attempt = fmt.Sprint("a", i)
+		r := snd.Call(context.Background(), call, nil)
+		if want == "done" || r.End.Outcome == retrier.Done {
+			qt.Check(t, r.End.Outcome, qt.Equals, retrier.Done)
+			continue
+		}
+		qt.Check(t, r.End.Reason, qt.Equals, streamer.ReasonCrossed)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func TestEventErrors(t *testing.T) {
+	tests := []struct{ name, give, want string }{
+		{"no end", "id: a\ndata: {}\n\n", "answer ended before its end marker"},
+		{"half an event", "id: a\ndata: {}", "answer ended before its end marker"},
+		{"no name", "data: {}\n\n", "answer belongs to another attempt.*"},
+		{"other name", "id: b\ndata: {}\n\n", "answer belongs to another attempt.*"},
+		{"name of the last event only", "id: a\ndata: {}\n\ndata: [DONE]\n\n", "answer belongs to another attempt.*"},
+		{"long line", "id: a\ndata: " + strings.Repeat("x", maxEvent+1) + "\n\n", "answer is larger than the limit"},
+		{"long event", "id: a\n" + strings.Repeat("data: "+strings.Repeat("x", maxEvent/4)+"\n", 5) + "\n", "answer is larger than the limit"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := eventReader{r: bufio.NewReader(strings.NewReader(tt.give)), attempt: "a"}
+			var err error
+			for err == nil {
+				_, _, err = e.next()
+			}
+			qt.Assert(t, err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
