--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -32,6 +32,8 @@
 	// pace is the time between events.
 	pace   time.Duration
 	events int
+	// discreet keeps no ledger of generations.
+	discreet bool
 
 	mu          sync.Mutex
 	ln          net.Listener
@@ -294,6 +296,9 @@
 		}
 		s.events = append(s.events, fmt.Appendf(nil, `{"object":"chat.completion.chunk","model":%q,"choices":[{"index":0,"delta":{"content":%q}}]}`, c.model, text))
 	}
+	if c.discreet {
+		return id, s, 0
+	}
 	c.ledger = append(c.ledger, entry{request: string(c.req.Header.Peek(marker.Request)), attempt: id, body: c.model})
 	return id, s, 0
 }
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -274,15 +274,18 @@
 
 // suspect handles an attempt whose server didn't confirm; it reports whether nothing of the attempt can be left.
 func (o *Owner) suspect(j *job, err error) bool {
-	h := o.held[j.server.Name]
-	if h == nil || h.server.Incarnation != j.server.Incarnation {
-		// The server was handed over or restarted: its answer under a new name, or a dead process, settles the attempt.
-		var dead *sender.DeadError
-		return h != nil || err == nil || errors.As(err, &dead)
+	if o.jobs[j.attempt] == nil {
+		return j.isFailed()
 	}
-	if err != nil {
+	h := o.held[j.server.Name]
+	var dead *sender.DeadError
+	switch {
+	case h == nil && (err == nil || errors.As(err, &dead)), h != nil && !h.adopted && h.server.Incarnation != j.server.Incarnation:
+		// The server was handed over, or its restart was announced: the scheduler still has to hear of the end.
+		o.end(j.server, true)
+	case h != nil && err != nil:
 		o.unanswered(h, err, time.Now())
-	} else if h.adopted {
+	case h != nil && h.adopted && h.server.Incarnation == j.server.Incarnation:
 		o.gone(h, true)
 		o.poll(h)
 	}
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -189,13 +189,18 @@
 	}
 }
 
-// gone ends what runs on a server that restarted or died.
+// gone ends what runs on a held server that restarted or died.
 func (o *Owner) gone(h *held, crashed bool) {
 	h.adopted, h.pinned = false, nil
-	o.Sender.Drop(h.server.Addr)
-	o.Log.Warn("backend server is gone or restarted", h.server.Name)
+	o.end(h.server, crashed)
+}
+
+// end tells the scheduler that a server's process ended.
+func (o *Owner) end(s registrar.Server, crashed bool) {
+	o.Sender.Drop(s.Addr)
+	o.Log.Warn("backend server is gone or restarted", s.Name)
 	o.going = true
-	o.handle(scheduler.Gone{Server: h.server.Name, Crashed: crashed})
+	o.handle(scheduler.Gone{Server: s.Name, Crashed: crashed})
 	o.going = false
 }
 
