redwingstaged runs entry and control processes from their settings

Cause: until now all roles ran only in the dev role's one process. Ruled out: flags for every setting; the settings are checked files already. Change: starter builds a role from loader's settings and reads the operators' tokens with all findings together; redwingstaged has the subcommands run and dev; the receiver takes its header and idle timeouts from the settings. Conclusion: separate processes can be started.

--- a/stage/cmd/redwingstaged/main.go
+++ b/stage/cmd/redwingstaged/main.go
@@ -12,7 +12,9 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/stage/demonstrator"
+	"redwingstage.org/stage/loader"
 	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/starter"
 )
 
 // devArgs are the flags of the dev role.
@@ -23,7 +25,13 @@
 	Metrics   string `arg:"--metrics" default:"127.0.0.1:8070" help:"metrics' address of the first entry"`
 }
 
+// runArgs are the flags of the roles entry and control.
+type runArgs struct {
+	Settings string `arg:"positional,required" help:"settings file"`
+}
+
 type args struct {
+	Run   *runArgs `arg:"subcommand:run" help:"run the role that a settings file names"`
 	Dev   *devArgs `arg:"subcommand:dev" help:"run everything in one process, with stand-ins of the backend servers"`
 	Level string   `arg:"--level" default:"info" help:"lowest level of the log: debug, info, warn or error"`
 }
@@ -48,9 +56,28 @@
 }
 
 func run(ctx context.Context, a args, out io.Writer) error {
+	if a.Run != nil {
+		return runRole(ctx, a, out)
+	}
 	return runDev(ctx, a, out)
 }
 
+// runRole serves until it is told to end, and then lets open requests end.
+func runRole(ctx context.Context, a args, out io.Writer) error {
+	s, err := loader.Load(a.Run.Settings)
+	if err != nil {
+		return err
+	}
+	proc, err := starter.Start(s, logger.New(os.Stderr, a.Level))
+	if err != nil {
+		return errors.Wrap(err, s.Name())
+	}
+	if _, err = fmt.Fprintf(out, "%s: serving\n", s.Name()); err == nil {
+		<-ctx.Done()
+	}
+	return errors.Join(err, proc.Close())
+}
+
 func runDev(ctx context.Context, a args, out io.Writer) (err error) {
 	folder := a.Dev.Folder
 	if folder == "" {
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -21,8 +21,6 @@
 
 const (
 	maxHeader     = 16 << 10
-	readTimeout   = 30 * time.Second
-	idleTimeout   = 60 * time.Second
 	closeInterval = 10 * time.Millisecond
 )
 
@@ -50,6 +48,10 @@
 	MaxConns int
 	// MaxUnread limits the bytes of an answer that its caller hasn't read.
 	MaxUnread int
+	// ReadTimeout limits the time in which a request must have come.
+	ReadTimeout time.Duration
+	// IdleTimeout limits how long a connection stays open without a request.
+	IdleTimeout time.Duration
 	// WriteTimeout limits each write to a caller.
 	WriteTimeout time.Duration
 }
@@ -64,6 +66,12 @@
 	if c.MaxUnread == 0 {
 		c.MaxUnread = 4 << 20
 	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = 30 * time.Second
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = 60 * time.Second
+	}
 	if c.WriteTimeout == 0 {
 		c.WriteTimeout = 10 * time.Second
 	}
@@ -97,7 +105,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &Receiver{Deps: deps, cfg: cfg, ctx: ctx, stop: stop}
 	r.app = fiber.New(fiber.Config{
-		BodyLimit: cfg.MaxBody, ReadBufferSize: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		BodyLimit: cfg.MaxBody, ReadBufferSize: maxHeader, ReadTimeout: cfg.ReadTimeout, IdleTimeout: cfg.IdleTimeout,
 		Concurrency: cfg.MaxConns + 1, ErrorHandler: r.failed, StrictRouting: true, CaseSensitive: true,
 	})
 	r.routes()
--- /dev/null
+++ b/stage/starter/starter.go
@@ -0,0 +1,134 @@
+package starter
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/stage/checker"
+	"redwingstage.org/stage/controller"
+	"redwingstage.org/stage/dispatcher"
+	"redwingstage.org/stage/loader"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/receiver"
+)
+
+// drainTimeout is how long a shutdown waits for open requests.
+const drainTimeout = 5 * time.Minute
+
+// minToken is the length of the shortest token in characters.
+const minToken = 16
+
+// Process is a running role; Close shuts it down gracefully.
+type Process interface{ Close() error }
+
+// Start starts the role that the settings name.
+func Start(s *loader.Settings, log *logger.Logger) (Process, error) {
+	if s.Role() == loader.RoleControl {
+		return startControl(s)
+	}
+	return startEntry(s, log)
+}
+
+// entry is a dispatcher with its control client.
+type entry struct {
+	client *controller.Client
+	disp   *dispatcher.Dispatcher
+}
+
+// Close lets open requests end and then leaves the control session.
+func (e *entry) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	return errors.Join(e.disp.Close(ctx), e.client.Close())
+}
+
+func startEntry(s *loader.Settings, log *logger.Logger) (Process, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	client, err := controller.NewClient(controller.ClientConfig{
+		Name: s.Name(), Incarnation: incarnation, Addr: s.Peers(), Zone: s.Zone(), Controls: s.Entry().Controls(),
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start the control client")
+	}
+	l := s.Entry().Limits()
+	disp, err := dispatcher.New(dispatcher.Config{
+		Name: s.Name(), Incarnation: incarnation, Zone: s.Zone(),
+		Callers: s.Entry().Callers(), Peers: s.Peers(), Metrics: s.Metrics(),
+		Limits: receiver.Config{
+			MaxBody: l.Body(), MaxConns: l.Conns(), MaxUnread: l.Unread(),
+			ReadTimeout: l.Header(), IdleTimeout: l.Idle(), WriteTimeout: l.Write(),
+		},
+	}, client, dispatcher.WithLog(log))
+	if err != nil {
+		return nil, errors.Join(errors.Wrap(err, "start the entry"), client.Close())
+	}
+	return &entry{client: client, disp: disp}, nil
+}
+
+// newIncarnation returns a number that no other run of any process has.
+func newIncarnation() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, errors.Wrap(err, "draw an incarnation")
+	}
+	return binary.LittleEndian.Uint64(b[:]), nil
+}
+
+func startControl(s *loader.Settings) (Process, error) {
+	c := s.Control()
+	tokens, err := readTokens(c.Tokens())
+	if err != nil {
+		return nil, err
+	}
+	members := make([]runner.Member, 0, len(c.Members()))
+	for _, m := range c.Members() {
+		members = append(members, runner.Member{ID: m.ID(), Addr: m.Addr()})
+	}
+	ctl, err := controller.New(controller.Config{
+		ID: c.ID(), Cluster: c.Cluster(), Addr: s.Peers(), Operators: c.Operators(), Metrics: s.Metrics(),
+		Folder: c.Folder(), Members: members, Tokens: tokens,
+		Store: registrar.StoreLimits{Rate: c.Store().Rate(), Parallel: c.Store().Parallel()},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start the control replica")
+	}
+	return ctl, nil
+}
+
+// readTokens reads the operators' tokens; all findings are reported together.
+func readTokens(path string) ([]controller.Token, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the operators' tokens")
+	}
+	root := checker.Parse(path, b)
+	var tokens []controller.Token
+	seen := make(map[string]bool)
+	for _, n := range root.Objects("tokens", 1) {
+		t := controller.Token{Name: n.Name("name"), Token: n.Text("token")}
+		if len(t.Token) < minToken {
+			n.Add("token", "is shorter than 16 characters")
+		}
+		if seen[t.Token] {
+			n.Add("token", "is another operator's too")
+		}
+		seen[t.Token] = true
+		n.End()
+		tokens = append(tokens, t)
+	}
+	root.End()
+	if err := checker.NewError(root.Findings()); err != nil {
+		return nil, err
+	}
+	return tokens, nil
+}
--- a/standin/orderer/orderer.go
+++ b/standin/orderer/orderer.go
@@ -374,9 +374,6 @@
 }
 
 func (s *Server) loadReport(ctx *fasthttp.RequestCtx) {
-	if a := ctx.Request.Header.Peek(marker.Attempt); len(a) > 0 {
-		ctx.Response.Header.SetBytesV(marker.Attempt, a)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	responder.JSON(ctx, struct {
