Operators' command line redwingstage

Cause: operators need init, check, apply, get, status, audit, drain, replica, version and completion, with exit codes that scripts can rely on.

Ruled out: retries by the HTTP client, which can't know which calls may be repeated; every change carries an id, so that it may be sent again after a lost answer and to another replica. 'Uncertain' is said only when something was sent.

Change: package operator holds the commands; the program is a shell over it. The completion script is made from the command line's own definition, since go-arg has none.

Proof: go test -race -count=3 ./stage/operator: golden tables, a row for each exit code, a resent change that keeps its id over three replicas, and the commands against a real control replica.

--- a/stage/checker/node.go
+++ b/stage/checker/node.go
@@ -133,6 +133,11 @@
 	return n.texts(key, least, n.report.checkName)
 }
 
+// Texts returns a field that must be a list of texts, each once.
+func (n *Node) Texts(key string, least int) []string {
+	return n.texts(key, least, func(string, string) {})
+}
+
 // Addrs returns a field that must be a list of addresses, each once.
 func (n *Node) Addrs(key string, least int) []string {
 	return n.texts(key, least, n.report.checkAddr)
--- /dev/null
+++ b/stage/cmd/redwingstage/doc.go
@@ -0,0 +1,2 @@
+// Command redwingstage is the operators' command line of the serving layer.
+package main
--- /dev/null
+++ b/stage/operator/client.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Times of a call to the operators' API.
+const (
+	// slack is added to the time that a call may wait for a change to be in force.
+	slack = 5 * time.Second
+	// rounds is how often all replicas are tried.
+	rounds = 3
+	// pause lies between two rounds, so that an election can end.
+	pause = time.Second
+)
+
+// client calls the operators' API of any control replica; replicas pass a call on to their leader.
+type client struct {
+	addrs []string
+	token string
+	http  *fasthttp.Client
+	sleep func(time.Duration)
+	first int // the replica that answered last
+}
+
+func newClient(addrs []string, token string, sleep func(time.Duration)) *client {
+	return &client{addrs: addrs, token: token, sleep: sleep, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, // calls are repeated here, where it's known which may be
+		MaxConnsPerHost:           1,
+		Dial:                      dial,
+	}}
+}
+
+func (c *client) close() { c.http.CloseIdleConnections() }
+
+// call is one call with its parameters.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   any
+	wait   time.Duration
+	// change is the id of the change that the call makes; calls without one only read.
+	change string
+	// expect is the revision that an apply builds on.
+	expect *uint64
+}
+
+// do sends a call to the replicas in turn until one answers; a change keeps its id, so that it happens once.
+func (c *client) do(req call) ([]byte, error) {
+	body, err := encodeBody(req.body)
+	if err != nil {
+		return nil, err
+	}
+	sent := false
+	var last error
+	for round := range rounds {
+		if round > 0 {
+			c.sleep(pause)
+		}
+		for i := range c.addrs {
+			k := (c.first + i) % len(c.addrs)
+			b, err := c.try(c.addrs[k], req, body)
+			if err == nil || !isPassing(err) {
+				c.first = k
+				return b, err
+			}
+			sent = sent || maySent(err)
+			last = err
+		}
+	}
+	if sent && req.change != "" {
+		return nil, &uncertainError{change: req.change, expect: req.expect, last: last}
+	}
+	return nil, &unreachableError{last: last}
+}
+
+func encodeBody(v any) ([]byte, error) {
+	if v == nil {
+		return nil, nil
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	return b, nil
+}
+
+// isPassing reports whether another replica, or the same one later, may answer better.
+func isPassing(err error) bool {
+	var api *apiError
+	if !errors.As(err, &api) {
+		return true
+	}
+	return api.detail.Code == codeNoLeader || api.detail.Code == codeUncertain || api.status == http.StatusBadGateway
+}
+
+// dialError says that no connection came about, so that nothing was sent.
+type dialError struct{ err error }
+
+// Error implements error.
+func (e *dialError) Error() string { return e.err.Error() }
+
+// Unwrap returns the failure to connect.
+func (e *dialError) Unwrap() error { return e.err }
+
+// maySent reports whether a change may have been accepted by a try that failed.
+func maySent(err error) bool {
+	var d *dialError
+	var api *apiError
+	switch {
+	case errors.As(err, &d):
+		return false
+	case errors.As(err, &api):
+		return api.detail.Code != codeNoLeader
+	}
+	return true
+}
+
+func (c *client) try(addr string, req call, body []byte) ([]byte, error) {
+	r, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(r)
+	defer fasthttp.ReleaseResponse(resp)
+	r.SetRequestURI("http://" + addr + req.path)
+	r.URI().SetQueryString(req.query.Encode())
+	r.Header.SetMethod(req.method)
+	r.Header.Set("Authorization", "Bearer "+c.token)
+	if body != nil {
+		r.Header.SetContentType("application/json")
+		r.SetBody(body)
+	}
+	if err := c.http.DoTimeout(r, resp, req.wait+slack); err != nil {
+		return nil, errors.Wrapf(err, "call %s", addr)
+	}
+	b := append([]byte(nil), resp.Body()...)
+	if status := resp.StatusCode(); status/100 != 2 {
+		return nil, readError(addr, status, b)
+	}
+	return b, nil
+}
+
+func readError(addr string, status int, b []byte) error {
+	var body errorBody
+	if err := json.Unmarshal(b, &body); err != nil || body.Error.Code == "" {
+		return errors.Errorf("call %s: status %d without an error that can be read", addr, status)
+	}
+	return &apiError{status: status, detail: body.Error}
+}
--- /dev/null
+++ b/stage/operator/document.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"encoding/json"
+	"math"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/stage/checker"
+)
+
+// parseDoc reads a configuration and reports what is wrong with its form; what it refers to, only the control process knows.
+func parseDoc(file string, b []byte) (configurer.Doc, []checker.Finding) {
+	n := checker.Parse(file, b)
+	if n.IsBroken() {
+		return configurer.Doc{}, n.Findings()
+	}
+	for _, o := range n.Objects("classes", 0) {
+		readName(o, "name")
+		o.Bool("urgent")
+		o.Bool("long")
+		for _, key := range []string{"first", "total"} {
+			if o.Has(key) {
+				o.Duration(key)
+			}
+		}
+		o.End()
+	}
+	for _, o := range n.Objects("services", 0) {
+		readName(o, "name")
+		o.Choice("kind", string(configurer.KindModel), string(configurer.KindPlain))
+		o.Texts("classes", 1)
+		for _, call := range o.Objects("calls", 0) {
+			call.Text("method")
+			call.Text("path")
+			call.Bool("idempotent")
+			call.End()
+		}
+		o.End()
+	}
+	for _, o := range n.Objects("adapters", 0) {
+		parseAdapter(o)
+	}
+	n.End()
+	var doc configurer.Doc
+	if len(n.Findings()) == 0 {
+		if err := json.Unmarshal(b, &doc); err != nil {
+			n.Add("", err.Error())
+		}
+	}
+	return doc, n.Findings()
+}
+
+func parseAdapter(o *checker.Node) {
+	readName(o, "name")
+	readName(o, "service")
+	if o.Has("class") {
+		readName(o, "class")
+	}
+	if o.Has("current") {
+		o.Count("current", 0, math.MaxInt32)
+	}
+	for _, v := range o.Objects("versions", 0) {
+		v.Count("number", 1, math.MaxInt32)
+		v.Text("source")
+		v.Text("digest")
+		v.End()
+	}
+	o.End()
+}
+
+// readName checks a name by the rule of the configuration.
+func readName(n *checker.Node, key string) {
+	if s := n.Text(key); s != "" {
+		if reason := configurer.CheckName(s); reason != "" {
+			n.Add(key, reason)
+		}
+	}
+}
--- /dev/null
+++ b/stage/operator/local.go
@@ -0,0 +1,211 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"runtime/debug"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/stage/checker"
+	"redwingstage.org/stage/loader"
+	"redwingstage.org/stage/questioner"
+)
+
+// Modes of generated files and folders.
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+	secretMode = 0o600
+)
+
+func (c *command) init() error {
+	name, b, err := c.answers()
+	if err != nil {
+		return err
+	}
+	a, findings := questioner.Parse(name, b)
+	if err := checker.NewError(findings); err != nil {
+		return err
+	}
+	files, err := questioner.Generate(a, c.Init.Operator)
+	if err != nil {
+		return err
+	}
+	if err := c.write(files, b); err != nil {
+		return err
+	}
+	var names []string
+	for _, f := range files {
+		names = append(names, filepath.Join(c.Init.Folder, f.Name()))
+	}
+	if c.JSON {
+		return c.printJSON(written{Files: names})
+	}
+	return c.printf("%s\n", strings.Join(names, "\n"))
+}
+
+type written struct {
+	Files []string `json:"files"`
+}
+
+// answers reads the answers from a file or asks for them.
+func (c *command) answers() (string, []byte, error) {
+	if c.Init.Answers == "" {
+		b, err := questioner.Ask(c.In, c.Err)
+		return "answers", b, err
+	}
+	b, err := os.ReadFile(c.Init.Answers)
+	if err != nil {
+		return "", nil, errors.Wrap(err, "read answers")
+	}
+	return c.Init.Answers, b, nil
+}
+
+// answersFile keeps the answers beside what was made from them.
+const answersFile = "answers.json"
+
+// write writes all files, or none when one of them exists.
+func (c *command) write(files []questioner.File, answers []byte) error {
+	folder := c.Init.Folder
+	if !c.Init.Force {
+		var findings []checker.Finding
+		for _, f := range files {
+			path := filepath.Join(folder, f.Name())
+			if _, err := os.Lstat(path); err == nil {
+				findings = append(findings, checker.NewFinding(path, "", "exists; --force replaces it"))
+			}
+		}
+		if err := checker.NewError(findings); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	for _, f := range files {
+		mode := os.FileMode(fileMode)
+		if f.IsSecret() {
+			mode = secretMode
+		}
+		if err := os.WriteFile(filepath.Join(folder, f.Name()), f.Content(), mode); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+	}
+	if err := os.WriteFile(filepath.Join(folder, answersFile), answers, fileMode); err != nil {
+		return errors.Wrap(err, "write answers")
+	}
+	return nil
+}
+
+// check sorts the files by what they hold and checks each; settings are checked against each other too.
+func (c *command) check() error {
+	var settings []string
+	var findings []checker.Finding
+	for _, path := range c.Check.Files {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			findings = append(findings, checker.NewFinding(path, "", err.Error()))
+			continue
+		}
+		n := checker.Parse(path, b)
+		switch {
+		case n.IsBroken():
+			findings = append(findings, n.Findings()...)
+		case n.Has("team") || n.Has("instances"):
+			_, found := questioner.Parse(path, b)
+			findings = append(findings, found...)
+		case n.Has("classes") || n.Has("services") || n.Has("adapters"):
+			_, found := parseDoc(path, b)
+			findings = append(findings, found...)
+		default:
+			settings = append(settings, path)
+		}
+	}
+	_, err := loader.Check(settings)
+	var found *checker.FindingsError
+	if errors.As(err, &found) {
+		findings = append(findings, found.Findings()...)
+	}
+	if err := checker.NewError(findings); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(checked{Files: len(c.Check.Files)})
+	}
+	return c.printf("no findings in %d files\n", len(c.Check.Files))
+}
+
+type checked struct {
+	Files int `json:"files"`
+}
+
+type build struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+func (c *command) version() error {
+	v := build{Version: "unknown"}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		v = build{Version: info.Main.Version, Go: info.GoVersion}
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				v.Version += " " + s.Value
+			}
+		}
+	}
+	if c.JSON {
+		return c.printJSON(v)
+	}
+	return c.printf("%s %s (%s)\n", program, v.Version, v.Go)
+}
+
+// completion prints a script that completes commands and flags from the command line's own definition.
+func (c *command) completion() error {
+	if c.Completion.Shell != "bash" {
+		return &usageError{fmt.Sprintf("completion: %q is not supported; bash is", c.Completion.Shell)}
+	}
+	commands, flags := words(reflect.TypeOf(args{}))
+	return c.printf(`_redwingstage() {
+  local cur=${COMP_WORDS[COMP_CWORD]}
+  if [ "$COMP_CWORD" -eq 1 ]; then
+    COMPREPLY=($(compgen -W "%s" -- "$cur"))
+  elif [[ $cur == -* ]]; then
+    COMPREPLY=($(compgen -W "%s" -- "$cur"))
+  else
+    COMPREPLY=($(compgen -f -- "$cur"))
+  fi
+}
+complete -F _redwingstage redwingstage
+`, strings.Join(commands, " "), strings.Join(flags, " "))
+}
+
+// words returns the subcommands and all flags that the tags of a command line's type name.
+func words(t reflect.Type) (commands, flags []string) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		tag := f.Tag.Get("arg")
+		first, _, _ := strings.Cut(tag, ",")
+		if name, ok := strings.CutPrefix(first, "subcommand:"); ok {
+			commands = append(commands, name)
+		}
+		if strings.HasPrefix(first, "--") {
+			flags = append(flags, first)
+		}
+		inner := f.Type
+		if inner.Kind() == reflect.Pointer {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			_, more := words(inner)
+			flags = append(flags, more...)
+		}
+	}
+	slices.Sort(flags)
+	return commands, slices.Compact(flags)
+}
--- /dev/null
+++ b/stage/operator/read.go
@@ -0,0 +1,384 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+)
+
+type status struct {
+	Revision uint64    `json:"revision"`
+	Leader   uint64    `json:"leader"`
+	Era      uint64    `json:"era"`
+	Settled  bool      `json:"settled"`
+	Replicas []replica `json:"replicas"`
+	Entries  []entry   `json:"entries"`
+	Servers  []server  `json:"servers"`
+}
+
+type replica struct {
+	ID      uint64 `json:"id"`
+	Addr    string `json:"addr"`
+	Learner bool   `json:"learner"`
+	Leader  bool   `json:"leader"`
+}
+
+type entry struct {
+	Name     string `json:"name"`
+	Addr     string `json:"addr"`
+	Zone     string `json:"zone"`
+	Revision uint64 `json:"revision"`
+	Servers  int    `json:"servers"`
+	Draining bool   `json:"draining"`
+}
+
+type server struct {
+	Name     string `json:"name"`
+	Kind     string `json:"kind"`
+	Service  string `json:"service"`
+	Addr     string `json:"addr"`
+	Zone     string `json:"zone"`
+	Owner    string `json:"owner"`
+	Epoch    uint64 `json:"epoch"`
+	Leaving  bool   `json:"leaving"`
+	Draining bool   `json:"draining"`
+}
+
+// isDrained reports whether a drain, or its undoing, shows in the status.
+func (s status) isDrained(d *drainArgs) bool {
+	if d.Kind == "entry" {
+		for _, e := range s.Entries {
+			if e.Name == d.Name {
+				return e.Draining != d.Undo && (d.Undo || e.Servers == 0)
+			}
+		}
+		return !d.Undo
+	}
+	for _, v := range s.Servers {
+		if v.Name == d.Name {
+			return v.Draining != d.Undo
+		}
+	}
+	return !d.Undo
+}
+
+func (s status) hasReplica(id uint64) bool {
+	for _, r := range s.Replicas {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (s status) hasVoter(id uint64) bool {
+	for _, r := range s.Replicas {
+		if r.ID == id {
+			return !r.Learner
+		}
+	}
+	return false
+}
+
+func (c *command) status() error {
+	b, err := c.client.do(call{method: http.MethodGet, path: "/v1/status"})
+	if err != nil {
+		return err
+	}
+	var s status
+	return c.show(b, &s, func() error { return c.printStatus(s) })
+}
+
+func (c *command) printStatus(s status) error {
+	state := "settled"
+	if !s.Settled {
+		state = "not settled after a change of leader"
+	}
+	if err := c.printf("revision %d, leader %d, %s\n\n", s.Revision, s.Leader, state); err != nil {
+		return err
+	}
+	if err := c.printReplicas(s.Replicas); err != nil {
+		return err
+	}
+	if err := c.printf("\n"); err != nil {
+		return err
+	}
+	t := newTable(c.Out, "ENTRY", "ADDRESS", "DATA CENTRE", "REVISION", "SERVERS", "STATE")
+	for _, e := range s.Entries {
+		t.row(e.Name, e.Addr, e.Zone, strconv.FormatUint(e.Revision, 10), strconv.Itoa(e.Servers), yes(e.Draining, "draining"))
+	}
+	if err := t.end(); err != nil {
+		return err
+	}
+	if err := c.printf("\n"); err != nil {
+		return err
+	}
+	t = newTable(c.Out, "SERVER", "KIND", "SERVICE", "ADDRESS", "DATA CENTRE", "OWNER", "STATE")
+	for _, v := range s.Servers {
+		state := strings.TrimSpace(yes(v.Leaving, "leaving ") + yes(v.Draining, "draining"))
+		t.row(v.Name, v.Kind, v.Service, v.Addr, v.Zone, v.Owner, state)
+	}
+	return t.end()
+}
+
+func (c *command) printReplicas(list []replica) error {
+	t := newTable(c.Out, "REPLICA", "ADDRESS", "STATE")
+	for _, r := range list {
+		state := "follower"
+		if r.Learner {
+			state = "learner"
+		}
+		if r.Leader {
+			state = "leader"
+		}
+		t.row(strconv.FormatUint(r.ID, 10), r.Addr, state)
+	}
+	return t.end()
+}
+
+// objects is a list of configuration objects, or one of them.
+type objects struct {
+	Revision uint64                   `json:"revision"`
+	Classes  []configurer.ClassSpec   `json:"classes,omitempty"`
+	Services []configurer.ServiceSpec `json:"services,omitempty"`
+	Adapters []configurer.AdapterSpec `json:"adapters,omitempty"`
+	Class    *configurer.ClassSpec    `json:"class,omitempty"`
+	Service  *configurer.ServiceSpec  `json:"service,omitempty"`
+	Adapter  *configurer.AdapterSpec  `json:"adapter,omitempty"`
+	Next     string                   `json:"next,omitempty"`
+}
+
+// maxPage is the longest page of adapters.
+const maxPage = 1000
+
+func (c *command) get() error {
+	g := c.Get
+	switch g.Kind {
+	case "classes", "services", "adapters":
+	case "drains":
+		return c.getDrains()
+	default:
+		return &usageError{fmt.Sprintf("get: %q is none of classes, services, adapters, drains", g.Kind)}
+	}
+	if g.Limit < 0 {
+		return &usageError{fmt.Sprintf("--limit: %d is below 0", g.Limit)}
+	}
+	if g.Kind == "adapters" && g.Name == "" {
+		return c.getAdapters()
+	}
+	path := "/v1/" + g.Kind
+	if g.Name != "" {
+		path += "/" + url.PathEscape(g.Name)
+	}
+	b, err := c.client.do(call{method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+	var o objects
+	return c.show(b, &o, func() error { return c.printObjects(o) })
+}
+
+func (c *command) getDrains() error {
+	b, err := c.client.do(call{method: http.MethodGet, path: "/v1/drains"})
+	if err != nil {
+		return err
+	}
+	var r drains
+	return c.show(b, &r, func() error { return c.printDrains(r) })
+}
+
+// getAdapters reads as many pages as the limit asks for.
+func (c *command) getAdapters() error {
+	after, left := c.Get.After, c.Get.Limit
+	all := objects{}
+	for {
+		page := maxPage
+		if c.Get.Limit > 0 {
+			page = min(page, left)
+		}
+		q := url.Values{"limit": {strconv.Itoa(page)}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		b, err := c.client.do(call{method: http.MethodGet, path: "/v1/adapters", query: q})
+		if err != nil {
+			return err
+		}
+		var o objects
+		if err := json.Unmarshal(b, &o); err != nil {
+			return errors.Wrap(err, "read adapters")
+		}
+		all.Revision, all.Next = o.Revision, o.Next
+		all.Adapters = append(all.Adapters, o.Adapters...)
+		after, left = o.Next, left-len(o.Adapters)
+		if after == "" || c.Get.Limit > 0 && left <= 0 {
+			break
+		}
+	}
+	if c.JSON {
+		return c.printJSON(all)
+	}
+	return c.printObjects(all)
+}
+
+func (c *command) printObjects(o objects) error {
+	if o.Class != nil {
+		o.Classes = append(o.Classes, *o.Class)
+	}
+	if o.Service != nil {
+		o.Services = append(o.Services, *o.Service)
+	}
+	if o.Adapter != nil {
+		o.Adapters = append(o.Adapters, *o.Adapter)
+	}
+	switch c.Get.Kind {
+	case "classes":
+		return c.printClasses(o.Classes)
+	case "services":
+		return c.printServices(o.Services)
+	}
+	if err := c.printAdapters(o.Adapters); err != nil {
+		return err
+	}
+	if o.Next != "" {
+		return c.printf("more with --after %s\n", o.Next)
+	}
+	return nil
+}
+
+func (c *command) printClasses(list []configurer.ClassSpec) error {
+	t := newTable(c.Out, "CLASS", "URGENT", "LONG", "FIRST", "TOTAL")
+	for _, s := range list {
+		t.row(s.Name, yes(s.Urgent, "yes"), yes(s.Long, "yes"), s.First, s.Total)
+	}
+	return t.end()
+}
+
+func (c *command) printServices(list []configurer.ServiceSpec) error {
+	t := newTable(c.Out, "SERVICE", "KIND", "CLASSES", "CALLS")
+	for _, s := range list {
+		var calls []string
+		for _, call := range s.Calls {
+			text := call.Method + " " + call.Path
+			if call.Idempotent {
+				text += " (idempotent)"
+			}
+			calls = append(calls, text)
+		}
+		t.row(s.Name, string(s.Kind), strings.Join(s.Classes, ","), strings.Join(calls, ", "))
+	}
+	return t.end()
+}
+
+func (c *command) printAdapters(list []configurer.AdapterSpec) error {
+	t := newTable(c.Out, "ADAPTER", "SERVICE", "CLASS", "CURRENT", "VERSIONS")
+	for _, s := range list {
+		var numbers []string
+		for _, v := range s.Versions {
+			numbers = append(numbers, strconv.Itoa(v.Number))
+		}
+		t.row(s.Name, s.Service, s.Class, strconv.Itoa(s.Current), strings.Join(numbers, ","))
+	}
+	return t.end()
+}
+
+type records struct {
+	Records []record `json:"records"`
+	Next    uint64   `json:"next,omitempty"`
+}
+
+type record struct {
+	Seq      uint64 `json:"seq"`
+	Revision uint64 `json:"revision"`
+	At       string `json:"at"`
+	Operator string `json:"operator"`
+	From     string `json:"from"`
+	Change   string `json:"change"`
+	Action   string `json:"action"`
+	Items    []item `json:"items"`
+}
+
+type item struct {
+	ref
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+func (c *command) audit() error {
+	a := c.Audit
+	q := url.Values{}
+	for key, v := range map[string]string{
+		"operator": a.Operator, "kind": a.Kind, "name": a.Name, "since": a.Since, "until": a.Until,
+	} {
+		if v != "" {
+			q.Set(key, v)
+		}
+	}
+	if a.After > 0 {
+		q.Set("after", strconv.FormatUint(a.After, 10))
+	}
+	if a.Export {
+		b, err := c.client.do(call{method: http.MethodGet, path: "/v1/audit/export", query: q})
+		if err != nil {
+			return err
+		}
+		return c.printExport(b)
+	}
+	q.Set("limit", strconv.Itoa(a.Limit))
+	b, err := c.client.do(call{method: http.MethodGet, path: "/v1/audit", query: q})
+	if err != nil {
+		return err
+	}
+	var r records
+	return c.show(b, &r, func() error { return c.printRecords(r) })
+}
+
+// printExport prints records one a line; an error as the last line says that the export is not whole.
+func (c *command) printExport(b []byte) error {
+	text := strings.TrimRight(string(b), "\n")
+	last := text[strings.LastIndexByte(text, '\n')+1:]
+	var body errorBody
+	if err := json.Unmarshal([]byte(last), &body); err == nil && body.Error.Code != "" {
+		return &apiError{detail: body.Error}
+	}
+	return c.printf("%s", b)
+}
+
+func (c *command) printRecords(r records) error {
+	t := newTable(c.Out, "SEQ", "REVISION", "AT", "OPERATOR", "ACTION", "CHANGE", "ITEMS")
+	for _, rec := range r.Records {
+		var items []string
+		for _, i := range rec.Items {
+			items = append(items, i.sign()+i.Kind+"/"+i.Name)
+		}
+		t.row(
+			strconv.FormatUint(rec.Seq, 10), strconv.FormatUint(rec.Revision, 10), rec.At, rec.Operator, rec.Action,
+			rec.Change, strings.Join(items, " "),
+		)
+	}
+	if err := t.end(); err != nil {
+		return err
+	}
+	if r.Next != 0 {
+		return c.printf("more with --after %d\n", r.Next)
+	}
+	return nil
+}
+
+// sign shows whether an object is new, gone or changed.
+func (i item) sign() string {
+	switch {
+	case len(i.Before) == 0 && len(i.After) > 0:
+		return "+"
+	case len(i.After) == 0 && len(i.Before) > 0:
+		return "-"
+	}
+	return ""
+}
