rehearse a whole deployment as separate processes; a test kills, freezes and stops one of each

Cause: the path as ordinary processes had not been run. Ruled out: a shell script: it can neither freeze nor restart a process by name.

--- /dev/null
+++ b/stage/rehearser/apply.go
@@ -0,0 +1,97 @@
+package rehearser
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/stage/operator"
+	"redwingstage.org/stage/questioner"
+)
+
+// adaptersFile holds the adapters that a rehearsal adds to the first configuration.
+const adaptersFile = "adapters.json"
+
+const (
+	retryPause   = 300 * time.Millisecond
+	applyTimeout = 60 * time.Second
+	fileMode     = 0o644
+)
+
+// AdapterName returns the name of the i-th adapter of a rehearsal.
+func AdapterName(i int) string { return fmt.Sprintf("adapter-%04d", i) }
+
+// Apply brings the first configuration and n adapters of each model service into force.
+func (r *Rehearser) Apply(ctx context.Context, n int) error {
+	if err := r.writeAdapters(n); err != nil {
+		return err
+	}
+	for _, name := range []string{questioner.DocFile, adaptersFile} {
+		if err := r.retry(ctx, func() error {
+			_, err := r.Operate("apply", "--wait", filepath.Join(r.cfg.Folder, name))
+			return err
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Operate runs the operators' command line and returns what it printed.
+func (r *Rehearser) Operate(argv ...string) (string, error) {
+	var out, complaint bytes.Buffer
+	all := append([]string{
+		"--operators", filepath.Join(r.cfg.Folder, questioner.OperatorsFile),
+		"--token", filepath.Join(r.cfg.Folder, questioner.TokenFile),
+	}, argv...)
+	code := operator.Run(operator.Env{In: &bytes.Buffer{}, Out: &out, Err: &complaint}, all)
+	if code != operator.OK {
+		return out.String(), errors.Errorf("redwingstage %s: exit code %d: %s", argv[0], code, complaint.String())
+	}
+	return out.String(), nil
+}
+
+func (r *Rehearser) retry(ctx context.Context, f func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (r *Rehearser) writeAdapters(n int) error {
+	var doc configurer.Doc
+	for _, service := range r.models {
+		for i := range n {
+			name := AdapterName(i)
+			doc.Adapters = append(doc.Adapters, configurer.AdapterSpec{
+				Name: name, Service: service, Current: 1, Versions: []configurer.VersionSpec{
+					{Number: 1, Source: "store/" + name + "/1", Digest: fmt.Sprintf("%064x", i+1)},
+				},
+			})
+		}
+	}
+	b, err := json.Marshal(doc)
+	if err != nil {
+		return errors.Wrap(err, "encode adapters")
+	}
+	if err := os.WriteFile(filepath.Join(r.cfg.Folder, adaptersFile), b, fileMode); err != nil {
+		return errors.Wrap(err, "write adapters")
+	}
+	return nil
+}
--- /dev/null
+++ b/stage/rehearser/rehearser_test.go
@@ -0,0 +1,207 @@
+package rehearser
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/stage/operator"
+)
+
+// hang is when a test that gets no answer gives up.
+const hang = 90 * time.Second
+
+// answers are a small deployment: three data centres with one control replica and one entry each.
+const answers = `{"team":"small","zones":["a","b","c"],
+"instances":[{"name":"i1","zone":"a","addr":"127.%[1]d.1.1","disk":true},
+ {"name":"i2","zone":"b","addr":"127.%[1]d.2.1","disk":true},{"name":"i3","zone":"c","addr":"127.%[1]d.3.1","disk":true}],
+"controls":3,"store":{"rate":3.5,"parallel":3,"inflight":24,"load":"250ms"},
+"classes":[{"name":"chat","urgent":true,"first":"10s","total":"2m"},{"name":"order","urgent":true,"first":"10s","total":"20s"}],
+"model":{"name":"base","classes":["chat"],"engines":2,"adapters":20,"fenced":"some"},
+"services":[{"name":"orders","classes":["order"],"servers":1,"calls":[
+ {"method":"GET","path":"/stock/*","idempotent":true},{"method":"GET","path":"/ledger","idempotent":true},{"method":"POST","path":"/bookings"}]}]}`
+
+// world is a running small deployment.
+type world struct {
+	*qt.C
+	*Rehearser
+}
+
+func start(t *testing.T) *world {
+	c := qt.New(t)
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "bin")
+	build := exec.Command("go", "build", "-o", bin+"/", "redwingstage.org/stage/cmd/redwingstaged", "redwingstage.org/standin/cmd/standin")
+	out, err := build.CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	// The loopback net depends on the process, so that runs side by side don't meet.
+	net := 100 + os.Getpid()%100
+	file := filepath.Join(dir, "answers.json")
+	c.Assert(os.WriteFile(file, fmt.Appendf(nil, answers, net), 0o600), qt.IsNil)
+	folder := filepath.Join(dir, "run")
+	var complaint bytes.Buffer
+	code := operator.Run(operator.Env{In: &bytes.Buffer{}, Out: io.Discard, Err: &complaint}, []string{"init", "--answers", file, folder})
+	c.Assert(code, qt.Equals, operator.OK, qt.Commentf("%s", &complaint))
+	r, err := New(Config{Bin: bin, Folder: folder, Engines: 2, Servers: 1, Net: net})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { c.Check(r.Close(), qt.IsNil) })
+	c.Assert(r.StartAll(), qt.IsNil)
+	c.Assert(r.Apply(context.Background(), 20), qt.IsNil)
+	return &world{C: c, Rehearser: r}
+}
+
+// answer is a whole answer.
+type answer struct {
+	status  int
+	body    string
+	outcome string
+}
+
+func (w *world) try(entry int, method, path, body, key string) (answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), hang)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.Callers()[entry]+path, strings.NewReader(body))
+	w.Assert(err, qt.IsNil)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set(marker.Key, key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return answer{res.StatusCode, string(b), res.Header.Get(marker.Outcome) + res.Trailer.Get(marker.Outcome)}, err
+}
+
+// insist sends a request again, as callers do, for as long as it is refused or its entry can't be reached.
+func (w *world) insist(entry int, method, path, body, key string) answer {
+	for end := time.Now().Add(hang); ; time.Sleep(100 * time.Millisecond) {
+		a, err := w.try(entry, method, path, body, key)
+		if err == nil && a.outcome == "done" {
+			return a
+		}
+		if time.Now().After(end) {
+			w.Fatalf("no answer to %s %s: %v %v", method, path, a, err)
+		}
+	}
+}
+
+func (w *world) chat(entry, adapter, tokens int) {
+	w.Helper()
+	a := w.insist(entry, "POST", "/v1/chat/completions", fmt.Sprintf(
+		`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"route m%d"}]}`, AdapterName(adapter), tokens, adapter), "")
+	w.Assert(a.body, qt.Contains, fmt.Sprintf(`"content":"%s@1"`, AdapterName(adapter)))
+	w.Assert(a.body, qt.Contains, fmt.Sprintf(`" m%d"`, adapter))
+	w.Assert(a.body, qt.Contains, "[DONE]")
+}
+
+func (w *world) book(entry int, key string) string {
+	w.Helper()
+	return w.insist(entry, "POST", "/services/orders/bookings", `{"item":"crate","quantity":1}`, key).body
+}
+
+// ledger reads the order service's own count of runs for each key.
+func (w *world) ledger() map[string]int {
+	for _, s := range w.Standins() {
+		if !s.IsPlain() {
+			continue
+		}
+		req, err := http.NewRequestWithContext(context.Background(), "GET", "http://"+s.Addr()+"/ledger", nil)
+		w.Assert(err, qt.IsNil)
+		res, err := http.DefaultClient.Do(req)
+		w.Assert(err, qt.IsNil)
+		defer res.Body.Close()
+		var book struct {
+			Runs map[string]int `json:"runs"`
+		}
+		w.Assert(json.NewDecoder(res.Body).Decode(&book), qt.IsNil)
+		return book.Runs
+	}
+	return nil
+}
+
+// leader returns the name of the control replica that leads.
+func (w *world) leader() string {
+	var st struct {
+		Leader int `json:"leader"`
+	}
+	for end := time.Now().Add(hang); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		out, err := w.Operate("--json", "status")
+		if err != nil {
+			continue
+		}
+		w.Assert(json.Unmarshal([]byte(out), &st), qt.IsNil)
+		if st.Leader > 0 {
+			return w.Controls()[st.Leader-1]
+		}
+	}
+	w.Fatal("no leader")
+	return ""
+}
+
+// TestProcesses runs a small deployment as separate processes and lets one of each kind fail.
+func TestProcesses(t *testing.T) {
+	w := start(t)
+	for i := range w.Callers() {
+		w.chat(i, i, 4)
+		w.book(i, fmt.Sprintf("plain-%d", i))
+	}
+	first := w.book(0, "moved")
+	w.Assert(w.book(1, "moved"), qt.Equals, first)
+
+	// The leader dies: bookings and changes go on, and nothing that was accepted is lost.
+	dead := w.leader()
+	w.Assert(w.Kill(dead), qt.IsNil)
+	w.Assert(w.book(2, "moved"), qt.Equals, first)
+	w.book(1, "after-leader")
+	w.chat(0, 7, 4)
+	w.Assert(w.StartOne(dead), qt.IsNil)
+
+	// A frozen leader thaws: it must not be heard any more.
+	frozen := w.leader()
+	w.Assert(w.Freeze(frozen), qt.IsNil)
+	w.book(0, "while-frozen")
+	w.Assert(w.Thaw(frozen), qt.IsNil)
+	w.Assert(w.book(1, "moved"), qt.Equals, first)
+
+	// An entry dies with the backend servers that it owns: the others take them over.
+	w.Assert(w.Kill(w.Entries()[0]), qt.IsNil)
+	for adapter := range 4 {
+		w.chat(1, adapter, 4)
+	}
+	w.book(2, "after-entry")
+	w.Assert(w.StartOne(w.Entries()[0]), qt.IsNil)
+	w.chat(0, 3, 4)
+
+	// An entry shuts down while it streams: the stream ends whole.
+	open := make(chan answer, 1)
+	go func() {
+		a, _ := w.try(1, "POST", "/v1/completions", `{"model":"base","stream":true,"max_tokens":200,"prompt":"x long"}`, "")
+		open <- a
+	}()
+	time.Sleep(500 * time.Millisecond)
+	w.Assert(w.Stop(w.Entries()[1]), qt.IsNil)
+	a := <-open
+	w.Assert(a.outcome, qt.Equals, "done", qt.Commentf("%s", a.body))
+	w.Assert(a.body, qt.Contains, "[DONE]")
+
+	ledger := w.ledger()
+	w.Assert(len(ledger), qt.Equals, len(w.Callers())+4)
+	for key, runs := range ledger {
+		w.Check(runs, qt.Equals, 1, qt.Commentf("key %s", key))
+	}
+}
