control: fault matrix of the leader, its streams and the entries' client

Cause: leases, ownership, permits, locks, suspicions, changes and waits had no proof under faults. Found and mended: a release that came late gave up the ownership that the same entry had got anew (it names its epoch now); a lock lasted over a lapsed lease, and a late answer or unlock touched a newer one (locks are numbered and end with the lease); a new leader renewed leases of entries that could not know an earlier leader's suspicions (it waits for those without a lease until it has settled).

--- a/serving/quarantiner/board.go
+++ b/serving/quarantiner/board.go
@@ -41,8 +41,10 @@
 	heldUntil time.Time
 }
 
+// lock is held under the number of the ticket, since a holder may give back an earlier one late.
 type lock struct {
 	holder  string
+	id      uint64
 	waiting []Ticket
 }
 
@@ -144,23 +146,23 @@
 }
 
 // Claim takes up a lock that an entry holds since an earlier leader.
-func (b *Board) Claim(now time.Time, d Digest, holder string) {
+func (b *Board) Claim(now time.Time, t Ticket) {
 	if !now.Before(b.heldUntil) {
 		return
 	}
-	l, ok := b.locks[d]
+	l, ok := b.locks[t.Digest]
 	if !ok {
 		l = &lock{}
-		b.locks[d] = l
+		b.locks[t.Digest] = l
 	}
 	if l.holder == "" {
-		l.holder = holder
+		l.holder, l.id = t.Holder, t.ID
 	}
 }
 
 // Unlock gives a lock back.
-func (b *Board) Unlock(d Digest, holder string) {
-	if l, ok := b.locks[d]; ok && l.holder == holder {
+func (b *Board) Unlock(t Ticket) {
+	if l, ok := b.locks[t.Digest]; ok && l.holder == t.Holder && l.id == t.ID {
 		l.holder = ""
 	}
 }
@@ -196,7 +198,7 @@
 			delete(b.locks, d)
 		default:
 			out = append(out, l.waiting[0])
-			l.holder = l.waiting[0].Holder
+			l.holder, l.id = l.waiting[0].Holder, l.waiting[0].ID
 			l.waiting = l.waiting[1:]
 		}
 	}
--- a/serving/registrar/registry.go
+++ b/serving/registrar/registry.go
@@ -57,10 +57,12 @@
 
 // ownership is what the roster says of an owner beside its grant.
 type ownership struct {
-	clean  bool
-	last   string
-	pinned []configurer.Target
-	after  time.Duration
+	clean bool
+	// last is the owner before, under lastEpoch.
+	last      string
+	lastEpoch uint64
+	pinned    []configurer.Target
+	after     time.Duration
 }
 
 // move is a backend server that was taken from an entry which has not yet confirmed it.
@@ -235,18 +237,20 @@
 func (e *NotOwnerError) Error() string { return e.Holder + " does not own " + e.Server }
 
 // Release takes a server back from its owner, with the adapters that still serve; the last owner may update these.
-func (r *Registry) Release(holder, server string, pinned []configurer.Target) error {
+//
+// The epoch is that of the ownership given up, since a release may come late, after the same entry owns the server anew.
+func (r *Registry) Release(holder, server string, epoch uint64, pinned []configurer.Target) error {
 	move, moving := r.moves[server]
 	switch g, owned := r.granter.Holder(server); {
-	case owned && g.Holder == holder:
+	case owned && g.Holder == holder && g.Epoch == epoch:
 		if moving && move.from == holder {
 			delete(r.moves, server)
 		} else if m, ok := r.members[holder]; ok {
 			m.leaving = true
 		}
 		r.granter.Release(server, holder)
-		r.owned[server] = &ownership{last: holder, clean: true, pinned: pinned}
-	case r.owned[server] != nil && r.owned[server].last == holder:
+		r.owned[server] = &ownership{last: holder, lastEpoch: epoch, clean: true, pinned: pinned}
+	case r.owned[server] != nil && r.owned[server].last == holder && r.owned[server].lastEpoch == epoch:
 		r.owned[server].pinned = pinned
 		r.owned[server].clean = true
 	default:
@@ -273,7 +277,7 @@
 		delete(r.members, lost.Holder)
 		r.touch("e", m.entry.Name)
 		for _, server := range lost.Keys {
-			r.unown(server, lost.Holder)
+			r.unown(server, lost.Holder, 0)
 			delete(r.moves, server)
 		}
 		out = append(out, LostEntry{Name: m.entry.Name, Incarnation: m.entry.Incarnation})
@@ -288,8 +292,8 @@
 }
 
 // unown lists a server without an owner; pins of the last one are unknown.
-func (r *Registry) unown(server, last string) {
-	r.owned[server] = &ownership{last: last, after: orderDelay}
+func (r *Registry) unown(server, last string, epoch uint64) {
+	r.owned[server] = &ownership{last: last, lastEpoch: epoch, after: orderDelay}
 	r.touch("o", server)
 }
 
@@ -321,8 +325,9 @@
 		owner, ok := r.members[m.from]
 		confirmed := ok && m.revision > 0 && owner.acked >= m.revision
 		if confirmed || !r.granter.Live(now, m.from) {
+			g, _ := r.granter.Holder(server)
 			r.granter.Revoke(server)
-			r.unown(server, m.from)
+			r.unown(server, m.from, g.Epoch)
 			delete(r.moves, server)
 		}
 	}
--- a/stage/controller/agent.go
+++ b/stage/controller/agent.go
@@ -48,7 +48,9 @@
 	calls     map[uint64]*pendingCall
 	lastCall  uint64
 	permits   map[uint64]time.Time
-	locks     map[quarantiner.Digest]bool
+	locks     map[quarantiner.Digest]uint64
+	// epochs are those under which servers were owned last.
+	epochs map[string]uint64
 	// withdrawn are given-up calls that may be granted all the same.
 	withdrawn map[uint64]callFrame
 	out       []up
@@ -81,17 +83,26 @@
 		announced: make(map[string]*announced),
 		calls:     make(map[uint64]*pendingCall),
 		permits:   make(map[uint64]time.Time),
-		locks:     make(map[quarantiner.Digest]bool),
+		locks:     make(map[quarantiner.Digest]uint64),
+		epochs:    make(map[string]uint64),
 		withdrawn: make(map[uint64]callFrame),
 	}
 }
 
+// lapse forgets what went with a lease that ran out.
+func (a *agent) lapse(now time.Time) {
+	if !a.tenure.Held(now) {
+		clear(a.locks)
+	}
+}
+
 // connected opens a session.
 func (a *agent) connected(now time.Time) {
 	a.disconnected()
+	a.lapse(now)
 	a.out = append(a.out, up{Hello: &helloFrame{
 		Name: a.name, Incarnation: a.incarnation, Addr: a.addr, Zone: a.zone,
-		Catalog: a.catalogs.Revision(), Live: a.lives.Revision(),
+		Catalog: a.catalogs.Revision(), Live: a.lives.Revision(), Held: a.tenure.Held(now),
 	}})
 	a.nextBeat = now
 }
@@ -106,6 +117,7 @@
 
 // receive takes a message of the leader; changed says that catalog, roster or standings are new.
 func (a *agent) receive(now time.Time, f down) (changed bool, err error) {
+	a.lapse(now)
 	if f.Welcome != nil {
 		a.welcome(now, *f.Welcome)
 	}
@@ -176,8 +188,8 @@
 			c.Permits = append(c.Permits, id)
 		}
 	}
-	for d := range a.locks {
-		c.Locks = append(c.Locks, d)
+	for d, id := range a.locks {
+		c.Locks = append(c.Locks, lockFrame{Digest: d, ID: id})
 	}
 	for d, s := range a.standings.Known() {
 		c.Standings = append(c.Standings, standingFrame{Digest: d, Standing: s})
@@ -217,12 +229,18 @@
 		return false, errors.Wrap(err, "roster")
 	}
 	a.roster = next
+	next.Owners(func(server string, o registrar.Owner) {
+		if o.Entry == a.name && o.Addr == a.addr {
+			a.epochs[server] = o.Epoch
+		}
+	})
 	a.standings = a.standings.With(whole.Full, whole.Items)
 	return true, nil
 }
 
 // tick sends what is due: heartbeats, announcements, calls that are to be asked again.
 func (a *agent) tick(now time.Time) {
+	a.lapse(now)
 	if !a.welcomed {
 		return
 	}
@@ -282,6 +300,9 @@
 
 // call asks the leader; done is called once with the final answer.
 func (a *agent) call(now time.Time, f callFrame, done func(answerFrame)) *pendingCall {
+	if f.Kind == callRelease {
+		f.Epoch = a.epochs[f.Server]
+	}
 	c := &pendingCall{frame: f, done: done}
 	a.ask(now, c)
 	return c
@@ -329,7 +350,7 @@
 		until := a.permitEnd(c, ans)
 		if !now.Before(until) {
 			// It came too late to be used.
-			a.call(now, callFrame{Kind: callReturn, Permit: ans.Permit}, nil)
+			a.call(now, callFrame{Kind: callReturn, Grant: ans.Permit}, nil)
 			a.ask(now, c)
 			return
 		}
@@ -337,7 +358,13 @@
 		a.permits[ans.Permit] = until
 	}
 	if ans.Code == answerOK && c.frame.Kind == callLock {
-		a.locks[c.frame.Digests[0]] = true
+		if !a.tenure.Held(now) {
+			// The lock may have gone to another entry together with the lease.
+			a.forgo(now, c.frame, ans)
+			a.ask(now, c)
+			return
+		}
+		a.locks[c.frame.Digests[0]] = ans.ID
 	}
 	delete(a.calls, ans.ID)
 	if c.done != nil {
@@ -371,11 +398,18 @@
 	switch f.Kind {
 	case callPermit:
 		delete(a.permits, ans.Permit)
-		a.call(now, callFrame{Kind: callReturn, Permit: ans.Permit}, nil)
+		a.call(now, callFrame{Kind: callReturn, Grant: ans.Permit}, nil)
 	case callLock:
-		delete(a.locks, f.Digests[0])
-		a.call(now, callFrame{Kind: callUnlock, Digests: f.Digests}, nil)
+		a.unlock(now, f.Digests[0], ans.ID)
+	}
+}
+
+// unlock gives a lock back; one that was lost with the lease may be held anew under another number.
+func (a *agent) unlock(now time.Time, d quarantiner.Digest, id uint64) {
+	if a.locks[d] == id {
+		delete(a.locks, d)
 	}
+	a.call(now, callFrame{Kind: callUnlock, Digests: []quarantiner.Digest{d}, Grant: id}, nil)
 }
 
 // take returns what is to be sent, as one message where that is possible.
--- a/stage/controller/calls.go
+++ b/stage/controller/calls.go
@@ -45,7 +45,7 @@
 		}
 		d.grant(now)
 	case callReturn:
-		d.permits.Return(p.holder, c.Permit)
+		d.permits.Return(p.holder, c.Grant)
 		d.answer(ref, answerFrame{})
 		d.grant(now)
 	case callAccuse:
@@ -57,7 +57,7 @@
 		d.grant(now)
 	case callUnlock:
 		for _, digest := range c.Digests {
-			d.suspects.Unlock(digest, p.holder)
+			d.suspects.Unlock(quarantiner.Ticket{Digest: digest, Holder: p.holder, ID: c.Grant})
 		}
 		d.answer(ref, answerFrame{})
 		d.grant(now)
@@ -145,7 +145,7 @@
 	for _, t := range c.Pinned {
 		pinned = append(pinned, configurer.Target(t))
 	}
-	if err := d.registry.Release(p.holder, c.Server, pinned); err != nil {
+	if err := d.registry.Release(p.holder, c.Server, c.Epoch, pinned); err != nil {
 		d.refuse(ref, err.Error())
 		return
 	}
--- /dev/null
+++ b/stage/controller/checker_test.go
@@ -0,0 +1,254 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
+)
+
+// checker holds everything that happens in a world against what must always hold.
+type checker struct {
+	w   *world
+	err error
+	// only limits the checker to failures that contain it.
+	only     string
+	later    []timed[func()]
+	declared uint64
+	suspects []quarantiner.Digest
+	accepted map[uint64]string
+	replies  map[string]configurer.Reply
+	runs     map[recorder.Key]string
+	fences   map[string]uint64
+	seen     map[*agent]*entryView
+	// orphans are the permits of processes that are gone, whose loads may still run.
+	orphans map[uint64]time.Time
+}
+
+// entryView is what an entry's process showed so far.
+type entryView struct {
+	catalog, live uint64
+	owned         map[string]ownedSince
+	gaveUp        map[string]uint64
+	// known counts the suspects that standings is known to have.
+	standings *quarantiner.Standings
+	known     int
+}
+
+type ownedSince struct {
+	epoch uint64
+	at    time.Time
+}
+
+func newChecker(w *world) *checker {
+	return &checker{
+		w: w, accepted: make(map[uint64]string),
+		replies: make(map[string]configurer.Reply), runs: make(map[recorder.Key]string), fences: make(map[string]uint64),
+		seen: make(map[*agent]*entryView), orphans: make(map[uint64]time.Time),
+	}
+}
+
+func (c *checker) fail(format string, args ...any) {
+	err := fmt.Errorf(format, args...)
+	if c.err == nil && strings.Contains(err.Error(), c.only) {
+		c.w.note("%v", err)
+		c.err = err
+	}
+}
+
+func (c *checker) view(a *agent) *entryView {
+	v, ok := c.seen[a]
+	if !ok {
+		v = &entryView{owned: make(map[string]ownedSince), gaveUp: make(map[string]uint64)}
+		c.seen[a] = v
+	}
+	return v
+}
+
+// reborn takes note that an entry's process was replaced.
+func (c *checker) reborn(e *simEntry) {
+	for a := range c.seen {
+		if a.name == e.name() {
+			for id, until := range a.permits {
+				c.orphans[id] = until
+			}
+			delete(c.seen, a)
+		}
+	}
+	for key := range c.w.load.busy {
+		c.w.load.busy[key] = 0
+	}
+}
+
+func (c *checker) declare(revision uint64) { c.declared = max(c.declared, revision) }
+
+func (c *checker) accused(d quarantiner.Digest) { c.suspects = append(c.suspects, d) }
+
+func (c *checker) released(e *simEntry, server string) {
+	if o, ok := e.agent.roster.Owner(server); ok {
+		c.view(e.agent).gaveUp[server] = o.Epoch
+	}
+}
+
+// replied checks that one change wins a revision, and that a change sent again gets its first answer.
+func (c *checker) replied(ch configurer.Change, res result) {
+	reply := *res.Reply
+	reply.Repeated = false
+	if first, ok := c.replies[ch.ID]; ok {
+		if fmt.Sprint(first) != fmt.Sprint(reply) {
+			c.fail("change %s: first answered %+v, then %+v", ch.ID, first, reply)
+		}
+		return
+	}
+	c.replies[ch.ID] = reply
+	if reply.Verdict == configurer.VerdictAccepted && len(reply.Changed) > 0 {
+		if other, ok := c.accepted[ch.Expect]; ok {
+			c.fail("changes %s and %s were both accepted at revision %d", other, ch.ID, ch.Expect)
+		}
+		c.accepted[ch.Expect] = ch.ID
+	}
+	if reply.Verdict == configurer.VerdictConflict && res.Winner == nil {
+		c.fail("change %s: a conflict without a winner", ch.ID)
+	}
+}
+
+// ran checks that a booking runs at most once.
+func (c *checker) ran(key recorder.Key, attempt string) {
+	if other, ok := c.runs[key]; ok && other != attempt {
+		c.fail("booking %s runs as %s and as %s", key.Key, other, attempt)
+	}
+	c.runs[key] = attempt
+}
+
+// step checks the present state of all entries.
+func (c *checker) step() {
+	now := c.w.now
+	rest := c.later[:0]
+	for _, l := range c.later {
+		if l.at.After(now) {
+			rest = append(rest, l)
+		} else {
+			l.v()
+		}
+	}
+	c.later = rest
+	orders, locks := make(map[string]string), make(map[quarantiner.Digest]string)
+	for _, e := range c.w.entries {
+		if !e.alive() {
+			continue
+		}
+		c.forwards(e)
+		if e.agent.tenure.Held(now) {
+			c.inForce(e)
+			c.orders(e, orders)
+			for d := range e.agent.locks {
+				if other, ok := locks[d]; ok {
+					c.fail("lock %x held by %s and %s", d[:2], other, e.name())
+				}
+				locks[d] = e.name()
+			}
+		}
+	}
+	c.permits()
+}
+
+// forwards checks that no entry goes back, nor starts behind what was in force before it.
+func (c *checker) forwards(e *simEntry) {
+	v := c.view(e.agent)
+	catalog, live := e.agent.catalog.Revision(), e.agent.roster.Revision()
+	if catalog < v.catalog || live < v.live {
+		c.fail("%s went back: catalog %d to %d, live %d to %d", e.name(), v.catalog, catalog, v.live, live)
+	}
+	if catalog > 0 && catalog < e.born {
+		c.fail("%s started with catalog %d after %d was in force", e.name(), catalog, e.born)
+	}
+	v.catalog, v.live = catalog, live
+}
+
+// inForce checks that an entry with a lease has what was declared to be in force everywhere.
+func (c *checker) inForce(e *simEntry) {
+	if got := e.agent.catalog.Revision(); got < c.declared {
+		c.fail("%s holds a lease with catalog %d though %d was declared in force", e.name(), got, c.declared)
+	}
+	v := c.view(e.agent)
+	if v.standings != e.agent.standings {
+		v.standings, v.known = e.agent.standings, 0
+	}
+	for _, d := range c.suspects[v.known:] {
+		if e.agent.standings.Of(d) == quarantiner.Clear {
+			c.fail("%s holds a lease and does not know suspect %x", e.name(), d[:1])
+		}
+	}
+	v.known = len(c.suspects)
+}
+
+// orders checks that one entry at a time may give orders to a server, under epochs that only grow.
+func (c *checker) orders(e *simEntry, orders map[string]string) {
+	v, now := c.view(e.agent), c.w.now
+	e.agent.roster.Owners(func(server string, o registrar.Owner) {
+		if o.Entry != e.name() || o.Addr != e.agent.addr || v.gaveUp[server] == o.Epoch {
+			return
+		}
+		if v.owned[server].epoch != o.Epoch {
+			v.owned[server] = ownedSince{o.Epoch, now}
+		}
+		if now.Before(v.owned[server].at.Add(o.OrderAfter)) {
+			return
+		}
+		if other, ok := orders[server]; ok {
+			c.fail("%s and %s both order %s", other, e.name(), server)
+		}
+		orders[server] = e.name()
+		if o.Epoch < c.fences[server] {
+			c.fail("%s orders %s under epoch %d after %d", e.name(), server, o.Epoch, c.fences[server])
+		}
+		c.fences[server] = o.Epoch
+	})
+}
+
+// permits checks that the loads which may be running stay within the store's limit.
+func (c *checker) permits() {
+	n := 0
+	count := func(until time.Time) {
+		if c.w.now.Before(until) {
+			n++
+		}
+	}
+	for _, until := range c.orphans {
+		count(until)
+	}
+	for _, e := range c.w.entries {
+		for _, until := range e.agent.permits {
+			count(until)
+		}
+	}
+	if n > 3 {
+		c.fail("%d loads may be running, the store allows 3", n)
+	}
+}
+
+// recovered checks that everything works again some time after the last fault.
+func (c *checker) recovered() {
+	if c.w.q.leader < 0 {
+		c.fail("no leader after recovery")
+		return
+	}
+	revision := c.w.replicas[c.w.q.leader].hub.machine.catalogRevision()
+	for _, e := range c.w.entries {
+		if !e.agent.tenure.Held(c.w.now) {
+			c.fail("%s has no lease after recovery", e.name())
+		}
+		if e.agent.catalog.Revision() != revision {
+			c.fail("%s has catalog %d after recovery, not %d", e.name(), e.agent.catalog.Revision(), revision)
+		}
+		for i := range simServers {
+			if _, ok := e.agent.roster.Server(fmt.Sprintf("engine-%d", i)); !ok {
+				c.fail("%s does not list engine-%d after recovery", e.name(), i)
+			}
+		}
+	}
+}
--- a/stage/controller/client.go
+++ b/stage/controller/client.go
@@ -342,16 +342,6 @@
 	return answerFrame{}, ctx.Err()
 }
 
-// tell carries a call out without waiting for its answer.
-func (c *Client) tell(f callFrame, also func()) {
-	_ = c.post(c.ctx, func(now time.Time) {
-		if also != nil {
-			also()
-		}
-		c.agent.call(now, f, nil)
-	})
-}
-
 // Permit waits for the right to load an adapter from the weight store.
 func (c *Client) Permit(ctx context.Context, server string, _ configurer.Target, urgent bool) (registrar.Permit, error) {
 	a, err := c.ask(ctx, callFrame{Kind: callPermit, Server: server, Urgent: urgent})
@@ -363,7 +353,10 @@
 
 // Return gives a permit back, used or not.
 func (c *Client) Return(p registrar.Permit) {
-	c.tell(callFrame{Kind: callReturn, Permit: p.ID}, func() { delete(c.agent.permits, p.ID) })
+	_ = c.post(c.ctx, func(now time.Time) {
+		delete(c.agent.permits, p.ID)
+		c.agent.call(now, callFrame{Kind: callReturn, Grant: p.ID}, nil)
+	})
 }
 
 // Accuse reports the requests in flight at a crash; it returns when the suspicion is in force at every live entry.
@@ -374,13 +367,14 @@
 
 // Lock waits for the right to run a suspect request, which one entry has at a time.
 func (c *Client) Lock(ctx context.Context, d quarantiner.Digest) (release func(), err error) {
-	if _, err := c.ask(ctx, callFrame{Kind: callLock, Digests: []quarantiner.Digest{d}}); err != nil {
+	a, err := c.ask(ctx, callFrame{Kind: callLock, Digests: []quarantiner.Digest{d}})
+	if err != nil {
 		return nil, err
 	}
 	var once sync.Once
 	return func() {
 		once.Do(func() {
-			c.tell(callFrame{Kind: callUnlock, Digests: []quarantiner.Digest{d}}, func() { delete(c.agent.locks, d) })
+			_ = c.post(c.ctx, func(now time.Time) { c.agent.unlock(now, d, a.ID) })
 		})
 	}, nil
 }
--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -86,6 +86,8 @@
 	beat   uint64
 	beatAt time.Time
 	owed   bool
+	// deferred says that it waits for the leader to settle.
+	deferred bool
 }
 
 // answered keeps the latest answers to an entry's calls.
@@ -195,7 +197,7 @@
 		d.permits.Claim(p.holder, id)
 	}
 	for _, l := range c.Locks {
-		d.suspects.Claim(now, l, p.holder)
+		d.suspects.Claim(now, quarantiner.Ticket{Digest: l.Digest, Holder: p.holder, ID: l.ID})
 	}
 	for _, s := range c.Standings {
 		d.suspects.Report(now, s.Digest, s.Standing)
@@ -211,6 +213,15 @@
 	if !p.owed {
 		return
 	}
+	if !d.settled && !p.hello.Held && !d.eager {
+		// What an earlier leader spread last is known from the entries that still held a lease.
+		p.deferred = true
+		return
+	}
+	if p.deferred {
+		p.deferred = false
+		p.needCatalog, p.needLive = d.catalog, d.live.Revision()
+	}
 	inForce := p.catalog >= max(p.needCatalog, d.required) && p.live >= p.needLive
 	if !inForce && !d.eager {
 		return
--- a/stage/controller/frame.go
+++ b/stage/controller/frame.go
@@ -31,6 +31,8 @@
 	Zone        string `cbor:"4,keyasint,omitempty"`
 	Catalog     uint64 `cbor:"5,keyasint,omitempty"`
 	Live        uint64 `cbor:"6,keyasint,omitempty"`
+	// Held says that the entry's lease still runs, so that it has in force what an earlier leader spread.
+	Held bool `cbor:"7,keyasint,omitempty"`
 }
 
 type serverFrame struct {
@@ -53,11 +55,11 @@
 
 // claimsFrame is what an entry holds since an earlier leader, sent to the leader of Era.
 type claimsFrame struct {
-	Era       uint64               `cbor:"1,keyasint"`
-	Servers   []claimFrame         `cbor:"2,keyasint,omitempty"`
-	Permits   []uint64             `cbor:"3,keyasint,omitempty"`
-	Locks     []quarantiner.Digest `cbor:"4,keyasint,omitempty"`
-	Standings []standingFrame      `cbor:"5,keyasint,omitempty"`
+	Era       uint64          `cbor:"1,keyasint"`
+	Servers   []claimFrame    `cbor:"2,keyasint,omitempty"`
+	Permits   []uint64        `cbor:"3,keyasint,omitempty"`
+	Locks     []lockFrame     `cbor:"4,keyasint,omitempty"`
+	Standings []standingFrame `cbor:"5,keyasint,omitempty"`
 }
 
 type claimFrame struct {
@@ -65,6 +67,12 @@
 	Epoch  uint64 `cbor:"2,keyasint"`
 }
 
+// lockFrame is a lock that is held, with the number of the call that it was granted to.
+type lockFrame struct {
+	Digest quarantiner.Digest `cbor:"1,keyasint"`
+	ID     uint64             `cbor:"2,keyasint"`
+}
+
 type standingFrame struct {
 	Digest   quarantiner.Digest   `cbor:"1,keyasint"`
 	Standing quarantiner.Standing `cbor:"2,keyasint"`
@@ -85,15 +93,18 @@
 )
 
 type callFrame struct {
-	ID      uint64               `cbor:"1,keyasint"`
-	Kind    callKind             `cbor:"2,keyasint"`
-	Server  string               `cbor:"3,keyasint,omitempty"`
-	Urgent  bool                 `cbor:"4,keyasint,omitempty"`
-	Permit  uint64               `cbor:"5,keyasint,omitempty"`
+	ID     uint64   `cbor:"1,keyasint"`
+	Kind   callKind `cbor:"2,keyasint"`
+	Server string   `cbor:"3,keyasint,omitempty"`
+	Urgent bool     `cbor:"4,keyasint,omitempty"`
+	// Grant is the number of the permit or lock that is given back.
+	Grant   uint64               `cbor:"5,keyasint,omitempty"`
 	Digests []quarantiner.Digest `cbor:"6,keyasint,omitempty"`
 	Begin   *recorder.Begin      `cbor:"7,keyasint,omitempty"`
 	End     *recorder.End        `cbor:"8,keyasint,omitempty"`
 	Pinned  []targetFrame        `cbor:"9,keyasint,omitempty"`
+	// Epoch is that of the ownership which is given up.
+	Epoch uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 type targetFrame struct {
--- a/stage/controller/hub.go
+++ b/stage/controller/hub.go
@@ -54,10 +54,11 @@
 	lastID   uint64
 
 	// These switch mechanisms off, to show that their tests can fail: the wait for an earlier leader's leases, the
-	// leader's own lease, and the leader's word before state is passed on.
+	// leader's own lease, the leader's word before state is passed on, and the wait for entries to confirm.
 	assumeFresh bool
 	ignoreLease bool
 	ungated     bool
+	eager       bool
 }
 
 type stalledFrame struct {
@@ -198,6 +199,7 @@
 	h.fresh = res.Era == 1 || h.assumeFresh
 	h.deskTerm = term
 	h.desk = newDesk(res.Era, now, h.fresh, h.limits, h.live)
+	h.desk.eager = h.eager
 	h.desk.advance(h.machine.catalogRevision())
 	h.logger.Info().Uint64("era", res.Era).Msg("control: leading")
 }
--- /dev/null
+++ b/stage/controller/quorum_test.go
@@ -0,0 +1,143 @@
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/runner"
+)
+
+const (
+	simLease    = 900 * time.Millisecond
+	simElection = 400 * time.Millisecond
+)
+
+// quorum is a fake of the replicated log for all replicas of a world: one order, a leader lease, no lost commits.
+type quorum struct {
+	w        *world
+	rng      *rand.Rand
+	cmds     [][]byte
+	term     uint64
+	leader   int
+	leaseEnd time.Time
+	electAt  time.Time
+	// uncertain is the share of proposals that are committed though their answer is lost.
+	uncertain float64
+}
+
+// replicaLog is one replica's view of the quorum.
+type replicaLog struct {
+	q       *quorum
+	id      int
+	applied int
+	status  runner.Status
+	results map[int][]byte
+}
+
+// step renews the leader's lease or elects another once it has run out.
+func (q *quorum) step(now time.Time) {
+	if q.leader >= 0 {
+		r := q.w.replicas[q.leader]
+		if r.alive() && !r.isolated && now.Before(q.leaseEnd) {
+			q.leaseEnd = now.Add(simLease)
+			return
+		}
+		if now.Before(q.leaseEnd) {
+			return
+		}
+		q.leader = -1
+		q.electAt = now.Add(time.Duration(q.rng.Int64N(int64(simElection))))
+	}
+	if now.Before(q.electAt) {
+		return
+	}
+	var able []int
+	for i, r := range q.w.replicas {
+		if r.alive() && !r.isolated {
+			able = append(able, i)
+		}
+	}
+	if len(able) <= len(q.w.replicas)/2 {
+		return
+	}
+	q.term++
+	q.leader = able[q.rng.IntN(len(able))]
+	q.leaseEnd = now.Add(simLease)
+}
+
+// learn brings a connected replica's view up to date and applies what is committed.
+func (l *replicaLog) learn(r *simReplica) {
+	q := l.q
+	if !r.isolated {
+		l.status.Term, l.status.Leader = q.term, uint64(q.leader+1)
+		for ; l.applied < len(q.cmds); l.applied++ {
+			l.results[l.applied] = r.hub.machine.Apply(uint64(l.applied+1), q.cmds[l.applied])
+		}
+	}
+	if q.leader == l.id {
+		l.status.LeaseEnd = q.leaseEnd
+	}
+}
+
+// Propose implements Log.
+func (l *replicaLog) Propose(_ context.Context, cmd []byte) (runner.Result, error) {
+	q, r := l.q, l.q.w.replicas[l.id]
+	if q.leader != l.id || r.isolated || !q.w.now.Before(q.leaseEnd) || l.status.Term != q.term {
+		return runner.Result{}, &runner.NotLeaderError{}
+	}
+	at := len(q.cmds)
+	q.cmds = append(q.cmds, cmd)
+	l.learn(r)
+	if q.rng.Float64() < q.uncertain {
+		return runner.Result{}, &runner.UncertainError{Index: uint64(at + 1), Term: q.term}
+	}
+	return runner.Result{Index: uint64(at + 1), Data: l.results[at]}, nil
+}
+
+// Confirm implements Log.
+func (l *replicaLog) Confirm(context.Context) error { return nil }
+
+// Status implements Log.
+func (l *replicaLog) Status() runner.Status { return l.status }
+
+// AddMember implements Log.
+func (l *replicaLog) AddMember(context.Context, runner.Member) error { return errors.New("not here") }
+
+// RemoveMember implements Log.
+func (l *replicaLog) RemoveMember(context.Context, uint64) error { return errors.New("not here") }
+
+// Close implements Log.
+func (l *replicaLog) Close() error { return nil }
+
+// pipe is one direction of a stream: ordered, late, and mute while it is cut.
+type pipe[T any] struct {
+	items []timed[T]
+	last  time.Time
+}
+
+type timed[T any] struct {
+	at time.Time
+	v  T
+}
+
+func (p *pipe[T]) push(now time.Time, delay time.Duration, v T) {
+	at := now.Add(delay)
+	if at.Before(p.last) {
+		at = p.last
+	}
+	p.last = at
+	p.items = append(p.items, timed[T]{at, v})
+}
+
+func (p *pipe[T]) pop(now time.Time) (T, bool) {
+	var zero T
+	if len(p.items) == 0 || p.items[0].at.After(now) {
+		return zero, false
+	}
+	v := p.items[0].v
+	p.items = p.items[1:]
+	return v, true
+}
--- /dev/null
+++ b/stage/controller/workload_test.go
@@ -0,0 +1,199 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/auditor"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
+)
+
+func runnerMemberOf(i int) runner.Member {
+	return runner.Member{ID: uint64(i + 1), Addr: fmt.Sprint(i)}
+}
+
+// workload is what operators, backend servers and requests ask for.
+type workload struct {
+	w         *world
+	rng       *rand.Rand
+	operators []*simOperator
+	busy      map[string]int
+	nextCall  time.Time
+	nextBeat  time.Time
+	bookings  int
+	// quiet stops changes.
+	quiet bool
+}
+
+// simOperator makes one change after the other and sends each again until it is answered.
+type simOperator struct {
+	name    string
+	n       int
+	expect  uint64
+	change  *configurer.Change
+	next    time.Time
+	waiting chan bool
+	waitRev uint64
+}
+
+func newWorkload(w *world, seed uint64) *workload {
+	l := &workload{w: w, rng: rand.New(rand.NewPCG(seed, 3)), busy: make(map[string]int)}
+	l.operators = []*simOperator{{name: "aisyah"}, {name: "bento"}}
+	return l
+}
+
+func (l *workload) step() {
+	now := l.w.now
+	if !now.Before(l.nextBeat) {
+		l.nextBeat = now.Add(time.Second)
+		for i := range simServers {
+			e := l.w.entries[l.rng.IntN(simEntries)]
+			if e.alive() {
+				e.agent.announce(now, registrar.Server{
+					Name: fmt.Sprintf("engine-%d", i), Kind: configurer.KindModel, Addr: "10.1.0.1:1", Zone: "kl-1", Service: "base", Incarnation: "i",
+				})
+			}
+		}
+	}
+	for _, o := range l.operators {
+		l.operate(o)
+	}
+	if !now.Before(l.nextCall) {
+		l.nextCall = now.Add(time.Duration(l.rng.Int64N(int64(120 * time.Millisecond))))
+		if e := l.w.entries[l.rng.IntN(simEntries)]; e.alive() {
+			l.call(e)
+		}
+	}
+}
+
+// operate moves one operator on: propose, send again after a lost answer, then wait for the change to be in force.
+func (l *workload) operate(o *simOperator) {
+	w := l.w
+	if o.waiting != nil {
+		select {
+		case ok := <-o.waiting:
+			if ok {
+				w.check.declare(o.waitRev)
+			}
+			o.waiting = nil
+		default:
+		}
+	}
+	if l.quiet || w.now.Before(o.next) || w.q.leader < 0 || !w.replicas[w.q.leader].alive() {
+		return
+	}
+	o.next = w.now.Add(time.Duration(l.rng.Int64N(int64(time.Second))))
+	if o.change == nil {
+		o.n++
+		ch := configurer.Change{ID: fmt.Sprintf("%s-%d", o.name, o.n), Expect: o.expect, Put: sampleDoc()}
+		ch.Put.Adapters[0].Versions[0].Digest = "d1"
+		ch.Put.Adapters = append(ch.Put.Adapters, configurer.AdapterSpec{
+			Name: "by-" + o.name, Service: "base", Current: o.n, Versions: []configurer.VersionSpec{{Number: o.n, Source: "s", Digest: ch.ID}},
+		})
+		if l.rng.IntN(4) == 0 && o.n > 1 {
+			ch.Put.Adapters[1].Versions[0].Number, ch.Put.Adapters[1].Current = o.n-1, o.n-1
+		}
+		o.change = &ch
+	}
+	leader := w.replicas[w.q.leader]
+	cmd := newCommand(w.now)
+	cmd.Change = &changeCommand{Origin: origin{Operator: o.name, Change: o.change.ID}, Action: auditor.ActionApply, Change: *o.change}
+	data, err := encoder.Marshal(cmd)
+	if err != nil {
+		w.check.fail("encode: %v", err)
+		return
+	}
+	out, err := leader.log.Propose(context.Background(), data)
+	if err != nil {
+		return
+	}
+	var res result
+	if err := encoder.Unmarshal(out.Data, &res); err != nil || res.Reply == nil {
+		w.check.fail("result: %v %+v", err, res)
+		return
+	}
+	w.check.replied(*o.change, res)
+	o.expect = res.Reply.Revision
+	if res.Reply.Repeated {
+		o.expect = leader.hub.machine.catalogRevision()
+	}
+	if res.Reply.Verdict == configurer.VerdictAccepted && o.waiting == nil {
+		o.waiting, o.waitRev = make(chan bool, 1), res.Reply.Revision
+		leader.hub.await(w.now, o.waitRev, o.waiting)
+	}
+	o.change = nil
+}
+
+// call has an entry ask for something.
+func (l *workload) call(e *simEntry) {
+	now, a := l.w.now, e.agent
+	switch l.rng.IntN(6) {
+	case 0, 1:
+		a.call(now, callFrame{Kind: callPermit, Server: "engine-0", Urgent: l.rng.IntN(2) == 0}, func(ans answerFrame) {
+			l.after(e, a, func() {
+				delete(a.permits, ans.Permit)
+				a.call(l.w.now, callFrame{Kind: callReturn, Grant: ans.Permit}, nil)
+			})
+		})
+	case 2:
+		d := quarantiner.Digest{byte(l.rng.IntN(250))}
+		a.call(now, callFrame{Kind: callAccuse, Digests: []quarantiner.Digest{d}}, func(answerFrame) { l.w.check.accused(d) })
+	case 3:
+		d := quarantiner.Digest{255, byte(l.rng.IntN(2))}
+		key := e.name() + string(d[:2])
+		if l.busy[key] > 0 {
+			return
+		}
+		l.busy[key]++
+		a.call(now, callFrame{Kind: callLock, Digests: []quarantiner.Digest{d}}, func(ans answerFrame) {
+			l.after(e, a, func() {
+				l.busy[key] = 0
+				a.unlock(l.w.now, d, ans.ID)
+			})
+		})
+	case 4:
+		l.book(e)
+	case 5:
+		if l.rng.IntN(8) > 0 {
+			return
+		}
+		// A graceful shutdown: all servers are handed over, then a new process starts.
+		a.roster.Owners(func(server string, o registrar.Owner) {
+			if o.Entry == e.name() {
+				l.w.check.released(e, server)
+				a.call(now, callFrame{Kind: callRelease, Server: server}, nil)
+			}
+		})
+	}
+}
+
+func (l *workload) book(e *simEntry) {
+	l.bookings++
+	key := recorder.Key{Caller: "gym", Service: "orders", Key: fmt.Sprint(l.rng.IntN(1 + l.bookings/2))}
+	attempt := fmt.Sprintf("%s-%d-%d", e.name(), e.inc, l.bookings)
+	e.agent.call(l.w.now, callFrame{Kind: callBegin, Begin: &recorder.Begin{Key: key, Attempt: attempt}}, func(ans answerFrame) {
+		if ans.Begun != nil && ans.Begun.Verdict == recorder.VerdictRun {
+			l.w.check.ran(key, attempt)
+		}
+	})
+}
+
+// after runs f a quarter of a second later, or sometimes some seconds, unless the process that asked is gone.
+func (l *workload) after(e *simEntry, a *agent, f func()) {
+	d := 250 * time.Millisecond
+	if l.rng.IntN(3) == 0 {
+		d = time.Duration(l.rng.Int64N(int64(4 * time.Second)))
+	}
+	l.w.check.later = append(l.w.check.later, timed[func()]{l.w.now.Add(d), func() {
+		if e.agent == a && !e.dead {
+			f()
+		}
+	}})
+}
--- /dev/null
+++ b/stage/controller/world_test.go
@@ -0,0 +1,367 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/registrar"
+)
+
+const (
+	simStep     = 20 * time.Millisecond
+	simReplicas = 3
+	simEntries  = 3
+	simServers  = 4
+)
+
+// world runs hubs and agents at a virtual time over fake streams and a fake quorum.
+type world struct {
+	now      time.Time
+	rng      *rand.Rand
+	q        *quorum
+	replicas []*simReplica
+	entries  []*simEntry
+	// cut holds the directions that are mute: "e0>r1", "r1>e0", "r0>r1".
+	cut      map[string]bool
+	delay    time.Duration
+	switches func(*hub)
+	// lateLease has entries count a lease from its answer, to show that the checker sees it.
+	lateLease bool
+	load      *workload
+	check     *checker
+	trace     []string
+}
+
+type simReplica struct {
+	w        *world
+	id       int
+	hub      *hub
+	log      *replicaLog
+	dead     bool
+	isolated bool
+	thaw     time.Time
+	nextTick time.Time
+	link     *simLink
+}
+
+// simLink is a replica's uplink to another one.
+type simLink struct {
+	u        *uplink
+	to       int
+	peer     *linkPeer
+	up       pipe[linkUp]
+	down     pipe[linkDown]
+	openedAt time.Time
+}
+
+type simEntry struct {
+	w     *world
+	id    int
+	agent *agent
+	born  uint64
+	dead  bool
+	thaw  time.Time
+	next  time.Time
+	conn  *simConn
+	inc   uint64
+}
+
+// simConn is an entry's stream to a replica.
+type simConn struct {
+	to      int
+	session *session
+	up      pipe[up]
+	down    pipe[down]
+	heard   time.Time
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{
+		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), cut: make(map[string]bool),
+		delay: 30 * time.Millisecond,
+	}
+	w.q = &quorum{w: w, rng: rand.New(rand.NewPCG(seed, 2)), leader: -1, uncertain: 0.05}
+	for i := range simReplicas {
+		r := &simReplica{w: w, id: i}
+		w.replicas = append(w.replicas, r)
+		r.start()
+	}
+	for i := range simEntries {
+		e := &simEntry{w: w, id: i}
+		w.entries = append(w.entries, e)
+		e.start()
+	}
+	w.check = newChecker(w)
+	w.load = newWorkload(w, seed)
+	return w
+}
+
+// turnHubs switches a mechanism of all replicas off, also after they restart.
+func (w *world) turnHubs(f func(*hub)) {
+	w.switches = f
+	for _, r := range w.replicas {
+		f(r.hub)
+	}
+}
+
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%7.2fs ", w.now.Sub(time.Unix(1_700_000_000, 0)).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// start brings a replica up with what the quorum has, as after a restart from its disk.
+func (r *simReplica) start() {
+	w := r.w
+	r.log = &replicaLog{q: w.q, id: r.id, results: make(map[int][]byte)}
+	r.log.status.ID = uint64(r.id + 1)
+	for i := range simReplicas {
+		r.log.status.Members = append(r.log.status.Members, runnerMemberOf(i))
+	}
+	r.hub = &hub{
+		log: r.log, machine: newMachine(), limits: registrar.StoreLimits{Rate: 3.5, Parallel: 3},
+		clock: func() time.Time { return w.now }, logger: quiet(), ctx: context.Background(),
+		spawn: func(f func()) { f() }, events: make(chan func(time.Time), maxEvents),
+		live: spreader.New(), sessions: make(map[uint64]*session), links: make(map[uint64]*linkPeer),
+	}
+	r.hub.dial = func(_ context.Context, u *uplink, addr string) {
+		var to int
+		_, _ = fmt.Sscan(addr, &to)
+		r.link = &simLink{u: u, to: to, openedAt: w.now}
+	}
+	if w.switches != nil {
+		w.switches(r.hub)
+	}
+	r.dead, r.link = false, nil
+}
+
+func (r *simReplica) alive() bool { return !r.dead && !r.w.now.Before(r.thaw) }
+
+// kill ends a replica; its streams break.
+func (r *simReplica) kill() {
+	r.dead = true
+	r.link = nil
+	for _, o := range r.w.replicas {
+		if o.link != nil && o.link.to == r.id {
+			o.link = nil
+		}
+	}
+	for _, e := range r.w.entries {
+		if e.conn != nil && e.conn.to == r.id {
+			e.disconnect()
+		}
+	}
+}
+
+func (e *simEntry) start() {
+	e.inc++
+	e.agent = newAgent(ClientConfig{Name: e.name(), Incarnation: e.inc, Addr: fmt.Sprintf("10.0.0.%d:1", e.id), Zone: "kl-1"})
+	e.dead = false
+	e.next = e.w.now
+	e.conn = nil
+	if e.w.check != nil {
+		e.born = e.w.check.declared
+		e.w.check.reborn(e)
+	}
+}
+
+func (e *simEntry) name() string { return fmt.Sprintf("entry-%d", e.id) }
+
+func (e *simEntry) alive() bool { return !e.dead && !e.w.now.Before(e.thaw) }
+
+func (e *simEntry) kill() {
+	e.disconnect()
+	e.dead = true
+}
+
+// disconnect breaks the stream on both ends, the replica's as soon as it would notice.
+func (e *simEntry) disconnect() {
+	if e.conn == nil {
+		return
+	}
+	r, s := e.w.replicas[e.conn.to], e.conn.session
+	if !r.dead && !e.w.cut[link("e", e.id, "r", e.conn.to)] {
+		r.hub.drop(s)
+	}
+	e.conn = nil
+	e.agent.disconnected()
+	e.next = e.w.now.Add(50*time.Millisecond + time.Duration(e.w.rng.Int64N(int64(200*time.Millisecond))))
+}
+
+func link(a string, i int, b string, j int) string { return fmt.Sprintf("%s%d>%s%d", a, i, b, j) }
+
+func (w *world) lag() time.Duration { return time.Duration(w.rng.Int64N(int64(w.delay))) }
+
+// step lets one step of time pass for everything.
+func (w *world) step() {
+	w.now = w.now.Add(simStep)
+	w.q.step(w.now)
+	for _, r := range w.replicas {
+		if r.alive() {
+			r.step()
+		}
+	}
+	for _, e := range w.entries {
+		if e.alive() {
+			e.step()
+		}
+	}
+	w.load.step()
+	for _, r := range w.replicas {
+		if r.alive() {
+			r.drain()
+		}
+	}
+	w.check.step()
+}
+
+func (r *simReplica) step() {
+	r.log.learn(r)
+	r.pump()
+	for _, e := range r.w.entries {
+		for c := e.conn; c != nil && c.to == r.id && !r.w.cut[link("e", e.id, "r", r.id)]; {
+			f, ok := c.up.pop(r.w.now)
+			if !ok {
+				break
+			}
+			r.hub.fromEntry(r.w.now, c.session, f)
+		}
+	}
+	if !r.w.now.Before(r.nextTick) {
+		r.nextTick = r.w.now.Add(tickEvery)
+		r.hub.tick(context.Background(), r.w.now)
+	}
+	r.drain()
+}
+
+// drain runs what was posted and moves what is to be sent into the streams.
+func (r *simReplica) drain() {
+	for len(r.hub.events) > 0 {
+		f := <-r.hub.events
+		f(r.w.now)
+	}
+	select {
+	case <-r.hub.machine.changed:
+	default:
+	}
+	r.hub.flush(context.Background())
+	for _, e := range r.w.entries {
+		if c := e.conn; c != nil && c.to == r.id {
+			frames, more := c.session.out.take()
+			for _, f := range merge(frames) {
+				c.down.push(r.w.now, r.w.lag(), f)
+			}
+			if !more && len(c.down.items) == 0 && !r.w.cut[link("r", r.id, "e", e.id)] {
+				e.disconnect()
+			}
+		}
+	}
+}
+
+// pump moves a replica's uplink on.
+func (r *simReplica) pump() {
+	l, w := r.link, r.w
+	if l == nil {
+		if r.hub.uplink != nil {
+			r.hub.loseUplink(r.hub.uplink)
+		}
+		return
+	}
+	to := w.replicas[l.to]
+	mute := r.isolated || to.isolated || to.dead
+	items, more := l.u.out.take()
+	for _, it := range items {
+		l.up.push(w.now, w.lag(), it)
+	}
+	if !more {
+		if l.peer != nil && !mute {
+			to.hub.dropLink(l.peer)
+		}
+		r.link = nil
+		return
+	}
+	if mute || !to.alive() {
+		return
+	}
+	if l.peer == nil {
+		if l.peer = to.hub.openLink(w.now); l.peer == nil {
+			r.hub.loseUplink(l.u)
+			r.link = nil
+			return
+		}
+	}
+	for {
+		it, ok := l.up.pop(w.now)
+		if !ok {
+			break
+		}
+		to.hub.fromLink(w.now, l.peer, []linkUp{it})
+	}
+	downs, more := l.peer.out.take()
+	for _, it := range downs {
+		l.down.push(w.now, w.lag(), it)
+	}
+	for {
+		it, ok := l.down.pop(w.now)
+		if !ok {
+			break
+		}
+		r.hub.fromLeader(w.now, l.u, []linkDown{it})
+	}
+	if !more {
+		r.hub.loseUplink(l.u)
+		r.link = nil
+	}
+}
+
+func (e *simEntry) step() {
+	w := e.w
+	if e.conn == nil {
+		e.connect()
+		return
+	}
+	c := e.conn
+	for !w.cut[link("r", c.to, "e", e.id)] && e.conn == c {
+		f, ok := c.down.pop(w.now)
+		if !ok {
+			break
+		}
+		c.heard = w.now
+		if w.lateLease && f.Beat > 0 {
+			f.Beat = e.agent.tenure.Renew(w.now.Add(time.Second))
+		}
+		if _, err := e.agent.receive(w.now, f); err != nil {
+			w.check.fail("entry %d: %v", e.id, err)
+			e.disconnect()
+			return
+		}
+	}
+	e.agent.tick(w.now)
+	if w.now.Sub(c.heard) > clientSilent {
+		e.disconnect()
+		return
+	}
+	for _, f := range e.agent.take() {
+		c.up.push(w.now, w.lag(), f)
+	}
+}
+
+func (e *simEntry) connect() {
+	w := e.w
+	if w.now.Before(e.next) {
+		return
+	}
+	to := w.rng.IntN(simReplicas)
+	r := w.replicas[to]
+	e.next = w.now.Add(50*time.Millisecond + time.Duration(w.rng.Int64N(int64(200*time.Millisecond))))
+	if !r.alive() || w.cut[link("e", e.id, "r", to)] || w.cut[link("r", to, "e", e.id)] {
+		return
+	}
+	s := r.hub.open(w.now)
+	if s == nil {
+		return
+	}
+	e.conn = &simConn{to: to, session: s, heard: w.now}
+	e.agent.connected(w.now)
+}
