--- a/stage/forwarder/client.go
+++ b/stage/forwarder/client.go
@@ -120,7 +120,8 @@
 		return p
 	}
 	h := encoder.NewClient()
-	p := &peer{http: h, call: connect.NewClient[serveRequest, frame](h, "http://"+addr+procedure, encoder.Option(), connect.WithReadMaxBytes(maxUnread+maxRequest))}
+	p := &peer{http: h, call: connect.NewClient[serveRequest, frame](h, "http://"+addr+procedure, encoder.Option(),
+		connect.WithReadMaxBytes(maxUnread+maxRequest), connect.WithAcceptCompression("gzip", nil, nil))}
 	c.peers[addr] = p
 	return p
 }
--- a/stage/forwarder/handler.go
+++ b/stage/forwarder/handler.go
@@ -39,7 +39,8 @@
 		wg.Go(func() { answer.End(owner.Serve(ctx, req, r.Msg.Server, r.Msg.Last, answer)) })
 		return relay(ctx, answer, out)
 	}
-	return procedure, connect.NewServerStreamHandler(procedure, serve, encoder.Option(), connect.WithReadMaxBytes(maxRequest))
+	return procedure, connect.NewServerStreamHandler(procedure, serve, encoder.Option(), connect.WithReadMaxBytes(maxRequest),
+		connect.WithCompression("gzip", nil, nil))
 }
 
 // relay sends the answer as it comes; what gathers while a frame is written goes into the next one.
