--- a/serving/registrar/roster.go
+++ b/serving/registrar/roster.go
@@ -9,6 +9,10 @@
 	"redwingstage.org/serving/configurer"
 )
 
+// IsolationLimit is how long after its lease ended an entry goes on with what it last knew of configuration and
+// owned servers; a change counts as in force at an entry that is cut off only after this.
+const IsolationLimit = 10 * time.Second
+
 // Server is what a backend server announced of itself.
 type Server struct {
 	Name        string
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -225,7 +225,7 @@
 
 // unpin frees inherited adapters once the server reports them idle and no old owner can send any more.
 func (o *Owner) unpin(h *held, report sender.Report, now time.Time) {
-	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(isolationLimit)) {
+	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(registrar.IsolationLimit)) {
 		return
 	}
 	serving := parseTargets(report.Serving, h.server.Service)
--- a/stage/receiver/models.go
+++ b/stage/receiver/models.go
@@ -34,7 +34,7 @@
 
 // models lists the adapters by name, a page at a time.
 func (r *Receiver) models(c fiber.Ctx) error {
-	catalog := r.Control.Catalog()
+	catalog := r.catalog()
 	if catalog == nil {
 		return r.refuse(c, *notReady())
 	}
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -21,8 +21,6 @@
 
 const (
 	maxHeader     = 16 << 10
-	readTimeout   = 30 * time.Second
-	idleTimeout   = 60 * time.Second
 	closeInterval = 10 * time.Millisecond
 )
 
@@ -30,6 +28,7 @@
 type Control interface {
 	Catalog() *configurer.Catalog
 	Roster() *registrar.Roster
+	LeaseEnd() time.Time
 	Announce(s registrar.Server)
 }
 
@@ -49,6 +48,10 @@
 	MaxConns int
 	// MaxUnread limits the bytes of an answer that its caller hasn't read.
 	MaxUnread int
+	// ReadTimeout limits the time in which a request must have come.
+	ReadTimeout time.Duration
+	// IdleTimeout limits how long a connection stays open without a request.
+	IdleTimeout time.Duration
 	// WriteTimeout limits each write to a caller.
 	WriteTimeout time.Duration
 }
@@ -63,6 +66,12 @@
 	if c.MaxUnread == 0 {
 		c.MaxUnread = 4 << 20
 	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = 30 * time.Second
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = 60 * time.Second
+	}
 	if c.WriteTimeout == 0 {
 		c.WriteTimeout = 10 * time.Second
 	}
@@ -96,7 +105,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &Receiver{Deps: deps, cfg: cfg, ctx: ctx, stop: stop}
 	r.app = fiber.New(fiber.Config{
-		BodyLimit: cfg.MaxBody, ReadBufferSize: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		BodyLimit: cfg.MaxBody, ReadBufferSize: maxHeader, ReadTimeout: cfg.ReadTimeout, IdleTimeout: cfg.IdleTimeout,
 		Concurrency: cfg.MaxConns + 1, ErrorHandler: r.failed, StrictRouting: true, CaseSensitive: true,
 	})
 	r.routes()
@@ -133,9 +142,22 @@
 	}
 }
 
+// catalog returns the configuration in force, or nil while this entry knows of none: it has not heard of any yet,
+// or it has been cut off for so long that a later one may be in force.
+func (r *Receiver) catalog() *configurer.Catalog {
+	c := r.Control.Catalog()
+	if c == nil || c.Revision() == 0 {
+		return nil
+	}
+	if time.Now().After(r.Control.LeaseEnd().Add(registrar.IsolationLimit)) {
+		return nil
+	}
+	return c
+}
+
 // ready tells the platform's balancer whether to send callers here.
 func (r *Receiver) ready(c fiber.Ctx) error {
-	if r.closing.Load() || r.Control.Catalog() == nil || r.Control.Roster() == nil {
+	if r.closing.Load() || r.catalog() == nil || r.Control.Roster() == nil {
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	return c.SendStatus(http.StatusOK)
--- a/stage/receiver/request.go
+++ b/stage/receiver/request.go
@@ -31,7 +31,7 @@
 
 // generation reads a request for a model, and whether its caller wants a stream; everything it returns is a copy.
 func (r *Receiver) generation(c fiber.Ctx, now time.Time) (*streamer.Request, bool, *problem) {
-	catalog := r.Control.Catalog()
+	catalog := r.catalog()
 	if catalog == nil {
 		return nil, false, notReady()
 	}
@@ -61,7 +61,7 @@
 
 // service reads a call to a plain service; everything it returns is a copy.
 func (r *Receiver) service(c fiber.Ctx, now time.Time) (*streamer.Request, *problem) {
-	catalog := r.Control.Catalog()
+	catalog := r.catalog()
 	if catalog == nil {
 		return nil, notReady()
 	}
