Load generator with an open schedule, and the command load

Cause: what callers see has to be measured: first token, gaps, goodput, stalls, outcomes, and what two hops cost against a direct call in the same run.

Only loopback addresses, at most 20000 arrivals a second and 10 minutes.

--- /dev/null
+++ b/standin/cmd/load/doc.go
@@ -0,0 +1,2 @@
+// Command load sends an open schedule of requests to entries on loopback addresses and prints what callers saw.
+package main
--- /dev/null
+++ b/standin/generator/config.go
@@ -0,0 +1,112 @@
+package generator
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Config describes a load.
+type Config struct {
+	// Entries are the callers' addresses of entries; Direct are engines' addresses for comparison.
+	Entries []string
+	Direct  []string
+	// Rate is the mean number of arrivals a second; at the crest of a swing it is Crest times that.
+	Rate  float64
+	Crest float64
+	Swing time.Duration
+	// Duration is the time over which requests arrive.
+	Duration time.Duration
+	// Model is the base model, or the prefix of Adapters adapters named "prefix-1" and so on.
+	Model    string
+	Adapters int
+	// Zipf is the skew of the adapters' popularity, above 1.
+	Zipf float64
+	// Tokens is the length of short answers; a share Long of the requests asks for LongTokens in class LongClass.
+	Tokens     int
+	Long       float64
+	LongTokens int
+	Class      string
+	LongClass  string
+	// Bookings and Stock are shares of the arrivals that call Service.
+	Bookings float64
+	Stock    float64
+	Service  string
+	// Budget is the time within which the first token counts as good; a gap above Stall is a stall.
+	Budget time.Duration
+	Stall  time.Duration
+	// Timeout ends a request.
+	Timeout time.Duration
+	Seed    uint64
+}
+
+// Bounds of a load, so that a mistake can't harm the machine.
+const (
+	maxRate     = 20_000
+	maxDuration = 10 * time.Minute
+	maxArrivals = 2_000_000
+	maxInFlight = 8_000
+	maxTokens   = 32_768
+)
+
+// Defaults of a Config.
+const (
+	defaultSwing   = 5 * time.Second
+	defaultZipf    = 1.1
+	defaultTokens  = 32
+	defaultBudget  = 2 * time.Second
+	defaultStall   = 500 * time.Millisecond
+	defaultTimeout = 60 * time.Second
+)
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// withDefaults returns the config with defaults, or all that is wrong with it.
+func (c Config) withDefaults() (Config, error) {
+	setDefault(&c.Crest, 1)
+	setDefault(&c.Swing, defaultSwing)
+	setDefault(&c.Zipf, defaultZipf)
+	setDefault(&c.Tokens, defaultTokens)
+	setDefault(&c.LongTokens, 8*c.Tokens)
+	setDefault(&c.Model, "base")
+	setDefault(&c.Service, "orders")
+	setDefault(&c.Budget, defaultBudget)
+	setDefault(&c.Stall, defaultStall)
+	setDefault(&c.Timeout, defaultTimeout)
+	var findings []string
+	add := func(bad bool, format string, a ...any) {
+		if bad {
+			findings = append(findings, fmt.Sprintf(format, a...))
+		}
+	}
+	add(len(c.Entries)+len(c.Direct) == 0, "no address is given")
+	for _, addr := range append(append([]string{}, c.Entries...), c.Direct...) {
+		a, err := netip.ParseAddrPort(addr)
+		add(err != nil || !a.Addr().IsLoopback(), "%q is no loopback address of the form ip:port", addr)
+	}
+	add(!(c.Rate > 0 && c.Rate <= maxRate), "rate: %v is not above 0 and up to %d", c.Rate, maxRate)
+	add(!(c.Crest >= 1 && c.Crest <= 100), "crest: %v is not between 1 and 100", c.Crest)
+	add(c.Swing <= 0, "swing: %v is not above 0", c.Swing)
+	add(c.Duration <= 0 || c.Duration > maxDuration, "duration: %v is not above 0 and up to %v", c.Duration, maxDuration)
+	add(c.Adapters < 0, "adapters: %d is below 0", c.Adapters)
+	add(!(c.Zipf > 1), "zipf: %v is not above 1", c.Zipf)
+	add(c.Tokens < 1 || c.Tokens > maxTokens, "tokens: %d is not between 1 and %d", c.Tokens, maxTokens)
+	add(c.LongTokens < 1 || c.LongTokens > maxTokens, "long tokens: %d is not between 1 and %d", c.LongTokens, maxTokens)
+	for name, share := range map[string]float64{"long": c.Long, "bookings": c.Bookings, "stock": c.Stock} {
+		add(!(share >= 0 && share <= 1), "%s: %v is not between 0 and 1", name, share)
+	}
+	add(c.Bookings+c.Stock > 1, "bookings and stock together are above 1")
+	add(len(c.Direct) > 0 && (c.Adapters > 0 || c.Bookings+c.Stock > 0), "a comparison runs on the base model only")
+	if len(findings) > 0 {
+		return c, errors.New("load: " + strings.Join(findings, "; "))
+	}
+	return c, nil
+}
