--- /dev/null
+++ b/coord/leaser/granter_test.go
@@ -0,0 +1,133 @@
+package leaser
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ExampleGranter() {
+	now := start
+	g := New(1, now, true)
+	g.Renew(now, "a")
+	g.New("engine")
+	grant, _ := g.Grant(now, "engine", "a")
+	fmt.Println(grant.Holder, EraOf(grant.Epoch), grant.Clean)
+	_, err := g.Grant(now, "engine", "a")
+	fmt.Println(err)
+
+	// The leader of the next era takes up what is claimed, and grants the rest when old leases have run out.
+	next := New(2, now, false)
+	next.Renew(now, "a")
+	fmt.Println(next.Claim(now, "engine", "a", grant.Epoch))
+	_, err = next.Grant(now, "other", "a")
+	fmt.Println(err)
+	// Output:
+	// a 1 true
+	// key "engine": held by a
+	// <nil>
+	// key "other": leases of the last leader still run
+}
+
+func TestClaims(t *testing.T) {
+	c := qt.New(t)
+	g := New(3, start, false)
+	g.Renew(start, "a")
+	g.Renew(start, "b")
+	old, older := uint64(2)<<eraShift|7, uint64(2)<<eraShift|5
+	c.Assert(g.Claim(start, "k", "x", old), qt.ErrorMatches, `key "k": no lease of x`)
+	c.Assert(g.Claim(start, "k", "a", older), qt.IsNil)
+	c.Assert(g.Claim(start, "k", "b", old), qt.IsNil)
+	c.Assert(g.Claim(start, "k", "a", older), qt.ErrorMatches, `key "k": held by b`)
+	c.Assert(g.Claim(start, "l", "a", uint64(3)<<eraShift|1), qt.ErrorMatches, `key "l": epoch is not of an earlier era`)
+	c.Assert(g.Keys("a"), qt.Equals, 0)
+	late := g.SettledAt()
+	g.Renew(late, "a")
+	c.Assert(g.Claim(late, "l", "a", old), qt.ErrorMatches, `key "l": too late to claim`)
+	c.Assert(g.Release("k", "a"), qt.IsFalse)
+	c.Assert(g.Release("k", "b"), qt.IsTrue)
+	grant, err := g.Grant(late, "k", "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(grant, qt.Equals, Grant{Holder: "a", Epoch: uint64(3)<<eraShift | 1, Clean: true})
+	g.seq.last = 1<<eraShift - 1
+	_, err = g.Grant(late, "m", "a")
+	c.Assert(err, qt.ErrorMatches, "era 3 has no numbers left")
+}
+
+// holding is what a holder believes: its lease by its own clock, and the key's epoch.
+type holding struct {
+	tenure *Tenure
+	epoch  uint64
+}
+
+// drive lets holders renew with delays over changes of leader, and returns the first moment with two holders of one key.
+func drive(seed uint64, hasty bool) error {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	now := start
+	g := New(1, now, true)
+	holders := map[string]*holding{"a": {tenure: NewTenure()}, "b": {tenure: NewTenure()}}
+	names := []string{"a", "b"}
+	cutUntil := map[string]time.Time{}
+	last := uint64(0)
+	for step := range 3000 {
+		now = now.Add(50 * time.Millisecond)
+		if rng.IntN(150) == 0 {
+			g = New(uint64(step)+2, now, false)
+			g.hasty = hasty
+		}
+		for _, name := range names {
+			h := holders[name]
+			if rng.IntN(60) == 0 {
+				cutUntil[name] = now.Add(time.Duration(rng.IntN(9000)) * time.Millisecond)
+			}
+			if !h.tenure.Held(now) {
+				h.epoch = 0
+			}
+			if now.Before(cutUntil[name]) {
+				continue
+			}
+			n := h.tenure.Renew(now.Add(-time.Duration(rng.IntN(400)) * time.Millisecond))
+			g.Renew(now, name)
+			if h.epoch > 0 && g.Claim(now, "k", name, h.epoch) != nil {
+				h.epoch = 0
+			}
+			if grant, ok := g.Holder("k"); ok && grant.Holder == name {
+				h.epoch = grant.Epoch
+			}
+			h.tenure.Renewed(n, g.TTL())
+		}
+		g.Lapse(now)
+		if _, held := g.Holder("k"); !held {
+			_, _ = g.Grant(now, "k", names[rng.IntN(2)])
+		}
+		if a, b := holders["a"], holders["b"]; a.epoch > 0 && b.epoch > 0 && a.tenure.Held(now) && b.tenure.Held(now) {
+			return fmt.Errorf("two holders under epochs %d and %d", a.epoch, b.epoch)
+		}
+		if grant, ok := g.Holder("k"); ok {
+			if grant.Epoch < last {
+				return fmt.Errorf("epoch %d after %d", grant.Epoch, last)
+			}
+			last = grant.Epoch
+		}
+	}
+	return nil
+}
+
+func TestOneHolder(t *testing.T) {
+	for seed := range uint64(300) {
+		qt.Assert(t, drive(seed, false), qt.IsNil, qt.Commentf("seed %d", seed))
+	}
+	caught := 0
+	for seed := range uint64(20) {
+		if drive(seed, true) != nil {
+			caught++
+		}
+	}
+	// A leader that does not wait must show.
+	qt.Assert(t, caught > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/coord/spreader/state_test.go
@@ -0,0 +1,166 @@
+package spreader
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+)
+
+func Example() {
+	source, copied := New(), New()
+	_ = source.Change(1, []Item{{"a", []byte("1")}, {"b", []byte("1")}})
+	var j Joiner
+	for _, part := range source.Since(j.Revision()) {
+		if d, ok, err := j.Join(part); err == nil && ok {
+			_ = copied.Apply(d)
+		}
+	}
+	_ = source.Change(2, []Item{{Key: "b"}})
+	for _, part := range source.Since(j.Revision()) {
+		fmt.Println("full:", part.Full, "items:", len(part.Items))
+		if d, ok, err := j.Join(part); err == nil && ok {
+			_ = copied.Apply(d)
+		}
+	}
+	_, found := copied.Value("b")
+	fmt.Println(copied.Revision(), found)
+	// Output:
+	// full: false items: 1
+	// 2 false
+}
+
+// spread passes random changes through a relay to a follower that loses and repeats deltas; it returns what went wrong.
+func spread(seed uint64, lax bool) error {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	source, relay, follower := New(WithMemory(20)), New(WithMemory(20)), New()
+	var up, down Joiner
+	down.lax = lax
+	var late []Delta
+	last := uint64(0)
+	for rev := uint64(1); rev < 200; rev++ {
+		items := []Item{{Key: fmt.Sprint(rng.IntN(50)), Value: make([]byte, rng.IntN(30<<10))}}
+		if rng.IntN(3) == 0 {
+			items[0].Value = nil
+		}
+		if err := source.Change(rev, items); err != nil {
+			return err
+		}
+		if rng.IntN(3) == 0 {
+			if err := pass(source.Since(up.Revision()), &up, relay); err != nil {
+				return err
+			}
+		}
+		parts := relay.Since(down.Revision())
+		switch rng.IntN(6) {
+		case 0:
+			late = parts
+			continue
+		case 1:
+			parts, late = late, parts
+			down.Reset()
+		case 2:
+			if len(parts) > 1 {
+				parts = parts[:1]
+			}
+		}
+		if err := pass(parts, &down, follower); err != nil && !lax {
+			var back *BackwardsError
+			if errors.As(err, &back) {
+				return err
+			}
+			down.Reset()
+		} else if err != nil {
+			return err
+		}
+		if follower.Revision() < last {
+			return fmt.Errorf("from revision %d back to %d", last, follower.Revision())
+		}
+		last = follower.Revision()
+	}
+	for _, s := range []struct {
+		from, to *State
+		j        *Joiner
+	}{{source, relay, &up}, {relay, follower, &down}} {
+		s.j.Reset()
+		if err := pass(s.from.Since(s.j.Revision()), s.j, s.to); err != nil {
+			return err
+		}
+	}
+	return same(source, follower)
+}
+
+func pass(parts []Delta, j *Joiner, to *State) error {
+	for _, p := range parts {
+		d, ok, err := j.Join(p)
+		if err != nil {
+			return err
+		}
+		if ok {
+			if err := to.Apply(d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func same(a, b *State) error {
+	if a.Revision() != b.Revision() || len(a.items) != len(b.items) {
+		return fmt.Errorf("revision %d with %d items, not %d with %d", b.Revision(), len(b.items), a.Revision(), len(a.items))
+	}
+	for k, v := range a.items {
+		if string(b.items[k]) != string(v) {
+			return fmt.Errorf("key %s differs", k)
+		}
+	}
+	return nil
+}
+
+func TestSpread(t *testing.T) {
+	for seed := range uint64(200) {
+		qt.Assert(t, spread(seed, false), qt.IsNil, qt.Commentf("seed %d", seed))
+	}
+	caught := 0
+	for seed := range uint64(50) {
+		if spread(seed, true) != nil {
+			caught++
+		}
+	}
+	qt.Assert(t, caught > 0, qt.IsTrue)
+}
+
+func TestChangeBackwards(t *testing.T) {
+	s := New()
+	qt.Assert(t, s.Change(3, nil), qt.IsNil)
+	qt.Assert(t, s.Change(3, nil), qt.ErrorMatches, "revision 3 does not come after 3")
+	qt.Assert(t, s.Replace(2, nil), qt.ErrorMatches, "revision 2 does not come after 3")
+}
+
+// FuzzJoin feeds deltas of a peer to a joiner, which must never lead backwards.
+func FuzzJoin(f *testing.F) {
+	for _, d := range split(Delta{To: 5, Full: true}, []Item{{"a", make([]byte, maxPart)}, {"b", make([]byte, maxPart)}}) {
+		data, err := encoder.Marshal(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d Delta
+		if encoder.Unmarshal(data, &d) != nil {
+			return
+		}
+		j := Joiner{revision: 4}
+		for range 2 {
+			whole, ok, err := j.Join(d)
+			if j.Revision() < 4 || ok && (err != nil || whole.To <= 4) {
+				t.Fatalf("joined %+v", whole)
+			}
+		}
+	})
+}
--- a/stage/controller/agent.go
+++ b/stage/controller/agent.go
@@ -47,8 +47,10 @@
 	announced map[string]*announced
 	calls     map[uint64]*pendingCall
 	lastCall  uint64
-	permits   map[uint64]time.Time
-	locks     map[quarantiner.Digest]uint64
+	// again are calls that the leader asked for once more.
+	again   []*pendingCall
+	permits map[uint64]time.Time
+	locks   map[quarantiner.Digest]uint64
 	// epochs are those under which servers were owned last.
 	epochs map[string]uint64
 	// withdrawn are given-up calls that may be granted all the same.
@@ -255,18 +257,30 @@
 	for _, name := range slices.Sorted(maps.Keys(a.announced)) {
 		a.passOn(now, name, beat, &f)
 	}
-	for _, id := range slices.Sorted(maps.Keys(a.calls)) {
-		if c := a.calls[id]; !c.again.IsZero() && !now.Before(c.again) {
-			c.again = time.Time{}
-			f.Calls = append(f.Calls, c.frame)
-		}
-	}
+	f.Calls = a.retry(now)
 	maps.DeleteFunc(a.permits, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	if f.Beat > 0 || len(f.Servers)+len(f.Calls) > 0 {
 		a.out = append(a.out, f)
 	}
 }
 
+// retry returns the calls that are to be asked again.
+func (a *agent) retry(now time.Time) []callFrame {
+	var due []callFrame
+	rest := a.again[:0]
+	for _, c := range a.again {
+		switch {
+		case now.Before(c.again):
+			rest = append(rest, c)
+		case a.calls[c.frame.ID] == c:
+			due = append(due, c.frame)
+		}
+	}
+	clear(a.again[len(rest):])
+	a.again = rest
+	return due
+}
+
 // passOn adds a backend server's announcement: whole when it is new to the leader, else shortly with each heartbeat.
 func (a *agent) passOn(now time.Time, name string, beat bool, f *up) {
 	s := a.announced[name]
@@ -312,7 +326,7 @@
 func (a *agent) ask(now time.Time, c *pendingCall) {
 	delete(a.calls, c.frame.ID)
 	a.lastCall++
-	c.frame.ID, c.asked, c.again = a.lastCall, now, time.Time{}
+	c.frame.ID, c.asked = a.lastCall, now
 	a.calls[c.frame.ID] = c
 	if a.welcomed {
 		a.out = append(a.out, up{Calls: []callFrame{c.frame}})
@@ -344,6 +358,7 @@
 	}
 	if ans.Code == answerRetry {
 		c.again = now.Add(retryAfter)
+		a.again = append(a.again, c)
 		return
 	}
 	if ans.Code == answerOK && c.frame.Kind == callPermit {
