--- a/stage/controller/machine.go
+++ b/stage/controller/machine.go
@@ -17,6 +17,9 @@
 	"redwingstage.org/serving/recorder"
 )
 
+// maxClock is the latest time of a command, in milliseconds since 1970: the end of the year 9999, for the audit trail.
+const maxClock = 253_402_300_799_000
+
 // machine is the replicated state of the control process; the log applies to it, others read it under its lock.
 type machine struct {
 	mu       sync.Mutex
@@ -76,6 +79,9 @@
 	if err := encoder.Unmarshal(data, &cmd); err != nil {
 		return result{Bad: err.Error()}
 	}
+	if cmd.Now < 0 || cmd.Now > maxClock {
+		return result{Bad: "the command's time is out of range"}
+	}
 	if at := time.UnixMilli(cmd.Now).UTC(); at.After(m.now) {
 		m.now = at
 	}
