--- a/serving/registrar/balance.go
+++ b/serving/registrar/balance.go
@@ -89,6 +89,7 @@
 		}
 		grant, err := r.granter.Grant(now, name, c.holder)
 		if err != nil {
+			// A lease that ran out a moment ago shows at the next tick.
 			continue
 		}
 		c.load++
@@ -138,7 +139,7 @@
 	}
 	for _, zone := range slices.Sorted(maps.Keys(groups)) {
 		if zone != "" || len(groups) == 1 {
-			r.level(zone, groups[zone])
+			r.even(zone, groups[zone])
 		}
 	}
 }
@@ -149,8 +150,8 @@
 	return !ok || !m.leaving && !r.drains["entry/"+m.entry.Name]
 }
 
-// level moves servers of a data centre from its fullest entry to its emptiest, the best fitting first.
-func (r *Registry) level(zone string, g group) {
+// even moves servers of a data centre from its fullest entry to its emptiest, the best fitting first.
+func (r *Registry) even(zone string, g group) {
 	for len(r.moves) < maxMoves {
 		lo, hi := g[0], g[0]
 		for _, c := range g[1:] {
--- a/serving/registrar/registry.go
+++ b/serving/registrar/registry.go
@@ -40,6 +40,8 @@
 	drains  map[string]bool
 	dirty   map[string]bool
 	serving time.Duration
+	// level says that every server has an owner and no load is to be moved, as of the last change.
+	level bool
 }
 
 // member is an entry with a lease, known by its holder name.
@@ -215,6 +217,7 @@
 	if maps.Equal(r.drains, drains) {
 		return
 	}
+	r.level = false
 	for key := range r.drains {
 		r.touchDrain(key)
 	}
@@ -284,9 +287,11 @@
 	}
 	r.expireServers(now)
 	r.finishMoves(now)
-	if r.granter.Settled(now) {
+	if !r.level && r.granter.Settled(now) {
+		r.level = true
 		r.assign(now)
 		r.rebalance()
+		r.level = r.level && len(r.moves) == 0
 	}
 	return out
 }
@@ -298,10 +303,14 @@
 }
 
 func (r *Registry) expireServers(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
-		if now.Sub(r.servers[name].at) <= r.serving {
-			continue
+	var silent []string
+	for name, s := range r.servers {
+		if now.Sub(s.at) > r.serving {
+			silent = append(silent, name)
 		}
+	}
+	slices.Sort(silent)
+	for _, name := range silent {
 		delete(r.servers, name)
 		r.touch("s", name)
 		if g, ok := r.granter.Holder(name); ok {
@@ -348,4 +357,8 @@
 	}
 }
 
-func (r *Registry) touch(kind, name string) { r.dirty[kind+"/"+name] = true }
+// touch marks an item of the roster as changed, so that it is spread and the balance is looked at again.
+func (r *Registry) touch(kind, name string) {
+	r.dirty[kind+"/"+name] = true
+	r.level = false
+}
--- a/stage/controller/client.go
+++ b/stage/controller/client.go
@@ -57,6 +57,8 @@
 	events chan func(now time.Time)
 	agent  *agent
 	rand   *rand.Rand
+	// backoff is the mean wait before the next attempt to connect; a welcome sets it back.
+	backoff time.Duration
 
 	view    atomic.Pointer[clientView]
 	mu      sync.Mutex
@@ -90,6 +92,7 @@
 		events:  make(chan func(now time.Time), maxEvents),
 		agent:   newAgent(cfg),
 		rand:    rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(cfg.Name)))),
+		backoff: minBackoff,
 		updated: make(chan struct{}),
 		servers: make(map[string]registrar.Server),
 		stir:    make(chan struct{}, 1),
@@ -148,19 +151,14 @@
 // run connects to one control replica after the other.
 func (c *Client) run() {
 	at := c.rand.IntN(len(c.cfg.Controls))
-	wait := minBackoff
 	for c.ctx.Err() == nil {
-		began := time.Now()
 		err := c.session(c.cfg.Controls[at%len(c.cfg.Controls)])
-		if time.Since(began) > maxBackoff {
-			wait = minBackoff
-		}
 		if err != nil && c.ctx.Err() == nil {
 			c.logger.Debug().Err(err).Str("control", c.cfg.Controls[at%len(c.cfg.Controls)]).Msg("control: session ended")
 		}
 		at++
-		c.pause(wait/2 + time.Duration(c.rand.Int64N(int64(wait))))
-		wait = min(2*wait, maxBackoff)
+		c.pause(c.backoff/2 + time.Duration(c.rand.Int64N(int64(c.backoff))))
+		c.backoff = min(2*c.backoff, maxBackoff)
 	}
 }
 
@@ -262,6 +260,9 @@
 }
 
 func (c *Client) receive(now time.Time, f down) error {
+	if f.Welcome != nil {
+		c.backoff = minBackoff
+	}
 	changed, err := c.agent.receive(now, f)
 	if err != nil {
 		return err
