--- a/serving/placer/slots.go
+++ b/serving/placer/slots.go
@@ -154,7 +154,7 @@
 	return u.rateAt(now)
 }
 
-// IsWorth reports whether the target is used at least as much as the resident adapter that would go for it.
+// IsWorth reports whether the target is used at least as much as a resident adapter.
 func (s *Slots) IsWorth(now time.Time, t configurer.Target) bool {
 	if s.HasRoom() {
 		return true
--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -179,7 +179,9 @@
 	for _, n := range list {
 		_, warm := sets[n.server.Name]
 		warm = warm || t.Adapter == ""
-		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr, Warm: warm})
+		buf = append(buf, Candidate{
+			Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr, Warm: warm,
+		})
 	}
 	return buf
 }
--- /dev/null
+++ b/serving/scheduler/faults_test.go
@@ -0,0 +1,167 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/quarantiner"
+)
+
+// faultSeeds is the number of seeds for each cell.
+const faultSeeds = 6
+
+// stepCase provokes a step; rule is the rule of the brief that the step is most likely to break.
+type stepCase struct {
+	name    string
+	rule    int
+	provoke func(*world)
+}
+
+var stepCases = []stepCase{
+	{"request", 1, func(*world) {}},
+	{"load", 1, func(*world) {}},
+	{"eviction", 2, func(*world) {}},
+	{"hand-over", 2, func(w *world) { w.after(1500*time.Millisecond, func() { w.handOver(w.engines[0]) }) }},
+	{"takeover", 2, func(w *world) { w.after(1500*time.Millisecond, func() { w.loseLease(0) }) }},
+	{"leave", 6, func(w *world) { w.after(1500*time.Millisecond, func() { w.leave(w.engines[0]) }) }},
+}
+
+var faultCases = []struct {
+	name  string
+	apply func(*world, *fakeEngine)
+}{
+	{"none", func(w *world, _ *fakeEngine) { w.whole = true }},
+	{"killed", func(w *world, e *fakeEngine) { w.kill(e) }},
+	{"frozen and thawed", func(w *world, e *fakeEngine) { e.frozen = w.now.Add(2500 * time.Millisecond) }},
+	{"restarted", func(w *world, e *fakeEngine) { w.restart(e) }},
+	{"load failed", func(w *world, _ *fakeEngine) { w.failLoads = 3 }},
+	{"load slow", func(w *world, _ *fakeEngine) { w.slowLoads = 3 }},
+	{"permit denied", func(w *world, _ *fakeEngine) { w.denyPermits = 5 }},
+	{"permit lost", func(w *world, _ *fakeEngine) { w.losePermits = 3 }},
+	{"lease lost", func(w *world, e *fakeEngine) { w.loseLease(e.owner) }},
+	{"answers late", func(w *world, _ *fakeEngine) { w.late = true }},
+	{"answers doubled", func(w *world, _ *fakeEngine) { w.doubled = true }},
+	{"request crashes engines", func(w *world, _ *fakeEngine) { w.poison() }},
+	{"second fault after a kill", func(w *world, e *fakeEngine) {
+		w.kill(e)
+		w.after(20*time.Millisecond, func() { w.kill(w.engines[int(e.name[1]-'0')%worldEngines]) })
+	}},
+	{"restarted twice", func(w *world, e *fakeEngine) {
+		w.restart(e)
+		w.after(150*time.Millisecond, func() { w.restart(e) })
+	}},
+}
+
+// poison has a caller send a request that crashes each engine that runs it, again and again.
+func (w *world) poison() {
+	c := &call{n: len(w.calls), entry: w.rng.IntN(worldEntries), digest: quarantiner.Digest{255, 255}, poison: true, target: target(1)}
+	w.calls = append(w.calls, c)
+	w.route(c)
+}
+
+// runCell runs one cell with one seed and returns what was broken.
+func runCell(st stepCase, apply func(*world, *fakeEngine), seed uint64, off breaks) []string {
+	w := newWorld(seed, off)
+	n := 1 + w.rng.IntN(6)
+	if st.name != "request" && st.name != "load" && st.name != "eviction" {
+		n = 1
+	}
+	w.onStep[st.name] = func(e *fakeEngine) {
+		if n--; n == 0 {
+			w.after(0, func() { apply(w, e) })
+		}
+	}
+	st.provoke(w)
+	w.run()
+	if n > 0 {
+		w.violate("the step was not reached")
+	}
+	return w.broken
+}
+
+func TestFaults(t *testing.T) {
+	for _, st := range stepCases {
+		for _, f := range faultCases {
+			t.Run(st.name+"/"+f.name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(faultSeeds) {
+					if broken := runCell(st, f.apply, seed, breaks{}); len(broken) > 0 {
+						t.Fatalf("seed %d:\n%s", seed, strings.Join(broken, "\n"))
+					}
+				}
+			})
+		}
+	}
+}
+
+// cell is an entry of faults.json.
+type cell struct {
+	Rule    int    `json:"rule"`
+	Step    string `json:"step"`
+	Fault   string `json:"fault"`
+	Test    string `json:"test"`
+	Package string `json:"package"`
+	Seeds   int    `json:"seeds"`
+}
+
+func TestFaultsList(t *testing.T) {
+	c := qt.New(t)
+	var want []cell
+	for _, st := range stepCases {
+		for _, f := range faultCases {
+			rule := st.rule
+			if f.name == "none" {
+				rule = 7
+			}
+			want = append(want, cell{
+				Rule: rule, Step: st.name, Fault: f.name, Seeds: faultSeeds, Package: "redwingstage.org/serving/scheduler",
+				Test: "TestFaults/" + strings.ReplaceAll(st.name+"/"+f.name, " ", "_"),
+			})
+		}
+	}
+	b, err := os.ReadFile("faults.json")
+	c.Assert(err, qt.IsNil)
+	var got []cell
+	c.Assert(json.Unmarshal(b, &got), qt.IsNil)
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+// TestCheckerCatches switches each mechanism off and expects the matrix to notice.
+func TestCheckerCatches(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		off  breaks
+		want string
+	}{
+		{"pins", breaks{pins: true}, "rule 2"},
+		{"residency", breaks{residency: true}, "rule 1"},
+		{"leaving", breaks{leaving: true}, "rule 6"},
+		{"lease", breaks{lease: true}, "rule 2"},
+		{"order numbers", breaks{orders: true}, "rule 1"},
+		{"suspects apart", breaks{suspects: true}, "crashed"},
+		{"incarnations", breaks{reset: true}, "rule 1"},
+		{"inherited pins", breaks{inherit: true}, "rule 2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(faultSeeds) {
+				for _, st := range stepCases {
+					for _, f := range faultCases {
+						for _, line := range runCell(st, f.apply, seed, tt.off) {
+							if strings.Contains(line, tt.want) {
+								t.Logf("caught at %s/%s, seed %d: %s", st.name, f.name, seed, line)
+								return
+							}
+						}
+					}
+				}
+			}
+			t.Fatal("the checker noticed nothing")
+		})
+	}
+}
--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -65,12 +65,11 @@
 		return ReasonQuarantine, 0, false
 	case isPast(now, j.FirstBy) || isPast(now, j.Deadline):
 		return ReasonLate, 0, false
-	case !j.Last && sv.cool[j.Target].After(now):
-		return ReasonLoad, sv.cool[j.Target].Sub(now), false
-	case !j.Last && s.needsLoad(sv, j) && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
-		return ReasonLate, 0, false
-	case !j.Last && s.needsLoad(sv, j) && s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target):
-		return ReasonSlots, 0, false
+	}
+	if !j.Last {
+		if reason, wait, ok := s.keeps(now, sv, j); !ok {
+			return reason, wait, false
+		}
 	}
 	if !s.cfg.has(PartPass) || j.FirstBy.IsZero() {
 		return "", 0, true
@@ -86,6 +85,23 @@
 	return "", 0, true
 }
 
+// keeps reports whether a job that has other candidates is to have its adapter loaded here, or else why not.
+func (s *Scheduler) keeps(now time.Time, sv *server, j *job) (Reason, time.Duration, bool) {
+	if until := sv.cool[j.Target]; until.After(now) {
+		return ReasonLoad, until.Sub(now), false
+	}
+	if !s.needsLoad(sv, j) {
+		return "", 0, true
+	}
+	if s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server) {
+		return ReasonLate, 0, false
+	}
+	if s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target) {
+		return ReasonSlots, 0, false
+	}
+	return "", 0, true
+}
+
 // needsLoad reports whether a job's adapter is neither loaded nor asked for.
 func (s *Scheduler) needsLoad(sv *server, j *job) bool {
 	return sv.isModel() && !sv.holds(j.Target) && sv.slots.State(j.Target) != placer.Loading && sv.want(j.Target) == nil
@@ -125,13 +141,13 @@
 }
 
 func (s *Scheduler) isReady(now time.Time, sv *server, j *job) bool {
-	if !sv.holds(j.Target) && !s.broken.residency {
+	if !sv.holds(j.Target) && !s.off.residency {
 		return false
 	}
 	if j.long && s.cfg.has(PartLongShare) && sv.longs >= s.longLimit(sv) {
 		return false
 	}
-	if s.broken.suspects || j.Digest == (quarantiner.Digest{}) {
+	if s.off.suspects || j.Digest == (quarantiner.Digest{}) {
 		return true
 	}
 	if s.standing(now, j) == quarantiner.Suspect {
@@ -281,7 +297,7 @@
 }
 
 func (s *Scheduler) standing(now time.Time, j *job) quarantiner.Standing {
-	if s.broken.suspects {
+	if s.off.suspects {
 		return quarantiner.Clear
 	}
 	return max(j.Standing, s.suspect.Standing(now, j.Digest))
--- a/serving/scheduler/loads.go
+++ b/serving/scheduler/loads.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 		w.waiters, w.urgent = 0, false
 	}
 	if sv.open && sv.isModel() {
-		sv.queue.Each(func(it queued) {
+		s.eachNext(sv, func(it queued) {
 			t := it.Value.Target
 			if t.Adapter == "" || sv.slots.CanServe(t) {
 				return
@@ -75,6 +76,22 @@
 	})
 }
 
+// eachNext calls f for the queued jobs that may be sent once their adapter is loaded: of the long ones only as many as their share allows.
+func (s *Scheduler) eachNext(sv *server, f func(queued)) {
+	longs := math.MaxInt
+	if s.cfg.has(PartLongShare) {
+		longs = s.longLimit(sv) - sv.longs
+	}
+	sv.queue.Each(func(it queued) {
+		if it.Value.long {
+			if longs--; longs < 0 {
+				return
+			}
+		}
+		f(it)
+	})
+}
+
 func (sv *server) want(t configurer.Target) *want {
 	for _, w := range sv.wants {
 		if w.target == t {
@@ -94,7 +111,7 @@
 	held := sv.permits()
 	coming := sv.slots.Count(placer.Unloading)
 	for held > coming && !sv.slots.HasRoom() {
-		t, ok := sv.slots.Victim(now, sv.isWanted)
+		t, ok := sv.slots.Victim(now, s.isWanted(sv))
 		if !ok {
 			break
 		}
@@ -144,7 +161,7 @@
 			continue
 		}
 		if !sv.slots.HasRoom() {
-			if _, ok := sv.slots.Victim(now, sv.isWanted); !ok {
+			if _, ok := sv.slots.Victim(now, s.isWanted(sv)); !ok {
 				if now.Sub(w.since) >= s.cfg.DrainAfter {
 					sv.slots.Drain(now, sv.isHeavy)
 				}
@@ -168,11 +185,13 @@
 	return n
 }
 
-// isWanted reports whether queued work waits for the target, so that evicting it would be undone at once.
-func (sv *server) isWanted(t configurer.Target) bool {
-	found := false
-	sv.queue.Each(func(it queued) { found = found || it.Value.Target == t })
-	return found
+// isWanted returns a function that reports whether queued work waits for the target, so that evicting it would be undone at once.
+func (s *Scheduler) isWanted(sv *server) func(configurer.Target) bool {
+	return func(t configurer.Target) bool {
+		found := false
+		s.eachNext(sv, func(it queued) { found = found || it.Value.Target == t })
+		return found
+	}
 }
 
 // isHeavy reports whether a target holds so much of the batch that draining it would idle the server.
@@ -232,7 +251,7 @@
 
 func (s *Scheduler) loadEnded(now time.Time, sv *server, ev LoadEnded) {
 	order := ev.Order
-	if s.broken.orders {
+	if s.off.orders {
 		order = 0
 	}
 	if !sv.slots.EndLoad(now, ev.Target, order, ev.OK) {
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -25,7 +25,7 @@
 	slow    *detector.Detector
 	order   uint64
 	actions []Action
-	broken  breaks
+	off     breaks
 }
 
 // breaks switches mechanisms off, so that tests can show that the checker notices.
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -80,7 +80,7 @@
 	if sv != nil && ev.Epoch < sv.epoch {
 		return
 	}
-	if sv != nil && sv.reg.Incarnation != ev.Server.Incarnation && !s.broken.reset {
+	if sv != nil && sv.reg.Incarnation != ev.Server.Incarnation && !s.off.reset {
 		s.gone(now, name, len(sv.inFlight) > 0)
 		sv = nil
 	}
@@ -93,7 +93,7 @@
 			loading:  make(map[configurer.Target]registrar.Permit),
 			cool:     make(map[configurer.Target]time.Time),
 		}
-		if s.broken.pins {
+		if s.off.pins {
 			sv.slots.IgnorePins()
 		}
 		s.servers[name] = sv
@@ -102,14 +102,14 @@
 	sv.slots.Resize(ev.Server.Slots)
 	if fresh {
 		pinned := ev.Pinned
-		if s.broken.inherit {
+		if s.off.inherit {
 			pinned = nil
 		}
 		s.dropPermits(sv)
 		sv.slots.Reset(now, ev.Residents, pinned)
 		sv.epoch, sv.orderAt = ev.Epoch, ev.OrderAt
 	}
-	sv.leased, sv.open = true, !ev.Server.Leaving || s.broken.leaving
+	sv.leased, sv.open = true, !ev.Server.Leaving || s.off.leaving
 	if !sv.open {
 		s.refuseAll(now, sv, ReasonLeaving)
 	}
@@ -129,7 +129,7 @@
 }
 
 func (s *Scheduler) leaseLost(now time.Time) {
-	if s.broken.lease {
+	if s.off.lease {
 		return
 	}
 	for _, name := range s.names() {
