--- a/serving/scheduler/scheduler_test.go
+++ b/serving/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,6 +54,12 @@
 	return j
 }
 
+// expect checks the actions, which are comparable.
+func (f *fixture) expect(got []Action, want ...Action) {
+	f.c.Helper()
+	f.c.Assert(slices.Equal(got, want), qt.IsTrue, qt.Commentf("got %v, want %v", got, want))
+}
+
 func only[T Action](list []Action) []T {
 	var out []T
 	for _, a := range list {
@@ -116,3 +123,84 @@
 		})
 	}
 }
+
+func TestVersionsStandSideBySide(t *testing.T) {
+	f := newFixture(t, Config{}, engine(2, 4))
+	old, next := f.job(1, nil), f.job(1, func(j *Job) { j.Target.Version = 2 })
+	for _, j := range []Job{old, next} {
+		f.do(Arrived{Job: j})
+		f.do(Granted{Server: "e1", Target: j.Target})
+		got := only[Send](f.do(LoadEnded{Server: "e1", Target: j.Target, OK: true}))
+		f.c.Assert(got, qt.HasLen, 1)
+		f.c.Assert(got[0].Job.Target, qt.Equals, j.Target)
+	}
+	f.c.Assert(f.s.Pinned("e1"), qt.DeepEquals, []configurer.Target{old.Target, next.Target})
+}
+
+func TestFailedLoadPassesOnOrRetriesWithinBounds(t *testing.T) {
+	f := newFixture(t, Config{}, engine(1, 4))
+	passing := f.job(1, func(j *Job) { j.Last = false })
+	last := f.job(1, nil)
+	f.do(Arrived{Job: passing})
+	f.do(Arrived{Job: last})
+	var refused []Refuse
+	loads := 0
+	for range 200 {
+		f.now = f.now.Add(50 * time.Millisecond)
+		for _, a := range f.do(Tick{}) {
+			refused = append(refused, only[Refuse]([]Action{a})...)
+		}
+		if len(only[Load](f.do(Granted{Server: "e1", Target: target(1)}))) > 0 {
+			loads++
+			refused = append(refused, only[Refuse](f.do(LoadEnded{Server: "e1", Target: target(1)}))...)
+		}
+	}
+	f.c.Assert(loads, qt.Equals, DefaultLoadAttempts)
+	f.c.Assert(refused, qt.HasLen, 2)
+	f.c.Assert(refused[0].Attempt, qt.Equals, passing.Attempt)
+	f.c.Assert(refused[1], qt.Equals, Refuse{Attempt: last.Attempt, Reason: ReasonLoad, RetryAfter: DefaultLoadCool})
+}
+
+func TestLongJobsLeaveRoomForShortOnes(t *testing.T) {
+	f := newFixture(t, Config{LongShare: 0.5}, engine(1, 4))
+	base := func(long bool) Job {
+		return f.job(0, func(j *Job) { j.Target.Adapter, j.Long, j.Urgent = "", long, !long })
+	}
+	sent := 0
+	for range 6 {
+		sent += len(only[Send](f.do(Arrived{Job: base(true)})))
+	}
+	f.c.Assert(sent, qt.Equals, 2)
+	f.c.Assert(only[Send](f.do(Arrived{Job: base(false)})), qt.HasLen, 1)
+}
+
+func TestDeadlineAtRiskIsReportedOnceAndInTime(t *testing.T) {
+	f := newFixture(t, Config{}, engine(1, 1))
+	f.do(Arrived{Job: f.job(0, func(j *Job) { j.Target.Adapter = "" })})
+	report := f.job(0, func(j *Job) {
+		j.Target.Adapter, j.Urgent, j.Long, j.Class, j.Deadline = "", false, true, "report", f.now.Add(8*time.Hour)
+	})
+	f.do(Arrived{Job: report})
+	f.now = f.now.Add(7 * time.Hour)
+	f.c.Assert(only[Alarm](f.do(Tick{})), qt.HasLen, 0)
+	f.now = report.Deadline.Add(-DefaultAlarmLead)
+	f.expect(f.do(Tick{}), Alarm{Attempt: report.Attempt, Class: "report", Deadline: report.Deadline})
+	f.c.Assert(only[Alarm](f.do(Tick{})), qt.HasLen, 0)
+}
+
+func TestSilentAttemptFailsAndStaysPinnedUntilItsCancelIsConfirmed(t *testing.T) {
+	f := newFixture(t, Config{}, engine(1, 1))
+	j := f.job(1, nil)
+	f.do(Arrived{Job: j})
+	f.do(Granted{Server: "e1", Target: j.Target})
+	f.do(LoadEnded{Server: "e1", Target: j.Target, OK: true})
+	f.do(Progress{Attempt: j.Attempt, Tokens: 1})
+	f.now = f.now.Add(DefaultSilentAfter)
+	cancel := Cancel{Attempt: j.Attempt, Server: "e1"}
+	f.expect(f.do(Tick{}), Fail{Attempt: j.Attempt}, cancel)
+	f.c.Assert(f.s.Stats(f.now).Pins, qt.Equals, 1)
+	f.now = f.now.Add(DefaultCancelRetry)
+	f.expect(f.do(Tick{}), cancel)
+	f.do(Ended{Attempt: j.Attempt})
+	f.c.Assert(f.s.Stats(f.now).Pins, qt.Equals, 0)
+}
