--- a/serving/registrar/roster.go
+++ b/serving/registrar/roster.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -8,6 +9,10 @@
 	"redwingstage.org/serving/configurer"
 )
 
+// IsolationLimit is how long after its lease ended an entry goes on with what it last knew of configuration and
+// owned servers; a change counts as in force at an entry that is cut off only after this.
+const IsolationLimit = 10 * time.Second
+
 // Server is what a backend server announced of itself.
 type Server struct {
 	Name        string
@@ -89,6 +94,13 @@
 	return o, ok
 }
 
+// Owners calls f with every backend server that has an owner, in the order of their names.
+func (r *Roster) Owners(f func(server string, o Owner)) {
+	for _, name := range slices.Sorted(maps.Keys(r.owners)) {
+		f(name, r.owners[name])
+	}
+}
+
 // Entries returns the live entries; the caller must not change it.
 func (r *Roster) Entries() []Entry { return r.entries }
 
--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -66,10 +66,8 @@
 	case isPast(now, j.FirstBy) || isPast(now, j.Deadline):
 		return ReasonLate, 0, false
 	}
-	if !j.Last {
-		if reason, wait, ok := s.keeps(now, sv, j); !ok {
-			return reason, wait, false
-		}
+	if reason, wait, ok := s.admitsLoad(now, sv, j); !ok {
+		return reason, wait, false
 	}
 	if !s.cfg.has(PartPass) || j.FirstBy.IsZero() {
 		return "", 0, true
@@ -85,18 +83,16 @@
 	return "", 0, true
 }
 
-// keeps reports whether a job that has other candidates is to have its adapter loaded here, or else why not.
-func (s *Scheduler) keeps(now time.Time, sv *server, j *job) (Reason, time.Duration, bool) {
-	if until := sv.cool[j.Target]; until.After(now) {
-		return ReasonLoad, until.Sub(now), false
-	}
-	if !s.needsLoad(sv, j) {
+// admitsLoad reports whether a job that has another candidate may cause a load here.
+func (s *Scheduler) admitsLoad(now time.Time, sv *server, j *job) (Reason, time.Duration, bool) {
+	switch {
+	case j.Last:
 		return "", 0, true
-	}
-	if s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server) {
+	case sv.cool[j.Target].After(now):
+		return ReasonLoad, sv.cool[j.Target].Sub(now), false
+	case s.needsLoad(sv, j) && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
 		return ReasonLate, 0, false
-	}
-	if s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target) {
+	case s.needsLoad(sv, j) && s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target):
 		return ReasonSlots, 0, false
 	}
 	return "", 0, true
--- a/serving/scheduler/scheduler_test.go
+++ b/serving/scheduler/scheduler_test.go
@@ -184,7 +184,9 @@
 	f.now = f.now.Add(7 * time.Hour)
 	f.c.Assert(only[Alarm](f.do(Tick{})), qt.HasLen, 0)
 	f.now = report.Deadline.Add(-DefaultAlarmLead)
-	f.expect(f.do(Tick{}), Alarm{Attempt: report.Attempt, Class: "report", Deadline: report.Deadline})
+	alarms := only[Alarm](f.do(Tick{}))
+	f.c.Assert(alarms, qt.HasLen, 1)
+	f.expect([]Action{alarms[0]}, Alarm{Attempt: report.Attempt, Class: "report", Deadline: report.Deadline})
 	f.c.Assert(only[Alarm](f.do(Tick{})), qt.HasLen, 0)
 }
 
