--- /dev/null
+++ b/standin/comparer/bound.go
@@ -0,0 +1,177 @@
+package comparer
+
+import (
+	"container/heap"
+	"time"
+
+	"redwingstage.org/serving/configurer"
+)
+
+// Bound is what the store's limits make unavoidable for a run's requests.
+type Bound struct {
+	// Share is the share of requests that find their adapter not loaded, and Seconds their waiting time per 1,000 requests.
+	Share   float64 `json:"share"`
+	Seconds float64 `json:"seconds_per_1000"`
+	// InTime is the share of urgent requests at the crest whose wait leaves time for the first token.
+	InTime float64 `json:"in_time_at_crest"`
+}
+
+// Knowledge is what an ideal cache knows of the requests.
+type Knowledge int
+
+// The kinds of knowledge.
+const (
+	// Popularity means that the adapters' shares of the run's requests are known in advance.
+	Popularity Knowledge = iota
+	// Future means that every request is known in advance.
+	Future
+	// Past means that only the requests so far are known, as to any real policy.
+	Past
+)
+
+// Unavoidable returns the stalls of an ideal cache with all slots of the fleet, one copy of each adapter, which stays only
+// while an idle engine would serve it, and loads at the store's rate. With the future known (Belady's rule) it ignores copies, queues and the slots' division among engines, so no policy
+// can do better.
+func Unavoidable(t Team, sc Scenario, reqs []*request, k Knowledge) Bound {
+	c := &idealCache{
+		store: permits{rate: t.StoreRate, parallel: t.Parallel, tokens: burst},
+		took:  t.LoadTime,
+		limit: t.Engines * t.Slots,
+		ready: make(map[configurer.Target]time.Duration),
+		inUse: make(map[configurer.Target]time.Duration),
+		uses:  make(map[configurer.Target][]time.Duration),
+		know:  k,
+	}
+	c.count = make(map[configurer.Target]float64)
+	for _, r := range reqs {
+		c.uses[r.target] = append(c.uses[r.target], r.at)
+		if k != Past && (sc.Shift == 0 || (r.at >= sc.Shift) == (sc.Shift <= sc.Warmup)) {
+			c.count[r.target]++
+		}
+	}
+	stalled, n, seconds, crest, inTime := 0, 0, 0.0, 0, 0
+	for _, r := range reqs {
+		wait := c.use(r)
+		if r.at < sc.Warmup {
+			continue
+		}
+		n++
+		if r.crest && !r.long {
+			crest++
+			inTime += count(wait+stepBase <= firstBudget)
+		}
+		if wait > 0 {
+			stalled++
+			seconds += wait.Seconds()
+		}
+	}
+	return Bound{Share: float64(stalled) / float64(max(n, 1)), Seconds: seconds / float64(max(n, 1)) * 1000, InTime: share(inTime, crest)}
+}
+
+// idealCache is a cache whose victim is the adapter that is worth least.
+type idealCache struct {
+	store permits
+	took  time.Duration
+	limit int
+	ready map[configurer.Target]time.Duration
+	inUse map[configurer.Target]time.Duration
+	uses  map[configurer.Target][]time.Duration
+	count map[configurer.Target]float64
+	ends  endTimes
+	know  Knowledge
+}
+
+// use returns how long a request waits for its adapter.
+func (c *idealCache) use(r *request) time.Duration {
+	if c.know == Past {
+		c.count[r.target]++
+	}
+	u := c.uses[r.target]
+	for len(u) > 0 && u[0] <= r.at {
+		u = u[1:]
+	}
+	c.uses[r.target] = u
+	defer func() {
+		c.inUse[r.target] = max(c.inUse[r.target], r.at+serviceTime(r), c.ready[r.target]+serviceTime(r))
+	}()
+	at, ok := c.ready[r.target]
+	if !ok {
+		if len(c.ready) >= c.limit {
+			c.evict(r.at)
+		}
+		at = c.load(r.at)
+		c.ready[r.target] = at
+	}
+	return max(at-r.at, 0)
+}
+
+// load returns when a load that is wanted now ends, under the store's rate and parallel limits.
+func (c *idealCache) load(now time.Duration) time.Duration {
+	begin := now
+	s := &c.store
+	s.refill(time.Unix(0, 0).Add(begin))
+	if s.tokens < 1 {
+		begin += time.Duration((1 - s.tokens) / s.rate * float64(time.Second))
+	}
+	s.tokens--
+	for len(c.ends) > 0 && (c.ends[0] <= begin || len(c.ends) >= s.parallel) {
+		begin = max(begin, c.ends[0])
+		heap.Pop(&c.ends)
+	}
+	end := begin + c.took
+	heap.Push(&c.ends, end)
+	return end
+}
+
+// evict drops the loaded adapter that is worth least.
+func (c *idealCache) evict(now time.Duration) {
+	var victim configurer.Target
+	worst := -1.0
+	for t, ready := range c.ready {
+		if ready > now || c.inUse[t] > now {
+			continue
+		}
+		cost := 1 / (1 + c.count[t])
+		if c.know == Future {
+			cost = 1e18
+			if u := c.uses[t]; len(u) > 0 {
+				cost = float64(u[0])
+			}
+		}
+		if cost > worst || cost == worst && t.Adapter < victim.Adapter {
+			victim, worst = t, cost
+		}
+	}
+	delete(c.ready, victim)
+}
+
+// serviceTime returns how long an engine that runs nothing else takes for a request, during which its adapter stays.
+func serviceTime(r *request) time.Duration {
+	return time.Duration(r.output)*(stepBase+stepPerToken) + time.Duration(r.prompt)*prefillToken*(prefixDen-prefixNum)/prefixDen
+}
+
+type endTimes []time.Duration
+
+// Len implements heap.Interface.
+func (e endTimes) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e endTimes) Less(i, j int) bool { return e[i] < e[j] }
+
+// Swap implements heap.Interface.
+func (e endTimes) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *endTimes) Push(x any) {
+	if d, ok := x.(time.Duration); ok {
+		*e = append(*e, d)
+	}
+}
+
+// Pop implements heap.Interface.
+func (e *endTimes) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/standin/comparer/comparer_test.go
@@ -0,0 +1,50 @@
+package comparer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// short is a scenario that a test can afford.
+func short(change func(*Scenario)) Scenario {
+	sc := Scenario{Name: "steady", Rate: meanRate, Zipf: exponent, Warmup: 20 * time.Second, Length: 60 * time.Second}
+	if change != nil {
+		change(&sc)
+	}
+	return sc
+}
+
+func TestRunsAreRepeatable(t *testing.T) {
+	c := qt.New(t)
+	sc := short(func(s *Scenario) { s.Stragglers, s.Factor, s.LongShare = 1, slowFactor, 0.05 })
+	a, b := Run(Teams()[0], sc, Policies()[0], 3), Run(Teams()[0], sc, Policies()[0], 3)
+	c.Assert(*a, qt.DeepEquals, *b)
+	c.Assert(a.Requests > 500, qt.IsTrue)
+}
+
+func TestNoPolicyBreaksEngines(t *testing.T) {
+	for _, p := range Policies() {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := Run(Teams()[1], short(func(s *Scenario) { s.CrashEvery = 15 * time.Second }), p, 1)
+			c.Assert(r.Violations, qt.Equals, 0.0)
+			c.Assert(r.Lost, qt.Equals, 0.0)
+		})
+	}
+}
+
+func TestBoundIsBelowEveryPolicy(t *testing.T) {
+	c := qt.New(t)
+	sc := short(nil)
+	team := Teams()[0]
+	reqs := generate(team, sc, 1)
+	future := Unavoidable(team, sc, reqs, Future)
+	c.Assert(future.Share > 0, qt.IsTrue)
+	for _, p := range Policies()[:3] {
+		r := Run(team, sc, p, 1)
+		c.Check(r.StallShare >= future.Share, qt.IsTrue, qt.Commentf("%s: %v < %v", p.Name, r.StallShare, future.Share))
+	}
+}
