Owner: tests of takeover, leases, orders, leaving and restarts; no gap after start and lease renewal

Found by the new tests: an owner whose first poll answered before its first tick took the lease for new, forgot that it had adopted the server and refused arrivals until the next poll, up to 500 ms; an end of the lease in that time went unnoticed. After a renewal the same gap opened. Both mended; go test -race -count=3 ./stage/owner: ok. Ends of bookings are delivered before a shutdown ends; resumes start after 2 s without a first token, up to 4.

--- a/stage/booker/booker.go
+++ b/stage/booker/booker.go
@@ -62,10 +62,13 @@
 	return &Booker{record: record, id: id, done: make(chan struct{})}
 }
 
-// Close stops delivering ends in the background and waits; an undelivered end reads as unknown.
-func (b *Booker) Close() {
-	close(b.done)
+// Close waits until all ends are delivered or ctx is done; an undelivered end reads as unknown later.
+func (b *Booker) Close(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { close(b.done) })
 	b.wg.Wait()
+	if stop() {
+		close(b.done)
+	}
 }
 
 // Run begins the booking and, if the record allows it, sends it once.
--- a/stage/dispatcher/dispatcher.go
+++ b/stage/dispatcher/dispatcher.go
@@ -189,7 +189,7 @@
 	d.receiver.Leave()
 	failures := []error{d.owner.Drain(ctx), d.receiver.Wait(ctx), d.receiver.Close(ctx), d.peers.Shutdown(ctx)}
 	d.owner.Close()
-	d.booker.Close()
+	d.booker.Close(ctx)
 	d.client.Close()
 	d.sender.Close()
 	failures = append(failures, d.peers.Close())
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -54,16 +54,23 @@
 	Log     *logger.Part
 }
 
+// Option changes an Owner.
+type Option func(*Owner)
+
+// WithIsolationLimit sets how long an owner without a lease goes on sending to resident adapters; all entries need the same.
+func WithIsolationLimit(d time.Duration) Option { return func(o *Owner) { o.isolation = d } }
+
 // Owner owns some backend servers: it alone sends them requests and orders.
 type Owner struct {
 	Deps
-	id    booker.Identity
-	next  atomic.Uint64
-	inbox chan func()
-	ctx   context.Context
-	stop  context.CancelFunc
-	loop  conc.WaitGroup
-	tasks conc.WaitGroup
+	id        booker.Identity
+	isolation time.Duration
+	next      atomic.Uint64
+	inbox     chan func()
+	ctx       context.Context
+	stop      context.CancelFunc
+	loop      conc.WaitGroup
+	tasks     conc.WaitGroup
 
 	// The fields below belong to the loop's goroutine.
 	held    map[string]*held
@@ -77,12 +84,15 @@
 }
 
 // New starts an owner for the entry process with the identity.
-func New(id booker.Identity, deps Deps) *Owner {
+func New(id booker.Identity, deps Deps, opts ...Option) *Owner {
 	ctx, stop := context.WithCancel(context.Background())
 	o := &Owner{
-		Deps: deps, id: id, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
+		Deps: deps, id: id, isolation: registrar.IsolationLimit, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
 		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job),
 	}
+	for _, opt := range opts {
+		opt(o)
+	}
 	o.loop.Go(o.run)
 	return o
 }
@@ -92,6 +102,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	updated := o.Control.Updated()
+	o.leased = time.Now().Before(o.Control.LeaseEnd())
 	o.sync(time.Now())
 	for {
 		select {
@@ -151,7 +162,7 @@
 		o.leased, o.lapsed = false, now
 		o.Log.Warn("lease has ended, no orders until it is renewed", "")
 		o.handle(scheduler.LeaseLost{})
-	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > registrar.IsolationLimit:
+	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > o.isolation:
 		o.lapsed = time.Time{}
 		for _, h := range o.held {
 			o.release(h)
--- /dev/null
+++ b/stage/owner/owner_test.go
@@ -0,0 +1,248 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/booker"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/sender"
+)
+
+const hang = 20 * time.Second
+
+// fixture is an owner between a decider that only takes notes, a control role and an engine that tests change.
+type fixture struct {
+	mu      sync.Mutex
+	events  []scheduler.Event
+	actions []scheduler.Action
+	roster  *registrar.Roster
+	catalog *configurer.Catalog
+	lease   time.Time
+	updated chan struct{}
+	report  sender.Report
+	orders  []string
+	refuse  bool
+	engine  *httptest.Server
+	owner   *Owner
+}
+
+func newFixture(t *testing.T) *fixture {
+	// Registered first, so that it runs after all is closed.
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	catalog, err := configurer.NewCatalog(1, configurer.Doc{
+		Services: []configurer.ServiceSpec{{Name: "base", Kind: configurer.KindModel}},
+		Adapters: []configurer.AdapterSpec{{Name: "a", Service: "base", Current: 1, Versions: []configurer.VersionSpec{{Number: 1, Source: "s"}}}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	f := &fixture{
+		updated: make(chan struct{}), lease: time.Now().Add(time.Hour), catalog: catalog,
+		report: sender.Report{Incarnation: "i1", Resident: []string{"a@1"}, Serving: []string{"a@1"}},
+	}
+	f.engine = httptest.NewServer(http.HandlerFunc(f.answer))
+	f.assign(registrar.Owner{Entry: "near", Epoch: 3, OrderAfter: time.Millisecond}, false)
+	snd := sender.New()
+	f.owner = New(booker.Identity{Entry: "near", Incarnation: 1}, Deps{
+		Control: f, Decider: f, Sender: snd, Booker: booker.New(nil, booker.Identity{}),
+		Meter: meter.New(prometheus.NewRegistry()), Log: logger.New(io.Discard, "error").Part("owner"),
+	}, WithIsolationLimit(time.Second))
+	t.Cleanup(func() {
+		f.owner.Close()
+		f.engine.Close()
+	})
+	return f
+}
+
+func (f *fixture) answer(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.Header().Set(marker.Attempt, r.Header.Get(marker.Attempt))
+	w.Header().Set(marker.Incarnation, f.report.Incarnation)
+	if r.URL.Path == "/load" {
+		_ = json.NewEncoder(w).Encode(f.report)
+		return
+	}
+	f.orders = append(f.orders, r.URL.Path+" "+r.Header.Get(marker.Fence))
+	if f.refuse {
+		w.WriteHeader(http.StatusConflict)
+		_, _ = w.Write([]byte(`{"error":{"type":"fence","code":"old_fence"}}`))
+	}
+}
+
+func (f *fixture) assign(o registrar.Owner, leaving bool) {
+	f.change(func() {
+		s := registrar.Server{
+			Name: "e1", Kind: configurer.KindModel, Addr: strings.TrimPrefix(f.engine.URL, "http://"),
+			Service: "base", Incarnation: "i1", Slots: 2, Batch: 2, Leaving: leaving,
+		}
+		f.roster = registrar.NewRoster(o.Epoch, []registrar.Server{s}, nil, map[string]registrar.Owner{"e1": o})
+	})
+}
+
+func (f *fixture) change(g func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g()
+	close(f.updated)
+	f.updated = make(chan struct{})
+}
+
+func (f *fixture) Handle(_ time.Time, ev scheduler.Event) []scheduler.Action {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, ev)
+	actions := f.actions
+	f.actions = nil
+	return actions
+}
+
+// wait returns once an event was seen that prints like this.
+func (f *fixture) wait(t *testing.T, pattern string) {
+	t.Helper()
+	for deadline := time.Now().Add(hang); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if f.saw(pattern) {
+			return
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]int{}
+	for _, ev := range f.events {
+		seen[fmt.Sprintf("%T%+v", ev, ev)]++
+	}
+	t.Fatalf("no event like %s in %v", pattern, seen)
+}
+
+func (f *fixture) saw(pattern string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, ev := range f.events {
+		if strings.Contains(fmt.Sprintf("%T%+v", ev, ev), pattern) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fixture) Catalog() *configurer.Catalog                     { return f.catalog }
+func (f *fixture) Standing(quarantiner.Digest) quarantiner.Standing { return quarantiner.Clear }
+func (f *fixture) Return(registrar.Permit)                          {}
+
+func (f *fixture) Roster() *registrar.Roster {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster
+}
+
+func (f *fixture) Updated() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.updated
+}
+
+func (f *fixture) LeaseEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lease
+}
+
+func (f *fixture) Permit(context.Context, string, configurer.Target, bool) (registrar.Permit, error) {
+	return registrar.Permit{}, net.ErrClosed
+}
+
+func (f *fixture) Accuse(context.Context, string, []quarantiner.Digest) error { return nil }
+
+func (f *fixture) Release(context.Context, string, []configurer.Target) error { return nil }
+
+const target = "a@1"
+
+// A takeover without a hand-over pins all residents until the isolation limit has passed and the engine reports them idle.
+func TestTakeoverInheritsPins(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "Pinned:["+target+"]")
+	f.wait(t, "scheduler.Reported")
+	f.change(func() { f.report.Serving = nil })
+	qt.Check(t, f.saw("scheduler.Unpinned"), qt.IsFalse)
+	f.wait(t, "scheduler.Unpinned{Server:e1 Target:"+target)
+}
+
+// A server that says so itself gets no new work, even when the control role tells nothing.
+func TestLeavingIsLearntFromTheServer(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "Leaving:false")
+	f.change(func() { f.report.Leaving = true })
+	f.wait(t, "Leaving:true")
+}
+
+func TestRestartIsLearntFromTheServer(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "scheduler.Owned")
+	f.change(func() { f.report.Incarnation = "i2" })
+	f.wait(t, "scheduler.Gone{Server:e1 Crashed:true}")
+	f.wait(t, "Incarnation:i2")
+}
+
+// Orders carry the epoch; after the lease's end or a newer owner's order none is written.
+func TestOrdersEndWithTheLease(t *testing.T) {
+	load := scheduler.Load{Server: "e1", Target: configurer.Target{Service: "base", Adapter: "a", Version: 1}, Epoch: 3, Order: 9}
+	tests := []struct {
+		name   string
+		change func(f *fixture)
+		want   []string
+		event  string
+	}{
+		{"valid", func(*fixture) {}, []string{"/v1/load_lora_adapter 3"}, "Order:9 OK:true"},
+		{"lapsed", func(f *fixture) { f.lease = time.Now() }, nil, "Order:9 OK:false"},
+		{"old epoch", func(f *fixture) {
+			f.actions = []scheduler.Action{scheduler.Load{Server: "e1", Target: load.Target, Epoch: 2, Order: 9}}
+		}, nil, "Order:9 OK:false"},
+		{"refused", func(f *fixture) { f.refuse = true }, []string{"/v1/load_lora_adapter 3"}, "scheduler.Released"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.wait(t, "scheduler.Reported")
+			f.change(func() {
+				time.Sleep(2 * time.Millisecond)
+				f.actions = []scheduler.Action{load}
+				tt.change(f)
+			})
+			f.wait(t, tt.event)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			qt.Check(t, f.orders, qt.DeepEquals, tt.want)
+		})
+	}
+}
+
+// An isolated owner first stops ordering, and after the isolation limit releases what it held.
+func TestIsolation(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "scheduler.Owned")
+	f.change(func() { f.lease = time.Now() })
+	f.wait(t, "scheduler.LeaseLost")
+	qt.Check(t, f.saw("scheduler.Released"), qt.IsFalse)
+	f.wait(t, "scheduler.Released")
+	f.change(func() { f.lease = time.Now().Add(time.Hour) })
+	f.assign(registrar.Owner{Entry: "near", Epoch: 4, Clean: true}, false)
+	f.wait(t, "Epoch:4")
+}
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -19,7 +19,7 @@
 const (
 	// holdLimit bounds how long an answer waits for news of a crash.
 	holdLimit     = 4 * time.Second
-	maxResumes    = 2
+	maxResumes    = 4
 	cancelTimeout = 1 * time.Second
 	cancelBackoff = 20 * time.Millisecond
 	maxBackoff    = 500 * time.Millisecond
@@ -152,6 +152,7 @@
 		}
 		reply = resumed
 	}
+	o.Meter.Sent(out.events)
 	if reply.Settled {
 		o.ended(j, scheduler.Ended{
 			OK: reply.End.Outcome == retrier.Done, Tokens: out.events, Missing: reply.Missing,
@@ -209,6 +210,7 @@
 
 // settle makes sure that a broken attempt runs no longer; its caller waits a bounded time for news of a crash.
 func (o *Owner) settle(j *job, end streamer.End, tokens int) streamer.End {
+	o.Log.Warn("answer broke, "+string(end.Reason)+": "+end.Message, j.req.ID)
 	settled := make(chan struct{})
 	o.tasks.Go(func() {
 		defer close(settled)
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -98,11 +98,11 @@
 	o.poll(h)
 }
 
-// readopt takes up again what was held before the lease ended.
+// readopt has the scheduler hear again of what was held before the lease ended, so that it gives orders again.
 func (o *Owner) readopt(now time.Time) {
 	o.sync(now)
 	for _, h := range o.held {
-		h.adopted = false
+		h.announced = registrar.Server{}
 		o.poll(h)
 	}
 }
@@ -225,7 +225,7 @@
 
 // unpin frees inherited adapters once the server reports them idle and no old owner can send any more.
 func (o *Owner) unpin(h *held, report sender.Report, now time.Time) {
-	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(registrar.IsolationLimit)) {
+	if len(h.pinned) == 0 || !h.owner.Clean && now.Before(h.orderAt.Add(o.isolation)) {
 		return
 	}
 	serving := parseTargets(report.Serving, h.server.Service)
--- a/stage/sender/order.go
+++ b/stage/sender/order.go
@@ -14,7 +14,10 @@
 	"redwingstage.org/serving/marker"
 )
 
-const maxReport = 4 << 20
+const (
+	maxReport    = 4 << 20
+	orderTimeout = 4 * time.Second
+)
 
 // Order tells an engine to load or unload an adapter's version.
 type Order struct {
@@ -156,7 +159,7 @@
 	defer c.discard()
 	stop := context.AfterFunc(ctx, c.discard)
 	defer stop()
-	c.silence = defaultFirst
+	c.silence = orderTimeout
 	if call.wait > 0 {
 		c.silence = call.wait
 	}
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -19,7 +19,7 @@
 const (
 	defaultMaxAnswer = 16 << 20
 	defaultSilence   = 1 * time.Second
-	defaultFirst     = 4 * time.Second
+	defaultFirst     = 2 * time.Second
 	drainTimeout     = 20 * time.Millisecond
 )
 
