Take a server up again after a refused order; tests of attempts, hedges, whole answers and bad peer messages

Cause: an order refused for an old fence number released the server, and nothing took it up again while the roster stayed the same: 'load old fence then load old fence' ended in not-owner for 20 s requests. The row 'the same without memory' in TestDo shows that the outcome would be a false 'not run' without the memory of earlier attempts.

--- /dev/null
+++ b/stage/attempter/attempter_test.go
@@ -0,0 +1,134 @@
+package attempter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/serving/router"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/streamer"
+)
+
+// script is a control role and an owner whose attempts end one after the other as told.
+type script struct {
+	ends  []streamer.End
+	calls int
+}
+
+func (s *script) Roster() *registrar.Roster {
+	var servers []registrar.Server
+	owners := make(map[string]registrar.Owner)
+	for _, name := range []string{"e1", "e2", "e3"} {
+		servers = append(servers, registrar.Server{Name: name, Service: "base", Kind: configurer.KindModel, Batch: 4})
+		owners[name] = registrar.Owner{Entry: "near"}
+	}
+	return registrar.NewRoster(1, servers, nil, owners)
+}
+
+func (s *script) Standing(quarantiner.Digest) quarantiner.Standing { return quarantiner.Clear }
+
+func (s *script) Lock(context.Context, quarantiner.Digest) (func(), error) { return func() {}, nil }
+
+func (s *script) Serve(_ context.Context, _ *streamer.Request, _ string, _ bool, sink streamer.Sink) streamer.End {
+	s.calls++
+	end := s.ends[min(s.calls, len(s.ends))-1]
+	if end.Message == "opened" {
+		sink.Head(streamer.Head{Status: 200})
+	}
+	return end
+}
+
+func TestDo(t *testing.T) {
+	failed := streamer.End{Outcome: retrier.Unknown, Reason: streamer.ReasonBroken}
+	opened := streamer.End{Outcome: retrier.Unknown, Reason: streamer.ReasonBroken, Message: "opened"}
+	full := streamer.End{Outcome: retrier.NotRun, Reason: "full"}
+	conflict := streamer.End{Outcome: retrier.NotRun, Reason: streamer.ReasonConflict}
+	hop := streamer.End{Outcome: retrier.Unknown, Reason: streamer.ReasonPeer}
+	done := streamer.End{Outcome: retrier.Done}
+	tests := []struct {
+		name    string
+		booking bool
+		hopeful bool
+		ends    []streamer.End
+		want    retrier.Outcome
+		calls   int
+	}{
+		{name: "done", ends: []streamer.End{done}, want: retrier.Done, calls: 1},
+		{name: "refused, then done", ends: []streamer.End{full, done}, want: retrier.Done, calls: 2},
+		{name: "failed, then done", ends: []streamer.End{failed, done}, want: retrier.Done, calls: 2},
+		{name: "failed after the answer opened", ends: []streamer.End{opened, done}, want: retrier.Unknown, calls: 1},
+		{name: "failed, then not run", ends: []streamer.End{failed, conflict}, want: retrier.Unknown, calls: 2},
+		{name: "the same without memory", hopeful: true, ends: []streamer.End{failed, conflict}, want: retrier.NotRun, calls: 2},
+		{name: "booking failed", booking: true, ends: []streamer.End{failed, done}, want: retrier.Unknown, calls: 1},
+		{name: "booking refused, then done", booking: true, ends: []streamer.End{full, done}, want: retrier.Done, calls: 2},
+		{name: "booking's hop failed", booking: true, ends: []streamer.End{hop, done}, want: retrier.Done, calls: 2},
+		{name: "conflict", booking: true, ends: []streamer.End{conflict, done}, want: retrier.NotRun, calls: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{ends: tt.ends}
+			a := New(Deps{
+				Name: "near", Control: s, Local: s, Router: router.New(router.Config{}, 1),
+				Retrier: retrier.New(retrier.Config{}, 1), Meter: meter.New(prometheus.NewRegistry()),
+			})
+			a.hopeful = tt.hopeful
+			now := time.Now()
+			req := &streamer.Request{
+				Target: configurer.Target{Service: "base"}, Idempotent: !tt.booking, Arrived: now,
+				FirstBy: now.Add(time.Minute), Deadline: now.Add(time.Hour),
+			}
+			end := a.Do(context.Background(), req, streamer.New(1))
+			qt.Check(t, end.Outcome, qt.Equals, tt.want)
+			qt.Check(t, s.calls, qt.Equals, tt.calls)
+		})
+	}
+}
+
+// racer answers late at the first candidate and at once at the second.
+type racer struct {
+	script
+	cancelled chan struct{}
+}
+
+func (r *racer) Serve(ctx context.Context, _ *streamer.Request, _ string, last bool, sink streamer.Sink) streamer.End {
+	if last {
+		sink.Head(streamer.Head{Status: 200})
+		_ = sink.Data([]byte("hedge"))
+		return streamer.End{Outcome: retrier.Done}
+	}
+	<-ctx.Done()
+	close(r.cancelled)
+	sink.Head(streamer.Head{Status: 500})
+	_ = sink.Data([]byte("late"))
+	return streamer.End{Outcome: retrier.Unknown, Reason: streamer.ReasonCancelled}
+}
+
+// The loser of a hedge is cancelled and says nothing to the caller.
+func TestHedge(t *testing.T) {
+	s := &racer{cancelled: make(chan struct{})}
+	a := New(Deps{
+		Name: "near", Control: s, Local: s, Router: router.New(router.Config{}, 1),
+		Retrier: retrier.New(retrier.Config{}, 1), Meter: meter.New(prometheus.NewRegistry()),
+	})
+	for range 100 {
+		a.policy.first(time.Millisecond)
+	}
+	req := &streamer.Request{Target: configurer.Target{Service: "base"}, Idempotent: true, Urgent: true, Arrived: time.Now()}
+	answer := streamer.New(100)
+	end := a.Do(context.Background(), req, answer)
+	<-s.cancelled
+	answer.End(end)
+	part, err := answer.Next(context.Background(), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, end.Outcome, qt.Equals, retrier.Done)
+	qt.Check(t, part.Head.Status, qt.Equals, 200)
+	qt.Check(t, string(part.Data), qt.Equals, "hedge")
+}
--- /dev/null
+++ b/stage/forwarder/forwarder_test.go
@@ -0,0 +1,68 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/stage/streamer"
+)
+
+type silentOwner struct{ served int }
+
+func (o *silentOwner) Serve(context.Context, *streamer.Request, string, bool, streamer.Sink) streamer.End {
+	o.served++
+	return streamer.End{Outcome: retrier.Done}
+}
+
+// A bad message is refused with its place before anything runs; a peer that can't be dialled ran nothing either.
+func TestBadMessages(t *testing.T) {
+	owner := &silentOwner{}
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(owner))
+	srv := httptest.NewUnstartedServer(mux)
+	srv.Config = encoder.NewServer(mux)
+	srv.Start()
+	defer srv.Close()
+	good := streamer.Request{Kind: "plain", Method: "POST", URI: "/x", Key: "k"}
+	good.Target.Service = "orders"
+	tests := []struct {
+		name, server string
+		change       func(r *streamer.Request)
+		want         string
+	}{
+		{"server", "", func(*streamer.Request) {}, ".*server: missing"},
+		{"service", "o1", func(r *streamer.Request) { r.Target.Service = "" }, ".*service: missing"},
+		{"kind", "o1", func(r *streamer.Request) { r.Kind = "odd" }, `.*kind: unknown "odd"`},
+		{"method", "o1", func(r *streamer.Request) { r.Method = "" }, ".*call: bad method.*"},
+		{"path", "o1", func(r *streamer.Request) { r.URI = "x" }, ".*call: bad method.*"},
+		{"version", "o1", func(r *streamer.Request) { r.Target.Version = -1 }, ".*version or tokens: negative"},
+		{"key", "o1", func(r *streamer.Request) { r.Key = "" }, ".*key: missing on a non-idempotent call"},
+	}
+	c := NewClient()
+	defer c.Close()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := good
+			tt.change(&r)
+			end := c.Serve(context.Background(), srv.Listener.Addr().String(), &r, tt.server, true, streamer.New(1))
+			qt.Check(t, end.Message, qt.Matches, tt.want)
+			qt.Check(t, end.Outcome, qt.Equals, retrier.NotRun)
+		})
+	}
+	qt.Check(t, owner.served, qt.Equals, 0)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_ = ln.Close()
+	end := c.Serve(context.Background(), ln.Addr().String(), &good, "o1", true, streamer.New(1))
+	qt.Check(t, end.Outcome, qt.Equals, retrier.NotRun)
+	end = c.Serve(context.Background(), srv.Listener.Addr().String(), &good, "o1", true, streamer.New(1))
+	qt.Check(t, end.Outcome, qt.Equals, retrier.Done)
+	qt.Check(t, owner.served, qt.Equals, 1)
+}
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -21,6 +21,7 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	pollInterval = 500 * time.Millisecond
+	syncInterval = 1 * time.Second
 	pollTimeout  = 2 * time.Second
 	silentLimit  = 5 * time.Second
 	inboxSize    = 1024
@@ -77,6 +78,7 @@
 	jobs    map[retrier.Attempt]*job
 	leased  bool
 	lapsed  time.Time
+	synced  time.Time
 	closing bool
 	// going says that the actions at hand follow a server's end.
 	going   bool
@@ -140,6 +142,10 @@
 
 func (o *Owner) tick(now time.Time) {
 	o.checkLease(now)
+	if now.Sub(o.synced) >= syncInterval {
+		// A server given up after a refused order is taken up again if the roster still says so.
+		o.sync(now)
+	}
 	for _, h := range o.held {
 		if !h.polling && !now.Before(h.nextPoll) {
 			o.poll(h)
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -34,6 +34,7 @@
 
 // sync compares the roster with what is held.
 func (o *Owner) sync(now time.Time) {
+	o.synced = now
 	roster := o.Control.Roster()
 	if roster == nil {
 		return
