operator: bound a call's whole time, and the items in a row of the audit trail

Cause: against a real cluster, a replica that could not be added kept the command for 156 s, nine tries of the full wait each; and a change of 300 adapters made one row of the audit trail 5 kB wide. Proof: go test -race ./stage/operator.

--- a/stage/operator/client.go
+++ b/stage/operator/client.go
@@ -52,7 +52,7 @@
 	expect *uint64
 }
 
-// do sends a call to the replicas in turn until one answers; a change keeps its id, so that it happens once.
+// do sends a call to the replicas in turn until one answers or the time is up; a change keeps its id, so that it happens once.
 func (c *client) do(req call) ([]byte, error) {
 	body, err := encodeBody(req.body)
 	if err != nil {
@@ -60,13 +60,18 @@
 	}
 	sent := false
 	var last error
+	deadline := time.Now().Add(req.wait + rounds*slack)
 	for round := range rounds {
 		if round > 0 {
 			c.sleep(pause)
 		}
 		for i := range c.addrs {
+			left := time.Until(deadline)
+			if left <= 0 {
+				break
+			}
 			k := (c.first + i) % len(c.addrs)
-			b, err := c.try(c.addrs[k], req, body)
+			b, err := c.try(c.addrs[k], req, body, min(req.wait+slack, left))
 			if err == nil || !isPassing(err) {
 				c.first = k
 				return b, err
@@ -123,7 +128,7 @@
 	return true
 }
 
-func (c *client) try(addr string, req call, body []byte) ([]byte, error) {
+func (c *client) try(addr string, req call, body []byte, timeout time.Duration) ([]byte, error) {
 	r, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(r)
 	defer fasthttp.ReleaseResponse(resp)
@@ -135,7 +140,7 @@
 		r.Header.SetContentType("application/json")
 		r.SetBody(body)
 	}
-	if err := c.http.DoTimeout(r, resp, req.wait+slack); err != nil {
+	if err := c.http.DoTimeout(r, resp, timeout); err != nil {
 		return nil, errors.Wrapf(err, "call %s", addr)
 	}
 	b := append([]byte(nil), resp.Body()...)
--- a/stage/operator/operator_test.go
+++ b/stage/operator/operator_test.go
@@ -237,6 +237,12 @@
 	c.Assert(code, quicktest.Equals, OK)
 	c.Assert(out, quicktest.Equals, "ADAPTER  SERVICE  CLASS  CURRENT  VERSIONS\na        -        -      0        -\nb        base     -      2        1,2\n")
 	c.Assert(a.calls(), quicktest.DeepEquals, []string{"GET /v1/adapters?limit=1000", "GET /v1/adapters?after=a&limit=1000"})
+	a = newAPI(c, `200 {"records":[{"seq":4,"revision":3,"at":"T","operator":"bo","action":"apply","change":"c-2","items":[`+
+		strings.Repeat(`{"kind":"adapter","name":"a","before":{},"after":{}},`, 5)+`{"kind":"adapter","name":"z","before":{}}]}],"next":4}`)
+	code, out, _ = newShell(c, a.addr()).run("audit")
+	c.Assert(code, quicktest.Equals, OK)
+	c.Assert(out, quicktest.Equals, "SEQ  REVISION  AT  OPERATOR  ACTION  CHANGE  ITEMS\n"+
+		"4    3         T   bo        apply   c-2     adapter/a adapter/a adapter/a adapter/a and 2 more\nmore with --after 4\n")
 	a = newAPI(c, "200 {\"seq\":1}\n{\"error\":{\"code\":\"no_leader\",\"message\":\"x\"}}\n")
 	code, out, errs := newShell(c, a.addr()).run("audit", "--export")
 	c.Assert([]any{code, out, errs}, quicktest.DeepEquals, []any{Refused, "", "redwingstage: no_leader: x\n"})
--- a/stage/operator/read.go
+++ b/stage/operator/read.go
@@ -351,13 +351,19 @@
 	return c.printf("%s", b)
 }
 
+// maxItems is the number of objects that a row of the audit trail names.
+const maxItems = 4
+
 func (c *command) printRecords(r records) error {
 	t := newTable(c.Out, "SEQ", "REVISION", "AT", "OPERATOR", "ACTION", "CHANGE", "ITEMS")
 	for _, rec := range r.Records {
 		var items []string
-		for _, i := range rec.Items {
+		for _, i := range rec.Items[:min(len(rec.Items), maxItems)] {
 			items = append(items, i.sign()+i.Kind+"/"+i.Name)
 		}
+		if more := len(rec.Items) - maxItems; more > 0 {
+			items = append(items, fmt.Sprintf("and %d more", more))
+		}
 		t.row(
 			strconv.FormatUint(rec.Seq, 10), strconv.FormatUint(rec.Revision, 10), rec.At, rec.Operator, rec.Action,
 			rec.Change, strings.Join(items, " "),
