check reads the operators' tokens too

Cause: check took the generated tokens.json for settings and reported a missing role. Change: loader reads tokens for both the starter and check; findings don't show a token. Proof: go test -race ./stage/loader ./stage/operator.

--- a/stage/loader/loader_test.go
+++ b/stage/loader/loader_test.go
@@ -156,3 +156,19 @@
 		}
 	})
 }
+
+func TestTokens(t *testing.T) {
+	c := quicktest.New(t)
+	tokens, findings := ParseTokens("t.json", []byte(`{"tokens":[{"name":"aisyah","token":"0123456789abcdef"}]}`))
+	c.Assert(lines(findings), quicktest.HasLen, 0)
+	c.Assert(tokens, quicktest.HasLen, 1)
+	c.Assert([]string{tokens[0].Name(), tokens[0].Secret()}, quicktest.DeepEquals, []string{"aisyah", "0123456789abcdef"})
+	_, findings = ParseTokens("t.json", []byte(`{"tokens":[{"name":"a","token":"short"},{"name":"b","token":"short","x":1},{"name":"c"}],"y":1}`))
+	c.Assert(lines(findings), quicktest.DeepEquals, []string{
+		"tokens[0].token: is shorter than 16 characters",
+		"tokens[1].token: is shorter than 16 characters", "tokens[1].token: is that of tokens[0] too", "tokens[1].x: unknown field",
+		"tokens[2].token: is missing", "y: unknown field",
+	})
+	_, err := Tokens(filepath.Join(t.TempDir(), "none.json"))
+	c.Assert(err, quicktest.ErrorIs, os.ErrNotExist)
+}
--- a/stage/operator/local.go
+++ b/stage/operator/local.go
@@ -122,6 +122,9 @@
 		case n.Has("classes") || n.Has("services") || n.Has("adapters"):
 			_, found := parseDoc(path, b)
 			findings = append(findings, found...)
+		case n.Has("tokens") && !n.Has("role"):
+			_, found := loader.ParseTokens(path, b)
+			findings = append(findings, found...)
 		default:
 			settings = append(settings, path)
 		}
--- a/stage/operator/operator_test.go
+++ b/stage/operator/operator_test.go
@@ -267,12 +267,12 @@
 		c.Assert(err, quicktest.IsNil)
 		secret := strings.Contains(f, "token")
 		c.Assert(info.Mode().Perm() == secretMode, quicktest.Equals, secret)
-		if !secret && strings.HasSuffix(f, ".json") {
+		if strings.HasSuffix(f, ".json") {
 			settings = append(settings, path)
 		}
 	}
 	code, out, _ = s.run(append([]string{"check", answers}, settings...)...)
-	c.Assert([]any{code, out}, quicktest.DeepEquals, []any{OK, "no findings in 13 files\n"})
+	c.Assert([]any{code, out}, quicktest.DeepEquals, []any{OK, "no findings in 14 files\n"})
 	code, _, errs = s.run("init", folder, "--answers", answers)
 	c.Assert(code, quicktest.Equals, Refused)
 	c.Assert(strings.Count(errs, "exists; --force replaces it"), quicktest.Equals, len(files))
--- a/stage/starter/starter.go
+++ b/stage/starter/starter.go
@@ -4,14 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/registrar"
-	"redwingstage.org/stage/checker"
 	"redwingstage.org/stage/controller"
 	"redwingstage.org/stage/dispatcher"
 	"redwingstage.org/stage/loader"
@@ -22,9 +20,6 @@
 // drainTimeout is how long a shutdown waits for open requests.
 const drainTimeout = 5 * time.Minute
 
-// minToken is the length of the shortest token in characters.
-const minToken = 16
-
 // Process is a running role; Close shuts it down gracefully.
 type Process interface{ Close() error }
 
@@ -105,30 +100,15 @@
 	return ctl, nil
 }
 
-// readTokens reads the operators' tokens; all findings are reported together.
+// readTokens reads the operators' tokens as the controller takes them.
 func readTokens(path string) ([]controller.Token, error) {
-	b, err := os.ReadFile(path)
+	list, err := loader.Tokens(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the operators' tokens")
-	}
-	root := checker.Parse(path, b)
-	var tokens []controller.Token
-	seen := make(map[string]bool)
-	for _, n := range root.Objects("tokens", 1) {
-		t := controller.Token{Name: n.Name("name"), Token: n.Text("token")}
-		if len(t.Token) < minToken {
-			n.Add("token", "is shorter than 16 characters")
-		}
-		if seen[t.Token] {
-			n.Add("token", "is another operator's too")
-		}
-		seen[t.Token] = true
-		n.End()
-		tokens = append(tokens, t)
-	}
-	root.End()
-	if err := checker.NewError(root.Findings()); err != nil {
 		return nil, err
 	}
+	tokens := make([]controller.Token, 0, len(list))
+	for _, t := range list {
+		tokens = append(tokens, controller.Token{Name: t.Name(), Token: t.Secret()})
+	}
 	return tokens, nil
 }
