--- a/stage/loader/tokens.go
+++ b/stage/loader/tokens.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/go-faster/errors"
 
@@ -46,10 +47,9 @@
 		if t.secret != "" && len(t.secret) < MinToken {
 			o.Add("token", fmt.Sprintf("is shorter than %d characters", MinToken))
 		}
-		for i, other := range tokens {
-			if t.secret != "" && t.secret == other.secret {
-				o.Add("token", fmt.Sprintf("is that of tokens[%d] too", i))
-			}
+		shared := func(other Token) bool { return t.secret != "" && t.secret == other.secret }
+		if slices.ContainsFunc(tokens, shared) {
+			o.Add("token", "is another operator's too")
 		}
 		o.End()
 		tokens = append(tokens, t)
