coord: show no lease once leadership is handed over, and refuse answers meant for a lost disk

Cause: two gaps found by reading, now each with a check that failed first. 1. The status with the lease was replaced only after the message that hands leadership over was sent, and commands were applied in between: "replica 2 hands over leadership while it shows a lease" (transfer/kill). 2. A founder that came back with an empty folder would have counted a late answer to its former self and founded the group a second time: TestStaleHello got term 1, wanted 0.

Change: the runner publishes its status before it sends anything once leadership is gone; a hello carries the sender's nonce and its answer names it.

--- a/coord/replicator/change.go
+++ b/coord/replicator/change.go
@@ -85,7 +85,7 @@
 		return false, err
 	case r.probe.member.ID == 0 && r.canChange():
 		r.probe = probe{member: mb}
-		r.send(Message{Type: TypeHello, To: mb.ID})
+		r.hello(mb.ID)
 	}
 	return false, nil
 }
@@ -118,7 +118,7 @@
 
 func (r *Replicator) tickProbe() {
 	if r.probe.member.ID != 0 && r.probe.err == nil {
-		r.send(Message{Type: TypeHello, To: r.probe.member.ID})
+		r.hello(r.probe.member.ID)
 	}
 }
 
@@ -184,18 +184,23 @@
 	r.nonces[r.cfg.ID] = r.cfg.Nonce
 	for _, mb := range r.cfg.Founders {
 		if r.nonces[mb.ID] == 0 {
-			r.send(Message{Type: TypeHello, To: mb.ID})
+			r.hello(mb.ID)
 		}
 	}
 	r.tryFound(now)
 }
 
+// hello asks a replica for its nonce; the own one comes back, so that no answer counts that was meant for a lost disk.
+func (r *Replicator) hello(id uint64) {
+	r.send(Message{Type: TypeHello, To: id, Hint: uint64(r.cfg.Nonce)})
+}
+
 func (r *Replicator) onHello(m Message) {
 	if r.isUnborn() && m.Term == 0 && m.From != r.founder() {
 		return
 	}
 	r.send(Message{
-		Type: TypeHelloResponse, To: m.From, Hint: uint64(r.cfg.Nonce), Reject: !r.isUnborn(),
+		Type: TypeHelloResponse, To: m.From, Nonce: uint32(m.Hint), Hint: uint64(r.cfg.Nonce), Reject: !r.isUnborn(),
 	})
 }
 
--- a/coord/replicator/message.go
+++ b/coord/replicator/message.go
@@ -67,7 +67,7 @@
 	// Stamp is the leader's monotonic time in nanoseconds at the send; responses echo it.
 	Stamp  uint64
 	Reject bool
-	// Hint is the last index that may match, the next offset of a snapshot, or the nonce in a hello's response.
+	// Hint is the last index that may match, the next offset of a snapshot, or the sender's nonce in a hello.
 	Hint uint64
 	// Force marks votes asked for by a leader that has already given up its lease.
 	Force   bool
--- a/coord/replicator/replicator_test.go
+++ b/coord/replicator/replicator_test.go
@@ -32,6 +32,28 @@
 	qt.Assert(t, r.Commit(), qt.Equals, r.log.last())
 }
 
+// TestStaleHello gives a founder whose disk was lost an answer to its former self.
+func TestStaleHello(t *testing.T) {
+	now := time.Unix(0, 0)
+	founders := []Member{{ID: 1}, {ID: 2}}
+	start := func(id uint64, nonce uint32) *Replicator {
+		cfg := Config{ID: id, Nonce: nonce, Founders: founders, Rand: rand.New(rand.NewPCG(1, 1))}
+		r, err := New(cfg, Stored{}, now)
+		qt.Assert(t, err, qt.IsNil)
+		r.Tick(now)
+		return r
+	}
+	first, second := start(1, 11), start(2, 22)
+	second.Step(now, first.Messages()[0])
+	late := second.Messages()[0]
+	first.Step(now, late)
+	qt.Assert(t, first.Term(), qt.Equals, uint64(1))
+	again := start(1, 33)
+	again.Step(now, late)
+	qt.Assert(t, again.Term(), qt.Equals, uint64(0))
+	qt.Assert(t, again.Fenced(), qt.ErrorMatches, "replica 1 is known to the group with another data folder.*")
+}
+
 func TestNewErrors(t *testing.T) {
 	base := Config{ID: 1, Nonce: 1, Rand: rand.New(rand.NewPCG(1, 1))}
 	entry := Entry{Index: 2, Term: 1}
--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -184,14 +184,18 @@
 	r.startRead(now)
 	r.stepChanges(now)
 	r.startWrite()
-	r.sendAll()
+	r.sendAll(now)
 	r.apply()
 	r.finishReads()
 	r.dropWaiters(now)
 	r.publish(now)
 }
 
-func (r *Runner) sendAll() {
+func (r *Runner) sendAll(now time.Time) {
+	if r.Status().Leader == r.cfg.ID && r.rep.Leader() != r.cfg.ID {
+		// Nobody may see a lease here once others are told that it was given up.
+		r.publish(now)
+	}
 	for _, m := range r.rep.Messages() {
 		if m.Type == replicator.TypeSnapshot && !r.fillPiece(&m) {
 			continue
--- a/coord/runner/sim_test.go
+++ b/coord/runner/sim_test.go
@@ -367,6 +367,9 @@
 func (n *simNode) Send(m replicator.Message) {
 	s := n.s
 	n.messageSteps(m)
+	if m.Type == replicator.TypeTransfer && n.r.Status().IsLeader(n.time()) {
+		s.check.failf("replica %d hands over leadership while it shows a lease", n.id)
+	}
 	if (s.weak.preVote || s.weak.promise) && m.Type == replicator.TypePreVote {
 		yes := replicator.Message{Type: replicator.TypePreVoteResponse, From: m.To, To: m.From, Term: m.Term}
 		s.after(1, func() { n.drive(func(now time.Time) { n.r.step(now, yes) }) })
