--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -380,7 +380,8 @@
 		ID: r.cfg.ID, Leader: r.rep.Leader(), Term: r.rep.Term(), Commit: r.rep.Commit(), Applied: r.rep.Applied(),
 		LeaseEnd: r.rep.LeaseEnd(now),
 	}
-	if at != r.memberAt || len(m.Members) != len(r.members) {
+	changed := at != r.memberAt || len(m.Members) != len(r.members)
+	if changed {
 		r.memberAt, r.members = at, nil
 		for _, mb := range m.Members {
 			r.members = append(r.members, Member{ID: mb.ID, Addr: mb.Addr, Learner: mb.Learner})
@@ -394,7 +395,7 @@
 	if at != r.addrs {
 		r.setPeers()
 	}
-	if r.observe != nil && (old.Leader != s.Leader || old.Term != s.Term || len(old.Members) != len(s.Members)) {
+	if r.observe != nil && (changed || old.Leader != s.Leader || old.Term != s.Term) {
 		r.observe(*s)
 	}
 }
--- a/coord/runner/runner_test.go
+++ b/coord/runner/runner_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,7 +186,14 @@
 
 func TestMembers(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	g := newGroup(t, 3)
+	var promoted atomic.Bool
+	g := newGroup(t, 3, runner.WithObserver(func(s runner.Status) {
+		for _, mb := range s.Members {
+			if mb.ID == 4 && !mb.Learner {
+				promoted.Store(true)
+			}
+		}
+	}))
 	defer g.stopAll()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -216,5 +224,6 @@
 	qt.Assert(t, g.leader().AddMember(ctx, mb), qt.IsNil)
 	qt.Check(t, g.leader().AddMember(ctx, mb), qt.IsNil)
 	qt.Check(t, g.add(2), qt.Equals, uint64(7))
+	qt.Check(t, promoted.Load(), qt.IsTrue)
 	qt.Check(t, g.leader().Status().Members, qt.HasLen, 3)
 }
