coord/replicator: a leader with a stalled disk steps down

Cause: the loop keeps up heartbeats beside the disk, so a leader whose disk takes a write for ever led on while no command ended. TestStalledDisk: no acknowledgement within 40 s of virtual time.

Change: a write under way for two election timeouts makes the leader step down; it can't campaign before its disk works, since its messages wait for the write.

Seen: TestStalledDisk passes; go test -race ./... passes.

--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -249,9 +249,17 @@
 	return r.timeOf(stamp).Add(r.cfg.Election * leasePercent / 100)
 }
 
+// isStalled reports whether the disk has taken a write for so long that another replica should lead.
+func (r *Replicator) isStalled(now time.Time) bool {
+	if r.writing && r.writeSeen.IsZero() {
+		r.writeSeen = now
+	}
+	return r.writing && r.membership.quorum() > 1 && now.Sub(r.writeSeen) >= maxStall*r.cfg.Election
+}
+
 func (r *Replicator) tickLeader(now time.Time) {
 	contact := r.timeOf(max(r.quorumStamp(now), r.began))
-	if now.Sub(contact) >= r.cfg.Election {
+	if now.Sub(contact) >= r.cfg.Election || r.isStalled(now) {
 		r.becomeFollower(r.hard.Term, 0)
 		r.heard = now
 		return
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -23,6 +23,7 @@
 	pieceBytes     = 256 << 10
 	leasePercent   = 90
 	minElection    = 3
+	maxStall       = 2
 )
 
 // Config is what a replica is told at its start.
@@ -99,6 +100,7 @@
 	hardSeq    uint64
 	durableSeq uint64
 	writing    bool
+	writeSeen  time.Time
 	unwritten  uint64
 	out        []outgoing
 	fenced     error
@@ -280,7 +282,8 @@
 
 // Persisted tells the replica that w is durable.
 func (r *Replicator) Persisted(now time.Time, w *Write) {
-	r.writing, r.durableSeq = false, max(r.durableSeq, w.seq)
+	r.writing, r.writeSeen = false, time.Time{}
+	r.durableSeq = max(r.durableSeq, w.seq)
 	if t, ok := r.log.term(w.last); ok && t == w.term {
 		r.durable = max(r.durable, w.last)
 	}
--- a/coord/runner/faults_test.go
+++ b/coord/runner/faults_test.go
@@ -119,6 +119,10 @@
 			s.crash(n, outage/2)
 		}
 	},
+	"stall": func(s *sim, n *simNode) {
+		n.stalled = s.between(time.Millisecond, 2*outage)
+		s.after(n.stalled, func() { n.stalled = 0 })
+	},
 	"wipe":   func(s *sim, n *simNode) { s.wipe(n) },
 	"second": (*sim).wipeTwo,
 }
@@ -493,6 +497,22 @@
 	qt.Assert(t, same, qt.IsFalse)
 }
 
+// TestStalledDisk stalls the leader's disk for good: another replica must take over.
+func TestStalledDisk(t *testing.T) {
+	s := newSim(1, 3, weakness{})
+	s.load()
+	s.run(outage, func() bool { return false })
+	lead, _, _ := s.roles()
+	lead.stalled = time.Hour
+	// What was on its way when the disk stalled may still be acknowledged.
+	s.run(s.now+time.Second, func() bool { return false })
+	was := s.check.acked
+	s.run(s.now+healEnd, func() bool { return s.check.acked > was })
+	qt.Assert(t, s.check.err, qt.IsNil)
+	qt.Assert(t, s.check.acked > was, qt.IsTrue)
+	qt.Assert(t, lead.r.Status().Leader, qt.Not(qt.Equals), lead.id)
+}
+
 // TestPromise cuts the link between the leader and a follower: the third one, who hears both, must not vote.
 func TestPromise(t *testing.T) {
 	part := func(s *sim, lead, away *simNode) {
--- a/coord/runner/sim_test.go
+++ b/coord/runner/sim_test.go
@@ -82,6 +82,7 @@
 	life     int
 	frozen   bool
 	backlog  []func()
+	stalled  time.Duration
 	machine  *simMachine
 	written  uint64
 	durable  uint64
@@ -207,7 +208,7 @@
 	n.machine = &simMachine{n: n}
 	n.life++
 	n.err = nil
-	n.asked, n.backlog, n.frozen = nil, nil, false
+	n.asked, n.backlog, n.frozen, n.stalled = nil, nil, false, 0
 	r, err := open(Config{
 		ID: n.id, Cluster: "c", Folder: "/data", Members: n.founders,
 	}, n.machine, n, n.time(), WithFileSystem(n.fs), WithSnapshotEvery(20, 1<<20), func(r *Runner) {
@@ -318,7 +319,7 @@
 	if len(j.write.Entries) > 0 {
 		n.written = j.write.Entries[len(j.write.Entries)-1].Index
 	}
-	d := n.s.between(fastest, slowest)
+	d := n.s.between(fastest, slowest) + n.stalled
 	write := func() { n.drive(func(now time.Time) { n.r.persisted(now, n.do(j)) }) }
 	if n.s.weak.earlyAck {
 		d = slowest
