slopes: one command measures what one more of everything costs control

Cause: docs/CAPACITY.md must rest on measured slopes. Ruled out: benchmarks per package alone, which miss the frames and the transport. Change: surveyor runs a control replica and entries' clients through a byte-counting relay and draws each cost through two sizes; 'slopes' prints a table or JSON.

--- /dev/null
+++ b/stage/surveyor/steps.go
@@ -0,0 +1,236 @@
+package surveyor
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/recorder"
+)
+
+// announceInterval is how often a backend server announces itself.
+const announceInterval = time.Second
+
+// surveyAdapters draws the memory of a catalog through two sizes.
+func surveyAdapters(_ context.Context, cfg Config) ([]Slope, error) {
+	small := cfg.Adapters / 4
+	first, err := catalogBytes(small)
+	if err != nil {
+		return nil, err
+	}
+	second, err := catalogBytes(cfg.Adapters)
+	if err != nil {
+		return nil, err
+	}
+	return []Slope{{
+		Of: "adapter", Cost: "memory at an entry or a control replica", Unit: "B",
+		Value: float64(second-first) / float64(cfg.Adapters-small),
+	}}, nil
+}
+
+func catalogBytes(n int) (int64, error) {
+	before := heapBytes()
+	c, err := configurer.NewCatalog(1, adapterDoc(n))
+	if err != nil {
+		return 0, errors.Wrap(err, "build catalog")
+	}
+	after := heapBytes()
+	runtime.KeepAlive(c)
+	return int64(after) - int64(before), nil
+}
+
+func adapterDoc(n int) configurer.Doc {
+	doc := configurer.Doc{
+		Classes:  []configurer.ClassSpec{{Name: "chat", Urgent: true, First: "2s"}},
+		Services: []configurer.ServiceSpec{{Name: "base", Kind: configurer.KindModel, Classes: []string{"chat"}}},
+	}
+	for i := range n {
+		doc.Adapters = append(doc.Adapters, adapterSpec(i))
+	}
+	return doc
+}
+
+func adapterSpec(i int) configurer.AdapterSpec {
+	name := fmt.Sprintf("adapter-%06d", i)
+	return configurer.AdapterSpec{
+		Name: name, Service: "base", Current: 1, Versions: []configurer.VersionSpec{
+			{Number: 1, Source: "store/" + name + "/1", Digest: fmt.Sprintf("%064x", i)},
+		},
+	}
+}
+
+// watch returns what is spent in a window while do runs again and again at an interval.
+func (w *world) watch(ctx context.Context, window, interval time.Duration, do func()) (before, after usage, err error) {
+	if before, err = w.usage(); err != nil {
+		return before, after, err
+	}
+	for end := before.at.Add(window); time.Now().Before(end); {
+		do()
+		if err = sleep(ctx, interval); err != nil {
+			return before, after, err
+		}
+	}
+	after, err = w.usage()
+	return before, after, err
+}
+
+// rate is what is spent in a second of idling.
+type rate struct{ cpu, heap, up, down float64 }
+
+func idleRate(ctx context.Context, cfg Config, entries, servers int) (_ rate, err error) {
+	w, err := newWorld(ctx, cfg, entries)
+	if err != nil {
+		return rate{}, err
+	}
+	defer func() { err = errors.Join(err, w.Close()) }()
+	w.announce(servers)
+	if err := w.await(ctx, func() bool { return len(w.clients[0].Roster().Servers("base")) >= servers }); err != nil {
+		return rate{}, err
+	}
+	// The first window lets the start's traffic end; the second is measured.
+	beat := func() { w.announce(servers) }
+	if _, _, err := w.watch(ctx, cfg.Window, announceInterval, beat); err != nil {
+		return rate{}, err
+	}
+	a, b, err := w.watch(ctx, cfg.Window, announceInterval, beat)
+	if err != nil {
+		return rate{}, err
+	}
+	s := b.at.Sub(a.at).Seconds()
+	return rate{
+		cpu:  (b.cpu - a.cpu).Seconds() / s,
+		heap: float64(b.heap),
+		up:   float64(b.up-a.up) / s,
+		down: float64(b.down-a.down) / s,
+	}, nil
+}
+
+// surveyEntries draws the cost of an idle entry through two numbers of entries.
+func surveyEntries(ctx context.Context, cfg Config) ([]Slope, error) {
+	small := max(1, cfg.Entries/8)
+	a, err := idleRate(ctx, cfg, small, 0)
+	if err != nil {
+		return nil, err
+	}
+	b, err := idleRate(ctx, cfg, cfg.Entries, 0)
+	if err != nil {
+		return nil, err
+	}
+	return a.slopes(b, "idle entry", float64(cfg.Entries-small)), nil
+}
+
+// surveyServers draws the cost of a backend server, over all entries, through two numbers of servers.
+func surveyServers(ctx context.Context, cfg Config) ([]Slope, error) {
+	small := max(1, cfg.Servers/8)
+	entries := max(1, cfg.Entries/8)
+	a, err := idleRate(ctx, cfg, entries, small)
+	if err != nil {
+		return nil, err
+	}
+	b, err := idleRate(ctx, cfg, entries, cfg.Servers)
+	if err != nil {
+		return nil, err
+	}
+	of := fmt.Sprintf("announced server, %d entries", entries)
+	return a.slopes(b, of, float64(cfg.Servers-small)), nil
+}
+
+// slopes are the differences between two rates for one of n more; processor time and memory are those of
+// the leader and the entries together, because they share the survey's process.
+func (a rate) slopes(b rate, of string, n float64) []Slope {
+	return []Slope{
+		{Of: of, Cost: "bytes to the leader", Unit: "B/s", Value: (b.up - a.up) / n},
+		{Of: of, Cost: "bytes from the leader", Unit: "B/s", Value: (b.down - a.down) / n},
+		{Of: of, Cost: "processor time, leader and entries", Unit: "% of a core", Value: 100 * (b.cpu - a.cpu) / n},
+		{Of: of, Cost: "memory, leader and entries", Unit: "B", Value: (b.heap - a.heap) / n},
+	}
+}
+
+// surveyCalls measures changes, permits and bookings, one after another from one entry.
+func surveyCalls(ctx context.Context, cfg Config) (_ []Slope, err error) {
+	w, err := newWorld(ctx, cfg, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, w.Close()) }()
+	w.announce(1)
+	if err := w.await(ctx, func() bool { return len(w.clients[0].Roster().Servers("base")) == 1 }); err != nil {
+		return nil, err
+	}
+	if err := w.prepare(); err != nil {
+		return nil, err
+	}
+	if err := w.await(ctx, func() bool { return w.clients[0].Catalog().Revision() > 0 }); err != nil {
+		return nil, err
+	}
+	w.base = int(w.clients[0].Catalog().Revision())
+	calls := []struct {
+		of string
+		do func(ctx context.Context, i int) error
+	}{
+		{"configuration change", w.change},
+		{"wake-up (load permit)", w.permit},
+		{"booking (begin and end)", w.book},
+	}
+	var slopes []Slope
+	for _, c := range calls {
+		s, err := w.surveyCall(ctx, cfg.Calls, c.of, c.do)
+		if err != nil {
+			return slopes, errors.Wrap(err, c.of)
+		}
+		slopes = append(slopes, s...)
+	}
+	return slopes, nil
+}
+
+func (w *world) surveyCall(ctx context.Context, n int, of string, do func(context.Context, int) error) ([]Slope, error) {
+	a, err := w.usage()
+	if err != nil {
+		return nil, err
+	}
+	for i := range n {
+		if err := do(ctx, i); err != nil {
+			return nil, err
+		}
+	}
+	b, err := w.usage()
+	if err != nil {
+		return nil, err
+	}
+	one := float64(n)
+	return []Slope{
+		{Of: of, Cost: "bytes to the leader", Unit: "B", Value: float64(b.up-a.up) / one},
+		{Of: of, Cost: "bytes from the leader", Unit: "B", Value: float64(b.down-a.down) / one},
+		{Of: of, Cost: "data folder", Unit: "B", Value: float64(b.folder-a.folder) / one},
+		{Of: of, Cost: "processor time, leader, entry and operator", Unit: "µs", Value: float64((b.cpu - a.cpu).Microseconds()) / one},
+		{Of: of, Cost: "memory, leader and entry", Unit: "B", Value: float64(int64(b.heap)-int64(a.heap)) / one},
+		{Of: of, Cost: "elapsed time", Unit: "µs", Value: float64(b.at.Sub(a.at).Microseconds()) / one},
+	}, nil
+}
+
+func (w *world) permit(ctx context.Context, i int) error {
+	p, err := w.clients[0].Permit(ctx, "engine-000", configurer.Target{Service: "base", Adapter: fmt.Sprint(i), Version: 1}, true)
+	if err != nil {
+		return err
+	}
+	w.clients[0].Return(p)
+	return nil
+}
+
+func (w *world) book(ctx context.Context, i int) error {
+	key := recorder.Key{Caller: "0123456789abcdef", Service: "orders", Key: fmt.Sprintf("order-%08d", i)}
+	attempt := fmt.Sprintf("entry-000.1.%x", i)
+	begun, err := w.clients[0].Begin(ctx, recorder.Begin{Key: key, Attempt: attempt, Entry: "entry-000", Incarnation: 1})
+	if err != nil {
+		return err
+	}
+	if begun.Verdict != recorder.VerdictRun {
+		return errors.Errorf("booking %d: verdict %d", i, begun.Verdict)
+	}
+	answer := recorder.Answer{Status: 201, Type: "application/json", Body: []byte(`{"order":"12345678","crates":2}`)}
+	return w.clients[0].End(ctx, recorder.End{Key: key, Attempt: attempt, Ending: recorder.EndingDone, Answer: answer})
+}
