soak: bookings through real processes under random kills and freezes

Cause: the matrices run decisions and sockets in one process; nothing yet struck whole processes at random. Ruled out: killing the order service, whose ledger is the judge and does not outlive it; it is frozen only. Change: soaker and 'soak': callers book and resend through any entry while entries, control replicas and order services are killed and frozen by a seed; the services' ledgers are held against what callers were told.

--- /dev/null
+++ b/stage/soaker/caller.go
@@ -0,0 +1,168 @@
+package soaker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/marker"
+)
+
+// booking is one key and all that its caller was told of it.
+type booking struct {
+	key      string
+	tries    int
+	outcomes []string
+	answers  []string
+}
+
+const (
+	outcomeDone   = "done"
+	outcomeNotRun = "not-run"
+)
+
+// call books one order after another until the time is over.
+func (s *Soaker) call(ctx context.Context, caller int, rng *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		b := &booking{key: fmt.Sprintf("soak-%d-%d-%d", s.cfg.Seed, caller, n)}
+		s.mu.Lock()
+		s.bookings[b.key] = b
+		s.mu.Unlock()
+		s.book(ctx, b, rng)
+	}
+}
+
+// book sends a booking through any entry and sends it again until it is done or its fate is unknown for good.
+func (s *Soaker) book(ctx context.Context, b *booking, rng *rand.Rand) {
+	entries := s.dep.Callers()
+	for b.tries < maxTries {
+		b.tries++
+		outcome, body := s.try(entries[rng.IntN(len(entries))], b.key)
+		b.outcomes = append(b.outcomes, outcome)
+		if outcome == outcomeDone {
+			b.answers = append(b.answers, body)
+		}
+		// Some callers send a finished booking once more, which must get the first answer.
+		if outcome == outcomeDone && (len(b.answers) > 1 || rng.IntN(8) != 0) {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// try sends a booking once; without an answer its outcome is unknown.
+func (s *Soaker) try(addr, key string) (outcome, body string) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost,
+		"http://"+addr+"/services/orders/bookings", strings.NewReader(`{"item":"crate","quantity":1}`))
+	if err != nil {
+		return "", err.Error()
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(marker.Key, key)
+	res, err := s.http.Do(req)
+	if err != nil {
+		return "", err.Error()
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return "", err.Error()
+	}
+	return res.Header.Get(marker.Outcome), string(b)
+}
+
+// ledgers adds up how often each key ran at all order services.
+func (s *Soaker) ledgers() (map[string]int, error) {
+	runs := make(map[string]int)
+	for _, si := range s.dep.Standins() {
+		if !si.IsPlain() {
+			continue
+		}
+		one, err := s.ledger(si.Addr())
+		for try := 1; err != nil && try < ledgerTries; try++ {
+			time.Sleep(retryPause)
+			one, err = s.ledger(si.Addr())
+		}
+		if err != nil {
+			return nil, err
+		}
+		for key, n := range one {
+			runs[key] += n
+		}
+	}
+	return runs, nil
+}
+
+func (s *Soaker) ledger(addr string) (map[string]int, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+addr+"/ledger", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	res, err := s.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "read ledger")
+	}
+	defer res.Body.Close()
+	var book struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&book); err != nil {
+		return nil, errors.Wrap(err, "decode ledger")
+	}
+	return book.Runs, nil
+}
+
+// report holds what callers were told against what ran.
+func (s *Soaker) report(runs map[string]int) *Report {
+	r := &Report{Faults: s.faults, Bookings: len(s.bookings)}
+	for _, b := range s.bookings {
+		r.Resent += b.tries - 1
+		switch {
+		case len(b.answers) > 0:
+			r.Done++
+		case b.isNotRun():
+			r.NotRun++
+		default:
+			r.Unknown++
+		}
+		if v := b.violation(runs[b.key]); v != "" {
+			r.Violations = append(r.Violations, v)
+		}
+	}
+	slices.Sort(r.Violations)
+	return r
+}
+
+// isNotRun reports whether each try was reported as not run.
+func (b *booking) isNotRun() bool {
+	return !slices.ContainsFunc(b.outcomes, func(o string) bool { return o != outcomeNotRun })
+}
+
+// violation says which rule the booking broke, given how often it ran.
+func (b *booking) violation(ran int) string {
+	switch {
+	case ran > 1:
+		return fmt.Sprintf("%s ran %d times: %v", b.key, ran, b.outcomes)
+	case len(b.answers) > 0 && ran != 1:
+		return fmt.Sprintf("%s is done and ran %d times: %v", b.key, ran, b.outcomes)
+	case len(b.outcomes) > 0 && b.isNotRun() && ran != 0:
+		return fmt.Sprintf("%s is not run and ran %d times: %v", b.key, ran, b.outcomes)
+	}
+	for _, a := range b.answers {
+		if a != b.answers[0] || !strings.Contains(a, b.key) {
+			return fmt.Sprintf("%s has the answers %v", b.key, b.answers)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/stage/soaker/fault.go
@@ -0,0 +1,97 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingstage.org/stage/rehearser"
+)
+
+// fault is one process killed or frozen for a while.
+type fault struct {
+	target string
+	frozen bool
+	length time.Duration
+}
+
+// String names the fault for the log.
+func (f fault) String() string {
+	if f.frozen {
+		return fmt.Sprintf("freeze %s for %v", f.target, f.length.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("kill %s for %v", f.target, f.length.Round(time.Millisecond))
+}
+
+func (f fault) start(dep *rehearser.Rehearser) error {
+	if f.frozen {
+		return dep.Freeze(f.target)
+	}
+	return dep.Kill(f.target)
+}
+
+func (f fault) end(dep *rehearser.Rehearser) error {
+	if f.frozen {
+		return dep.Thaw(f.target)
+	}
+	return dep.StartOne(f.target)
+}
+
+// draw picks a fault. Order services are only frozen, because their ledger is the judge and doesn't outlive them.
+func (s *Soaker) draw(rng *rand.Rand) fault {
+	targets := slices.Concat(s.dep.Controls(), s.dep.Entries(), s.services())
+	f := fault{target: targets[rng.IntN(len(targets))], frozen: rng.IntN(2) == 0}
+	if slices.Contains(s.services(), f.target) {
+		f.frozen = true
+	}
+	f.length = between(rng, minPause, maxDown)
+	if f.frozen {
+		f.length = between(rng, minPause, maxFreeze)
+	}
+	return f
+}
+
+func (s *Soaker) services() []string {
+	var list []string
+	for _, si := range s.dep.Standins() {
+		if si.IsPlain() {
+			list = append(list, si.Name())
+		}
+	}
+	return list
+}
+
+// begin counts a fault, unless the process has one already or too few control replicas would be left.
+func (s *Soaker) begin(target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.struck[target] {
+		return false
+	}
+	if slices.Contains(s.dep.Controls(), target) && s.struckOf(s.dep.Controls())+1 > (len(s.dep.Controls())-1)/2 {
+		return false
+	}
+	if slices.Contains(s.dep.Entries(), target) && s.struckOf(s.dep.Entries())+1 >= len(s.dep.Entries()) {
+		return false
+	}
+	s.struck[target] = true
+	s.faults++
+	return true
+}
+
+func (s *Soaker) struckOf(names []string) int {
+	n := 0
+	for _, name := range names {
+		if s.struck[name] {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Soaker) end(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.struck, target)
+}
