--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -184,14 +184,18 @@
 	r.startRead(now)
 	r.stepChanges(now)
 	r.startWrite()
-	r.sendAll()
+	r.sendAll(now)
 	r.apply()
 	r.finishReads()
 	r.dropWaiters(now)
 	r.publish(now)
 }
 
-func (r *Runner) sendAll() {
+func (r *Runner) sendAll(now time.Time) {
+	if r.Status().Leader == r.cfg.ID && r.rep.Leader() != r.cfg.ID {
+		// Nobody may see a lease here once others are told that it was given up.
+		r.publish(now)
+	}
 	for _, m := range r.rep.Messages() {
 		if m.Type == replicator.TypeSnapshot && !r.fillPiece(&m) {
 			continue
@@ -365,7 +369,6 @@
 	for id, addr := range r.extra {
 		addrs[id] = addr
 	}
-	delete(addrs, r.cfg.ID)
 	r.addrs = at
 	r.transport.SetPeers(addrs)
 }
@@ -377,7 +380,8 @@
 		ID: r.cfg.ID, Leader: r.rep.Leader(), Term: r.rep.Term(), Commit: r.rep.Commit(), Applied: r.rep.Applied(),
 		LeaseEnd: r.rep.LeaseEnd(now),
 	}
-	if at != r.memberAt || len(m.Members) != len(r.members) {
+	changed := at != r.memberAt || len(m.Members) != len(r.members)
+	if changed {
 		r.memberAt, r.members = at, nil
 		for _, mb := range m.Members {
 			r.members = append(r.members, Member{ID: mb.ID, Addr: mb.Addr, Learner: mb.Learner})
@@ -391,7 +395,7 @@
 	if at != r.addrs {
 		r.setPeers()
 	}
-	if r.observe != nil && (old.Leader != s.Leader || old.Term != s.Term || len(old.Members) != len(s.Members)) {
+	if r.observe != nil && (changed || old.Leader != s.Leader || old.Term != s.Term) {
 		r.observe(*s)
 	}
 }
