control: a new leader settles as soon as all old leases are accounted for

Ruled out: shorter leases (an election takes 1.6 s and must not end them); trusting the mirrored roster (it may lack an entry that joined last). Change: the log lists the entry processes that may hold a lease: one command before a process's first lease and one when it lapsed. A new leader settles once each listed process has said what it holds; else it waits as before. A process that is being struck off gets no lease until that is committed.

--- a/coord/leaser/granter.go
+++ b/coord/leaser/granter.go
@@ -76,6 +76,13 @@
 	return g
 }
 
+// Settle ends the wait for the leases of earlier leaders, since all their holders are known to be accounted for.
+func (g *Granter) Settle(now time.Time) {
+	if now.Before(g.settled) {
+		g.settled = now
+	}
+}
+
 // TTL returns how long a holder may count on its lease.
 func (g *Granter) TTL() time.Duration { return g.ttl }
 
--- a/serving/quarantiner/board.go
+++ b/serving/quarantiner/board.go
@@ -80,6 +80,13 @@
 	b.stale = true
 }
 
+// Settle ends the wait for locks of earlier leaders, since all their holders are known to be accounted for.
+func (b *Board) Settle(now time.Time) {
+	if now.Before(b.heldUntil) {
+		b.heldUntil = now
+	}
+}
+
 // Standing returns what is known of a digest.
 func (b *Board) Standing(now time.Time, d Digest) Standing { return b.registry.Standing(now, d) }
 
--- a/stage/controller/agent.go
+++ b/stage/controller/agent.go
@@ -196,9 +196,6 @@
 	for d, s := range a.standings.Known() {
 		c.Standings = append(c.Standings, standingFrame{Digest: d, Standing: s})
 	}
-	if len(c.Servers)+len(c.Permits)+len(c.Locks)+len(c.Standings) == 0 {
-		return nil
-	}
 	return c
 }
 
--- a/stage/controller/calls.go
+++ b/stage/controller/calls.go
@@ -116,10 +116,8 @@
 
 // committed takes the result of a proposal; after an error the callers ask again, and a loss is proposed again.
 func (d *desk) committed(now time.Time, p proposal, data []byte, err error) {
-	if p.cmd.Lost != nil {
-		if err != nil {
-			d.lose(now, p.cmd.Lost)
-		}
+	if p.cmd.Bookings == nil {
+		d.recorded(now, p.cmd, err)
 		return
 	}
 	d.flying--
--- a/stage/controller/command.go
+++ b/stage/controller/command.go
@@ -15,9 +15,11 @@
 	Lead     bool             `cbor:"2,keyasint,omitempty"`
 	Change   *changeCommand   `cbor:"3,keyasint,omitempty"`
 	Bookings []bookingCommand `cbor:"4,keyasint,omitempty"`
-	Lost     []lostCommand    `cbor:"5,keyasint,omitempty"`
+	Lost     []process        `cbor:"5,keyasint,omitempty"`
 	Drain    *drainCommand    `cbor:"6,keyasint,omitempty"`
 	Replica  *replicaCommand  `cbor:"7,keyasint,omitempty"`
+	// Joined are entry processes that get a lease for the first time.
+	Joined []process `cbor:"8,keyasint,omitempty"`
 }
 
 // origin says who asked for a command.
@@ -38,7 +40,8 @@
 	End   *recorder.End   `cbor:"2,keyasint,omitempty"`
 }
 
-type lostCommand struct {
+// process is one run of an entry.
+type process struct {
 	Entry       string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 }
--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -63,6 +63,12 @@
 	peers    map[peerKey]*peer
 	holders  map[string]*peer
 	answered map[string]*answered
+	// known are the holders that the log lists; joining and losing are under way there.
+	known   map[string]bool
+	joining map[string]bool
+	losing  map[string]int
+	// expected are the holders of an earlier leader that haven't said what they hold.
+	expected map[string]bool
 	waits    []wait
 	bookings []pendingBooking
 	flying   int
@@ -111,9 +117,12 @@
 	ref callRef
 }
 
-func newDesk(era uint64, now time.Time, fresh bool, limits registrar.StoreLimits, live *spreader.State) *desk {
+// newDesk returns the desk of an era that began at now; leased are the processes that may hold a lease of an earlier one.
+func newDesk(
+	era uint64, now time.Time, fresh bool, limits registrar.StoreLimits, live *spreader.State, leased []process,
+) *desk {
 	g := leaser.New(era, now, fresh)
-	return &desk{
+	d := &desk{
 		era:       era,
 		granter:   g,
 		registry:  registrar.New(g),
@@ -125,9 +134,20 @@
 		peers:     make(map[peerKey]*peer),
 		holders:   make(map[string]*peer),
 		answered:  make(map[string]*answered),
+		known:     make(map[string]bool),
+		joining:   make(map[string]bool),
+		losing:    make(map[string]int),
+		expected:  make(map[string]bool),
 	}
+	for _, p := range leased {
+		d.known[p.holder()] = true
+		d.expected[p.holder()] = true
+	}
+	return d
 }
 
+func (p process) holder() string { return registrar.Holder(p.Entry, p.Incarnation) }
+
 // receive takes a message of a session.
 func (d *desk) receive(now time.Time, key peerKey, f up) {
 	if f.Hello != nil {
@@ -185,7 +205,9 @@
 
 // claim takes up what an entry holds since an earlier leader.
 func (d *desk) claim(now time.Time, p *peer, c claimsFrame) {
-	if len(c.Servers) > 0 || len(c.Locks) > 0 {
+	delete(d.expected, p.holder)
+	if p.hello.Held && d.known[p.holder] && !d.granter.Settled(now) {
+		// Its lease still runs, whether or not it owns anything.
 		d.registry.Join(now, p.entry())
 	}
 	claims := make([]registrar.Claim, 0, len(c.Servers))
@@ -229,11 +251,45 @@
 	if p.beatAt.Before(now.Add(-d.granter.TTL())) {
 		return
 	}
+	if !d.isRecorded(now, p) {
+		return
+	}
 	d.registry.Join(now, p.entry())
 	p.owed = false
 	d.out = append(d.out, outFrame{to: p.key, frame: down{Beat: p.beat}})
 }
 
+// isRecorded reports whether the log lists the process, so that a later leader knows whose lease may run.
+func (d *desk) isRecorded(now time.Time, p *peer) bool {
+	if d.losing[p.holder] > 0 {
+		return false
+	}
+	if !d.known[p.holder] && !d.joining[p.holder] {
+		d.joining[p.holder] = true
+		cmd := newCommand(now)
+		cmd.Joined = []process{{p.hello.Name, p.hello.Incarnation}}
+		d.proposed = append(d.proposed, proposal{cmd: cmd})
+	}
+	return d.known[p.holder]
+}
+
+// recorded takes the outcome of a command that lists processes or strikes them off.
+func (d *desk) recorded(now time.Time, cmd command, err error) {
+	for _, p := range cmd.Joined {
+		delete(d.joining, p.holder())
+		d.known[p.holder()] = err == nil
+		if peer, ok := d.holders[p.holder()]; ok && err == nil {
+			d.renew(now, peer)
+		}
+	}
+	for _, p := range cmd.Lost {
+		d.losing[p.holder()]--
+	}
+	if cmd.Lost != nil && err != nil {
+		d.lose(now, cmd.Lost)
+	}
+}
+
 func (d *desk) announce(now time.Time, p *peer, f up) {
 	for _, s := range f.Servers {
 		// A bad announcement is dropped here; the entry that took it has told its sender why.
@@ -273,6 +329,10 @@
 	if !now.Before(d.nextAt) {
 		d.required, d.next, d.nextAt = d.next, d.catalog, now.Add(lagGrace)
 	}
+	if len(d.expected) == 0 {
+		d.granter.Settle(now)
+		d.suspects.Settle(now)
+	}
 	for _, lost := range d.registry.Tick(now) {
 		holder := registrar.Holder(lost.Name, lost.Incarnation)
 		d.permits.Drop(holder)
@@ -281,7 +341,8 @@
 		if p, ok := d.holders[holder]; ok {
 			d.resync(now, p)
 		}
-		d.lose(now, []lostCommand{{lost.Name, lost.Incarnation}})
+		delete(d.expected, holder)
+		d.lose(now, []process{{lost.Name, lost.Incarnation}})
 	}
 	d.suspects.Expire(now)
 	d.grant(now)
@@ -291,9 +352,13 @@
 }
 
 // lose records that processes are lost, so that their bookings end as unknown.
-func (d *desk) lose(now time.Time, list []lostCommand) {
+func (d *desk) lose(now time.Time, list []process) {
 	cmd := newCommand(now)
 	cmd.Lost = list
+	for _, p := range list {
+		delete(d.known, p.holder())
+		d.losing[p.holder()]++
+	}
 	d.proposed = append(d.proposed, proposal{cmd: cmd})
 }
 
--- a/stage/controller/fuzz_test.go
+++ b/stage/controller/fuzz_test.go
@@ -30,7 +30,7 @@
 			return
 		}
 		now := time.Unix(1_700_000_000, 0)
-		d := newDesk(2, now, false, registrar.StoreLimits{}, spreader.New())
+		d := newDesk(2, now, false, registrar.StoreLimits{}, spreader.New(), []process{{"entry-1", 1}})
 		for range 3 {
 			d.receive(now, peerKey{session: 1}, frame)
 			d.tick(now)
--- a/stage/controller/hub.go
+++ b/stage/controller/hub.go
@@ -198,7 +198,7 @@
 	h.closeAll()
 	h.fresh = res.Era == 1 || h.assumeFresh
 	h.deskTerm = term
-	h.desk = newDesk(res.Era, now, h.fresh, h.limits, h.live)
+	h.desk = newDesk(res.Era, now, h.fresh, h.limits, h.live, h.machine.leased())
 	h.desk.eager = h.eager
 	h.desk.advance(h.machine.catalogRevision())
 	h.logger.Info().Uint64("era", res.Era).Msg("control: leading")
--- a/stage/controller/machine.go
+++ b/stage/controller/machine.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -31,7 +32,9 @@
 	bookings *recorder.Table
 	drains   map[string]bool
 	// senders are the entry processes that began bookings and aren't known to be lost.
-	senders map[lostCommand]bool
+	senders map[process]bool
+	// sessions are the entry processes that may hold a lease.
+	sessions map[process]bool
 	// spread holds the encoded catalog by revision for the watch streams.
 	spread *spreader.State
 	// changed wakes the reader of spread and drains.
@@ -39,14 +42,15 @@
 }
 
 type machineSnapshot struct {
-	Index    uint64        `cbor:"1,keyasint"`
-	Now      int64         `cbor:"2,keyasint"`
-	Era      uint64        `cbor:"3,keyasint"`
-	Config   []byte        `cbor:"4,keyasint"`
-	Trail    []byte        `cbor:"5,keyasint"`
-	Bookings []byte        `cbor:"6,keyasint"`
-	Drains   []string      `cbor:"7,keyasint"`
-	Senders  []lostCommand `cbor:"8,keyasint"`
+	Index    uint64    `cbor:"1,keyasint"`
+	Now      int64     `cbor:"2,keyasint"`
+	Era      uint64    `cbor:"3,keyasint"`
+	Config   []byte    `cbor:"4,keyasint"`
+	Trail    []byte    `cbor:"5,keyasint"`
+	Bookings []byte    `cbor:"6,keyasint"`
+	Drains   []string  `cbor:"7,keyasint"`
+	Senders  []process `cbor:"8,keyasint"`
+	Sessions []process `cbor:"9,keyasint"`
 }
 
 func newMachine() *machine {
@@ -55,7 +59,8 @@
 		trail:    auditor.New(),
 		bookings: recorder.New(),
 		drains:   make(map[string]bool),
-		senders:  make(map[lostCommand]bool),
+		senders:  make(map[process]bool),
+		sessions: make(map[process]bool),
 		spread:   spreader.New(),
 		changed:  make(chan struct{}, 1),
 	}
@@ -98,6 +103,12 @@
 		for _, l := range cmd.Lost {
 			m.bookings.Lost(m.now, l.Entry, l.Incarnation)
 			delete(m.senders, l)
+			delete(m.sessions, l)
+		}
+		return result{}
+	case cmd.Joined != nil:
+		for _, p := range cmd.Joined {
+			m.sessions[p] = true
 		}
 		return result{}
 	case cmd.Drain != nil:
@@ -162,7 +173,7 @@
 		case b.Begin != nil:
 			out.Begun[i] = m.bookings.Begin(m.now, *b.Begin)
 			if out.Begun[i].Verdict == recorder.VerdictRun {
-				m.senders[lostCommand{b.Begin.Entry, b.Begin.Incarnation}] = true
+				m.senders[process{b.Begin.Entry, b.Begin.Incarnation}] = true
 			}
 		case b.End != nil:
 			m.bookings.End(m.now, *b.End)
@@ -212,13 +223,17 @@
 		return nil, err
 	}
 	snap.Drains = slices.Sorted(maps.Keys(m.drains))
-	snap.Senders = slices.SortedFunc(maps.Keys(m.senders), func(a, b lostCommand) int {
+	snap.Senders, snap.Sessions = sortedProcesses(m.senders), sortedProcesses(m.sessions)
+	return encoder.Marshal(snap)
+}
+
+func sortedProcesses(set map[process]bool) []process {
+	return slices.SortedFunc(maps.Keys(set), func(a, b process) int {
 		if c := strings.Compare(a.Entry, b.Entry); c != 0 {
 			return c
 		}
-		return int(int64(a.Incarnation - b.Incarnation))
+		return cmp.Compare(a.Incarnation, b.Incarnation)
 	})
-	return encoder.Marshal(snap)
 }
 
 // Restore implements runner.Machine; a bad snapshot leaves the state as it was.
@@ -250,11 +265,14 @@
 	for _, s := range snap.Senders {
 		next.senders[s] = true
 	}
+	for _, s := range snap.Sessions {
+		next.sessions[s] = true
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.index, m.now, m.era = snap.Index, time.UnixMilli(snap.Now).UTC(), snap.Era
 	m.config, m.trail, m.bookings, m.spread = next.config, next.trail, next.bookings, next.spread
-	m.drains, m.senders = next.drains, next.senders
+	m.drains, m.senders, m.sessions = next.drains, next.senders, next.sessions
 	m.wake()
 	return nil
 }
@@ -282,19 +300,28 @@
 	return maps.Clone(m.drains)
 }
 
-// absent returns the processes that began bookings and for which live is false.
-func (m *machine) absent(live func(entry string, incarnation uint64) bool) []lostCommand {
+// absent returns the processes that began bookings or may hold a lease and for which live is false.
+func (m *machine) absent(live func(entry string, incarnation uint64) bool) []process {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []lostCommand
-	for s := range m.senders {
-		if !live(s.Entry, s.Incarnation) {
-			out = append(out, s)
+	var out []process
+	for _, set := range []map[process]bool{m.senders, m.sessions} {
+		for _, s := range sortedProcesses(set) {
+			if !live(s.Entry, s.Incarnation) && !slices.Contains(out, s) {
+				out = append(out, s)
+			}
 		}
 	}
 	return out
 }
 
+// leased returns the processes that may hold a lease.
+func (m *machine) leased() []process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return sortedProcesses(m.sessions)
+}
+
 func (m *machine) audit(q auditor.Query, limit int) ([]auditor.Record, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
