--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -180,8 +180,12 @@
 
 // quorumOf returns the largest value that a quorum of voters reaches, given the own value and one for each peer.
 func (r *Replicator) quorumOf(own uint64, of func(*peer) uint64) uint64 {
-	var vals []uint64
-	for _, mb := range r.membership.voters() {
+	var all [MaxMembers]uint64
+	vals := all[:0]
+	for _, mb := range r.membership.Members {
+		if mb.Learner {
+			continue
+		}
 		v := uint64(0)
 		if mb.ID == r.cfg.ID {
 			v = own
@@ -196,11 +200,7 @@
 
 // advanceCommit commits what a quorum holds durably, if it is of the own term.
 func (r *Replicator) advanceCommit(now time.Time) {
-	own := r.durable
-	if r.off.earlySelf {
-		own = r.log.last()
-	}
-	n := r.quorumOf(own, func(p *peer) uint64 { return p.match })
+	n := r.quorumOf(r.durable, func(p *peer) uint64 { return p.match })
 	if t, ok := r.log.term(n); n <= r.commit || !ok || t != r.hard.Term {
 		return
 	}
@@ -223,7 +223,7 @@
 
 func (r *Replicator) confirmReads(now time.Time) {
 	stamp := r.quorumStamp(now)
-	if len(r.membership.voters()) == 1 && r.membership.isVoter(r.cfg.ID) {
+	if r.membership.quorum() == 1 && r.membership.isVoter(r.cfg.ID) {
 		stamp++
 	}
 	n := 0
@@ -242,9 +242,6 @@
 	if r.role != leader || r.applied < r.termStart || r.fenced != nil {
 		return time.Time{}
 	}
-	if r.off.noLeaseCheck {
-		return now.Add(r.cfg.Election)
-	}
 	stamp := r.quorumStamp(now)
 	if stamp == 0 {
 		return time.Time{}
@@ -254,7 +251,7 @@
 
 func (r *Replicator) tickLeader(now time.Time) {
 	contact := r.timeOf(max(r.quorumStamp(now), r.began))
-	if now.Sub(contact) >= r.cfg.Election && !r.off.noLeaseCheck {
+	if now.Sub(contact) >= r.cfg.Election {
 		r.becomeFollower(r.hard.Term, 0)
 		r.heard = now
 		return
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -13,13 +13,15 @@
 	DefaultHeartbeat = 400 * time.Millisecond
 	DefaultElection  = 1600 * time.Millisecond
 
-	entryOverhead   = 16
-	maxAppendBytes  = 512 << 10
-	maxInflight     = 4096
-	pieceBytes      = 256 << 10
-	trailingEntries = 1024
-	leasePercent    = 90
-	minElection     = 3
+	// DefaultTrailing is how many entries before a snapshot stay in memory.
+	DefaultTrailing = 1000
+
+	entryOverhead  = 16
+	maxAppendBytes = 512 << 10
+	maxInflight    = 4096
+	pieceBytes     = 256 << 10
+	leasePercent   = 90
+	minElection    = 3
 )
 
 // Config is what a replica is told at its start.
@@ -34,6 +36,8 @@
 	Heartbeat time.Duration
 	// Election is the silence after which a leader is replaced.
 	Election time.Duration
+	// Trailing is how many entries before a snapshot are kept for replicas that lag behind.
+	Trailing uint64
 	// Rand spreads the election timeouts.
 	Rand *rand.Rand
 }
@@ -54,22 +58,9 @@
 	leader
 )
 
-// mechanisms can be turned off one at a time to show that the checks of the tests see what each prevents.
-type mechanisms struct {
-	noPreVote    bool
-	noVoteSync   bool
-	noLeaseCheck bool
-	noSticky     bool
-	noNonce      bool
-	noReadRound  bool
-	earlySelf    bool
-	earlyPromote bool
-}
-
 // Replicator is the state machine of one replica; its methods must not be called concurrently.
 type Replicator struct {
 	cfg   Config
-	off   mechanisms
 	start time.Time
 
 	hard       HardState
@@ -139,6 +130,9 @@
 	if cfg.Election == 0 {
 		cfg.Election = DefaultElection
 	}
+	if cfg.Trailing == 0 {
+		cfg.Trailing = DefaultTrailing
+	}
 	if cfg.Election < minElection*cfg.Heartbeat {
 		return nil, errors.Errorf("replicator: election timeout %v is under %d heartbeats of %v",
 			cfg.Election, minElection, cfg.Heartbeat)
@@ -218,9 +212,6 @@
 	}
 	r.readID++
 	r.reads = append(r.reads, read{id: r.readID, index: max(r.commit, r.termStart), stamp: r.stamp + 1})
-	if r.off.noReadRound {
-		r.reads[len(r.reads)-1].stamp = 0
-	}
 	r.beat(now)
 	r.confirmReads(now)
 	return r.readID, true
@@ -237,8 +228,7 @@
 func (r *Replicator) Messages() []Message {
 	var ready []Message
 	r.out = slices.DeleteFunc(r.out, func(o outgoing) bool {
-		early := r.off.noVoteSync && o.msg.Type != TypeAppendResponse
-		if o.need > r.durableSeq && !early {
+		if o.need > r.durableSeq {
 			return false
 		}
 		ready = append(ready, o.msg)
@@ -295,8 +285,8 @@
 		if w.Install {
 			r.applied = max(r.applied, w.Snapshot.Index)
 		}
-		if w.Snapshot.Index > trailingEntries {
-			r.log.compact(w.Snapshot.Index - trailingEntries)
+		if w.Snapshot.Index > r.cfg.Trailing {
+			r.log.compact(w.Snapshot.Index - r.cfg.Trailing)
 		}
 	}
 	if r.role == leader {
@@ -307,9 +297,6 @@
 // Committed returns the next entries to apply, which are durable here and committed, and counts them as applied.
 func (r *Replicator) Committed() []Entry {
 	hi := min(r.commit, r.durable)
-	if r.off.earlySelf {
-		hi = r.commit
-	}
 	if r.applied < r.log.base || hi <= r.applied {
 		return nil
 	}
@@ -327,8 +314,13 @@
 // Election returns the silence after which a leader is replaced.
 func (r *Replicator) Election() time.Duration { return r.cfg.Election }
 
-// Leader returns the leader as far as known, or 0.
-func (r *Replicator) Leader() uint64 { return r.lead }
+// Leader returns the leader as far as known, or 0; a replica doesn't count as leader before its own vote is durable.
+func (r *Replicator) Leader() uint64 {
+	if r.role == leader && r.hardSeq > r.durableSeq {
+		return 0
+	}
+	return r.lead
+}
 
 // Term returns the current term.
 func (r *Replicator) Term() uint64 { return r.hard.Term }
--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -64,6 +64,8 @@
 	Server string
 	Owner  string
 	Addr   string
+	// Warm says that the server served the adapter lately, so that a hedge there needs no load.
+	Warm bool
 }
 
 // Result says how an offer ended, as far as routing is concerned.
@@ -75,6 +77,8 @@
 	Served Result = iota
 	// Refused means that the owner passed the request on: late or full.
 	Refused
+	// Passed means that the owner prefers another candidate to load the adapter.
+	Passed
 	// LoadFailed means that the adapter could not be loaded there.
 	LoadFailed
 	// Lagging means that the answer showed the server to be a straggler.
@@ -165,16 +169,19 @@
 	key := hashTarget(t)
 	var order [maxCandidates]*node
 	var list []*node
+	var sets map[string]membership
 	if t.Adapter == "" {
 		list = r.spreadAll(now, rg, order[:0])
 	} else {
 		list = r.routeAdapter(now, rg, key, prefix, order[:0])
+		sets = r.touch(now, key).sets
 	}
 	for _, n := range list {
-		if len(buf) == cap(buf) && len(buf) >= r.cfg.Candidates {
-			break
-		}
-		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
+		_, warm := sets[n.server.Name]
+		warm = warm || t.Adapter == ""
+		buf = append(buf, Candidate{
+			Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr, Warm: warm,
+		})
 	}
 	return buf
 }
@@ -266,7 +273,7 @@
 		r.mark(now, n, laggingPenalty)
 	case Unreachable:
 		n.quiet = now.Add(r.cfg.Quiet)
-	case Served, LoadFailed:
+	case Served, Passed, LoadFailed:
 	}
 }
 
--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -21,6 +21,8 @@
 	ReasonLeaving Reason = "leaving"
 	// ReasonLoad means that the adapter could not be loaded.
 	ReasonLoad Reason = "load"
+	// ReasonSlots means that the slots here hold adapters that are used more.
+	ReasonSlots Reason = "slots"
 	// ReasonQuarantine means that the request crashed backend servers before.
 	ReasonQuarantine Reason = "quarantine"
 	// ReasonNotOwner means that this entry doesn't own the server.
@@ -51,10 +53,21 @@
 	Server string
 	Target configurer.Target
 	Urgent bool
+	// Rate says how much the adapter was used lately, so that the leader may prefer loads that many will use.
+	Rate float64
 }
 
-// ReturnPermit gives a permit back, used or not.
-type ReturnPermit struct{ Permit registrar.Permit }
+// WithdrawPermit says that a permit that was asked for isn't needed any more.
+type WithdrawPermit struct {
+	Server string
+	Target configurer.Target
+}
+
+// ReturnPermit gives a permit back; one that wasn't used counts against no limit of the store.
+type ReturnPermit struct {
+	Permit registrar.Permit
+	Used   bool
+}
 
 // Load orders a server to load an adapter's version.
 type Load struct {
@@ -103,14 +116,15 @@
 	Deadline time.Time
 }
 
-func (Send) action()         {}
-func (Refuse) action()       {}
-func (AskPermit) action()    {}
-func (ReturnPermit) action() {}
-func (Load) action()         {}
-func (Unload) action()       {}
-func (Cancel) action()       {}
-func (Fail) action()         {}
-func (Accuse) action()       {}
-func (Absolve) action()      {}
-func (Alarm) action()        {}
+func (Send) action()           {}
+func (Refuse) action()         {}
+func (AskPermit) action()      {}
+func (ReturnPermit) action()   {}
+func (WithdrawPermit) action() {}
+func (Load) action()           {}
+func (Unload) action()         {}
+func (Cancel) action()         {}
+func (Fail) action()           {}
+func (Accuse) action()         {}
+func (Absolve) action()        {}
+func (Alarm) action()          {}
--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingstage.org/coord/detector"
+	"redwingstage.org/serving/placer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/retrier"
 )
@@ -38,6 +39,9 @@
 	}
 	s.jobs[j.Attempt] = j
 	sv := s.servers[j.Server]
+	if sv != nil && j.Target.Adapter != "" {
+		sv.slots.Use(now, j.Target)
+	}
 	if reason, wait, ok := s.admits(now, sv, j); !ok {
 		s.refuse(now, j, reason, wait)
 		return
@@ -61,10 +65,9 @@
 		return ReasonQuarantine, 0, false
 	case isPast(now, j.FirstBy) || isPast(now, j.Deadline):
 		return ReasonLate, 0, false
-	case !j.Last && sv.cool[j.Target].After(now):
-		return ReasonLoad, sv.cool[j.Target].Sub(now), false
-	case !j.Last && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
-		return ReasonLate, 0, false
+	}
+	if reason, wait, ok := s.admitsLoad(now, sv, j); !ok {
+		return reason, wait, false
 	}
 	if !s.cfg.has(PartPass) || j.FirstBy.IsZero() {
 		return "", 0, true
@@ -80,6 +83,26 @@
 	return "", 0, true
 }
 
+// admitsLoad reports whether a job that has another candidate may cause a load here.
+func (s *Scheduler) admitsLoad(now time.Time, sv *server, j *job) (Reason, time.Duration, bool) {
+	switch {
+	case j.Last:
+		return "", 0, true
+	case sv.cool[j.Target].After(now):
+		return ReasonLoad, sv.cool[j.Target].Sub(now), false
+	case s.needsLoad(sv, j) && s.cfg.has(PartStragglers) && s.slow.Slow(now, j.Server):
+		return ReasonLate, 0, false
+	case s.needsLoad(sv, j) && s.cfg.has(PartWorth) && !sv.slots.IsWorth(now, j.Target):
+		return ReasonSlots, 0, false
+	}
+	return "", 0, true
+}
+
+// needsLoad reports whether a job's adapter is neither loaded nor asked for.
+func (s *Scheduler) needsLoad(sv *server, j *job) bool {
+	return sv.isModel() && !sv.holds(j.Target) && sv.slots.State(j.Target) != placer.Loading && sv.want(j.Target) == nil
+}
+
 // waitFor estimates the time until the first token of a job: the queue's length over the rate of service, as
 // Spandana's SLO director does (Dehigama et al., section 5.2), plus the usual time to the first token.
 func (sv *server) waitFor(j *job) time.Duration {
@@ -114,13 +137,13 @@
 }
 
 func (s *Scheduler) isReady(now time.Time, sv *server, j *job) bool {
-	if !sv.holds(j.Target) && !s.broken.residency {
+	if !sv.holds(j.Target) && !s.off.residency {
 		return false
 	}
 	if j.long && s.cfg.has(PartLongShare) && sv.longs >= s.longLimit(sv) {
 		return false
 	}
-	if s.broken.suspects || j.Digest == (quarantiner.Digest{}) {
+	if s.off.suspects || j.Digest == (quarantiner.Digest{}) {
 		return true
 	}
 	if s.standing(now, j) == quarantiner.Suspect {
@@ -137,7 +160,6 @@
 	j.sent, j.sentAt, j.lastAt = true, now, now
 	sv.inFlight[j.Attempt] = j
 	sv.slots.Pin(j.Target)
-	sv.slots.Use(now, j.Target)
 	if j.long {
 		sv.longs++
 	}
@@ -271,7 +293,7 @@
 }
 
 func (s *Scheduler) standing(now time.Time, j *job) quarantiner.Standing {
-	if s.broken.suspects {
+	if s.off.suspects {
 		return quarantiner.Clear
 	}
 	return max(j.Standing, s.suspect.Standing(now, j.Digest))
--- a/serving/scheduler/loads.go
+++ b/serving/scheduler/loads.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 		w.waiters, w.urgent = 0, false
 	}
 	if sv.open && sv.isModel() {
-		sv.queue.Each(func(it queued) {
+		s.eachNext(sv, func(it queued) {
 			t := it.Value.Target
 			if t.Adapter == "" || sv.slots.CanServe(t) {
 				return
@@ -58,10 +59,10 @@
 		if w.waiters > 0 || sv.slots.State(w.target) == placer.Loading {
 			return false
 		}
-		s.returnPermit(w)
+		s.withdraw(sv, w)
 		return true
 	})
-	if len(sv.wants) == 0 {
+	if !slices.ContainsFunc(sv.wants, func(w *want) bool { return canLoad(sv.slots.State(w.target)) }) {
 		sv.slots.EndDrain()
 	}
 	slices.SortStableFunc(sv.wants, func(a, b *want) int {
@@ -75,6 +76,22 @@
 	})
 }
 
+// eachNext calls f for the queued jobs that may be sent once their adapter is loaded: of the long ones only as many as their share allows.
+func (s *Scheduler) eachNext(sv *server, f func(queued)) {
+	longs := math.MaxInt
+	if s.cfg.has(PartLongShare) {
+		longs = s.longLimit(sv) - sv.longs
+	}
+	sv.queue.Each(func(it queued) {
+		if it.Value.long {
+			if longs--; longs < 0 {
+				return
+			}
+		}
+		f(it)
+	})
+}
+
 func (sv *server) want(t configurer.Target) *want {
 	for _, w := range sv.wants {
 		if w.target == t {
@@ -94,7 +111,7 @@
 	held := sv.permits()
 	coming := sv.slots.Count(placer.Unloading)
 	for held > coming && !sv.slots.HasRoom() {
-		t, ok := sv.slots.Victim(now, sv.isWanted)
+		t, ok := sv.slots.Victim(now, s.isWanted(sv))
 		if !ok {
 			break
 		}
@@ -120,7 +137,7 @@
 		s.order++
 		sv.loading[w.target] = *w.permit
 		w.permit = nil
-		sv.slots.BeginLoad(now, w.target, s.order, 0)
+		sv.slots.BeginLoad(now, w.target, s.order)
 		s.emit(Load{Server: sv.reg.Name, Target: w.target, Epoch: sv.epoch, Order: s.order})
 	}
 }
@@ -144,7 +161,7 @@
 			continue
 		}
 		if !sv.slots.HasRoom() {
-			if _, ok := sv.slots.Victim(now, sv.isWanted); !ok {
+			if _, ok := sv.slots.Victim(now, s.isWanted(sv)); !ok {
 				if now.Sub(w.since) >= s.cfg.DrainAfter {
 					sv.slots.Drain(now, sv.isHeavy)
 				}
@@ -153,7 +170,7 @@
 		}
 		w.asked, w.askedAt = true, now
 		out++
-		s.emit(AskPermit{Server: sv.reg.Name, Target: w.target, Urgent: w.urgent})
+		s.emit(AskPermit{Server: sv.reg.Name, Target: w.target, Urgent: w.urgent, Rate: sv.slots.Rate(now, w.target)})
 	}
 }
 
@@ -168,11 +185,13 @@
 	return n
 }
 
-// isWanted reports whether queued work waits for the target, so that evicting it would be undone at once.
-func (sv *server) isWanted(t configurer.Target) bool {
-	found := false
-	sv.queue.Each(func(it queued) { found = found || it.Value.Target == t })
-	return found
+// isWanted returns a function that reports whether queued work waits for the target, so that evicting it would be undone at once.
+func (s *Scheduler) isWanted(sv *server) func(configurer.Target) bool {
+	return func(t configurer.Target) bool {
+		found := false
+		s.eachNext(sv, func(it queued) { found = found || it.Value.Target == t })
+		return found
+	}
 }
 
 // isHeavy reports whether a target holds so much of the batch that draining it would idle the server.
@@ -214,23 +233,31 @@
 	}
 }
 
-// dropPermits gives back what is held and forgets what was asked.
+// withdraw gives back a permit that is held or asked for.
+func (s *Scheduler) withdraw(sv *server, w *want) {
+	s.returnPermit(w)
+	if w.asked {
+		w.asked = false
+		s.emit(WithdrawPermit{Server: sv.reg.Name, Target: w.target})
+	}
+}
+
+// dropPermits gives back what is held or asked for.
 func (s *Scheduler) dropPermits(sv *server) {
 	for _, w := range sv.wants {
-		s.returnPermit(w)
-		w.asked = false
+		s.withdraw(sv, w)
 	}
 }
 
 func (s *Scheduler) loadEnded(now time.Time, sv *server, ev LoadEnded) {
 	order := ev.Order
-	if s.broken.orders {
+	if s.off.orders {
 		order = 0
 	}
 	if !sv.slots.EndLoad(now, ev.Target, order, ev.OK) {
 		return
 	}
-	s.emit(ReturnPermit{Permit: sv.loading[ev.Target]})
+	s.emit(ReturnPermit{Permit: sv.loading[ev.Target], Used: true})
 	delete(sv.loading, ev.Target)
 	if ev.OK {
 		delete(sv.cool, ev.Target)
@@ -283,7 +310,7 @@
 	for _, st := range []placer.State{placer.Loading, placer.Unloading} {
 		for _, t := range sv.slots.Stuck(now, st, s.cfg.LoadLost) {
 			if permit, ok := sv.loading[t]; ok {
-				s.emit(ReturnPermit{Permit: permit})
+				s.emit(ReturnPermit{Permit: permit, Used: true})
 				delete(sv.loading, t)
 				s.loadFailed(now, sv, t)
 			}
@@ -304,7 +331,7 @@
 func (s *Scheduler) dropLost(now time.Time, sv *server) {
 	for _, t := range sv.slots.Stuck(now, placer.Loading, s.cfg.LoadLost) {
 		if permit, ok := sv.loading[t]; ok {
-			s.emit(ReturnPermit{Permit: permit})
+			s.emit(ReturnPermit{Permit: permit, Used: true})
 			delete(sv.loading, t)
 		}
 	}
--- /dev/null
+++ b/stage/demonstrator/demonstrator.go
@@ -0,0 +1,217 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/registrar"
+	"redwingstage.org/stage/controller"
+	"redwingstage.org/stage/dispatcher"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/standin/inferer"
+	"redwingstage.org/standin/modeler"
+	"redwingstage.org/standin/orderer"
+)
+
+// The made-up sizes of the demonstration.
+const (
+	engines      = 3
+	slots        = 4
+	batch        = 16
+	loadTime     = 250 * time.Millisecond
+	loadRate     = 3.5 // loads a second
+	loadParallel = 3
+	workTime     = 2 * time.Millisecond
+	closeTimeout = 10 * time.Second
+)
+
+// Operator is the demonstration's operator and token.
+var Operator = controller.Token{Name: "demo", Token: "demo-operator-token"}
+
+// Config says where the demonstration listens; the zero value of an address picks a free port of loopback.
+type Config struct {
+	// Folder is the data folder of the control replica.
+	Folder string
+	// Callers are the callers' listeners of the two entries.
+	Callers [2]string
+	// Operators is the operators' listener.
+	Operators string
+	// Metrics is the metrics listener of the first entry.
+	Metrics string
+}
+
+// Demonstrator is a running demonstration.
+type Demonstrator struct {
+	cfg     Config
+	parts   []io.Closer
+	entries []*dispatcher.Dispatcher
+}
+
+// New starts one control replica, two entries, engines and an order service, and applies a small configuration.
+func New(ctx context.Context, cfg Config, log *logger.Logger) (*Demonstrator, error) {
+	if err := cfg.fill(ctx); err != nil {
+		return nil, err
+	}
+	d := &Demonstrator{cfg: cfg}
+	if err := d.start(ctx, log); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (c *Config) fill(ctx context.Context) error {
+	for _, addr := range []*string{&c.Callers[0], &c.Callers[1], &c.Operators, &c.Metrics} {
+		if *addr != "" {
+			continue
+		}
+		free, err := freeAddr(ctx)
+		if err != nil {
+			return err
+		}
+		*addr = free
+	}
+	return nil
+}
+
+// freeAddr finds a port of loopback that nobody listens on at the moment.
+func freeAddr(ctx context.Context) (string, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	addr := ln.Addr().String()
+	return addr, ln.Close()
+}
+
+// Callers returns the callers' address of the first entry.
+func (d *Demonstrator) Callers() string { return d.cfg.Callers[0] }
+
+// Operators returns the operators' address.
+func (d *Demonstrator) Operators() string { return d.cfg.Operators }
+
+// Close shuts the entries down gracefully and then stops everything else, last started first.
+func (d *Demonstrator) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var errs []error
+	for _, e := range d.entries {
+		errs = append(errs, e.Close(ctx))
+	}
+	for i := len(d.parts) - 1; i >= 0; i-- {
+		errs = append(errs, d.parts[i].Close())
+	}
+	d.entries, d.parts = nil, nil
+	return errors.Join(errs...)
+}
+
+func (d *Demonstrator) start(ctx context.Context, log *logger.Logger) error {
+	control, err := d.startControl(ctx)
+	if err != nil {
+		return err
+	}
+	for i, callers := range d.cfg.Callers {
+		if err := d.startEntry(ctx, i, callers, control, log); err != nil {
+			return err
+		}
+	}
+	for i := range engines {
+		if err := d.startEngine(i); err != nil {
+			return err
+		}
+	}
+	if err := d.startOrders(); err != nil {
+		return err
+	}
+	if err := apply(ctx, d.cfg.Operators, document()); err != nil {
+		return err
+	}
+	for _, addr := range d.cfg.Callers {
+		if err := awaitAnswer(ctx, addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Demonstrator) startControl(ctx context.Context) (string, error) {
+	addr, err := freeAddr(ctx)
+	if err != nil {
+		return "", err
+	}
+	c, err := controller.New(controller.Config{
+		ID:        1,
+		Cluster:   "demo",
+		Addr:      addr,
+		Operators: d.cfg.Operators,
+		Folder:    filepath.Join(d.cfg.Folder, "control-1"),
+		Members:   []runner.Member{{ID: 1, Addr: addr}},
+		Tokens:    []controller.Token{Operator},
+		Store:     registrar.StoreLimits{Rate: loadRate, Parallel: loadParallel},
+	})
+	if err != nil {
+		return "", errors.Wrap(err, "start control")
+	}
+	d.parts = append(d.parts, c)
+	return addr, nil
+}
+
+func (d *Demonstrator) startEntry(ctx context.Context, i int, callers, control string, log *logger.Logger) error {
+	peers, err := freeAddr(ctx)
+	if err != nil {
+		return err
+	}
+	name, incarnation := fmt.Sprintf("entry-%d", i+1), rand.Uint64()
+	client, err := controller.NewClient(controller.ClientConfig{
+		Name: name, Incarnation: incarnation, Addr: peers, Zone: zone(i), Controls: []string{control},
+	})
+	if err != nil {
+		return errors.Wrapf(err, "start the control client of %s", name)
+	}
+	d.parts = append(d.parts, client)
+	cfg := dispatcher.Config{Name: name, Incarnation: incarnation, Zone: zone(i), Callers: callers, Peers: peers}
+	if i == 0 {
+		cfg.Metrics = d.cfg.Metrics
+	}
+	e, err := dispatcher.New(cfg, client, dispatcher.WithLog(log))
+	if err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	d.entries = append(d.entries, e)
+	return nil
+}
+
+func (d *Demonstrator) startEngine(i int) error {
+	e, err := inferer.New(inferer.Config{
+		Name: fmt.Sprintf("engine-%d", i+1), Addr: "127.0.0.1:0", Zone: zone(i), Service: modelService,
+		Entries: d.cfg.Callers[:], Fenced: i%2 == 0, Seed: uint64(i + 1),
+		Model: modeler.Config{Slots: slots, Batch: batch, Load: loadTime, Protects: i%2 == 0},
+	})
+	if err != nil {
+		return errors.Wrap(err, "start an engine")
+	}
+	d.parts = append(d.parts, e)
+	return nil
+}
+
+func (d *Demonstrator) startOrders() error {
+	o, err := orderer.New(orderer.Config{
+		Name: "orders-1", Addr: "127.0.0.1:0", Zone: zone(0), Service: orderService,
+		Entries: d.cfg.Callers[:], Batch: batch, Work: workTime,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start the order service")
+	}
+	d.parts = append(d.parts, o)
+	return nil
+}
+
+func zone(i int) string { return fmt.Sprintf("dc-%d", i%2+1) }
