--- a/stage/controller/controller.go
+++ b/stage/controller/controller.go
@@ -65,7 +65,7 @@
 	Metrics string
 	// Folder is the data folder.
 	Folder string
-	// Members are the first replicas of a new group; a replica that joins a running one has none.
+	// Members are the first replicas of a new group, this one included, or those of a running group that it joins.
 	Members []runner.Member
 	// Tokens are the operators' tokens.
 	Tokens []Token
@@ -129,8 +129,6 @@
 		return errors.New("control settings: id must be at least 1")
 	case cfg.Addr == "":
 		return errors.New("control settings: addr is missing")
-	case len(cfg.Members) > 0 && !hasMember(cfg.Members, cfg.ID):
-		return errors.Errorf("control settings: members do not list replica %d", cfg.ID)
 	}
 	return nil
 }
--- a/stage/controller/log.go
+++ b/stage/controller/log.go
@@ -20,6 +20,23 @@
 	carrier *carrier.Carrier
 }
 
+// seeded is the transport of a replica that joins: it reaches the group by the settings until the log lists the members.
+type seeded struct {
+	*carrier.Carrier
+	seeds []runner.Member
+}
+
+// SetPeers implements runner.Transport.
+func (s *seeded) SetPeers(addrs map[uint64]string) {
+	if len(addrs) == 0 {
+		addrs = make(map[uint64]string, len(s.seeds))
+		for _, m := range s.seeds {
+			addrs[m.ID] = m.Addr
+		}
+	}
+	s.Carrier.SetPeers(addrs)
+}
+
 // openLog opens the log of the settings.
 func (c *Controller) openLog(m runner.Machine) (Log, error) {
 	if c.cfg.Folder == "" {
@@ -28,9 +45,14 @@
 	t := carrier.New(c.cfg.ID, c.cfg.Cluster, carrier.WithErrors(func(peer uint64, err error) {
 		c.logger.Debug().Uint64("replica", peer).Err(err).Msg("control: stream to a replica broke")
 	}))
-	r, err := runner.New(runner.Config{
-		ID: c.cfg.ID, Cluster: c.cfg.Cluster, Folder: c.cfg.Folder, Members: c.cfg.Members,
-	}, m, t)
+	cfg := runner.Config{ID: c.cfg.ID, Cluster: c.cfg.Cluster, Folder: c.cfg.Folder}
+	s := &seeded{Carrier: t}
+	if hasMember(c.cfg.Members, c.cfg.ID) {
+		cfg.Members = c.cfg.Members
+	} else {
+		s.seeds = c.cfg.Members
+	}
+	r, err := runner.New(cfg, m, s)
 	if err != nil {
 		_ = t.Close()
 		return nil, err
--- a/stage/controller/operate.go
+++ b/stage/controller/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -145,7 +146,7 @@
 	}
 	n, err := strconv.ParseUint(s, 10, 64)
 	if err != nil {
-		f.add(name, strconv.Quote(s)+" is not a whole number")
+		f.add(strings.TrimPrefix(name, "path."), strconv.Quote(s)+" is not a whole number")
 	}
 	return n
 }
--- a/stage/controller/read.go
+++ b/stage/controller/read.go
@@ -244,6 +244,13 @@
 	if len(f) > 0 {
 		return f.response()
 	}
+	if l, ok := c.log.(interface{ Transfer(context.Context) error }); ok && req.Op == opRemove && body.ID == c.cfg.ID {
+		// The leader goes last: another replica leads and removes this one.
+		if err := l.Transfer(ctx); err != nil {
+			return failure(http.StatusUnprocessableEntity, errorDetail{Code: "invalid", Message: err.Error()})
+		}
+		return c.operate(ctx, req)
+	}
 	rec.Origin, rec.ID, rec.Addr = origin{req.Operator, req.From, body.Change}, body.ID, body.Addr
 	cmd.Replica = rec
 	if _, failed := c.propose(ctx, cmd); failed != nil {
