--- /dev/null
+++ b/stage/controller/silent_test.go
@@ -0,0 +1,38 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/standin/cutter"
+)
+
+// TestSilentConnection lets an entry's open connection go silent while new ones work, and checks that it is replaced.
+func TestSilentConnection(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	ctl := startReplica(t, c, 1)
+	relay, err := cutter.New(ctx, "127.0.0.1:0", ctl.cfg.Addr)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = relay.Close() }()
+	cl, err := NewClient(ClientConfig{Name: "entry-1", Incarnation: 1, Addr: "127.0.9.1:1", Controls: []string{relay.Addr()}}, WithClientLogger(quiet()))
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Check(cl.Close(), qt.IsNil) }()
+	op := operators{c, ctl.cfg.Operators}
+	for revision := range uint64(3) {
+		doc := sampleDoc()
+		doc.Adapters[0].Versions[0].Number = int(revision) + 1
+		var applied appliedBody
+		status := op.call("POST", "/v1/apply", applyBody{
+			Change: string(rune('a' + revision)), Expect: &revision, Doc: doc, Wait: true, Timeout: "60s",
+		}, &applied)
+		c.Assert(status, qt.Equals, http.StatusOK)
+		until(ctx, c, cl, func() bool { return cl.Catalog().Revision() == applied.Revision })
+		until(ctx, c, cl, func() bool { return len(cl.Roster().Entries()) == 1 })
+		relay.Silence()
+	}
+}
