scheduler, router: no hand-over under an unload order, and suspects meet at one owner

Ruled out: residency and pins at the new owner (its report did list the adapter). Change: IsSettled says when no unload order is out, and a hand-over waits for it; Router.RouteApart picks a suspect's server by digest and roster alone, so that copies from all entries meet at one owner; a standing that turns worse has attempts of the digest that were sent before cancelled.

--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/registrar"
 )
@@ -186,6 +188,19 @@
 	return buf
 }
 
+// RouteApart appends the one server for a request that is suspected of crashing servers; it depends on the roster and the
+// digest only, so that copies of the request from all entries meet at one owner, which runs them one at a time.
+func (r *Router) RouteApart(t configurer.Target, digest []byte, buf []Candidate) []Candidate {
+	rg := r.rings[t.Service]
+	if rg == nil {
+		return buf
+	}
+	for _, n := range rg.walk(xxhash.Sum64(digest), 1, func(*node) bool { return true }, nil) {
+		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
+	}
+	return buf
+}
+
 // maxCandidates bounds the servers that one decision looks at.
 const maxCandidates = 16
 
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 	"redwingstage.org/coord/detector"
 	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/placer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/retrier"
 )
@@ -30,7 +31,7 @@
 
 // breaks switches mechanisms off, so that tests can show that the checker notices.
 type breaks struct {
-	pins, residency, leaving, lease, orders, suspects, reset, inherit bool
+	pins, residency, leaving, lease, orders, suspects, reset, inherit, settle, apart bool
 }
 
 // classStats is what was observed of a class.
@@ -100,7 +101,10 @@
 	case LoadEnded:
 		s.with(now, ev.Server, func(sv *server) { s.loadEnded(now, sv, ev) })
 	case UnloadEnded:
-		s.with(now, ev.Server, func(sv *server) { sv.slots.EndUnload(now, ev.Target, ev.Order, ev.OK) })
+		s.with(now, ev.Server, func(sv *server) {
+			sv.slots.EndUnload(now, ev.Target, ev.Order, ev.OK)
+			s.forget(ev.Server, sv)
+		})
 	case Reported:
 		s.with(now, ev.Server, func(sv *server) { sv.slots.Adopt(now, ev.Residents) })
 	}
@@ -137,11 +141,27 @@
 				it.Value.Standing = ev.Standing
 			}
 		})
+		if ev.Standing != quarantiner.Clear {
+			s.recall(now, sv, ev.Digest)
+		}
 		s.expire(now, sv)
 		s.pump(now, sv)
 	}
 }
 
+// recall cancels the attempts of a suspect that were sent before the suspicion, so that they run apart from now on.
+func (s *Scheduler) recall(now time.Time, sv *server, d quarantiner.Digest) {
+	for _, a := range sortedAttempts(sv.inFlight) {
+		j := sv.inFlight[a]
+		if j.Digest != d || j.apart || j.failed || j.cancelled || !j.Idempotent {
+			continue
+		}
+		j.failed = true
+		s.emit(Fail{Attempt: a})
+		s.cancel(now, j)
+	}
+}
+
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
 func (s *Scheduler) names() []string {
@@ -243,6 +263,12 @@
 	return nil
 }
 
+// IsSettled reports whether no unload order of this entry is out at a server, so that another entry may own it.
+func (s *Scheduler) IsSettled(server string) bool {
+	sv := s.servers[server]
+	return sv == nil || sv.slots.Count(placer.Unloading) == 0
+}
+
 // InFlight returns the number of attempts that were sent to a server and haven't ended.
 func (s *Scheduler) InFlight(server string) int {
 	if sv := s.servers[server]; sv != nil {
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -185,7 +185,7 @@
 
 // forget drops a released server once nothing of it is left.
 func (s *Scheduler) forget(name string, sv *server) {
-	if !sv.leased && !sv.open && len(sv.inFlight) == 0 && len(sv.loading) == 0 && s.servers[name] == sv {
+	if !sv.leased && !sv.open && len(sv.inFlight) == 0 && len(sv.loading) == 0 && s.servers[name] == sv && s.IsSettled(name) {
 		delete(s.servers, name)
 		s.slow.Forget(name)
 	}
--- a/serving/scheduler/world_test.go
+++ b/serving/scheduler/world_test.go
@@ -236,6 +236,9 @@
 		return
 	}
 	list := w.routers[c.entry].Route(w.now, c.target, 0, nil)
+	if w.reg.Standing(w.now, c.digest) == quarantiner.Suspect && !w.scheds[c.entry].off.apart {
+		list = w.routers[c.entry].RouteApart(c.target, c.digest[:], nil)
+	}
 	if len(list) == 0 {
 		w.after(100*time.Millisecond, func() { w.route(c) })
 		return
