router: stop the walk once every server was seen

Cause: a decision before 15 engines took 30.6 to 39.4 us, before 600 engines 2.6 us (BenchmarkRoute, -cpu 1, busy machine): the walk looks for 16 distinct servers, and with fewer it went over all points of the ring. Ruled out: the hash and the popularity map (the same in both). After: 1.5 to 5.2 us before 15 engines, 1.8 to 3.7 us before 600, at 3,000 and 120,000 adapters alike; the candidates are the same.

--- a/serving/router/ring.go
+++ b/serving/router/ring.go
@@ -41,10 +41,16 @@
 // walk appends up to count distinct servers that may accepts, clockwise from key.
 func (rg *ring) walk(key uint64, count int, may func(*node) bool, out []*node) []*node {
 	start, _ := slices.BinarySearchFunc(rg.points, key, func(p point, k uint64) int { return cmp.Compare(p.hash, k) })
-	for i := 0; i < len(rg.points) && len(out) < count; i++ {
+	var passed [maxCandidates]*node
+	skipped := passed[:0]
+	for i := 0; i < len(rg.points) && len(out) < count && len(out)+len(skipped) < len(rg.nodes); i++ {
 		n := rg.nodes[rg.points[(start+i)%len(rg.points)].node]
-		if !slices.Contains(out, n) && may(n) {
+		switch {
+		case slices.Contains(out, n) || slices.Contains(skipped, n):
+		case may(n):
 			out = append(out, n)
+		default:
+			skipped = append(skipped, n)
 		}
 	}
 	return out
