--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -21,6 +21,7 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	pollInterval = 500 * time.Millisecond
+	syncInterval = 1 * time.Second
 	pollTimeout  = 2 * time.Second
 	silentLimit  = 5 * time.Second
 	inboxSize    = 1024
@@ -54,22 +55,30 @@
 	Log     *logger.Part
 }
 
+// Option changes an Owner.
+type Option func(*Owner)
+
+// WithIsolationLimit sets how long an owner without a lease goes on sending to resident adapters; all entries need the same.
+func WithIsolationLimit(d time.Duration) Option { return func(o *Owner) { o.isolation = d } }
+
 // Owner owns some backend servers: it alone sends them requests and orders.
 type Owner struct {
 	Deps
-	id    booker.Identity
-	next  atomic.Uint64
-	inbox chan func()
-	ctx   context.Context
-	stop  context.CancelFunc
-	loop  conc.WaitGroup
-	tasks conc.WaitGroup
+	id        booker.Identity
+	isolation time.Duration
+	next      atomic.Uint64
+	inbox     chan func()
+	ctx       context.Context
+	stop      context.CancelFunc
+	loop      conc.WaitGroup
+	tasks     conc.WaitGroup
 
 	// The fields below belong to the loop's goroutine.
 	held    map[string]*held
 	jobs    map[retrier.Attempt]*job
 	leased  bool
 	lapsed  time.Time
+	synced  time.Time
 	closing bool
 	// going says that the actions at hand follow a server's end.
 	going   bool
@@ -77,12 +86,15 @@
 }
 
 // New starts an owner for the entry process with the identity.
-func New(id booker.Identity, deps Deps) *Owner {
+func New(id booker.Identity, deps Deps, opts ...Option) *Owner {
 	ctx, stop := context.WithCancel(context.Background())
 	o := &Owner{
-		Deps: deps, id: id, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
+		Deps: deps, id: id, isolation: registrar.IsolationLimit, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
 		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job),
 	}
+	for _, opt := range opts {
+		opt(o)
+	}
 	o.loop.Go(o.run)
 	return o
 }
@@ -92,6 +104,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	updated := o.Control.Updated()
+	o.leased = time.Now().Before(o.Control.LeaseEnd())
 	o.sync(time.Now())
 	for {
 		select {
@@ -129,6 +142,10 @@
 
 func (o *Owner) tick(now time.Time) {
 	o.checkLease(now)
+	if now.Sub(o.synced) >= syncInterval {
+		// A server given up after a refused order is taken up again if the roster still says so.
+		o.sync(now)
+	}
 	for _, h := range o.held {
 		if !h.polling && !now.Before(h.nextPoll) {
 			o.poll(h)
@@ -151,7 +168,7 @@
 		o.leased, o.lapsed = false, now
 		o.Log.Warn("lease has ended, no orders until it is renewed", "")
 		o.handle(scheduler.LeaseLost{})
-	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > registrar.IsolationLimit:
+	case !valid && !o.lapsed.IsZero() && now.Sub(o.lapsed) > o.isolation:
 		o.lapsed = time.Time{}
 		for _, h := range o.held {
 			o.release(h)
