--- a/stage/dispatcher/callers_test.go
+++ b/stage/dispatcher/callers_test.go
@@ -58,6 +58,7 @@
 		{path: "/services/orders/x", header: [2]string{marker.Key, strings.Repeat("k", 300)}, status: 400, code: "bad_request", param: marker.Key},
 		{path: "/v1/nothing", status: 404, code: "no_route"},
 		{path: gen, body: strings.Repeat("x", 9<<20), status: 413, code: "bad_request"},
+		{path: gen, header: [2]string{marker.Class, strings.Repeat("x", 20<<10)}, status: 431, code: "bad_request"},
 		{path: "/v1/announce", body: "x", status: 400, code: "bad_request"},
 		{path: "/v1/announce", body: announce("addr", "host:1"), status: 400, code: "bad_request", param: "addr"},
 		{path: "/v1/announce", body: announce("kind", "odd"), status: 400, code: "bad_request", param: "kind"},
--- a/stage/dispatcher/crosstalk_test.go
+++ b/stage/dispatcher/crosstalk_test.go
@@ -52,6 +52,12 @@
 		k.conn = nil
 		return "", "", err
 	}
+	defer func() {
+		if k.resp.ConnectionClose() {
+			_ = k.conn.Close()
+			k.conn = nil
+		}
+	}()
 	k.resp.Reset()
 	if err := k.resp.ReadLimitBody(k.br, 1<<20); err != nil {
 		return "", "", err
@@ -182,10 +188,29 @@
 		})
 	}
 	open.Wait()
+	stop, busy := make(chan struct{}), sync.WaitGroup{}
+	busy.Go(func() {
+		// A caller with a kept connection never stops asking.
+		k := &talker{addr: near.Callers()}
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if body, outcome, err := k.ask("aaaa", false); err != nil {
+				k.conn = nil
+			} else if outcome != "done" {
+				t.Errorf("busy caller: %s %s", outcome, body)
+			}
+		}
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), hang)
 	defer cancel()
 	qt.Check(t, near.Close(ctx), qt.IsNil)
+	close(stop)
 	wg.Wait()
+	busy.Wait()
 	a := post(t, far, "/v1/chat/completions", chat("a", "x", true))
 	qt.Check(t, a.outcome, qt.Equals, "done", qt.Commentf("%s", a.body))
 	qt.Check(t, w.released, qt.HasLen, 2)
--- a/stage/dispatcher/dispatcher.go
+++ b/stage/dispatcher/dispatcher.go
@@ -30,7 +30,10 @@
 	"redwingstage.org/stage/sender"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	leaveGrace    = 3 * time.Second
+)
 
 // Control is the control role as an entry sees it.
 type Control interface {
@@ -187,7 +190,12 @@
 func (d *Dispatcher) shutDown(ctx context.Context) error {
 	d.log.Info("shutting down", "")
 	d.receiver.Leave()
-	failures := []error{d.owner.Drain(ctx), d.receiver.Wait(ctx), d.receiver.Close(ctx), d.peers.Shutdown(ctx)}
+	drained := d.owner.Drain(ctx)
+	// The balancer needs a moment to send no more callers here; after it no new connection is taken.
+	quiet, cancel := context.WithTimeout(ctx, leaveGrace)
+	defer cancel()
+	_ = d.receiver.Wait(quiet)
+	failures := []error{drained, d.receiver.Close(ctx), d.receiver.Wait(ctx), d.peers.Shutdown(ctx)}
 	d.owner.Close()
 	d.booker.Close(ctx)
 	d.client.Close()
--- a/stage/dispatcher/faults_test.go
+++ b/stage/dispatcher/faults_test.go
@@ -38,6 +38,8 @@
 		add("booking "+f.step, f.name, rules...)
 	}
 	add("booking owner", "closed", 7)
+	list = append(list, cell{7, "stream owner", "closed", "TestGracefulClose", "redwingstage.org/stage/dispatcher", 1})
+	list = append(list, cell{3, "stream caller", "many at once and some gone", "TestCrossTalk", "redwingstage.org/stage/dispatcher", 1})
 	for _, f := range streamRows() {
 		add("stream "+f.step, f.name, 1, 3)
 	}
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -138,6 +138,10 @@
 	return func(c fiber.Ctx) error {
 		r.open.Add(1)
 		defer r.open.Add(-1)
+		if r.closing.Load() {
+			// Callers on kept connections move on to another entry.
+			c.RequestCtx().SetConnectionClose()
+		}
 		return h(c)
 	}
 }
