--- a/stage/controller/api_test.go
+++ b/stage/controller/api_test.go
@@ -133,3 +133,26 @@
 	}
 	c.Assert(kinds, qt.DeepEquals, []configurer.Object{"class", "service", "adapter"})
 }
+
+func TestSettings(t *testing.T) {
+	good := Config{ID: 1, Addr: "127.0.0.1:0", Folder: t.TempDir(), Tokens: []Token{{"aisyah", testToken}}}
+	tests := []struct {
+		turn func(*Config)
+		want string
+	}{
+		{func(cfg *Config) { cfg.ID = 0 }, "control settings: id must be at least 1"},
+		{func(cfg *Config) { cfg.Addr = "" }, "control settings: addr is missing"},
+		{func(cfg *Config) { cfg.Folder = "" }, "control: open log: control settings: folder is missing"},
+		{func(cfg *Config) { cfg.Addr = "127.0.0.1:x" }, "control: listen on 127.0.0.1:x: .*"},
+		{func(cfg *Config) { cfg.Tokens = []Token{{"a", "short"}} }, `control settings: tokens\[0\].token has fewer than 16 characters`},
+		{func(cfg *Config) { cfg.Tokens = append(cfg.Tokens, cfg.Tokens[0]) }, `control settings: tokens\[1\].token stands twice`},
+	}
+	for _, tt := range tests {
+		cfg := good
+		tt.turn(&cfg)
+		_, err := New(cfg, WithLogger(quiet()))
+		qt.Check(t, err, qt.ErrorMatches, tt.want)
+	}
+	_, err := NewClient(ClientConfig{Name: "Entry", Addr: "a", Controls: []string{"b"}})
+	qt.Check(t, err, qt.ErrorMatches, `control client: name "Entry" must be of a-z.*`)
+}
--- a/stage/controller/client.go
+++ b/stage/controller/client.go
@@ -86,6 +86,9 @@
 	if cfg.Name == "" || cfg.Addr == "" || len(cfg.Controls) == 0 {
 		return nil, errors.New("control client: name, addr and controls must be set")
 	}
+	if reason := configurer.CheckName(cfg.Name); reason != "" {
+		return nil, errors.Errorf("control client: name %q %s", cfg.Name, reason)
+	}
 	c := &Client{
 		cfg:     cfg,
 		logger:  &log.DefaultLogger,
--- a/stage/controller/controller.go
+++ b/stage/controller/controller.go
@@ -24,6 +24,7 @@
 	serverPing     = 5 * time.Second
 	serverPingWait = 3 * time.Second
 	shutdownWait   = 2 * time.Second
+	minToken       = 16
 	healthPath     = "/healthz"
 	readyPath      = "/readyz"
 	metricsPath    = "/metrics"
@@ -130,6 +131,18 @@
 	case cfg.Addr == "":
 		return errors.New("control settings: addr is missing")
 	}
+	seen := make(map[string]bool)
+	for i, t := range cfg.Tokens {
+		switch {
+		case t.Name == "":
+			return errors.Errorf("control settings: tokens[%d].name is missing", i)
+		case len(t.Token) < minToken:
+			return errors.Errorf("control settings: tokens[%d].token has fewer than %d characters", i, minToken)
+		case seen[t.Token]:
+			return errors.Errorf("control settings: tokens[%d].token stands twice", i)
+		}
+		seen[t.Token] = true
+	}
 	return nil
 }
 
--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -5,6 +5,7 @@
 
 	"redwingstage.org/coord/leaser"
 	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
 )
@@ -183,6 +184,10 @@
 
 // hello opens a session; an older one of the same process ends.
 func (d *desk) hello(now time.Time, key peerKey, h helloFrame) {
+	if reason := configurer.CheckName(h.Name); reason != "" || h.Addr == "" {
+		// The session ends, since it has no peer; the entry's own settings are at fault.
+		return
+	}
 	holder := registrar.Holder(h.Name, h.Incarnation)
 	if old, ok := d.holders[holder]; ok && old.key != key {
 		d.out = append(d.out, outFrame{to: old.key, close: true})
@@ -283,7 +288,9 @@
 		}
 	}
 	for _, p := range cmd.Lost {
-		d.losing[p.holder()]--
+		if d.losing[p.holder()]--; d.losing[p.holder()] <= 0 {
+			delete(d.losing, p.holder())
+		}
 	}
 	if cmd.Lost != nil && err != nil {
 		d.lose(now, cmd.Lost)
--- a/stage/controller/hub.go
+++ b/stage/controller/hub.go
@@ -43,8 +43,9 @@
 	desk     *desk
 	deskTerm uint64
 	leading  bool
-	fresh    bool
-	stalled  []stalledFrame
+	// swept says that the bookings of processes which an earlier leader lost are closed.
+	swept   bool
+	stalled []stalledFrame
 
 	live     *spreader.State
 	joiner   spreader.Joiner
@@ -136,8 +137,8 @@
 		h.desk.advance(h.machine.catalogRevision())
 		h.desk.registry.Drain(h.machine.drained())
 		h.desk.tick(now)
-		if h.desk.settled && !h.fresh {
-			h.settle(now)
+		if h.desk.settled && !h.swept {
+			h.sweep(now)
 		}
 	}
 	h.relay(ctx, now)
@@ -146,9 +147,9 @@
 	}
 }
 
-// settle ends the bookings of processes that no entry came back as.
-func (h *hub) settle(now time.Time) {
-	h.fresh = true
+// sweep ends the bookings of processes that no entry came back as.
+func (h *hub) sweep(now time.Time) {
+	h.swept = true
 	gone := h.machine.absent(func(entry string, incarnation uint64) bool {
 		return h.desk.registry.Live(now, registrar.Holder(entry, incarnation))
 	})
@@ -196,9 +197,10 @@
 		return
 	}
 	h.closeAll()
-	h.fresh = res.Era == 1 || h.assumeFresh
+	h.swept = false
+	fresh := res.Era == 1 || h.assumeFresh
 	h.deskTerm = term
-	h.desk = newDesk(res.Era, now, h.fresh, h.limits, h.live, h.machine.leased())
+	h.desk = newDesk(res.Era, now, fresh, h.limits, h.live, h.machine.leased())
 	h.desk.eager = h.eager
 	h.desk.advance(h.machine.catalogRevision())
 	h.logger.Info().Uint64("era", res.Era).Msg("control: leading")
