--- a/serving/scheduler/engine_test.go
+++ b/serving/scheduler/engine_test.go
@@ -62,7 +62,8 @@
 	switch act := act.(type) {
 	case Send:
 		w.written[act.Job.Attempt] = true
-		w.after(hop, func() { w.submit(i, act) })
+		inc := w.scheds[i].servers[act.Job.Server].reg.Incarnation
+		w.after(hop, func() { w.submit(i, sent{Send: act, inc: inc}) })
 	case Refuse:
 		if w.written[act.Attempt] {
 			w.violate("attempt %v was refused after it was sent", act.Attempt)
@@ -124,12 +125,17 @@
 	w.deliver(i, 2*hop, Granted{Server: act.Server, Target: act.Target, Permit: p})
 }
 
+// sent is a send and the incarnation that its entry knew of.
+type sent struct {
+	Send
+	inc string
+}
+
 // submit has an engine run an attempt; it doesn't check the adapter itself, unless the owner couldn't know of a restart.
-func (w *world) submit(i int, act Send) {
+func (w *world) submit(i int, act sent) {
 	e, a, t := w.engine(act.Job.Server), act.Job.Attempt, act.Job.Target
 	w.whenAwake(e, 0, func() {
-		known := w.scheds[i].servers[e.name]
-		if known == nil || known.reg.Incarnation != fmt.Sprint(e.inc) {
+		if act.inc != fmt.Sprint(e.inc) {
 			w.deliver(i, hop, Ended{Attempt: a, Missing: true})
 			return
 		}
@@ -234,7 +240,7 @@
 	e.inc++
 	e.clear()
 	w.after(300*time.Millisecond, func() {
-		if !e.down {
+		if !e.down && w.scheds[e.owner].Owns(e.name) {
 			w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch})
 			w.spread()
 		}
