attempter: a server that passes an adapter on doesn't count as serving it

Cause: the reason "slots" is newer than the mapping of reasons and fell through to Served, so that the router took the server for warm and offered it the adapter's next requests first. Ruled out: the router, whose Passed drops the server from the adapter's set.

--- a/stage/attempter/policy.go
+++ b/stage/attempter/policy.go
@@ -105,6 +105,8 @@
 		return router.Refused
 	case streamer.Reason(scheduler.ReasonLoad):
 		return router.LoadFailed
+	case streamer.Reason(scheduler.ReasonSlots):
+		return router.Passed
 	case streamer.ReasonPeer, streamer.ReasonUnreachable, streamer.ReasonCrashed, streamer.ReasonSilent:
 		return router.Unreachable
 	}
