--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -44,7 +44,9 @@
 	resident    map[string]bool
 	running     map[string]*stream
 	cancelled   map[string]bool
-	wg          sync.WaitGroup
+	// frozen is not nil while the process is stopped, and closed when it goes on.
+	frozen chan struct{}
+	wg     sync.WaitGroup
 }
 
 // entry is a line of the ledger: a call that ran.
@@ -122,6 +124,24 @@
 	b.listen(b.addr)
 }
 
+// freeze stops the process for a while: connections stay open, nothing is answered.
+func (b *backend) freeze(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	frozen := make(chan struct{})
+	b.frozen = frozen
+	time.AfterFunc(d, func() { close(frozen) })
+}
+
+func (b *backend) thawed() {
+	b.mu.Lock()
+	frozen := b.frozen
+	b.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
 func (s *stream) halt() {
 	select {
 	case <-s.stop:
@@ -166,6 +186,7 @@
 
 // answer reports whether the connection stays open.
 func (c *call) answer() bool {
+	c.thawed()
 	path := string(c.req.URI().Path())
 	switch path {
 	case "/load":
--- a/stage/dispatcher/bookings_test.go
+++ b/stage/dispatcher/bookings_test.go
@@ -42,10 +42,50 @@
 	late    sync.WaitGroup
 
 	sent, begun, ended atomic.Int64
+	dead, leaving      atomic.Bool
 	mu                 sync.Mutex
+	conns              []net.Conn
 	results            []result
 }
 
+// freezeTime is longer than the entries of a trial wait for a silent service.
+const freezeTime = 600 * time.Millisecond
+
+// mortal is the control role as the owner sees it, until the owner's process is killed.
+type mortal struct {
+	*world
+	dead *atomic.Bool
+}
+
+func (m mortal) Begin(_ context.Context, b recorder.Begin) (recorder.Begun, error) {
+	if m.dead.Load() {
+		return recorder.Begun{}, errLost
+	}
+	return m.world.beginBy(b, m.dead)
+}
+
+func (m mortal) End(ctx context.Context, e recorder.End) error {
+	if m.dead.Load() {
+		return errLost
+	}
+	return m.world.End(ctx, e)
+}
+
+// kill cuts the owner off from everything at once, as the death of its process would; the other entry takes over.
+func (tr *trial) kill() {
+	tr.dead.Store(true)
+	tr.hop.Cut(cutter.Both)
+	tr.mu.Lock()
+	for _, c := range tr.conns {
+		_ = c.Close()
+	}
+	tr.mu.Unlock()
+	tr.world.mu.Lock()
+	tr.world.table.Lost(time.Now(), "near", 1)
+	tr.world.mu.Unlock()
+	tr.world.assign(tr.orders.server(), "far", tr.far.Peers())
+}
+
 // result is what a caller was told.
 type result struct {
 	request string
@@ -71,6 +111,8 @@
 	onService("run", "cut and late", func(tr *trial, c *call) { tr.later(c.run) }),
 	onService("run", "refused", func(_ *trial, c *call) { c.write(503, `{"error":{"type":"not_run"}}`) }),
 	onService("run", "failed", func(_ *trial, c *call) { c.run(); c.write(500, `{}`) }),
+	onService("run", "frozen before", func(tr *trial, c *call) { c.freeze(freezeTime); c.thawed(); c.run(); c.write(200, c.booked()) }),
+	onService("run", "frozen after", func(tr *trial, c *call) { c.run(); c.freeze(freezeTime); c.thawed(); c.write(200, c.booked()) }),
 	onService("answer", "lost", func(_ *trial, c *call) { c.run() }),
 	onService("answer", "silent", func(_ *trial, c *call) { c.run(); _, _ = io.Copy(io.Discard, c.conn) }),
 	onService("answer", "late", func(tr *trial, c *call) { c.run(); <-tr.release; c.write(200, c.booked()) }),
@@ -140,6 +182,25 @@
 		c.run()
 		c.write(200, c.booked())
 	}),
+	{"owner", "killed before begin", func(tr *trial) {
+		tr.begins = append(tr.begins, func(func() recorder.Begun) (recorder.Begun, error) { tr.kill(); return recorder.Begun{}, errLost })
+	}},
+	{"owner", "killed after begin", func(tr *trial) {
+		tr.begins = append(tr.begins, func(do func() recorder.Begun) (recorder.Begun, error) {
+			do()
+			tr.kill()
+			return recorder.Begun{}, errLost
+		})
+	}},
+	onService("owner", "killed before run", func(tr *trial, _ *call) { tr.kill() }),
+	onService("owner", "killed after run", func(tr *trial, c *call) { c.run(); tr.kill() }),
+	onService("owner", "killed, late run", func(tr *trial, c *call) { tr.kill(); tr.later(c.run) }),
+	{"owner", "killed before end", func(tr *trial) {
+		tr.ends = append(tr.ends, func(func()) error { tr.kill(); return errLost })
+	}},
+	{"owner", "killed after end", func(tr *trial) {
+		tr.ends = append(tr.ends, func(do func()) error { do(); tr.kill(); return errLost })
+	}},
 	onService("owner", "moved", func(tr *trial, c *call) {
 		tr.world.assign(tr.orders.server(), "far", tr.far.Peers())
 		tr.later(func() { tr.book(tr.far, "moved") })
@@ -147,6 +208,7 @@
 		c.write(200, c.booked())
 	}),
 	onService("owner", "closed", func(tr *trial, c *call) {
+		tr.leaving.Store(true)
 		tr.late.Add(1)
 		go func() {
 			defer tr.late.Done()
@@ -162,7 +224,8 @@
 func newTrial(t testing.TB) *trial {
 	tr := &trial{t: t, world: newWorld(t), key: "key-1", release: make(chan struct{})}
 	tr.orders = startBackend(t, "o1", configurer.KindPlain)
-	tr.near, tr.far = tr.world.startEntry(t, "near", tr.quick()...), tr.world.startEntry(t, "far", tr.quick()...)
+	tr.near = tr.world.startEntryUnder(t, "near", mortal{tr.world, &tr.dead}, tr.quick(&tr.dead)...)
+	tr.far = tr.world.startEntry(t, "far", tr.quick(new(atomic.Bool))...)
 	hop, err := cutter.New(context.Background(), "127.0.0.1:0", tr.near.Peers())
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = hop.Close() })
@@ -192,12 +255,20 @@
 	return tr
 }
 
-func (tr *trial) quick() []Option {
+func (tr *trial) quick(dead *atomic.Bool) []Option {
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		if dead.Load() {
+			return nil, errLost
+		}
 		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 		if err != nil {
 			return nil, err
 		}
+		if dead == &tr.dead {
+			tr.mu.Lock()
+			tr.conns = append(tr.conns, c)
+			tr.mu.Unlock()
+		}
 		return &faultyConn{Conn: c, trial: tr}, nil
 	}
 	return append(quick(), WithSender(sender.New(sender.WithDial(dial), sender.WithMaxAnswer(1<<16))))
@@ -253,7 +324,7 @@
 	tr.book(tr.far, "first")
 	close(tr.release)
 	entries := []*Dispatcher{tr.near, tr.far}
-	if tr.near.receiver.Closing() {
+	if tr.leaving.Load() || tr.dead.Load() {
 		entries = []*Dispatcher{tr.far, tr.far}
 	}
 	tr.book(entries[0], "second")
--- a/stage/dispatcher/world_test.go
+++ b/stage/dispatcher/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,9 +152,17 @@
 }
 
 func (w *world) Begin(_ context.Context, b recorder.Begin) (recorder.Begun, error) {
+	return w.beginBy(b, new(atomic.Bool))
+}
+
+// beginBy takes nothing from a process after it was declared lost.
+func (w *world) beginBy(b recorder.Begin, dead *atomic.Bool) (recorder.Begun, error) {
 	do := func() recorder.Begun {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if dead.Load() {
+			return recorder.Begun{Verdict: recorder.VerdictUnknown}
+		}
 		return w.table.Begin(time.Now(), b)
 	}
 	if w.begin != nil {
@@ -193,14 +202,22 @@
 
 // startEntry starts an entry of the world and has it closed at the end.
 func (w *world) startEntry(t testing.TB, name string, opts ...Option) *Dispatcher {
+	return w.startEntryUnder(t, name, w, opts...)
+}
+
+func (w *world) startEntryUnder(t testing.TB, name string, control Control, opts ...Option) *Dispatcher {
 	cfg := Config{Name: name, Incarnation: 1, Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
-	d, err := New(cfg, w, opts...)
+	d, err := New(cfg, control, opts...)
 	qt.Assert(t, err, qt.IsNil)
 	w.mu.Lock()
 	w.entries = append(w.entries, registrar.Entry{Name: name, Incarnation: 1, Addr: d.Peers()})
 	w.mu.Unlock()
 	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), hang)
+		limit := hang
+		if m, ok := control.(mortal); ok && m.dead.Load() {
+			limit = time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		_ = d.Close(ctx)
 	})
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -215,6 +215,3 @@
 	p.outcome = "not-run"
 	return p.send(c)
 }
-
-// Closing reports whether the receiver is shutting down.
-func (r *Receiver) Closing() bool { return r.closing.Load() }
