--- a/stage/dispatcher/bookings_test.go
+++ b/stage/dispatcher/bookings_test.go
@@ -61,7 +61,7 @@
 	if m.dead.Load() {
 		return recorder.Begun{}, errLost
 	}
-	return m.world.beginBy(b, m.dead)
+	return m.beginBy(b, m.dead)
 }
 
 func (m mortal) End(ctx context.Context, e recorder.End) error {
