carrier: tell a replica that joins where its leader is

Cause: 'replica add' never finished against real processes. The leader's probe reached the new replica, but its answer was dropped: a replica that joins starts without members, so its transport knew no address to answer to. Runner's tests use a transport in memory that knows everybody, so none failed.

Ruled out: members in the joining replica's settings, which would found a second group; asking an operator for the leader's address, which changes.

Change: a stream's header carries the sender's address; a replica that has not been told any peers yet answers there, and forgets it once it is told the members.

Proof: TestReplicaJoins in stage/operator: without the change it ends with 'the change may or may not have been accepted' after 45 s, with it in 1.6 s, under -race, together with the removal. go test -race ./coord/runner and TestThreeReplicas pass.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -46,10 +46,17 @@
 	return func(c *Carrier) { c.silence = d }
 }
 
+// WithAddr sets the address, "host:port", at which peers reach this replica; a peer that doesn't know it yet, because it
+// joins the group, learns it from the streams of this replica.
+func WithAddr(addr string) Option {
+	return func(c *Carrier) { c.addr = addr }
+}
+
 // Carrier is the transport of one replica.
 type Carrier struct {
 	id      uint64
 	cluster string
+	addr    string
 	silence time.Duration
 	report  func(peer uint64, err error)
 	handler http.Handler
@@ -57,6 +64,7 @@
 
 	mu      sync.Mutex
 	peers   map[uint64]*peer
+	joined  bool // SetPeers has named peers
 	inbound map[uint64]*inbound
 	closed  bool
 	wg      conc.WaitGroup
@@ -95,6 +103,10 @@
 	if c.closed {
 		return
 	}
+	c.joined = c.joined || len(addrs) > 0
+	if !c.joined {
+		return // what was learned from streams is all there is
+	}
 	for id, p := range c.peers {
 		if addrs[id] != p.addr {
 			p.cancel()
@@ -102,16 +114,37 @@
 		}
 	}
 	for id, addr := range addrs {
-		if c.peers[id] != nil {
-			continue
+		if c.peers[id] == nil {
+			c.start(id, addr)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		p := &peer{id: id, addr: addr, queue: make(chan replicator.Message, queueLength), cancel: cancel}
-		c.peers[id] = p
-		c.wg.Go(func() { c.run(ctx, p) })
 	}
 }
 
+// start begins to send to a peer; the lock is held.
+func (c *Carrier) start(id uint64, addr string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peer{id: id, addr: addr, queue: make(chan replicator.Message, queueLength), cancel: cancel}
+	c.peers[id] = p
+	c.wg.Go(func() { c.run(ctx, p) })
+}
+
+// learn makes a peer known that sends to this replica before the group's members are; without an answer it could not
+// take this replica in.
+func (c *Carrier) learn(id uint64, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.joined || addr == "" {
+		return
+	}
+	if p := c.peers[id]; p != nil {
+		if p.addr == addr {
+			return
+		}
+		p.cancel()
+	}
+	c.start(id, addr)
+}
+
 // Send queues m for its receiver, or drops it if the receiver is unknown or its queue is full.
 func (c *Carrier) Send(m replicator.Message) {
 	c.mu.Lock()
@@ -189,7 +222,7 @@
 	defer httpClient.CloseIdleConnections()
 	client := connect.NewClient[frame, ack](httpClient, "http://"+p.addr+procedure, encoder.Option())
 	s := client.CallClientStream(ctx)
-	setHeaders(s.RequestHeader(), c.cluster, c.id, p.id)
+	c.setHeaders(s.RequestHeader(), p.id)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
 	var unanswered time.Time
--- a/coord/carrier/handler.go
+++ b/coord/carrier/handler.go
@@ -14,6 +14,7 @@
 	clusterHeader = "Redwingstage-Cluster"
 	fromHeader    = "Redwingstage-From"
 	toHeader      = "Redwingstage-To"
+	addrHeader    = "Redwingstage-Addr"
 )
 
 // inbound is the receiving side of a stream.
@@ -27,10 +28,13 @@
 	_ = http.NewResponseController(in.w).SetReadDeadline(time.Unix(1, 0))
 }
 
-func setHeaders(h http.Header, cluster string, from, to uint64) {
-	h.Set(clusterHeader, cluster)
-	h.Set(fromHeader, strconv.FormatUint(from, 10))
+func (c *Carrier) setHeaders(h http.Header, to uint64) {
+	h.Set(clusterHeader, c.cluster)
+	h.Set(fromHeader, strconv.FormatUint(c.id, 10))
 	h.Set(toHeader, strconv.FormatUint(to, 10))
+	if c.addr != "" {
+		h.Set(addrHeader, c.addr)
+	}
 }
 
 // check returns the sender of a stream that is meant for this replica.
@@ -101,6 +105,7 @@
 	if receive == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the replica is starting"))
 	}
+	c.learn(from, s.RequestHeader().Get(addrHeader))
 	for s.Receive() {
 		c.mu.Lock()
 		p := c.peers[from]
--- a/stage/controller/log.go
+++ b/stage/controller/log.go
@@ -25,7 +25,7 @@
 	if c.cfg.Folder == "" {
 		return nil, errors.New("control settings: folder is missing")
 	}
-	t := carrier.New(c.cfg.ID, c.cfg.Cluster, carrier.WithErrors(func(peer uint64, err error) {
+	t := carrier.New(c.cfg.ID, c.cfg.Cluster, carrier.WithAddr(c.cfg.Addr), carrier.WithErrors(func(peer uint64, err error) {
 		c.logger.Debug().Uint64("replica", peer).Err(err).Msg("control: stream to a replica broke")
 	}))
 	r, err := runner.New(runner.Config{
--- a/stage/operator/operator_test.go
+++ b/stage/operator/operator_test.go
@@ -342,34 +342,50 @@
 	}
 }
 
-// TestAgainstControl runs the commands against a control replica with its log on disk.
-func TestAgainstControl(t *testing.T) {
-	c := quicktest.New(t)
-	free := func() string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, quicktest.IsNil)
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
+// freeAddr returns an address that nobody listens on.
+func freeAddr(c *quicktest.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// startControl starts a control replica, the first of a group or one that joins, and returns its operators' address.
+func startControl(c *quicktest.C, id uint64, addr string, first bool) string {
+	operators := freeAddr(c)
+	cfg := controller.Config{
+		ID: id, Cluster: "test", Addr: addr, Operators: operators, Folder: c.TempDir(),
+		Tokens: []controller.Token{{Name: "aisyah", Token: secret}},
+		Store:  registrar.StoreLimits{Rate: 3, Parallel: 2},
 	}
-	addr, operators := free(), free()
-	control, err := controller.New(controller.Config{
-		ID: 1, Cluster: "test", Addr: addr, Operators: operators, Folder: c.TempDir(),
-		Members: []runner.Member{{ID: 1, Addr: addr}},
-		Tokens:  []controller.Token{{Name: "aisyah", Token: secret}},
-		Store:   registrar.StoreLimits{Rate: 3, Parallel: 2},
-	})
+	if first {
+		cfg.Members = []runner.Member{{ID: id, Addr: addr}}
+	}
+	control, err := controller.New(cfg)
 	c.Assert(err, quicktest.IsNil)
-	defer func() { c.Assert(control.Close(), quicktest.IsNil) }()
-	s := newShell(c, operators)
-	doc := s.file("doc.json", `{"classes":[{"name":"urgent","urgent":true,"first":"2s"}],"services":[{"name":"base","kind":"model","classes":["urgent"]}]}`)
-	code, out, errs := s.run("apply", doc, "--expect", "0", "--change", "c-7")
-	for range 300 { // a replica that has just started may not lead yet
+	c.Cleanup(func() { c.Assert(control.Close(), quicktest.IsNil) })
+	return operators
+}
+
+// until runs a command again while the replica that it asks doesn't lead yet.
+func (s *shell) until(argv ...string) (Code, string, string) {
+	for range 300 {
+		code, out, errs := s.run(argv...)
 		if code != Unreachable {
-			break
+			return code, out, errs
 		}
 		time.Sleep(100 * time.Millisecond)
-		code, out, errs = s.run("apply", doc, "--expect", "0", "--change", "c-7")
 	}
+	return s.run(argv...)
+}
+
+// TestAgainstControl runs the commands against a control replica with its log on disk.
+func TestAgainstControl(t *testing.T) {
+	c := quicktest.New(t)
+	operators := startControl(c, 1, freeAddr(c), true)
+	s := newShell(c, operators)
+	doc := s.file("doc.json", `{"classes":[{"name":"urgent","urgent":true,"first":"2s"}],"services":[{"name":"base","kind":"model","classes":["urgent"]}]}`)
+	code, out, errs := s.until("apply", doc, "--expect", "0", "--change", "c-7")
 	c.Assert(errs, quicktest.Equals, "")
 	c.Assert(code, quicktest.Equals, OK)
 	c.Assert(out, quicktest.Equals, "class urgent\nservice base\nrevision 1\n")
@@ -393,3 +409,20 @@
 	c.Assert(code, quicktest.Equals, OK)
 	c.Assert(out, quicktest.Contains, `"revision": 2`)
 }
+
+// TestReplicaJoins adds a replica, which knows no other, to a running group and takes it away again.
+func TestReplicaJoins(t *testing.T) {
+	c := quicktest.New(t)
+	joining := freeAddr(c)
+	s := newShell(c, startControl(c, 1, freeAddr(c), true))
+	code, _, errs := s.until("status")
+	c.Assert([]any{code, errs}, quicktest.DeepEquals, []any{OK, ""})
+	startControl(c, 2, joining, false)
+	code, _, errs = s.until("replica", "add", "2", joining, "--wait", "--timeout", "30s", "--change", "c-1")
+	c.Assert([]any{code, errs}, quicktest.DeepEquals, []any{OK, ""})
+	_, out, _ := s.run("status")
+	c.Assert(out, quicktest.Matches, `(?s).*2 +`+joining+` +follower\n.*`)
+	code, out, errs = s.until("replica", "remove", "2", "--wait", "--timeout", "30s", "--change", "c-2")
+	c.Assert([]any{code, errs}, quicktest.DeepEquals, []any{OK, ""})
+	c.Assert(out, quicktest.Not(quicktest.Contains), joining)
+}
