--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -137,13 +137,13 @@
 }
 
 func (s *Scheduler) isReady(now time.Time, sv *server, j *job) bool {
-	if !sv.holds(j.Target) && !s.broken.residency {
+	if !sv.holds(j.Target) && !s.off.residency {
 		return false
 	}
 	if j.long && s.cfg.has(PartLongShare) && sv.longs >= s.longLimit(sv) {
 		return false
 	}
-	if s.broken.suspects || j.Digest == (quarantiner.Digest{}) {
+	if s.off.suspects || j.Digest == (quarantiner.Digest{}) {
 		return true
 	}
 	if s.standing(now, j) == quarantiner.Suspect {
@@ -293,7 +293,7 @@
 }
 
 func (s *Scheduler) standing(now time.Time, j *job) quarantiner.Standing {
-	if s.broken.suspects {
+	if s.off.suspects {
 		return quarantiner.Clear
 	}
 	return max(j.Standing, s.suspect.Standing(now, j.Digest))
