--- a/standin/orderer/orderer_test.go
+++ b/standin/orderer/orderer_test.go
@@ -1,11 +1,13 @@
 package orderer
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -14,7 +16,7 @@
 )
 
 func newServer(c *quicktest.C) *Server {
-	s, err := New(Config{Name: "orders-1", Addr: "127.0.0.1:0", Zone: "z1", Service: "orders"})
+	s, err := New(Config{Name: "orders-1", Addr: "127.0.0.1:0", Zone: "z1", Service: "orders", Work: time.Millisecond})
 	c.Assert(err, quicktest.IsNil)
 	c.Cleanup(func() { c.Assert(s.Close(), quicktest.IsNil) })
 	return s
@@ -67,13 +69,14 @@
 		fails  bool   // the call fails
 		body   string // otherwise it contains this
 		runs   int
+		least  time.Duration // the call takes that long
 	}{
-		{"none", faulter.Faults{}, false, `"key":"k"`, 1},
-		{"crash after the run", faulter.Faults{Crash: "sieve"}, true, "", 1},
-		{"truncated", faulter.Faults{Answer: faulter.Truncated}, true, "", 1},
-		{"crossed", faulter.Faults{Answer: faulter.Crossed}, false, `"item":"before"`, 1},
-		{"late", faulter.Faults{Answer: faulter.Late, Delay: "1ms"}, false, `"key":"k"`, 1},
-		{"slow", faulter.Faults{Slow: 3}, false, `"key":"k"`, 1},
+		{"none", faulter.Faults{}, false, `"key":"k"`, 1, time.Millisecond},
+		{"crash after the run", faulter.Faults{Crash: "sieve"}, true, "", 1, 0},
+		{"truncated", faulter.Faults{Answer: faulter.Truncated}, true, "", 1, 0},
+		{"crossed", faulter.Faults{Answer: faulter.Crossed}, false, `"item":"before"`, 1, 0},
+		{"late", faulter.Faults{Answer: faulter.Late, Delay: "20ms"}, false, `"key":"k"`, 1, 21 * time.Millisecond},
+		{"slow", faulter.Faults{Slow: 30}, false, `"key":"k"`, 1, 30 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -82,7 +85,9 @@
 			_, _, before, err := call(c, s, "GET", "/stock/before", "")
 			c.Assert(err, quicktest.IsNil)
 			c.Assert(s.SetFaults(tt.faults), quicktest.IsNil)
+			sent := time.Now()
 			_, body, _, err := call(c, s, "POST", "/bookings", booking, marker.Key, "k")
+			c.Assert(time.Since(sent) >= tt.least, quicktest.IsTrue)
 			c.Assert(err != nil, quicktest.Equals, tt.fails)
 			c.Assert(body, quicktest.Contains, tt.body)
 			c.Assert(s.Ledger(), quicktest.DeepEquals, map[string]int{"k": tt.runs})
@@ -103,6 +108,44 @@
 	c.Assert(strings.Count(raw, `"item":"b"`) >= 1, quicktest.IsTrue)
 }
 
+func TestSilentConnection(t *testing.T) {
+	c := quicktest.New(t)
+	s := newServer(c)
+	nc, err := net.Dial("tcp", s.Addr())
+	c.Assert(err, quicktest.IsNil)
+	defer func() { _ = nc.Close() }()
+	const request = "GET /stock/a HTTP/1.1\r\nHost: x\r\n\r\n"
+	_, err = nc.Write([]byte(request))
+	c.Assert(err, quicktest.IsNil)
+	r := bufio.NewReader(nc)
+	resp, err := http.ReadResponse(r, nil)
+	c.Assert(err, quicktest.IsNil)
+	_, err = io.Copy(io.Discard, resp.Body)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(resp.Body.Close(), quicktest.IsNil)
+	c.Assert(s.SetFaults(faulter.Faults{Silent: true}), quicktest.IsNil)
+	_, err = nc.Write([]byte(request))
+	c.Assert(err, quicktest.IsNil)
+	status, _, _, err := call(c, s, "GET", "/stock/a", "")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(status, quicktest.Equals, 200) // a new connection works
+	s.ln.Drop()
+	rest, _ := io.ReadAll(r)
+	c.Assert(rest, quicktest.HasLen, 0)
+}
+
+func TestLeaves(t *testing.T) {
+	c := quicktest.New(t)
+	s := newServer(c)
+	c.Assert(s.announcement().Leaving, quicktest.IsFalse)
+	status, _, _, err := call(c, s, "POST", "/leave", "")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(status, quicktest.Equals, 200)
+	c.Assert(s.announcement().Leaving, quicktest.IsTrue)
+	_, body, _, _ := call(c, s, "GET", "/load", "")
+	c.Assert(body, quicktest.Contains, `"leaving":true`)
+}
+
 func TestUnknownFaultIsRefused(t *testing.T) {
 	c := quicktest.New(t)
 	s := newServer(c)
