--- a/coord/carrier/handler.go
+++ b/coord/carrier/handler.go
@@ -8,6 +8,8 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/replicator"
 )
 
 const (
@@ -28,13 +30,10 @@
 	_ = http.NewResponseController(in.w).SetReadDeadline(time.Unix(1, 0))
 }
 
-func (c *Carrier) setHeaders(h http.Header, to uint64) {
-	h.Set(clusterHeader, c.cluster)
-	h.Set(fromHeader, strconv.FormatUint(c.id, 10))
+func setHeaders(h http.Header, cluster string, from, to uint64) {
+	h.Set(clusterHeader, cluster)
+	h.Set(fromHeader, strconv.FormatUint(from, 10))
 	h.Set(toHeader, strconv.FormatUint(to, 10))
-	if c.addr != "" {
-		h.Set(addrHeader, c.addr)
-	}
 }
 
 // check returns the sender of a stream that is meant for this replica.
@@ -62,7 +61,7 @@
 			return
 		}
 		in := &inbound{w: w, done: make(chan struct{})}
-		if !c.enter(from, in) {
+		if !c.enter(from, r.Header.Get(addrHeader), in) {
 			http.Error(w, "the replica is closing", http.StatusServiceUnavailable)
 			return
 		}
@@ -72,7 +71,7 @@
 }
 
 // enter makes in the stream of a peer; an older one, which may have gone silent, is ended.
-func (c *Carrier) enter(from uint64, in *inbound) bool {
+func (c *Carrier) enter(from uint64, addr string, in *inbound) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -82,6 +81,9 @@
 		old.end()
 	}
 	c.inbound[from] = in
+	if c.joining && c.peers[from] == nil && addr != "" && len(c.peers) < replicator.MaxMembers {
+		c.addPeer(from, addr)
+	}
 	c.wg.Go(func() { <-in.done })
 	return true
 }
@@ -105,7 +107,6 @@
 	if receive == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the replica is starting"))
 	}
-	c.learn(from, s.RequestHeader().Get(addrHeader))
 	for s.Receive() {
 		c.mu.Lock()
 		p := c.peers[from]
