Hand over only without unload orders, tell routers of loads and stragglers, resolve names only under a lease

Change: Drain waits for IsSettled and for the leader's word; heads and ends carry load and a straggler mark over the hop into router.Note and Done; the receiver answers 503 not-run without a lease.

--- a/serving/registrar/roster.go
+++ b/serving/registrar/roster.go
@@ -9,8 +9,7 @@
 	"redwingstage.org/serving/configurer"
 )
 
-// IsolationLimit is how long after its lease ended an entry goes on with what it last knew of configuration and
-// owned servers; a change counts as in force at an entry that is cut off only after this.
+// IsolationLimit is how long after its lease ended an owner goes on sending requests to adapters that are resident.
 const IsolationLimit = 10 * time.Second
 
 // Server is what a backend server announced of itself.
--- a/stage/attempter/attempter.go
+++ b/stage/attempter/attempter.go
@@ -133,7 +133,7 @@
 // serve makes one attempt at the candidate's owner.
 func (r *run) serve(ctx context.Context, c router.Candidate, last bool, sink streamer.Sink) streamer.End {
 	r.policy.begin(c, r.req)
-	timed := &timedSink{Sink: sink, begun: time.Now(), policy: r.policy}
+	timed := &timedSink{Sink: sink, begun: time.Now(), policy: r.policy, candidate: c, req: r.req}
 	var end streamer.End
 	if c.Owner == r.Name {
 		end = r.Local.Serve(ctx, r.req, c.Server, last, timed)
@@ -147,13 +147,16 @@
 // timedSink tells the retrier how long the first token took.
 type timedSink struct {
 	streamer.Sink
-	begun  time.Time
-	policy *policy
+	begun     time.Time
+	policy    *policy
+	candidate router.Candidate
+	req       *streamer.Request
 }
 
 // Head implements streamer.Sink.
 func (s *timedSink) Head(h streamer.Head) {
 	s.policy.first(time.Since(s.begun))
+	s.policy.note(s.candidate, s.req, h.Feedback)
 	s.Sink.Head(h)
 }
 
--- a/stage/attempter/policy.go
+++ b/stage/attempter/policy.go
@@ -70,7 +70,33 @@
 func (p *policy) done(c router.Candidate, req *streamer.Request, end streamer.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.router.Done(time.Now(), router.Feedback{Server: c.Server, Target: req.Target, Result: resultOf(end), Load: -1})
+	fb := feedback(c, req, end.Feedback)
+	if result := resultOf(end); result != router.Served {
+		fb.Result = result
+	}
+	p.router.Done(time.Now(), fb)
+}
+
+// note takes in what the head of an answer tells of its server.
+func (p *policy) note(c router.Candidate, req *streamer.Request, f streamer.Feedback) {
+	if !f.Known {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Note(time.Now(), feedback(c, req, f))
+}
+
+// feedback says what an owner told of a server; a load of -1 stands for unknown.
+func feedback(c router.Candidate, req *streamer.Request, f streamer.Feedback) router.Feedback {
+	fb := router.Feedback{Server: c.Server, Target: req.Target, Result: router.Served, Load: -1}
+	if f.Known {
+		fb.Load = f.Load
+	}
+	if f.Slow {
+		fb.Result = router.Lagging
+	}
+	return fb
 }
 
 func (p *policy) first(took time.Duration) {
--- a/stage/attempter/policy_test.go
+++ b/stage/attempter/policy_test.go
@@ -21,3 +21,19 @@
 		c.Check(resultOf(streamer.End{Reason: streamer.Reason(reason)}), qt.Equals, want, qt.Commentf(string(reason)))
 	}
 }
+
+func TestFeedback(t *testing.T) {
+	c, req := router.Candidate{Server: "e1"}, &streamer.Request{}
+	tests := []struct {
+		name string
+		give streamer.Feedback
+		want router.Feedback
+	}{
+		{name: "nothing told", want: router.Feedback{Server: "e1", Load: -1}},
+		{name: "load", give: streamer.Feedback{Known: true, Load: 0.5}, want: router.Feedback{Server: "e1", Load: 0.5}},
+		{name: "straggler", give: streamer.Feedback{Known: true, Slow: true}, want: router.Feedback{Server: "e1", Result: router.Lagging}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { qt.Check(t, feedback(c, req, tt.give), qt.Equals, tt.want) })
+	}
+}
--- a/stage/forwarder/client.go
+++ b/stage/forwarder/client.go
@@ -79,7 +79,7 @@
 
 func deliver(f *frame, sink streamer.Sink) (streamer.End, bool, error) {
 	if f.Head != nil {
-		sink.Head(streamer.Head{Status: f.Head.Status, Type: f.Head.Type})
+		sink.Head(streamer.Head{Status: f.Head.Status, Type: f.Head.Type, Feedback: f.Head.Feedback.feedback()})
 	}
 	if len(f.Data) > 0 {
 		if err := sink.Data(f.Data); err != nil {
--- a/stage/forwarder/handler.go
+++ b/stage/forwarder/handler.go
@@ -53,7 +53,9 @@
 		}
 		f := frame{Data: part.Data}
 		if part.Opened {
-			f.Head = &headFrame{Status: part.Head.Status, Type: part.Head.Type}
+			f.Head = &headFrame{
+				Status: part.Head.Status, Type: part.Head.Type, Feedback: newFeedbackFrame(part.Head.Feedback),
+			}
 		}
 		if part.Ended {
 			f.End = newEndFrame(part.End)
--- a/stage/forwarder/wire.go
+++ b/stage/forwarder/wire.go
@@ -49,15 +49,37 @@
 }
 
 type headFrame struct {
-	Status int    `cbor:"1,keyasint"`
-	Type   string `cbor:"2,keyasint"`
+	Status   int            `cbor:"1,keyasint"`
+	Type     string         `cbor:"2,keyasint"`
+	Feedback *feedbackFrame `cbor:"3,keyasint,omitempty"`
+}
+
+// feedbackFrame is left out when the owner has nothing to tell.
+type feedbackFrame struct {
+	Load float64 `cbor:"1,keyasint,omitempty"`
+	Slow bool    `cbor:"2,keyasint,omitempty"`
+}
+
+func newFeedbackFrame(f streamer.Feedback) *feedbackFrame {
+	if !f.Known {
+		return nil
+	}
+	return &feedbackFrame{Load: f.Load, Slow: f.Slow}
+}
+
+func (f *feedbackFrame) feedback() streamer.Feedback {
+	if f == nil {
+		return streamer.Feedback{}
+	}
+	return streamer.Feedback{Known: true, Load: max(f.Load, 0), Slow: f.Slow}
 }
 
 type endFrame struct {
-	Outcome    string        `cbor:"1,keyasint"`
-	Reason     string        `cbor:"2,keyasint,omitempty"`
-	Message    string        `cbor:"3,keyasint,omitempty"`
-	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	Outcome    string         `cbor:"1,keyasint"`
+	Reason     string         `cbor:"2,keyasint,omitempty"`
+	Message    string         `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration  `cbor:"4,keyasint,omitempty"`
+	Feedback   *feedbackFrame `cbor:"5,keyasint,omitempty"`
 }
 
 func newServeRequest(r *streamer.Request, server string, last bool, now time.Time) *serveRequest {
@@ -115,11 +137,16 @@
 }
 
 func newEndFrame(e streamer.End) *endFrame {
-	return &endFrame{Outcome: e.Outcome.String(), Reason: string(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter}
+	return &endFrame{
+		Outcome: e.Outcome.String(), Reason: string(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter,
+		Feedback: newFeedbackFrame(e.Feedback),
+	}
 }
 
 func (e *endFrame) end() (streamer.End, error) {
-	end := streamer.End{Reason: streamer.Reason(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter}
+	end := streamer.End{
+		Reason: streamer.Reason(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter, Feedback: e.Feedback.feedback(),
+	}
 	for _, o := range []retrier.Outcome{retrier.Unknown, retrier.NotRun, retrier.Done} {
 		if o.String() == e.Outcome {
 			end.Outcome = o
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -16,15 +16,17 @@
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/stage/meter"
 	"redwingstage.org/stage/sender"
+	"redwingstage.org/stage/streamer"
 )
 
 const (
-	tickInterval = 10 * time.Millisecond
-	pollInterval = 500 * time.Millisecond
-	syncInterval = 1 * time.Second
-	pollTimeout  = 2 * time.Second
-	silentLimit  = 5 * time.Second
-	inboxSize    = 1024
+	handoverLimit = 15 * time.Second
+	tickInterval  = 10 * time.Millisecond
+	pollInterval  = 500 * time.Millisecond
+	syncInterval  = 1 * time.Second
+	pollTimeout   = 2 * time.Second
+	silentLimit   = 5 * time.Second
+	inboxSize     = 1024
 )
 
 // Control is what the owner needs of the control role.
@@ -43,6 +45,12 @@
 // Decider decides what happens to jobs, adapters and servers.
 type Decider interface {
 	Handle(now time.Time, ev scheduler.Event) []scheduler.Action
+	// IsSettled reports whether no unload order is out at the server.
+	IsSettled(server string) bool
+	// Load returns the server's sent and queued jobs as a share of its batch.
+	Load(server string) float64
+	// IsSlow reports whether the server is a straggler.
+	IsSlow(now time.Time, server string) bool
 }
 
 // Deps are the parts that an owner works with.
@@ -67,6 +75,7 @@
 	id        booker.Identity
 	isolation time.Duration
 	next      atomic.Uint64
+	known     atomic.Pointer[map[string]streamer.Feedback]
 	inbox     chan func()
 	ctx       context.Context
 	stop      context.CancelFunc
@@ -81,6 +90,8 @@
 	lapsed  time.Time
 	synced  time.Time
 	closing bool
+	// handing are the servers that are being handed over, until the control leader knows.
+	handing map[string]*handing
 	// going says that the actions at hand follow a server's end.
 	going   bool
 	drained chan struct{}
@@ -92,6 +103,7 @@
 	o := &Owner{
 		Deps: deps, id: id, isolation: registrar.IsolationLimit, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
 		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job), asks: make(map[ask]*asking),
+		handing: make(map[string]*handing),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -154,6 +166,8 @@
 	}
 	o.handle(scheduler.Tick{})
 	o.Meter.Owned(len(o.held), len(o.jobs))
+	o.finishHandovers(now)
+	o.publish(now)
 	o.checkDrained()
 }
 
@@ -204,7 +218,7 @@
 }
 
 func (o *Owner) checkDrained() {
-	if o.drained != nil && len(o.jobs) == 0 {
+	if o.drained != nil && len(o.jobs) == 0 && len(o.handing) == 0 {
 		close(o.drained)
 		o.drained = nil
 	}
--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -26,6 +26,7 @@
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/stage/meter"
 	"redwingstage.org/stage/sender"
+	"redwingstage.org/stage/streamer"
 )
 
 const hang = 20 * time.Second
@@ -43,8 +44,11 @@
 	orders  []string
 	refuse  bool
 	permit  func(context.Context) (registrar.Permit, error)
-	engine  *httptest.Server
-	owner   *Owner
+	// unsettled is how often an unload order is still out when the owner asks.
+	unsettled int
+	released  int
+	engine    *httptest.Server
+	owner     *Owner
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -178,7 +182,50 @@
 
 func (f *fixture) Accuse(context.Context, string, []quarantiner.Digest) error { return nil }
 
-func (f *fixture) Release(context.Context, string, []configurer.Target) error { return nil }
+func (f *fixture) Release(context.Context, string, []configurer.Target) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released++
+	if f.unsettled > 0 {
+		f.events = append(f.events, scheduler.Gone{Server: "released under an unload order"})
+	}
+	return nil
+}
+
+func (f *fixture) IsSettled(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unsettled--
+	return f.unsettled < 0
+}
+
+func (f *fixture) Load(string) float64 { return 0.5 }
+
+func (f *fixture) IsSlow(time.Time, string) bool { return true }
+
+// A hand-over under an unload order would let the new owner serve on the adapter that the order then evicts.
+func TestHandoverWaitsForUnloadOrders(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "scheduler.Owned")
+	f.change(func() { f.unsettled = 3 })
+	qt.Assert(t, f.owner.Drain(context.Background()), qt.IsNil)
+	qt.Check(t, f.saw("released under an unload order"), qt.IsFalse)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	qt.Check(t, f.released, qt.Equals, 1)
+}
+
+// Traffic reads what the scheduler knows of a server, so that callers' entries can route around it.
+func TestFeedback(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "scheduler.Owned")
+	var got streamer.Feedback
+	for deadline := time.Now().Add(hang); !got.Known && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		got = f.owner.feedback("e1")
+	}
+	qt.Check(t, got, qt.Equals, streamer.Feedback{Known: true, Load: 0.5, Slow: true})
+	qt.Check(t, f.owner.feedback("e2"), qt.Equals, streamer.Feedback{})
+}
 
 const target = "a@1"
 
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -59,6 +59,44 @@
 	if !arrived {
 		return refused(streamer.ReasonClosing, "this entry shuts down")
 	}
+	sink = &telling{Sink: sink, owner: o, server: server}
+	end := o.serve(ctx, j, sink)
+	end.Feedback = o.feedback(server)
+	return end
+}
+
+// telling adds what the owner knows of a server to the heads of its answers.
+type telling struct {
+	streamer.Sink
+	owner  *Owner
+	server string
+}
+
+// Head implements streamer.Sink.
+func (t *telling) Head(h streamer.Head) {
+	h.Feedback = t.owner.feedback(t.server)
+	t.Sink.Head(h)
+}
+
+// feedback returns what the loop published last of a server.
+func (o *Owner) feedback(server string) streamer.Feedback {
+	if known := o.known.Load(); known != nil {
+		return (*known)[server]
+	}
+	return streamer.Feedback{}
+}
+
+// publish lets traffic read the state of the servers.
+func (o *Owner) publish(now time.Time) {
+	known := make(map[string]streamer.Feedback, len(o.held))
+	for name := range o.held {
+		known[name] = streamer.Feedback{Known: true, Load: o.Decider.Load(name), Slow: o.Decider.IsSlow(now, name)}
+	}
+	o.known.Store(&known)
+}
+
+// serve waits for the scheduler's decision on the job and carries it out.
+func (o *Owner) serve(ctx context.Context, j *job, sink streamer.Sink) streamer.End {
 	d, ok := o.await(ctx, j)
 	if !ok {
 		return refused(streamer.ReasonClosing, "this entry shuts down")
@@ -69,7 +107,7 @@
 			Message: "the request was refused before it was sent: " + string(d.reason),
 		}
 	}
-	if req.IsBooking() {
+	if j.req.IsBooking() {
 		return o.book(j, sink)
 	}
 	return o.exchange(j, sink)
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -123,13 +123,43 @@
 		}
 	}
 	o.release(h)
-	name := h.server.Name
+	o.handing[h.server.Name] = &handing{pinned: pinned, since: time.Now()}
+}
+
+// handing is a server that this entry has given up, but that nobody else may own yet.
+type handing struct {
+	pinned []configurer.Target
+	since  time.Time
+	told   bool
+}
+
+// finishHandovers tells the control leader of servers at which no unload order is out any more; a new owner could
+// otherwise serve on an adapter that the old order then evicts. One that doesn't settle is left to the lease.
+func (o *Owner) finishHandovers(now time.Time) {
+	for name, h := range o.handing {
+		switch {
+		case h.told:
+		case o.Decider.IsSettled(name):
+			h.told = true
+			o.tellRelease(name, h.pinned)
+		case now.Sub(h.since) > handoverLimit:
+			delete(o.handing, name)
+			o.Log.Warn("hand-over is left to the end of the lease", name)
+		}
+	}
+}
+
+func (o *Owner) tellRelease(name string, pinned []configurer.Target) {
 	o.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, accuseTimeout)
 		defer cancel()
 		if err := o.Control.Release(ctx, name, pinned); err != nil {
 			o.Log.Error("handing over "+name+" failed", err)
 		}
+		o.post(func() {
+			delete(o.handing, name)
+			o.checkDrained()
+		})
 	})
 }
 
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -21,6 +21,7 @@
 
 const (
 	maxHeader     = 16 << 10
+	leasePoll     = 20 * time.Millisecond
 	closeInterval = 10 * time.Millisecond
 )
 
@@ -54,6 +55,8 @@
 	IdleTimeout time.Duration
 	// WriteTimeout limits each write to a caller.
 	WriteTimeout time.Duration
+	// LeaseWait limits how long a request waits for this entry's lease to be renewed.
+	LeaseWait time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -72,6 +75,9 @@
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = 60 * time.Second
 	}
+	if c.LeaseWait == 0 {
+		c.LeaseWait = 2 * time.Second
+	}
 	if c.WriteTimeout == 0 {
 		c.WriteTimeout = 10 * time.Second
 	}
@@ -146,22 +152,29 @@
 	}
 }
 
-// catalog returns the configuration in force, or nil while this entry knows of none: it has not heard of any yet,
-// or it has been cut off for so long that a later one may be in force.
-func (r *Receiver) catalog() *configurer.Catalog {
+// inForce returns the configuration in force, or nil while this entry knows of none: it has not heard of any yet, or
+// its lease has ended, so that a later one may be in force elsewhere.
+func (r *Receiver) inForce() *configurer.Catalog {
 	c := r.Control.Catalog()
-	if c == nil || c.Revision() == 0 {
-		return nil
-	}
-	if time.Now().After(r.Control.LeaseEnd().Add(registrar.IsolationLimit)) {
+	if c == nil || c.Revision() == 0 || !time.Now().Before(r.Control.LeaseEnd()) {
 		return nil
 	}
 	return c
 }
 
+// catalog returns the configuration in force; it waits a while for a lease, as during a change of the control leader.
+func (r *Receiver) catalog() *configurer.Catalog {
+	for end := time.Now().Add(r.cfg.LeaseWait); ; time.Sleep(leasePoll) {
+		c := r.inForce()
+		if c != nil || r.closing.Load() || time.Now().After(end) {
+			return c
+		}
+	}
+}
+
 // ready tells the platform's balancer whether to send callers here.
 func (r *Receiver) ready(c fiber.Ctx) error {
-	if r.closing.Load() || r.catalog() == nil || r.Control.Roster() == nil {
+	if r.closing.Load() || r.inForce() == nil || r.Control.Roster() == nil {
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	return c.SendStatus(http.StatusOK)
--- a/stage/streamer/request.go
+++ b/stage/streamer/request.go
@@ -45,6 +45,17 @@
 type Head struct {
 	Status int
 	Type   string
+	Feedback
+}
+
+// Feedback is what a server's owner tells the callers' entries of the server, for their routing.
+type Feedback struct {
+	// Known says that the owner told anything.
+	Known bool
+	// Load is the server's sent and queued jobs as a share of its batch.
+	Load float64
+	// Slow says that the server is a straggler by its owner's observations.
+	Slow bool
 }
 
 // Reason says in one word why an answer ended as it did.
@@ -100,6 +111,7 @@
 	Reason     Reason
 	Message    string
 	RetryAfter time.Duration
+	Feedback
 }
 
 // Sink takes an answer; Data must copy what it keeps and returns an error once nobody reads any more.
