--- /dev/null
+++ b/stage/controller/bookings_bench_test.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"redwingstage.org/serving/recorder"
+)
+
+// BenchmarkBookings measures what the record adds to a booking, with three replicas and real syncs, beside a bare sync
+// of the same disk in the same run.
+func BenchmarkBookings(b *testing.B) {
+	for _, callers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			n := newBench(b, 8, 0)
+			defer n.close()
+			n.await(8)
+			syncs := n.syncTimes(b)
+			var mu sync.Mutex
+			var begins, both []time.Duration
+			var wg sync.WaitGroup
+			b.ResetTimer()
+			began := time.Now()
+			for caller := range callers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for i := caller; i < b.N; i += callers {
+						first, all := n.book(i, caller)
+						mu.Lock()
+						begins, both = append(begins, first), append(both, all)
+						mu.Unlock()
+					}
+				}()
+			}
+			wg.Wait()
+			b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "bookings/s")
+			report(b, "sync", syncs)
+			report(b, "begin", begins)
+			report(b, "beginend", both)
+		})
+	}
+}
+
+// await waits until all entries hold a lease.
+func (n *bench) await(entries int) {
+	for range 2000 {
+		live := 0
+		for _, cl := range n.clients {
+			if time.Now().Before(cl.LeaseEnd()) {
+				live++
+			}
+		}
+		if live == entries {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.c.Fatal("entries got no lease")
+}
+
+func (n *bench) book(i, caller int) (begin, both time.Duration) {
+	cl := n.clients[caller%len(n.clients)]
+	key := recorder.Key{Caller: "c", Service: "orders", Key: fmt.Sprint("k", i)}
+	attempt := fmt.Sprint("a", i)
+	start := time.Now()
+	begun, err := cl.Begin(context.Background(), recorder.Begin{
+		Key: key, Attempt: attempt, Entry: cl.cfg.Name, Incarnation: cl.cfg.Incarnation,
+	})
+	if err != nil || begun.Verdict != recorder.VerdictRun {
+		// The runs of one benchmark share their keys only if a run's state outlived it.
+		n.c.Errorf("begin: verdict %d, error %v", begun.Verdict, err)
+	}
+	begin = time.Since(start)
+	err = cl.End(context.Background(), recorder.End{
+		Key: key, Attempt: attempt, Ending: recorder.EndingDone,
+		Answer: recorder.Answer{Status: 201, Type: "application/json", Body: []byte(`{"order":"12345678","crates":2}`)},
+	})
+	if err != nil {
+		n.c.Errorf("end: %v", err)
+	}
+	return begin, time.Since(start)
+}
+
+// syncTimes times bare syncs of a small append.
+func (n *bench) syncTimes(b *testing.B) []time.Duration {
+	f, err := os.Create(filepath.Join(b.TempDir(), "sync"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	var times []time.Duration
+	for range 300 {
+		start := time.Now()
+		if _, err := f.Write(make([]byte, 256)); err != nil {
+			b.Fatal(err)
+		}
+		if err := f.Sync(); err != nil {
+			b.Fatal(err)
+		}
+		times = append(times, time.Since(start))
+	}
+	return times
+}
+
+func report(b *testing.B, name string, times []time.Duration) {
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, name+"-p50-ms")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, name+"-p99-ms")
+}
