--- /dev/null
+++ b/coord/lister/lister.go
@@ -0,0 +1,88 @@
+package lister
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// Name is the name of the list in the folder of each package with a matrix.
+const Name = "faults.json"
+
+// updateVariable is the environment variable that has Check write the list.
+const updateVariable = "UPDATE_FAULTS"
+
+// listMode are the permissions of a list.
+const listMode = 0o644
+
+// Cell is one proved cell: a fault at a step, checked against a rule by a test over a number of seeds.
+type Cell struct {
+	Rule    int    `json:"rule"`
+	Step    string `json:"step"`
+	Fault   string `json:"fault"`
+	Test    string `json:"test"`
+	Package string `json:"package"`
+	Seeds   int    `json:"seeds"`
+}
+
+// TestName returns the name of the subtest of TestFaults that runs a cell.
+func TestName(step, fault string) string {
+	return "TestFaults/" + strings.ReplaceAll(step+"/"+fault, " ", "_")
+}
+
+// Parse reads a list; unknown fields are errors.
+func Parse(b []byte) ([]Cell, error) {
+	var list []Cell
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&list); err != nil {
+		return nil, errors.Wrap(err, Name)
+	}
+	return list, nil
+}
+
+// Check fails the test unless the list in its folder has exactly the cells; with UPDATE_FAULTS set it writes the list.
+func Check(t testing.TB, cells []Cell) {
+	t.Helper()
+	want := sorted(cells)
+	if os.Getenv(updateVariable) != "" {
+		if err := write(want); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b, err := os.ReadFile(Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Parse(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(sorted(got), want) {
+		t.Fatalf("%s has %d cells that differ from the test's %d; write it with %s=1", Name, len(got), len(want), updateVariable)
+	}
+}
+
+func sorted(cells []Cell) []Cell {
+	return slices.SortedFunc(slices.Values(cells), func(a, b Cell) int {
+		return cmp.Or(cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Fault, b.Fault),
+			cmp.Compare(a.Test, b.Test), cmp.Compare(a.Package, b.Package), cmp.Compare(a.Seeds, b.Seeds))
+	})
+}
+
+func write(cells []Cell) error {
+	b, err := json.MarshalIndent(cells, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode list")
+	}
+	if err := os.WriteFile(Name, append(b, '\n'), listMode); err != nil {
+		return errors.Wrap(err, "write list")
+	}
+	return nil
+}
--- a/serving/admitter/queue_test.go
+++ b/serving/admitter/queue_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -8,6 +9,13 @@
 	"pgregory.net/rapid"
 )
 
+func init() {
+	// The same runs each time.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 var start = time.Unix(1_000_000, 0)
 
 func all(int) bool { return true }
--- a/serving/placer/slots_test.go
+++ b/serving/placer/slots_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,13 @@
 	"redwingstage.org/serving/configurer"
 )
 
+func init() {
+	// The same runs each time.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 var start = time.Unix(1_000_000, 0)
 
 func target(i int) configurer.Target {
--- a/stage/demonstrator/demonstrator.go
+++ b/stage/demonstrator/demonstrator.go
@@ -114,7 +114,7 @@
 }
 
 func (d *Demonstrator) start(ctx context.Context, log *logger.Logger) error {
-	control, err := d.startControl(ctx)
+	control, err := d.startControl(ctx, log)
 	if err != nil {
 		return err
 	}
@@ -142,7 +142,7 @@
 	return nil
 }
 
-func (d *Demonstrator) startControl(ctx context.Context) (string, error) {
+func (d *Demonstrator) startControl(ctx context.Context, log *logger.Logger) (string, error) {
 	addr, err := freeAddr(ctx)
 	if err != nil {
 		return "", err
@@ -156,7 +156,7 @@
 		Members:   []runner.Member{{ID: 1, Addr: addr}},
 		Tokens:    []controller.Token{Operator},
 		Store:     registrar.StoreLimits{Rate: loadRate, Parallel: loadParallel},
-	})
+	}, controller.WithLogger(log.Base()))
 	if err != nil {
 		return "", errors.Wrap(err, "start control")
 	}
@@ -172,7 +172,7 @@
 	name, incarnation := fmt.Sprintf("entry-%d", i+1), rand.Uint64()
 	client, err := controller.NewClient(controller.ClientConfig{
 		Name: name, Incarnation: incarnation, Addr: peers, Zone: zone(i), Controls: []string{control},
-	})
+	}, controller.WithClientLogger(log.Base()))
 	if err != nil {
 		return errors.Wrapf(err, "start the control client of %s", name)
 	}
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -16,6 +16,9 @@
 	}}
 }
 
+// Base returns the logger beneath, for parts that write their own lines.
+func (l *Logger) Base() *log.Logger { return l.log }
+
 // Part returns the log of one part; every sentence begins with its name.
 func (l *Logger) Part(name string) *Part {
 	return &Part{log: l.log, prefix: name + ": "}
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -20,13 +20,14 @@
 )
 
 const (
-	handoverLimit = 15 * time.Second
-	tickInterval  = 10 * time.Millisecond
-	pollInterval  = 500 * time.Millisecond
-	syncInterval  = 1 * time.Second
-	pollTimeout   = 2 * time.Second
-	silentLimit   = 5 * time.Second
-	inboxSize     = 1024
+	handoverLimit    = 15 * time.Second
+	tickInterval     = 10 * time.Millisecond
+	pollInterval     = 500 * time.Millisecond
+	idlePollInterval = time.Second
+	syncInterval     = 1 * time.Second
+	pollTimeout      = 2 * time.Second
+	silentLimit      = 5 * time.Second
+	inboxSize        = 1024
 )
 
 // Control is what the owner needs of the control role.
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -163,9 +163,19 @@
 	})
 }
 
+// pollEvery returns the time between two polls; an idle server is polled less often, which halves what owners spend.
+func (o *Owner) pollEvery(server string) time.Duration {
+	for _, j := range o.jobs {
+		if j.job.Server == server {
+			return pollInterval
+		}
+	}
+	return idlePollInterval
+}
+
 // poll asks the server for its report in the background.
 func (o *Owner) poll(h *held) {
-	h.nextPoll = time.Now().Add(pollInterval)
+	h.nextPoll = time.Now().Add(o.pollEvery(h.server.Name))
 	if h.polling {
 		return
 	}
--- a/stage/starter/starter.go
+++ b/stage/starter/starter.go
@@ -26,7 +26,7 @@
 // Start starts the role that the settings name.
 func Start(s *loader.Settings, log *logger.Logger) (Process, error) {
 	if s.Role() == loader.RoleControl {
-		return startControl(s)
+		return startControl(s, log)
 	}
 	return startEntry(s, log)
 }
@@ -51,7 +51,7 @@
 	}
 	client, err := controller.NewClient(controller.ClientConfig{
 		Name: s.Name(), Incarnation: incarnation, Addr: s.Peers(), Zone: s.Zone(), Controls: s.Entry().Controls(),
-	})
+	}, controller.WithClientLogger(log.Base()))
 	if err != nil {
 		return nil, errors.Wrap(err, "start the control client")
 	}
@@ -79,7 +79,7 @@
 	return binary.LittleEndian.Uint64(b[:]), nil
 }
 
-func startControl(s *loader.Settings) (Process, error) {
+func startControl(s *loader.Settings, log *logger.Logger) (Process, error) {
 	c := s.Control()
 	tokens, err := readTokens(c.Tokens())
 	if err != nil {
@@ -93,7 +93,7 @@
 		ID: c.ID(), Cluster: c.Cluster(), Addr: s.Peers(), Operators: c.Operators(), Metrics: s.Metrics(),
 		Folder: c.Folder(), Members: members, Tokens: tokens,
 		Store: registrar.StoreLimits{Rate: c.Store().Rate(), Parallel: c.Store().Parallel()},
-	})
+	}, controller.WithLogger(log.Base()))
 	if err != nil {
 		return nil, errors.Wrap(err, "start the control replica")
 	}
--- a/stage/surveyor/surveyor.go
+++ b/stage/surveyor/surveyor.go
@@ -41,7 +41,7 @@
 func Survey(ctx context.Context, cfg Config) ([]Slope, error) {
 	var slopes []Slope
 	steps := []func(context.Context, Config) ([]Slope, error){
-		surveyAdapters, surveyEntries, surveyServers, surveyCalls,
+		surveyAdapters, surveyEntries, surveyServers, surveyContact, surveyCalls,
 	}
 	for _, step := range steps {
 		s, err := step(ctx, cfg)
