sender: no order is written after the lease, also by a process that was frozen

The order's context has the lease as its deadline, but its timer need not have fired yet when the process goes on. Ruled out: asking the owner's loop again, which may be just as late. Change: the monotonic clock is compared with the deadline right before the write; what remains is a freeze between this comparison and the system call. Conclusion: the window shrinks from the whole way of an order to one system call; it is not closed.

--- a/stage/sender/order.go
+++ b/stage/sender/order.go
@@ -178,6 +178,13 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(call.body)
 	}
+	if s.frozen != nil {
+		s.frozen()
+	}
+	// A process that was frozen may come here long after its lease, before the context's timer has fired.
+	if end, ok := ctx.Deadline(); ok && !time.Now().Before(end) {
+		return shortReply{}, context.DeadlineExceeded
+	}
 	if err := req.Write(c.bw); err != nil {
 		return shortReply{}, err
 	}
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -72,6 +72,8 @@
 	silence   time.Duration
 	first     time.Duration
 	// unchecked switches the checks of echoes off, to show that tests notice.
+	// frozen stands for a freeze right before a control call is written.
+	frozen    func()
 	unchecked bool
 	// unmarked takes a stream's end for whole without its marker, to show that tests notice.
 	unmarked bool
--- a/stage/sender/sender_test.go
+++ b/stage/sender/sender_test.go
@@ -160,3 +160,23 @@
 		})
 	}
 }
+
+// lease is a context whose timer doesn't fire, as in a process that was frozen.
+type lease struct {
+	context.Context
+	end time.Time
+}
+
+func (l *lease) Deadline() (time.Time, bool) { return l.end, true }
+
+// An order of a process that thaws after its lease must not reach a server that ignores fence numbers.
+func TestNoOrderAfterTheLease(t *testing.T) {
+	s := listen(t, func(_ int64, c net.Conn, req *fasthttp.Request) bool { return reply(c, req, "{}") })
+	ctx := &lease{Context: context.Background(), end: time.Now().Add(time.Hour)}
+	snd := New()
+	order := Order{Attempt: "e.1.1", Addr: s.addr(), Name: "a@1", Fence: 3, Wait: time.Second}
+	qt.Assert(t, snd.Unload(ctx, order), qt.IsNil)
+	snd.frozen = func() { ctx.end = time.Now().Add(-time.Millisecond) }
+	qt.Check(t, snd.Unload(ctx, order), qt.ErrorIs, context.DeadlineExceeded)
+	qt.Check(t, s.requests.Load(), qt.Equals, int64(1))
+}
