control: a Begin of a process that was struck off holds no key

Cause: a Begin that reaches the log after its process counted as lost stayed 'running' until the longest time of a booking was over; callers with that key waited in vain. Ruled out: answering 'not run', which is false when an earlier attempt with the key ran. Change: the machine answers 'unknown' to processes that the log does not list and records nothing.

--- a/stage/controller/machine.go
+++ b/stage/controller/machine.go
@@ -171,10 +171,7 @@
 	for i, b := range list {
 		switch {
 		case b.Begin != nil:
-			out.Begun[i] = m.bookings.Begin(m.now, *b.Begin)
-			if out.Begun[i].Verdict == recorder.VerdictRun {
-				m.senders[process{b.Begin.Entry, b.Begin.Incarnation}] = true
-			}
+			out.Begun[i] = m.begin(*b.Begin)
 		case b.End != nil:
 			m.bookings.End(m.now, *b.End)
 		}
@@ -182,6 +179,20 @@
 	return out
 }
 
+// begin records a booking, unless its process was struck off: a Begin that arrives after that would keep its key running
+// until the longest time of a booking is over. "Unknown" is true whatever happened under the key before.
+func (m *machine) begin(b recorder.Begin) recorder.Begun {
+	p := process{b.Entry, b.Incarnation}
+	if !m.sessions[p] {
+		return recorder.Begun{Verdict: recorder.VerdictUnknown}
+	}
+	begun := m.bookings.Begin(m.now, b)
+	if begun.Verdict == recorder.VerdictRun {
+		m.senders[p] = true
+	}
+	return begun
+}
+
 func (m *machine) drain(d drainCommand) result {
 	key := d.Kind + "/" + d.Name
 	if m.drains[key] != d.Off {
--- /dev/null
+++ b/stage/controller/machine_test.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/recorder"
+)
+
+// TestBeginOfLostProcess lets a Begin arrive after its process was struck off: it must not hold the key.
+func TestBeginOfLostProcess(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine()
+	index := uint64(0)
+	execute := func(cmd command) result {
+		index++
+		cmd.Now = int64(index)
+		b, err := encoder.Marshal(cmd)
+		c.Assert(err, qt.IsNil)
+		var res result
+		c.Assert(encoder.Unmarshal(m.Apply(index, b), &res), qt.IsNil)
+		return res
+	}
+	begin := func(entry, attempt string) recorder.Verdict {
+		res := execute(command{Bookings: []bookingCommand{{Begin: &recorder.Begin{
+			Key: recorder.Key{Caller: "c", Service: "orders", Key: "k"}, Attempt: attempt, Entry: entry, Incarnation: 1,
+		}}}})
+		c.Assert(res.Begun, qt.HasLen, 1)
+		return res.Begun[0].Verdict
+	}
+	execute(command{Joined: []process{{"e1", 1}, {"e2", 1}}})
+	execute(command{Lost: []process{{"e1", 1}}})
+	c.Check(begin("e1", "late"), qt.Equals, recorder.VerdictUnknown)
+	c.Check(begin("e2", "next"), qt.Equals, recorder.VerdictRun)
+}
