--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -302,15 +302,20 @@
 // until then is applied here, so that a read of the machine's state is linearizable.
 func (r *Runner) Confirm(ctx context.Context) error {
 	c := &call{done: make(chan error, 1)}
+	return ask(ctx, r, r.confirms, c, c.done)
+}
+
+// ask hands v to the loop and waits for the answer.
+func ask[T any](ctx context.Context, r *Runner, in chan<- T, v T, answer <-chan error) error {
 	select {
-	case r.confirms <- c:
+	case in <- v:
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-r.done:
 		return r.stopped()
 	}
 	select {
-	case err := <-c.done:
+	case err := <-answer:
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
@@ -343,19 +348,5 @@
 
 func (r *Runner) change(ctx context.Context, c *change) error {
 	c.ctx, c.done = ctx, make(chan error, 1)
-	select {
-	case r.changeIn <- c:
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-r.done:
-		return r.stopped()
-	}
-	select {
-	case err := <-c.done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-r.done:
-		return r.stopped()
-	}
+	return ask(ctx, r, r.changeIn, c, c.done)
 }
--- a/stage/controller/metrics.go
+++ b/stage/controller/metrics.go
@@ -23,7 +23,7 @@
 func newMetrics(reg prometheus.Registerer) *metrics {
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: "redwing", Subsystem: "control", Name: name, Help: help,
+			Namespace: "redwingstage", Subsystem: "control", Name: name, Help: help,
 		})
 	}
 	m := &metrics{
@@ -37,7 +37,7 @@
 		permits:  gauge("permits", "Load permits given out, at the leader."),
 		waiting:  gauge("permits_waiting", "Requests for load permits that wait, at the leader."),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "redwing", Subsystem: "control", Name: "changes_total", Help: "Operators' calls by result.",
+			Namespace: "redwingstage", Subsystem: "control", Name: "changes_total", Help: "Operators' calls by result.",
 		}, []string{"call", "code"}),
 	}
 	reg.MustRegister(m.leading, m.settled, m.revision, m.entries, m.sessions, m.servers, m.unowned, m.permits, m.waiting, m.changes)
