One way to run the command line from a program, one way to find a free address

Cause: demonstrator, rehearser and surveyor each called the operators' API in their own way, the first by wire types of its own; two of them found free ports by the same function. Ruled out: one server for both stand-ins: they share eight runs of lines, but differ in what a crash keeps. Change: operator.Call and launcher.FreeAddr; demonstrator applies its document by the command line. No test changed.

--- a/stage/demonstrator/demonstrator.go
+++ b/stage/demonstrator/demonstrator.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"time"
 
@@ -17,6 +16,7 @@
 	"redwingstage.org/stage/dispatcher"
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/standin/inferer"
+	"redwingstage.org/standin/launcher"
 	"redwingstage.org/standin/modeler"
 	"redwingstage.org/standin/orderer"
 )
@@ -72,7 +72,7 @@
 		if *addr != "" {
 			continue
 		}
-		free, err := freeAddr(ctx)
+		free, err := launcher.FreeAddr(ctx)
 		if err != nil {
 			return err
 		}
@@ -81,17 +81,6 @@
 	return nil
 }
 
-// freeAddr finds a port of loopback that nobody listens on at the moment.
-func freeAddr(ctx context.Context) (string, error) {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	addr := ln.Addr().String()
-	return addr, ln.Close()
-}
-
 // Callers returns the callers' address of the first entry.
 func (d *Demonstrator) Callers() string { return d.cfg.Callers[0] }
 
@@ -131,7 +120,7 @@
 	if err := d.startOrders(); err != nil {
 		return err
 	}
-	if err := apply(ctx, d.cfg.Operators, document()); err != nil {
+	if err := d.apply(ctx, document()); err != nil {
 		return err
 	}
 	for _, addr := range d.cfg.Callers {
@@ -143,7 +132,7 @@
 }
 
 func (d *Demonstrator) startControl(ctx context.Context, log *logger.Logger) (string, error) {
-	addr, err := freeAddr(ctx)
+	addr, err := launcher.FreeAddr(ctx)
 	if err != nil {
 		return "", err
 	}
@@ -165,7 +154,7 @@
 }
 
 func (d *Demonstrator) startEntry(ctx context.Context, i int, callers, control string, log *logger.Logger) error {
-	peers, err := freeAddr(ctx)
+	peers, err := launcher.FreeAddr(ctx)
 	if err != nil {
 		return err
 	}
--- a/stage/demonstrator/document.go
+++ b/stage/demonstrator/document.go
@@ -7,11 +7,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/serving/configurer"
+	"redwingstage.org/stage/operator"
 )
 
 // The demonstration's services.
@@ -24,6 +27,7 @@
 	adapters     = 40
 	retryPause   = 200 * time.Millisecond
 	startTimeout = 20 * time.Second
+	secretMode   = 0o600
 )
 
 // document returns a small configuration of the kind that teams use.
@@ -52,24 +56,19 @@
 	return doc
 }
 
-// changeRequest is an operators' API call that applies a document.
-type changeRequest struct {
-	Change  string         `json:"change"`
-	Expect  uint64         `json:"expect"`
-	Doc     configurer.Doc `json:"doc"`
-	Wait    bool           `json:"wait"`
-	Timeout string         `json:"timeout"`
-}
-
-// statusReply is what is read of the operators' status.
-type statusReply struct {
-	Revision uint64 `json:"revision"`
-}
-
-// apply brings the document into force, once the control replica leads.
-func apply(ctx context.Context, addr string, doc configurer.Doc) error {
-	return retry(ctx, "apply the first configuration", func(ctx context.Context) error {
-		return tryApply(ctx, addr, doc)
+// apply brings the document into force by the operators' command line, once the control replica leads.
+func (d *Demonstrator) apply(ctx context.Context, doc configurer.Doc) error {
+	b, err := json.Marshal(doc)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	token := filepath.Join(d.cfg.Folder, "operator.token")
+	if err := os.WriteFile(token, []byte(Operator.Token), secretMode); err != nil {
+		return errors.Wrap(err, "write token")
+	}
+	return retry(ctx, "apply the first configuration", func(context.Context) error {
+		_, err := operator.Call(bytes.NewReader(b), "--addrs="+d.cfg.Operators, "--token", token, "apply", "--wait", "--timeout", "5s", "-")
+		return err
 	})
 }
 
@@ -77,10 +76,10 @@
 func awaitAnswer(ctx context.Context, addr string) error {
 	return retry(ctx, "wait for the first answer of "+addr, func(ctx context.Context) error {
 		body := []byte(`{"model":"` + modelService + `","max_tokens":1,"prompt":"ready"}`)
-		if err := call(ctx, http.MethodPost, addr, "/v1/completions", body, nil); err != nil {
+		if err := call(ctx, http.MethodPost, addr, "/v1/completions", body); err != nil {
 			return err
 		}
-		return call(ctx, http.MethodGet, addr, "/services/"+orderService+"/stock/crate", nil, nil)
+		return call(ctx, http.MethodGet, addr, "/services/"+orderService+"/stock/crate", nil)
 	})
 }
 
@@ -101,44 +100,24 @@
 	}
 }
 
-func tryApply(ctx context.Context, addr string, doc configurer.Doc) error {
-	var st statusReply
-	if err := call(ctx, http.MethodGet, addr, "/v1/status", nil, &st); err != nil {
-		return err
-	}
-	body, err := json.Marshal(changeRequest{
-		Change: fmt.Sprintf("demo-%d", st.Revision), Expect: st.Revision, Doc: doc, Wait: true, Timeout: "5s",
-	})
-	if err != nil {
-		return errors.Wrap(err, "encode change")
-	}
-	return call(ctx, http.MethodPost, addr, "/v1/apply", body, nil)
-}
-
-func call(ctx context.Context, method, addr, path string, body []byte, into any) error {
+// call sends a request to an entry and wants it done.
+func call(ctx context.Context, method, addr, path string, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "make request")
 	}
-	req.Header.Set("Authorization", "Bearer "+Operator.Token)
 	req.Header.Set("Content-Type", "application/json")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "call the own API")
+		return errors.Wrap(err, "call the entry")
 	}
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
-	if res.StatusCode/100 != 2 {
+	if res.StatusCode != http.StatusOK {
 		return errors.Errorf("%s %s: %s: %s", method, path, res.Status, b)
 	}
-	if into == nil {
-		return nil
-	}
-	if err := json.Unmarshal(b, into); err != nil {
-		return errors.Wrap(err, "decode answer")
-	}
 	return nil
 }
--- a/stage/rehearser/apply.go
+++ b/stage/rehearser/apply.go
@@ -46,16 +46,10 @@
 
 // Operate runs the operators' command line and returns what it printed.
 func (r *Rehearser) Operate(argv ...string) (string, error) {
-	var out, complaint bytes.Buffer
-	all := append([]string{
+	return operator.Call(&bytes.Buffer{}, append([]string{
 		"--operators", filepath.Join(r.cfg.Folder, questioner.OperatorsFile),
 		"--token", filepath.Join(r.cfg.Folder, questioner.TokenFile),
-	}, argv...)
-	code := operator.Run(operator.Env{In: &bytes.Buffer{}, Out: &out, Err: &complaint}, all)
-	if code != operator.OK {
-		return out.String(), errors.Errorf("redwingstage %s: exit code %d: %s", argv[0], code, complaint.String())
-	}
-	return out.String(), nil
+	}, argv...)...)
 }
 
 func (r *Rehearser) retry(ctx context.Context, f func() error) error {
--- a/stage/surveyor/contact.go
+++ b/stage/surveyor/contact.go
@@ -14,6 +14,7 @@
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/standin/cutter"
 	"redwingstage.org/standin/inferer"
+	"redwingstage.org/standin/launcher"
 	"redwingstage.org/standin/modeler"
 )
 
@@ -69,7 +70,7 @@
 	if c.polls, err = cutter.New(ctx, "127.0.0.1:0", c.engine.Addr()); err != nil {
 		return err
 	}
-	peers, err := freeAddr(ctx)
+	peers, err := launcher.FreeAddr(ctx)
 	if err != nil {
 		return err
 	}
--- a/stage/surveyor/surveyor.go
+++ b/stage/surveyor/surveyor.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"runtime"
 	"syscall"
 	"text/tabwriter"
@@ -105,12 +104,3 @@
 		return nil
 	}
 }
-
-func freeAddr(ctx context.Context) (string, error) {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	return ln.Addr().String(), ln.Close()
-}
--- a/stage/surveyor/world.go
+++ b/stage/surveyor/world.go
@@ -20,6 +20,7 @@
 	"redwingstage.org/stage/controller"
 	"redwingstage.org/stage/operator"
 	"redwingstage.org/standin/cutter"
+	"redwingstage.org/standin/launcher"
 )
 
 // The store of a survey is so fast that a permit's cost is the messages' and not the wait.
@@ -62,10 +63,10 @@
 }
 
 func (w *world) start(ctx context.Context, entries int) (err error) {
-	if w.addr, err = freeAddr(ctx); err != nil {
+	if w.addr, err = launcher.FreeAddr(ctx); err != nil {
 		return err
 	}
-	if w.ops, err = freeAddr(ctx); err != nil {
+	if w.ops, err = launcher.FreeAddr(ctx); err != nil {
 		return err
 	}
 	w.ctl, err = controller.New(controller.Config{
@@ -180,12 +181,8 @@
 	if err := os.WriteFile(file, []byte(token.Token), secretMode); err != nil {
 		return errors.Wrap(err, "write token")
 	}
-	var complaint bytes.Buffer
-	env := operator.Env{In: in, Out: io.Discard, Err: &complaint}
-	if code := operator.Run(env, append([]string{"--addrs=" + w.ops, "--token", file}, argv...)); code != operator.OK {
-		return errors.Errorf("redwingstage %s: exit code %d: %s", argv[0], code, &complaint)
-	}
-	return nil
+	_, err := operator.Call(in, append([]string{"--addrs=" + w.ops, "--token", file}, argv...)...)
+	return err
 }
 
 // Close stops everything and removes the data.
