orderer: the incarnation changes before the connections are dropped

Cause: Crash closed the connections and only then took a new incarnation, so a caller that asked again at once was answered with the old one. Ruled out: the inferer drops and resets under the lock that its handler takes, so it has no such window. Change: reset first, then drop. Conclusion: a fault of the stand-in, not of the test; the test is as it was.

--- a/standin/orderer/orderer.go
+++ b/standin/orderer/orderer.go
@@ -161,10 +161,11 @@
 	if s.exit != nil {
 		s.exit()
 	}
-	s.ln.Drop()
+	// The incarnation changes first: a caller that lost its connection may ask the restarted service at once.
 	s.mu.Lock()
 	s.reset()
 	s.mu.Unlock()
+	s.ln.Drop()
 }
 
 // Ledger returns how often each booking ran, by its key.
