--- a/serving/scheduler/bench_test.go
+++ b/serving/scheduler/bench_test.go
@@ -15,10 +15,10 @@
 	for _, size := range []struct{ engines, entries int }{{15, 8}, {600, 320}, {600, 8}} {
 		for _, adapters := range []int{3000, 120_000} {
 			b.Run(fmt.Sprintf("engines=%d/entries=%d/adapters=%d", size.engines, size.entries, adapters), func(b *testing.B) {
-				s, owned := New(Config{}, 1), max(size.engines/size.entries, 1)
+				s, owned := New(Config{MaxReportAge: 1 << 62}, 1), max(size.engines/size.entries, 1)
 				for i := range owned {
 					sv := registrar.Server{Name: fmt.Sprint("e", i), Kind: configurer.KindModel, Service: "base", Slots: 8, Batch: 16}
-					s.Handle(start, Owned{Server: sv, Epoch: 1, Residents: []configurer.Target{target(0), target(1), target(2)}})
+					s.Handle(start, Owned{Server: sv, Epoch: 1, Asked: start, Residents: []configurer.Target{target(0), target(1), target(2)}})
 				}
 				jobs := make([]Job, adapters)
 				for i := range jobs {
@@ -50,7 +50,7 @@
 			s := New(Config{SilentFirst: 1 << 50}, 1)
 			for i := range owned {
 				sv := registrar.Server{Name: fmt.Sprint("e", i), Kind: configurer.KindModel, Service: "base", Slots: 8, Batch: 16}
-				s.Handle(start, Owned{Server: sv, Epoch: 1, Residents: []configurer.Target{target(0)}})
+				s.Handle(start, Owned{Server: sv, Epoch: 1, Asked: start, Residents: []configurer.Target{target(0)}})
 				for n := range 32 {
 					a := retrier.NewAttempt("n", uint64(i), uint64(n+1))
 					s.Handle(start, Arrived{Job: Job{Attempt: a, Server: sv.Name, Target: target(0), Urgent: true, Last: true}})
--- a/serving/scheduler/config.go
+++ b/serving/scheduler/config.go
@@ -57,6 +57,8 @@
 	SilentFirst time.Duration
 	// SilentPlain is the longest wait for a plain service.
 	SilentPlain time.Duration
+	// MaxReportAge is how long ago a server must have been asked for its last report for work to be sent to it.
+	MaxReportAge time.Duration
 	// CancelRetry is the time after which an unconfirmed cancel is repeated.
 	CancelRetry time.Duration
 	// AlarmLead is how long before its latest start waiting work is reported as at risk.
@@ -81,6 +83,7 @@
 	DefaultSilentAfter    = 2 * time.Second
 	DefaultSilentFirst    = 8 * time.Second
 	DefaultSilentPlain    = 15 * time.Second
+	DefaultMaxReportAge   = 2500 * time.Millisecond
 	DefaultCancelRetry    = time.Second
 	DefaultAlarmLead      = 5 * time.Minute
 )
@@ -100,6 +103,7 @@
 	orTime(&c.SilentAfter, DefaultSilentAfter)
 	orTime(&c.SilentFirst, DefaultSilentFirst)
 	orTime(&c.SilentPlain, DefaultSilentPlain)
+	orTime(&c.MaxReportAge, DefaultMaxReportAge)
 	orTime(&c.CancelRetry, DefaultCancelRetry)
 	orTime(&c.AlarmLead, DefaultAlarmLead)
 	if c.Off&PartClasses != 0 {
--- a/serving/scheduler/engine_test.go
+++ b/serving/scheduler/engine_test.go
@@ -230,7 +230,7 @@
 	w.after(500*time.Millisecond, w.spread)
 	w.after(2*time.Second, func() {
 		e.down, e.frozen = false, time.Time{}
-		w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch})
+		w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch, Asked: w.now})
 		w.spread()
 	})
 }
@@ -241,7 +241,7 @@
 	e.clear()
 	w.after(300*time.Millisecond, func() {
 		if !e.down && w.scheds[e.owner].Owns(e.name) {
-			w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch})
+			w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch, Asked: w.now})
 			w.spread()
 		}
 	})
@@ -265,7 +265,9 @@
 		return
 	}
 	e.owner, e.epoch = 1-old, e.epoch+1
-	w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch, Residents: e.residents(), Pinned: w.scheds[old].Pinned(e.name)})
+	w.handle(e.owner, Owned{
+		Server: w.announce(e), Epoch: e.epoch, Asked: w.now, Residents: e.residents(), Pinned: w.scheds[old].Pinned(e.name),
+	})
 	w.after(50*time.Millisecond, w.spread)
 	w.unpinLater(e, old)
 }
@@ -299,7 +301,7 @@
 			}
 			e.owner, e.epoch = 1-old, e.epoch+1
 			w.handle(e.owner, Owned{
-				Server: w.announce(e), Epoch: e.epoch, Residents: e.residents(), Pinned: e.residents(),
+				Server: w.announce(e), Epoch: e.epoch, Asked: w.now, Residents: e.residents(), Pinned: e.residents(),
 				OrderAt: w.now.Add(500 * time.Millisecond),
 			})
 			w.step("takeover", e)
@@ -315,6 +317,20 @@
 func (w *world) leave(e *fakeEngine) {
 	e.leaving = w.now
 	w.step("leave", e)
-	w.after(300*time.Millisecond, func() { w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch}) })
-	w.after(time.Second, w.spread)
+	w.after(300*time.Millisecond, func() { w.hear(e) })
+	w.after(time.Second, func() { w.unmuted(e, w.spread) })
+}
+
+// hear tells an engine's owner of its announcement, once the owner hears anything of it.
+func (w *world) hear(e *fakeEngine) {
+	w.unmuted(e, func() { w.handle(e.owner, Owned{Server: w.announce(e), Epoch: e.epoch, Asked: w.now}) })
+}
+
+// unmuted does something as soon as news of an engine gets through.
+func (w *world) unmuted(e *fakeEngine, do func()) {
+	if w.now.After(e.mute) {
+		do()
+		return
+	}
+	w.after(100*time.Millisecond, func() { w.unmuted(e, do) })
 }
--- a/serving/scheduler/event.go
+++ b/serving/scheduler/event.go
@@ -36,6 +36,8 @@
 type Owned struct {
 	Server registrar.Server
 	Epoch  uint64
+	// Asked is when the server was asked for what this says.
+	Asked time.Time
 	// Residents are the adapters that the server itself reports as loaded.
 	Residents []configurer.Target
 	// Pinned are the residents that may still serve requests of the last owner.
@@ -123,7 +125,9 @@
 
 // Reported brings a server's own load report, which lags.
 type Reported struct {
-	Server  string
+	Server string
+	// Asked is when the server was asked, before it answered.
+	Asked   time.Time
 	Running int
 	Waiting int
 	// Residents are the adapters that the server reports as loaded, if it was asked.
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -31,7 +31,7 @@
 
 // breaks switches mechanisms off, so that tests can show that the checker notices.
 type breaks struct {
-	pins, residency, leaving, lease, orders, suspects, reset, inherit, settle, apart bool
+	pins, residency, leaving, reports, lease, orders, suspects, reset, inherit, settle, apart bool
 }
 
 // classStats is what was observed of a class.
@@ -106,7 +106,10 @@
 			s.forget(ev.Server, sv)
 		})
 	case Reported:
-		s.with(now, ev.Server, func(sv *server) { sv.slots.Adopt(now, ev.Residents) })
+		s.with(now, ev.Server, func(sv *server) {
+			sv.heard(ev.Asked)
+			sv.slots.Adopt(now, ev.Residents)
+		})
 	}
 }
 
--- a/serving/scheduler/scheduler_test.go
+++ b/serving/scheduler/scheduler_test.go
@@ -36,7 +36,7 @@
 
 func newFixture(t *testing.T, cfg Config, sv registrar.Server) *fixture {
 	f := &fixture{c: qt.New(t), s: New(cfg, 1), now: start}
-	f.do(Owned{Server: sv, Epoch: 1})
+	f.do(Owned{Server: sv, Epoch: 1, Asked: f.now})
 	return f
 }
 
@@ -107,7 +107,7 @@
 		{"leaving", func(f *fixture, _ *Job) {
 			sv := engine(1, 4)
 			sv.Leaving = true
-			f.do(Owned{Server: sv, Epoch: 1})
+			f.do(Owned{Server: sv, Epoch: 1, Asked: f.now})
 		}, ReasonLeaving},
 		{"handed over", func(f *fixture, _ *Job) { f.do(Released{Server: "e1"}) }, ReasonNotOwner},
 	} {
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -20,6 +20,8 @@
 	reg     registrar.Server
 	epoch   uint64
 	orderAt time.Time
+	// asked is when the server was asked for its last report.
+	asked time.Time
 	// leased says that orders may be given; open that new work is taken.
 	leased   bool
 	open     bool
@@ -73,6 +75,18 @@
 	return sv.leased && !now.Before(sv.orderAt) && sv.isModel()
 }
 
+// isHeard reports whether the server's last report is young enough to send it work: a server that left, unheard, gets none after that.
+func (s *Scheduler) isHeard(now time.Time, sv *server) bool {
+	return now.Sub(sv.asked) <= s.cfg.MaxReportAge || s.off.reports
+}
+
+// heard notes when the server was asked for a report that came; reports may overtake each other.
+func (sv *server) heard(asked time.Time) {
+	if asked.After(sv.asked) {
+		sv.asked = asked
+	}
+}
+
 // owned takes a server over, or notes what its new announcement changed.
 func (s *Scheduler) owned(now time.Time, ev Owned) {
 	name := ev.Server.Name
@@ -99,6 +113,7 @@
 		s.servers[name] = sv
 	}
 	sv.reg = ev.Server
+	sv.heard(ev.Asked)
 	sv.slots.Resize(ev.Server.Slots)
 	if fresh {
 		pinned := ev.Pinned
--- a/serving/scheduler/world_test.go
+++ b/serving/scheduler/world_test.go
@@ -19,6 +19,7 @@
 	inc      int
 	down     bool
 	frozen   time.Time
+	mute     time.Time // until then its owner hears neither reports nor announcements
 	leaving  time.Time
 	resident map[configurer.Target]bool
 	running  map[retrier.Attempt]configurer.Target
@@ -104,7 +105,7 @@
 		e := &fakeEngine{name: fmt.Sprint("e", i+1), inc: 1, owner: i % worldEntries, epoch: 1}
 		e.clear()
 		w.engines = append(w.engines, e)
-		w.handle(e.owner, Owned{Server: w.announce(e), Epoch: 1})
+		w.handle(e.owner, Owned{Server: w.announce(e), Epoch: 1, Asked: w.now})
 	}
 	w.spread()
 	for i := range worldCalls {
@@ -174,8 +175,8 @@
 			break
 		}
 		// The engine's report shows what is loaded there, as long as it answers.
-		if s := w.scheds[e.owner]; !e.down && w.now.After(e.frozen) && s.Owns(e.name) {
-			w.handle(e.owner, Reported{Server: e.name, Residents: e.residents()})
+		if s := w.scheds[e.owner]; !e.down && w.now.After(e.frozen) && w.now.After(e.mute) && s.Owns(e.name) {
+			w.handle(e.owner, Reported{Server: e.name, Asked: w.now, Residents: e.residents()})
 		}
 	}
 	w.after(worldTick, w.tick)
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -20,14 +20,14 @@
 )
 
 const (
-	handoverLimit    = 15 * time.Second
-	tickInterval     = 10 * time.Millisecond
-	pollInterval     = 500 * time.Millisecond
-	idlePollInterval = time.Second
-	syncInterval     = 1 * time.Second
-	pollTimeout      = 2 * time.Second
-	silentLimit      = 5 * time.Second
-	inboxSize        = 1024
+	handoverLimit = 15 * time.Second
+	tickInterval  = 10 * time.Millisecond
+	pollInterval  = time.Second
+	// One poll may be lost before the last report is too old to send new work on it, see scheduler.DefaultMaxReportAge.
+	pollTimeout  = time.Second
+	syncInterval = time.Second
+	silentLimit  = 5 * time.Second
+	inboxSize    = 1024
 )
 
 // Control is what the owner needs of the control role.
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -25,6 +25,7 @@
 	orderAt   time.Time
 	adopted   bool
 	polling   bool
+	warned    bool
 	nextPoll  time.Time
 	answered  time.Time
 	dead      bool
@@ -163,19 +164,10 @@
 	})
 }
 
-// pollEvery returns the time between two polls; an idle server is polled less often, which halves what owners spend.
-func (o *Owner) pollEvery(server string) time.Duration {
-	for _, j := range o.jobs {
-		if j.job.Server == server {
-			return pollInterval
-		}
-	}
-	return idlePollInterval
-}
-
 // poll asks the server for its report in the background.
 func (o *Owner) poll(h *held) {
-	h.nextPoll = time.Now().Add(o.pollEvery(h.server.Name))
+	asked := time.Now()
+	h.nextPoll = asked.Add(pollInterval)
 	if h.polling {
 		return
 	}
@@ -188,18 +180,20 @@
 		o.post(func() {
 			h.polling = false
 			if o.held[name] == h {
-				o.polled(h, report, err, time.Now())
+				o.polled(h, report, err, asked)
 			}
 		})
 	})
 }
 
-func (o *Owner) polled(h *held, report sender.Report, err error, now time.Time) {
+// polled takes in how a poll ended that began at asked.
+func (o *Owner) polled(h *held, report sender.Report, err error, asked time.Time) {
+	now := time.Now()
 	if err != nil {
 		o.unanswered(h, err, now)
 		return
 	}
-	h.answered, h.dead = now, false
+	h.answered, h.dead, h.warned = now, false, false
 	if report.Incarnation != h.server.Incarnation {
 		if h.adopted {
 			o.gone(h, true)
@@ -208,11 +202,11 @@
 	}
 	h.server.Leaving = h.server.Leaving || report.Leaving
 	if !h.adopted || h.announced != h.server {
-		o.adopt(h, report)
+		o.adopt(h, report, asked)
 	}
 	o.unpin(h, report, now)
 	o.handle(scheduler.Reported{
-		Server: h.server.Name, Running: report.Running, Waiting: report.Waiting,
+		Server: h.server.Name, Asked: asked, Running: report.Running, Waiting: report.Waiting,
 		Residents: parseTargets(report.Resident, h.server.Service),
 	})
 	o.Meter.Fill(h.server.Name, report.Running, h.server.Batch)
@@ -227,6 +221,9 @@
 		o.gone(h, true)
 	case now.Sub(h.answered) > silentLimit && h.adopted:
 		o.gone(h, false)
+	case now.Sub(h.answered) > scheduler.DefaultMaxReportAge && !h.warned:
+		h.warned = true
+		o.Log.Warn("backend server answers no polls and gets nothing new", h.server.Name)
 	}
 }
 
@@ -246,7 +243,7 @@
 }
 
 // adopt tells the scheduler of a server with what the server itself reports as resident.
-func (o *Owner) adopt(h *held, report sender.Report) {
+func (o *Owner) adopt(h *held, report sender.Report, asked time.Time) {
 	first := !h.adopted
 	h.adopted, h.announced = true, h.server
 	residents := parseTargets(report.Resident, h.server.Service)
@@ -258,7 +255,7 @@
 	// The scheduler ends what ran in an earlier incarnation.
 	o.going = true
 	o.handle(scheduler.Owned{
-		Server: h.server, Epoch: h.owner.Epoch, Residents: residents, Pinned: slices.Clone(h.pinned), OrderAt: h.orderAt,
+		Server: h.server, Epoch: h.owner.Epoch, Asked: asked, Residents: residents, Pinned: slices.Clone(h.pinned), OrderAt: h.orderAt,
 	})
 	o.going = false
 	o.Log.Info("owns backend server", h.server.Name)
--- a/standin/comparer/world.go
+++ b/standin/comparer/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -68,6 +69,8 @@
 	sampleEvery  = 50 * time.Millisecond
 	rosterDelay  = time.Second
 	crashNoticed = 5 * time.Millisecond
+	// unbounded stands for ages that the comparison's engines, which nobody polls, never reach.
+	unbounded time.Duration = math.MaxInt64
 )
 
 func newWorld(t Team, sc Scenario, p Policy, seed uint64) *world {
@@ -82,7 +85,7 @@
 	}
 	for i := range t.Entries {
 		w.entries = append(w.entries, &entry{
-			sched: scheduler.New(scheduler.Config{Off: p.Scheduler}, seed*100+uint64(i)),
+			sched: scheduler.New(scheduler.Config{Off: p.Scheduler, MaxReportAge: unbounded}, seed*100+uint64(i)),
 			pick:  newPicker(p, seed*1000+uint64(i)),
 			retry: retrier.New(retrier.Config{}, seed*10+uint64(i)),
 		})
@@ -150,7 +153,7 @@
 
 func (w *world) own(e *engine) {
 	w.epoch[e.name]++
-	w.handle(w.owner[e.name], scheduler.Owned{Server: w.announce(e), Epoch: w.epoch[e.name]})
+	w.handle(w.owner[e.name], scheduler.Owned{Asked: w.now, Server: w.announce(e), Epoch: w.epoch[e.name]})
 }
 
 func (w *world) announce(e *engine) registrar.Server {
