TLS for operators: a certificate that may be replaced while the replica runs

Cause: operators' tokens crossed the network as they are. Ruled out: TLS on the callers' listener (the balancer ends it; backend servers announce themselves there in plain HTTP) and between own processes (see DESIGN.md). Change: package certifier; settings tls.cert and tls.key of a control replica; --ca of the command line, which sends neither token nor change before the replica's certificate is proved. A damaged, half replaced or missing new pair keeps the old one.

--- /dev/null
+++ b/stage/certifier/certifier_test.go
@@ -0,0 +1,159 @@
+package certifier
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+
+// lines is a Logger that keeps what it is told.
+type lines []string
+
+func (l *lines) Info(msg, detail string)     { *l = append(*l, msg+": "+detail) }
+func (l *lines) Error(msg string, err error) { *l = append(*l, msg+": "+err.Error()) }
+
+// fixture is a folder with a certificate of its own authority for 127.0.0.1.
+type fixture struct {
+	*quicktest.C
+	dir string
+	log lines
+	now time.Time
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{C: quicktest.New(t), dir: t.TempDir(), now: start}
+	f.issue(1, start.Add(time.Hour))
+	return f
+}
+
+func (f *fixture) path(name string) string { return filepath.Join(f.dir, name) }
+
+// write replaces a file; its time tells the contents apart, whatever the file system's resolution.
+func (f *fixture) write(name, content string, at time.Time) {
+	f.Assert(os.WriteFile(f.path(name), []byte(content), 0o600), quicktest.IsNil)
+	f.Assert(os.Chtimes(f.path(name), at, at), quicktest.IsNil)
+}
+
+// issue writes a certificate with a serial number, which also sets the files' time.
+func (f *fixture) issue(serial int64, end time.Time) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	f.Assert(err, quicktest.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "control-1"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: start.Add(-time.Hour), NotAfter: end, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	f.Assert(err, quicktest.IsNil)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	f.Assert(err, quicktest.IsNil)
+	at := start.Add(time.Duration(serial) * time.Second)
+	f.write("c.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})), at)
+	f.write("k.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})), at)
+}
+
+func (f *fixture) new() (*Certifier, error) {
+	return New(f.path("c.pem"), f.path("k.pem"), &f.log, WithClock(func() time.Time { return f.now }))
+}
+
+// shake connects a client that trusts the certificate in c.pem and returns the serial number that it was shown.
+func (f *fixture) shake(c *Certifier, addr string) (int64, error) {
+	cfg, err := Client(f.path("c.pem"))
+	f.Assert(err, quicktest.IsNil)
+	cfg.Time = func() time.Time { return f.now }
+	near, far := net.Pipe()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = tls.Server(far, c.Config()).HandshakeContext(context.Background())
+		_ = far.Close()
+	}()
+	defer func() { <-served }()
+	defer func() { _ = near.Close() }()
+	secure, err := Handshake(context.Background(), near, addr, cfg)
+	if err != nil {
+		return 0, err
+	}
+	return secure.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+func TestHandshake(t *testing.T) {
+	f := newFixture(t)
+	c, err := f.new()
+	f.Assert(err, quicktest.IsNil)
+	serial, err := f.shake(c, "127.0.0.1:7070")
+	f.Assert(err, quicktest.IsNil)
+	f.Assert(serial, quicktest.Equals, int64(1))
+	_, err = f.shake(c, "127.0.0.2:7070")
+	f.Assert(err, quicktest.ErrorMatches, `TLS with 127.0.0.2:7070: .*not 127.0.0.2`)
+	f.issue(2, start.Add(time.Hour))
+	_, err = f.shake(c, "127.0.0.1:7070")
+	f.Assert(err, quicktest.ErrorMatches, `TLS with 127.0.0.1:7070: .*x509.*`, quicktest.Commentf("another authority"))
+}
+
+func TestReplacement(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*fixture)
+		passed time.Duration
+		serial string
+		log    string
+	}{
+		{"unchanged", func(*fixture) {}, lookInterval, "1", ""},
+		{"new pair", func(f *fixture) { f.issue(2, start.Add(time.Hour)) }, lookInterval, "2", "uses a new certificate"},
+		{"too early to look", func(f *fixture) { f.issue(2, start.Add(time.Hour)) }, lookInterval - 1, "1", ""},
+		{"half replaced", func(f *fixture) { f.write("k.pem", "k", start) }, lookInterval, "1", "keeping the old certificate"},
+		{"gone", func(f *fixture) { f.Assert(os.Remove(f.path("c.pem")), quicktest.IsNil) }, lookInterval, "1", "keeping the old certificate"},
+		{"expired", func(f *fixture) { f.issue(3, start.Add(time.Second)) }, lookInterval, "3", "expired on 2026-03-02T09:00:01Z"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			c, err := f.new()
+			f.Assert(err, quicktest.IsNil)
+			tt.change(f)
+			f.now = f.now.Add(tt.passed)
+			f.Assert(c.certificate().Leaf.SerialNumber.String(), quicktest.Equals, tt.serial)
+			f.Assert(strings.Join(f.log, "\n"), quicktest.Contains, tt.log)
+			f.Assert(len(f.log) > 0, quicktest.Equals, tt.log != "")
+		})
+	}
+}
+
+func TestBadFiles(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*fixture)
+		err    string
+	}{
+		{"no certificate", func(f *fixture) { f.Assert(os.Remove(f.path("c.pem")), quicktest.IsNil) }, `certificate: stat .*c\.pem.*`},
+		{"no key", func(f *fixture) { f.Assert(os.Remove(f.path("k.pem")), quicktest.IsNil) }, `key of the certificate: stat .*k\.pem.*`},
+		{"no PEM", func(f *fixture) { f.write("c.pem", "c", start) }, `certificate .*c\.pem with key .*k\.pem: .*`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			tt.change(f)
+			_, err := f.new()
+			f.Assert(err, quicktest.ErrorMatches, tt.err)
+		})
+	}
+	f := newFixture(t)
+	_, err := Client(f.path("none.pem"))
+	f.Assert(err, quicktest.ErrorMatches, `certificates of authorities: .*none\.pem.*`)
+	_, err = Client(f.path("k.pem"))
+	f.Assert(err, quicktest.ErrorMatches, `.*k\.pem holds no certificate in PEM`)
+}
--- a/stage/controller/controller.go
+++ b/stage/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -62,6 +63,8 @@
 	Addr string
 	// Operators is the operators' listener.
 	Operators string
+	// TLS secures the operators' listener, which is plain HTTP without it.
+	TLS *tls.Config
 	// Metrics is the listener for metrics and health, none if empty.
 	Metrics string
 	// Folder is the data folder.
@@ -187,7 +190,11 @@
 	c.serve(c.peers, listeners[0])
 	if c.cfg.Operators != "" {
 		c.api = c.newAPI()
-		c.spawn(func() { c.serveAPI(listeners[1]) })
+		l := listeners[1]
+		if c.cfg.TLS != nil {
+			l = tls.NewListener(l, c.cfg.TLS)
+		}
+		c.spawn(func() { c.serveAPI(l) })
 	}
 	if c.cfg.Metrics != "" {
 		c.watch = c.newWatch()
--- a/stage/loader/loader.go
+++ b/stage/loader/loader.go
@@ -143,6 +143,11 @@
 		operators: n.Addr("operators"),
 		tokens:    under(base, n.Text("tokens")),
 	}
+	if n.Has("tls") {
+		t := n.Object("tls")
+		c.tls = TLS{cert: under(base, t.Text("cert")), key: under(base, t.Text("key"))}
+		t.End()
+	}
 	for _, m := range n.Objects("members", 0) {
 		c.members = append(c.members, Member{id: uint64(m.Count("id", 1, maxID)), addr: m.Addr("addr")})
 		m.End()
--- a/stage/loader/loader_test.go
+++ b/stage/loader/loader_test.go
@@ -84,6 +84,11 @@
 			[]string{`"id":1,"cluster"`, `"id":0,"cluster"`, `"parallel":3,`, `"parallel":30,"parts":1,`, `"folder":"data/control-1",`, ``},
 			[]string{`id: 0 is not between 1 and 2147483647`, `folder: is missing`, `store.inflight: is below parallel`, `store.parts: unknown field`},
 		},
+		{
+			"half a certificate", controlJSON,
+			[]string{`"tokens":`, `"tls":{"cert":"c.pem","file":1},"tokens":`},
+			[]string{`tls.key: is missing`, `tls.file: unknown field`},
+		},
 		{"store is no object", controlJSON, []string{`{"rate":3.5,"parallel":3,"inflight":24,"load":"250ms"}`, `3`}, []string{`store: must be an object`}},
 	}
 	for _, tt := range tests {
--- a/stage/loader/settings.go
+++ b/stage/loader/settings.go
@@ -102,6 +102,7 @@
 	folder    string
 	operators string
 	tokens    string
+	tls       TLS
 	members   []Member
 	store     Store
 }
@@ -121,12 +122,27 @@
 // Tokens returns the file with the operators' tokens.
 func (c Control) Tokens() string { return c.tokens }
 
+// TLS returns the certificate of the operators' listener.
+func (c Control) TLS() TLS { return c.tls }
+
 // Members returns the first replicas of a new group; a replica that joins a running one has none.
 func (c Control) Members() []Member { return c.members }
 
 // Store returns what the weight store allows.
 func (c Control) Store() Store { return c.store }
 
+// TLS names the files of a listener's certificate; without them it is plain HTTP.
+type TLS struct {
+	cert string
+	key  string
+}
+
+// Cert returns the file with the certificate in PEM, empty if there is none.
+func (t TLS) Cert() string { return t.cert }
+
+// Key returns the file with the certificate's key in PEM.
+func (t TLS) Key() string { return t.key }
+
 // Member is one replica of the control group.
 type Member struct {
 	id   uint64
--- a/stage/operator/args.go
+++ b/stage/operator/args.go
@@ -20,6 +20,7 @@
 	Addrs     []string `arg:"--addrs,env:REDWINGSTAGE_ADDRS" placeholder:"IP:PORT" help:"operators' addresses of the control replicas"`
 	AddrsFile string   `arg:"--operators,env:REDWINGSTAGE_OPERATORS" placeholder:"FILE" help:"file with these addresses, one a line"`
 	Token     string   `arg:"--token,env:REDWINGSTAGE_TOKEN" placeholder:"FILE" help:"file with the operator's token"`
+	CA        string   `arg:"--ca,env:REDWINGSTAGE_CA" placeholder:"FILE" help:"calls go by TLS to replicas whose certificate is signed by an authority in this file"`
 	JSON      bool     `arg:"--json" help:"print JSON"`
 }
 
--- a/stage/operator/client.go
+++ b/stage/operator/client.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"crypto/tls"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -22,19 +24,26 @@
 
 // client calls the operators' API of any control replica; replicas pass a call on to their leader.
 type client struct {
-	addrs []string
-	token string
-	http  *fasthttp.Client
-	sleep func(time.Duration)
-	first int // the replica that answered last
+	addrs  []string
+	token  string
+	scheme string
+	http   *fasthttp.Client
+	sleep  func(time.Duration)
+	first  int // the replica that answered last
 }
 
-func newClient(addrs []string, token string, sleep func(time.Duration)) *client {
-	return &client{addrs: addrs, token: token, sleep: sleep, http: &fasthttp.Client{
+// newClient returns a client that calls by TLS if secure is given.
+func newClient(addrs []string, token string, secure *tls.Config, sleep func(time.Duration)) *client {
+	c := &client{addrs: addrs, token: token, scheme: "http://", sleep: sleep, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1, // calls are repeated here, where it's known which may be
 		MaxConnsPerHost:           1,
 		Dial:                      dial,
 	}}
+	if secure != nil {
+		c.scheme = "https://"
+		c.http.Dial = func(addr string) (net.Conn, error) { return dialTLS(addr, secure) }
+	}
+	return c
 }
 
 func (c *client) close() { c.http.CloseIdleConnections() }
@@ -132,7 +141,7 @@
 	r, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(r)
 	defer fasthttp.ReleaseResponse(resp)
-	r.SetRequestURI("http://" + addr + req.path)
+	r.SetRequestURI(c.scheme + addr + req.path)
 	r.URI().SetQueryString(req.query.Encode())
 	r.Header.SetMethod(req.method)
 	r.Header.Set("Authorization", "Bearer "+c.token)
--- a/stage/operator/dial.go
+++ b/stage/operator/dial.go
@@ -1,10 +1,15 @@
 package operator
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/stage/certifier"
 )
 
 // dialTimeout bounds one attempt to connect to a replica.
@@ -17,3 +22,18 @@
 	}
 	return c, nil
 }
+
+// dialTLS connects and shakes hands, so that a replica without the right certificate gets neither token nor change.
+func dialTLS(addr string, cfg *tls.Config) (net.Conn, error) {
+	c, err := dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	secure, err := certifier.Handshake(ctx, c, addr, cfg)
+	if err != nil {
+		return nil, &dialError{err: errors.Join(err, c.Close())}
+	}
+	return secure, nil
+}
--- a/stage/operator/operator.go
+++ b/stage/operator/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-faster/errors"
+
+	"redwingstage.org/stage/certifier"
 )
 
 // Env is what a command may use of its surroundings.
@@ -153,7 +156,13 @@
 	if token == "" || strings.ContainsAny(token, " \t\r\n") {
 		return &usageError{"--token: " + c.Token + " holds no token"}
 	}
-	c.client = newClient(addrs, token, c.Sleep)
+	var secure *tls.Config
+	if c.CA != "" {
+		if secure, err = certifier.Client(c.CA); err != nil {
+			return &usageError{"--ca: " + err.Error()}
+		}
+	}
+	c.client = newClient(addrs, token, secure, c.Sleep)
 	return nil
 }
 
--- a/stage/starter/starter.go
+++ b/stage/starter/starter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/stage/certifier"
 	"redwingstage.org/stage/controller"
 	"redwingstage.org/stage/dispatcher"
 	"redwingstage.org/stage/loader"
@@ -85,12 +87,20 @@
 	if err != nil {
 		return nil, err
 	}
+	var secure *tls.Config
+	if t := c.TLS(); t.Cert() != "" {
+		pair, err := certifier.New(t.Cert(), t.Key(), log.Part("control"))
+		if err != nil {
+			return nil, errors.Wrap(err, "operators' listener")
+		}
+		secure = pair.Config()
+	}
 	members := make([]runner.Member, 0, len(c.Members()))
 	for _, m := range c.Members() {
 		members = append(members, runner.Member{ID: m.ID(), Addr: m.Addr()})
 	}
 	ctl, err := controller.New(controller.Config{
-		ID: c.ID(), Cluster: c.Cluster(), Addr: s.Peers(), Operators: c.Operators(), Metrics: s.Metrics(),
+		ID: c.ID(), Cluster: c.Cluster(), Addr: s.Peers(), Operators: c.Operators(), TLS: secure, Metrics: s.Metrics(),
 		Folder: c.Folder(), Members: members, Tokens: tokens,
 		Store: registrar.StoreLimits{Rate: c.Store().Rate(), Parallel: c.Store().Parallel()},
 	}, controller.WithLogger(log.Base()))
