Addresses of tests: no process is given the address of another

Cause: a free address was found by listening on 127.0.0.1 without a port and closing again; until its user bound it (or while its user restarted) any other listener or dialling socket on the machine could be given the same port. Then the start failed with "address already in use", or a call to a server that should be down reached another one.

Ruled out: a retry at the start, since members and documents name the address before it is bound.

The tests of controller, operator, forwarder, dispatcher and inferer use it; the runner test, whose module has no stand-ins, takes such an IP address itself. A test backend of the dispatcher also ends a connection that it took while it was killed; before, that connection went on under the next incarnation.

Conclusion: no test starts a server on an address that another process can be given.

--- a/coord/runner/runner_test.go
+++ b/coord/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -89,7 +90,9 @@
 }
 
 func (g *group) listen(id uint64) runner.Member {
-	addr := "127.0.0.1:0"
+	// An IP address of this process alone: nobody else binds the port while a replica restarts.
+	pid := os.Getpid()
+	addr := fmt.Sprintf("127.%d.%d.%d:0", 65+pid>>16&63, pid>>8&255, pid&255)
 	if old := g.lis[id]; old != nil {
 		addr = old.Addr().String()
 	}
--- a/stage/controller/controller_test.go
+++ b/stage/controller/controller_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/recorder"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/standin/launcher"
 )
 
 // patience bounds a whole test; nothing is judged by how long it took.
@@ -27,10 +27,9 @@
 const testToken = "at-least-16-characters"
 
 func freeAddr(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := launcher.FreeAddr(context.Background())
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addr
 }
 
 func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -17,6 +18,7 @@
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/standin/launcher"
 )
 
 // backend is a backend server that speaks the published protocol, keeps a ledger of what ran, and breaks on order.
@@ -36,7 +38,7 @@
 	discreet bool
 
 	mu          sync.Mutex
-	ln          net.Listener
+	ln, killed  net.Listener
 	conns       map[net.Conn]bool
 	incarnation int
 	calls       int
@@ -72,7 +74,9 @@
 		t: t, name: name, kind: kind, conns: make(map[net.Conn]bool), resident: make(map[string]bool),
 		running: make(map[string]*stream), cancelled: make(map[string]bool), events: 8,
 	}
-	b.listen("127.0.0.1:0")
+	addr, err := launcher.FreeAddr(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	b.listen(addr)
 	t.Cleanup(func() {
 		b.kill()
 		b.wg.Wait()
@@ -97,20 +101,33 @@
 			if err != nil {
 				return
 			}
-			b.mu.Lock()
-			b.conns[c] = true
-			b.mu.Unlock()
+			if !b.add(ln, c) {
+				return
+			}
 			b.wg.Add(1)
 			go b.serve(c)
 		}
 	}()
 }
 
+// add reports whether the process that took the connection still runs; if not, the connection ends with it.
+func (b *backend) add(ln net.Listener, c net.Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.killed == ln {
+		_ = c.Close()
+		return false
+	}
+	b.conns[c] = true
+	return true
+}
+
 // kill ends the process: listener, connections and everything that runs.
 func (b *backend) kill() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_ = b.ln.Close()
+	b.killed = b.ln
 	for c := range b.conns {
 		_ = c.Close()
 	}
--- a/stage/forwarder/forwarder_test.go
+++ b/stage/forwarder/forwarder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,6 +11,7 @@
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/retrier"
 	"redwingstage.org/stage/streamer"
+	"redwingstage.org/standin/launcher"
 )
 
 type silentOwner struct{ served int }
@@ -57,10 +57,9 @@
 		})
 	}
 	qt.Check(t, owner.served, qt.Equals, 0)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	down, err := launcher.FreeAddr(context.Background())
 	qt.Assert(t, err, qt.IsNil)
-	_ = ln.Close()
-	end := c.Serve(context.Background(), ln.Addr().String(), &good, "o1", true, streamer.New(1))
+	end := c.Serve(context.Background(), down, &good, "o1", true, streamer.New(1))
 	qt.Check(t, end.Outcome, qt.Equals, retrier.NotRun)
 	end = c.Serve(context.Background(), srv.Listener.Addr().String(), &good, "o1", true, streamer.New(1))
 	qt.Check(t, end.Outcome, qt.Equals, retrier.Done)
--- a/stage/operator/operator_test.go
+++ b/stage/operator/operator_test.go
@@ -1,9 +1,9 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +19,7 @@
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/registrar"
 	"redwingstage.org/stage/controller"
+	"redwingstage.org/standin/launcher"
 )
 
 const secret = "0123456789abcdef"
@@ -180,12 +181,10 @@
 
 func TestResentChangeKeepsItsID(t *testing.T) {
 	c := quicktest.New(t)
-	down, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, quicktest.IsNil)
-	_ = down.Close()
+	down := freeAddr(c)
 	first := newAPI(c, "cut")
 	second := newAPI(c, `503 {"error":{"code":"no_leader","message":"none"}}`, `200 {"drains":[{"kind":"entry","name":"e1"}]}`)
-	s := newShell(c, down.Addr().String(), first.addr(), second.addr())
+	s := newShell(c, down, first.addr(), second.addr())
 	code, out, _ := s.run("drain", "entry", "e1")
 	c.Assert(code, quicktest.Equals, OK)
 	c.Assert(out, quicktest.Equals, "KIND   NAME\nentry  e1\n")
@@ -193,7 +192,7 @@
 	c.Assert(first.calls(), quicktest.DeepEquals, []string{want, want})
 	c.Assert(second.calls(), quicktest.DeepEquals, []string{want, want})
 	c.Assert(s.slept, quicktest.Equals, pause)
-	code, _, _ = newShell(c, down.Addr().String()).run("drain", "entry", "e1")
+	code, _, _ = newShell(c, down).run("drain", "entry", "e1")
 	c.Assert(code, quicktest.Equals, Unreachable) // nothing was sent, so nothing is uncertain
 }
 
@@ -344,10 +343,9 @@
 
 // freeAddr returns an address that nobody listens on.
 func freeAddr(c *quicktest.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := launcher.FreeAddr(context.Background())
 	c.Assert(err, quicktest.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addr
 }
 
 // startControl starts a control replica, the first of a group or one that joins, and returns its operators' address.
--- a/standin/inferer/inferer_test.go
+++ b/standin/inferer/inferer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/standin/faulter"
+	"redwingstage.org/standin/launcher"
 	"redwingstage.org/standin/modeler"
 )
 
@@ -362,10 +364,9 @@
 	go func() { defer close(served); _ = entry.Serve(ln) }()
 	defer func() { _ = entry.Close(); <-served }()
 
-	gone, err := net.Listen("tcp", "127.0.0.1:0") // an entry that is down
+	gone, err := launcher.FreeAddr(context.Background()) // an entry that is down
 	c.Assert(err, quicktest.IsNil)
-	_ = gone.Close()
-	s := newServer(c, func(cfg *Config) { cfg.Entries = []string{gone.Addr().String(), ln.Addr().String()} })
+	s := newServer(c, func(cfg *Config) { cfg.Entries = []string{gone, ln.Addr().String()} })
 	first := <-announced
 	c.Assert(first, quicktest.Contains, `/v1/announce {"name":"engine-1","kind":"model","addr":"`+s.Addr()+`","zone":"z1","service":"base"`)
 	c.Assert(first, quicktest.Contains, `"slots":2,"batch":16,"fenced":true,"leaving":false}`)
