inferer: nothing begins after the engine dropped what ran

Cause: Close drops all streams and loads and then closes the listener. A generation or a load that a connection had already sent could begin between the two; its driver had ended, so it never ended, and Close waited for it for ever.

Change: under the same lock as the drop the engine is marked as ended, and refuses what comes later with not_run.

Found by reading, not seen in a run. Before: TestNothingBeginsAfterTheEnd, which asks an engine between the two steps: panic: test timed out after 10s. After: passes; the package passes with -race.

--- a/standin/inferer/generate.go
+++ b/standin/inferer/generate.go
@@ -118,6 +118,9 @@
 	total = min(total, maxTokens)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ended {
+		return nil, 0, refusalOfEnd()
+	}
 	if attempt == "" {
 		attempt = "direct." + strconv.Itoa(s.requests)
 	}
@@ -160,6 +163,10 @@
 	return st, n, nil
 }
 
+func refusalOfEnd() *refusal {
+	return &refusal{fasthttp.StatusServiceUnavailable, "not_run", "engine is stopping"}
+}
+
 func refuse(err error) *refusal {
 	var r *modeler.RefusedError
 	if errors.As(err, &r) {
--- a/standin/inferer/inferer_test.go
+++ b/standin/inferer/inferer_test.go
@@ -296,6 +296,21 @@
 	c.Assert(a.body, quicktest.Contains, `"type":"not_run"`)
 }
 
+// TestNothingBeginsAfterTheEnd asks an engine that dropped its streams and loads at its end but still answers:
+// what began after that would never end.
+func TestNothingBeginsAfterTheEnd(t *testing.T) {
+	c := quicktest.New(t)
+	s := newServer(c, nil)
+	s.end()
+	for _, a := range []answer{
+		call(c, s, "POST", "/v1/completions", `{"model":"base","prompt":"x"}`),
+		loadAdapter(c, s, "a@1", "1"),
+	} {
+		c.Assert(a.status, quicktest.Equals, 503)
+		c.Assert(a.body, quicktest.Contains, `"type":"not_run"`)
+	}
+}
+
 func TestCrashExits(t *testing.T) {
 	c := quicktest.New(t)
 	exited := make(chan struct{}, 1)
--- a/standin/inferer/orders.go
+++ b/standin/inferer/orders.go
@@ -98,6 +98,12 @@
 
 func (s *Server) load(ctx *fasthttp.RequestCtx, model string) {
 	s.mu.Lock()
+	if s.ended {
+		s.mu.Unlock()
+		r := refusalOfEnd()
+		responder.Fail(ctx, r.status, r.kind, r.text)
+		return
+	}
 	if err := s.engine.Load(time.Now(), model); err != nil {
 		s.mu.Unlock()
 		r := refuse(err)
--- a/standin/inferer/server.go
+++ b/standin/inferer/server.go
@@ -81,6 +81,7 @@
 	cache       []cacheEvent
 	cacheSeq    uint64
 	leaving     time.Time // zero while the engine stays
+	ended       bool
 	requests    int
 	late        int
 }
@@ -147,16 +148,22 @@
 // Close stops the engine at once and waits for its goroutines.
 func (s *Server) Close() error {
 	s.announcer.Close()
-	s.cancel()
-	s.mu.Lock()
-	s.dropAll()
-	s.mu.Unlock()
+	s.end()
 	// The server may not have begun to serve, and then Shutdown doesn't close the listener.
 	err := errors.Join(s.ln.Close(), s.httpd.Shutdown())
 	s.wg.Wait()
 	return err
 }
 
+// end drops what runs; from then on nothing begins.
+func (s *Server) end() {
+	s.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.dropAll()
+}
+
 // SetFaults switches faults on and off.
 func (s *Server) SetFaults(f faulter.Faults) error {
 	if err := s.faults.Set(f); err != nil {
