--- a/standin/inferer/inferer_test.go
+++ b/standin/inferer/inferer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/standin/faulter"
+	"redwingstage.org/standin/launcher"
 	"redwingstage.org/standin/modeler"
 )
 
@@ -34,7 +36,9 @@
 	cfg := Config{
 		Name: "engine-1", Addr: "127.0.0.1:0", Zone: "z1", Service: "base", Fenced: true, Lag: time.Nanosecond,
 		CacheLag: time.Nanosecond, CacheGap: 1000,
-		Model: modeler.Config{Slots: 2, Step: 200 * time.Microsecond, Load: time.Millisecond, ColdStart: time.Millisecond},
+		Model: modeler.Config{
+			Slots: 2, Step: 200 * time.Microsecond, Load: time.Millisecond, ColdStart: time.Millisecond, Keep: time.Hour,
+		},
 	}
 	if change != nil {
 		change(&cfg)
@@ -174,7 +178,10 @@
 	}
 }
 
-// long returns a request that runs until it is cancelled or the test ends.
+// endless makes a long request run until it is cancelled or the test ends, however slow the test is.
+func endless(cfg *Config) { cfg.Model.Step = 50 * time.Millisecond }
+
+// long is a request that runs for minutes on an endless engine.
 const long = `{"model":"a@1","stream":true,"max_tokens":30000,"messages":[{"role":"user","content":"plan mk-1"}]}`
 
 // open starts a stream and returns once its first event arrived.
@@ -194,7 +201,7 @@
 
 func TestCancelAndEviction(t *testing.T) {
 	c := quicktest.New(t)
-	s := newServer(c, nil)
+	s := newServer(c, endless)
 	loadAdapter(c, s, "a@1", "1")
 	r := open(c, s, "x")
 	c.Assert(call(c, s, "POST", "/v1/cancel", `{"attempt":"x"}`).status, quicktest.Equals, 200)
@@ -276,7 +283,10 @@
 
 func TestCrashOnRequest(t *testing.T) {
 	c := quicktest.New(t)
-	s := newServer(c, func(cfg *Config) { cfg.Model.ColdStart = time.Hour })
+	s := newServer(c, func(cfg *Config) {
+		endless(cfg)
+		cfg.Model.ColdStart = time.Hour
+	})
 	loadAdapter(c, s, "a@1", "1")
 	before := call(c, s, "GET", "/load", "").header.Get(marker.Incarnation)
 	other := open(c, s, "innocent")
@@ -294,6 +304,21 @@
 	c.Assert(a.body, quicktest.Contains, `"type":"not_run"`)
 }
 
+// TestNothingBeginsAfterTheEnd asks an engine that dropped its streams and loads at its end but still answers:
+// what began after that would never end.
+func TestNothingBeginsAfterTheEnd(t *testing.T) {
+	c := quicktest.New(t)
+	s := newServer(c, nil)
+	s.end()
+	for _, a := range []answer{
+		call(c, s, "POST", "/v1/completions", `{"model":"base","prompt":"x"}`),
+		loadAdapter(c, s, "a@1", "1"),
+	} {
+		c.Assert(a.status, quicktest.Equals, 503)
+		c.Assert(a.body, quicktest.Contains, `"type":"not_run"`)
+	}
+}
+
 func TestCrashExits(t *testing.T) {
 	c := quicktest.New(t)
 	exited := make(chan struct{}, 1)
@@ -362,10 +387,9 @@
 	go func() { defer close(served); _ = entry.Serve(ln) }()
 	defer func() { _ = entry.Close(); <-served }()
 
-	gone, err := net.Listen("tcp", "127.0.0.1:0") // an entry that is down
+	gone, err := launcher.FreeAddr(context.Background()) // an entry that is down
 	c.Assert(err, quicktest.IsNil)
-	_ = gone.Close()
-	s := newServer(c, func(cfg *Config) { cfg.Entries = []string{gone.Addr().String(), ln.Addr().String()} })
+	s := newServer(c, func(cfg *Config) { cfg.Entries = []string{gone, ln.Addr().String()} })
 	first := <-announced
 	c.Assert(first, quicktest.Contains, `/v1/announce {"name":"engine-1","kind":"model","addr":"`+s.Addr()+`","zone":"z1","service":"base"`)
 	c.Assert(first, quicktest.Contains, `"slots":2,"batch":16,"fenced":true,"leaving":false}`)
