compare: print where stalls and late first tokens come from; a detector's answer doesn't depend on questions

Cause: the figures said how many requests stall and not why, so that every change was a guess. Watching that showed that Detector.Slow changed the detector: a hold that ran out was only noted by whoever asked, and one late measurement made the member slow again. It is noted when the next measurement comes. Proof, before the mend: TestAskingChangesNothing: "value is not false, asked: false".

--- a/coord/detector/detector.go
+++ b/coord/detector/detector.go
@@ -100,6 +100,10 @@
 		m = &member{}
 		d.members[name] = m
 	}
+	if m.slow && now.Sub(m.seen) > d.cfg.Hold {
+		m.slow = false
+		m.recent = [kinds]average{}
+	}
 	m.seen = now
 	m.recent[kind].add(now, took.Seconds(), d.cfg.Window)
 	d.judge(now, m)
@@ -118,15 +122,7 @@
 // Slow reports whether a member is a straggler.
 func (d *Detector) Slow(now time.Time, name string) bool {
 	m := d.members[name]
-	if m == nil || !m.slow {
-		return false
-	}
-	if now.Sub(m.seen) > d.cfg.Hold {
-		m.slow = false
-		m.recent = [kinds]average{}
-		return false
-	}
-	return true
+	return m != nil && m.slow && now.Sub(m.seen) <= d.cfg.Hold
 }
 
 // Reference returns the usual length of a kind of measurement, or zero while it is unknown.
--- a/coord/detector/detector_test.go
+++ b/coord/detector/detector_test.go
@@ -61,3 +61,20 @@
 	c.Assert(Silent(now.Add(time.Second), now, time.Second), qt.IsTrue)
 	c.Assert(Silent(now, now, time.Second), qt.IsFalse)
 }
+
+// TestAskingChangesNothing compares a member that is asked about after its hold with one that isn't.
+func TestAskingChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	for _, asked := range []bool{false, true} {
+		d := New(Config{})
+		now := feed(d, time.Unix(0, 0), 100, nil, 3)
+		now = feed(d, now, 25, map[string]float64{"e1": 5}, 3)
+		c.Assert(d.Slow(now, "e1"), qt.IsTrue)
+		now = now.Add(2 * DefaultHold)
+		if asked {
+			c.Assert(d.Slow(now, "e1"), qt.IsFalse)
+		}
+		d.Observe(now, "e1", Gap, 100*time.Millisecond)
+		c.Assert(d.Slow(now, "e1"), qt.IsFalse, qt.Commentf("asked: %t", asked))
+	}
+}
--- a/standin/cmd/compare/main.go
+++ b/standin/cmd/compare/main.go
@@ -18,6 +18,7 @@
 	Teams     string `arg:"--teams" help:"names of the teams, separated by commas; all if empty"`
 	Scenarios string `arg:"--scenarios" help:"names of the scenarios, separated by commas; all if empty"`
 	Policies  string `arg:"--policies" help:"names of the policies, separated by commas; all if empty"`
+	Excess    bool   `arg:"--excess" help:"print where stalls and late first tokens come from"`
 	JSON      string `arg:"--json" help:"file for the figures as JSON"`
 	Plots     string `arg:"--plots" help:"folder for the plots, one below it for each team"`
 }
@@ -47,7 +48,7 @@
 		return errors.New("seeds: at least one")
 	}
 	rep := comparer.Compare(teams, scenarios, policies, a.Seeds, a.Parallel)
-	if err := rep.WriteTable(os.Stdout); err != nil {
+	if err := rep.WriteTable(os.Stdout, a.Excess); err != nil {
 		return errors.Wrap(err, "print")
 	}
 	if a.JSON != "" {
--- a/standin/comparer/bound.go
+++ b/standin/comparer/bound.go
@@ -33,6 +33,27 @@
 // while an idle engine would serve it, and loads at the store's rate. With the future known (Belady's rule) it ignores copies, queues and the slots' division among engines, so no policy
 // can do better.
 func Unavoidable(t Team, sc Scenario, reqs []*request, k Knowledge) Bound {
+	stalled, n, seconds, crest, inTime := 0, 0, 0.0, 0, 0
+	for i, wait := range waits(t, sc, reqs, k) {
+		r := reqs[i]
+		if r.at < sc.Warmup {
+			continue
+		}
+		n++
+		if r.crest && !r.long {
+			crest++
+			inTime += count(wait+stepBase <= firstBudget)
+		}
+		if wait > 0 {
+			stalled++
+			seconds += wait.Seconds()
+		}
+	}
+	return Bound{Share: float64(stalled) / float64(max(n, 1)), Seconds: seconds / float64(max(n, 1)) * 1000, InTime: share(inTime, crest)}
+}
+
+// waits returns how long each request waits for its adapter at the ideal cache.
+func waits(t Team, sc Scenario, reqs []*request, k Knowledge) []time.Duration {
 	c := &idealCache{
 		store: permits{rate: t.StoreRate, parallel: t.Parallel, tokens: burst},
 		took:  t.LoadTime,
@@ -49,23 +70,11 @@
 			c.count[r.target]++
 		}
 	}
-	stalled, n, seconds, crest, inTime := 0, 0, 0.0, 0, 0
-	for _, r := range reqs {
-		wait := c.use(r)
-		if r.at < sc.Warmup {
-			continue
-		}
-		n++
-		if r.crest && !r.long {
-			crest++
-			inTime += count(wait+stepBase <= firstBudget)
-		}
-		if wait > 0 {
-			stalled++
-			seconds += wait.Seconds()
-		}
+	out := make([]time.Duration, len(reqs))
+	for i, r := range reqs {
+		out[i] = c.use(r)
 	}
-	return Bound{Share: float64(stalled) / float64(max(n, 1)), Seconds: seconds / float64(max(n, 1)) * 1000, InTime: share(inTime, crest)}
+	return out
 }
 
 // idealCache is a cache whose victim is the adapter that is worth least.
--- a/standin/comparer/comparer_test.go
+++ b/standin/comparer/comparer_test.go
@@ -1,6 +1,7 @@
 package comparer
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -48,3 +49,21 @@
 		c.Check(r.StallShare >= future.Share, qt.IsTrue, qt.Commentf("%s: %v < %v", p.Name, r.StallShare, future.Share))
 	}
 }
+
+func TestExcessAccountsForStallsAndSlots(t *testing.T) {
+	c := qt.New(t)
+	team := Teams()[0]
+	r := Run(team, short(func(s *Scenario) { s.Stragglers, s.Factor = 2, slowFactor }), Policies()[0], 2)
+	x, stalled, late := r.Excess, 0.0, 0.0
+	for i := range causes {
+		c.Check(x.Beyond[i] <= x.Stalled[i] && x.BeyondPast[i] <= x.Stalled[i], qt.IsTrue, qt.Commentf("%s", Cause(i)))
+		stalled += x.Stalled[i]
+		late += x.Late[i]
+	}
+	c.Assert(x.Stalled[CauseNone], qt.Equals, 0.0)
+	c.Assert(stalled/r.Requests, qt.Equals, r.StallShare)
+	c.Assert(late, qt.Equals, float64(int(r.Requests)/100))
+	slots := x.Distinct + x.Copies + x.Loading + x.Free
+	c.Assert(math.Abs(slots-float64(team.Engines*team.Slots)) < 0.001, qt.IsTrue, qt.Commentf("%v slots", slots))
+	c.Assert(x.Notice > 0 && x.Missed < 1, qt.IsTrue)
+}
--- a/standin/comparer/engine.go
+++ b/standin/comparer/engine.go
@@ -121,6 +121,7 @@
 func (w *world) unload(i int, act scheduler.Unload) {
 	e := w.engines[w.byName[act.Server]]
 	err := e.model.Unload(w.now, act.Target.String())
+	w.evicted[act.Target.String()] = w.now
 	w.handle(i, scheduler.UnloadEnded{Server: act.Server, Target: act.Target, Order: act.Order, OK: err == nil})
 	w.wake(e)
 }
--- a/standin/comparer/flow.go
+++ b/standin/comparer/flow.go
@@ -56,7 +56,10 @@
 	w.after(hop, func() {
 		e := w.engines[w.byName[a.server]]
 		if !r.stalled && !e.holds(r.target) {
-			r.stalled = true
+			w.judgeStall(r, e, list[0], a.rest)
+		}
+		if r.first.IsZero() {
+			w.judgeLate(owner, a)
 		}
 		w.handle(owner, scheduler.Arrived{Job: job})
 	})
--- a/standin/comparer/report.go
+++ b/standin/comparer/report.go
@@ -156,8 +156,8 @@
 	return enc.Encode(rep)
 }
 
-// WriteTable writes the rows, then the targets.
-func (rep *Report) WriteTable(w io.Writer) error {
+// WriteTable writes the rows, with excess where stalls and late first tokens come from, then the targets.
+func (rep *Report) WriteTable(w io.Writer, excess bool) error {
 	var b bytes.Buffer
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, format+"\n", args...) }
 	group := ""
@@ -172,6 +172,11 @@
 		line("%s\t%.4f\t%.1f\t%.2f\t%.2f\t%.2f\t%.4f\t%.4f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f", r.Policy, m.StallShare, m.StallSeconds,
 			m.FirstP99, m.WarmP99, m.TotalP99, m.Goodput, m.CrestGoodput, m.Fill, m.LongDone, m.NotRun, m.Loads, m.Hedges, m.Violations)
 	}
+	if excess {
+		for _, r := range rep.Rows {
+			r.writeExcess(line)
+		}
+	}
 	line("\ntarget\tscenario\tmeasured\tlimit\tmet")
 	for _, t := range rep.Targets {
 		line("%s, %s\t%s\t%.3f\t%.2f\t%t", t.Team, t.Name, t.Scenario, t.Value, t.Limit, t.Met)
--- a/standin/comparer/result.go
+++ b/standin/comparer/result.go
@@ -25,6 +25,7 @@
 	Hedges       float64 `json:"hedges"`
 	Violations   float64 `json:"violations"`
 	Lost         float64 `json:"lost"`
+	Excess       Excess  `json:"excess"`
 }
 
 // collect computes the run's figures from its requests.
@@ -87,6 +88,7 @@
 		w.res.Violations += float64(e.model.Evicted())
 	}
 	w.res.Fill = filled / float64(max(busy, 1))
+	w.collectExcess()
 }
 
 // stallOf returns how long a request waited for a load.
@@ -149,8 +151,8 @@
 }
 
 func (r *Result) fields() []*float64 {
-	return []*float64{
+	return append([]*float64{
 		&r.Requests, &r.StallShare, &r.StallSeconds, &r.FirstP50, &r.FirstP99, &r.WarmP99, &r.TotalP99, &r.Goodput,
 		&r.CrestGoodput, &r.CrestUnstall, &r.LongDone, &r.Fill, &r.NotRun, &r.Unknown, &r.Loads, &r.Hedges, &r.Violations, &r.Lost,
-	}
+	}, r.Excess.fields()...)
 }
--- a/standin/comparer/workload.go
+++ b/standin/comparer/workload.go
@@ -93,6 +93,9 @@
 	rank     int
 	stalled  bool
 	stallEnd time.Time
+	// cause and late say why it was stalled and what it met at a slow engine.
+	cause Cause
+	late  Cause
 
 	tries   int
 	mayRun  bool
--- a/standin/comparer/world.go
+++ b/standin/comparer/world.go
@@ -58,16 +58,22 @@
 	open    map[*attempt]bool
 	ids     uint64
 	res     *Result
+	// evicted is when an adapter was last unloaded; the others are for the breakdown of late first tokens.
+	evicted map[string]time.Time
+	samples int
+	notices []float64
+	missed  int
 }
 
 // The intervals of the world's own work.
 const (
-	tickEvery    = 20 * time.Millisecond
-	controlHop   = 1200 * time.Microsecond
-	unloadTime   = 2 * time.Millisecond
-	sampleEvery  = 50 * time.Millisecond
-	rosterDelay  = time.Second
-	crashNoticed = 5 * time.Millisecond
+	tickEvery        = 20 * time.Millisecond
+	controlHop       = 1200 * time.Microsecond
+	unloadTime       = 2 * time.Millisecond
+	sampleEvery      = 50 * time.Millisecond
+	sampleSlotsEvery = time.Second
+	rosterDelay      = time.Second
+	crashNoticed     = 5 * time.Millisecond
 )
 
 func newWorld(t Team, sc Scenario, p Policy, seed uint64) *world {
@@ -78,7 +84,7 @@
 		byKey: make(map[string]*attempt),
 		open:  make(map[*attempt]bool),
 		store: permits{rate: t.StoreRate, parallel: t.Parallel, tokens: burst},
-		reqs:  generate(t, sc, seed), res: &Result{},
+		reqs:  generate(t, sc, seed), res: &Result{}, evicted: make(map[string]time.Time),
 	}
 	for i := range t.Entries {
 		w.entries = append(w.entries, &entry{
@@ -108,6 +114,7 @@
 		w.every(tickEvery, time.Duration(i)*time.Millisecond, func() { w.handle(i, scheduler.Tick{}) })
 	}
 	w.every(sampleEvery, w.sc.Warmup, w.sample)
+	w.every(sampleSlotsEvery, w.sc.Warmup, w.sampleSlots)
 	if w.sc.Stragglers > 0 {
 		for i := range w.sc.Stragglers {
 			w.straggle(i, time.Duration(i)*1700*time.Millisecond)
@@ -129,6 +136,8 @@
 		long := 2*time.Second + time.Duration(w.rng.Int64N(int64(4*time.Second)))
 		w.slow[e.name] = true
 		e.model.SetSpeed(1 / w.sc.Factor)
+		w.caught(e.name)
+		w.watchNotice(e.name, w.now)
 		w.after(long, func() {
 			w.slow[e.name] = false
 			e.model.SetSpeed(1)
