--- a/stage/cmd/soak/main.go
+++ b/stage/cmd/soak/main.go
@@ -24,6 +24,10 @@
 	Servers int           `arg:"--servers" default:"3" help:"order services"`
 	Work    string        `arg:"--work" default:"100ms" help:"how long an order service takes for a booking"`
 	Net     int           `arg:"--net" default:"77" help:"second byte of the stand-ins' loopback addresses"`
+	Leave   bool          `arg:"--leave" help:"in place of faults, have backend servers leave under load"`
+	Mute    bool          `arg:"--mute" help:"with --leave: load reports don't say so, which must show as a violation"`
+	Rate    float64       `arg:"--rate" default:"80" help:"with --leave: requests a second"`
+	Engines int           `arg:"--engines" default:"6" help:"with --leave: stand-in engines of each model"`
 }
 
 func main() {
@@ -41,27 +45,55 @@
 }
 
 func run(ctx context.Context, a args) (broken bool, err error) {
-	dep, err := rehearser.New(rehearser.Config{Bin: a.Bin, Folder: a.Folder, Engines: 1, Servers: a.Servers, Net: a.Net, Work: a.Work})
+	cfg := rehearser.Config{Bin: a.Bin, Folder: a.Folder, Engines: 1, Servers: a.Servers, Net: a.Net, Work: a.Work}
+	adapters := 1
+	if a.Leave {
+		cfg.Engines, adapters = a.Engines, leaveAdapters
+	}
+	dep, err := rehearser.New(cfg)
 	if err != nil {
 		return false, err
 	}
 	defer func() { err = errors.Join(err, dep.Close()) }()
+	if a.Leave {
+		if err := dep.Relay(ctx); err != nil {
+			return false, err
+		}
+	}
 	if err := dep.StartAll(); err != nil {
 		return false, err
 	}
-	if err := dep.Apply(ctx, 1); err != nil {
+	if err := dep.Apply(ctx, adapters); err != nil {
 		return false, err
 	}
 	began := time.Now()
-	report, err := soaker.New(soaker.Config{
-		Seed: a.Seed, Length: a.Length, Callers: a.Callers,
-		Log: func(line string) { fmt.Fprintf(os.Stderr, "%6.1fs %s\n", time.Since(began).Seconds(), line) },
+	log := func(line string) { fmt.Fprintf(os.Stderr, "%6.1fs %s\n", time.Since(began).Seconds(), line) }
+	if a.Leave {
+		return leave(ctx, a, dep, log)
+	}
+	report, err := soaker.New(soaker.Config{Seed: a.Seed, Length: a.Length, Callers: a.Callers, Log: log}, dep).Run(ctx)
+	if err != nil {
+		return false, err
+	}
+	return len(report.Violations) > 0, printReport(report)
+}
+
+// leaveAdapters is the number of adapters that a run of leaves names.
+const leaveAdapters = 20
+
+func leave(ctx context.Context, a args, dep *rehearser.Rehearser, log func(string)) (broken bool, err error) {
+	report, err := soaker.NewLeaver(soaker.LeaveConfig{
+		Seed: a.Seed, Rate: a.Rate, Adapters: leaveAdapters, Mute: a.Mute, Log: log,
 	}, dep).Run(ctx)
 	if err != nil {
 		return false, err
 	}
+	return len(report.Violations) > 0, printReport(report)
+}
+
+func printReport(report any) error {
 	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
-		return false, errors.Wrap(err, "print report")
+		return errors.Wrap(err, "print report")
 	}
-	return len(report.Violations) > 0, nil
+	return nil
 }
--- a/stage/rehearser/apply.go
+++ b/stage/rehearser/apply.go
@@ -25,8 +25,11 @@
 	fileMode     = 0o644
 )
 
-// AdapterName returns the name of the i-th adapter of a rehearsal.
-func AdapterName(i int) string { return fmt.Sprintf("adapter-%04d", i) }
+// AdapterPrefix starts the names of a rehearsal's adapters, as load names them.
+const AdapterPrefix = "adapter"
+
+// AdapterName returns the name of the i-th adapter of a rehearsal, counted from 0.
+func AdapterName(i int) string { return fmt.Sprintf("%s-%d", AdapterPrefix, i+1) }
 
 // Apply brings the first configuration and n adapters of each model service into force.
 func (r *Rehearser) Apply(ctx context.Context, n int) error {
--- a/stage/rehearser/rehearser.go
+++ b/stage/rehearser/rehearser.go
@@ -13,6 +13,7 @@
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/stage/loader"
 	"redwingstage.org/stage/questioner"
+	"redwingstage.org/standin/cutter"
 	"redwingstage.org/standin/launcher"
 )
 
@@ -66,6 +67,7 @@
 	standins []Standin
 	models   []string
 	specs    map[string]launcher.Spec
+	relays   map[string][]*cutter.Cutter
 }
 
 // New reads the settings of a deployment; nothing runs yet.
@@ -74,7 +76,10 @@
 	if err := os.MkdirAll(logs, 0o755); err != nil {
 		return nil, errors.Wrap(err, "make folder for logs")
 	}
-	r := &Rehearser{Launcher: launcher.New(logs), cfg: cfg, specs: make(map[string]launcher.Spec)}
+	r := &Rehearser{
+		Launcher: launcher.New(logs), cfg: cfg,
+		specs: make(map[string]launcher.Spec), relays: make(map[string][]*cutter.Cutter),
+	}
 	if err := r.readSettings(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/stage/rehearser/relay.go
@@ -0,0 +1,123 @@
+package rehearser
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/stage/loader"
+	"redwingstage.org/standin/cutter"
+	"redwingstage.org/standin/launcher"
+)
+
+// relayedFolder holds the settings of entries that reach their control replicas over relays.
+const relayedFolder = "relayed"
+
+const folderMode = 0o755
+
+// Relay puts relays between every entry and its control replicas; it is called before the entries start.
+func (r *Rehearser) Relay(ctx context.Context) error {
+	if err := os.MkdirAll(filepath.Join(r.cfg.Folder, relayedFolder), folderMode); err != nil {
+		return errors.Wrap(err, "make folder for settings")
+	}
+	for _, e := range r.entries {
+		if err := r.relay(ctx, e); err != nil {
+			return errors.Wrapf(err, "relays of %s", e.Name())
+		}
+	}
+	return nil
+}
+
+func (r *Rehearser) relay(ctx context.Context, e *loader.Settings) error {
+	var addrs []string
+	for _, target := range e.Entry().Controls() {
+		c, err := cutter.New(ctx, "127.0.0.1:0", target)
+		if err != nil {
+			return err
+		}
+		r.relays[e.Name()] = append(r.relays[e.Name()], c)
+		addrs = append(addrs, c.Addr())
+	}
+	file := filepath.Join(r.cfg.Folder, relayedFolder, filepath.Base(e.File()))
+	if err := writeRelayed(file, e.File(), addrs); err != nil {
+		return err
+	}
+	r.specs[e.Name()] = launcher.Spec{
+		Name: e.Name(), Path: filepath.Join(r.cfg.Bin, daemon), Args: []string{"--level", "warn", "run", file},
+	}
+	return nil
+}
+
+// writeRelayed copies an entry's settings with other addresses of the control replicas.
+func writeRelayed(file, from string, controls []string) error {
+	b, err := os.ReadFile(from)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return errors.Wrap(err, from)
+	}
+	if fields["controls"], err = json.Marshal(controls); err != nil {
+		return errors.Wrap(err, "encode addresses")
+	}
+	if b, err = json.Marshal(fields); err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(file, b, fileMode); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	return nil
+}
+
+// CutControl drops everything between an entry and the control replicas, both ways.
+func (r *Rehearser) CutControl(entry string) {
+	for _, c := range r.relays[entry] {
+		c.Cut(cutter.Both)
+	}
+}
+
+// HealControl lets an entry reach the control replicas again.
+func (r *Rehearser) HealControl(entry string) {
+	for _, c := range r.relays[entry] {
+		c.Heal()
+		c.Reset()
+	}
+}
+
+// Owner returns the entry that owns a backend server, or "".
+func (r *Rehearser) Owner(server string) (string, error) {
+	out, err := r.Operate("--json", "status")
+	if err != nil {
+		return "", err
+	}
+	var st struct {
+		Servers []struct {
+			Name  string `json:"name"`
+			Owner string `json:"owner"`
+		} `json:"servers"`
+	}
+	if err := json.Unmarshal([]byte(out), &st); err != nil {
+		return "", errors.Wrap(err, "decode status")
+	}
+	for _, s := range st.Servers {
+		if s.Name == server {
+			return s.Owner, nil
+		}
+	}
+	return "", nil
+}
+
+// Close kills all processes and ends the relays.
+func (r *Rehearser) Close() error {
+	errs := []error{r.Launcher.Close()}
+	for _, list := range r.relays {
+		for _, c := range list {
+			errs = append(errs, c.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
--- a/standin/faulter/faulter.go
+++ b/standin/faulter/faulter.go
@@ -36,6 +36,8 @@
 	Slow float64 `json:"slow,omitempty"`
 	// Silent makes the connections that are open now go silent for good; new ones work.
 	Silent bool `json:"silent,omitempty"`
+	// Mute keeps load reports from saying that the server leaves, as if nobody polled it.
+	Mute bool `json:"mute,omitempty"`
 	// Loads is the number of adapter loads that fail next.
 	Loads int `json:"loads,omitempty"`
 	// Answer is how answers go wrong.
--- a/standin/inferer/generate.go
+++ b/standin/inferer/generate.go
@@ -133,9 +133,7 @@
 		return nil, 0, refuse(err)
 	}
 	s.requests++
-	if !s.leaving.IsZero() && now.Sub(s.leaving) > leaveGrace {
-		s.late++
-	}
+	s.departure.Count(now)
 	st := newStream(identity{attempt: attempt, model: g.Model, marker: lastWord(prompt), total: total}, prompt)
 	s.streams[attempt] = st
 	s.last = st.identity
--- a/standin/inferer/inferer_test.go
+++ b/standin/inferer/inferer_test.go
@@ -372,5 +372,5 @@
 	c.Assert(call(c, s, "POST", "/leave", "").status, quicktest.Equals, 200)
 	for !strings.Contains(<-announced, `"leaving":true`) { //nolint:revive // it repeats until the change shows
 	}
-	c.Assert(s.Late(), quicktest.Equals, 0)
+	c.Assert(s.Departure().Late()+s.Departure().Overdue(), quicktest.Equals, 0)
 }
--- a/standin/inferer/orders.go
+++ b/standin/inferer/orders.go
@@ -159,7 +159,7 @@
 		Requests int `json:"requests"`
 		Evicted  int `json:"evicted"`
 		Late     int `json:"late"`
-	}{s.requests, s.engine.Evicted(), s.late})
+	}{s.requests, s.engine.Evicted(), s.departure.Late()})
 }
 
 // sample is what the load report showed at a time.
@@ -198,7 +198,7 @@
 		AgeMS       int64    `json:"age_ms"`
 	}{
 		s.incarnation, shown.running, shown.waiting, s.engine.Residents(), s.servingAdapters(),
-		!s.leaving.IsZero(), s.cfg.Lag.Milliseconds(),
+		s.departure.HasBegun() && !s.faults.Faults().Mute, s.cfg.Lag.Milliseconds(),
 	})
 }
 
--- a/standin/inferer/server.go
+++ b/standin/inferer/server.go
@@ -14,6 +14,7 @@
 	"redwingstage.org/standin/announcer"
 	"redwingstage.org/standin/faulter"
 	"redwingstage.org/standin/modeler"
+	"redwingstage.org/standin/responder"
 )
 
 // Config describes one engine.
@@ -44,9 +45,6 @@
 	defaultCacheGap = 20
 )
 
-// leaveGrace is how long after its leaving an engine may still be sent new work.
-const leaveGrace = 5 * time.Second
-
 // Option changes how a Server behaves.
 type Option func(*Server)
 
@@ -60,6 +58,7 @@
 	cfg       Config
 	exit      func()
 	faults    faulter.Injector
+	departure responder.Departure
 	ln        *faulter.Listener
 	httpd     *fasthttp.Server
 	announcer *announcer.Announcer
@@ -80,9 +79,7 @@
 	lagging     []sample
 	cache       []cacheEvent
 	cacheSeq    uint64
-	leaving     time.Time // zero while the engine stays
 	requests    int
-	late        int
 }
 
 // expiry says when a finished stream is dropped.
@@ -177,14 +174,13 @@
 
 // Leave announces that the engine leaves; it finishes what it has and goes on to serve what still comes.
 func (s *Server) Leave() {
-	s.mu.Lock()
-	if s.leaving.IsZero() {
-		s.leaving = time.Now()
-	}
-	s.mu.Unlock()
+	s.departure.Begin(time.Now())
 	s.announcer.Now()
 }
 
+// Departure returns the count of new work that came after the leave.
+func (s *Server) Departure() *responder.Departure { return &s.departure }
+
 // Crash makes the engine lose its connections, requests and adapters and start again, cold.
 func (s *Server) Crash() {
 	s.mu.Lock()
@@ -201,13 +197,6 @@
 	return s.engine.Evicted()
 }
 
-// Late returns how many requests came more than 5 s after the engine announced its leaving.
-func (s *Server) Late() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.late
-}
-
 // Requests returns the number of requests that the engine took.
 func (s *Server) Requests() int {
 	s.mu.Lock()
@@ -263,7 +252,7 @@
 	return announcer.Server{
 		Name: s.cfg.Name, Kind: "model", Addr: s.Addr(), Zone: s.cfg.Zone, Service: s.cfg.Service,
 		Incarnation: s.incarnation, Slots: s.engine.Slots(), Batch: s.engine.Batch(),
-		Fenced: s.cfg.Fenced, Leaving: !s.leaving.IsZero(),
+		Fenced: s.cfg.Fenced, Leaving: s.departure.HasBegun(),
 	}
 }
 
--- a/standin/orderer/orderer.go
+++ b/standin/orderer/orderer.go
@@ -38,9 +38,6 @@
 // defaultBatch is the number of calls at once of a service whose Config has none.
 const defaultBatch = 64
 
-// leaveGrace is how long after its leaving a service may still be sent new work.
-const leaveGrace = 5 * time.Second
-
 // stock is the number of pieces of each item at the start.
 const stock = 1000
 
@@ -57,6 +54,7 @@
 	cfg       Config
 	exit      func()
 	faults    faulter.Injector
+	departure responder.Departure
 	ln        *faulter.Listener
 	httpd     *fasthttp.Server
 	announcer *announcer.Announcer
@@ -74,8 +72,6 @@
 	running     int
 	waiting     int
 	requests    int
-	late        int
-	leaving     time.Time // zero while the service stays
 }
 
 // reply is an answer with the attempt that it belongs to.
@@ -147,14 +143,13 @@
 
 // Leave announces that the service leaves; it goes on to answer what still comes.
 func (s *Server) Leave() {
-	s.mu.Lock()
-	if s.leaving.IsZero() {
-		s.leaving = time.Now()
-	}
-	s.mu.Unlock()
+	s.departure.Begin(time.Now())
 	s.announcer.Now()
 }
 
+// Departure returns the count of new work that came after the leave.
+func (s *Server) Departure() *responder.Departure { return &s.departure }
+
 // Crash makes the service lose its connections and start again; the ledger stays.
 func (s *Server) Crash() {
 	log.Warn().Str("service", s.cfg.Name).Msg("orderer: crashed")
@@ -179,13 +174,6 @@
 	return runs
 }
 
-// Late returns how many calls came more than 5 s after the service announced its leaving.
-func (s *Server) Late() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.late
-}
-
 // Requests returns the number of calls that the service took.
 func (s *Server) Requests() int {
 	s.mu.Lock()
@@ -209,7 +197,7 @@
 	defer s.mu.Unlock()
 	return announcer.Server{
 		Name: s.cfg.Name, Kind: "plain", Addr: s.Addr(), Zone: s.cfg.Zone, Service: s.cfg.Service,
-		Incarnation: s.incarnation, Batch: s.cfg.Batch, Leaving: !s.leaving.IsZero(),
+		Incarnation: s.incarnation, Batch: s.cfg.Batch, Leaving: s.departure.HasBegun(),
 	}
 }
 
@@ -276,10 +264,8 @@
 	s.mu.Lock()
 	s.requests++
 	s.waiting++
-	if !s.leaving.IsZero() && time.Since(s.leaving) > leaveGrace {
-		s.late++
-	}
 	s.mu.Unlock()
+	s.departure.Count(time.Now())
 	ok := true
 	select {
 	case s.slots <- struct{}{}:
@@ -383,5 +369,5 @@
 		Waiting     int    `json:"waiting"`
 		Leaving     bool   `json:"leaving"`
 		AgeMS       int64  `json:"age_ms"`
-	}{s.incarnation, s.running, s.waiting, !s.leaving.IsZero(), 0})
+	}{s.incarnation, s.running, s.waiting, s.departure.HasBegun() && !s.faults.Faults().Mute, 0})
 }
--- /dev/null
+++ b/standin/responder/departure_test.go
@@ -0,0 +1,46 @@
+package responder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestDeparture(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		leave   bool
+		work    []time.Duration // of new work, after the leave
+		overdue int
+		late    int
+		last    int64
+	}{
+		{name: "stays", work: []time.Duration{time.Hour}},
+		{name: "none", leave: true},
+		{name: "at the bound", leave: true, work: []time.Duration{time.Second, LeaveBound}, last: 3000},
+		{name: "overdue", leave: true, work: []time.Duration{0, LeaveBound + time.Millisecond, lateAfter}, overdue: 2, last: 5000},
+		{name: "late", leave: true, work: []time.Duration{lateAfter + time.Millisecond}, overdue: 1, late: 1, last: 5001},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var d Departure
+			d.Count(start)
+			if tt.leave {
+				d.Begin(start)
+				d.Begin(start.Add(time.Hour))
+			}
+			for _, at := range tt.work {
+				d.Count(start.Add(at))
+			}
+			c.Assert(d.HasBegun(), quicktest.Equals, tt.leave)
+			c.Assert(d.Overdue(), quicktest.Equals, tt.overdue)
+			c.Assert(d.Late(), quicktest.Equals, tt.late)
+			r := d.report(start.Add(time.Minute))
+			c.Assert(r.LastMS, quicktest.Equals, tt.last)
+			c.Assert(r.Before+r.After, quicktest.Equals, 1+len(tt.work))
+		})
+	}
+}
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -60,6 +61,7 @@
 	SetFaults(faulter.Faults) error
 	Faults() faulter.Faults
 	Leave()
+	Departure() *Departure
 	Crash()
 }
 
@@ -78,6 +80,8 @@
 		}
 	case "POST /leave":
 		t.Leave()
+	case "GET /departure":
+		JSON(ctx, t.Departure().report(time.Now()))
 	case "POST /crash":
 		t.Crash()
 	default:
