soak: order services and engines are killed too; the ledger is a synced file

Cause: the stand-in's ledger was in memory and the judge of the soak, so order services were only frozen and engines never touched. Change: standin/orderer keeps the ledger in a data folder if it has one: append and sync before the answer, a line that was not written whole is cut off at the next start. soak kills and freezes every process, judges bookings by the files over all restarts, and runs streamed chats beside them, which must be whole or visibly broken.

--- a/stage/cmd/soak/main.go
+++ b/stage/cmd/soak/main.go
@@ -27,7 +27,9 @@
 	Leave   bool          `arg:"--leave" help:"in place of faults, have backend servers leave under load"`
 	Mute    bool          `arg:"--mute" help:"with --leave: load reports don't say so, which must show as a violation"`
 	Rate    float64       `arg:"--rate" default:"80" help:"with --leave: requests a second"`
-	Engines int           `arg:"--engines" default:"6" help:"with --leave: stand-in engines of each model"`
+	Engines int           `arg:"--engines" default:"6" help:"stand-in engines of each model"`
+	Chats   float64       `arg:"--chats" default:"20" help:"streamed chats a second beside the bookings"`
+	Forget  bool          `arg:"--forget" help:"order services keep no ledger file, which must show as violations"`
 }
 
 func main() {
@@ -45,10 +47,10 @@
 }
 
 func run(ctx context.Context, a args) (broken bool, err error) {
-	cfg := rehearser.Config{Bin: a.Bin, Folder: a.Folder, Engines: 1, Servers: a.Servers, Net: a.Net, Work: a.Work}
+	cfg := rehearser.Config{Bin: a.Bin, Folder: a.Folder, Engines: a.Engines, Servers: a.Servers, Net: a.Net, Work: a.Work, Ledgers: !a.Forget}
 	adapters := 1
 	if a.Leave {
-		cfg.Engines, adapters = a.Engines, leaveAdapters
+		adapters = leaveAdapters
 	}
 	dep, err := rehearser.New(cfg)
 	if err != nil {
@@ -71,7 +73,7 @@
 	if a.Leave {
 		return leave(ctx, a, dep, log)
 	}
-	report, err := soaker.New(soaker.Config{Seed: a.Seed, Length: a.Length, Callers: a.Callers, Log: log}, dep).Run(ctx)
+	report, err := soaker.New(soaker.Config{Seed: a.Seed, Length: a.Length, Callers: a.Callers, Chats: a.Chats, Log: log}, dep).Run(ctx)
 	if err != nil {
 		return false, err
 	}
--- a/stage/rehearser/rehearser.go
+++ b/stage/rehearser/rehearser.go
@@ -39,6 +39,8 @@
 	Net int
 	// Work is how long a plain service takes for a call, as a Go duration; empty means the stand-in's default.
 	Work string
+	// Ledgers gives every plain service a data folder for its ledger, which then outlives a kill.
+	Ledgers bool
 }
 
 // Standin is a stand-in of a backend server.
@@ -159,14 +161,25 @@
 		if k%2 == 0 {
 			args = append(args, "--fenced", "--protects")
 		}
-	} else if r.cfg.Work != "" {
-		args = append(args, "--work", r.cfg.Work)
+	} else {
+		args = append(args, r.plainArgs(si.name)...)
 	}
 	args = append(append(args, "--entries"), r.Callers()...)
 	r.standins = append(r.standins, si)
 	r.specs[si.name] = launcher.Spec{Name: si.name, Path: filepath.Join(r.cfg.Bin, standin), Args: args}
 }
 
+func (r *Rehearser) plainArgs(name string) []string {
+	var args []string
+	if r.cfg.Work != "" {
+		args = append(args, "--work", r.cfg.Work)
+	}
+	if r.cfg.Ledgers {
+		args = append(args, "--folder", filepath.Join(r.cfg.Folder, "ledger", name))
+	}
+	return args
+}
+
 // Callers returns the callers' addresses of all entries.
 func (r *Rehearser) Callers() []string {
 	var addrs []string
--- a/stage/soaker/caller.go
+++ b/stage/soaker/caller.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/serving/marker"
+	"redwingstage.org/standin/generator"
 )
 
 // booking is one key and all that its caller was told of it.
@@ -124,8 +125,8 @@
 }
 
 // report holds what callers were told against what ran.
-func (s *Soaker) report(runs map[string]int) *Report {
-	r := &Report{Faults: s.faults, Bookings: len(s.bookings)}
+func (s *Soaker) report(runs map[string]int, chats *generator.Report) *Report {
+	r := &Report{Faults: s.faults, Services: s.services, Engines: s.engines, Bookings: len(s.bookings)}
 	for _, b := range s.bookings {
 		r.Resent += b.tries - 1
 		switch {
@@ -140,10 +141,25 @@
 			r.Violations = append(r.Violations, v)
 		}
 	}
+	for _, row := range chats.Rows() {
+		r.Chats = row.Outcomes()
+		r.Violations = append(r.Violations, hiddenBreaks(row.Outcomes())...)
+	}
 	slices.Sort(r.Violations)
 	return r
 }
 
+// hiddenBreaks finds answers that were not whole without their callers seeing it; a cut connection shows.
+func hiddenBreaks(outcomes map[string]int) []string {
+	var list []string
+	for _, o := range []string{"broken", "wrong"} {
+		if n := outcomes[o]; n > 0 {
+			list = append(list, fmt.Sprintf("%d chats are %s", n, o))
+		}
+	}
+	return list
+}
+
 // isNotRun reports whether each try was reported as not run.
 func (b *booking) isNotRun() bool {
 	return !slices.ContainsFunc(b.outcomes, func(o string) bool { return o != outcomeNotRun })
--- a/stage/soaker/fault.go
+++ b/stage/soaker/fault.go
@@ -38,13 +38,10 @@
 	return dep.StartOne(f.target)
 }
 
-// draw picks a fault. Order services are only frozen, because their ledger is the judge and doesn't outlive them.
+// draw picks a fault of any process.
 func (s *Soaker) draw(rng *rand.Rand) fault {
-	targets := slices.Concat(s.dep.Controls(), s.dep.Entries(), s.services())
+	targets := slices.Concat(s.dep.Controls(), s.dep.Entries(), s.standins(true), s.standins(false))
 	f := fault{target: targets[rng.IntN(len(targets))], frozen: rng.IntN(2) == 0}
-	if slices.Contains(s.services(), f.target) {
-		f.frozen = true
-	}
 	f.length = between(rng, minPause, maxDown)
 	if f.frozen {
 		f.length = between(rng, minPause, maxFreeze)
@@ -52,17 +49,18 @@
 	return f
 }
 
-func (s *Soaker) services() []string {
+// standins returns the names of the plain services or of the engines.
+func (s *Soaker) standins(plain bool) []string {
 	var list []string
 	for _, si := range s.dep.Standins() {
-		if si.IsPlain() {
+		if si.IsPlain() == plain {
 			list = append(list, si.Name())
 		}
 	}
 	return list
 }
 
-// begin counts a fault, unless the process has one already or too few control replicas would be left.
+// begin counts a fault, unless the process has one already or too few of its kind would be left.
 func (s *Soaker) begin(target string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,11 +70,19 @@
 	if slices.Contains(s.dep.Controls(), target) && s.struckOf(s.dep.Controls())+1 > (len(s.dep.Controls())-1)/2 {
 		return false
 	}
-	if slices.Contains(s.dep.Entries(), target) && s.struckOf(s.dep.Entries())+1 >= len(s.dep.Entries()) {
-		return false
+	for _, kind := range [][]string{s.dep.Entries(), s.standins(true), s.standins(false)} {
+		if slices.Contains(kind, target) && s.struckOf(kind)+1 >= len(kind) {
+			return false
+		}
 	}
 	s.struck[target] = true
 	s.faults++
+	switch {
+	case slices.Contains(s.standins(true), target):
+		s.services++
+	case slices.Contains(s.standins(false), target):
+		s.engines++
+	}
 	return true
 }
 
--- a/stage/soaker/leave.go
+++ b/stage/soaker/leave.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"redwingstage.org/stage/rehearser"
+	"redwingstage.org/standin/faulter"
 	"redwingstage.org/standin/generator"
 	"redwingstage.org/standin/responder"
 )
@@ -31,11 +34,13 @@
 }
 
 const (
-	leaveWarmUp = 5 * time.Second
+	// busyLimit is how long a server may take to get its first work, before which it doesn't leave.
+	busyLimit = 15 * time.Second
+	busyPause = 200 * time.Millisecond
 	// leaveWatch is how long a control connection stays cut after a leave; it outlasts the bound and most of a lease.
 	leaveWatch  = 6 * time.Second
 	leavePause  = 3 * time.Second
-	adminLimit  = 5 * time.Second
+	adminLimit  = 2 * time.Second
 	leaveTokens = 8
 	// Shares of the load.
 	leaveBookings = 0.3
@@ -57,8 +62,10 @@
 	Server string `json:"server"`
 	Cut    Cut    `json:"cut"`
 	Entry  string `json:"entry,omitempty"`
-	Before int    `json:"before"`
-	After  int    `json:"after"`
+	// Silent says that the server's open connections go silent for good as it leaves.
+	Silent bool `json:"silent,omitempty"`
+	Before int  `json:"before"`
+	After  int  `json:"after"`
 	// Overdue and Late count new work more than 3 s and 5 s after the leave; LastMS is the time to the last of all.
 	Overdue int   `json:"overdue"`
 	Late    int   `json:"late"`
@@ -84,7 +91,7 @@
 
 // NewLeaver returns a Leaver of a running deployment whose entries have relays to their control replicas.
 func NewLeaver(cfg LeaveConfig, dep *rehearser.Rehearser) *Leaver {
-	return &Leaver{cfg: cfg, dep: dep, http: &http.Client{Timeout: adminLimit}, rng: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	return &Leaver{cfg: cfg, dep: dep, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: adminLimit}, rng: rand.New(rand.NewPCG(cfg.Seed, 0))}
 }
 
 // Run lets up to half of each service's servers leave, one after the other, under load.
@@ -92,12 +99,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leaving := l.choose()
-	length := leaveWarmUp + time.Duration(len(leaving))*(leaveWatch+leavePause)
+	length := time.Duration(len(leaving)) * (busyLimit + leaveWatch + leavePause)
 	rep := &LeaveReport{}
 	var loadErr error
 	var wg conc.WaitGroup
 	wg.Go(func() { rep.Load, loadErr = generator.Run(ctx, l.load(length)) })
-	time.Sleep(leaveWarmUp)
 	for i := range leaving {
 		if err := l.leave(&leaving[i]); err != nil {
 			cancel()
@@ -105,6 +111,7 @@
 			return nil, err
 		}
 	}
+	cancel()
 	wg.Wait()
 	if loadErr != nil {
 		return nil, loadErr
@@ -141,7 +148,7 @@
 	for _, names := range kinds {
 		l.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 		for i, name := range names[:len(names)/2] {
-			list = append(list, Departure{Server: name, Cut: cuts[i%len(cuts)]})
+			list = append(list, Departure{Server: name, Cut: cuts[i%len(cuts)], Silent: l.rng.IntN(2) == 0})
 		}
 	}
 	l.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -150,23 +157,29 @@
 
 // leave cuts a control connection if it is to be cut, has the server leave, and heals the connection later.
 func (l *Leaver) leave(d *Departure) error {
+	if err := l.waitBusy(d); err != nil {
+		return err
+	}
 	owner, err := l.dep.Owner(d.Server)
 	if err != nil {
 		return errors.Wrapf(err, "owner of %s", d.Server)
 	}
 	d.Entry = l.victim(d.Cut, owner)
-	if l.cfg.Mute {
-		if err := l.ask(http.MethodPost, d.Server, "/faults", `{"mute":true}`, nil); err != nil {
-			return err
-		}
+	if err := l.setFaults(d.Server, faulter.Faults{Mute: l.cfg.Mute}); err != nil {
+		return err
 	}
 	if d.Entry != "" {
 		l.dep.CutControl(d.Entry)
 	}
-	l.log(fmt.Sprintf("%s leaves, owner %s, cut off: %q", d.Server, owner, d.Entry))
+	l.log(fmt.Sprintf("%s leaves, owner %s, cut off: %q, open connections silent: %v", d.Server, owner, d.Entry, d.Silent))
 	if err := l.ask(http.MethodPost, d.Server, "/leave", "", nil); err != nil {
 		return err
 	}
+	if d.Silent {
+		if err := l.setFaults(d.Server, faulter.Faults{Mute: l.cfg.Mute, Silent: true}); err != nil {
+			return err
+		}
+	}
 	time.Sleep(leaveWatch)
 	if d.Entry != "" {
 		l.dep.HealControl(d.Entry)
@@ -175,6 +188,33 @@
 	return nil
 }
 
+// waitBusy waits until the server has had work, so that its leave shows something; the judgement notes if it had none.
+func (l *Leaver) waitBusy(d *Departure) error {
+	for end := time.Now().Add(busyLimit); time.Now().Before(end); time.Sleep(busyPause) {
+		if err := l.ask(http.MethodGet, d.Server, "/departure", "", d); err != nil {
+			return err
+		}
+		if d.Before > 0 {
+			return nil
+		}
+	}
+	return nil
+}
+
+// setFaults switches a stand-in's faults; the connection that makes all connections silent is one of them.
+func (l *Leaver) setFaults(server string, f faulter.Faults) error {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return errors.Wrap(err, "encode faults")
+	}
+	err = l.ask(http.MethodPost, server, "/faults", string(b), nil)
+	var timeout net.Error
+	if f.Silent && (errors.Is(err, io.EOF) || errors.As(err, &timeout) && timeout.Timeout()) {
+		return nil
+	}
+	return err
+}
+
 // victim returns the entry that is cut off, or "".
 func (l *Leaver) victim(cut Cut, owner string) string {
 	switch cut {
@@ -235,7 +275,7 @@
 		}
 	}
 	for _, row := range r.Load.Rows() {
-		for _, outcome := range []string{"broken", "wrong"} {
+		for _, outcome := range []string{"broken", "cut", "wrong"} {
 			if n := row.Outcomes()[outcome]; n > 0 {
 				r.Violations = append(r.Violations, fmt.Sprintf("%s: %d answers are %s", row.Name(), n, outcome))
 			}
--- a/stage/soaker/soaker.go
+++ b/stage/soaker/soaker.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"redwingstage.org/stage/rehearser"
+	"redwingstage.org/standin/generator"
 )
 
 // Config sizes a soak.
@@ -22,6 +23,8 @@
 	Length time.Duration
 	// Callers is the number of callers that book at once, each one booking after the other.
 	Callers int
+	// Chats is the number of streamed chats a second, from callers of their own.
+	Chats float64
 	// Log is told of each fault; it may be nil.
 	Log func(string)
 }
@@ -36,6 +39,7 @@
 	maxTries    = 60
 	retryPause  = 150 * time.Millisecond
 	ledgerTries = 20
+	chatTokens  = 60
 )
 
 // Report is what a soak found.
@@ -46,6 +50,11 @@
 	Unknown  int `json:"unknown"`
 	Resent   int `json:"resent"`
 	Faults   int `json:"faults"`
+	// Services and Engines are the faults that struck stand-ins.
+	Services int `json:"services"`
+	Engines  int `json:"engines"`
+	// Chats counts streamed chats by what their callers saw.
+	Chats map[string]int `json:"chats"`
 	// Violations are broken rules; there must be none.
 	Violations []string `json:"violations"`
 }
@@ -60,6 +69,8 @@
 	bookings map[string]*booking
 	struck   map[string]bool
 	faults   int
+	services int
+	engines  int
 }
 
 // New returns a soaker of a running deployment.
@@ -82,9 +93,12 @@
 		rng := rand.New(rand.NewPCG(s.cfg.Seed, uint64(i+1)))
 		wg.Go(func() { s.call(ctx, i, rng) })
 	}
+	var chats *generator.Report
+	var chatErr error
+	wg.Go(func() { chats, chatErr = generator.Run(ctx, s.chats()) })
 	err := s.strike(ctx, rand.New(rand.NewPCG(s.cfg.Seed, 0)))
 	wg.Wait()
-	if err != nil {
+	if err := errors.Join(err, chatErr); err != nil {
 		return nil, err
 	}
 	// What was reported as not run must not run later either.
@@ -93,7 +107,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.report(runs), nil
+	return s.report(runs, chats), nil
+}
+
+// chats is the load of streamed chats beside the bookings.
+func (s *Soaker) chats() generator.Config {
+	return generator.Config{
+		Entries: s.dep.Callers(), Rate: s.cfg.Chats, Duration: s.cfg.Length, Tokens: chatTokens, Seed: s.cfg.Seed,
+	}
 }
 
 // strike lets one fault follow the other until the time is over; whatever is down or frozen then comes back.
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -52,8 +52,9 @@
 
 type ordersArgs struct {
 	common
-	Batch int           `arg:"--batch" default:"64" help:"calls that run at once"`
-	Work  time.Duration `arg:"--work" default:"2ms" help:"time of a call"`
+	Batch  int           `arg:"--batch" default:"64" help:"calls that run at once"`
+	Work   time.Duration `arg:"--work" default:"2ms" help:"time of a call"`
+	Folder string        `arg:"--folder" help:"data folder of the ledger [default: none, it ends with the process]"`
 }
 
 // Description implements arg.Described.
@@ -103,7 +104,7 @@
 func (o *ordersArgs) config() orderer.Config {
 	return orderer.Config{
 		Name: o.Name, Addr: o.Addr, Zone: o.Zone, Service: o.Service, Entries: o.Entries,
-		Batch: o.Batch, Work: o.Work,
+		Batch: o.Batch, Work: o.Work, Folder: o.Folder,
 	}
 }
 
--- a/standin/generator/call.go
+++ b/standin/generator/call.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/serving/marker"
@@ -21,8 +22,10 @@
 	outcomeDone    = "done"
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
-	// outcomeBroken means that an answer ended before its end without an error event.
+	// outcomeBroken means that an answer ended in good order before its end, without an error event.
 	outcomeBroken = "broken"
+	// outcomeCut means that the connection broke before the answer's end.
+	outcomeCut = "cut"
 	// outcomeWrong means that an answer isn't that of the request.
 	outcomeWrong = "wrong"
 	// outcomeFailed means that there was no answer.
@@ -149,6 +152,9 @@
 	for {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				res.outcome = outcomeCut
+			}
 			return
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
--- /dev/null
+++ b/standin/orderer/ledger.go
@@ -0,0 +1,147 @@
+package orderer
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// ledgerFile holds one line of JSON for each run of a booking.
+const ledgerFile = "ledger"
+
+// Modes of the data folder and the file in it.
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+)
+
+// ledger counts how often each booking ran; with a file it outlives the process.
+type ledger struct {
+	mu   sync.Mutex
+	file *os.File       // nil without a data folder
+	runs map[string]int // by key
+	sold map[string]int // pieces by item
+}
+
+// line is one run of a booking.
+type line struct {
+	Key      string `json:"key"`
+	Item     string `json:"item"`
+	Quantity int    `json:"quantity"`
+}
+
+// openLedger reads what an earlier process ran; an empty folder keeps the ledger in memory.
+func openLedger(folder string) (*ledger, error) {
+	l := &ledger{runs: make(map[string]int), sold: make(map[string]int)}
+	if folder == "" {
+		return l, nil
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "make data folder")
+	}
+	file, err := os.OpenFile(filepath.Join(folder, ledgerFile), os.O_CREATE|os.O_RDWR|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "open ledger")
+	}
+	l.file = file
+	if err := errors.Join(l.replay(), syncFolder(folder)); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return l, nil
+}
+
+// syncFolder makes a new file's name durable.
+func syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "open data folder")
+	}
+	if err := errors.Join(d.Sync(), d.Close()); err != nil {
+		return errors.Wrap(err, "sync data folder")
+	}
+	return nil
+}
+
+// replay counts the lines and cuts off one that was not written whole, whose booking nobody was told of.
+func (l *ledger) replay() error {
+	b, err := os.ReadFile(l.file.Name())
+	if err != nil {
+		return errors.Wrap(err, "read ledger")
+	}
+	whole := b[:bytes.LastIndexByte(b, '\n')+1]
+	n := 0
+	for row := range bytes.Lines(whole) {
+		n++
+		var e line
+		if err := json.Unmarshal(row, &e); err != nil {
+			return errors.Wrapf(err, "%s: line %d", l.file.Name(), n)
+		}
+		l.count(e)
+	}
+	if len(whole) == len(b) {
+		return nil
+	}
+	if err := l.file.Truncate(int64(len(whole))); err != nil {
+		return errors.Wrap(err, "cut ledger")
+	}
+	return nil
+}
+
+func (l *ledger) count(e line) {
+	l.runs[e.Key]++
+	l.sold[e.Item] += e.Quantity
+}
+
+// add counts a run, durably if there is a file, and returns how often the key ran and how many keys there are.
+func (l *ledger) add(e line) (runs, keys int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.write(e); err != nil {
+		return 0, 0, err
+	}
+	l.count(e)
+	return l.runs[e.Key], len(l.runs), nil
+}
+
+func (l *ledger) write(e line) error {
+	if l.file == nil {
+		return nil
+	}
+	b, err := json.Marshal(e)
+	if err != nil {
+		return errors.Wrap(err, "encode booking")
+	}
+	if _, err := l.file.Write(append(b, '\n')); err != nil {
+		return errors.Wrap(err, "write ledger")
+	}
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync ledger")
+	}
+	return nil
+}
+
+// all returns the runs of every key.
+func (l *ledger) all() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.runs)
+}
+
+// left returns the pieces of an item that are not sold.
+func (l *ledger) left(item string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return stock - l.sold[item]
+}
+
+func (l *ledger) close() error {
+	if l.file == nil {
+		return nil
+	}
+	return l.file.Close()
+}
--- a/standin/orderer/orderer.go
+++ b/standin/orderer/orderer.go
@@ -33,6 +33,8 @@
 	Batch int
 	// Work is the time of one call.
 	Work time.Duration
+	// Folder is the data folder of the ledger; without one the ledger ends with the process.
+	Folder string
 }
 
 // defaultBatch is the number of calls at once of a service whose Config has none.
@@ -55,6 +57,7 @@
 	exit      func()
 	faults    faulter.Injector
 	departure responder.Departure
+	ledger    *ledger
 	ln        *faulter.Listener
 	httpd     *fasthttp.Server
 	announcer *announcer.Announcer
@@ -66,8 +69,6 @@
 	mu          sync.Mutex
 	incarnation string
 	starts      int
-	ledger      map[string]int // runs by key; it outlives a crash
-	sold        map[string]int // pieces by item
 	last        reply
 	running     int
 	waiting     int
@@ -86,17 +87,20 @@
 	if cfg.Batch == 0 {
 		cfg.Batch = defaultBatch
 	}
+	book, err := openLedger(cfg.Folder)
+	if err != nil {
+		return nil, errors.Wrapf(err, "service %s", cfg.Name)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ln, err := faulter.Listen(ctx, cfg.Addr)
 	if err != nil {
 		cancel()
-		return nil, errors.Wrapf(err, "service %s", cfg.Name)
+		return nil, errors.Join(errors.Wrapf(err, "service %s", cfg.Name), book.close())
 	}
 	s := &Server{
 		cfg: cfg, ln: ln, cancel: cancel, closed: ctx.Done(),
 		slots:  make(chan struct{}, cfg.Batch),
-		ledger: make(map[string]int),
-		sold:   make(map[string]int),
+		ledger: book,
 	}
 	for _, o := range opts {
 		o(s)
@@ -124,7 +128,7 @@
 	// The server may not have begun to serve, and then Shutdown doesn't close the listener.
 	err := errors.Join(s.ln.Close(), s.httpd.Shutdown())
 	s.wg.Wait()
-	return err
+	return errors.Join(err, s.ledger.close())
 }
 
 // SetFaults switches faults on and off.
@@ -164,15 +168,7 @@
 }
 
 // Ledger returns how often each booking ran, by its key.
-func (s *Server) Ledger() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.ledger))
-	for k, n := range s.ledger {
-		runs[k] = n
-	}
-	return runs
-}
+func (s *Server) Ledger() map[string]int { return s.ledger.all() }
 
 // Requests returns the number of calls that the service took.
 func (s *Server) Requests() int {
@@ -327,10 +323,11 @@
 	if key == "" {
 		key = "attempt:" + attempt
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger[key]++
-	s.sold[order.Item] += order.Quantity
+	runs, keys, err := s.ledger.add(line{Key: key, Item: order.Item, Quantity: order.Quantity})
+	if err != nil {
+		log.Error().Str("service", s.cfg.Name).Err(err).Msg("orderer: booking is not durable")
+		return reply{status: fasthttp.StatusInternalServerError, body: []byte(`{"error":{"message":"the ledger failed","type":"server_error"}}`)}
+	}
 	return encode(fasthttp.StatusCreated, struct {
 		Booking  string `json:"booking"`
 		Key      string `json:"key"`
@@ -338,18 +335,16 @@
 		Quantity int    `json:"quantity"`
 		Runs     int    `json:"runs"`
 		Server   string `json:"server"`
-	}{fmt.Sprintf("%s-%d", s.cfg.Name, len(s.ledger)), key, order.Item, order.Quantity, s.ledger[key], s.cfg.Name})
+	}{fmt.Sprintf("%s-%d", s.cfg.Name, keys), key, order.Item, order.Quantity, runs, s.cfg.Name})
 }
 
 // check answers a stock check, which changes nothing.
 func (s *Server) check(item string) reply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	return encode(fasthttp.StatusOK, struct {
 		Item   string `json:"item"`
 		Left   int    `json:"left"`
 		Server string `json:"server"`
-	}{item, stock - s.sold[item], s.cfg.Name})
+	}{item, s.ledger.left(item), s.cfg.Name})
 }
 
 func encode(status int, v any) reply {
