--- a/standin/orderer/orderer.go
+++ b/standin/orderer/orderer.go
@@ -33,14 +33,13 @@
 	Batch int
 	// Work is the time of one call.
 	Work time.Duration
+	// Folder is the data folder of the ledger; without one the ledger ends with the process.
+	Folder string
 }
 
 // defaultBatch is the number of calls at once of a service whose Config has none.
 const defaultBatch = 64
 
-// leaveGrace is how long after its leaving a service may still be sent new work.
-const leaveGrace = 5 * time.Second
-
 // stock is the number of pieces of each item at the start.
 const stock = 1000
 
@@ -57,6 +56,8 @@
 	cfg       Config
 	exit      func()
 	faults    faulter.Injector
+	departure responder.Departure
+	ledger    *ledger
 	ln        *faulter.Listener
 	httpd     *fasthttp.Server
 	announcer *announcer.Announcer
@@ -68,14 +69,10 @@
 	mu          sync.Mutex
 	incarnation string
 	starts      int
-	ledger      map[string]int // runs by key; it outlives a crash
-	sold        map[string]int // pieces by item
 	last        reply
 	running     int
 	waiting     int
 	requests    int
-	late        int
-	leaving     time.Time // zero while the service stays
 }
 
 // reply is an answer with the attempt that it belongs to.
@@ -90,17 +87,20 @@
 	if cfg.Batch == 0 {
 		cfg.Batch = defaultBatch
 	}
+	book, err := openLedger(cfg.Folder)
+	if err != nil {
+		return nil, errors.Wrapf(err, "service %s", cfg.Name)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ln, err := faulter.Listen(ctx, cfg.Addr)
 	if err != nil {
 		cancel()
-		return nil, errors.Wrapf(err, "service %s", cfg.Name)
+		return nil, errors.Join(errors.Wrapf(err, "service %s", cfg.Name), book.close())
 	}
 	s := &Server{
 		cfg: cfg, ln: ln, cancel: cancel, closed: ctx.Done(),
 		slots:  make(chan struct{}, cfg.Batch),
-		ledger: make(map[string]int),
-		sold:   make(map[string]int),
+		ledger: book,
 	}
 	for _, o := range opts {
 		o(s)
@@ -128,7 +128,7 @@
 	// The server may not have begun to serve, and then Shutdown doesn't close the listener.
 	err := errors.Join(s.ln.Close(), s.httpd.Shutdown())
 	s.wg.Wait()
-	return err
+	return errors.Join(err, s.ledger.close())
 }
 
 // SetFaults switches faults on and off.
@@ -147,14 +147,13 @@
 
 // Leave announces that the service leaves; it goes on to answer what still comes.
 func (s *Server) Leave() {
-	s.mu.Lock()
-	if s.leaving.IsZero() {
-		s.leaving = time.Now()
-	}
-	s.mu.Unlock()
+	s.departure.Begin(time.Now())
 	s.announcer.Now()
 }
 
+// Departure returns the count of new work that came after the leave.
+func (s *Server) Departure() *responder.Departure { return &s.departure }
+
 // Crash makes the service lose its connections and start again; the ledger stays.
 func (s *Server) Crash() {
 	log.Warn().Str("service", s.cfg.Name).Msg("orderer: crashed")
@@ -169,22 +168,7 @@
 }
 
 // Ledger returns how often each booking ran, by its key.
-func (s *Server) Ledger() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.ledger))
-	for k, n := range s.ledger {
-		runs[k] = n
-	}
-	return runs
-}
-
-// Late returns how many calls came more than 5 s after the service announced its leaving.
-func (s *Server) Late() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.late
-}
+func (s *Server) Ledger() map[string]int { return s.ledger.all() }
 
 // Requests returns the number of calls that the service took.
 func (s *Server) Requests() int {
@@ -209,7 +193,7 @@
 	defer s.mu.Unlock()
 	return announcer.Server{
 		Name: s.cfg.Name, Kind: "plain", Addr: s.Addr(), Zone: s.cfg.Zone, Service: s.cfg.Service,
-		Incarnation: s.incarnation, Batch: s.cfg.Batch, Leaving: !s.leaving.IsZero(),
+		Incarnation: s.incarnation, Batch: s.cfg.Batch, Leaving: s.departure.HasBegun(),
 	}
 }
 
@@ -276,10 +260,8 @@
 	s.mu.Lock()
 	s.requests++
 	s.waiting++
-	if !s.leaving.IsZero() && time.Since(s.leaving) > leaveGrace {
-		s.late++
-	}
 	s.mu.Unlock()
+	s.departure.Count(time.Now())
 	ok := true
 	select {
 	case s.slots <- struct{}{}:
@@ -341,10 +323,11 @@
 	if key == "" {
 		key = "attempt:" + attempt
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger[key]++
-	s.sold[order.Item] += order.Quantity
+	runs, keys, err := s.ledger.add(line{Key: key, Item: order.Item, Quantity: order.Quantity})
+	if err != nil {
+		log.Error().Str("service", s.cfg.Name).Err(err).Msg("orderer: booking is not durable")
+		return reply{status: fasthttp.StatusInternalServerError, body: []byte(`{"error":{"message":"the ledger failed","type":"server_error"}}`)}
+	}
 	return encode(fasthttp.StatusCreated, struct {
 		Booking  string `json:"booking"`
 		Key      string `json:"key"`
@@ -352,18 +335,16 @@
 		Quantity int    `json:"quantity"`
 		Runs     int    `json:"runs"`
 		Server   string `json:"server"`
-	}{fmt.Sprintf("%s-%d", s.cfg.Name, len(s.ledger)), key, order.Item, order.Quantity, s.ledger[key], s.cfg.Name})
+	}{fmt.Sprintf("%s-%d", s.cfg.Name, keys), key, order.Item, order.Quantity, runs, s.cfg.Name})
 }
 
 // check answers a stock check, which changes nothing.
 func (s *Server) check(item string) reply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	return encode(fasthttp.StatusOK, struct {
 		Item   string `json:"item"`
 		Left   int    `json:"left"`
 		Server string `json:"server"`
-	}{item, stock - s.sold[item], s.cfg.Name})
+	}{item, s.ledger.left(item), s.cfg.Name})
 }
 
 func encode(status int, v any) reply {
@@ -383,5 +364,5 @@
 		Waiting     int    `json:"waiting"`
 		Leaving     bool   `json:"leaving"`
 		AgeMS       int64  `json:"age_ms"`
-	}{s.incarnation, s.running, s.waiting, !s.leaving.IsZero(), 0})
+	}{s.incarnation, s.running, s.waiting, s.departure.HasBegun() && !s.faults.Faults().Mute, 0})
 }
