One maker of test certificates, for the address that a test was given

Change: package standin/issuer signs a certificate for any address; the certifier's tests use it too. After: go test -race ./stage/certifier ./stage/starter passes.

--- a/stage/certifier/certifier_test.go
+++ b/stage/certifier/certifier_test.go
@@ -2,15 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,6 +12,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"redwingstage.org/standin/issuer"
 )
 
 var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
@@ -52,19 +48,13 @@
 
 // issue writes a certificate with a serial number, which also sets the files' time.
 func (f *fixture) issue(serial int64, end time.Time) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	f.Assert(err, quicktest.IsNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "control-1"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: start.Add(-time.Hour), NotAfter: end, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	f.Assert(err, quicktest.IsNil)
-	private, err := x509.MarshalPKCS8PrivateKey(key)
+	cert, key, err := issuer.Issue(issuer.Certificate{
+		Serial: serial, Addr: netip.MustParseAddr("127.0.0.1"), Start: start.Add(-time.Hour), End: end,
+	})
 	f.Assert(err, quicktest.IsNil)
 	at := start.Add(time.Duration(serial) * time.Second)
-	f.write("c.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})), at)
-	f.write("k.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})), at)
+	f.write("c.pem", string(cert), at)
+	f.write("k.pem", string(key), at)
 }
 
 func (f *fixture) new() (*Certifier, error) {
--- a/stage/starter/tls_test.go
+++ b/stage/starter/tls_test.go
@@ -2,21 +2,21 @@
 
 import (
 	"context"
-	"crypto/x509"
-	"encoding/pem"
 	"fmt"
 	"io"
-	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"redwingstage.org/stage/loader"
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/stage/operator"
+	"redwingstage.org/standin/issuer"
 	"redwingstage.org/standin/launcher"
 )
 
@@ -50,9 +50,11 @@
 	_, err = Start(s, log)
 	c.Assert(err, qt.ErrorMatches, "operators' listener: certificate: stat .*c.pem: .*")
 
-	cert, key := certificate(c)
-	write("c.pem", cert)
-	write("k.pem", key)
+	operators := netip.MustParseAddrPort(s.Control().Operators())
+	cert, key, err := issuer.Issue(issuer.Certificate{Serial: 1, Addr: operators.Addr(), Start: time.Now().Add(-time.Hour), End: time.Now().Add(time.Hour)})
+	c.Assert(err, qt.IsNil)
+	write("c.pem", string(cert))
+	write("k.pem", string(key))
 	p, err := Start(s, log)
 	c.Assert(err, qt.IsNil)
 	defer func() { c.Check(p.Close(), qt.IsNil) }()
@@ -62,13 +64,3 @@
 	_, err = operator.Call(strings.NewReader(""), argv...)
 	c.Assert(err, qt.ErrorMatches, "(?s)redwingstage: exit code 3: .*")
 }
-
-// certificate returns the one that httptest shows on 127.0.0.1, with its key.
-func certificate(c *qt.C) (cert, key string) {
-	srv := httptest.NewTLSServer(nil)
-	defer srv.Close()
-	b, err := x509.MarshalPKCS8PrivateKey(srv.TLS.Certificates[0].PrivateKey)
-	c.Assert(err, qt.IsNil)
-	cert = string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw}))
-	return cert, string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: b}))
-}
