runner, rehearser: tests wait for what they look at

Cause, runner: after a transfer the test asked the old leader at once for the new one; the new leader can be confirmed by the third replica before the old one hears of it, and the error then names no leader. It also looked whether the confirmed leader holds its lease at a later time, when a replica that was held up for 400 ms has lost it. Cause, rehearser: the entry was stopped 500 ms after a stream was asked for; when the stream had not begun by then, it was refused. And two runs side by side whose process ids differ by a multiple of 100 shared a loopback net.

Change: the tests wait until the old leader knows the new one, until a leader holds its lease, and until the stream has begun; the rehearser takes the first loopback net on which it can hold a listener.

Found by reading. After, with -race: TestMembers and TestGroups 0 failures in 80 runs with GOMAXPROCS=1, TestProcesses 0 in 1 with GOMAXPROCS=2.

--- a/coord/runner/runner_test.go
+++ b/coord/runner/runner_test.go
@@ -173,8 +173,11 @@
 		for i := uint64(1); i <= 20; i++ {
 			qt.Assert(t, g.add(1), qt.Equals, i)
 		}
-		lead := g.leader()
-		s := lead.Status()
+		// A leader that is held up loses its lease and wins it again.
+		s := g.leader().Status()
+		for end := time.Now().Add(time.Minute); !s.IsLeader(time.Now()) && time.Now().Before(end); s = g.leader().Status() {
+			time.Sleep(time.Millisecond)
+		}
 		qt.Check(t, s.IsLeader(time.Now()), qt.IsTrue)
 		qt.Check(t, s.Members, qt.HasLen, size)
 		id := s.ID
@@ -206,6 +209,10 @@
 	qt.Assert(t, lead.Transfer(ctx), qt.IsNil)
 	next := g.leader()
 	qt.Assert(t, next.Status().ID, qt.Not(qt.Equals), old)
+	// The old leader learns of the new one by its first message, which may come after the new one is confirmed.
+	for lead.Status().Leader != next.Status().ID && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
 	_, err := lead.Propose(ctx, make([]byte, 8))
 	qt.Check(t, err, qt.ErrorMatches, "not the leader; the leader is replica .*")
 	_, err = next.Propose(ctx, make([]byte, runner.MaxCommandBytes+1))
--- a/stage/rehearser/rehearser_test.go
+++ b/stage/rehearser/rehearser_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,6 +41,20 @@
 	*Rehearser
 }
 
+// lockNet returns a loopback net that no run side by side uses, and keeps it until the end by a listener on it.
+func lockNet(c *qt.C) int {
+	for n := range 100 {
+		n = 100 + (os.Getpid()+n)%100
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:9999", n))
+		if err == nil {
+			c.Cleanup(func() { c.Check(lock.Close(), qt.IsNil) })
+			return n
+		}
+	}
+	c.Fatal("all loopback nets are in use")
+	return 0
+}
+
 func start(t *testing.T) *world {
 	c := qt.New(t)
 	dir := t.TempDir()
@@ -46,15 +62,14 @@
 	build := exec.Command("go", "build", "-o", bin+"/", "redwingstage.org/stage/cmd/redwingstaged", "redwingstage.org/standin/cmd/standin")
 	out, err := build.CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
-	// The loopback net depends on the process, so that runs side by side don't meet.
-	net := 100 + os.Getpid()%100
+	netNumber := lockNet(c)
 	file := filepath.Join(dir, "answers.json")
-	c.Assert(os.WriteFile(file, fmt.Appendf(nil, answers, net), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(file, fmt.Appendf(nil, answers, netNumber), 0o600), qt.IsNil)
 	folder := filepath.Join(dir, "run")
 	var complaint bytes.Buffer
 	code := operator.Run(operator.Env{In: &bytes.Buffer{}, Out: io.Discard, Err: &complaint}, []string{"init", "--answers", file, folder})
 	c.Assert(code, qt.Equals, operator.OK, qt.Commentf("%s", &complaint))
-	r, err := New(Config{Bin: bin, Folder: folder, Engines: 2, Servers: 1, Net: net})
+	r, err := New(Config{Bin: bin, Folder: folder, Engines: 2, Servers: 1, Net: netNumber})
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(func() { c.Check(r.Close(), qt.IsNil) })
 	c.Assert(r.StartAll(), qt.IsNil)
@@ -70,6 +85,11 @@
 }
 
 func (w *world) try(entry int, method, path, body, key string) (answer, error) {
+	return w.tryFrom(entry, method, path, body, key, func() {})
+}
+
+// tryFrom calls begin once the answer has begun.
+func (w *world) tryFrom(entry int, method, path, body, key string, begin func()) (answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), hang)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.Callers()[entry]+path, strings.NewReader(body))
@@ -82,6 +102,7 @@
 	if err != nil {
 		return answer{}, err
 	}
+	begin()
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
 	return answer{res.StatusCode, string(b), res.Header.Get(marker.Outcome) + res.Trailer.Get(marker.Outcome)}, err
@@ -188,12 +209,14 @@
 	w.chat(0, 3, 4)
 
 	// An entry shuts down while it streams: the stream ends whole.
-	open := make(chan answer, 1)
+	open, begun := make(chan answer, 1), make(chan struct{})
+	begin := sync.OnceFunc(func() { close(begun) })
 	go func() {
-		a, _ := w.try(1, "POST", "/v1/completions", `{"model":"base","stream":true,"max_tokens":200,"prompt":"x long"}`, "")
+		defer begin()
+		a, _ := w.tryFrom(1, "POST", "/v1/completions", `{"model":"base","stream":true,"max_tokens":200,"prompt":"x long"}`, "", begin)
 		open <- a
 	}()
-	time.Sleep(500 * time.Millisecond)
+	<-begun
 	w.Assert(w.Stop(w.Entries()[1]), qt.IsNil)
 	a := <-open
 	w.Assert(a.outcome, qt.Equals, "done", qt.Commentf("%s", a.body))
