dispatcher: each entry of a stream trial has a scheduler of its own again

Seen: TestFaults with -race, GOMAXPROCS=2, -parallel 16: "DATA RACE ... scheduler.(*Scheduler).Handle()", and a panic. Change: the trial takes the options as a function.

--- a/coord/runner/runner_test.go
+++ b/coord/runner/runner_test.go
@@ -39,6 +39,12 @@
 	return binary.BigEndian.AppendUint64(nil, c.value)
 }
 
+func (c *counter) read() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.value
+}
+
 func (c *counter) Snapshot() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,6 +78,8 @@
 	folder  string
 	cfg     runner.Config
 	opts    []runner.Option
+	// total is the sum that was confirmed last.
+	total uint64
 }
 
 func newGroup(tb testing.TB, n int, opts ...runner.Option) *group {
@@ -154,15 +162,33 @@
 	return nil
 }
 
+// add adds exactly once, whatever happens to the leadership: a later leader knows whether an uncertain command counted.
 func (g *group) add(k uint64) uint64 {
-	for {
+	before := g.total
+	for g.total == before {
 		res, err := g.leader().Propose(context.Background(), binary.BigEndian.AppendUint64(nil, k))
 		var not *runner.NotLeaderError
-		if errors.As(err, &not) {
-			continue
+		var uncertain *runner.UncertainError
+		switch {
+		case errors.As(err, &not):
+		case errors.As(err, &uncertain):
+			g.total = g.leader().counter.read()
+		default:
+			qt.Assert(g.tb, err, qt.IsNil)
+			g.total = binary.BigEndian.Uint64(res.Data)
+		}
+	}
+	return g.total
+}
+
+// change asks the leader for a change of the members, and the next one when it lost leadership meanwhile.
+func (g *group) change(f func(lead *node) error) error {
+	for {
+		err := f(g.leader())
+		var not *runner.NotLeaderError
+		if !errors.As(err, &not) {
+			return err
 		}
-		qt.Assert(g.tb, err, qt.IsNil)
-		return binary.BigEndian.Uint64(res.Data)
 	}
 }
 
@@ -204,9 +230,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	g.add(5)
-	lead := g.leader()
+	var lead *node
+	qt.Assert(t, g.change(func(n *node) error {
+		lead = n
+		return n.Transfer(ctx)
+	}), qt.IsNil)
 	old := lead.Status().ID
-	qt.Assert(t, lead.Transfer(ctx), qt.IsNil)
 	next := g.leader()
 	qt.Assert(t, next.Status().ID, qt.Not(qt.Equals), old)
 	// The old leader learns of the new one by its first message, which may come after the new one is confirmed.
@@ -226,13 +255,15 @@
 	<-lost.Done()
 	var typed *replicator.LostDiskError
 	qt.Check(t, errors.As(lost.Err(), &typed), qt.IsTrue)
-	qt.Assert(t, g.leader().RemoveMember(ctx, old), qt.IsNil)
-	qt.Check(t, g.leader().RemoveMember(ctx, 9), qt.ErrorMatches, "change of replica 9: it never was a member")
-	qt.Check(t, g.leader().AddMember(ctx, runner.Member{ID: old, Addr: "a"}), qt.ErrorMatches, ".*used before.*")
+	add := func(mb runner.Member) error { return g.change(func(n *node) error { return n.AddMember(ctx, mb) }) }
+	remove := func(id uint64) error { return g.change(func(n *node) error { return n.RemoveMember(ctx, id) }) }
+	qt.Assert(t, remove(old), qt.IsNil)
+	qt.Check(t, remove(9), qt.ErrorMatches, "change of replica 9: it never was a member")
+	qt.Check(t, add(runner.Member{ID: old, Addr: "a"}), qt.ErrorMatches, ".*used before.*")
 	mb := g.listen(4)
 	g.start(4, nil)
-	qt.Assert(t, g.leader().AddMember(ctx, mb), qt.IsNil)
-	qt.Check(t, g.leader().AddMember(ctx, mb), qt.IsNil)
+	qt.Assert(t, add(mb), qt.IsNil)
+	qt.Check(t, add(mb), qt.IsNil)
 	qt.Check(t, g.add(2), qt.Equals, uint64(7))
 	qt.Check(t, promoted.Load(), qt.IsTrue)
 	qt.Check(t, g.leader().Status().Members, qt.HasLen, 3)
--- a/stage/dispatcher/faults_test.go
+++ b/stage/dispatcher/faults_test.go
@@ -46,7 +46,7 @@
 	for _, f := range streamRows() {
 		t.Run("stream "+f.step+"/"+f.name, func(t *testing.T) {
 			t.Parallel()
-			tr := newStreamTrial(t, quick()...)
+			tr := newStreamTrial(t, quick)
 			f.arm(tr)
 			qt.Check(t, tr.run(), qt.HasLen, 0)
 		})
--- a/stage/dispatcher/streams_test.go
+++ b/stage/dispatcher/streams_test.go
@@ -117,9 +117,10 @@
 	c.stream(id, s, 0, len(s.events))
 }
 
-func newStreamTrial(t testing.TB, opts ...Option) *streamTrial {
+// newStreamTrial takes the options as a function, since each entry needs a scheduler of its own.
+func newStreamTrial(t testing.TB, opts func() []Option) *streamTrial {
 	tr := &streamTrial{t: t, world: newWorld(t)}
-	tr.near, tr.far = tr.world.startEntry(t, "near", opts...), tr.world.startEntry(t, "far", opts...)
+	tr.near, tr.far = tr.world.startEntry(t, "near", opts()...), tr.world.startEntry(t, "far", opts()...)
 	hop, err := cutter.New(context.Background(), "127.0.0.1:0", tr.near.Peers())
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = hop.Close() })
@@ -247,7 +248,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.off, func(t *testing.T) {
-			tr := newStreamTrial(t)
+			tr := newStreamTrial(t, func() []Option { return nil })
 			for _, f := range streamFaults {
 				if f.step == tt.step && f.name == tt.fault {
 					f.arm(tr)
