--- a/stage/cmd/rehearse/main.go
+++ b/stage/cmd/rehearse/main.go
@@ -21,6 +21,9 @@
 	Servers  int    `arg:"--servers" default:"3" help:"stand-ins of each plain service"`
 	Adapters int    `arg:"--adapters" default:"3000" help:"adapters of each model"`
 	Net      int    `arg:"--net" default:"77" help:"second byte of the stand-ins' loopback addresses"`
+	Batch    string `arg:"--batch" help:"requests that run at once on a stand-in engine"`
+	Step     string `arg:"--step" help:"time of a stand-in engine's step with an empty batch, such as 10ms"`
+	Token    string `arg:"--token" help:"time added to a step by each decoded token, such as 1us"`
 }
 
 // Description implements arg.Described.
@@ -39,9 +42,20 @@
 	}
 }
 
+// engine returns the flags that every stand-in engine gets.
+func (a args) engine() []string {
+	var flags []string
+	for _, f := range []struct{ name, value string }{{"--batch", a.Batch}, {"--step", a.Step}, {"--token", a.Token}} {
+		if f.value != "" {
+			flags = append(flags, f.name, f.value)
+		}
+	}
+	return flags
+}
+
 func run(ctx context.Context, a args) error {
 	r, err := rehearser.New(rehearser.Config{
-		Bin: a.Bin, Folder: a.Folder, Engines: a.Engines, Servers: a.Servers, Net: a.Net,
+		Bin: a.Bin, Folder: a.Folder, Engines: a.Engines, Servers: a.Servers, Net: a.Net, Engine: a.engine(),
 	})
 	if err != nil {
 		return err
--- a/stage/forwarder/handler.go
+++ b/stage/forwarder/handler.go
@@ -46,11 +46,15 @@
 // relay sends the answer as it comes; what gathers while a frame is written goes into the next one.
 func relay(ctx context.Context, answer *streamer.Stream, out *connect.ServerStream[frame]) error {
 	var spare []byte
+	beat := time.NewTimer(heartbeatInterval)
+	defer beat.Stop()
 	for {
-		part, err := next(ctx, answer, spare)
+		// Without news an empty part comes in time for a heartbeat.
+		part, err := answer.NextBefore(ctx, spare, beat.C)
 		if err != nil {
 			return err
 		}
+		beat.Reset(heartbeatInterval)
 		f := frame{Data: part.Data}
 		if part.Opened {
 			f.Head = &headFrame{
@@ -69,14 +73,3 @@
 		spare = part.Data
 	}
 }
-
-// next returns an empty part when a heartbeat is due.
-func next(ctx context.Context, answer *streamer.Stream, spare []byte) (streamer.Part, error) {
-	beat, cancel := context.WithTimeout(ctx, heartbeatInterval)
-	defer cancel()
-	part, err := answer.Next(beat, spare)
-	if err != nil && ctx.Err() == nil {
-		return streamer.Part{}, nil
-	}
-	return part, err
-}
--- a/stage/rehearser/rehearser.go
+++ b/stage/rehearser/rehearser.go
@@ -39,6 +39,8 @@
 	Net int
 	// Work is how long a plain service takes for a call, as a Go duration; empty means the stand-in's default.
 	Work string
+	// Engine are further flags of every stand-in engine.
+	Engine []string
 	// Ledgers gives every plain service a data folder for its ledger, which then outlives a kill.
 	Ledgers bool
 }
@@ -161,6 +163,7 @@
 		if k%2 == 0 {
 			args = append(args, "--fenced", "--protects")
 		}
+		args = append(args, r.cfg.Engine...)
 	} else {
 		args = append(args, r.plainArgs(si.name)...)
 	}
--- /dev/null
+++ b/stage/streamer/bench_test.go
@@ -0,0 +1,50 @@
+package streamer
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// BenchmarkNext hands events one by one from a writer to a reader that waits for each, as paced tokens do.
+func BenchmarkNext(b *testing.B) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	ways := []struct {
+		name string
+		next func(s *Stream, spare []byte) (Part, error)
+	}{
+		{"endless", func(s *Stream, spare []byte) (Part, error) { return s.Next(context.Background(), spare) }},
+		{"heartbeats", func(s *Stream, spare []byte) (Part, error) {
+			timer.Reset(time.Hour)
+			return s.NextBefore(context.Background(), spare, timer.C)
+		}},
+		{"context for each", func(s *Stream, spare []byte) (Part, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+			defer cancel()
+			return s.Next(ctx, spare)
+		}},
+	}
+	event := make([]byte, 200)
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			b.ReportAllocs()
+			s, taken := New(1<<20), make(chan struct{})
+			go func() {
+				for range b.N {
+					_ = s.Data(event)
+					<-taken
+				}
+			}()
+			var spare []byte
+			for range b.N {
+				p, err := way.next(s, spare)
+				if err != nil || len(p.Data) != len(event) {
+					b.Fatal(err, len(p.Data))
+				}
+				spare = p.Data
+				taken <- struct{}{}
+			}
+		})
+	}
+}
--- a/stage/streamer/stream.go
+++ b/stage/streamer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -102,13 +103,26 @@
 
 // Next waits for the next part; spare becomes the stream's buffer, so that the reader must be done with it.
 func (s *Stream) Next(ctx context.Context, spare []byte) (Part, error) {
+	return s.NextBefore(ctx, spare, nil)
+}
+
+// NextBefore is Next, but returns an empty part once something comes from due.
+func (s *Stream) NextBefore(ctx context.Context, spare []byte, due <-chan time.Time) (Part, error) {
+	done := ctx.Done()
 	for {
 		if p, ok := s.take(spare); ok {
 			return p, nil
 		}
+		if done == nil && due == nil {
+			// Waiting for one channel costs a fraction of a select.
+			<-s.ready
+			continue
+		}
 		select {
 		case <-s.ready:
-		case <-ctx.Done():
+		case <-due:
+			return Part{}, nil
+		case <-done:
 			return Part{}, ctx.Err()
 		}
 	}
