receiver: timeouts, headers and stuck callers tested at the socket

Cause: the limits were set and only body, connections and header size were tested. Change: table tests wait for the connection's or the request's end; a stream outlasts all limits. Their verdict waits for the event: where a slow machine may meet a short limit too, the caller tries again. Fails first, one limit taken out at a time: no read timeout: TestConnectionsAreEnded/no_byte, half_a_header, half_a_body and others "the connection stayed open"; no idle timeout: idle_after_a_request; no write timeout: TestStuckCaller/write_timeout "the request goes on"; the library's header buffer: TestOversizedHeaders/just_within.

--- /dev/null
+++ b/stage/receiver/limits_test.go
@@ -0,0 +1,242 @@
+package receiver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/meter"
+	"redwingstage.org/stage/streamer"
+)
+
+const (
+	// soon is a limit that a test waits out; hang ends a test whose limit isn't kept.
+	soon = 50 * time.Millisecond
+	hang = 60 * time.Second
+)
+
+// streamDoer is a doer that answers with events.
+type streamDoer struct {
+	control
+
+	pause  time.Duration
+	events int // 0 goes on until the caller is gone
+	ended  chan error
+}
+
+// Do implements Doer.
+func (d *streamDoer) Do(_ context.Context, _ *streamer.Request, sink streamer.Sink) streamer.End {
+	sink.Head(streamer.Head{Status: http.StatusOK, Type: "text/event-stream"})
+	event := "data: " + strings.Repeat("x", 4<<10) + "\n\n"
+	for n := 0; d.events == 0 || n < d.events; n++ {
+		time.Sleep(d.pause)
+		if err := sink.Data([]byte(event)); err != nil {
+			d.ended <- err
+			return streamer.End{Outcome: retrier.Unknown, Reason: streamer.ReasonCancelled}
+		}
+	}
+	return streamer.End{Outcome: retrier.Done}
+}
+
+func startReceiver(c *qt.C, cfg Config, doer Doer) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	r := New(ln, cfg, Deps{
+		Control: control{revision: 3, lease: time.Hour}, Doer: doer,
+		Meter: meter.New(prometheus.NewRegistry()), Log: logger.New(io.Discard, "error").Part("entry"),
+	})
+	c.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), hang)
+		defer cancel()
+		c.Check(r.Close(ctx), qt.IsNil)
+	})
+	return ln.Addr().String()
+}
+
+func dial(c *qt.C, addr string) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(hang)), qt.IsNil)
+	return conn, bufio.NewReader(conn)
+}
+
+// answered reports whether a whole request on the connection got its answer.
+func answered(conn net.Conn, br *bufio.Reader) bool {
+	_, _ = io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err == nil && res.StatusCode == http.StatusOK
+}
+
+func readAnswer(c *qt.C, br *bufio.Reader) (int, string) {
+	res, err := http.ReadResponse(br, nil)
+	c.Assert(err, qt.IsNil)
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	c.Assert(err, qt.IsNil)
+	return res.StatusCode, res.Header.Get(marker.Outcome)
+}
+
+const (
+	generationHead = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
+	streamed       = `{"model":"base","prompt":"x","stream":true}`
+)
+
+// TestConnectionsAreEnded has callers stop within a request, and waits until the entry ends their connection.
+func TestConnectionsAreEnded(t *testing.T) {
+	// Only the limit under test is short; without it the connection would outlast the test.
+	read, idle := Config{ReadTimeout: soon, IdleTimeout: 2 * hang}, Config{ReadTimeout: 2 * hang, IdleTimeout: soon}
+	tests := []struct {
+		name  string
+		cfg   Config
+		first bool   // a whole request comes first
+		sent  string // then this
+		drip  bool   // byte by byte, for ever
+	}{
+		{name: "no byte", cfg: read},
+		{name: "half a header", cfg: read, sent: "POST /v1/completions HTTP/1.1\r\nHo"},
+		{name: "half a body", cfg: read, sent: fmt.Sprintf(generationHead, 100, `{"model":`)},
+		{name: "half a header on a kept connection", cfg: read, first: true, sent: "GET /healthz HTTP/1.1\r\nHo"},
+		{name: "a header byte by byte", cfg: read, sent: "GET /healthz HTTP/1.1\r\nX: ", drip: true},
+		{name: "a body byte by byte", cfg: read, sent: fmt.Sprintf(generationHead, 1<<20, ""), drip: true},
+		{name: "idle after a request", cfg: idle, first: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			addr := startReceiver(c, tt.cfg, control{})
+			conn, br := dial(c, addr)
+			for tt.first && !answered(conn, br) {
+				// On a slow machine a whole request may meet the limit too.
+				conn, br = dial(c, addr)
+			}
+			_, _ = io.WriteString(conn, tt.sent)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := io.Copy(io.Discard, br)
+				ended <- err
+			}()
+			for tick := time.NewTicker(soon / 10); ; {
+				select {
+				case err := <-ended:
+					tick.Stop()
+					c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("the connection stayed open"))
+					return
+				case <-tick.C:
+					if tt.drip {
+						_, _ = conn.Write([]byte("y"))
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestOversizedHeaders refuses them with an outcome, and closes the connection, whose rest can't be read as a request.
+func TestOversizedHeaders(t *testing.T) {
+	const rest = 64 // bytes of the request besides
+	tests := []struct {
+		name, path, header string
+		status             int
+	}{
+		{"one field", "/healthz", "X: " + strings.Repeat("x", maxHeader) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"many fields", "/healthz", strings.Repeat("X: y\r\n", maxHeader/6+1), http.StatusRequestHeaderFieldsTooLarge},
+		{"path", "/" + strings.Repeat("x", maxHeader), "", http.StatusRequestHeaderFieldsTooLarge},
+		{"just within", "/healthz", "X: " + strings.Repeat("x", maxHeader-rest) + "\r\n", http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, br := dial(c, startReceiver(c, Config{}, control{}))
+			_, err := io.WriteString(conn, "GET "+tt.path+" HTTP/1.1\r\nHost: x\r\n"+tt.header+"\r\n")
+			c.Assert(err, qt.IsNil)
+			status, outcome := readAnswer(c, br)
+			c.Assert(status, qt.Equals, tt.status)
+			if tt.status == http.StatusOK {
+				return
+			}
+			c.Assert(outcome, qt.Equals, "not-run")
+			_, err = br.ReadByte()
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+		})
+	}
+}
+
+// TestStuckCaller has a caller read nothing: its request ends, by the time limit of writes or by the unread bytes.
+func TestStuckCaller(t *testing.T) {
+	tests := []struct {
+		name string
+		cfg  Config
+		want error
+	}{
+		{"write timeout", Config{WriteTimeout: soon, MaxUnread: 1 << 30}, streamer.ErrAbandoned},
+		{"unread bytes", Config{WriteTimeout: hang, MaxUnread: 64 << 10}, streamer.ErrSlow},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			doer := &streamDoer{pause: 10 * time.Microsecond, ended: make(chan error, 1)}
+			conn, _ := dial(c, startReceiver(c, tt.cfg, doer))
+			_, err := fmt.Fprintf(conn, generationHead, len(streamed), streamed)
+			c.Assert(err, qt.IsNil)
+			select {
+			case err := <-doer.ended:
+				c.Assert(err, qt.ErrorIs, tt.want)
+			case <-time.After(hang):
+				c.Fatal("the request goes on")
+			}
+			conn.Close()
+		})
+	}
+}
+
+// TestLongStreamOutlastsLimits has a stream last longer than every limit, each of which is on a part of it only.
+func TestLongStreamOutlastsLimits(t *testing.T) {
+	c := qt.New(t)
+	doer := &streamDoer{pause: 2 * soon, events: 5, ended: make(chan error, 1)}
+	addr := startReceiver(c, Config{ReadTimeout: soon, IdleTimeout: soon, WriteTimeout: soon}, doer)
+	for end := time.Now().Add(hang); time.Now().Before(end); {
+		// On a slow machine a part may meet its limit; a limit on the whole stream would be met each time.
+		if n, outcome := readStream(c, addr); n == doer.events && outcome == "done" {
+			return
+		}
+	}
+	c.Fatal("no stream came whole")
+}
+
+// readStream returns the number of events and the outcome of a stream.
+func readStream(c *qt.C, addr string) (events int, outcome string) {
+	conn, br := dial(c, addr)
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, generationHead, len(streamed), streamed)
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return strings.Count(string(b), "data: "), res.Trailer.Get(marker.Outcome)
+}
