--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -103,6 +103,8 @@
 	open    atomic.Int64
 	ids     atomic.Uint64
 	wg      conc.WaitGroup
+	// shared uses the HTTP library's memory in place of copies, to show that tests notice.
+	shared bool
 }
 
 // New starts a receiver on the listener.
--- a/stage/receiver/request.go
+++ b/stage/receiver/request.go
@@ -35,7 +35,7 @@
 	if catalog == nil {
 		return nil, false, notReady()
 	}
-	body := append([]byte{}, c.Body()...)
+	body := r.bytes(c.Body())
 	doc, p := parseGeneration(body)
 	if p != nil {
 		return nil, false, p
@@ -46,7 +46,7 @@
 	}
 	req := &streamer.Request{
 		Target: target, Kind: configurer.KindModel, Idempotent: true, Stream: true, MaxTokens: doc.maxTokens,
-		Method: http.MethodPost, URI: strings.Clone(c.Path()), Type: "application/json",
+		Method: http.MethodPost, URI: r.text(c.Path()), Type: "application/json",
 	}
 	if p := r.fill(c, catalog, req, body, now); p != nil {
 		return nil, false, p
@@ -65,12 +65,12 @@
 	if catalog == nil {
 		return nil, notReady()
 	}
-	name := strings.Clone(c.Params("name"))
+	name := r.text(c.Params("name"))
 	s, ok := catalog.Service(name)
 	if !ok || s.Kind() != configurer.KindPlain {
 		return nil, &problem{status: http.StatusNotFound, code: "service_not_found", message: fmt.Sprintf("no plain service named %q", name)}
 	}
-	uri := strings.TrimPrefix(strings.Clone(c.OriginalURL()), servicePrefix+name)
+	uri := strings.TrimPrefix(r.text(c.OriginalURL()), servicePrefix+name)
 	if !strings.HasPrefix(uri, "/") {
 		uri = "/" + uri
 	}
@@ -78,14 +78,14 @@
 	if !isPlainPath(path) {
 		return nil, badRequest("", "the path has dot segments or encoded slashes, which services read differently")
 	}
-	method := strings.Clone(c.Method())
+	method := r.text(c.Method())
 	req := &streamer.Request{
 		Target: configurer.Target{Service: name}, Kind: configurer.KindPlain, Idempotent: s.IsIdempotent(method, path),
-		Method: method, URI: uri, Type: strings.Clone(c.Get(fiber.HeaderContentType)),
-		Accept: strings.Clone(c.Get(fiber.HeaderAccept)), Body: append([]byte{}, c.Body()...),
+		Method: method, URI: uri, Type: r.text(c.Get(fiber.HeaderContentType)),
+		Accept: r.text(c.Get(fiber.HeaderAccept)), Body: r.bytes(c.Body()),
 	}
 	if req.IsBooking() {
-		key, p := keyOf(c)
+		key, p := r.keyOf(c)
 		if p != nil {
 			return nil, p
 		}
@@ -131,11 +131,27 @@
 func (r *Receiver) requestID(c fiber.Ctx) string {
 	id := c.Get(marker.Request)
 	if id != "" && len(id) <= maxID && isToken(id) {
-		return strings.Clone(id)
+		return r.text(id)
 	}
 	return fmt.Sprintf("%s.%x.%x", r.cfg.Entry, r.cfg.Incarnation, r.ids.Add(1))
 }
 
+// text returns a copy of what the HTTP library reads the connection's next request into.
+func (r *Receiver) text(s string) string {
+	if r.shared {
+		return s
+	}
+	return strings.Clone(s)
+}
+
+// bytes is text for a body.
+func (r *Receiver) bytes(b []byte) []byte {
+	if r.shared {
+		return b
+	}
+	return append([]byte{}, b...)
+}
+
 // callerOf names the caller by the hash of its token, so that no secret is kept or logged.
 func callerOf(c fiber.Ctx) string {
 	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
@@ -147,7 +163,7 @@
 }
 
 // keyOf returns the idempotency key of a call, or makes one.
-func keyOf(c fiber.Ctx) (string, *problem) {
+func (r *Receiver) keyOf(c fiber.Ctx) (string, *problem) {
 	key := c.Get(marker.Key)
 	if key == "" {
 		return rand.Text(), nil
@@ -155,7 +171,7 @@
 	if len(key) > maxKey || !isToken(key) {
 		return "", badRequest(marker.Key, fmt.Sprintf("the key is longer than %d bytes or not printable ASCII", maxKey))
 	}
-	return strings.Clone(key), nil
+	return r.text(key), nil
 }
 
 func digestOf(req *streamer.Request, body []byte) quarantiner.Digest {
