Permits: the adapter's rate and the load's wait reach the leader, an unused permit gives its token back

Cause: scheduler.AskPermit.Rate and scheduler.ReturnPermit.Used ended at the owner. The leader ordered by urgency and arrival only, and a permit that came back unused still cost its share of the store's rate (3.5 loads a second). Found on the way: the scheduler repeats a request after 2 s, and each repetition went to the end of the leader's queue.

Change: Permit(ctx, registrar.PermitAsk{Server, Target, Urgent, Rate, Waited}) and Return(permit, used), through owner, dispatcher's Control, client, frames and desk. The owner counts how long a load has waited over repetitions and denials. The leader grants urgent requests first, then by rate, then by age; one of every eight permits goes to the oldest request that has waited for 2 s, so a request with n older ones gets one of the next 8(n+1) permits. An unused permit gives its token back once, never above the one that may be saved up, not after it expired, not when an earlier leader granted it. NaN, infinite and negative rates and negative waits are refused with their reason. On the wire the new keys are 20 to 22, and "unused" is said, not "used", so that returns of older entries cost what they did.

Shown failing first, one mechanism off at a time: no cap ("1.0035 tokens"), claimed permits count ("2 permits in 0s, 1.00 are allowed"), expired ones count (TestOldPermitsGiveNothingBack), used ones count (the same words), no order by rate (TestPermitOrder/by_rate), infinite rates pass (TestBadAsks), the oldest gets half its share ("granted after 17 permits"). In the matrix: step "permit given back", 14 cells; with each return taken as unused the checker says that the store's rate was passed.

--- /dev/null
+++ b/serving/registrar/permits_test.go
@@ -0,0 +1,293 @@
+package registrar
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// permitModel holds what a leader's permits do against the store's limits.
+type permitModel struct {
+	p      *Permits
+	limits StoreLimits
+	now    time.Time
+	era    uint64
+	id     uint64
+	// out are the permits of this leader by holder, ended those that were returned or have expired, old those of earlier leaders.
+	out, ended, old map[uint64]string
+	expires         map[uint64]time.Time
+	// granted and given are the times of grants and of tokens that came back.
+	granted, given []time.Time
+}
+
+func (m *permitModel) holder(t *rapid.T) string {
+	return fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "holder"))
+}
+
+// pick draws one of the permits.
+func pick(t *rapid.T, from map[uint64]string) (uint64, bool) {
+	var ids []uint64
+	for id := range from {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return 0, false
+	}
+	return ids[rapid.IntRange(0, len(ids)-1).Draw(t, "permit")%len(ids)], true
+}
+
+// check tells whether more was granted in any time than the rate, one saved token and the tokens that came back allow.
+func (m *permitModel) check() error {
+	if m.p.Used() > m.limits.Parallel {
+		return fmt.Errorf("%d permits at once", m.p.Used())
+	}
+	if m.p.tokens > maxTokens {
+		return fmt.Errorf("%v tokens", m.p.tokens)
+	}
+	for i, from := range m.granted {
+		back := 0
+		for _, at := range m.given {
+			if !at.Before(from) {
+				back++
+			}
+		}
+		n := len(m.granted) - i
+		if allowed := maxTokens + m.now.Sub(from).Seconds()*m.limits.Rate + float64(back); float64(n) > allowed+1e-6 {
+			return fmt.Errorf("%d permits in %v, %.2f are allowed", n, m.now.Sub(from), allowed)
+		}
+	}
+	return nil
+}
+
+func (m *permitModel) lead(fresh bool, turn func(*Permits)) {
+	m.era++
+	m.p = NewPermits(m.era, m.now, fresh, m.limits)
+	if turn != nil {
+		turn(m.p)
+	}
+	for id, h := range m.out {
+		m.old[id] = h
+	}
+	m.out, m.granted, m.given = make(map[uint64]string), nil, nil
+}
+
+func (m *permitModel) giveBack(id uint64, holder string, used bool) {
+	if m.out[id] == holder {
+		if !used && m.now.Before(m.expires[id]) {
+			m.given = append(m.given, m.now)
+		}
+		delete(m.out, id)
+		m.ended[id] = holder
+	}
+	m.p.Return(m.now, holder, id, used)
+}
+
+// step takes one drawn event.
+func (m *permitModel) step(t *rapid.T) {
+	switch rapid.SampledFrom([]string{"ask", "ask", "time", "time", "return", "return", "again", "wrong", "old", "withdraw", "lead"}).Draw(t, "event") {
+	case "ask":
+		m.id++
+		ask := Ask{ID: m.id, Holder: m.holder(t), Urgent: rapid.Bool().Draw(t, "urgent"), Rate: rapid.Float64Range(0, 9).Draw(t, "rate")}
+		if err := m.p.Ask(m.now, ask); err != nil {
+			t.Fatal(err)
+		}
+	case "time":
+		m.now = m.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+	case "return":
+		if id, ok := pick(t, m.out); ok {
+			m.giveBack(id, m.out[id], rapid.Bool().Draw(t, "used"))
+		}
+	case "again":
+		if id, ok := pick(t, m.ended); ok {
+			m.giveBack(id, m.ended[id], false)
+		}
+	case "wrong":
+		if id, ok := pick(t, m.out); ok {
+			m.p.Return(m.now, "other", id, false)
+		}
+	case "old":
+		if id, ok := pick(t, m.old); ok {
+			if rapid.Bool().Draw(t, "claimed") {
+				m.p.Claim(m.old[id], id)
+			}
+			m.p.Return(m.now, m.old[id], id, false)
+		}
+	case "withdraw":
+		m.p.Withdraw(m.holder(t), m.id)
+	case "lead":
+		m.lead(false, func(p *Permits) { p.generous = m.p.generous })
+	}
+	for _, g := range m.p.Grant(m.now) {
+		m.out[g.ID], m.expires[g.ID] = g.Ask.Holder, m.now.Add(permitTTL+permitMargin)
+		m.granted = append(m.granted, m.now)
+	}
+}
+
+func newPermitModel(generous bool) *permitModel {
+	m := &permitModel{
+		limits: StoreLimits{Rate: 3.5, Parallel: 3}, now: start,
+		out: make(map[uint64]string), ended: make(map[uint64]string), old: make(map[uint64]string), expires: make(map[uint64]time.Time),
+	}
+	m.lead(true, func(p *Permits) { p.generous = generous })
+	return m
+}
+
+// TestPermitsGiveTokensBackOnce draws asks, grants, returns and changes of leader, and compares with the store's limits.
+func TestPermitsGiveTokensBackOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPermitModel(false)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			m.step(t)
+			if err := m.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// TestUnusedPermitCosts tells what each kind of return gives back: with a token the next request is granted at once.
+func TestUnusedPermitCosts(t *testing.T) {
+	tests := []struct {
+		name     string
+		generous bool
+		give     func(p *Permits, now time.Time, id uint64)
+		want     int
+	}{
+		{name: "used", give: func(p *Permits, now time.Time, id uint64) { p.Return(now, "e", id, true) }, want: 0},
+		{name: "unused", give: func(p *Permits, now time.Time, id uint64) { p.Return(now, "e", id, false) }, want: 1},
+		{name: "unused, by another entry", give: func(p *Permits, now time.Time, id uint64) { p.Return(now, "f", id, false) }, want: 0},
+		{name: "unused, twice", give: func(p *Permits, now time.Time, id uint64) {
+			p.Return(now, "e", id, false)
+			p.Return(now, "e", id, false)
+		}, want: 1},
+		{name: "unused, twice, without the rules", generous: true, give: func(p *Permits, now time.Time, id uint64) {
+			p.Return(now, "e", id, true)
+			p.Return(now, "e", id, true)
+		}, want: 2},
+		{name: "a permit that was never granted", give: func(p *Permits, now time.Time, id uint64) { p.Return(now, "e", id+1, false) }, want: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := NewPermits(1, start, true, StoreLimits{Rate: 0.001, Parallel: 5})
+			p.generous = tt.generous
+			for i := range uint64(5) {
+				qt.Assert(t, p.Ask(start, Ask{ID: i, Holder: "e"}), qt.IsNil)
+			}
+			first := p.Grant(start)
+			qt.Assert(t, first, qt.HasLen, 1)
+			tt.give(p, start, first[0].ID)
+			qt.Assert(t, p.Grant(start), qt.HasLen, tt.want)
+		})
+	}
+}
+
+// TestOldPermitsGiveNothingBack returns a permit after it expired and after a change of leader.
+func TestOldPermitsGiveNothingBack(t *testing.T) {
+	limits := StoreLimits{Rate: 0.001, Parallel: 2}
+	p := NewPermits(1, start, true, limits)
+	qt.Assert(t, p.Ask(start, Ask{ID: 1, Holder: "e"}), qt.IsNil)
+	id := p.Grant(start)[0].ID
+	late := start.Add(permitTTL + permitMargin)
+	p.Return(late, "e", id, false)
+	qt.Assert(t, p.tokens < 0.1, qt.IsTrue)
+
+	next := NewPermits(2, start, false, limits)
+	next.Claim("e", id)
+	next.Return(start, "e", id, false)
+	qt.Assert(t, next.tokens, qt.Equals, 0.0)
+	qt.Assert(t, next.Used(), qt.Equals, 1)
+}
+
+// TestPermitOrder asks for permits in the order of the rows.
+func TestPermitOrder(t *testing.T) {
+	tests := []struct {
+		name string
+		asks []Ask
+		want []uint64
+	}{
+		{"by arrival", []Ask{{}, {}, {}}, []uint64{0, 1, 2}},
+		{"by rate", []Ask{{Rate: 1}, {Rate: 3}, {Rate: 2}}, []uint64{1, 2, 0}},
+		{"urgent before rate", []Ask{{Rate: 9}, {Urgent: true}, {Urgent: true, Rate: 1}}, []uint64{2, 1, 0}},
+		{"waited before", []Ask{{Rate: 1}, {Rate: 1, Waited: time.Second}, {Rate: 1, Waited: time.Millisecond}}, []uint64{1, 2, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := NewPermits(1, start, true, StoreLimits{Rate: 100, Parallel: 100})
+			for i, a := range tt.asks {
+				a.ID, a.Holder = uint64(i), "e"
+				qt.Assert(t, p.Ask(start, a), qt.IsNil)
+			}
+			var got []uint64
+			for i := range tt.asks {
+				for _, g := range p.Grant(start.Add(time.Duration(i) * 10 * time.Millisecond)) {
+					got = append(got, g.Ask.ID)
+				}
+			}
+			qt.Assert(t, got, qt.DeepEquals, tt.want)
+		})
+	}
+}
+
+// TestBadAsks refuses what no owner would send.
+func TestBadAsks(t *testing.T) {
+	for _, tt := range []struct {
+		ask  Ask
+		want error
+	}{
+		{Ask{Rate: math.NaN()}, ErrBadRate},
+		{Ask{Rate: math.Inf(1)}, ErrBadRate},
+		{Ask{Rate: math.Inf(-1)}, ErrBadRate},
+		{Ask{Rate: -0.1}, ErrBadRate},
+		{Ask{Waited: -time.Nanosecond}, ErrBadWait},
+		{Ask{Rate: math.MaxFloat64, Waited: math.MaxInt64}, nil},
+	} {
+		p := NewPermits(1, start, true, StoreLimits{})
+		qt.Check(t, p.Ask(start, tt.ask), qt.ErrorIs, tt.want)
+		qt.Check(t, p.Waiting() == 1, qt.Equals, tt.want == nil)
+	}
+}
+
+// TestNoRequestStarves keeps requests for popular adapters coming and counts the permits until one of the least rate is
+// granted: with n older requests that is one of the first 8(n+1) permits once it is overdue.
+func TestNoRequestStarves(t *testing.T) {
+	run := func(older, newer int, unfair bool) int {
+		p := NewPermits(1, start, true, StoreLimits{Rate: 10, Parallel: 100_000})
+		p.unfair = unfair
+		id := uint64(0)
+		ask := func(at time.Time, a Ask) {
+			id++
+			a.ID, a.Holder = id, "e"
+			_ = p.Ask(at, a)
+		}
+		for range older {
+			ask(start, Ask{Rate: 1})
+		}
+		ask(start.Add(time.Millisecond), Ask{})
+		poor := id
+		now := start.Add(overdueAfter + time.Millisecond)
+		for n := 1; n <= 20*fairShare*(older+1); n++ {
+			for range newer {
+				ask(now, Ask{Urgent: true, Rate: 5})
+			}
+			now = now.Add(100 * time.Millisecond)
+			for _, g := range p.Grant(now) {
+				if g.Ask.ID == poor {
+					return n
+				}
+			}
+		}
+		return 0
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		older, newer := rapid.IntRange(0, 8).Draw(t, "older"), rapid.IntRange(1, 3).Draw(t, "newer")
+		n := run(older, newer, false)
+		if n == 0 || n > fairShare*(older+1) {
+			t.Fatalf("granted after %d permits", n)
+		}
+	})
+	qt.Assert(t, run(3, 2, true), qt.Equals, 0)
+}
--- a/serving/registrar/registry_test.go
+++ b/serving/registrar/registry_test.go
@@ -218,11 +218,11 @@
 			}
 			if p.Waiting() < 10 {
 				id++
-				p.Ask(Ask{ID: id, Holder: "e", Urgent: id%2 == 0})
+				qt.Assert(t, p.Ask(now, Ask{ID: id, Holder: "e", Urgent: id%2 == 0}), qt.IsNil)
 			}
 			for held, until := range running {
 				if now.After(until) {
-					p.Return("e", held)
+					p.Return(now, "e", held, true)
 					delete(running, held)
 				}
 			}
@@ -254,7 +254,7 @@
 func TestPermitsUrgentFirst(t *testing.T) {
 	p := NewPermits(1, start, true, StoreLimits{Rate: 1, Parallel: 5})
 	for i := range uint64(4) {
-		p.Ask(Ask{ID: i, Holder: "e", Urgent: i >= 2})
+		qt.Assert(t, p.Ask(start, Ask{ID: i, Holder: "e", Urgent: i >= 2}), qt.IsNil)
 	}
 	p.Withdraw("e", 0)
 	var order []uint64
--- a/stage/controller/agent.go
+++ b/stage/controller/agent.go
@@ -365,7 +365,7 @@
 		until := a.permitEnd(c, ans)
 		if !now.Before(until) {
 			// It came too late to be used.
-			a.call(now, callFrame{Kind: callReturn, Grant: ans.Permit}, nil)
+			a.call(now, callFrame{Kind: callReturn, Grant: ans.Permit, Unused: true}, nil)
 			a.ask(now, c)
 			return
 		}
@@ -413,7 +413,7 @@
 	switch f.Kind {
 	case callPermit:
 		delete(a.permits, ans.Permit)
-		a.call(now, callFrame{Kind: callReturn, Grant: ans.Permit}, nil)
+		a.call(now, callFrame{Kind: callReturn, Grant: ans.Permit, Unused: true}, nil)
 	case callLock:
 		a.unlock(now, f.Digests[0], ans.ID)
 	}
--- a/stage/controller/calls.go
+++ b/stage/controller/calls.go
@@ -10,7 +10,11 @@
 	"redwingstage.org/serving/registrar"
 )
 
-const maxDigests = 1024
+const (
+	maxDigests = 1024
+	// maxWaited bounds the wait that a request for a permit brings along, in milliseconds.
+	maxWaited = 3_600_000
+)
 
 // memory returns the calls of an entry that are open or were answered.
 func (d *desk) memory(holder string) *answered {
@@ -40,12 +44,12 @@
 	}
 	switch c.Kind {
 	case callPermit:
-		if !d.permits.Ask(registrar.Ask{ID: c.ID, Holder: p.holder, Urgent: c.Urgent}) {
-			d.refuse(ref, "too many requests for permits wait")
+		if err := d.permits.Ask(now, c.ask(p.holder)); err != nil {
+			d.refuse(ref, err.Error())
 		}
 		d.grant(now)
 	case callReturn:
-		d.permits.Return(p.holder, c.Grant)
+		d.permits.Return(now, p.holder, c.Grant, !c.Unused && !d.allUnused)
 		d.answer(ref, answerFrame{})
 		d.grant(now)
 	case callAccuse:
@@ -70,6 +74,12 @@
 	}
 }
 
+// ask returns the request for a permit; a wait beyond maxWaited, in milliseconds, could overflow.
+func (c callFrame) ask(holder string) registrar.Ask {
+	waited := time.Duration(max(-1, min(c.Waited, maxWaited))) * time.Millisecond
+	return registrar.Ask{ID: c.ID, Holder: holder, Urgent: c.Urgent, Rate: c.Rate, Waited: waited}
+}
+
 func (d *desk) accuse(now time.Time, ref callRef, c callFrame) {
 	if len(c.Digests) > maxDigests {
 		d.refuse(ref, "too many digests")
--- a/stage/controller/checker_test.go
+++ b/stage/controller/checker_test.go
@@ -27,6 +27,9 @@
 	seen     map[*agent]*entryView
 	// orphans are the permits of processes that are gone, whose loads may still run.
 	orphans map[uint64]time.Time
+	// grants are the permits that entries got, given those that they gave back unused.
+	grants, given map[uint64]bool
+	began         time.Time
 }
 
 // entryView is what an entry's process showed so far.
@@ -49,6 +52,7 @@
 		w: w, accepted: make(map[uint64]string),
 		replies: make(map[string]configurer.Reply), runs: make(map[recorder.Key]string), fences: make(map[string]uint64),
 		seen: make(map[*agent]*entryView), orphans: make(map[uint64]time.Time),
+		grants: make(map[uint64]bool), given: make(map[uint64]bool), began: w.now,
 	}
 }
 
@@ -231,6 +235,23 @@
 	}
 }
 
+// granted checks that the permits so far are no more than the store's rate allows, one that was saved up and those that
+// came back unused, each once.
+func (c *checker) granted(id uint64) {
+	c.grants[id] = true
+	allowed := 1 + simRate*c.w.now.Sub(c.began).Seconds() + float64(len(c.given))
+	if n := float64(len(c.grants)); n > allowed {
+		c.fail("%v loads were permitted, the store's rate allows %.1f", n, allowed)
+	}
+}
+
+// unused takes note of a permit that is given back; one that its entry couldn't use any more counts as well.
+func (c *checker) unused(id uint64, unused bool) {
+	if unused {
+		c.given[id] = true
+	}
+}
+
 // recovered checks that everything works again some time after the last fault.
 func (c *checker) recovered() {
 	if c.w.q.leader < 0 {
--- a/stage/controller/client.go
+++ b/stage/controller/client.go
@@ -352,19 +352,21 @@
 }
 
 // Permit waits for the right to load an adapter from the weight store.
-func (c *Client) Permit(ctx context.Context, server string, _ configurer.Target, urgent bool) (registrar.Permit, error) {
-	a, err := c.ask(ctx, callFrame{Kind: callPermit, Server: server, Urgent: urgent})
+func (c *Client) Permit(ctx context.Context, ask registrar.PermitAsk) (registrar.Permit, error) {
+	a, err := c.ask(ctx, callFrame{
+		Kind: callPermit, Server: ask.Server, Urgent: ask.Urgent, Rate: ask.Rate, Waited: ask.Waited.Milliseconds(),
+	})
 	if err != nil {
 		return registrar.Permit{}, err
 	}
 	return registrar.Permit{ID: a.Permit, Expires: a.until}, nil
 }
 
-// Return gives a permit back, used or not.
-func (c *Client) Return(p registrar.Permit) {
+// Return gives a permit back; one that wasn't used costs nothing of the store's rate.
+func (c *Client) Return(p registrar.Permit, used bool) {
 	_ = c.post(c.ctx, func(now time.Time) {
 		delete(c.agent.permits, p.ID)
-		c.agent.call(now, callFrame{Kind: callReturn, Grant: p.ID}, nil)
+		c.agent.call(now, callFrame{Kind: callReturn, Grant: p.ID, Unused: !used}, nil)
 	})
 }
 
--- a/stage/controller/controller_test.go
+++ b/stage/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -132,9 +133,15 @@
 	c.Assert(st.Servers[0].Owner, qt.Equals, "entry-1")
 	c.Assert(st.Entries[0].Revision, qt.Equals, uint64(1))
 
-	p, err := cl.Permit(ctx, "engine-1", target, true)
+	p, err := cl.Permit(ctx, registrar.PermitAsk{Server: "engine-1", Target: target, Urgent: true})
 	c.Assert(err, qt.IsNil)
-	cl.Return(p)
+	cl.Return(p, true)
+	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		_, err = cl.Permit(ctx, registrar.PermitAsk{Server: "engine-1", Target: target, Rate: rate})
+		c.Assert(err, qt.ErrorMatches, "control leader: the rate of use .*")
+	}
+	_, err = cl.Permit(ctx, registrar.PermitAsk{Server: "engine-1", Target: target, Waited: -time.Second})
+	c.Assert(err, qt.ErrorMatches, "control leader: the wait .* is negative")
 	digest := quarantiner.Digest{1}
 	c.Assert(cl.Accuse(ctx, "engine-1", []quarantiner.Digest{digest}), qt.IsNil)
 	c.Assert(cl.Standing(digest), qt.Equals, quarantiner.Suspect)
--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -77,6 +77,8 @@
 	proposed []proposal
 	// eager switches off what --wait and leases wait for, to show that its tests can fail.
 	eager bool
+	// allUnused takes each permit as given back unused, to show the same.
+	allUnused bool
 }
 
 // peer is an entry's session.
--- a/stage/controller/faults_test.go
+++ b/stage/controller/faults_test.go
@@ -76,6 +76,7 @@
 			}
 			return n > 1
 		}},
+		{name: "permit given back", rule: 2, ready: pending(callReturn)},
 		{name: "accusation", rule: 4, ready: pending(callAccuse)},
 		{name: "lock", rule: 4, ready: func(w *world) bool {
 			for _, e := range w.entries {
@@ -228,7 +229,7 @@
 func TestSameSeedSameRun(t *testing.T) {
 	var ends []string
 	for range 2 {
-		w := trial(steps()[10], faults()[12], 5, nil)
+		w := trial(steps()[11], faults()[12], 5, nil)
 		qt.Assert(t, w.check.err, qt.IsNil)
 		end := fmt.Sprint(len(w.q.cmds), w.q.term, w.check.fences, len(w.check.replies))
 		for _, e := range w.entries {
@@ -275,6 +276,9 @@
 		{"a suspicion without confirmations", "accusation", "entry deaf", func(w *world) {
 			w.turnHubs(func(h *hub) { h.eager = true })
 		}, "does not know suspect"},
+		{"each permit counts as unused", "permit given back", "leader killed", func(w *world) {
+			w.turnHubs(func(h *hub) { h.allUnused = true })
+		}, "store's rate"},
 		{"an entry counts its lease from the answer", "lease", "entry unheard", func(w *world) { w.lateLease = true }, "both order"},
 	}
 	for _, tt := range tests {
--- a/stage/controller/frame.go
+++ b/stage/controller/frame.go
@@ -105,6 +105,10 @@
 	Pinned  []targetFrame        `cbor:"9,keyasint,omitempty"`
 	// Epoch is that of the ownership which is given up.
 	Epoch uint64 `cbor:"10,keyasint,omitempty"`
+	// Rate and Waited, in milliseconds, are those of a request for a permit; Unused is that of a permit given back.
+	Rate   float64 `cbor:"20,keyasint,omitempty"`
+	Waited int64   `cbor:"21,keyasint,omitempty"`
+	Unused bool    `cbor:"22,keyasint,omitempty"`
 }
 
 type targetFrame struct {
--- a/stage/controller/hub.go
+++ b/stage/controller/hub.go
@@ -57,7 +57,9 @@
 	lastID   uint64
 
 	// These switch mechanisms off, to show that their tests can fail: the wait for an earlier leader's leases, the
-	// leader's own lease, the leader's word before state is passed on, and the wait for entries to confirm.
+	// leader's own lease, the leader's word before state is passed on, the wait for entries to confirm, and the cost of used
+	// permits.
+	allUnused   bool
 	assumeFresh bool
 	ignoreLease bool
 	ungated     bool
@@ -213,7 +215,7 @@
 	fresh := res.Era == 1 || h.assumeFresh
 	h.deskTerm = term
 	h.desk = newDesk(res.Era, now, fresh, h.limits, h.live, h.machine.leased())
-	h.desk.eager = h.eager
+	h.desk.eager, h.desk.allUnused = h.eager, h.allUnused
 	h.desk.advance(h.machine.catalogRevision())
 	h.logger.Info().Uint64("era", res.Era).Msg("control: leading")
 }
--- a/stage/controller/quorum_test.go
+++ b/stage/controller/quorum_test.go
@@ -13,6 +13,8 @@
 const (
 	simLease    = 900 * time.Millisecond
 	simElection = 400 * time.Millisecond
+	// simRate is the store's limit of loads a second.
+	simRate = 3.5
 )
 
 // quorum is a fake of the replicated log for all replicas of a world: one order, a leader lease, no lost commits.
--- a/stage/controller/workload_test.go
+++ b/stage/controller/workload_test.go
@@ -136,10 +136,14 @@
 	now, a := l.w.now, e.agent
 	switch l.rng.IntN(6) {
 	case 0, 1:
-		a.call(now, callFrame{Kind: callPermit, Server: "engine-0", Urgent: l.rng.IntN(2) == 0}, func(ans answerFrame) {
+		f := callFrame{Kind: callPermit, Server: "engine-0", Urgent: l.rng.IntN(2) == 0, Rate: l.rng.Float64()}
+		a.call(now, f, func(ans answerFrame) {
+			unused := l.rng.IntN(2) == 0
+			l.w.check.granted(ans.Permit)
 			l.after(e, a, func() {
 				delete(a.permits, ans.Permit)
-				a.call(l.w.now, callFrame{Kind: callReturn, Grant: ans.Permit}, nil)
+				l.w.check.unused(ans.Permit, unused)
+				a.call(l.w.now, callFrame{Kind: callReturn, Grant: ans.Permit, Unused: unused}, nil)
 			})
 		})
 	case 2:
--- a/stage/dispatcher/dispatcher.go
+++ b/stage/dispatcher/dispatcher.go
@@ -50,9 +50,9 @@
 	// Announce passes on a backend server's announcement.
 	Announce(s registrar.Server)
 	// Permit asks for one adapter load.
-	Permit(ctx context.Context, server string, t configurer.Target, urgent bool) (registrar.Permit, error)
+	Permit(ctx context.Context, ask registrar.PermitAsk) (registrar.Permit, error)
 	// Return gives a permit back.
-	Return(p registrar.Permit)
+	Return(p registrar.Permit, used bool)
 	// Accuse makes digests that were in flight at a crash suspects everywhere.
 	Accuse(ctx context.Context, server string, ds []quarantiner.Digest) error
 	// Lock lets one suspect run at a time.
--- a/stage/dispatcher/world_test.go
+++ b/stage/dispatcher/world_test.go
@@ -118,11 +118,11 @@
 
 func (w *world) Announce(registrar.Server) {}
 
-func (w *world) Permit(context.Context, string, configurer.Target, bool) (registrar.Permit, error) {
+func (w *world) Permit(context.Context, registrar.PermitAsk) (registrar.Permit, error) {
 	return registrar.Permit{ID: 1, Expires: time.Now().Add(time.Minute)}, nil
 }
 
-func (w *world) Return(registrar.Permit) {}
+func (w *world) Return(registrar.Permit, bool) {}
 
 func (w *world) Accuse(_ context.Context, _ string, ds []quarantiner.Digest) error {
 	w.mu.Lock()
--- a/stage/owner/action.go
+++ b/stage/owner/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,6 +19,8 @@
 	accuseTimeout = 3 * time.Second
 	permitTimeout = 5 * time.Second
 	loadTimeout   = 10 * time.Second
+	// wantGap is the longest time between a denied request and the next one for the same load.
+	wantGap = 2 * time.Second
 )
 
 // execute carries out what the scheduler decided; whatever waits goes to goroutines of its own.
@@ -42,9 +45,11 @@
 		case scheduler.AskPermit:
 			o.askPermit(a)
 		case scheduler.WithdrawPermit:
-			o.withdrawPermit(ask{server: a.Server, target: a.Target})
+			key := ask{server: a.Server, target: a.Target}
+			o.withdrawPermit(key)
+			delete(o.wanted, key)
 		case scheduler.ReturnPermit:
-			o.tasks.Go(func() { o.Control.Return(a.Permit) })
+			o.tasks.Go(func() { o.Control.Return(a.Permit, a.Used) })
 		case scheduler.Load:
 			o.load(a)
 		case scheduler.Unload:
@@ -126,6 +131,14 @@
 	target configurer.Target
 }
 
+// want is since when a load waits for a permit, and when a request for it was denied last, if none is open.
+type want struct{ since, denied time.Time }
+
+// isStale reports whether the load wasn't asked for again after a denial, so that nobody wants it any more.
+func (w want) isStale(now time.Time) bool {
+	return !w.denied.IsZero() && now.Sub(w.denied) > wantGap
+}
+
 // asking is a request for a permit that the control leader hasn't answered.
 type asking struct{ cancel context.CancelFunc }
 
@@ -135,16 +148,30 @@
 	ctx, cancel := context.WithTimeout(o.ctx, permitTimeout)
 	open := &asking{cancel: cancel}
 	o.asks[key] = open
+	waited := o.waited(key, time.Now())
 	o.tasks.Go(func() {
 		defer cancel()
-		p, err := o.Control.Permit(ctx, a.Server, a.Target, a.Urgent)
+		p, err := o.Control.Permit(ctx, registrar.PermitAsk{
+			Server: a.Server, Target: a.Target, Urgent: a.Urgent, Rate: a.Rate, Waited: waited,
+		})
 		fed := o.post(func() { o.answered(key, open, p, err) })
 		if !fed && err == nil {
-			o.Control.Return(p)
+			o.Control.Return(p, false)
 		}
 	})
 }
 
+// waited notes that a load is asked for and returns how long it has waited over all requests.
+func (o *Owner) waited(key ask, now time.Time) time.Duration {
+	w, ok := o.wanted[key]
+	if !ok || w.isStale(now) {
+		w.since = now
+	}
+	w.denied = time.Time{}
+	o.wanted[key] = w
+	return now.Sub(w.since)
+}
+
 // answered hands a permit on, or its refusal; one whose request was withdrawn meanwhile goes back.
 func (o *Owner) answered(key ask, open *asking, p registrar.Permit, err error) {
 	current := o.asks[key] == open
@@ -153,10 +180,14 @@
 	}
 	switch {
 	case err == nil && current:
+		delete(o.wanted, key)
 		o.handle(scheduler.Granted{Server: key.server, Target: key.target, Permit: p})
 	case err == nil:
-		o.tasks.Go(func() { o.Control.Return(p) })
+		o.tasks.Go(func() { o.Control.Return(p, false) })
 	case current:
+		now := time.Now()
+		maps.DeleteFunc(o.wanted, func(_ ask, w want) bool { return w.isStale(now) })
+		o.wanted[key] = want{since: o.wanted[key].since, denied: now}
 		o.handle(scheduler.Denied{Server: key.server, Target: key.target})
 	}
 }
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -37,8 +37,8 @@
 	Standing(d quarantiner.Digest) quarantiner.Standing
 	Updated() <-chan struct{}
 	LeaseEnd() time.Time
-	Permit(ctx context.Context, server string, t configurer.Target, urgent bool) (registrar.Permit, error)
-	Return(p registrar.Permit)
+	Permit(ctx context.Context, ask registrar.PermitAsk) (registrar.Permit, error)
+	Return(p registrar.Permit, used bool)
 	Accuse(ctx context.Context, server string, ds []quarantiner.Digest) error
 	Release(ctx context.Context, server string, pinned []configurer.Target) error
 }
@@ -84,9 +84,11 @@
 	tasks     conc.WaitGroup
 
 	// The fields below belong to the loop's goroutine.
-	held    map[string]*held
-	jobs    map[retrier.Attempt]*job
-	asks    map[ask]*asking
+	held map[string]*held
+	jobs map[retrier.Attempt]*job
+	asks map[ask]*asking
+	// wanted says since when a load waits for a permit, over all requests for it.
+	wanted  map[ask]want
 	leased  bool
 	lapsed  time.Time
 	synced  time.Time
@@ -103,7 +105,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	o := &Owner{
 		Deps: deps, id: id, isolation: registrar.IsolationLimit, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
-		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job), asks: make(map[ask]*asking),
+		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job), asks: make(map[ask]*asking), wanted: make(map[ask]want),
 		handing: make(map[string]*handing),
 	}
 	for _, opt := range opts {
--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -44,6 +44,9 @@
 	orders  []string
 	refuse  bool
 	permit  func(context.Context) (registrar.Permit, error)
+	// asks and returns are what control was asked and given back.
+	asks    []registrar.PermitAsk
+	returns []string
 	// unsettled is how often an unload order is still out when the owner asks.
 	unsettled int
 	released  int
@@ -150,7 +153,12 @@
 
 func (f *fixture) Catalog() *configurer.Catalog                     { return f.catalog }
 func (f *fixture) Standing(quarantiner.Digest) quarantiner.Standing { return quarantiner.Clear }
-func (f *fixture) Return(registrar.Permit)                          {}
+
+func (f *fixture) Return(p registrar.Permit, used bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returns = append(f.returns, fmt.Sprint(p.ID, used))
+}
 
 func (f *fixture) Roster() *registrar.Roster {
 	f.mu.Lock()
@@ -170,8 +178,9 @@
 	return f.lease
 }
 
-func (f *fixture) Permit(ctx context.Context, _ string, _ configurer.Target, _ bool) (registrar.Permit, error) {
+func (f *fixture) Permit(ctx context.Context, a registrar.PermitAsk) (registrar.Permit, error) {
 	f.mu.Lock()
+	f.asks = append(f.asks, a)
 	permit := f.permit
 	f.mu.Unlock()
 	if permit == nil {
--- a/stage/surveyor/steps.go
+++ b/stage/surveyor/steps.go
@@ -10,6 +10,7 @@
 
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
 )
 
 // announceInterval is how often a backend server announces itself.
@@ -213,11 +214,13 @@
 }
 
 func (w *world) permit(ctx context.Context, i int) error {
-	p, err := w.clients[0].Permit(ctx, "engine-000", configurer.Target{Service: "base", Adapter: fmt.Sprint(i), Version: 1}, true)
+	p, err := w.clients[0].Permit(ctx, registrar.PermitAsk{
+		Server: "engine-000", Target: configurer.Target{Service: "base", Adapter: fmt.Sprint(i), Version: 1}, Urgent: true, Rate: 1,
+	})
 	if err != nil {
 		return err
 	}
-	w.clients[0].Return(p)
+	w.clients[0].Return(p, true)
 	return nil
 }
 
