--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -49,6 +49,9 @@
 	orders  []string
 	refuse  bool
 	permit  func(context.Context) (registrar.Permit, error)
+	// asks and returns are what control was asked and given back.
+	asks    []registrar.PermitAsk
+	returns []string
 	// unsettled is how often an unload order is still out when the owner asks.
 	unsettled int
 	released  int
@@ -165,7 +168,12 @@
 
 func (f *fixture) Catalog() *configurer.Catalog                     { return f.catalog }
 func (f *fixture) Standing(quarantiner.Digest) quarantiner.Standing { return quarantiner.Clear }
-func (f *fixture) Return(registrar.Permit)                          {}
+
+func (f *fixture) Return(p registrar.Permit, used bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returns = append(f.returns, fmt.Sprint(p.ID, used))
+}
 
 func (f *fixture) Roster() *registrar.Roster {
 	f.mu.Lock()
@@ -185,8 +193,9 @@
 	return f.lease
 }
 
-func (f *fixture) Permit(ctx context.Context, _ string, _ configurer.Target, _ bool) (registrar.Permit, error) {
+func (f *fixture) Permit(ctx context.Context, a registrar.PermitAsk) (registrar.Permit, error) {
 	f.mu.Lock()
+	f.asks = append(f.asks, a)
 	permit := f.permit
 	f.mu.Unlock()
 	if permit == nil {
