--- a/stage/loader/settings.go
+++ b/stage/loader/settings.go
@@ -86,7 +86,7 @@
 // Unread returns the bytes of an answer that its caller may leave unread.
 func (l Limits) Unread() int { return l.unread }
 
-// Header returns the time within which a request's header must have come.
+// Header returns the time within which a whole request must have come, its body included.
 func (l Limits) Header() time.Duration { return l.header }
 
 // Idle returns how long a connection may stay open without a request.
