control: a new leader strikes off no process that is just being listed

Cause: an entry gets its first lease once the log lists its process. A leader that settles looks for processes that the log lists and that hold no lease, and strikes them off. When the log had taken the listing, but its outcome had not reached the control goroutine, the entry was struck off at once; the late outcome then made the leader count it as listed. So the entry got its lease and owned servers, but each of its bookings was answered with "an earlier attempt with this key may have run" until it restarted.

Ruled out: a lapsed lease (lost 1 and 7 ms after it was listed, seen in a log of the commands), a booking that ended as unknown (no attempt was sent), and two booking attempts with one key (the key was fresh).

After: TestSweepSparesWhoJoins passes, and the tests of stage/controller that run replicas with -race.

--- a/stage/controller/hub.go
+++ b/stage/controller/hub.go
@@ -147,11 +147,12 @@
 	}
 }
 
-// sweep ends the bookings of processes that no entry came back as.
+// sweep ends the bookings of processes that no entry came back as; one that the log lists before the desk hears so is not gone.
 func (h *hub) sweep(now time.Time) {
 	h.swept = true
 	gone := h.machine.absent(func(entry string, incarnation uint64) bool {
-		return h.desk.registry.Live(now, registrar.Holder(entry, incarnation))
+		holder := registrar.Holder(entry, incarnation)
+		return h.desk.joining[holder] || h.desk.registry.Live(now, holder)
 	})
 	if len(gone) > 0 {
 		h.desk.lose(now, gone)
--- /dev/null
+++ b/stage/controller/sweep_test.go
@@ -0,0 +1,57 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/spreader"
+	"redwingstage.org/serving/registrar"
+)
+
+// TestSweepSparesWhoJoins has a new leader look for absent processes when the log lists one already, but the desk
+// hasn't heard so: the process must neither be struck off nor count as listed while it is not.
+func TestSweepSparesWhoJoins(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	m := newMachine()
+	h := &hub{machine: m, desk: newDesk(1, now, true, registrar.StoreLimits{}, spreader.New(), nil)}
+	index := uint64(0)
+	// apply has the log take what the desk proposed, and returns it.
+	apply := func() []command {
+		_, proposed := h.desk.take()
+		var list []command
+		for _, p := range proposed {
+			index++
+			b, err := encoder.Marshal(p.cmd)
+			c.Assert(err, qt.IsNil)
+			m.Apply(index, b)
+			list = append(list, p.cmd)
+		}
+		return list
+	}
+	e1 := process{"e1", 1}
+	h.desk.tick(now)
+	h.desk.receive(now, peerKey{}, up{Hello: &helloFrame{Name: e1.Entry, Incarnation: e1.Incarnation, Addr: "a"}})
+	h.desk.receive(now, peerKey{}, up{Live: h.desk.live.Revision(), Beat: 1})
+	joined := apply()
+	c.Assert(joined, qt.HasLen, 1)
+	c.Assert(joined[0].Joined, qt.DeepEquals, []process{e1})
+
+	h.sweep(now)
+	lost := apply()
+	for _, cmd := range append(joined, lost...) {
+		h.desk.recorded(now, cmd, nil)
+	}
+	c.Check(lost, qt.HasLen, 0)
+	c.Check(h.desk.registry.Live(now, e1.holder()), qt.IsTrue)
+	c.Check(m.leased(), qt.DeepEquals, []process{e1})
+	c.Check(h.desk.known[e1.holder()], qt.IsTrue)
+
+	// A process that is struck off while its listing is under way is listed again before it is known.
+	h.desk.lose(now, []process{e1})
+	h.desk.recorded(now, joined[0], nil)
+	c.Check(h.desk.known[e1.holder()], qt.IsFalse)
+}
