--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -282,7 +282,7 @@
 func (d *desk) recorded(now time.Time, cmd command, err error) {
 	for _, p := range cmd.Joined {
 		delete(d.joining, p.holder())
-		// The log strikes off after it listed, since nothing is proposed to be listed while it is being struck off.
+		// Which of the two the log took last is not known of a process that is being struck off; it is listed once more.
 		d.known[p.holder()] = err == nil && d.losing[p.holder()] == 0
 		if peer, ok := d.holders[p.holder()]; ok && err == nil {
 			d.renew(now, peer)
