control: a replica that shuts down hands over first and lets open calls end

Cause: Close stopped the log and cancelled everything right after the hand-over. New matrix, three real replicas under load from four entries and the operators' API of each replica, one of which shuts down: 8 steps (a change, a change with wait, a booking's begin and end, a permit, lease renewals, a watch, the hand-over itself) for leader and follower. First run, before the change: steps "change" and "change in force" failed for both roles, the other twelve cells passed: follower: 503 uncertain "canceled: context canceled" leader: 503 no_leader "no confirmed leader is in reach", within 1 ms, while the lead was on its way (20 ms) Further: a wait at a leader that gave the lead up polled until its timeout and then said "not in force".

Change: a closing replica refuses new sessions, hands the lead over, sends entries away, lets operators' calls go on through the next leader (20 s at most), waits for those that other replicas passed on to it, and stops the log last. A call that a leader gave up, or whose connection broke, is tried at the next leader if it may be repeated: changes are known by their ids; replicas are not added or removed twice. "no_leader" promises that nothing changed, so a call that may have been taken ends as "uncertain" instead (TestNotTaken).

Ruled out: bookings, permits, leases and watches. They are asked again at another replica and answered from the leader's memory or record; no such cell failed before or after.

What judges: each call answered with success, changes at distinct revisions and bookings with their answers afterwards, the same ownership epochs, no step back at any entry, and no vote after an election timeout. With the hand-over switched off that last one fails (TestShutdownWithoutHandOver). No time is measured: that no call waits longer than the hand-over follows from there being no election, not from a clock.

Runs: go test -race ./stage/controller -run TestShutdown -count 6 passes at load 40 to 50.

--- a/stage/controller/api.go
+++ b/stage/controller/api.go
@@ -43,6 +43,21 @@
 	From     string            `cbor:"3,keyasint"`
 	Args     map[string]string `cbor:"4,keyasint,omitempty"`
 	Body     []byte            `cbor:"5,keyasint,omitempty"`
+	// Elapsed is how long the call took already at earlier leaders, in milliseconds.
+	Elapsed int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// isRepeatable reports whether the call may be carried out again without harm: changes are known by their ids, the others
+// say what is to be so in the end.
+func (r opRequest) isRepeatable() bool { return r.Op != opAddMember && r.Op != opRemove }
+
+// isChange reports whether the call changes anything.
+func (r opRequest) isChange() bool {
+	switch r.Op {
+	case opApply, opDelete, opDrain, opUndrain, opAddMember, opRemove:
+		return true
+	}
+	return false
 }
 
 // opResponse is the answer to an operator's call.
@@ -51,6 +66,11 @@
 	Body   []byte `cbor:"2,keyasint"`
 	// Next continues an export.
 	Next uint64 `cbor:"3,keyasint,omitempty"`
+
+	// moved says that this replica leads no longer, so that the next leader is to answer; it isn't sent.
+	moved bool
+	// taken says that the call may have been carried out though.
+	taken bool
 }
 
 type opKind string
--- a/stage/controller/change.go
+++ b/stage/controller/change.go
@@ -146,8 +146,8 @@
 	if res.Reply.Verdict != configurer.VerdictAccepted || !wait {
 		return answerChange(*res.Reply, res.Winner)
 	}
-	if !c.waitInForce(ctx, res.Reply.Revision, timeout) {
-		return notInForce(res.Reply.Revision)
+	if !c.waitInForce(ctx, res.Reply.Revision, timeout-req.elapsed()) {
+		return c.moved(notInForce(res.Reply.Revision))
 	}
 	return success(http.StatusOK, appliedBody{Revision: res.Reply.Revision, Changed: orEmpty(res.Reply.Changed), InForce: true})
 }
@@ -182,7 +182,7 @@
 		r := noLeader()
 		return res, &r
 	default:
-		r := failure(http.StatusServiceUnavailable, errorDetail{Code: "uncertain", Message: err.Error()})
+		r := c.moved(uncertain(err))
 		return res, &r
 	}
 }
@@ -233,8 +233,8 @@
 	if len(f) > 0 {
 		return f.response()
 	}
-	if !c.waitInForce(ctx, revision, timeout) {
-		return notInForce(revision)
+	if !c.waitInForce(ctx, revision, timeout-req.elapsed()) {
+		return c.moved(notInForce(revision))
 	}
 	return success(http.StatusOK, struct {
 		Revision uint64 `json:"revision"`
@@ -242,7 +242,11 @@
 	}{revision, true})
 }
 
-// waitInForce returns whether the revision came in force everywhere in time.
+func (r opRequest) elapsed() time.Duration {
+	return time.Duration(max(0, min(r.Elapsed, maxWait.Milliseconds()))) * time.Millisecond
+}
+
+// waitInForce returns whether the revision came in force everywhere in time, as long as this replica leads.
 func (c *Controller) waitInForce(ctx context.Context, revision uint64, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -257,7 +261,7 @@
 				return true
 			}
 		}
-		if !sleep(ctx, leaderPoll) {
+		if !c.log.Status().IsLeader(time.Now()) || !sleep(ctx, leaderPoll) {
 			return false
 		}
 	}
--- a/stage/controller/controller.go
+++ b/stage/controller/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,10 +25,12 @@
 	serverPing     = 5 * time.Second
 	serverPingWait = 3 * time.Second
 	shutdownWait   = 2 * time.Second
-	minToken       = 16
-	healthPath     = "/healthz"
-	readyPath      = "/readyz"
-	metricsPath    = "/metrics"
+	// drainWait bounds the wait for operators' calls at a shutdown; most of them wait for a change to be in force.
+	drainWait   = 20 * time.Second
+	minToken    = 16
+	healthPath  = "/healthz"
+	readyPath   = "/readyz"
+	metricsPath = "/metrics"
 )
 
 // Log is the replicated log that a Controller drives its state by.
@@ -98,6 +101,8 @@
 	log     Log
 	hub     *hub
 	peers   *http.Server
+	// serving counts the operators' calls that other replicas passed on to this one.
+	serving atomic.Int64
 	watch   *http.Server
 	api     *fiber.App
 	tokens  map[tokenHash]string
@@ -248,18 +253,31 @@
 
 func (c *Controller) spawn(f func()) { c.wg.Go(f) }
 
-// Close stops the replica: first the log, so that another can lead, then streams and listeners; it waits for all of them.
-func (c *Controller) Close() error {
+// retire has another replica lead and open calls end there. Entries go to other replicas, with the calls that weren't
+// answered; operators' calls that this replica took go on through the new leader.
+func (c *Controller) retire() error {
+	c.hub.post(c.ctx, func(time.Time) { c.hub.retiring = true })
+	if l, ok := c.log.(interface{ HandOver() }); ok {
+		l.HandOver()
+	}
+	c.hub.post(c.ctx, func(time.Time) { c.hub.closeAll() })
 	var err error
+	if c.api != nil {
+		err = c.api.ShutdownWithTimeout(drainWait)
+	}
+	for until := time.Now().Add(drainWait); c.serving.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(leaderPoll)
+	}
+	return err
+}
+
+// Close hands the lead over, lets open calls end, and stops streams, listeners and the log; it waits for all of them.
+func (c *Controller) Close() error {
+	err := c.retire()
 	if e := c.log.Close(); e != nil {
 		err = errors.Join(err, e)
 	}
 	c.cancel()
-	if c.api != nil {
-		if e := c.api.ShutdownWithTimeout(shutdownWait); e != nil {
-			err = errors.Join(err, e)
-		}
-	}
 	for _, srv := range []*http.Server{c.peers, c.watch} {
 		if srv == nil {
 			continue
--- a/stage/controller/faults_test.go
+++ b/stage/controller/faults_test.go
@@ -248,7 +248,7 @@
 			want = append(want, lister.Cell{Rule: s.rule, Step: s.name, Fault: f.name, Test: name, Package: "redwingstage.org/stage/controller", Seeds: faultSeeds})
 		}
 	}
-	lister.Check(t, want)
+	lister.Check(t, append(want, shutdownCells()...))
 }
 
 // TestCheckerCatches switches one mechanism off at a time and expects the checker to see what it prevents.
--- a/stage/controller/hub.go
+++ b/stage/controller/hub.go
@@ -48,6 +48,8 @@
 	// swept says that the bookings of processes which an earlier leader lost are closed.
 	swept   bool
 	stalled []stalledFrame
+	// retiring refuses new sessions and links, since this replica is about to stop.
+	retiring bool
 
 	live     *spreader.State
 	joiner   spreader.Joiner
--- a/stage/controller/log.go
+++ b/stage/controller/log.go
@@ -18,6 +18,8 @@
 type quorumLog struct {
 	*runner.Runner
 	carrier *carrier.Carrier
+	// abrupt leaves the hand-over out, to show that its test can fail.
+	abrupt bool
 }
 
 // seeded is the transport of a replica that joins: it reaches the group by the settings until the log lists the members.
@@ -63,14 +65,19 @@
 // Handler returns what peers reach this replica by, and its path.
 func (l *quorumLog) Handler() (string, http.Handler) { return carrier.Path, l.carrier.Handler() }
 
-// Close hands the lead over if another replica can take it, and stops the replica.
-func (l *quorumLog) Close() error {
-	if st := l.Status(); st.IsLeader(time.Now()) && len(st.Members) > 1 {
+// HandOver gives the lead to another replica if one can take it; this one follows it from then on.
+func (l *quorumLog) HandOver() {
+	if st := l.Status(); !l.abrupt && st.IsLeader(time.Now()) && len(st.Members) > 1 {
 		ctx, cancel := context.WithTimeout(context.Background(), transferWait)
 		defer cancel()
 		// Without a hand-over the others elect a leader after the election timeout.
 		_ = l.Transfer(ctx)
 	}
+}
+
+// Close stops the replica; if it leads, it hands the lead over before.
+func (l *quorumLog) Close() error {
+	l.HandOver()
 	err := l.Runner.Close()
 	if e := l.carrier.Close(); e != nil {
 		err = errors.Join(err, e)
--- a/stage/controller/operate.go
+++ b/stage/controller/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,30 +27,71 @@
 
 // operate carries an operator's call out at the leader, wherever it is.
 func (c *Controller) operate(ctx context.Context, req opRequest) opResponse {
-	deadline := time.Now().Add(leaderWait)
+	began, taken := time.Now(), false
+	deadline := began.Add(leaderWait)
 	for {
-		st := c.log.Status()
+		st, tried := c.log.Status(), time.Now()
+		req.Elapsed = tried.Sub(began).Milliseconds()
 		switch {
-		case st.IsLeader(time.Now()):
-			return c.execute(ctx, req)
+		case st.IsLeader(tried):
+			r := c.execute(ctx, req)
+			if !r.moved || !req.isRepeatable() {
+				return r
+			}
+			taken = taken || r.taken
 		case st.Leader != 0 && st.Leader != st.ID:
 			r, err := c.forward(ctx, st, req)
 			if err == nil {
 				return r
 			}
-			if connect.CodeOf(err) != connect.CodeUnavailable {
-				// The leader may have taken the call before the connection broke.
-				return failure(http.StatusServiceUnavailable, errorDetail{Code: "uncertain", Message: err.Error()})
+			// The leader may have taken the call before the connection broke.
+			taken = taken || !notTaken(err)
+			if taken && !req.isRepeatable() {
+				return uncertain(err)
 			}
 		}
-		if time.Now().After(deadline) || !sleep(ctx, leaderPoll) {
-			return noLeader()
+		now := time.Now()
+		if now.Sub(tried) > leaderPoll && now.Sub(began) < maxWait {
+			// A leader had the call until now.
+			deadline = now.Add(leaderWait)
+		}
+		if now.Before(deadline) && sleep(ctx, leaderPoll) {
+			continue
+		}
+		if taken && req.isChange() {
+			return uncertain(errNoLeader)
 		}
+		return noLeader()
 	}
 }
 
+// noLeader is the answer to a call that no leader has taken. A leader that hands over takes none, so it is tried again.
 func noLeader() opResponse {
-	return failure(http.StatusServiceUnavailable, errorDetail{Code: "no_leader", Message: errNoLeader.Error()})
+	r := failure(http.StatusServiceUnavailable, errorDetail{Code: "no_leader", Message: errNoLeader.Error()})
+	r.moved = true
+	return r
+}
+
+// moved marks an answer that the next leader can better, if this replica leads no longer.
+func (c *Controller) moved(r opResponse) opResponse {
+	r.moved = !c.log.Status().IsLeader(time.Now())
+	r.taken = r.moved
+	return r
+}
+
+// uncertain is the answer when a call may have been carried out.
+func uncertain(err error) opResponse {
+	return failure(http.StatusServiceUnavailable, errorDetail{Code: "uncertain", Message: err.Error()})
+}
+
+// notTaken reports whether a call that was passed on has surely not been carried out: the other replica said so, or it
+// took no connection.
+func notTaken(err error) bool {
+	if connect.IsWireError(err) {
+		return connect.CodeOf(err) == connect.CodeUnavailable
+	}
+	var op *net.OpError
+	return errors.Is(err, errNoLeader) || errors.As(err, &op) && op.Op == "dial"
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -63,7 +105,7 @@
 	}
 }
 
-// forward passes a call to the leader; CodeUnavailable means that it was not taken.
+// forward passes a call to the leader.
 func (c *Controller) forward(ctx context.Context, st runner.Status, req opRequest) (opResponse, error) {
 	for _, m := range st.Members {
 		if m.ID != st.Leader {
@@ -92,7 +134,16 @@
 	if !c.log.Status().IsLeader(time.Now()) {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoLeader)
 	}
+	c.serving.Add(1)
+	defer c.serving.Add(-1)
 	r := c.execute(ctx, *req.Msg)
+	if r.moved && req.Msg.isRepeatable() {
+		code := connect.CodeUnavailable
+		if r.taken {
+			code = connect.CodeAborted
+		}
+		return nil, connect.NewError(code, errNoLeader)
+	}
 	return connect.NewResponse(&r), nil
 }
 
--- /dev/null
+++ b/stage/controller/shutdown_test.go
@@ -0,0 +1,403 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/carrier"
+	"redwingstage.org/coord/lister"
+	"redwingstage.org/coord/replicator"
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/recorder"
+	"redwingstage.org/serving/registrar"
+)
+
+// shutdownSteps are what is under way when a replica shuts down.
+var shutdownSteps = []string{
+	"change", "change in force", "booking begins", "booking ends", "permit", "lease renewal", "watch", "hand-over",
+}
+
+// closing is a group of replicas under load, one of which shuts down.
+type closing struct {
+	c        *qt.C
+	ctx      context.Context
+	ctls     []*Controller
+	cfgs     []Config
+	clients  []*Client
+	elected  atomic.Int64
+	stop     chan struct{}
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	failures map[string][]string
+	rounds   map[string]*atomic.Int64
+	// accepted are the changes that were answered with their revisions, ended the bookings whose end was answered.
+	accepted map[string]uint64
+	ended    []recorder.Key
+}
+
+// ballots counts the votes that a replica asks for after an election timeout and not after a hand-over.
+type ballots struct {
+	*carrier.Carrier
+	n *atomic.Int64
+}
+
+func (b ballots) Send(m replicator.Message) {
+	if m.Type == replicator.TypeVote && !m.Force {
+		b.n.Add(1)
+	}
+	b.Carrier.Send(m)
+}
+
+func (g *closing) failed(step, format string, args ...any) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.failures[step]) < 5 {
+		g.failures[step] = append(g.failures[step], fmt.Sprintf(format, args...))
+	}
+}
+
+func newClosing(ctx context.Context, t *testing.T, c *qt.C, abrupt bool) *closing {
+	g := &closing{
+		c: c, ctx: ctx, stop: make(chan struct{}), failures: make(map[string][]string), rounds: make(map[string]*atomic.Int64),
+		accepted: make(map[string]uint64),
+	}
+	for _, s := range shutdownSteps {
+		g.rounds[s] = new(atomic.Int64)
+	}
+	var members []runner.Member
+	var controls []string
+	for i := range 3 {
+		cfg := Config{
+			ID: uint64(i + 1), Cluster: "test", Addr: freeAddr(c), Operators: freeAddr(c), Folder: t.TempDir(),
+			Tokens: []Token{{Name: "aisyah", Token: testToken}}, Store: registrar.StoreLimits{Rate: 1000, Parallel: 8},
+		}
+		g.cfgs = append(g.cfgs, cfg)
+		members = append(members, runner.Member{ID: cfg.ID, Addr: cfg.Addr})
+		controls = append(controls, cfg.Addr)
+	}
+	for i := range g.cfgs {
+		cfg := &g.cfgs[i]
+		cfg.Members = members
+		ctl, err := New(*cfg, WithLogger(quiet()), WithLog(func(m runner.Machine) (Log, error) {
+			carry := carrier.New(cfg.ID, cfg.Cluster)
+			r, err := runner.New(
+				runner.Config{ID: cfg.ID, Cluster: cfg.Cluster, Folder: cfg.Folder, Members: members}, m, ballots{carry, &g.elected},
+			)
+			if err != nil {
+				return nil, err
+			}
+			return &quorumLog{Runner: r, carrier: carry, abrupt: abrupt}, nil
+		}))
+		c.Assert(err, qt.IsNil)
+		g.ctls = append(g.ctls, ctl)
+	}
+	for i := range 4 {
+		cl, err := NewClient(ClientConfig{
+			Name: fmt.Sprintf("entry-%d", i), Incarnation: 1, Addr: fmt.Sprint("127.0.9.1:", i+1), Zone: "kl-1", Controls: controls,
+		}, WithClientLogger(quiet()))
+		c.Assert(err, qt.IsNil)
+		g.clients = append(g.clients, cl)
+	}
+	return g
+}
+
+// load runs f again and again until the load ends.
+func (g *closing) load(step string, f func(i int)) {
+	g.wg.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-g.stop:
+				return
+			default:
+			}
+			f(i)
+			g.rounds[step].Add(1)
+		}
+	})
+}
+
+// change applies one change through the operators' API of a replica, and of the next one if that takes no connection.
+func (g *closing) change(step, id string, at int, doc configurer.Doc, wait bool) {
+	expect := uint64(0)
+	for {
+		body, err := json.Marshal(applyBody{Change: id, Expect: &expect, Doc: doc, Wait: wait, Timeout: "60s"})
+		g.c.Check(err, qt.IsNil)
+		code, text, err := g.post(at, body)
+		if err != nil {
+			// Nothing was answered: a new connection to a replica that is gone. The next one has the answer.
+			at = (at + 1) % len(g.cfgs)
+			continue
+		}
+		var applied appliedBody
+		var failure errorBody
+		switch code {
+		case http.StatusOK:
+			g.c.Check(json.Unmarshal(text, &applied), qt.IsNil)
+			if wait && !applied.InForce {
+				g.failed(step, "%s: accepted and not in force", id)
+			}
+			g.mu.Lock()
+			g.accepted[id] = applied.Revision
+			g.mu.Unlock()
+			return
+		case http.StatusConflict:
+			g.c.Check(json.Unmarshal(text, &failure), qt.IsNil)
+			// A change that lost the race gets a new id, as its answer is final.
+			expect, id = failure.Error.Revision, id+"+"
+		default:
+			g.failed(step, "%s at replica %d: %d %s", id, at+1, code, text)
+			return
+		}
+	}
+}
+
+func (g *closing) post(at int, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(g.ctx, http.MethodPost, "http://"+g.cfgs[at].Operators+"/v1/apply", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Close = true
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return res.StatusCode, text, err
+}
+
+func changeDoc(name string, version int) configurer.Doc {
+	return configurer.Doc{Adapters: []configurer.AdapterSpec{{
+		Name: name, Service: "base", Current: version, Versions: []configurer.VersionSpec{{Number: version, Source: "s", Digest: "d"}},
+	}}}
+}
+
+// loads starts what the steps name, at all entries and through the API of each replica.
+func (g *closing) loads() {
+	for at := range g.cfgs {
+		g.load("change", func(i int) {
+			g.change("change", fmt.Sprintf("c-%d-%d", at, i), at, changeDoc(fmt.Sprintf("by-%d-%d", at, i/100), i%100+1), false)
+		})
+		g.load("change in force", func(i int) {
+			g.change("change in force", fmt.Sprintf("w-%d-%d", at, i), at, changeDoc(fmt.Sprintf("waits-%d-%d", at, i/100), i%100+1), true)
+		})
+	}
+	for n, cl := range g.clients {
+		g.load("booking begins", func(i int) { g.book(cl, fmt.Sprintf("b-%d-%d", n, i)) })
+		g.load("permit", func(int) {
+			p, err := cl.Permit(g.ctx, registrar.PermitAsk{Server: "engine-0", Urgent: true})
+			if err != nil {
+				g.failed("permit", "entry %d: %v", n, err)
+				return
+			}
+			cl.Return(p, true)
+		})
+		seen, roster := uint64(0), uint64(0)
+		g.load("watch", func(int) {
+			updated := cl.Updated()
+			if r := cl.Catalog().Revision(); r < seen {
+				g.failed("watch", "entry %d went back from catalog %d to %d", n, seen, r)
+			} else {
+				seen = r
+			}
+			if r := cl.Roster().Revision(); r < roster {
+				g.failed("watch", "entry %d went back from roster %d to %d", n, roster, r)
+			} else {
+				roster = r
+			}
+			select {
+			case <-updated:
+			case <-g.stop:
+			}
+		})
+	}
+}
+
+// book begins and ends a booking.
+func (g *closing) book(cl *Client, name string) {
+	key := recorder.Key{Caller: "gym", Service: "orders", Key: name}
+	begun, err := cl.Begin(g.ctx, recorder.Begin{Key: key, Attempt: name})
+	if err != nil || begun.Verdict != recorder.VerdictRun {
+		g.failed("booking begins", "%s: verdict %d, %v", name, begun.Verdict, err)
+		return
+	}
+	end := recorder.End{Key: key, Attempt: name, Ending: recorder.EndingDone, Answer: recorder.Answer{Status: 201, Body: []byte(name)}}
+	if err := cl.End(g.ctx, end); err != nil {
+		g.failed("booking ends", "%s: %v", name, err)
+		return
+	}
+	g.mu.Lock()
+	g.ended = append(g.ended, key)
+	g.mu.Unlock()
+	g.rounds["booking ends"].Add(1)
+}
+
+// epochs returns under which epochs the servers are owned.
+func (g *closing) epochs() map[string]uint64 {
+	out := make(map[string]uint64)
+	g.clients[0].Roster().Owners(func(s string, o registrar.Owner) { out[s] = o.Epoch })
+	return out
+}
+
+// more waits until each load has made some more rounds.
+func (g *closing) more() {
+	for _, s := range shutdownSteps {
+		if s == "lease renewal" || s == "hand-over" {
+			continue
+		}
+		for goal := g.rounds[s].Load() + 12; g.rounds[s].Load() < goal; {
+			if g.ctx.Err() != nil {
+				g.failed(s, "no more rounds")
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// run loads the group, shuts the leader or a follower down, and returns what failed, by step.
+func (g *closing) run(role string) map[string][]string {
+	defer func() {
+		for _, cl := range g.clients {
+			_ = cl.Close()
+		}
+		for _, ctl := range g.ctls {
+			_ = ctl.Close()
+		}
+	}()
+	beat := make(chan struct{})
+	defer close(beat)
+	go func() {
+		for {
+			for i := range 4 {
+				g.clients[i].Announce(registrar.Server{Name: fmt.Sprint("engine-", i), Kind: configurer.KindModel, Addr: "127.0.9.2:1", Zone: "kl-1", Service: "base", Incarnation: "i"})
+			}
+			select {
+			case <-beat:
+				return
+			case <-time.After(time.Second):
+			}
+		}
+	}()
+	g.change("change", "first", 0, sampleDoc(), true)
+	until(g.ctx, g.c, g.clients[0], func() bool {
+		n := map[string]int{}
+		g.clients[0].Roster().Owners(func(_ string, o registrar.Owner) { n[o.Entry]++ })
+		return len(n) == 4
+	})
+	epochs := g.epochs()
+	g.loads()
+	g.more()
+	g.elected.Store(0)
+	leader := int(g.ctls[0].log.Status().Leader) - 1
+	gone := leader
+	if role == "follower" {
+		gone = (leader + 1) % 3
+	}
+	ctl := g.ctls[gone]
+	g.ctls = slices.Delete(slices.Clone(g.ctls), gone, gone+1)
+	g.c.Check(ctl.Close(), qt.IsNil)
+	g.more()
+	if n := g.elected.Load(); n > 0 {
+		g.failed("hand-over", "%d votes were asked for after an election timeout", n)
+	}
+	close(g.stop)
+	g.wg.Wait()
+	g.judge(epochs)
+	return g.failures
+}
+
+// judge compares what was acknowledged with what the others hold.
+func (g *closing) judge(epochs map[string]uint64) {
+	last := uint64(0)
+	byRevision := make(map[uint64]string)
+	for id, revision := range g.accepted {
+		if other, ok := byRevision[revision]; ok {
+			g.failed("change", "%s and %s both made revision %d", other, id, revision)
+		}
+		byRevision[revision] = id
+		last = max(last, revision)
+	}
+	for _, cl := range g.clients {
+		until(g.ctx, g.c, cl, func() bool { return cl.Catalog().Revision() >= last })
+	}
+	g.judgeBookings()
+	until(g.ctx, g.c, g.clients[0], func() bool { return len(g.epochs()) == 4 })
+	for server, epoch := range g.epochs() {
+		if epochs[server] != epoch {
+			g.failed("lease renewal", "%s is owned under epoch %d after %d", server, epoch, epochs[server])
+		}
+	}
+}
+
+// judgeBookings asks for all bookings whose end was answered, many at once.
+func (g *closing) judgeBookings() {
+	const askers = 64
+	var wg sync.WaitGroup
+	for asker := range askers {
+		wg.Go(func() {
+			for i := asker; i < len(g.ended); i += askers {
+				key := g.ended[i]
+				begun, err := g.clients[i%len(g.clients)].Begin(g.ctx, recorder.Begin{Key: key, Attempt: fmt.Sprint("again", i)})
+				if err != nil || begun.Verdict != recorder.VerdictDone || string(begun.Answer.Body) != key.Key {
+					g.failed("booking ends", "%s: %+v, %v", key.Key, begun, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestShutdown shuts the leader or a follower down under load: each call is answered, nothing acknowledged is lost, and
+// the lead goes over without an election timeout.
+func TestShutdown(t *testing.T) {
+	for _, role := range []string{"leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+			defer cancel()
+			failures := newClosing(ctx, t, c, false).run(role)
+			for _, step := range shutdownSteps {
+				t.Run(step, func(t *testing.T) { qt.Assert(t, failures[step], qt.HasLen, 0) })
+			}
+		})
+	}
+}
+
+// TestShutdownWithoutHandOver switches the hand-over off.
+func TestShutdownWithoutHandOver(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	failures := newClosing(ctx, t, qt.New(t), true).run("leader")
+	qt.Assert(t, failures["hand-over"], qt.HasLen, 1)
+}
+
+// shutdownCells are the cells of TestShutdown.
+func shutdownCells() []lister.Cell {
+	var cells []lister.Cell
+	for _, role := range []string{"leader", "follower"} {
+		for _, step := range shutdownSteps {
+			cells = append(cells, lister.Cell{
+				Rule: 7, Step: step, Fault: role + " shuts down", Seeds: 1, Package: "redwingstage.org/stage/controller",
+				Test: "TestShutdown/" + role + "/" + strings.ReplaceAll(step, " ", "_"),
+			})
+		}
+	}
+	return cells
+}
--- a/stage/controller/stream.go
+++ b/stage/controller/stream.go
@@ -105,6 +105,9 @@
 
 // open begins an entry's session if the leader is here or in reach.
 func (h *hub) open(now time.Time) *session {
+	if h.retiring {
+		return nil
+	}
 	if !h.inCharge(now) && (h.uplink == nil || !h.uplink.opened) && !h.ungated {
 		return nil
 	}
@@ -157,7 +160,7 @@
 }
 
 func (h *hub) openLink(now time.Time) *linkPeer {
-	if !h.inCharge(now) {
+	if !h.inCharge(now) || h.retiring {
 		return nil
 	}
 	l := &linkPeer{id: h.nextID(), out: newQueue[linkDown](), heard: now}
