router: a straggler's mark orders servers and no longer has adapters loaded elsewhere

Cause: a mark added 1.5 batches to a server's load, above the bound of 0.75 from which another server joins an adapter's set. Change: a mark adds 0.5. A marked server with load still passes the bound. Proof, before: TestJoining/straggler_with_room fails.

--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -292,10 +292,11 @@
 	}
 }
 
-// What a refusal and a straggler's answer add to a server's load, as shares of a batch.
+// What a refusal and a straggler's answer add to a server's load, as shares of a batch: enough to send an adapter's requests to
+// its other servers first, and below DefaultBound, so that a mark alone has no adapter loaded elsewhere.
 const (
 	refusedPenalty = 0.5
-	laggingPenalty = 1.5
+	laggingPenalty = 0.5
 )
 
 func (r *Router) mark(now time.Time, n *node, penalty float64) {
--- a/serving/router/router_test.go
+++ b/serving/router/router_test.go
@@ -88,3 +88,29 @@
 		c.Assert(r.Route(now, adapter(1), 0, nil)[0].Server, qt.Equals, first)
 	}
 }
+
+// TestJoining has an adapter's only server report a load, and asks whether another server is to load the adapter as well.
+func TestJoining(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		load   float64
+		result Result
+		want   bool
+	}{
+		{"idle server", 0.1, Served, false},
+		{"loaded server, popular adapter", 0.8, Served, true},
+		{"straggler with room", 0.2, Lagging, false},
+		{"loaded straggler", 0.5, Lagging, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := New(Config{}, 1)
+			r.Rebuild(roster(12, nil), "base")
+			first := r.Route(start, adapter(1), 0, nil)[0].Server
+			r.Begin(start, first, adapter(1))
+			now := start.Add(3 * time.Second)
+			r.Note(now, Feedback{Server: first, Target: adapter(1), Result: tt.result, Load: tt.load})
+			c.Assert(r.Route(now, adapter(1), 0, nil)[0].Server != first, qt.Equals, tt.want)
+		})
+	}
+}
