placer: an adapter's worth is judged against the one that would make way

Change: the comparison is with the victim; if all residents are in use, as before. Proof, before: TestWorthIsJudgedByTheVictim/as_much_as_one_that_is_in_use,_less_than_the_victim fails. Ruled out and reverted: passing on also while all residents are in use.

--- a/serving/placer/slots.go
+++ b/serving/placer/slots.go
@@ -154,11 +154,14 @@
 	return u.rateAt(now)
 }
 
-// IsWorth reports whether the target is used at least as much as a resident adapter.
+// IsWorth reports whether the target is used at least as much as the adapter whose slot it would take; if all are in use, as one of them.
 func (s *Slots) IsWorth(now time.Time, t configurer.Target) bool {
 	if s.HasRoom() {
 		return true
 	}
+	if v, ok := s.Victim(now, func(configurer.Target) bool { return false }); ok {
+		return s.Rate(now, v) <= s.Rate(now, t)
+	}
 	rate := s.Rate(now, t)
 	for _, sl := range s.m {
 		if sl.state == Resident && !sl.inherited && sl.rateAt(now) <= rate {
--- a/serving/placer/slots_test.go
+++ b/serving/placer/slots_test.go
@@ -108,3 +108,33 @@
 		}
 	})
 }
+
+// TestWorthIsJudgedByTheVictim asks whether adapter 9, used as often as uses says, is worth the slot that could be freed now.
+func TestWorthIsJudgedByTheVictim(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		pin  int
+		uses int
+		want bool
+	}{
+		{"less used than any", 0, 1, false},
+		{"as much as the one that is used least", 0, 2, true},
+		{"as much as one that is in use, less than the victim", 1, 2, false},
+		{"as much as the victim", 1, 5, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := New(2, ByRate)
+			s.Reset(start, []configurer.Target{target(1), target(2)}, nil)
+			for i, n := range map[int]int{1: 2, 2: 5, 9: tt.uses} {
+				for range n {
+					s.Use(start, target(i))
+				}
+			}
+			if tt.pin > 0 {
+				s.Pin(target(tt.pin))
+			}
+			c.Assert(s.IsWorth(start, target(9)), qt.Equals, tt.want)
+		})
+	}
+}
