--- a/standin/comparer/excess.go
+++ b/standin/comparer/excess.go
@@ -27,12 +27,14 @@
 	CauseRecent
 	CauseOld
 	// CauseCaught means that the request ran on an engine when that turned slow, and CauseUnnoticed that it was sent to a slow
-	// engine that its owner didn't know as a straggler; CauseNoticed that the owner did.
+	// engine that its owner didn't know as a straggler; CauseNoticed that the owner did, and CauseAlone that besides no other
+	// engine at its usual speed had the adapter.
 	CauseCaught
 	CauseUnnoticed
 	CauseNoticed
+	CauseAlone
 
-	causes = int(CauseNoticed) + 1
+	causes = int(CauseAlone) + 1
 )
 
 // recentEviction is the time under which an evicted adapter is wanted again soon.
@@ -43,6 +45,7 @@
 	return [causes]string{
 		"loaded", "never loaded before", "being loaded there", "loaded elsewhere, chosen to spread", "loaded elsewhere, not known",
 		"evicted in the last 20 s", "evicted earlier", "running when it slowed", "sent before noticed", "sent though noticed",
+		"sent though noticed, loaded only there",
 	}[c]
 }
 
@@ -97,7 +100,10 @@
 	switch {
 	case !w.slow[a.server]:
 	case w.entries[owner].sched.IsSlow(w.now, a.server):
-		a.req.late = CauseNoticed
+		a.req.late = CauseAlone
+		if slices.ContainsFunc(w.engines, func(o *engine) bool { return o.alive && !w.slow[o.name] && o.holds(a.req.target) }) {
+			a.req.late = CauseNoticed
+		}
 	default:
 		a.req.late = CauseUnnoticed
 	}
