--- a/serving/registrar/permits.go
+++ b/serving/registrar/permits.go
@@ -19,8 +19,6 @@
 	permitMargin = 250 * time.Millisecond
 	// maxAsks bounds the waiting requests for permits.
 	maxAsks = 4096
-	// maxTokens is how many loads the rate may save up, so that no second sees more than the rate and one.
-	maxTokens = 1
 	// overdueAfter is the wait from which the oldest request gets a share of the permits, one of every fairShare.
 	overdueAfter = 2 * time.Second
 	fairShare    = 8
@@ -185,7 +183,7 @@
 		return
 	}
 	p.refill(now)
-	p.tokens = min(maxTokens, p.tokens+1)
+	p.tokens = min(p.burst(), p.tokens+1)
 }
 
 // Claim takes up a permit of the last leader in place of one that was assumed.
@@ -233,10 +231,14 @@
 	return out
 }
 
+// burst returns how many loads the rate may save up: as many as the store serves at once at full speed, which loads that
+// begin one by one at the rate would never reach.
+func (p *Permits) burst() float64 { return float64(p.limits.Parallel) }
+
 // refill adds what the rate allows.
 func (p *Permits) refill(now time.Time) {
 	if d := now.Sub(p.last); d > 0 {
-		p.tokens = min(maxTokens, p.tokens+d.Seconds()*p.limits.Rate)
+		p.tokens = min(p.burst(), p.tokens+d.Seconds()*p.limits.Rate)
 		p.last = now
 	}
 }
--- a/stage/controller/quorum_test.go
+++ b/stage/controller/quorum_test.go
@@ -13,8 +13,9 @@
 const (
 	simLease    = 900 * time.Millisecond
 	simElection = 400 * time.Millisecond
-	// simRate is the store's limit of loads a second.
-	simRate = 3.5
+	// simRate and simParallel are the store's limits of loads a second and at once.
+	simRate     = 3.5
+	simParallel = 3
 )
 
 // quorum is a fake of the replicated log for all replicas of a world: one order, a leader lease, no lost commits.
--- a/standin/comparer/bound.go
+++ b/standin/comparer/bound.go
@@ -55,7 +55,7 @@
 // waits returns how long each request waits for its adapter at the ideal cache.
 func waits(t Team, sc Scenario, reqs []*request, k Knowledge) []time.Duration {
 	c := &idealCache{
-		store: permits{rate: t.StoreRate, parallel: t.Parallel, tokens: burst},
+		store: bucket{rate: t.StoreRate, parallel: t.Parallel, tokens: burst},
 		took:  t.LoadTime,
 		limit: t.Engines * t.Slots,
 		ready: make(map[configurer.Target]time.Duration),
@@ -79,7 +79,7 @@
 
 // idealCache is a cache whose victim is the adapter that is worth least.
 type idealCache struct {
-	store permits
+	store bucket
 	took  time.Duration
 	limit int
 	ready map[configurer.Target]time.Duration
