--- a/serving/quarantiner/board.go
+++ b/serving/quarantiner/board.go
@@ -36,7 +36,12 @@
 	// listed are the standings as they were last spread.
 	listed map[Digest]Standing
 	stale  bool
-	locks  map[Digest]*lock
+	// fresh are the digests accused anew since the last changes, which are spread even if their standing is the same.
+	fresh map[Digest]bool
+	// changed are the digests of changes that aren't published yet; since is the revision that lists a digest's suspicion.
+	changed map[Digest]bool
+	since   map[Digest]uint64
+	locks   map[Digest]*lock
 	// heldUntil is the time until which locks of the last leader may be held.
 	heldUntil time.Time
 }
@@ -58,24 +63,59 @@
 // NewBoard returns a board over an empty registry; locks of an earlier leader may be held until the given time.
 func NewBoard(registry *Registry, heldUntil time.Time) *Board {
 	return &Board{
-		registry: registry, listed: make(map[Digest]Standing), locks: make(map[Digest]*lock), heldUntil: heldUntil,
+		registry: registry,
+		listed:   make(map[Digest]Standing), fresh: make(map[Digest]bool), changed: make(map[Digest]bool), since: make(map[Digest]uint64),
+		locks: make(map[Digest]*lock), heldUntil: heldUntil,
 	}
 }
 
 // Accuse takes note of a crash and the digests that were in flight.
 func (b *Board) Accuse(now time.Time, crash Crash, digests []Digest) {
-	b.registry.Accuse(now, crash.incident(), digests)
+	b.accuse(now, crash.incident(), digests)
+}
+
+func (b *Board) accuse(now time.Time, incident string, digests []Digest) {
+	for _, d := range digests {
+		if b.registry.Standing(now, d) == Clear {
+			b.fresh[d] = true
+			delete(b.since, d)
+		}
+	}
+	b.registry.Accuse(now, incident, digests)
 	b.stale = true
 }
 
+// Absolve clears a suspect that ran to its end; the run must have begun under a revision that lists the suspicion, so that
+// neither a late message nor one to an earlier leader clears a newer suspicion. A conviction stays.
+func (b *Board) Absolve(now time.Time, d Digest, seen uint64) bool {
+	since, ok := b.since[d]
+	if !ok || seen < since || b.registry.Standing(now, d) != Suspect {
+		return false
+	}
+	b.registry.Clear(d)
+	b.stale = true
+	return true
+}
+
+// Published notes the revision under which the last changes are spread.
+func (b *Board) Published(revision uint64) {
+	for d := range b.changed {
+		delete(b.since, d)
+		if b.listed[d] != Clear {
+			b.since[d] = revision
+		}
+	}
+	clear(b.changed)
+}
+
 // Report takes up what an entry knows from an earlier leader; the graver standing stays.
 func (b *Board) Report(now time.Time, d Digest, s Standing) {
 	have := b.registry.Standing(now, d)
 	if s > Clear && have == Clear {
-		b.registry.Accuse(now, earlierIncident, []Digest{d})
+		b.accuse(now, earlierIncident, []Digest{d})
 	}
 	if s == Convicted && have != Convicted {
-		b.registry.Accuse(now, secondIncident, []Digest{d})
+		b.accuse(now, secondIncident, []Digest{d})
 	}
 	b.stale = true
 }
@@ -105,7 +145,8 @@
 	b.stale = false
 	present := make(map[Digest]Standing)
 	b.registry.Each(now, func(d Digest, s Standing, _ time.Time) { present[d] = s })
-	changed := make(map[Digest]bool)
+	changed := maps.Clone(b.fresh)
+	clear(b.fresh)
 	for d, s := range present {
 		if b.listed[d] != s {
 			changed[d] = true
@@ -117,6 +158,10 @@
 		}
 	}
 	b.listed = present
+	maps.Copy(b.changed, changed)
+	for d := range changed {
+		delete(b.since, d)
+	}
 	return b.items(changed)
 }
 
--- /dev/null
+++ b/serving/quarantiner/claims_test.go
@@ -0,0 +1,78 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestClaims(t *testing.T) {
+	type step struct {
+		server string
+		inc    string
+		mode   Mode
+		free   bool
+		want   string
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+	}{
+		{"copies meet", []step{
+			{server: "x", want: "ok"},
+			{server: "y", want: "x"},
+			{server: "x", want: "ok"},
+			{server: "x", free: true},
+			{server: "y", want: "x"},
+			{server: "x", free: true},
+			{server: "y", want: "ok"},
+		}},
+		{"a hedge opens one more place", []step{
+			{server: "x", want: "ok"},
+			{server: "y", mode: Hedged, want: "ok"},
+			{server: "z", mode: Hedged, want: "x"},
+			{server: "z", want: "x"},
+			{server: "y", want: "ok"},
+			{server: "x", free: true},
+			{server: "z", want: "y"},
+		}},
+		{"alone", []step{
+			{server: "x", want: "ok"},
+			{server: "x", mode: Alone, want: ""},
+			{server: "x", free: true},
+			{server: "x", mode: Alone, want: "ok"},
+			{server: "x", want: ""},
+			{server: "y", mode: Hedged, want: ""},
+			{server: "x", mode: Alone, want: ""},
+			{server: "x", free: true},
+			{server: "y", want: "ok"},
+		}},
+		{"another incarnation", []step{
+			{server: "x", inc: "1", want: "ok"},
+			{server: "x", inc: "2", want: ""},
+			{server: "x", inc: "2", free: true},
+			{server: "x", inc: "2", want: ""},
+			{server: "x", inc: "1", free: true},
+			{server: "x", inc: "2", want: "ok"},
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewClaims()
+			for i, s := range tt.steps {
+				p := Place{Server: s.server, Incarnation: s.inc}
+				if s.free {
+					c.Free(Digest{1}, p)
+					continue
+				}
+				meet, ok := c.Take(Digest{1}, p, s.mode)
+				if ok {
+					meet = "ok"
+				}
+				qt.Check(t, meet, qt.Equals, s.want, qt.Commentf("step %d", i))
+			}
+			_, ok := c.Take(Digest{2}, Place{Server: fmt.Sprint("other")}, Alone)
+			qt.Check(t, ok, qt.IsTrue)
+		})
+	}
+}
--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -188,19 +188,31 @@
 	return buf
 }
 
-// RouteApart appends the one server for a request that is suspected of crashing servers; it depends on the roster and the
-// digest only, so that copies of the request from all entries meet at one owner, which runs them one at a time.
-func (r *Router) RouteApart(t configurer.Target, digest []byte, buf []Candidate) []Candidate {
+// Homes appends up to two owners at which copies of a request claim their places, the second for when the first doesn't
+// answer. They depend on the roster, the adapter and, without an adapter, on the digest only, so that copies from all
+// entries meet; a cold adapter's owner is its requests' home, so that the claim costs no further hop.
+func (r *Router) Homes(t configurer.Target, digest []byte, buf []Candidate) []Candidate {
 	rg := r.rings[t.Service]
 	if rg == nil {
 		return buf
 	}
-	for _, n := range rg.walk(xxhash.Sum64(digest), 1, func(*node) bool { return true }, nil) {
-		buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
+	key := hashTarget(t)
+	if t.Adapter == "" {
+		key = xxhash.Sum64(digest)
+	}
+	first := ""
+	for range maxHomes {
+		for _, n := range rg.walk(key, 1, func(n *node) bool { return n.owner.Entry != first }, nil) {
+			first = n.owner.Entry
+			buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
+		}
 	}
 	return buf
 }
 
+// maxHomes is the largest number of homes of a request.
+const maxHomes = 2
+
 // maxCandidates bounds the servers that one decision looks at.
 const maxCandidates = 16
 
--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -98,6 +98,8 @@
 	Attempt retrier.Attempt
 	// Crashed says that the server's process died under it.
 	Crashed bool
+	// Recalled says that nothing is wrong with the server; the request became suspect.
+	Recalled bool
 }
 
 // Accuse reports the attempts in flight at a crash, so that their digests become suspects everywhere.
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -149,15 +149,16 @@
 	}
 }
 
-// recall cancels the attempts of a suspect that were sent before the suspicion, so that they run apart from now on.
+// recall cancels the attempts of a suspect that were sent before the suspicion and gave no token, so that they run apart from
+// now on; an answer that has begun isn't cut, since the claims bound the servers that it may be at.
 func (s *Scheduler) recall(now time.Time, sv *server, d quarantiner.Digest) {
 	for _, a := range sortedAttempts(sv.inFlight) {
 		j := sv.inFlight[a]
-		if j.Digest != d || j.apart || j.failed || j.cancelled || !j.Idempotent {
+		if j.Digest != d || j.apart || j.failed || j.cancelled || !j.Idempotent || !j.firstAt.IsZero() {
 			continue
 		}
 		j.failed = true
-		s.emit(Fail{Attempt: a})
+		s.emit(Fail{Attempt: a, Recalled: true})
 		s.cancel(now, j)
 	}
 }
--- a/stage/attempter/attempter.go
+++ b/stage/attempter/attempter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"redwingstage.org/serving/quarantiner"
@@ -75,6 +76,10 @@
 	paused  time.Duration
 	left    []router.Candidate
 	release func()
+	// meet is the server where copies of the request run.
+	meet string
+	// met is the last such server, so that one that can't be reached isn't asked again without a pause.
+	met string
 }
 
 // Do returns the end of the request after all attempts.
@@ -101,22 +106,18 @@
 
 // attempt offers the request to the next candidate, after a look at its standing.
 func (r *run) attempt(ctx context.Context) streamer.End {
-	switch r.Control.Standing(r.req.Digest) {
-	case quarantiner.Convicted:
-		return notRun(streamer.ReasonQuarantine, "this request crashed backend servers and is refused for a while")
-	case quarantiner.Suspect:
-		if err := r.lock(ctx); err != nil {
-			return notRun(streamer.ReasonQuarantine, "this request was in flight at a crash and could not be run alone: "+err.Error())
-		}
-	case quarantiner.Clear:
+	if end, ok := r.examine(ctx); !ok {
+		return end
 	}
 	roster := r.Control.Roster()
 	if roster == nil {
 		return notRun(streamer.ReasonNoServer, "this entry has no roster yet")
 	}
 	if len(r.left) == 0 {
-		r.left = r.policy.route(roster, r.req)
+		r.left, r.req.Homes = r.policy.route(roster, r.req)
 	}
+	r.left = first(roster, r.meet, r.left)
+	r.meet = ""
 	if len(r.left) == 0 {
 		return notRun(streamer.ReasonNoServer, "no backend server answers for "+r.req.Target.Service+" now")
 	}
@@ -127,20 +128,51 @@
 			return r.serveHedged(ctx, after, c, r.left[0], false)
 		}
 	}
-	return r.serve(ctx, c, len(r.left) == 0, r.sink)
+	return r.serve(ctx, r.req, c, len(r.left) == 0, r.sink)
+}
+
+// examine looks at the request's standing: a convict is refused, a suspect waits until no other copy runs.
+func (r *run) examine(ctx context.Context) (streamer.End, bool) {
+	standing := r.Control.Standing(r.req.Digest)
+	if standing == quarantiner.Suspect {
+		if err := r.lock(ctx); err != nil {
+			return notRun(streamer.ReasonQuarantine, "this request was in flight at a crash and could not be run alone: "+err.Error()), false
+		}
+		// Another copy may have run meanwhile.
+		standing = r.Control.Standing(r.req.Digest)
+	}
+	switch standing {
+	case quarantiner.Convicted:
+		return notRun(streamer.ReasonQuarantine, "this request crashed backend servers and is refused for a while"), false
+	case quarantiner.Clear:
+		r.unlock()
+	case quarantiner.Suspect:
+	}
+	return streamer.End{}, true
+}
+
+// first puts the server to the front where copies of the request run.
+func first(roster *registrar.Roster, server string, list []router.Candidate) []router.Candidate {
+	s, ok := roster.Server(server)
+	owner, owned := roster.Owner(server)
+	if !ok || !owned || s.Leaving {
+		return list
+	}
+	c := router.Candidate{Server: server, Owner: owner.Entry, Addr: owner.Addr}
+	return append([]router.Candidate{c}, slices.DeleteFunc(list, func(o router.Candidate) bool { return o.Server == server })...)
 }
 
 // serve makes one attempt at the candidate's owner.
-func (r *run) serve(ctx context.Context, c router.Candidate, last bool, sink streamer.Sink) streamer.End {
-	r.policy.begin(c, r.req)
-	timed := &timedSink{Sink: sink, begun: time.Now(), policy: r.policy, candidate: c, req: r.req}
+func (r *run) serve(ctx context.Context, req *streamer.Request, c router.Candidate, last bool, sink streamer.Sink) streamer.End {
+	r.policy.begin(c, req)
+	timed := &timedSink{Sink: sink, begun: time.Now(), policy: r.policy, candidate: c, req: req}
 	var end streamer.End
 	if c.Owner == r.Name {
-		end = r.Local.Serve(ctx, r.req, c.Server, last, timed)
+		end = r.Local.Serve(ctx, req, c.Server, last, timed)
 	} else {
-		end = r.Peers.Serve(ctx, c.Addr, r.req, c.Server, last, timed)
+		end = r.Peers.Serve(ctx, c.Addr, req, c.Server, last, timed)
 	}
-	r.policy.done(c, r.req, end)
+	r.policy.done(c, req, end)
 	return end
 }
 
@@ -180,6 +212,13 @@
 	case streamer.ReasonStanding:
 		r.left = nil
 		return true
+	case streamer.ReasonElsewhere:
+		again := end.Meet == "" || end.Meet == r.met
+		r.meet, r.met, r.left = end.Meet, end.Meet, nil
+		if !again {
+			return true
+		}
+		return r.pause(ctx)
 	case streamer.ReasonPeer:
 		if r.req.IsBooking() && end.Outcome == retrier.Unknown {
 			// The record answers a second question by the same key, and lets nothing run twice.
@@ -257,6 +296,7 @@
 func (r *run) unlock() {
 	if r.release != nil {
 		r.release()
+		r.release = nil
 	}
 }
 
--- a/stage/attempter/policy.go
+++ b/stage/attempter/policy.go
@@ -30,8 +30,8 @@
 	p.retrier.Begin()
 }
 
-// route returns the candidates for the request under the roster.
-func (p *policy) route(roster *registrar.Roster, req *streamer.Request) []router.Candidate {
+// route returns the candidates for the request under the roster, and its homes.
+func (p *policy) route(roster *registrar.Roster, req *streamer.Request) ([]router.Candidate, []streamer.Home) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.roster != roster || !p.services[req.Target.Service] {
@@ -43,11 +43,15 @@
 		}
 		p.router.Rebuild(roster, names...)
 	}
+	var homes []streamer.Home
+	for _, c := range p.router.Homes(req.Target, req.Digest[:], nil) {
+		homes = append(homes, streamer.Home{Entry: c.Owner, Addr: c.Addr})
+	}
 	list := p.router.Route(time.Now(), req.Target, req.Prefix, nil)
-	if len(list) > 0 {
-		return list
+	if len(list) == 0 {
+		list = anyOf(roster, req.Target.Service)
 	}
-	return anyOf(roster, req.Target.Service)
+	return list, homes
 }
 
 // anyOf lists the servers that the router passes over for their recent failures: better than none.
@@ -131,7 +135,7 @@
 		return router.Refused
 	case streamer.Reason(scheduler.ReasonLoad):
 		return router.LoadFailed
-	case streamer.Reason(scheduler.ReasonSlots):
+	case streamer.Reason(scheduler.ReasonSlots), streamer.ReasonElsewhere:
 		return router.Passed
 	case streamer.ReasonPeer, streamer.ReasonUnreachable, streamer.ReasonCrashed, streamer.ReasonSilent:
 		return router.Unreachable
--- a/stage/attempter/race.go
+++ b/stage/attempter/race.go
@@ -93,14 +93,14 @@
 	race := newRace(r.sink)
 	ends := make(chan finish, 2)
 	var wg conc.WaitGroup
-	start := func(c router.Candidate, last bool) {
+	start := func(req *streamer.Request, c router.Candidate, last bool) {
 		l := race.newLane(ctx)
 		wg.Go(func() {
 			defer l.cancel()
-			ends <- finish{lane: l, end: r.serve(l.ctx, c, last, l)}
+			ends <- finish{lane: l, end: r.serve(l.ctx, req, c, last, l)}
 		})
 	}
-	start(first, last)
+	start(r.req, first, last)
 	open, timer := 1, time.NewTimer(after)
 	defer timer.Stop()
 	defer wg.Wait()
@@ -109,7 +109,9 @@
 		case <-timer.C:
 			if !r.sink.Opened() && r.policy.takeHedge() {
 				r.Meter.Retried("hedge")
-				start(second, true)
+				hedge := *r.req
+				hedge.Hedge = true
+				start(&hedge, second, true)
 				open++
 			}
 		case f := <-ends:
--- a/stage/controller/agent.go
+++ b/stage/controller/agent.go
@@ -334,7 +334,8 @@
 // withdraw gives a call up; what it is granted all the same is given back.
 func (a *agent) withdraw(c *pendingCall) {
 	id := c.frame.ID
-	if a.calls[id] != c {
+	if a.calls[id] != c || c.frame.Kind == callAccuse {
+		// An accusation is passed on as soon as there is a leader again, whether or not anybody waits.
 		return
 	}
 	delete(a.calls, id)
--- a/stage/controller/calls.go
+++ b/stage/controller/calls.go
@@ -50,6 +50,8 @@
 		d.grant(now)
 	case callAccuse:
 		d.accuse(now, ref, c)
+	case callAbsolve:
+		d.absolve(now, ref, c)
 	case callLock:
 		if len(c.Digests) != 1 || !d.suspects.Lock(quarantiner.Ticket{Digest: c.Digests[0], Holder: p.holder, ID: c.ID}) {
 			d.refuse(ref, "too many requests for the lock wait")
@@ -82,6 +84,14 @@
 	d.finishWaits(now)
 }
 
+func (d *desk) absolve(now time.Time, ref callRef, c callFrame) {
+	for _, digest := range c.Digests {
+		d.suspects.Absolve(now, digest, c.Seen)
+	}
+	d.publish(now)
+	d.answer(ref, answerFrame{})
+}
+
 func (d *desk) book(ref callRef, p *peer, c callFrame) {
 	b := pendingBooking{ref: ref}
 	switch {
--- a/stage/controller/client.go
+++ b/stage/controller/client.go
@@ -369,6 +369,12 @@
 	return err
 }
 
+// Absolve reports that a suspect ran to its end in a run that began under the live state's revision; a later one stays suspect.
+func (c *Client) Absolve(ctx context.Context, d quarantiner.Digest, seen uint64) error {
+	_, err := c.ask(ctx, callFrame{Kind: callAbsolve, Digests: []quarantiner.Digest{d}, Seen: seen})
+	return err
+}
+
 // Lock waits for the right to run a suspect request, which one entry has at a time.
 func (c *Client) Lock(ctx context.Context, d quarantiner.Digest) (release func(), err error) {
 	a, err := c.ask(ctx, callFrame{Kind: callLock, Digests: []quarantiner.Digest{d}})
--- a/stage/controller/desk.go
+++ b/stage/controller/desk.go
@@ -394,6 +394,9 @@
 	} else {
 		err = d.live.Change(revision, items)
 	}
+	if err == nil {
+		d.suspects.Published(revision)
+	}
 	if err == nil && d.settled {
 		d.registry.Published(revision)
 	}
--- a/stage/controller/frame.go
+++ b/stage/controller/frame.go
@@ -90,6 +90,7 @@
 	callBegin
 	callEnd
 	callRelease
+	callAbsolve
 )
 
 type callFrame struct {
@@ -103,6 +104,8 @@
 	Begin   *recorder.Begin      `cbor:"7,keyasint,omitempty"`
 	End     *recorder.End        `cbor:"8,keyasint,omitempty"`
 	Pinned  []targetFrame        `cbor:"9,keyasint,omitempty"`
+	// Seen is the live state's revision before a suspect's run began.
+	Seen uint64 `cbor:"11,keyasint,omitempty"`
 	// Epoch is that of the ownership which is given up.
 	Epoch uint64 `cbor:"10,keyasint,omitempty"`
 }
--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -305,7 +305,8 @@
 	if s != nil {
 		return id, s, offset
 	}
-	if resumed != "" || !c.resident[c.model] {
+	isBase := !strings.Contains(c.model, "@")
+	if resumed != "" || !isBase && !c.resident[c.model] {
 		return id, nil, 0
 	}
 	s = &stream{stop: make(chan struct{})}
--- a/stage/dispatcher/dispatcher.go
+++ b/stage/dispatcher/dispatcher.go
@@ -55,6 +55,8 @@
 	Return(p registrar.Permit)
 	// Accuse makes digests that were in flight at a crash suspects everywhere.
 	Accuse(ctx context.Context, server string, ds []quarantiner.Digest) error
+	// Absolve reports that a suspect ran to its end in a run that began under the revision of the roster.
+	Absolve(ctx context.Context, d quarantiner.Digest, seen uint64) error
 	// Lock lets one suspect run at a time.
 	Lock(ctx context.Context, d quarantiner.Digest) (release func(), err error)
 	// Begin records a booking before it is sent.
@@ -142,7 +144,8 @@
 	d := &Dispatcher{sender: p.sender, client: forwarder.NewClient(), log: p.log.Part("entry")}
 	d.booker = booker.New(control, id)
 	d.owner = owner.New(id, owner.Deps{
-		Control: control, Decider: p.decider, Sender: p.sender, Booker: d.booker, Meter: m, Log: p.log.Part("owner"),
+		Control: control, Decider: p.decider, Sender: p.sender, Booker: d.booker, Homes: d.client, Meter: m,
+		Log: p.log.Part("owner"),
 	})
 	d.doer = attempter.New(attempter.Deps{
 		Name: cfg.Name, Control: control, Router: p.router, Retrier: p.retrier, Local: d.owner, Peers: d.client, Meter: m,
@@ -153,6 +156,7 @@
 	d.callersAddr = callers.Addr().String()
 	mux := http.NewServeMux()
 	mux.Handle(forwarder.NewHandler(d.owner))
+	mux.Handle(forwarder.NewClaimHandler(d.owner))
 	d.peers, d.peersAddr = encoder.NewServer(mux), peers.Addr().String()
 	d.serve(d.peers, peers)
 	if metrics != nil {
--- /dev/null
+++ b/stage/dispatcher/poison_test.go
@@ -0,0 +1,225 @@
+package dispatcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/registrar"
+)
+
+const (
+	poisonEntries = 5
+	// poisonCopies is the number of copies that come to each entry at once, and poisonSpread more engines than they may crash.
+	poisonCopies = 3
+	poisonSpread = 3
+	// poisonWait is the time for which an engine goes on with the poison, so that copies could come to others.
+	poisonWait = 500 * time.Millisecond
+	// poisonInnocents is the number of callers at each entry whose requests share batches with the poison.
+	poisonInnocents = 4
+	// poisonResends bounds how often a caller sends an innocent request again that was cut by a crash.
+	poisonResends = 20
+)
+
+// poisonTrial has one caller send a request that crashes engines through all entries at once, again after each failure.
+type poisonTrial struct {
+	t       testing.TB
+	world   *world
+	entries []*Dispatcher
+	engines []*backend
+	crashes atomic.Int64
+	answers atomic.Int64
+	resent  atomic.Int64
+	mu      sync.Mutex
+	broken  []string
+	// at are the processes that the poison reached; spread is closed when they are more than it may crash.
+	at     map[string]bool
+	spread chan struct{}
+}
+
+func (tr *poisonTrial) violate(format string, args ...any) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.broken = append(tr.broken, fmt.Sprintf(format, args...))
+}
+
+func newPoisonTrial(t testing.TB) *poisonTrial {
+	tr := &poisonTrial{t: t, world: newWorld(t), at: make(map[string]bool), spread: make(chan struct{})}
+	for i := range poisonEntries {
+		name := fmt.Sprint("n", i+1)
+		d := tr.world.startEntry(t, name)
+		b := startBackend(t, fmt.Sprint("e", i+1), configurer.KindModel)
+		b.pace = time.Millisecond
+		b.fault = func(_ int, c *call) bool {
+			if c.text() != "poison" || len(c.req.Header.Peek(marker.Resume)) > 0 {
+				return false
+			}
+			tr.crash(b)
+			return true
+		}
+		tr.entries, tr.engines = append(tr.entries, d), append(tr.engines, b)
+		tr.world.assign(b.server(), name, d.Peers())
+	}
+	for n := 0; !tr.allServe(); n++ {
+		tr.ask(tr.entries[n%poisonEntries], fmt.Sprint("warm ", n))
+	}
+	return tr
+}
+
+// crash ends the engine's process once the copies had time to spread, and at once when they have.
+func (tr *poisonTrial) crash(b *backend) {
+	before := b.server().Incarnation
+	tr.mu.Lock()
+	tr.at[b.name+before] = true
+	if len(tr.at) == poisonSpread {
+		close(tr.spread)
+	}
+	tr.mu.Unlock()
+	select {
+	case <-tr.spread:
+	case <-time.After(poisonWait):
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if b.server().Incarnation == before {
+		tr.crashes.Add(1)
+		b.restart()
+		tr.world.announce(b.server())
+	}
+}
+
+// announce lists a server's new incarnation under the same owner.
+func (w *world) announce(s registrar.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.servers {
+		if w.servers[i].Name == s.Name {
+			w.servers[i] = s
+		}
+	}
+	w.revision++
+	w.publish()
+}
+
+func (tr *poisonTrial) allServe() bool {
+	for _, b := range tr.engines {
+		if b.ran(func(entry) bool { return true }) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (tr *poisonTrial) ask(d *Dispatcher, text string) answer {
+	return post(tr.t, d, "/v1/chat/completions", chat("base", text, true))
+}
+
+// run returns what was broken.
+func (tr *poisonTrial) run() []string {
+	stop := make(chan struct{})
+	var innocents, callers sync.WaitGroup
+	for _, d := range tr.entries {
+		for i := range poisonInnocents {
+			innocents.Go(func() { tr.innocent(d, i, stop) })
+		}
+		for range poisonCopies {
+			callers.Go(func() { tr.poison(d) })
+		}
+	}
+	callers.Wait()
+	close(stop)
+	innocents.Wait()
+	for _, d := range tr.entries {
+		a := tr.ask(d, "poison")
+		if a.status != http.StatusUnprocessableEntity || a.outcome != "not-run" || codeOf(a) != "quarantine" {
+			tr.violate("%s answers the poison afterwards by %d %s %s", d.Callers(), a.status, a.outcome, a.body)
+		}
+	}
+	if n := tr.crashes.Load(); n > 2 {
+		tr.violate("the request crashed engines %d times", n)
+	}
+	return tr.broken
+}
+
+// poison sends the request until it is refused.
+func (tr *poisonTrial) poison(d *Dispatcher) {
+	for range poisonResends {
+		a := tr.ask(d, "poison")
+		if a.outcome == "done" {
+			tr.violate("the poison was answered: %s", a.body)
+		}
+		if codeOf(a) == "quarantine" {
+			return
+		}
+	}
+	tr.violate("the poison was not refused after %d sends", poisonResends)
+}
+
+// innocent sends requests in the same batches; each is answered whole, if need be after its caller sent it again.
+func (tr *poisonTrial) innocent(d *Dispatcher, caller int, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		text := fmt.Sprintf("%s-%d-%d", d.Callers(), caller, n)
+		if !tr.answered(d, text) {
+			return
+		}
+	}
+}
+
+func (tr *poisonTrial) answered(d *Dispatcher, text string) bool {
+	want := ""
+	for i := range 7 {
+		want += fmt.Sprintf("%s/%d ", text, i)
+	}
+	var a answer
+	for range poisonResends {
+		a = tr.ask(d, text)
+		if a.outcome == "done" {
+			if texts(a.body) != want+"end" {
+				tr.violate("%s: done, but not whole: %s", text, a.body)
+			}
+			tr.answers.Add(1)
+			return true
+		}
+		tr.resent.Add(1)
+	}
+	tr.violate("%s was not answered: %d %s", text, a.status, a.body)
+	return false
+}
+
+func codeOf(a answer) string {
+	var b struct{ Error struct{ Code string } }
+	_ = json.Unmarshal([]byte(a.body), &b)
+	return b.Error.Code
+}
+
+// One request sent at once through all entries, and again after each failure, crashes at most two engines.
+func TestPoisonAtAllEntries(t *testing.T) {
+	tr := newPoisonTrial(t)
+	qt.Check(t, tr.run(), qt.HasLen, 0)
+	t.Logf("%d crashes, %d innocent requests answered, %d sent again by their callers, %d suspicions dropped",
+		tr.crashes.Load(), tr.answers.Load(), tr.resent.Load(), tr.world.absolved)
+}
+
+// Without claims the copies are at several engines before the first crash is known.
+func TestPoisonWithoutClaims(t *testing.T) {
+	tr := newPoisonTrial(t)
+	for _, d := range tr.entries {
+		switchOff(d.owner, "scattered")
+	}
+	found := tr.run()
+	t.Logf("%q", found)
+	qt.Assert(t, found, qt.Any(qt.Matches), "the request crashed engines [3-9] times")
+}
--- a/stage/dispatcher/world_test.go
+++ b/stage/dispatcher/world_test.go
@@ -34,7 +34,9 @@
 	entries  []registrar.Entry
 	released []string
 	table    *recorder.Table
-	accused  map[quarantiner.Digest]int
+	board    *quarantiner.Board
+	crashes  uint64
+	absolved int
 	locks    map[quarantiner.Digest]chan struct{}
 	// begin and end may lose or delay what the record is asked and what it replies.
 	begin func(do func() recorder.Begun) (recorder.Begun, error)
@@ -61,7 +63,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	return &world{
 		catalog: catalog, updated: make(chan struct{}), owners: make(map[string]registrar.Owner),
-		table: recorder.New(), accused: make(map[quarantiner.Digest]int), locks: make(map[quarantiner.Digest]chan struct{}),
+		table: recorder.New(), board: quarantiner.NewBoard(quarantiner.New(quarantiner.Config{}), time.Time{}), locks: make(map[quarantiner.Digest]chan struct{}),
 		roster: registrar.NewRoster(0, nil, nil, nil),
 	}
 }
@@ -105,7 +107,7 @@
 func (w *world) Standing(d quarantiner.Digest) quarantiner.Standing {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return quarantiner.Standing(min(w.accused[d], 2))
+	return w.board.Standing(time.Now(), d)
 }
 
 func (w *world) Updated() <-chan struct{} {
@@ -127,14 +129,30 @@
 func (w *world) Accuse(_ context.Context, _ string, ds []quarantiner.Digest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, d := range ds {
-		w.accused[d]++
+	w.crashes++
+	w.board.Accuse(time.Now(), quarantiner.Crash{Reporter: "test", Number: w.crashes}, ds)
+	w.judge()
+	return nil
+}
+
+func (w *world) Absolve(_ context.Context, d quarantiner.Digest, seen uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.board.Absolve(time.Now(), d, seen) {
+		w.absolved++
 	}
-	close(w.updated)
-	w.updated = make(chan struct{})
+	w.judge()
 	return nil
 }
 
+// judge spreads the standings under a new revision.
+func (w *world) judge() {
+	w.revision++
+	w.board.Changes(time.Now())
+	w.board.Published(w.revision)
+	w.publish()
+}
+
 func (w *world) Lock(ctx context.Context, d quarantiner.Digest) (func(), error) {
 	w.mu.Lock()
 	l := w.locks[d]
--- a/stage/forwarder/client.go
+++ b/stage/forwarder/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,8 +30,11 @@
 
 // peer is one entry, with connections of its own so that silent ones can be left behind.
 type peer struct {
-	http *http.Client
-	call *connect.Client[serveRequest, frame]
+	http  *http.Client
+	call  *connect.Client[serveRequest, frame]
+	claim *connect.Client[claimRequest, claimAnswer]
+	// quietUntil is the time in nanoseconds until which no claim is asked for.
+	quietUntil atomic.Int64
 }
 
 // NewClient returns a Client.
@@ -122,6 +126,7 @@
 	h := encoder.NewClient()
 	p := &peer{http: h, call: connect.NewClient[serveRequest, frame](h, "http://"+addr+procedure, encoder.Option(),
 		connect.WithReadMaxBytes(maxUnread+maxRequest), connect.WithAcceptCompression("gzip", nil, nil))}
+	p.claim = connect.NewClient[claimRequest, claimAnswer](h, "http://"+addr+claimProcedure, encoder.Option(), connect.WithReadMaxBytes(maxClaim))
 	c.peers[addr] = p
 	return p
 }
--- a/stage/forwarder/wire.go
+++ b/stage/forwarder/wire.go
@@ -10,7 +10,10 @@
 	"redwingstage.org/stage/streamer"
 )
 
-const procedure = "/redwing.forwarder/Serve"
+const (
+	procedure = "/redwing.forwarder/Serve"
+	maxHomes  = 8
+)
 
 // serveRequest is a request on its way to the owner; times are left as durations, because clocks differ.
 type serveRequest struct {
@@ -39,6 +42,29 @@
 	Waited     time.Duration `cbor:"23,keyasint"`
 	FirstIn    time.Duration `cbor:"24,keyasint,omitempty"`
 	EndIn      time.Duration `cbor:"25,keyasint,omitempty"`
+	Homes      []homeFrame   `cbor:"26,keyasint,omitempty"`
+	Hedge      bool          `cbor:"27,keyasint,omitempty"`
+}
+
+type homeFrame struct {
+	Entry string `cbor:"1,keyasint"`
+	Addr  string `cbor:"2,keyasint"`
+}
+
+func newHomeFrames(homes []streamer.Home) []homeFrame {
+	list := make([]homeFrame, 0, len(homes))
+	for _, h := range homes {
+		list = append(list, homeFrame(h))
+	}
+	return list
+}
+
+func homesOf(list []homeFrame) []streamer.Home {
+	homes := make([]streamer.Home, 0, len(list))
+	for _, f := range list {
+		homes = append(homes, streamer.Home(f))
+	}
+	return homes
 }
 
 // frame is a piece of an answer; an empty one only shows that the connection lives.
@@ -80,6 +106,7 @@
 	Message    string         `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration  `cbor:"4,keyasint,omitempty"`
 	Feedback   *feedbackFrame `cbor:"5,keyasint,omitempty"`
+	Meet       string         `cbor:"6,keyasint,omitempty"`
 }
 
 func newServeRequest(r *streamer.Request, server string, last bool, now time.Time) *serveRequest {
@@ -89,6 +116,7 @@
 		Idempotent: r.Idempotent, Stream: r.Stream, Method: r.Method, URI: r.URI, Type: r.Type, Accept: r.Accept,
 		Body: r.Body, Key: r.Key, Digest: r.Digest, Prefix: r.Prefix, MaxTokens: r.MaxTokens,
 		Waited: now.Sub(r.Arrived), FirstIn: until(r.FirstBy, now), EndIn: until(r.Deadline, now),
+		Homes: newHomeFrames(r.Homes), Hedge: r.Hedge,
 	}
 }
 
@@ -124,6 +152,8 @@
 		return nil, errors.Errorf("call: bad method %q or URI %q", w.Method, w.URI)
 	case w.Version < 0 || w.MaxTokens < 0:
 		return nil, errors.New("version or tokens: negative")
+	case len(w.Homes) > maxHomes:
+		return nil, errors.Errorf("homes: %d, more than %d", len(w.Homes), maxHomes)
 	case !w.Idempotent && w.Key == "":
 		return nil, errors.New("key: missing on a non-idempotent call")
 	}
@@ -133,19 +163,21 @@
 		Idempotent: w.Idempotent, Stream: w.Stream, Method: w.Method, URI: w.URI, Type: w.Type, Accept: w.Accept,
 		Body: w.Body, Key: w.Key, Digest: w.Digest, Prefix: w.Prefix, MaxTokens: w.MaxTokens,
 		Arrived: now.Add(-w.Waited), FirstBy: after(w.FirstIn, now), Deadline: after(w.EndIn, now),
+		Homes: homesOf(w.Homes), Hedge: w.Hedge,
 	}, nil
 }
 
 func newEndFrame(e streamer.End) *endFrame {
 	return &endFrame{
 		Outcome: e.Outcome.String(), Reason: string(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter,
-		Feedback: newFeedbackFrame(e.Feedback),
+		Feedback: newFeedbackFrame(e.Feedback), Meet: e.Meet,
 	}
 }
 
 func (e *endFrame) end() (streamer.End, error) {
 	end := streamer.End{
 		Reason: streamer.Reason(e.Reason), Message: e.Message, RetryAfter: e.RetryAfter, Feedback: e.Feedback.feedback(),
+		Meet: e.Meet,
 	}
 	for _, o := range []retrier.Outcome{retrier.Unknown, retrier.NotRun, retrier.Done} {
 		if o.String() == e.Outcome {
--- a/stage/owner/action.go
+++ b/stage/owner/action.go
@@ -39,6 +39,8 @@
 			failed = append(failed, a)
 		case scheduler.Accuse:
 			accused = &a
+		case scheduler.Absolve:
+			o.absolve(a)
 		case scheduler.AskPermit:
 			o.askPermit(a)
 		case scheduler.WithdrawPermit:
@@ -83,6 +85,7 @@
 		for _, a := range accused.Attempts {
 			if j := o.jobs[a]; j != nil {
 				digests = append(digests, j.req.Digest)
+				o.accused[j.req.Digest] = false
 			}
 		}
 	}
@@ -97,6 +100,7 @@
 			delete(o.jobs, f.Attempt)
 		default:
 			// The server still runs it: the attempt ends once the cancel is confirmed.
+			j.recalled.Store(f.Recalled)
 			j.silent.Store(true)
 			j.cancel()
 		}
@@ -108,6 +112,7 @@
 		for _, j := range cut {
 			close(j.failed)
 			j.cancel()
+			j.free()
 		}
 	})
 }
--- /dev/null
+++ b/stage/owner/meet.go
@@ -0,0 +1,143 @@
+package owner
+
+import (
+	"context"
+	"sync"
+
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/scheduler"
+	"redwingstage.org/stage/streamer"
+)
+
+// Homes claims places for requests at other entries; free gives a claim back.
+type Homes interface {
+	Claim(ctx context.Context, addr string, d quarantiner.Digest, p quarantiner.Place, m quarantiner.Mode) (
+		free func(), meet string, ok bool, err error)
+}
+
+// keeper keeps the claims of the requests whose home this entry is.
+type keeper struct {
+	mu      sync.Mutex
+	claims  *quarantiner.Claims
+	closing chan struct{}
+	once    sync.Once
+}
+
+func newKeeper() *keeper {
+	return &keeper{claims: quarantiner.NewClaims(), closing: make(chan struct{})}
+}
+
+func (k *keeper) close() { k.once.Do(func() { close(k.closing) }) }
+
+// Claim keeps the place of a request that another entry sends.
+func (o *Owner) Claim(d quarantiner.Digest, p quarantiner.Place, m quarantiner.Mode) (free func(), meet string, ok bool) {
+	k := o.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	meet, ok = k.claims.Take(d, p, m)
+	if !ok {
+		return nil, meet, false
+	}
+	return sync.OnceFunc(func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.claims.Free(d, p)
+	}), "", true
+}
+
+// Closing is closed once this entry keeps no claims.
+func (o *Owner) Closing() <-chan struct{} { return o.keeper.closing }
+
+// claim is what a job holds at its home.
+type claim struct {
+	mu   sync.Mutex
+	give func()
+	over bool
+}
+
+// free gives the claim back, or the one that comes later.
+func (j *job) free() {
+	j.claim.mu.Lock()
+	give := j.claim.give
+	j.claim.give, j.claim.over = nil, true
+	j.claim.mu.Unlock()
+	if give != nil {
+		give()
+	}
+}
+
+func (j *job) hold(give func()) {
+	j.claim.mu.Lock()
+	over := j.claim.over
+	if !over {
+		j.claim.give = give
+	}
+	j.claim.mu.Unlock()
+	if over {
+		give()
+	}
+}
+
+func (j *job) mode() quarantiner.Mode {
+	switch {
+	case j.job.Standing == quarantiner.Suspect:
+		return quarantiner.Alone
+	case j.req.Hedge:
+		return quarantiner.Hedged
+	}
+	return quarantiner.Shared
+}
+
+// meet claims the job's place at the first home that answers. When none does, the job goes on without: an entry that is gone
+// must not stop requests, and the suspicion after the first crash still has them run one at a time.
+func (o *Owner) meet(j *job) (streamer.End, bool) {
+	if o.scattered {
+		return streamer.End{}, true
+	}
+	place := quarantiner.Place{Server: j.server.Name, Incarnation: j.server.Incarnation}
+	for _, h := range j.req.Homes {
+		var free func()
+		var meet string
+		var ok bool
+		var err error
+		if h.Entry == o.id.Entry {
+			free, meet, ok = o.Claim(j.req.Digest, place, j.mode())
+		} else {
+			free, meet, ok, err = o.Homes.Claim(j.ctx, h.Addr, j.req.Digest, place, j.mode())
+		}
+		switch {
+		case err != nil:
+			continue
+		case !ok:
+			end := refused(streamer.ReasonElsewhere, "a copy of the request runs elsewhere")
+			end.Meet = meet
+			return end, false
+		}
+		j.hold(free)
+		return streamer.End{}, true
+	}
+	return streamer.End{}, true
+}
+
+// revision returns that of the roster, which is the live state's.
+func (o *Owner) revision() uint64 {
+	if r := o.Control.Roster(); r != nil {
+		return r.Revision()
+	}
+	return 0
+}
+
+// absolve reports a suspect that ran to its end.
+func (o *Owner) absolve(a scheduler.Absolve) {
+	j := o.jobs[a.Attempt]
+	if j == nil {
+		return
+	}
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, accuseTimeout)
+		defer cancel()
+		if err := o.Control.Absolve(ctx, j.req.Digest, j.seen); err != nil {
+			o.Log.Error("reporting a suspect that ran to its end failed", err)
+		}
+	})
+}
--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -40,6 +40,8 @@
 	Permit(ctx context.Context, server string, t configurer.Target, urgent bool) (registrar.Permit, error)
 	Return(p registrar.Permit)
 	Accuse(ctx context.Context, server string, ds []quarantiner.Digest) error
+	// Absolve reports that a suspect ran to its end in a run that began under the revision of the roster.
+	Absolve(ctx context.Context, d quarantiner.Digest, seen uint64) error
 	Release(ctx context.Context, server string, pinned []configurer.Target) error
 }
 
@@ -60,6 +62,7 @@
 	Decider Decider
 	Sender  *sender.Sender
 	Booker  *booker.Booker
+	Homes   Homes
 	Meter   *meter.Meter
 	Log     *logger.Part
 }
@@ -75,7 +78,10 @@
 	Deps
 	id        booker.Identity
 	isolation time.Duration
+	// scattered lets copies run anywhere, to show that tests notice.
+	scattered bool
 	next      atomic.Uint64
+	keeper    *keeper
 	known     atomic.Pointer[map[string]streamer.Feedback]
 	inbox     chan func()
 	ctx       context.Context
@@ -91,6 +97,8 @@
 	lapsed  time.Time
 	synced  time.Time
 	closing bool
+	// accused are the digests that this entry accused; true once the suspicion was in force here.
+	accused map[quarantiner.Digest]bool
 	// handing are the servers that are being handed over, until the control leader knows.
 	handing map[string]*handing
 	// going says that the actions at hand follow a server's end.
@@ -104,7 +112,7 @@
 	o := &Owner{
 		Deps: deps, id: id, isolation: registrar.IsolationLimit, inbox: make(chan func(), inboxSize), ctx: ctx, stop: stop,
 		held: make(map[string]*held), jobs: make(map[retrier.Attempt]*job), asks: make(map[ask]*asking),
-		handing: make(map[string]*handing),
+		handing: make(map[string]*handing), accused: make(map[quarantiner.Digest]bool), keeper: newKeeper(),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -199,6 +207,7 @@
 
 // Drain hands over all servers with their pins and waits until the last open request has ended.
 func (o *Owner) Drain(ctx context.Context) error {
+	defer o.keeper.close()
 	drained := make(chan struct{})
 	ok := o.post(func() {
 		o.closing, o.drained = true, drained
@@ -227,7 +236,11 @@
 
 // Close ends all that is still open and waits for every goroutine.
 func (o *Owner) Close() {
+	o.keeper.close()
 	o.stop()
 	o.loop.Wait()
 	o.tasks.Wait()
+	for _, j := range o.jobs {
+		j.free()
+	}
 }
--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -47,6 +47,7 @@
 	// unsettled is how often an unload order is still out when the owner asks.
 	unsettled int
 	released  int
+	absolved  []string
 	engine    *httptest.Server
 	owner     *Owner
 }
@@ -182,6 +183,13 @@
 
 func (f *fixture) Accuse(context.Context, string, []quarantiner.Digest) error { return nil }
 
+func (f *fixture) Absolve(_ context.Context, d quarantiner.Digest, seen uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.absolved = append(f.absolved, fmt.Sprint(d[0], " ", seen))
+	return nil
+}
+
 func (f *fixture) Release(context.Context, string, []configurer.Target) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -47,8 +47,12 @@
 	failed   chan struct{}
 	crashed  atomic.Bool
 	silent   atomic.Bool
-	ctx      context.Context
-	cancel   context.CancelFunc
+	recalled atomic.Bool
+	// seen is the roster's revision before the standing was looked up.
+	seen   uint64
+	claim  claim
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Serve queues the request for the server, and answers into sink once it has run.
@@ -120,7 +124,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	j := &job{
-		attempt: o.attempt(), req: req, decided: make(chan decision, 2), failed: make(chan struct{}),
+		seen: o.revision(), attempt: o.attempt(), req: req, decided: make(chan decision, 2), failed: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
 	}
 	j.job = scheduler.Job{
@@ -167,8 +171,10 @@
 		if o.jobs[j.attempt] == nil {
 			return
 		}
-		delete(o.jobs, j.attempt)
+		j.free()
+		// The scheduler may absolve the request, so that the job is still known.
 		o.handle(ev)
+		delete(o.jobs, j.attempt)
 		o.checkDrained()
 	})
 }
@@ -222,6 +228,15 @@
 
 // recheck looks at what may have changed while the job was queued.
 func (o *Owner) recheck(j *job) (streamer.End, bool) {
+	if end, ok := o.meet(j); !ok {
+		return end, false
+	}
+	switch {
+	case j.isFailed():
+		return refused(streamer.Reason(scheduler.ReasonLeaving), "the backend server's process died before the request was sent"), false
+	case j.recalled.Load():
+		return refused(streamer.ReasonStanding, "the request became suspect before it was sent"), false
+	}
 	if j.ctx.Err() != nil {
 		return refused(streamer.ReasonCancelled, "the caller went away"), false
 	}
@@ -268,7 +283,10 @@
 			end.Reason, end.Message = streamer.ReasonCrashed, "the backend server's process died under the request"
 		}
 	default:
-		if j.silent.Load() {
+		switch {
+		case j.recalled.Load():
+			end.Reason, end.Message = streamer.ReasonStanding, "the request became suspect while it ran"
+		case j.silent.Load():
 			end.Reason, end.Message = streamer.ReasonSilent, "the backend server went silent"
 		}
 	}
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
 	"redwingstage.org/serving/scheduler"
 	"redwingstage.org/stage/sender"
@@ -19,6 +20,8 @@
 type held struct {
 	server registrar.Server
 	owner  registrar.Owner
+	// listed is what the roster said last, which may lag behind the server's own report.
+	listed registrar.Server
 	// announced is the last announcement that the scheduler was told.
 	announced registrar.Server
 	since     time.Time
@@ -56,12 +59,10 @@
 	}
 }
 
-// rejudge tells the scheduler of standings that changed while requests were queued.
+// rejudge tells the scheduler of standings that changed while requests were queued or ran.
 func (o *Owner) rejudge() {
+	o.follow()
 	for _, j := range o.jobs {
-		if j.sent {
-			continue
-		}
 		if now := o.Control.Standing(j.req.Digest); now != j.standing {
 			j.standing = now
 			o.handle(scheduler.Judged{Digest: j.req.Digest, Standing: now})
@@ -69,6 +70,21 @@
 	}
 }
 
+// follow tells the scheduler of suspicions that were dropped everywhere, so that its own go as well.
+func (o *Owner) follow() {
+	for d, known := range o.accused {
+		switch now := o.Control.Standing(d); {
+		case now == quarantiner.Suspect:
+			o.accused[d] = true
+		case now == quarantiner.Convicted:
+			delete(o.accused, d)
+		case known:
+			delete(o.accused, d)
+			o.handle(scheduler.Judged{Digest: d, Standing: quarantiner.Clear})
+		}
+	}
+}
+
 // claim takes up a server or a change of its announcement; the scheduler hears of it after the server's own report.
 func (o *Owner) claim(s registrar.Server, owner registrar.Owner, now time.Time) {
 	if o.closing || !now.Before(o.Control.LeaseEnd()) {
@@ -79,7 +95,7 @@
 		return
 	}
 	if h == nil || h.owner.Epoch != owner.Epoch {
-		h = &held{server: s, owner: owner, since: now, orderAt: now, answered: now}
+		h = &held{server: s, listed: s, owner: owner, since: now, orderAt: now, answered: now}
 		if !owner.Clean {
 			h.orderAt = now.Add(owner.OrderAfter)
 		}
@@ -87,9 +103,15 @@
 		o.poll(h)
 		return
 	}
-	if h.server == s {
+	if h.listed == s {
 		return
 	}
+	if s.Incarnation == h.listed.Incarnation {
+		// The server itself may have told of a restart that the roster doesn't list yet; that isn't another one.
+		s.Incarnation = h.server.Incarnation
+		h.listed = s
+	}
+	h.listed = s
 	if s.Incarnation != h.server.Incarnation && h.adopted {
 		o.gone(h, true)
 	}
--- a/stage/streamer/request.go
+++ b/stage/streamer/request.go
@@ -36,6 +36,17 @@
 	Arrived   time.Time
 	FirstBy   time.Time
 	Deadline  time.Time
+
+	// Homes are the entries where copies of the request meet, the first that answers counts.
+	Homes []Home
+	// Hedge says that the request runs at another server as well.
+	Hedge bool
+}
+
+// Home is an entry that keeps the places where copies of a request run.
+type Home struct {
+	Entry string
+	Addr  string
 }
 
 // IsBooking reports whether the request may run at most once.
@@ -93,6 +104,8 @@
 	ReasonLost Reason = "lost"
 	// ReasonStanding means that the request's standing changed while it was queued.
 	ReasonStanding Reason = "standing"
+	// ReasonElsewhere means that a copy of the request runs elsewhere, and that this one wasn't sent.
+	ReasonElsewhere Reason = "elsewhere"
 	// ReasonQuarantine means that the request crashed backend servers before.
 	ReasonQuarantine Reason = "quarantine"
 	// ReasonPeer means that the hop to the owner failed.
@@ -111,6 +124,8 @@
 	Reason     Reason
 	Message    string
 	RetryAfter time.Duration
+	// Meet is the server where copies of the request run, with ReasonElsewhere.
+	Meet string
 	Feedback
 }
 
