--- a/serving/quarantiner/board_test.go
+++ b/serving/quarantiner/board_test.go
@@ -42,3 +42,81 @@
 	sync()
 	c.Assert(s.Known(), qt.HasLen, 0)
 }
+
+// An absolution clears the suspicion that its run began under, whatever is reordered, sent again or said to a later leader.
+func TestAbsolve(t *testing.T) {
+	d, now := Digest{1}, time.Unix(1_700_000_000, 0)
+	// Each trial begins with a suspicion that revision 5 lists.
+	for _, tt := range []struct {
+		name string
+		do   func(b *Board, spread func(revision uint64)) bool
+		want Standing
+		took bool
+	}{
+		{"suspect", func(b *Board, _ func(uint64)) bool { return b.Absolve(now, d, 5) }, Clear, true},
+		{"run began before", func(b *Board, _ func(uint64)) bool { return b.Absolve(now, d, 4) }, Suspect, false},
+		{"convict", func(b *Board, spread func(uint64)) bool {
+			b.Accuse(now, Crash{"e#2", 1}, []Digest{d})
+			spread(6)
+			return b.Absolve(now, d, 9)
+		}, Convicted, false},
+		{"convict, not spread yet", func(b *Board, _ func(uint64)) bool {
+			b.Accuse(now, Crash{"e#2", 1}, []Digest{d})
+			return b.Absolve(now, d, 9)
+		}, Convicted, false},
+		{"sent again", func(b *Board, spread func(uint64)) bool {
+			b.Absolve(now, d, 5)
+			spread(6)
+			return b.Absolve(now, d, 5)
+		}, Clear, false},
+		{"sent again after a newer accusation", func(b *Board, spread func(uint64)) bool {
+			b.Absolve(now, d, 5)
+			spread(6)
+			b.Accuse(now, Crash{"e#2", 1}, []Digest{d})
+			spread(7)
+			return b.Absolve(now, d, 6)
+		}, Suspect, false},
+		{"newer accusation in the same revision", func(b *Board, spread func(uint64)) bool {
+			b.Absolve(now, d, 5)
+			b.Accuse(now, Crash{"e#2", 1}, []Digest{d})
+			spread(6)
+			return b.Absolve(now, d, 5)
+		}, Suspect, false},
+		{"newer accusation, not spread yet", func(b *Board, _ func(uint64)) bool {
+			b.Absolve(now, d, 5)
+			b.Accuse(now, Crash{"e#2", 1}, []Digest{d})
+			return b.Absolve(now, d, 9)
+		}, Suspect, false},
+		{"later leader", func(b *Board, _ func(uint64)) bool {
+			*b = *NewBoard(New(Config{}), now)
+			b.Report(now, d, Suspect)
+			b.Changes(now)
+			b.Published(1 << 40)
+			return b.Absolve(now, d, 5)
+		}, Suspect, false},
+		{"later leader, then a run under it", func(b *Board, _ func(uint64)) bool {
+			*b = *NewBoard(New(Config{}), now)
+			b.Report(now, d, Suspect)
+			b.Changes(now)
+			b.Published(1 << 40)
+			return b.Absolve(now, d, 1<<40)
+		}, Clear, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b, s := NewBoard(New(Config{}), now), &Standings{}
+			spread := func(revision uint64) {
+				s = s.With(false, b.Changes(now))
+				b.Published(revision)
+			}
+			b.Accuse(now, Crash{"e#1", 1}, []Digest{d})
+			spread(5)
+			qt.Check(t, tt.do(b, spread), qt.Equals, tt.took)
+			spread(1 << 41)
+			qt.Check(t, b.Standing(now, d), qt.Equals, tt.want)
+			qt.Check(t, s.Of(d) >= tt.want, qt.IsTrue)
+			if tt.took {
+				qt.Check(t, s.Of(d), qt.Equals, Clear)
+			}
+		})
+	}
+}
--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -38,6 +38,8 @@
 type Send struct {
 	Job   Job
 	Epoch uint64
+	// Proven says that the same request ran to its end lately, so that copies of it needn't meet.
+	Proven bool
 }
 
 // Refuse ends a job that was never written to a server; the router may try the next candidate.
--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -25,9 +25,6 @@
 	tokens    int
 }
 
-// maxCopies is the number of attempts with one digest that may be in flight, so that copies of a request can't crash more servers than a conviction takes.
-const maxCopies = 2
-
 func (s *Scheduler) arrived(now time.Time, jb Job) {
 	if s.jobs[jb.Attempt] != nil || s.ended.has(jb.Attempt) {
 		return
@@ -147,9 +144,9 @@
 		return true
 	}
 	if s.standing(now, j) == quarantiner.Suspect {
-		return sv.suspects == 0 && s.digests[j.Digest] == 0
+		return sv.suspects == 0 && s.copies.total[j.Digest] == 0
 	}
-	return s.digests[j.Digest] < maxCopies
+	return s.copies.mayJoin(j.Server, j.Digest)
 }
 
 func (s *Scheduler) longLimit(sv *server) int {
@@ -166,10 +163,8 @@
 	if j.apart = s.standing(now, j) == quarantiner.Suspect; j.apart {
 		sv.suspects++
 	}
-	if j.Digest != (quarantiner.Digest{}) {
-		s.digests[j.Digest]++
-	}
-	s.emit(Send{Job: j.Job, Epoch: sv.epoch})
+	s.copies.add(j.Server, j.Digest)
+	s.emit(Send{Job: j.Job, Epoch: sv.epoch, Proven: !j.apart && s.copies.isProven(j.Digest)})
 }
 
 // detach takes a sent job off its server.
@@ -184,11 +179,7 @@
 	if j.apart {
 		sv.suspects--
 	}
-	if j.Digest != (quarantiner.Digest{}) {
-		if s.digests[j.Digest]--; s.digests[j.Digest] == 0 {
-			delete(s.digests, j.Digest)
-		}
-	}
+	s.copies.remove(j.Server, j.Digest)
 }
 
 // refuse ends a job that was never sent.
@@ -250,6 +241,7 @@
 	sv := s.servers[j.Server]
 	if ev.OK {
 		s.observeEnd(now, sv, j, max(ev.Tokens, j.tokens))
+		s.copies.prove(j.Digest)
 	}
 	s.detach(sv, j)
 	if ev.Missing {
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -21,7 +21,7 @@
 	jobs    map[retrier.Attempt]*job
 	ended   endedRing
 	suspect *quarantiner.Registry
-	digests map[quarantiner.Digest]int
+	copies  copies
 	classes map[string]*classStats
 	slow    *detector.Detector
 	order   uint64
@@ -31,7 +31,7 @@
 
 // breaks switches mechanisms off, so that tests can show that the checker notices.
 type breaks struct {
-	pins, residency, leaving, lease, orders, suspects, reset, inherit, settle, apart bool
+	pins, residency, leaving, lease, orders, suspects, reset, inherit, settle, claims bool
 }
 
 // classStats is what was observed of a class.
@@ -50,7 +50,7 @@
 		jobs:    make(map[retrier.Attempt]*job),
 		ended:   newEndedRing(),
 		suspect: quarantiner.New(quarantiner.Config{}),
-		digests: make(map[quarantiner.Digest]int),
+		copies:  newCopies(),
 		classes: make(map[string]*classStats),
 		slow:    detector.New(detector.Config{}),
 	}
@@ -133,6 +133,8 @@
 func (s *Scheduler) judged(now time.Time, ev Judged) {
 	if ev.Standing == quarantiner.Clear {
 		s.suspect.Clear(ev.Digest)
+	} else {
+		s.copies.doubt(ev.Digest)
 	}
 	for _, name := range s.names() {
 		sv := s.servers[name]
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -152,6 +152,7 @@
 		for _, a := range attempts {
 			if d := sv.inFlight[a].Digest; d != (quarantiner.Digest{}) {
 				digests = append(digests, d)
+				s.copies.doubt(d)
 			}
 		}
 		s.suspect.Accuse(now, name+"/"+sv.reg.Incarnation, digests)
--- /dev/null
+++ b/stage/controller/agent_test.go
@@ -0,0 +1,30 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/quarantiner"
+)
+
+// An accusation is passed on to the next leader, though its asker waits no longer; a request for a lock isn't.
+func TestAccusationOutlastsItsAsker(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := newAgent(ClientConfig{Name: "e", Incarnation: 1, Addr: "10.0.0.1:1"})
+	digests := []quarantiner.Digest{{1}}
+	for _, kind := range []callKind{callAccuse, callLock} {
+		a.withdraw(a.call(now, callFrame{Kind: kind, Digests: digests}, func(answerFrame) {}))
+	}
+	a.connected(now)
+	a.take()
+	a.welcome(now, welcomeFrame{Era: 1, TTL: 3000})
+	var kinds []callKind
+	for _, f := range a.take() {
+		for _, c := range f.Calls {
+			kinds = append(kinds, c.Kind)
+		}
+	}
+	qt.Assert(t, kinds, qt.DeepEquals, []callKind{callAccuse})
+}
--- a/stage/controller/controller_test.go
+++ b/stage/controller/controller_test.go
@@ -144,6 +144,22 @@
 	c.Assert(cl.Accuse(ctx, "engine-1", []quarantiner.Digest{digest}), qt.IsNil)
 	c.Assert(cl.Standing(digest), qt.Equals, quarantiner.Convicted)
 
+	c.Assert(cl.Absolve(ctx, digest, cl.Roster().Revision()), qt.IsNil)
+	innocent := quarantiner.Digest{2}
+	before := cl.Roster().Revision()
+	c.Assert(cl.Accuse(ctx, "engine-1", []quarantiner.Digest{innocent}), qt.IsNil)
+	c.Assert(cl.Absolve(ctx, innocent, before), qt.IsNil)
+	c.Assert(cl.Standing(innocent), qt.Equals, quarantiner.Suspect)
+	c.Assert(cl.Absolve(ctx, innocent, cl.Roster().Revision()), qt.IsNil)
+	for updated := cl.Updated(); cl.Standing(innocent) != quarantiner.Clear; updated = cl.Updated() {
+		select {
+		case <-updated:
+		case <-time.After(10 * time.Millisecond):
+		}
+		c.Assert(ctx.Err(), qt.IsNil)
+	}
+	c.Assert(cl.Standing(digest), qt.Equals, quarantiner.Convicted)
+
 	key := recorder.Key{Caller: "gym", Service: "orders", Key: "k1"}
 	begun, err := cl.Begin(ctx, recorder.Begin{Key: key, Attempt: "a1"})
 	c.Assert(err, qt.IsNil)
--- a/stage/owner/action.go
+++ b/stage/owner/action.go
@@ -27,7 +27,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case scheduler.Send:
-			o.decide(a.Job.Attempt, decision{send: true})
+			o.decide(a.Job.Attempt, decision{send: true, proven: a.Proven})
 		case scheduler.Refuse:
 			o.decide(a.Attempt, decision{reason: a.Reason, retryAfter: a.RetryAfter})
 			o.Meter.Refused(string(a.Reason))
--- a/stage/owner/meet.go
+++ b/stage/owner/meet.go
@@ -91,7 +91,7 @@
 // meet claims the job's place at the first home that answers. When none does, the job goes on without: an entry that is gone
 // must not stop requests, and the suspicion after the first crash still has them run one at a time.
 func (o *Owner) meet(j *job) (streamer.End, bool) {
-	if o.scattered {
+	if o.scattered || j.proven {
 		return streamer.End{}, true
 	}
 	place := quarantiner.Place{Server: j.server.Name, Incarnation: j.server.Incarnation}
--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -21,6 +21,7 @@
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
 	"redwingstage.org/serving/scheduler"
 	"redwingstage.org/stage/booker"
 	"redwingstage.org/stage/logger"
@@ -48,8 +49,10 @@
 	unsettled int
 	released  int
 	absolved  []string
-	engine    *httptest.Server
-	owner     *Owner
+	// mute lets the engine's reports fail; sends has jobs sent at once, and acquits absolved when they ended well.
+	mute, sends, acquits bool
+	engine               *httptest.Server
+	owner                *Owner
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -79,10 +82,18 @@
 }
 
 func (f *fixture) answer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/hang" {
+		<-r.Context().Done()
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.Header().Set(marker.Attempt, r.Header.Get(marker.Attempt))
 	w.Header().Set(marker.Incarnation, f.report.Incarnation)
+	if r.URL.Path == "/load" && f.mute {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if r.URL.Path == "/load" {
 		_ = json.NewEncoder(w).Encode(f.report)
 		return
@@ -118,6 +129,16 @@
 	f.events = append(f.events, ev)
 	actions := f.actions
 	f.actions = nil
+	switch ev := ev.(type) {
+	case scheduler.Arrived:
+		if f.sends {
+			actions = append(actions, scheduler.Send{Job: ev.Job, Epoch: 3})
+		}
+	case scheduler.Ended:
+		if f.acquits && ev.OK {
+			actions = append(actions, scheduler.Absolve{Attempt: ev.Attempt})
+		}
+	}
 	return actions
 }
 
@@ -263,6 +284,64 @@
 	f.wait(t, "Incarnation:i2")
 }
 
+// A roster that lags behind the server's own report doesn't make it restart again, which would accuse what it runs since.
+func TestRestartIsLearntOnce(t *testing.T) {
+	f := newFixture(t)
+	f.wait(t, "scheduler.Owned")
+	f.change(func() { f.report.Incarnation = "i2" })
+	f.wait(t, "Incarnation:i2")
+	f.change(func() { f.events = nil })
+	f.assign(registrar.Owner{Entry: "near", Epoch: 3, OrderAfter: time.Millisecond}, true)
+	f.wait(t, "Incarnation:i2 Slots:2 Batch:2 Fenced:false Leaving:true")
+	qt.Check(t, f.saw("scheduler.Gone"), qt.IsFalse)
+}
+
+func (f *fixture) serve(uri string) streamer.End {
+	return f.owner.Serve(context.Background(), &streamer.Request{
+		Target: configurer.Target{Service: "base"}, Kind: configurer.KindPlain, Idempotent: true, Method: http.MethodGet, URI: uri,
+		Digest: quarantiner.Digest{7}, Arrived: time.Now(),
+	}, "e1", true, streamer.New(1<<10))
+}
+
+// An attempt that was given up ends with its server's process, though no failure of it follows.
+func TestGivenUpAttemptEndsWithItsProcess(t *testing.T) {
+	f := newFixture(t)
+	f.change(func() { f.sends = true })
+	f.wait(t, "scheduler.Reported")
+	ended := make(chan streamer.End, 1)
+	go func() { ended <- f.serve("/hang") }()
+	f.wait(t, "scheduler.Arrived")
+	f.change(func() {
+		f.mute = true
+		for _, ev := range f.events {
+			if ev, ok := ev.(scheduler.Arrived); ok {
+				f.actions = []scheduler.Action{scheduler.Fail{Attempt: ev.Job.Attempt, Recalled: true}}
+			}
+		}
+	})
+	f.wait(t, "scheduler.Tick")
+	f.change(func() { f.mute, f.report.Incarnation = false, "i2" })
+	f.wait(t, "scheduler.Ended")
+	qt.Check(t, (<-ended).Reason, qt.Equals, streamer.ReasonStanding)
+}
+
+// A suspect that ran to its end is absolved of what was known before it ran.
+func TestAbsolve(t *testing.T) {
+	f := newFixture(t)
+	f.change(func() { f.sends, f.acquits = true, true })
+	f.wait(t, "scheduler.Reported")
+	qt.Assert(t, f.serve("/x").Outcome, qt.Equals, retrier.Done)
+	for deadline := time.Now().Add(hang); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		n := len(f.absolved)
+		f.mu.Unlock()
+		if n > 0 {
+			break
+		}
+	}
+	qt.Check(t, f.absolved, qt.DeepEquals, []string{"7 3"})
+}
+
 // Orders carry the epoch; after the lease's end or a newer owner's order none is written.
 func TestOrdersEndWithTheLease(t *testing.T) {
 	load := scheduler.Load{Server: "e1", Target: configurer.Target{Service: "base", Adapter: "a", Version: 1}, Epoch: 3, Order: 9}
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -30,6 +30,7 @@
 // decision is the scheduler's word on a queued job.
 type decision struct {
 	send       bool
+	proven     bool
 	reason     scheduler.Reason
 	retryAfter time.Duration
 }
@@ -49,8 +50,10 @@
 	silent   atomic.Bool
 	recalled atomic.Bool
 	// seen is the roster's revision before the standing was looked up.
-	seen   uint64
-	claim  claim
+	seen  uint64
+	claim claim
+	// proven says that the same request ran to its end lately.
+	proven bool
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -111,6 +114,7 @@
 			Message: "the request was refused before it was sent: " + string(d.reason),
 		}
 	}
+	j.proven = d.proven
 	if j.req.IsBooking() {
 		return o.book(j, sink)
 	}
@@ -347,7 +351,11 @@
 		o.gone(h, true)
 		o.poll(h)
 	}
-	return o.jobs[j.attempt] == nil && j.isFailed()
+	if o.jobs[j.attempt] == nil {
+		return j.isFailed()
+	}
+	// The scheduler had given the attempt up before its process ended, so that no failure follows.
+	return err == nil || errors.As(err, &dead)
 }
 
 func (j *job) isFailed() bool {
