--- a/serving/quarantiner/claims_test.go
+++ b/serving/quarantiner/claims_test.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -71,7 +70,7 @@
 				}
 				qt.Check(t, meet, qt.Equals, s.want, qt.Commentf("step %d", i))
 			}
-			_, ok := c.Take(Digest{2}, Place{Server: fmt.Sprint("other")}, Alone)
+			_, ok := c.Take(Digest{2}, Place{Server: "other"}, Alone)
 			qt.Check(t, ok, qt.IsTrue)
 		})
 	}
--- a/serving/router/router.go
+++ b/serving/router/router.go
@@ -188,7 +188,7 @@
 	return buf
 }
 
-// Homes appends up to two owners at which copies of a request claim their places, the second for when the first doesn't
+// Homes appends up to three owners at which copies of a request claim their places, each for when those before it don't
 // answer. They depend on the roster, the adapter and, without an adapter, on the digest only, so that copies from all
 // entries meet; a cold adapter's owner is its requests' home, so that the claim costs no further hop.
 func (r *Router) Homes(t configurer.Target, digest []byte, buf []Candidate) []Candidate {
@@ -200,10 +200,11 @@
 	if t.Adapter == "" {
 		key = xxhash.Sum64(digest)
 	}
-	first := ""
+	isNew := func(n *node) bool {
+		return !slices.ContainsFunc(buf, func(c Candidate) bool { return c.Owner == n.owner.Entry })
+	}
 	for range maxHomes {
-		for _, n := range rg.walk(key, 1, func(n *node) bool { return n.owner.Entry != first }, nil) {
-			first = n.owner.Entry
+		for _, n := range rg.walk(key, 1, isNew, nil) {
 			buf = append(buf, Candidate{Server: n.server.Name, Owner: n.owner.Entry, Addr: n.owner.Addr})
 		}
 	}
@@ -211,7 +212,7 @@
 }
 
 // maxHomes is the largest number of homes of a request.
-const maxHomes = 2
+const maxHomes = 3
 
 // maxCandidates bounds the servers that one decision looks at.
 const maxCandidates = 16
--- a/serving/router/router_test.go
+++ b/serving/router/router_test.go
@@ -48,6 +48,34 @@
 	}
 }
 
+// All entries name the same homes, whatever they saw of the servers; a cold adapter's home owns its first candidate.
+func TestHomes(t *testing.T) {
+	c := qt.New(t)
+	a, b := New(Config{}, 1), New(Config{}, 2)
+	a.Rebuild(roster(12, nil), "base")
+	b.Rebuild(roster(12, nil), "base")
+	plain := configurer.Target{Service: "base"}
+	used := make(map[string]bool)
+	for i := range 300 {
+		digest := []byte{byte(i), byte(i >> 8)}
+		first := a.Route(start, adapter(i), 0, nil)[0]
+		b.Begin(start, first.Server, adapter(i))
+		b.Done(start, Feedback{Server: first.Server, Target: adapter(i), Result: Unreachable, Load: -1})
+		homes := a.Homes(adapter(i), digest, nil)
+		c.Assert(homes, qt.HasLen, maxHomes)
+		c.Assert(homes[0].Owner, qt.Equals, first.Owner)
+		c.Assert(map[string]bool{homes[0].Owner: true, homes[1].Owner: true, homes[2].Owner: true}, qt.HasLen, maxHomes)
+		c.Assert(b.Homes(adapter(i), digest, nil), qt.DeepEquals, homes)
+		other := a.Homes(plain, digest, nil)
+		c.Assert(b.Homes(plain, digest, nil), qt.DeepEquals, other)
+		used[other[0].Owner] = true
+	}
+	c.Assert(used, qt.HasLen, 8)
+	a.Rebuild(roster(1, nil), "base")
+	c.Assert(a.Homes(plain, nil, nil), qt.HasLen, 1)
+	c.Assert(a.Homes(configurer.Target{Service: "none"}, nil, nil), qt.HasLen, 0)
+}
+
 func TestLeavingAndUnreachableAreLeftOut(t *testing.T) {
 	c := qt.New(t)
 	r := New(Config{}, 1)
--- a/stage/attempter/attempter_test.go
+++ b/stage/attempter/attempter_test.go
@@ -21,6 +21,11 @@
 type script struct {
 	ends  []streamer.End
 	calls int
+	// standings are what is said one after the other; asked are the servers that were asked.
+	standings []quarantiner.Standing
+	asked     []string
+	locked    int
+	locks     int
 }
 
 func (s *script) Roster() *registrar.Roster {
@@ -33,12 +38,24 @@
 	return registrar.NewRoster(1, servers, nil, owners)
 }
 
-func (s *script) Standing(quarantiner.Digest) quarantiner.Standing { return quarantiner.Clear }
+func (s *script) Standing(quarantiner.Digest) quarantiner.Standing {
+	if len(s.standings) == 0 {
+		return quarantiner.Clear
+	}
+	standing := s.standings[0]
+	s.standings = s.standings[1:]
+	return standing
+}
 
-func (s *script) Lock(context.Context, quarantiner.Digest) (func(), error) { return func() {}, nil }
+func (s *script) Lock(context.Context, quarantiner.Digest) (func(), error) {
+	s.locked++
+	s.locks++
+	return func() { s.locked-- }, nil
+}
 
-func (s *script) Serve(_ context.Context, _ *streamer.Request, _ string, _ bool, sink streamer.Sink) streamer.End {
+func (s *script) Serve(_ context.Context, _ *streamer.Request, server string, _ bool, sink streamer.Sink) streamer.End {
 	s.calls++
+	s.asked = append(s.asked, server)
 	end := s.ends[min(s.calls, len(s.ends))-1]
 	if end.Message == "opened" {
 		sink.Head(streamer.Head{Status: 200})
@@ -92,6 +109,54 @@
 	}
 }
 
+// A request goes where its copies run; a suspect runs under the lock, unless its standing changed while it waited for it.
+func TestCopies(t *testing.T) {
+	const innocent, suspect, convicted = quarantiner.Clear, quarantiner.Suspect, quarantiner.Convicted
+	elsewhere := func(server string) streamer.End {
+		return streamer.End{Outcome: retrier.NotRun, Reason: streamer.ReasonElsewhere, Meet: server}
+	}
+	done := streamer.End{Outcome: retrier.Done}
+	for _, tt := range []struct {
+		name      string
+		ends      []streamer.End
+		standings []quarantiner.Standing
+		want      retrier.Outcome
+		last      string
+		calls     int
+		locks     int
+	}{
+		{name: "meet", ends: []streamer.End{elsewhere("e2"), done}, want: retrier.Done, last: "e2", calls: 2},
+		{name: "meet elsewhere again", ends: []streamer.End{elsewhere("e2"), elsewhere("e3"), done}, want: retrier.Done, last: "e3", calls: 3},
+		{name: "wait", ends: []streamer.End{elsewhere(""), done}, want: retrier.Done, calls: 2},
+		{name: "same server again", ends: []streamer.End{elsewhere("e2"), elsewhere("e2"), done}, want: retrier.Done, last: "e2", calls: 3},
+		{name: "unknown server", ends: []streamer.End{elsewhere("gone"), done}, want: retrier.Done, calls: 2},
+		{name: "suspect", standings: []quarantiner.Standing{suspect, suspect}, ends: []streamer.End{done}, want: retrier.Done, calls: 1, locks: 1},
+		{name: "convicted", standings: []quarantiner.Standing{convicted}, want: retrier.NotRun},
+		{name: "convicted at the lock", standings: []quarantiner.Standing{suspect, convicted}, want: retrier.NotRun, locks: 1},
+		{name: "absolved at the lock", standings: []quarantiner.Standing{suspect, innocent}, ends: []streamer.End{done}, want: retrier.Done, calls: 1, locks: 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{ends: tt.ends, standings: tt.standings}
+			a := New(Deps{
+				Name: "near", Control: s, Local: s, Router: router.New(router.Config{}, 1),
+				Retrier: retrier.New(retrier.Config{}, 1), Meter: meter.New(prometheus.NewRegistry()),
+			})
+			now := time.Now()
+			end := a.Do(context.Background(), &streamer.Request{
+				Target: configurer.Target{Service: "base"}, Idempotent: true, Arrived: now,
+				FirstBy: now.Add(time.Minute), Deadline: now.Add(time.Hour),
+			}, streamer.New(1))
+			qt.Check(t, end.Outcome, qt.Equals, tt.want)
+			qt.Check(t, s.calls, qt.Equals, tt.calls)
+			qt.Check(t, s.locks, qt.Equals, tt.locks)
+			qt.Check(t, s.locked, qt.Equals, 0)
+			if tt.last != "" {
+				qt.Check(t, s.asked[len(s.asked)-1], qt.Equals, tt.last)
+			}
+		})
+	}
+}
+
 // racer answers late at the first candidate and at once at the second.
 type racer struct {
 	script
--- a/stage/dispatcher/faults_test.go
+++ b/stage/dispatcher/faults_test.go
@@ -26,6 +26,7 @@
 	add("booking owner", "closed", 7)
 	list = append(list, lister.Cell{Rule: 7, Step: "stream owner", Fault: "closed", Test: "TestGracefulClose", Package: "redwingstage.org/stage/dispatcher", Seeds: 1})
 	list = append(list, lister.Cell{Rule: 3, Step: "stream caller", Fault: "many at once and some gone", Test: "TestCrossTalk", Package: "redwingstage.org/stage/dispatcher", Seeds: 1})
+	list = append(list, lister.Cell{Rule: 3, Step: "stream entries", Fault: "request crashes engines, through all at once", Test: "TestPoisonAtAllEntries", Package: "redwingstage.org/stage/dispatcher", Seeds: 1})
 	for _, f := range streamRows() {
 		add("stream "+f.step, f.name, 1, 3)
 	}
--- a/stage/dispatcher/poison_test.go
+++ b/stage/dispatcher/poison_test.go
@@ -62,7 +62,7 @@
 			if c.text() != "poison" || len(c.req.Header.Peek(marker.Resume)) > 0 {
 				return false
 			}
-			tr.crash(b)
+			tr.crash(c)
 			return true
 		}
 		tr.entries, tr.engines = append(tr.entries, d), append(tr.engines, b)
@@ -74,8 +74,10 @@
 	return tr
 }
 
-// crash ends the engine's process once the copies had time to spread, and at once when they have.
-func (tr *poisonTrial) crash(b *backend) {
+// crash ends the engine's process once the copies had time to spread, and at once when they have; a request that is
+// cancelled by then runs no longer.
+func (tr *poisonTrial) crash(c *call) {
+	b := c.backend
 	before := b.server().Incarnation
 	tr.mu.Lock()
 	tr.at[b.name+before] = true
@@ -89,7 +91,10 @@
 	}
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if b.server().Incarnation == before {
+	b.mu.Lock()
+	cancelled := b.cancelled[c.attempt]
+	b.mu.Unlock()
+	if b.server().Incarnation == before && !cancelled {
 		tr.crashes.Add(1)
 		b.restart()
 		tr.world.announce(b.server())
--- a/stage/forwarder/claim.go
+++ b/stage/forwarder/claim.go
@@ -16,7 +16,7 @@
 const (
 	claimProcedure = "/redwing.forwarder/Claim"
 	// claimLimit bounds the wait for an entry's answer to a claim; quietLimit is how long one that failed isn't asked.
-	claimLimit = 300 * time.Millisecond
+	claimLimit = time.Second
 	quietLimit = 2 * time.Second
 )
 
--- /dev/null
+++ b/stage/forwarder/claim_test.go
@@ -0,0 +1,133 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/quarantiner"
+)
+
+// book keeps claims and counts those that are held.
+type book struct {
+	mu      sync.Mutex
+	claims  *quarantiner.Claims
+	closing chan struct{}
+}
+
+func (b *book) Claim(d quarantiner.Digest, p quarantiner.Place, m quarantiner.Mode) (func(), string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	meet, ok := b.claims.Take(d, p, m)
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.claims.Free(d, p)
+	}, meet, ok
+}
+
+func (b *book) Closing() <-chan struct{} { return b.closing }
+
+func (b *book) empty(t testing.TB) {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		b.mu.Lock()
+		n := b.claims.Len()
+		b.mu.Unlock()
+		if n == 0 {
+			return
+		}
+	}
+	t.Fatal("the claim was not given back")
+}
+
+func newBook(t testing.TB) (*book, string) {
+	b := &book{claims: quarantiner.NewClaims(), closing: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.Handle(NewClaimHandler(b))
+	srv := httptest.NewUnstartedServer(mux)
+	srv.Config = encoder.NewServer(mux)
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return b, srv.Listener.Addr().String()
+}
+
+// A claim lasts until it is given back, its process ends or its keeper closes.
+func TestClaim(t *testing.T) {
+	x, y := quarantiner.Place{Server: "x"}, quarantiner.Place{Server: "y"}
+	ctx, d := context.Background(), quarantiner.Digest{1}
+	b, addr := newBook(t)
+	near, far := NewClient(), NewClient()
+	defer near.Close()
+	defer far.Close()
+	free, _, ok, err := near.Claim(ctx, addr, d, x, quarantiner.Shared)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ok, qt.IsTrue)
+	_, meet, ok, err := far.Claim(ctx, addr, d, y, quarantiner.Shared)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, ok, qt.IsFalse)
+	qt.Check(t, meet, qt.Equals, "x")
+	free()
+	b.empty(t)
+	// The wait for an answer ends with it, the claim doesn't.
+	gone, cancel := context.WithCancel(ctx)
+	free, _, ok, err = far.Claim(gone, addr, d, y, quarantiner.Alone)
+	cancel()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ok, qt.IsTrue)
+	_, meet, ok, err = near.Claim(ctx, addr, d, x, quarantiner.Shared)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, ok, qt.IsFalse)
+	qt.Check(t, meet, qt.Equals, "")
+	close(b.closing)
+	b.empty(t)
+	_, _, _, err = near.Claim(ctx, addr, d, x, quarantiner.Shared)
+	qt.Check(t, err, qt.ErrorMatches, ".*this entry shuts down")
+	_, _, _, err = near.Claim(ctx, addr, d, x, quarantiner.Shared)
+	qt.Check(t, err, qt.ErrorIs, errQuiet)
+	free()
+}
+
+func TestBadClaims(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		place quarantiner.Place
+		mode  quarantiner.Mode
+		want  string
+	}{
+		{"server", quarantiner.Place{}, quarantiner.Shared, ".*server: missing"},
+		{"mode", quarantiner.Place{Server: "x"}, 7, ".*mode: unknown 7"},
+		{"negative mode", quarantiner.Place{Server: "x"}, -1, ".*mode: unknown -1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			_, addr := newBook(t)
+			c := NewClient()
+			defer c.Close()
+			_, _, _, err := c.Claim(context.Background(), addr, quarantiner.Digest{}, tt.place, tt.mode)
+			qt.Check(t, err, qt.ErrorMatches, tt.want)
+		})
+	}
+}
+
+// BenchmarkClaim is what a request pays whose home isn't the owner of its server.
+func BenchmarkClaim(b *testing.B) {
+	_, addr := newBook(b)
+	c := NewClient()
+	defer c.Close()
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		d := quarantiner.Digest{byte(n), byte(n >> 8), byte(n >> 16)}
+		free, _, ok, err := c.Claim(context.Background(), addr, d, quarantiner.Place{Server: "x"}, quarantiner.Shared)
+		if err != nil || !ok {
+			b.Fatal(ok, err)
+		}
+		free()
+	}
+}
--- a/stage/owner/meet.go
+++ b/stage/owner/meet.go
@@ -88,10 +88,10 @@
 	return quarantiner.Shared
 }
 
-// meet claims the job's place at the first home that answers. When none does, the job goes on without: an entry that is gone
-// must not stop requests, and the suspicion after the first crash still has them run one at a time.
+// meet claims the job's place at the first home that answers. When none does, the request isn't sent, and its entry tries
+// again: the roster soon lists other homes in place of those that are gone.
 func (o *Owner) meet(j *job) (streamer.End, bool) {
-	if o.scattered || j.proven {
+	if o.scattered || j.proven || len(j.req.Homes) == 0 {
 		return streamer.End{}, true
 	}
 	place := quarantiner.Place{Server: j.server.Name, Incarnation: j.server.Incarnation}
@@ -107,6 +107,7 @@
 		}
 		switch {
 		case err != nil:
+			o.Log.Warn("no answer to a claim from "+h.Entry+": "+err.Error(), j.req.ID)
 			continue
 		case !ok:
 			end := refused(streamer.ReasonElsewhere, "a copy of the request runs elsewhere")
@@ -116,7 +117,7 @@
 		j.hold(free)
 		return streamer.End{}, true
 	}
-	return streamer.End{}, true
+	return refused(streamer.ReasonElsewhere, "no entry tells whether a copy of the request runs elsewhere"), false
 }
 
 // revision returns that of the roster, which is the live state's.
