--- a/serving/scheduler/copies.go
+++ b/serving/scheduler/copies.go
@@ -49,9 +49,13 @@
 	}
 }
 
-// mayJoin reports whether one more attempt of a digest without a suspicion may run at the server.
-func (c *copies) mayJoin(server string, d quarantiner.Digest) bool {
-	return c.isProven(d) || c.at[copyAt{server, d}] == 0 && c.total[d] < maxCopies
+// mayJoin reports whether one more attempt of a digest without a suspicion may run at the server. One that may not run twice
+// isn't held up behind a copy: its record lets each key run once, and answers the copies.
+func (c *copies) mayJoin(j *job) bool {
+	if c.isProven(j.Digest) {
+		return true
+	}
+	return c.total[j.Digest] < maxCopies && (!j.Idempotent || c.at[copyAt{j.Server, j.Digest}] == 0)
 }
 
 // prove remembers a digest that ran to its end, so that what many callers ask alike isn't held up.
--- /dev/null
+++ b/serving/scheduler/copies_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
+)
+
+// copyOf returns a job of one digest at any server that needs no adapter.
+func (f *fixture) copyOf(change func(*Job)) Job {
+	return f.job(0, func(j *Job) {
+		j.Target, j.Digest, j.Idempotent = configurer.Target{Service: "base"}, quarantiner.Digest{1}, true
+		if change != nil {
+			change(j)
+		}
+	})
+}
+
+// Copies run one after the other at a server until one has run to its end; a suspicion holds them up again.
+func TestCopies(t *testing.T) {
+	f := newFixture(t, Config{}, engine(1, 8))
+	second := engine(1, 8)
+	second.Name = "e2"
+	third := second
+	third.Name = "e3"
+	f.do(Owned{Server: second, Epoch: 1})
+	f.do(Owned{Server: third, Epoch: 1})
+	a, b := f.copyOf(nil), f.copyOf(nil)
+	f.c.Assert(only[Send](f.do(Arrived{Job: a})), qt.HasLen, 1)
+	f.c.Assert(only[Send](f.do(Arrived{Job: b})), qt.HasLen, 0)
+	// A hedge may run at one more server.
+	f.c.Assert(only[Send](f.do(Arrived{Job: f.copyOf(func(j *Job) { j.Server = "e2" })})), qt.HasLen, 1)
+	f.c.Assert(only[Send](f.do(Arrived{Job: f.copyOf(func(j *Job) { j.Server = "e3" })})), qt.HasLen, 0)
+	sends := only[Send](f.do(Ended{Attempt: a.Attempt}))
+	f.c.Assert(sends, qt.HasLen, 1)
+	f.c.Assert(sends[0].Proven, qt.IsFalse)
+	f.do(Ended{Attempt: b.Attempt, OK: true})
+	for range 3 {
+		sends = only[Send](f.do(Arrived{Job: f.copyOf(nil)}))
+		f.c.Assert(sends, qt.HasLen, 1)
+		f.c.Assert(sends[0].Proven, qt.IsTrue)
+	}
+	f.do(Gone{Server: "e1", Crashed: true})
+	f.do(Owned{Server: engine(1, 8), Epoch: 2})
+	f.do(Judged{Digest: quarantiner.Digest{1}, Standing: quarantiner.Clear})
+	sends = only[Send](f.do(Arrived{Job: f.copyOf(nil)}))
+	f.c.Assert(len(sends) > 0 && sends[0].Proven, qt.IsFalse)
+}
+
+// A copy of a booking goes on to the record while the first one runs.
+func TestBookingsAreNotHeldUp(t *testing.T) {
+	f := newFixture(t, Config{}, engine(1, 8))
+	booking := func(j *Job) { j.Idempotent = false }
+	f.c.Assert(only[Send](f.do(Arrived{Job: f.copyOf(booking)})), qt.HasLen, 1)
+	f.c.Assert(only[Send](f.do(Arrived{Job: f.copyOf(booking)})), qt.HasLen, 1)
+}
+
+// A suspicion recalls what was sent before it, unless its answer has begun or it may not run twice.
+func TestRecall(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*Job)
+		tokens int
+		want   int
+	}{
+		{"sent", nil, 0, 1},
+		{"answer has begun", nil, 1, 0},
+		{"may not run twice", func(j *Job) { j.Idempotent = false }, 0, 0},
+		{"another request", func(j *Job) { j.Digest = quarantiner.Digest{2} }, 0, 0},
+		{"sent as a suspect", func(j *Job) { j.Standing = quarantiner.Suspect }, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, Config{}, engine(1, 8))
+			j := f.copyOf(tt.change)
+			f.c.Assert(only[Send](f.do(Arrived{Job: j})), qt.HasLen, 1)
+			f.do(Progress{Attempt: j.Attempt, Tokens: tt.tokens})
+			got := f.do(Judged{Digest: quarantiner.Digest{1}, Standing: quarantiner.Suspect})
+			f.c.Assert(only[Cancel](got), qt.HasLen, tt.want)
+			f.c.Assert(only[Refuse](got), qt.HasLen, 0)
+			fails := only[Fail](got)
+			f.c.Assert(fails, qt.HasLen, tt.want)
+			if tt.want > 0 {
+				f.c.Assert(fails[0], qt.Equals, Fail{Attempt: j.Attempt, Recalled: true})
+			}
+		})
+	}
+}
--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -146,7 +146,7 @@
 	if s.standing(now, j) == quarantiner.Suspect {
 		return sv.suspects == 0 && s.copies.total[j.Digest] == 0
 	}
-	return s.copies.mayJoin(j.Server, j.Digest)
+	return s.copies.mayJoin(j)
 }
 
 func (s *Scheduler) longLimit(sv *server) int {
--- a/stage/dispatcher/poison_test.go
+++ b/stage/dispatcher/poison_test.go
@@ -212,6 +212,7 @@
 
 // One request sent at once through all entries, and again after each failure, crashes at most two engines.
 func TestPoisonAtAllEntries(t *testing.T) {
+	t.Parallel()
 	tr := newPoisonTrial(t)
 	qt.Check(t, tr.run(), qt.HasLen, 0)
 	t.Logf("%d crashes, %d innocent requests answered, %d sent again by their callers, %d suspicions dropped",
@@ -220,6 +221,7 @@
 
 // Without claims the copies are at several engines before the first crash is known.
 func TestPoisonWithoutClaims(t *testing.T) {
+	t.Parallel()
 	tr := newPoisonTrial(t)
 	for _, d := range tr.entries {
 		switchOff(d.owner, "scattered")
--- a/stage/owner/meet.go
+++ b/stage/owner/meet.go
@@ -89,9 +89,10 @@
 }
 
 // meet claims the job's place at the first home that answers. When none does, the request isn't sent, and its entry tries
-// again: the roster soon lists other homes in place of those that are gone.
+// again: the roster soon lists other homes in place of those that are gone. A booking
+// claims nothing: its record lets each key run once, and has to be asked to answer a copy.
 func (o *Owner) meet(j *job) (streamer.End, bool) {
-	if o.scattered || j.proven || len(j.req.Homes) == 0 {
+	if o.scattered || j.proven || j.req.IsBooking() || len(j.req.Homes) == 0 {
 		return streamer.End{}, true
 	}
 	place := quarantiner.Place{Server: j.server.Name, Incarnation: j.server.Incarnation}
--- a/stage/owner/meet_test.go
+++ b/stage/owner/meet_test.go
@@ -47,6 +47,7 @@
 		hedge    bool
 		standing quarantiner.Standing
 		proven   bool
+		booking  bool
 		ended    bool
 		asked    []string
 		meet     string
@@ -63,13 +64,14 @@
 		{name: "suspect", homes: far("alone"), standing: quarantiner.Suspect, asked: []string{"alone"}, ok: true, freed: 1},
 		{name: "suspect hedge", homes: far("alone"), hedge: true, standing: quarantiner.Suspect, asked: []string{"alone"}, ok: true, freed: 1},
 		{name: "proven", homes: far("elsewhere"), proven: true, ok: true},
+		{name: "booking", homes: far("elsewhere"), booking: true, ok: true},
 		{name: "own home", homes: []streamer.Home{{Entry: "near"}}, ok: true},
 		{name: "server died meanwhile", homes: far("free"), ended: true, asked: []string{"free"}, ok: true, freed: 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			h := &homes{}
 			o := &Owner{Deps: Deps{Homes: h, Log: logger.New(io.Discard, "error").Part("owner")}, id: booker.Identity{Entry: "near"}, keeper: newKeeper()}
-			j := &job{ctx: context.Background(), req: &streamer.Request{Homes: tt.homes, Hedge: tt.hedge}, server: registrar.Server{Name: "y"}}
+			j := &job{ctx: context.Background(), req: &streamer.Request{Homes: tt.homes, Hedge: tt.hedge, Idempotent: !tt.booking}, server: registrar.Server{Name: "y"}}
 			j.job.Standing, j.proven = tt.standing, tt.proven
 			if tt.ended {
 				j.free()
