--- a/serving/scheduler/copies_test.go
+++ b/serving/scheduler/copies_test.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/retrier"
 )
 
 // copyOf returns a job of one digest at any server that needs no adapter.
@@ -58,6 +60,20 @@
 	f.c.Assert(only[Send](f.do(Arrived{Job: f.copyOf(booking)})), qt.HasLen, 1)
 }
 
+// What wasn't written yet when a server crashed isn't accused.
+func TestUnwrittenAreNotAccused(t *testing.T) {
+	f := newFixture(t, Config{}, engine(1, 8))
+	a, b := f.copyOf(nil), f.copyOf(func(j *Job) { j.Digest = quarantiner.Digest{2} })
+	f.do(Arrived{Job: a})
+	f.do(Arrived{Job: b})
+	got := f.do(Gone{Server: "e1", Crashed: true, Unwritten: []retrier.Attempt{b.Attempt}})
+	f.c.Assert(only[Fail](got), qt.HasLen, 2)
+	accused := only[Accuse](got)
+	f.c.Assert(accused, qt.HasLen, 1)
+	f.c.Assert(slices.Equal(accused[0].Attempts, []retrier.Attempt{a.Attempt}), qt.IsTrue)
+	f.c.Assert(f.s.suspect.Standing(f.now, b.Digest), qt.Equals, quarantiner.Clear)
+}
+
 // A suspicion recalls what was sent before it, unless its answer has begun or it may not run twice.
 func TestRecall(t *testing.T) {
 	for _, tt := range []struct {
--- a/serving/scheduler/event.go
+++ b/serving/scheduler/event.go
@@ -61,6 +61,8 @@
 	Server string
 	// Crashed says that the process died with requests in flight, not that it was unreachable.
 	Crashed bool
+	// Unwritten are attempts that were to be sent and weren't written yet, so that they can't have crashed it.
+	Unwritten []retrier.Attempt
 }
 
 // Arrived brings a new job.
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -67,7 +67,7 @@
 	case LeaseLost:
 		s.leaseLost(now)
 	case Gone:
-		s.gone(now, ev.Server, ev.Crashed)
+		s.gone(now, ev.Server, ev.Crashed, ev.Unwritten)
 	case Arrived:
 		s.arrived(now, ev.Job)
 	case Cancelled:
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if sv != nil && sv.reg.Incarnation != ev.Server.Incarnation && !s.off.reset {
-		s.gone(now, name, len(sv.inFlight) > 0)
+		s.gone(now, name, len(sv.inFlight) > 0, nil)
 		sv = nil
 	}
 	fresh := sv == nil || sv.epoch != ev.Epoch
@@ -141,22 +141,23 @@
 }
 
 // gone ends everything on a server that died or restarted.
-func (s *Scheduler) gone(now time.Time, name string, crashed bool) {
+func (s *Scheduler) gone(now time.Time, name string, crashed bool, unwritten []retrier.Attempt) {
 	sv := s.servers[name]
 	if sv == nil {
 		return
 	}
 	attempts := sortedAttempts(sv.inFlight)
-	if crashed && len(attempts) > 0 {
-		digests := make([]quarantiner.Digest, 0, len(attempts))
-		for _, a := range attempts {
+	accused := slices.DeleteFunc(slices.Clone(attempts), func(a retrier.Attempt) bool { return slices.Contains(unwritten, a) })
+	if crashed && len(accused) > 0 {
+		digests := make([]quarantiner.Digest, 0, len(accused))
+		for _, a := range accused {
 			if d := sv.inFlight[a].Digest; d != (quarantiner.Digest{}) {
 				digests = append(digests, d)
 				s.copies.doubt(d)
 			}
 		}
 		s.suspect.Accuse(now, name+"/"+sv.reg.Incarnation, digests)
-		s.emit(Accuse{Server: name, Attempts: attempts})
+		s.emit(Accuse{Server: name, Attempts: accused})
 	}
 	for _, a := range attempts {
 		j := sv.inFlight[a]
--- a/stage/owner/book.go
+++ b/stage/owner/book.go
@@ -19,7 +19,7 @@
 	ctx, cancel := context.WithTimeout(j.ctx, bookingLimit)
 	defer cancel()
 	r := o.Booker.Run(ctx, j.req, j.attempt.String(), func() sender.Reply {
-		return o.Sender.Call(ctx, o.call(j), sink)
+		return o.write(ctx, j, sink)
 	})
 	end := r.End
 	switch {
--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -280,7 +280,7 @@
 	f := newFixture(t)
 	f.wait(t, "scheduler.Owned")
 	f.change(func() { f.report.Incarnation = "i2" })
-	f.wait(t, "scheduler.Gone{Server:e1 Crashed:true}")
+	f.wait(t, "scheduler.Gone{Server:e1 Crashed:true Unwritten:[]}")
 	f.wait(t, "Incarnation:i2")
 }
 
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -48,6 +48,8 @@
 	failed   chan struct{}
 	crashed  atomic.Bool
 	silent   atomic.Bool
+	// written says that the request may have reached its server.
+	written  atomic.Bool
 	recalled atomic.Bool
 	// seen is the roster's revision before the standing was looked up.
 	seen  uint64
@@ -190,7 +192,7 @@
 		return end
 	}
 	out := o.observe(j, sink)
-	reply := o.Sender.Call(j.ctx, o.call(j), out)
+	reply := o.write(j.ctx, j, out)
 	for n := 0; n < maxResumes && o.mayResume(j, reply); n++ {
 		next := o.call(j)
 		next.Attempt, next.Resume, next.Offset = o.attempt().String(), j.attempt.String(), out.events
@@ -210,6 +212,14 @@
 	return o.settle(j, reply.End, out.events)
 }
 
+// write sends the job's first call; one that was refused or not written can't have crashed its server.
+func (o *Owner) write(ctx context.Context, j *job, sink streamer.Sink) sender.Reply {
+	j.written.Store(true)
+	reply := o.Sender.Call(ctx, o.call(j), sink)
+	j.written.Store(reply.End.Outcome != retrier.NotRun)
+	return reply
+}
+
 func (o *Owner) mayResume(j *job, reply sender.Reply) bool {
 	if reply.Settled || !j.req.Stream || j.ctx.Err() != nil {
 		return false
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -12,6 +12,7 @@
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
 	"redwingstage.org/serving/scheduler"
 	"redwingstage.org/stage/sender"
 )
@@ -263,10 +264,21 @@
 	o.Sender.Drop(s.Addr)
 	o.Log.Warn("backend server is gone or restarted", s.Name)
 	o.going = true
-	o.handle(scheduler.Gone{Server: s.Name, Crashed: crashed})
+	o.handle(scheduler.Gone{Server: s.Name, Crashed: crashed, Unwritten: o.unwritten(s.Name)})
 	o.going = false
 }
 
+// unwritten lists the attempts that are to be sent to a server and wait for a claim or a record.
+func (o *Owner) unwritten(server string) []retrier.Attempt {
+	var list []retrier.Attempt
+	for a, j := range o.jobs {
+		if j.server.Name == server && j.sent && !j.written.Load() {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // adopt tells the scheduler of a server with what the server itself reports as resident.
 func (o *Owner) adopt(h *held, report sender.Report) {
 	first := !h.adopted
