--- a/serving/scheduler/action.go
+++ b/serving/scheduler/action.go
@@ -38,6 +38,8 @@
 type Send struct {
 	Job   Job
 	Epoch uint64
+	// Proven says that the same request ran to its end lately, so that copies of it needn't meet.
+	Proven bool
 }
 
 // Refuse ends a job that was never written to a server; the router may try the next candidate.
@@ -98,6 +100,8 @@
 	Attempt retrier.Attempt
 	// Crashed says that the server's process died under it.
 	Crashed bool
+	// Recalled says that nothing is wrong with the server; the request became suspect.
+	Recalled bool
 }
 
 // Accuse reports the attempts in flight at a crash, so that their digests become suspects everywhere.
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -21,7 +21,7 @@
 	jobs    map[retrier.Attempt]*job
 	ended   endedRing
 	suspect *quarantiner.Registry
-	digests map[quarantiner.Digest]int
+	copies  copies
 	classes map[string]*classStats
 	slow    *detector.Detector
 	order   uint64
@@ -31,7 +31,7 @@
 
 // breaks switches mechanisms off, so that tests can show that the checker notices.
 type breaks struct {
-	pins, residency, leaving, reports, lease, orders, suspects, reset, inherit, settle, apart bool
+	pins, residency, leaving, reports, lease, orders, suspects, reset, inherit, settle, claims bool
 }
 
 // classStats is what was observed of a class.
@@ -50,7 +50,7 @@
 		jobs:    make(map[retrier.Attempt]*job),
 		ended:   newEndedRing(),
 		suspect: quarantiner.New(quarantiner.Config{}),
-		digests: make(map[quarantiner.Digest]int),
+		copies:  newCopies(),
 		classes: make(map[string]*classStats),
 		slow:    detector.New(detector.Config{}),
 	}
@@ -67,7 +67,7 @@
 	case LeaseLost:
 		s.leaseLost(now)
 	case Gone:
-		s.gone(now, ev.Server, ev.Crashed)
+		s.gone(now, ev.Server, ev.Crashed, ev.Unwritten)
 	case Arrived:
 		s.arrived(now, ev.Job)
 	case Cancelled:
@@ -136,6 +136,8 @@
 func (s *Scheduler) judged(now time.Time, ev Judged) {
 	if ev.Standing == quarantiner.Clear {
 		s.suspect.Clear(ev.Digest)
+	} else {
+		s.copies.doubt(ev.Digest)
 	}
 	for _, name := range s.names() {
 		sv := s.servers[name]
@@ -152,15 +154,16 @@
 	}
 }
 
-// recall cancels the attempts of a suspect that were sent before the suspicion, so that they run apart from now on.
+// recall cancels the attempts of a suspect that were sent before the suspicion and gave no token, so that they run apart from
+// now on; an answer that has begun isn't cut, since the claims bound the servers that it may be at.
 func (s *Scheduler) recall(now time.Time, sv *server, d quarantiner.Digest) {
 	for _, a := range sortedAttempts(sv.inFlight) {
 		j := sv.inFlight[a]
-		if j.Digest != d || j.apart || j.failed || j.cancelled || !j.Idempotent {
+		if j.Digest != d || j.apart || j.failed || j.cancelled || !j.Idempotent || !j.firstAt.IsZero() {
 			continue
 		}
 		j.failed = true
-		s.emit(Fail{Attempt: a})
+		s.emit(Fail{Attempt: a, Recalled: true})
 		s.cancel(now, j)
 	}
 }
--- a/stage/owner/action.go
+++ b/stage/owner/action.go
@@ -30,7 +30,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case scheduler.Send:
-			o.decide(a.Job.Attempt, decision{send: true})
+			o.decide(a.Job.Attempt, decision{send: true, proven: a.Proven})
 		case scheduler.Refuse:
 			o.decide(a.Attempt, decision{reason: a.Reason, retryAfter: a.RetryAfter})
 			o.Meter.Refused(string(a.Reason))
@@ -42,6 +42,8 @@
 			failed = append(failed, a)
 		case scheduler.Accuse:
 			accused = &a
+		case scheduler.Absolve:
+			o.absolve(a)
 		case scheduler.AskPermit:
 			o.askPermit(a)
 		case scheduler.WithdrawPermit:
@@ -88,6 +90,7 @@
 		for _, a := range accused.Attempts {
 			if j := o.jobs[a]; j != nil {
 				digests = append(digests, j.req.Digest)
+				o.accused[j.req.Digest] = false
 			}
 		}
 	}
@@ -102,6 +105,7 @@
 			delete(o.jobs, f.Attempt)
 		default:
 			// The server still runs it: the attempt ends once the cancel is confirmed.
+			j.recalled.Store(f.Recalled)
 			j.silent.Store(true)
 			j.cancel()
 		}
@@ -113,6 +117,7 @@
 		for _, j := range cut {
 			close(j.failed)
 			j.cancel()
+			j.free()
 		}
 	})
 }
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -30,6 +30,7 @@
 // decision is the scheduler's word on a queued job.
 type decision struct {
 	send       bool
+	proven     bool
 	reason     scheduler.Reason
 	retryAfter time.Duration
 }
@@ -47,8 +48,16 @@
 	failed   chan struct{}
 	crashed  atomic.Bool
 	silent   atomic.Bool
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// written says that the request may have reached its server.
+	written  atomic.Bool
+	recalled atomic.Bool
+	// seen is the roster's revision before the standing was looked up.
+	seen  uint64
+	claim claim
+	// proven says that the same request ran to its end lately.
+	proven bool
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Serve queues the request for the server, and answers into sink once it has run.
@@ -107,6 +116,7 @@
 			Message: "the request was refused before it was sent: " + string(d.reason),
 		}
 	}
+	j.proven = d.proven
 	if j.req.IsBooking() {
 		return o.book(j, sink)
 	}
@@ -120,7 +130,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	j := &job{
-		attempt: o.attempt(), req: req, decided: make(chan decision, 2), failed: make(chan struct{}),
+		seen: o.revision(), attempt: o.attempt(), req: req, decided: make(chan decision, 2), failed: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
 	}
 	j.job = scheduler.Job{
@@ -167,8 +177,10 @@
 		if o.jobs[j.attempt] == nil {
 			return
 		}
-		delete(o.jobs, j.attempt)
+		j.free()
+		// The scheduler may absolve the request, so that the job is still known.
 		o.handle(ev)
+		delete(o.jobs, j.attempt)
 		o.checkDrained()
 	})
 }
@@ -180,7 +192,7 @@
 		return end
 	}
 	out := o.observe(j, sink)
-	reply := o.Sender.Call(j.ctx, o.call(j), out)
+	reply := o.write(j.ctx, j, out)
 	for n := 0; n < maxResumes && o.mayResume(j, reply); n++ {
 		next := o.call(j)
 		next.Attempt, next.Resume, next.Offset = o.attempt().String(), j.attempt.String(), out.events
@@ -200,6 +212,14 @@
 	return o.settle(j, reply.End, out.events)
 }
 
+// write sends the job's first call; one that was refused or not written can't have crashed its server.
+func (o *Owner) write(ctx context.Context, j *job, sink streamer.Sink) sender.Reply {
+	j.written.Store(true)
+	reply := o.Sender.Call(ctx, o.call(j), sink)
+	j.written.Store(reply.End.Outcome != retrier.NotRun)
+	return reply
+}
+
 func (o *Owner) mayResume(j *job, reply sender.Reply) bool {
 	if reply.Settled || !j.req.Stream || j.ctx.Err() != nil {
 		return false
@@ -222,6 +242,15 @@
 
 // recheck looks at what may have changed while the job was queued.
 func (o *Owner) recheck(j *job) (streamer.End, bool) {
+	if end, ok := o.meet(j); !ok {
+		return end, false
+	}
+	switch {
+	case j.isFailed():
+		return refused(streamer.Reason(scheduler.ReasonLeaving), "the backend server's process died before the request was sent"), false
+	case j.recalled.Load():
+		return refused(streamer.ReasonStanding, "the request became suspect before it was sent"), false
+	}
 	if j.ctx.Err() != nil {
 		return refused(streamer.ReasonCancelled, "the caller went away"), false
 	}
@@ -268,7 +297,10 @@
 			end.Reason, end.Message = streamer.ReasonCrashed, "the backend server's process died under the request"
 		}
 	default:
-		if j.silent.Load() {
+		switch {
+		case j.recalled.Load():
+			end.Reason, end.Message = streamer.ReasonStanding, "the request became suspect while it ran"
+		case j.silent.Load():
 			end.Reason, end.Message = streamer.ReasonSilent, "the backend server went silent"
 		}
 	}
@@ -329,7 +361,11 @@
 		o.gone(h, true)
 		o.poll(h)
 	}
-	return o.jobs[j.attempt] == nil && j.isFailed()
+	if o.jobs[j.attempt] == nil {
+		return j.isFailed()
+	}
+	// The scheduler had given the attempt up before its process ended, so that no failure follows.
+	return err == nil || errors.As(err, &dead)
 }
 
 func (j *job) isFailed() bool {
--- a/stage/owner/server.go
+++ b/stage/owner/server.go
@@ -10,7 +10,9 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/serving/configurer"
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/serving/retrier"
 	"redwingstage.org/serving/scheduler"
 	"redwingstage.org/stage/sender"
 )
@@ -19,6 +21,8 @@
 type held struct {
 	server registrar.Server
 	owner  registrar.Owner
+	// listed is what the roster said last, which may lag behind the server's own report.
+	listed registrar.Server
 	// announced is the last announcement that the scheduler was told.
 	announced registrar.Server
 	since     time.Time
@@ -57,12 +61,10 @@
 	}
 }
 
-// rejudge tells the scheduler of standings that changed while requests were queued.
+// rejudge tells the scheduler of standings that changed while requests were queued or ran.
 func (o *Owner) rejudge() {
+	o.follow()
 	for _, j := range o.jobs {
-		if j.sent {
-			continue
-		}
 		if now := o.Control.Standing(j.req.Digest); now != j.standing {
 			j.standing = now
 			o.handle(scheduler.Judged{Digest: j.req.Digest, Standing: now})
@@ -70,6 +72,21 @@
 	}
 }
 
+// follow tells the scheduler of suspicions that were dropped everywhere, so that its own go as well.
+func (o *Owner) follow() {
+	for d, known := range o.accused {
+		switch now := o.Control.Standing(d); {
+		case now == quarantiner.Suspect:
+			o.accused[d] = true
+		case now == quarantiner.Convicted:
+			delete(o.accused, d)
+		case known:
+			delete(o.accused, d)
+			o.handle(scheduler.Judged{Digest: d, Standing: quarantiner.Clear})
+		}
+	}
+}
+
 // claim takes up a server or a change of its announcement; the scheduler hears of it after the server's own report.
 func (o *Owner) claim(s registrar.Server, owner registrar.Owner, now time.Time) {
 	if o.closing || !now.Before(o.Control.LeaseEnd()) {
@@ -80,7 +97,7 @@
 		return
 	}
 	if h == nil || h.owner.Epoch != owner.Epoch {
-		h = &held{server: s, owner: owner, since: now, orderAt: now, answered: now}
+		h = &held{server: s, listed: s, owner: owner, since: now, orderAt: now, answered: now}
 		if !owner.Clean {
 			h.orderAt = now.Add(owner.OrderAfter)
 		}
@@ -88,9 +105,15 @@
 		o.poll(h)
 		return
 	}
-	if h.server == s {
+	if h.listed == s {
 		return
 	}
+	if s.Incarnation == h.listed.Incarnation {
+		// The server itself may have told of a restart that the roster doesn't list yet; that isn't another one.
+		s.Incarnation = h.server.Incarnation
+		h.listed = s
+	}
+	h.listed = s
 	if s.Incarnation != h.server.Incarnation && h.adopted {
 		o.gone(h, true)
 	}
@@ -238,10 +261,21 @@
 	o.Sender.Drop(s.Addr)
 	o.Log.Warn("backend server is gone or restarted", s.Name)
 	o.going = true
-	o.handle(scheduler.Gone{Server: s.Name, Crashed: crashed})
+	o.handle(scheduler.Gone{Server: s.Name, Crashed: crashed, Unwritten: o.unwritten(s.Name)})
 	o.going = false
 }
 
+// unwritten lists the attempts that are to be sent to a server and wait for a claim or a record.
+func (o *Owner) unwritten(server string) []retrier.Attempt {
+	var list []retrier.Attempt
+	for a, j := range o.jobs {
+		if j.server.Name == server && j.sent && !j.written.Load() {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // adopt tells the scheduler of a server with what the server itself reports as resident.
 func (o *Owner) adopt(h *held, report sender.Report, asked time.Time) {
 	first := !h.adopted
