Two tests no longer depend on who writes first or how many races are lost

Cause, certifier: TestHandshake ran both ends over a net.Pipe, which holds nothing. Cause, controller: TestShutdown made the id of a change that lost a race by adding a character; after 59 lost races, on a machine at load 60, it passed 64 characters: 'change must have 1 to 64 characters'. Ruled out: a fault of the replicas; the refusal of a long id is right. Change: a TCP connection; ids are numbered.

--- a/stage/certifier/certifier_test.go
+++ b/stage/certifier/certifier_test.go
@@ -66,14 +66,23 @@
 	cfg, err := Client(f.path("c.pem"))
 	f.Assert(err, quicktest.IsNil)
 	cfg.Time = func() time.Time { return f.now }
-	near, far := net.Pipe()
+	// A socket has room for what either side writes; on a net.Pipe both would wait for the other to read a refusal.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Assert(err, quicktest.IsNil)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
+		far, err := ln.Accept()
+		if err != nil {
+			return
+		}
 		_ = tls.Server(far, c.Config()).HandshakeContext(context.Background())
 		_ = far.Close()
 	}()
 	defer func() { <-served }()
+	defer func() { _ = ln.Close() }()
+	near, err := net.Dial("tcp", ln.Addr().String())
+	f.Assert(err, quicktest.IsNil)
 	defer func() { _ = near.Close() }()
 	secure, err := Handshake(context.Background(), near, addr, cfg)
 	if err != nil {
--- a/stage/controller/shutdown_test.go
+++ b/stage/controller/shutdown_test.go
@@ -131,7 +131,7 @@
 
 // change applies one change through the operators' API of a replica, and of the next one if that takes no connection.
 func (g *closing) change(step, id string, at int, doc configurer.Doc, wait bool) {
-	expect := uint64(0)
+	expect, name, lost := uint64(0), id, 0
 	for {
 		body, err := json.Marshal(applyBody{Change: id, Expect: &expect, Doc: doc, Wait: wait, Timeout: "60s"})
 		g.c.Check(err, qt.IsNil)
@@ -156,7 +156,8 @@
 		case http.StatusConflict:
 			g.c.Check(json.Unmarshal(text, &failure), qt.IsNil)
 			// A change that lost the race gets a new id, as its answer is final.
-			expect, id = failure.Error.Revision, id+"+"
+			lost++
+			expect, id = failure.Error.Revision, fmt.Sprintf("%s.%d", name, lost)
 		default:
 			g.failed(step, "%s at replica %d: %d %s", id, at+1, code, text)
 			return
