--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -277,7 +277,10 @@
 
 // settle makes sure that a broken attempt runs no longer; its caller waits a bounded time for news of a crash.
 func (o *Owner) settle(j *job, end streamer.End, tokens int) streamer.End {
-	o.Log.Warn("answer broke, "+string(end.Reason)+": "+end.Message, j.req.ID)
+	if end.Reason != streamer.ReasonCancelled {
+		// A caller that left and a hedge that lost are nothing to look at.
+		o.Log.Warn("answer broke, "+string(end.Reason)+": "+end.Message, j.req.ID)
+	}
 	settled := make(chan struct{})
 	o.tasks.Go(func() {
 		defer close(settled)
