--- a/serving/scheduler/jobs.go
+++ b/serving/scheduler/jobs.go
@@ -123,7 +123,7 @@
 	if s.servers[sv.reg.Name] != sv {
 		return
 	}
-	for sv.open && s.isHeard(now, sv) && len(sv.inFlight) < sv.batch() {
+	for sv.open && s.isReportFresh(now, sv) && len(sv.inFlight) < sv.batch() {
 		it, ok := sv.queue.Next(func(j *job) bool { return s.isReady(now, sv, j) })
 		if !ok {
 			break
--- a/serving/scheduler/scheduler.go
+++ b/serving/scheduler/scheduler.go
@@ -107,7 +107,7 @@
 		})
 	case Reported:
 		s.with(now, ev.Server, func(sv *server) {
-			sv.heard(ev.Asked)
+			sv.noteReport(ev.Asked)
 			sv.slots.Adopt(now, ev.Residents)
 		})
 	}
--- a/serving/scheduler/server.go
+++ b/serving/scheduler/server.go
@@ -75,13 +75,14 @@
 	return sv.leased && !now.Before(sv.orderAt) && sv.isModel()
 }
 
-// isHeard reports whether the server's last report is young enough to send it work: a server that left, unheard, gets none after that.
-func (s *Scheduler) isHeard(now time.Time, sv *server) bool {
+// isReportFresh reports whether the server's last report is young enough to send it work, so that a server whose leave got lost
+// gets nothing new for long.
+func (s *Scheduler) isReportFresh(now time.Time, sv *server) bool {
 	return now.Sub(sv.asked) <= s.cfg.MaxReportAge || s.off.reports
 }
 
-// heard notes when the server was asked for a report that came; reports may overtake each other.
-func (sv *server) heard(asked time.Time) {
+// noteReport notes when the server was asked for a report that came; reports may overtake each other.
+func (sv *server) noteReport(asked time.Time) {
 	if asked.After(sv.asked) {
 		sv.asked = asked
 	}
@@ -113,7 +114,7 @@
 		s.servers[name] = sv
 	}
 	sv.reg = ev.Server
-	sv.heard(ev.Asked)
+	sv.noteReport(ev.Asked)
 	sv.slots.Resize(ev.Server.Slots)
 	if fresh {
 		pinned := ev.Pinned
