certifier, attempter: no work whose result nobody uses

Found in reading the whole change: a look at a certificate's files took their times twice, once to see whether they changed and once more in load; and every booking had its homes looked up on the ring and sent along, though its record does what a claim would and the owner never asks them. Change: load is given the stamp; homes are looked up for requests that claim. Behaviour is as before; go test -race ./stage/attempter ./stage/certifier ./stage/starter ./stage/operator passes.

--- a/stage/attempter/policy.go
+++ b/stage/attempter/policy.go
@@ -43,15 +43,23 @@
 		}
 		p.router.Rebuild(roster, names...)
 	}
-	var homes []streamer.Home
-	for _, c := range p.router.Homes(req.Target, req.Digest[:], nil) {
-		homes = append(homes, streamer.Home{Entry: c.Owner, Addr: c.Addr})
-	}
 	list := p.router.Route(time.Now(), req.Target, req.Prefix, nil)
 	if len(list) == 0 {
 		list = anyOf(roster, req.Target.Service)
 	}
-	return list, homes
+	return list, p.homes(req)
+}
+
+// homes returns where the request claims its place; a booking's record does that for it.
+func (p *policy) homes(req *streamer.Request) []streamer.Home {
+	if req.IsBooking() {
+		return nil
+	}
+	var homes []streamer.Home
+	for _, c := range p.router.Homes(req.Target, req.Digest[:], nil) {
+		homes = append(homes, streamer.Home{Entry: c.Owner, Addr: c.Addr})
+	}
+	return homes
 }
 
 // anyOf lists the servers that the router passes over for their recent failures: better than none.
--- a/stage/certifier/certifier.go
+++ b/stage/certifier/certifier.go
@@ -52,7 +52,11 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	if err := c.load(); err != nil {
+	s, err := c.stamp()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.load(s); err != nil {
 		return nil, err
 	}
 	c.looked = c.now()
@@ -90,19 +94,15 @@
 	if s == c.read {
 		return nil
 	}
-	if err := c.load(); err != nil {
+	if err := c.load(s); err != nil {
 		return err
 	}
 	c.log.Info("uses a new certificate", c.cert)
 	return nil
 }
 
-// load reads both files; their times are taken first, so that a change in between is seen at the next look.
-func (c *Certifier) load() error {
-	s, err := c.stamp()
-	if err != nil {
-		return err
-	}
+// load reads both files; their stamp was taken before, so that a change in between is seen at the next look.
+func (c *Certifier) load(s stamp) error {
 	pair, err := tls.LoadX509KeyPair(c.cert, c.key)
 	if err != nil {
 		return errors.Wrapf(err, "certificate %s with key %s", c.cert, c.key)
