--- /dev/null
+++ b/serving/allocator/allocator.go
@@ -0,0 +1,430 @@
+package allocator
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingstage.org/serving/tracker"
+)
+
+const (
+	// DefaultTransit is how many adapters may be on their way to one engine at once.
+	DefaultTransit = 4
+	// DefaultHalfLife is the time in which a use counts half for the choice of victims.
+	DefaultHalfLife = 8 * time.Second
+	// wantTTL is how long a request for an adapter counts; its sender repeats it while somebody waits.
+	wantTTL = time.Second
+	// copyFactor is how much more an adapter must be used than the victim for one more copy, so that copies don't alternate.
+	copyFactor = 2
+	// listLag is how long an engine's own list may lag behind what orders did to it.
+	listLag = 3 * time.Second
+)
+
+// Config holds the bounds of an Allocator.
+type Config struct {
+	// Transit bounds the loads under way at one engine.
+	Transit int
+	// HalfLife is the time in which a use counts half.
+	HalfLife time.Duration
+}
+
+// Order tells an engine to load an adapter, after evicting others.
+type Order struct {
+	Engine  string
+	Adapter tracker.Adapter
+	Version int
+	// Evict makes way for the adapter first, if it has a name.
+	Evict tracker.Adapter
+	// Recent says that the engine held the adapter lately, so that it loads faster.
+	Recent bool
+}
+
+// Want asks for an adapter on behalf of a data centre.
+type Want struct {
+	Service string
+	Adapter tracker.Adapter
+	Zone    string
+	// Copy asks for one more copy of an adapter that is loaded already, closer to or beside those in use.
+	Copy bool
+}
+
+type state int
+
+const (
+	loading state = iota
+	resident
+	evicting
+)
+
+// slot is an adapter at an engine.
+type slot struct {
+	version int
+	state   state
+	since   time.Time
+	inUse   map[string]int
+}
+
+type engine struct {
+	tracker.Instance
+	capacity int
+	slots    map[tracker.Adapter]*slot
+	held     map[tracker.Adapter]bool
+	busy     int
+}
+
+// rate is a decayed count of uses.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+type wantKey struct {
+	service string
+	adapter tracker.Adapter
+	zone    string
+	copied  bool
+}
+
+// Allocator keeps the engines' adapters; one goroutine calls it.
+type Allocator struct {
+	cfg      Config
+	engines  map[string]*engine
+	rates    map[tracker.Adapter]*rate
+	versions map[tracker.Adapter]int
+	wants    map[wantKey]time.Time
+}
+
+// New returns an Allocator without engines.
+func New(cfg Config) *Allocator {
+	if cfg.Transit <= 0 {
+		cfg.Transit = DefaultTransit
+	}
+	if cfg.HalfLife <= 0 {
+		cfg.HalfLife = DefaultHalfLife
+	}
+	return &Allocator{
+		cfg: cfg, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
+		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]time.Time),
+	}
+}
+
+// SetEngine takes up an engine with the number of adapters that it may hold, or what it says of itself now; it reports
+// whether the list of its adapters changed.
+func (a *Allocator) SetEngine(now time.Time, in tracker.Instance, capacity int) bool {
+	e, ok := a.engines[in.Key.ID]
+	if !ok || e.Key != in.Key {
+		e = &engine{slots: make(map[tracker.Adapter]*slot), held: make(map[tracker.Adapter]bool)}
+		a.engines[in.Key.ID] = e
+	}
+	e.Instance, e.capacity = in, capacity
+	return e.reconcile(now, in.Residents)
+}
+
+// reconcile takes up an engine's own list where no order of late explains a difference.
+func (e *engine) reconcile(now time.Time, list []tracker.Resident) bool {
+	changed := false
+	listed := make(map[tracker.Adapter]bool, len(list))
+	for _, r := range list {
+		if r.Adapter.Name == "" {
+			continue
+		}
+		listed[r.Adapter] = true
+		s := e.slots[r.Adapter]
+		switch {
+		case s == nil && !e.held[r.Adapter]:
+			e.slots[r.Adapter] = &slot{version: r.Version, state: resident, since: now}
+			e.held[r.Adapter] = true
+			changed = true
+		case s != nil && s.state == resident && s.version != r.Version && now.Sub(s.since) > listLag:
+			s.version, s.since = r.Version, now
+			changed = true
+		}
+	}
+	for ad, s := range e.slots {
+		if s.state == resident && !listed[ad] && now.Sub(s.since) > listLag {
+			delete(e.slots, ad)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// RemoveEngine forgets an engine.
+func (a *Allocator) RemoveEngine(id string) { delete(a.engines, id) }
+
+// Residents returns the adapters that may be used at an engine.
+func (a *Allocator) Residents(id string) []tracker.Resident {
+	e, ok := a.engines[id]
+	if !ok {
+		return nil
+	}
+	var out []tracker.Resident
+	for ad, s := range e.slots {
+		if s.state == resident {
+			out = append(out, tracker.Resident{Adapter: ad, Version: s.version})
+		}
+	}
+	slices.SortFunc(out, func(x, y tracker.Resident) int {
+		if x.Adapter.Name < y.Adapter.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// SetVersion says which version of an adapter is in force; engines that hold an older one are ordered to replace it.
+func (a *Allocator) SetVersion(ad tracker.Adapter, version int) {
+	if version > a.versions[ad] {
+		a.versions[ad] = version
+	}
+}
+
+// Want takes a request for an adapter.
+func (a *Allocator) Want(now time.Time, w Want) {
+	a.wants[wantKey{w.Service, w.Adapter, w.Zone, w.Copy}] = now
+}
+
+// Use takes how often an adapter was used since a process's last report, and how many of its requests run now.
+func (a *Allocator) Use(now time.Time, process, engineID string, ad tracker.Adapter, starts, running int) {
+	if starts > 0 {
+		r := a.rates[ad]
+		if r == nil {
+			r = &rate{at: now}
+			a.rates[ad] = r
+		}
+		r.value = r.decayed(now, a.cfg.HalfLife) + float64(starts)
+		r.at = now
+	}
+	e := a.engines[engineID]
+	if e == nil || e.slots[ad] == nil {
+		return
+	}
+	s := e.slots[ad]
+	if running <= 0 {
+		delete(s.inUse, process)
+		return
+	}
+	if s.inUse == nil {
+		s.inUse = make(map[string]int)
+	}
+	s.inUse[process] = running
+}
+
+// Forget drops what a process reported as running, since it is gone.
+func (a *Allocator) Forget(process string) {
+	for _, e := range a.engines {
+		for _, s := range e.slots {
+			delete(s.inUse, process)
+		}
+	}
+}
+
+func (r *rate) decayed(now time.Time, halfLife time.Duration) float64 {
+	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(halfLife))
+}
+
+func (a *Allocator) rate(now time.Time, ad tracker.Adapter) float64 {
+	if r := a.rates[ad]; r != nil {
+		return r.decayed(now, a.cfg.HalfLife)
+	}
+	return 0
+}
+
+// Missing takes note that an engine denied holding an adapter.
+func (a *Allocator) Missing(engineID string, ad tracker.Adapter) bool {
+	e := a.engines[engineID]
+	if e == nil || e.slots[ad] == nil || e.slots[ad].state != resident {
+		return false
+	}
+	delete(e.slots, ad)
+	return true
+}
+
+// Loaded ends a load; a failed one leaves the slot free.
+func (a *Allocator) Loaded(now time.Time, o Order, ok bool) {
+	e := a.engines[o.Engine]
+	if e == nil {
+		return
+	}
+	e.busy = max(e.busy-1, 0)
+	s := e.slots[o.Adapter]
+	if s == nil || s.state != loading {
+		return
+	}
+	if !ok {
+		delete(e.slots, o.Adapter)
+		return
+	}
+	s.state, s.since, s.version = resident, now, o.Version
+	e.held[o.Adapter] = true
+}
+
+// Evicted ends an eviction; after a failed one the adapter stays.
+func (a *Allocator) Evicted(now time.Time, o Order, ok bool) {
+	e := a.engines[o.Engine]
+	if e == nil || e.slots[o.Evict] == nil || e.slots[o.Evict].state != evicting {
+		return
+	}
+	if ok {
+		delete(e.slots, o.Evict)
+		return
+	}
+	e.slots[o.Evict].state, e.slots[o.Evict].since = resident, now
+}
+
+// Plan returns the orders that follow from what is wanted.
+func (a *Allocator) Plan(now time.Time) []Order {
+	orders := a.replace(now)
+	for _, k := range a.sortedWants(now) {
+		o, done, ok := a.place(now, k)
+		if ok {
+			orders = append(orders, o)
+		}
+		if ok || done {
+			delete(a.wants, k)
+		}
+	}
+	return orders
+}
+
+// replace orders newer versions to engines that hold older ones.
+func (a *Allocator) replace(now time.Time) []Order {
+	if len(a.versions) == 0 {
+		return nil
+	}
+	var out []Order
+	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
+		e := a.engines[id]
+		for ad, s := range e.slots {
+			v := a.versions[ad]
+			if s.state != resident || s.version >= v || e.busy >= a.cfg.Transit {
+				continue
+			}
+			s.state, s.since = loading, now
+			e.busy++
+			out = append(out, Order{Engine: id, Adapter: ad, Version: v})
+		}
+	}
+	return out
+}
+
+// sortedWants returns what is wanted, first copies before more copies, the most used first, and drops what is too old.
+func (a *Allocator) sortedWants(now time.Time) []wantKey {
+	keys := make([]wantKey, 0, len(a.wants))
+	for k, at := range a.wants {
+		if now.Sub(at) > wantTTL {
+			delete(a.wants, k)
+			continue
+		}
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(x, y wantKey) int {
+		if x.copied != y.copied {
+			if y.copied {
+				return -1
+			}
+			return 1
+		}
+		rx, ry := a.rate(now, x.adapter), a.rate(now, y.adapter)
+		switch {
+		case rx > ry:
+			return -1
+		case rx < ry:
+			return 1
+		case x.adapter.Name < y.adapter.Name:
+			return -1
+		}
+		return 1
+	})
+	return keys
+}
+
+// version returns the version of an adapter to load; each adapter begins at version 1.
+func (a *Allocator) version(ad tracker.Adapter) int { return max(a.versions[ad], 1) }
+
+// place chooses the engine for an adapter; done says that no order is needed.
+func (a *Allocator) place(now time.Time, k wantKey) (o Order, done, ok bool) {
+	version := a.version(k.adapter)
+	var best *engine
+	var bestScore float64
+	var victim tracker.Adapter
+	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
+		e := a.engines[id]
+		if e.Service != k.service || e.Leaving {
+			continue
+		}
+		if s := e.slots[k.adapter]; s != nil {
+			if s.state == loading || !k.copied && s.state == resident && s.version >= version {
+				return Order{}, true, false
+			}
+			continue
+		}
+		if e.busy >= a.cfg.Transit {
+			continue
+		}
+		v, free := a.victim(now, e, k)
+		if !free && v.Name == "" {
+			continue
+		}
+		score := a.score(now, e, k, v)
+		if best == nil || score > bestScore {
+			best, bestScore, victim = e, score, v
+		}
+	}
+	if best == nil {
+		return Order{}, k.copied, false
+	}
+	o = Order{Engine: best.Key.ID, Adapter: k.adapter, Version: version, Evict: victim, Recent: best.held[k.adapter]}
+	best.slots[k.adapter] = &slot{version: version, state: loading, since: now}
+	best.busy++
+	if victim.Name != "" {
+		best.slots[victim].state, best.slots[victim].since = evicting, now
+	}
+	return o, true, true
+}
+
+// score prefers the caller's data centre, engines that held the adapter lately, and those whose victim is used least.
+func (a *Allocator) score(now time.Time, e *engine, k wantKey, victim tracker.Adapter) float64 {
+	score := 0.0
+	if e.Zone == k.zone {
+		score += 4
+	}
+	if e.held[k.adapter] {
+		score += 2
+	}
+	score -= float64(e.busy)
+	if victim.Name != "" {
+		score -= min(a.rate(now, victim)/4, 2)
+	} else {
+		score++
+	}
+	// A fixed order by adapter spreads adapters over engines that are equal otherwise.
+	h := xxhash.Sum64String(e.Key.ID + "\x00" + k.adapter.Name)
+	return score + float64(h>>11)/float64(1<<53)
+}
+
+// victim returns the adapter that would make way, or that there is a free slot.
+func (a *Allocator) victim(now time.Time, e *engine, k wantKey) (tracker.Adapter, bool) {
+	if len(e.slots) < e.capacity {
+		return tracker.Adapter{}, true
+	}
+	var worst tracker.Adapter
+	worstRate := math.Inf(1)
+	for ad, s := range e.slots {
+		if s.state != resident || len(s.inUse) > 0 {
+			continue
+		}
+		if r := a.rate(now, ad); r < worstRate || r == worstRate && ad.Name < worst.Name {
+			worst, worstRate = ad, r
+		}
+	}
+	if k.copied && worstRate*copyFactor > a.rate(now, k.adapter) {
+		return tracker.Adapter{}, false
+	}
+	return worst, false
+}
--- /dev/null
+++ b/serving/balancer/balancer.go
@@ -0,0 +1,384 @@
+package balancer
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"redwingstage.org/serving/tracker"
+)
+
+const (
+	// remotePenalty is the load, as a share of a server's slots, at which a server in another data centre is preferred.
+	remotePenalty = 0.5
+	// failurePenalty weighs a server's recent share of failures against load.
+	failurePenalty = 3.0
+	// failureDecay is the weight of the latest answer in the share of failures.
+	failureDecay = 0.15
+	// minEject and maxEject bound how long a server that can't be reached gets no requests.
+	minEject = 500 * time.Millisecond
+	maxEject = 4 * time.Second
+	// defaultSlots stands for servers that don't say how many requests they run at once.
+	defaultSlots = 4
+	// oldVersionGrace is how long an engine's older version of an adapter may be used after a newer one was named; it
+	// ends before callers may no longer get it.
+	oldVersionGrace = 3 * time.Second
+)
+
+// Result says what a request's end tells of its server.
+type Result int
+
+// The results.
+const (
+	// OK means that the server answered.
+	OK Result = iota
+	// Rejected means that the server did not run the request.
+	Rejected
+	// Failed means that the answer was broken, missing or a failure of the server.
+	Failed
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Void tells nothing, as when the caller left.
+	Void
+)
+
+// Ask describes what a request needs.
+type Ask struct {
+	Service string
+	// Adapter is empty for the base model and for plain services.
+	Adapter tracker.Adapter
+	Zone    string
+	// Except are servers that must not be chosen, by ID.
+	Except map[string]bool
+}
+
+// Choice is the server for one attempt.
+type Choice struct {
+	tracker.Instance
+	// Version is the version of the adapter that the server holds, or 0.
+	Version int
+	// Remote says that the server is in another data centre, Crowded that it is loaded well.
+	Remote  bool
+	Crowded bool
+}
+
+// Verdict says why there is no choice.
+type Verdict int
+
+// The verdicts.
+const (
+	// Chosen means that there is a choice.
+	Chosen Verdict = iota
+	// Absent means that no usable server holds the adapter.
+	Absent
+	// None means that no usable server answers for the service.
+	None
+)
+
+type server struct {
+	tracker.Instance
+	residents map[tracker.Adapter]int
+	running   int
+	failures  float64
+	ejected   time.Time
+	eject     time.Duration
+	uses      map[tracker.Adapter]*Use
+}
+
+// Use counts the requests of an adapter at a server since the last report, and those that run.
+type Use struct {
+	Engine  string
+	Adapter tracker.Adapter
+	Starts  int
+	Running int
+	dirty   bool
+}
+
+type version struct {
+	number int
+	since  time.Time
+}
+
+// Balancer may be used from several goroutines.
+type Balancer struct {
+	mu       sync.Mutex
+	servers  map[string]*server
+	services map[string]map[string]*server
+	left     map[tracker.Key]bool
+	versions map[tracker.Adapter]version
+	waiting  map[tracker.Adapter]chan struct{}
+	entries  int
+}
+
+// New returns a Balancer that knows no server.
+func New() *Balancer {
+	return &Balancer{
+		servers: make(map[string]*server), services: make(map[string]map[string]*server),
+		left: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter]version),
+		waiting: make(map[tracker.Adapter]chan struct{}), entries: 1,
+	}
+}
+
+// Set takes up servers; what they hold counts only for those that are new here or if whole is set.
+func (b *Balancer) Set(list []tracker.Instance, whole bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, in := range list {
+		s := b.servers[in.Key.ID]
+		switch {
+		case s != nil && s.Key.Born > in.Key.Born:
+			continue
+		case s == nil || s.Key != in.Key:
+			b.remove(in.Key.ID)
+			s = &server{residents: make(map[tracker.Adapter]int), uses: make(map[tracker.Adapter]*Use)}
+			b.servers[in.Key.ID] = s
+		case s.Service != in.Service:
+			delete(b.services[s.Service], in.Key.ID)
+		}
+		in.Leaving = in.Leaving || b.left[in.Key]
+		s.Instance = in
+		if b.services[in.Service] == nil {
+			b.services[in.Service] = make(map[string]*server)
+		}
+		b.services[in.Service][in.Key.ID] = s
+		if whole {
+			clear(s.residents)
+			for _, r := range in.Residents {
+				s.residents[r.Adapter] = r.Version
+				b.wake(r.Adapter)
+			}
+		}
+	}
+}
+
+// Remove forgets servers.
+func (b *Balancer) Remove(ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range ids {
+		b.remove(id)
+	}
+}
+
+func (b *Balancer) remove(id string) {
+	if s := b.servers[id]; s != nil {
+		delete(b.services[s.Service], id)
+		delete(b.servers, id)
+	}
+}
+
+// Leave has a start of a server get no new requests for good.
+func (b *Balancer) Leave(keys []tracker.Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, k := range keys {
+		b.left[k] = true
+		if s := b.servers[k.ID]; s != nil && s.Key == k {
+			s.Leaving = true
+		}
+	}
+}
+
+// Hold takes up that a server holds an adapter's version from now on.
+func (b *Balancer) Hold(id string, ad tracker.Adapter, version int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[id]; s != nil {
+		s.residents[ad] = version
+		b.wake(ad)
+	}
+}
+
+// Drop takes up that a server holds an adapter no more.
+func (b *Balancer) Drop(id string, ad tracker.Adapter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[id]; s != nil {
+		delete(s.residents, ad)
+	}
+}
+
+// SetVersions takes up which versions of adapters are in force.
+func (b *Balancer) SetVersions(now time.Time, list []tracker.Resident) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range list {
+		if r.Version > b.versions[r.Adapter].number {
+			b.versions[r.Adapter] = version{number: r.Version, since: now}
+		}
+	}
+}
+
+// SetEntries says how many entries share the servers.
+func (b *Balancer) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(n, 1)
+}
+
+// Entries returns how many entries share the servers.
+func (b *Balancer) Entries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries
+}
+
+// Known returns all servers that are not leaving.
+func (b *Balancer) Known() []tracker.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]tracker.Instance, 0, len(b.servers))
+	for _, s := range b.servers {
+		in := s.Instance
+		in.Residents = nil
+		out = append(out, in)
+	}
+	return out
+}
+
+// wake wakes those who wait for an adapter; the caller holds the lock.
+func (b *Balancer) wake(ad tracker.Adapter) {
+	if ch := b.waiting[ad]; ch != nil {
+		close(ch)
+		delete(b.waiting, ad)
+	}
+}
+
+// Await returns a channel that is closed when a server takes the adapter up.
+func (b *Balancer) Await(ad tracker.Adapter) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ch := b.waiting[ad]
+	if ch == nil {
+		ch = make(chan struct{})
+		b.waiting[ad] = ch
+	}
+	return ch
+}
+
+// Pick returns the server for a request and counts it as running there; End must follow.
+func (b *Balancer) Pick(now time.Time, a Ask) (Choice, Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	verdict := None
+	var best *server
+	bestScore := math.Inf(1)
+	for _, s := range b.services[a.Service] {
+		if s.Leaving || a.Except[s.Key.ID] {
+			continue
+		}
+		if verdict == None {
+			verdict = Absent
+		}
+		if a.Adapter.Name != "" && !b.usable(now, s, a.Adapter) {
+			continue
+		}
+		score := b.score(now, s, a.Zone)
+		if score < bestScore || score == bestScore && s.Key.ID < best.Key.ID {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return Choice{}, verdict
+	}
+	best.running++
+	c := Choice{
+		Instance: best.Instance, Remote: best.Zone != a.Zone, Crowded: b.load(best) > remotePenalty,
+	}
+	if a.Adapter.Name != "" {
+		c.Version = best.residents[a.Adapter]
+		u := best.use(a.Adapter)
+		u.Starts++
+		u.Running++
+		u.dirty = true
+	}
+	return c, Chosen
+}
+
+func (s *server) use(ad tracker.Adapter) *Use {
+	u := s.uses[ad]
+	if u == nil {
+		u = &Use{Engine: s.Key.ID, Adapter: ad}
+		s.uses[ad] = u
+	}
+	return u
+}
+
+// usable reports whether a server holds a version of the adapter that callers may get.
+func (b *Balancer) usable(now time.Time, s *server, ad tracker.Adapter) bool {
+	have, ok := s.residents[ad]
+	if !ok {
+		return false
+	}
+	v := b.versions[ad]
+	return have >= v.number || now.Sub(v.since) < oldVersionGrace
+}
+
+// load estimates a server's load as a share of its slots: other entries send about as much as this one.
+func (b *Balancer) load(s *server) float64 {
+	slots := s.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return float64(s.running*b.entries) / float64(slots)
+}
+
+// score is lower for the better server; one that can't be reached comes after all others.
+func (b *Balancer) score(now time.Time, s *server, zone string) float64 {
+	score := b.load(s) + failurePenalty*s.failures
+	if s.Zone != zone {
+		score += remotePenalty
+	}
+	if now.Before(s.ejected) {
+		score += 1000
+	}
+	return score
+}
+
+// End tells how the attempt at a choice ended.
+func (b *Balancer) End(now time.Time, c Choice, ad tracker.Adapter, r Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[c.Key.ID]
+	if s == nil || s.Key != c.Key {
+		return
+	}
+	s.running = max(s.running-1, 0)
+	if ad.Name != "" {
+		u := s.use(ad)
+		u.Running = max(u.Running-1, 0)
+		u.dirty = true
+	}
+	switch r {
+	case Void:
+	case OK, Rejected:
+		s.failures *= 1 - failureDecay
+		s.eject, s.ejected = 0, time.Time{}
+	case Failed:
+		s.failures += failureDecay * (1 - s.failures)
+	case Unreachable:
+		s.failures += failureDecay * (1 - s.failures)
+		s.eject = min(max(2*s.eject, minEject), maxEject)
+		s.ejected = now.Add(s.eject)
+	}
+}
+
+// Uses returns what changed in the use of adapters since the last call.
+func (b *Balancer) Uses() []Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Use
+	for _, s := range b.servers {
+		for ad, u := range s.uses {
+			if !u.dirty {
+				continue
+			}
+			out = append(out, *u)
+			u.Starts, u.dirty = 0, false
+			if u.Running == 0 {
+				delete(s.uses, ad)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/serving/balancer/balancer_test.go
@@ -0,0 +1,100 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/tracker"
+)
+
+var start = time.Unix(1000, 0)
+
+func server(id, zone string) tracker.Instance {
+	return tracker.Instance{Key: tracker.Key{ID: id, Born: 1}, Service: "s", Zone: zone, Slots: 4}
+}
+
+var adapter = tracker.Adapter{Model: "m", Name: "a1"}
+
+func TestPickPrefersTheOwnDataCentreUntilItIsLoaded(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z1"), server("y", "z2")}, true)
+	var picked []string
+	for range 6 {
+		ch, v := b.Pick(start, balancer.Ask{Service: "s", Zone: "z2"})
+		c.Assert(v, qt.Equals, balancer.Chosen)
+		picked = append(picked, ch.Key.ID)
+	}
+	c.Check(picked, qt.DeepEquals, []string{"y", "y", "x", "y", "x", "y"})
+}
+
+func TestPickAvoidsServersThatFail(t *testing.T) {
+	c := qt.New(t)
+	for _, r := range []balancer.Result{balancer.Failed, balancer.Unreachable} {
+		b := balancer.New()
+		b.Set([]tracker.Instance{server("x", "z"), server("y", "z")}, true)
+		ch, _ := b.Pick(start, balancer.Ask{Service: "s", Zone: "z"})
+		c.Assert(ch.Key.ID, qt.Equals, "x")
+		b.End(start, ch, tracker.Adapter{}, r)
+		ch, _ = b.Pick(start, balancer.Ask{Service: "s", Zone: "z"})
+		c.Check(ch.Key.ID, qt.Equals, "y")
+	}
+}
+
+func TestPickNeedsTheAdapterInForce(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	ask := balancer.Ask{Service: "s", Zone: "z", Adapter: adapter}
+	_, v := b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.None)
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	_, v = b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.Absent)
+	woken := b.Await(adapter)
+	b.Hold("x", adapter, 1)
+	<-woken
+	ch, v := b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.Chosen)
+	c.Check(ch.Version, qt.Equals, 1)
+	b.SetVersions(start, []tracker.Resident{{Adapter: adapter, Version: 2}})
+	_, v = b.Pick(start.Add(time.Second), ask)
+	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("the older version serves until the newer one is loaded"))
+	_, v = b.Pick(start.Add(4*time.Second), ask)
+	c.Check(v, qt.Equals, balancer.Absent)
+}
+
+func TestALeavingServerStaysSo(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	b.Leave([]tracker.Key{{ID: "x", Born: 1}})
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	_, v := b.Pick(start, balancer.Ask{Service: "s", Zone: "z"})
+	c.Check(v, qt.Equals, balancer.None)
+	again := server("x", "z")
+	again.Key.Born = 2
+	b.Set([]tracker.Instance{again}, true)
+	_, v = b.Pick(start, balancer.Ask{Service: "s", Zone: "z"})
+	c.Check(v, qt.Equals, balancer.Chosen)
+}
+
+func TestUsesTellsWhatChanged(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	b.Hold("x", adapter, 1)
+	ch, _ := b.Pick(start, balancer.Ask{Service: "s", Zone: "z", Adapter: adapter})
+	uses := b.Uses()
+	c.Assert(uses, qt.HasLen, 1)
+	c.Check(uses[0].Starts, qt.Equals, 1)
+	c.Check(uses[0].Running, qt.Equals, 1)
+	c.Check(b.Uses(), qt.HasLen, 0)
+	b.End(start, ch, adapter, balancer.OK)
+	uses = b.Uses()
+	c.Assert(uses, qt.HasLen, 1)
+	c.Check(uses[0].Running, qt.Equals, 0)
+	c.Check(b.Uses(), qt.HasLen, 0)
+}
--- /dev/null
+++ b/serving/tracker/tracker_test.go
@@ -0,0 +1,90 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/tracker"
+)
+
+var start = time.Unix(1000, 0)
+
+func instance(id string, born int64, sequence uint64, addr string) tracker.Instance {
+	return tracker.Instance{Key: tracker.Key{ID: id, Born: born}, Service: "s", Addr: addr, Sequence: sequence}
+}
+
+func TestAnnounce(t *testing.T) {
+	c := qt.New(t)
+	for _, row := range []struct {
+		name  string
+		calls []tracker.Instance
+		// taken says which calls count; addrs is who is known at the end, by ID.
+		taken []bool
+		addrs map[string]string
+	}{
+		{
+			"a late call of the same start is dropped",
+			[]tracker.Instance{instance("a", 1, 5, "x"), instance("a", 1, 4, "y")},
+			[]bool{true, false}, map[string]string{"a": "x"},
+		},
+		{
+			"a new start under the old name counts from the beginning",
+			[]tracker.Instance{instance("a", 1, 5, "x"), instance("a", 2, 1, "x")},
+			[]bool{true, true}, map[string]string{"a": "x"},
+		},
+		{
+			"a call of an earlier start is dropped",
+			[]tracker.Instance{instance("a", 2, 1, "x"), instance("a", 1, 9, "y")},
+			[]bool{true, false}, map[string]string{"a": "x"},
+		},
+		{
+			"a new instance takes over the address",
+			[]tracker.Instance{instance("a", 1, 5, "x"), instance("b", 2, 1, "x")},
+			[]bool{true, true}, map[string]string{"b": "x"},
+		},
+		{
+			"a delayed call of the address's earlier instance is dropped",
+			[]tracker.Instance{instance("b", 2, 1, "x"), instance("a", 1, 5, "x")},
+			[]bool{true, false}, map[string]string{"b": "x"},
+		},
+	} {
+		c.Run(row.name, func(c *qt.C) {
+			tr := tracker.New()
+			for i, in := range row.calls {
+				c.Check(tr.Announce(start, in), qt.Equals, row.taken[i])
+			}
+			addrs := make(map[string]string)
+			for _, in := range tr.Instances() {
+				addrs[in.Key.ID] = in.Addr
+			}
+			c.Check(addrs, qt.DeepEquals, row.addrs)
+		})
+	}
+}
+
+func TestLeaveHoldsForTheWholeStart(t *testing.T) {
+	c := qt.New(t)
+	tr := tracker.New()
+	tr.Announce(start, instance("a", 1, 1, "x"))
+	tr.Changes()
+	tr.Leave(tracker.Key{ID: "a", Born: 1})
+	c.Check(tr.Changes(), qt.DeepEquals, []string{"a"})
+	tr.Announce(start, instance("a", 1, 2, "x"))
+	in, _ := tr.Instance("a")
+	c.Check(in.Leaving, qt.IsTrue)
+	tr.Announce(start, instance("a", 2, 1, "x"))
+	in, _ = tr.Instance("a")
+	c.Check(in.Leaving, qt.IsFalse)
+}
+
+func TestExpire(t *testing.T) {
+	c := qt.New(t)
+	tr := tracker.New()
+	tr.Announce(start, instance("a", 1, 1, "x"))
+	tr.Announce(start.Add(time.Minute), instance("b", 1, 1, "y"))
+	tr.Changes()
+	tr.Expire(start.Add(time.Minute), 30*time.Second)
+	c.Check(tr.Changes(), qt.DeepEquals, []string{"a"})
+}
--- /dev/null
+++ b/stage/governor/desk.go
@@ -0,0 +1,163 @@
+package governor
+
+import (
+	"slices"
+	"time"
+
+	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/tracker"
+)
+
+const (
+	// instanceTTL is how long a backend server stays listed without an announcement; one that is cut off from control
+	// only may still serve, and entries find out by themselves which ones don't answer.
+	instanceTTL = 60 * time.Second
+	// settleTime is how long a new leader leaves entries the backend servers of the last one that it hasn't heard of.
+	settleTime = 5 * time.Second
+)
+
+// Capacity says how many adapters an engine of a service holds, 0 for services without adapters.
+type Capacity func(service string) int
+
+// desk is the leader's memory of one era; the hub's goroutine calls it.
+type desk struct {
+	era      uint64
+	begun    time.Time
+	engines  *tracker.Tracker
+	placing  *allocator.Allocator
+	capacity Capacity
+	// known is what entries were told of each engine's adapters.
+	known map[string]map[tracker.Adapter]int
+	// fresh are the moves and instances that entries weren't told of.
+	moves   []Move
+	changed map[string]bool
+}
+
+func newDesk(era uint64, now time.Time, state *durable, capacity Capacity) *desk {
+	d := &desk{
+		era: era, begun: now, engines: tracker.New(), placing: allocator.New(allocator.Config{}), capacity: capacity,
+		known: make(map[string]map[tracker.Adapter]int), changed: make(map[string]bool),
+	}
+	d.refresh(state)
+	return d
+}
+
+// refresh takes up the replicated state.
+func (d *desk) refresh(state *durable) {
+	for _, k := range state.Left {
+		d.engines.Leave(k)
+	}
+	for _, v := range state.Versions {
+		d.placing.SetVersion(v.Adapter, v.Version)
+	}
+	d.sync(time.Time{})
+}
+
+// announce takes what an instance says of itself.
+func (d *desk) announce(now time.Time, in tracker.Instance) {
+	if !d.engines.Announce(now, in) {
+		return
+	}
+	in, _ = d.engines.Instance(in.Key.ID)
+	if n := d.capacity(in.Service); n > 0 {
+		d.placing.SetEngine(now, in, n)
+	}
+	d.sync(now)
+}
+
+// claim takes up what an entry knows of backend servers since an earlier leader.
+func (d *desk) claim(now time.Time, list []tracker.Instance) {
+	for _, in := range list {
+		if _, ok := d.engines.Instance(in.Key.ID); !ok {
+			// Whatever the server says itself counts more.
+			in.Sequence = 0
+			d.announce(now, in)
+		}
+	}
+}
+
+// resize gives every engine the number of adapters that the document allows.
+func (d *desk) resize(now time.Time) {
+	for _, in := range d.engines.Instances() {
+		if n := d.capacity(in.Service); n > 0 {
+			d.placing.SetEngine(now, in, n)
+		}
+	}
+}
+
+// sync collects what changed for entries.
+func (d *desk) sync(now time.Time) {
+	for _, id := range d.engines.Changes() {
+		d.changed[id] = true
+		in, ok := d.engines.Instance(id)
+		if !ok {
+			d.placing.RemoveEngine(id)
+			delete(d.known, id)
+			continue
+		}
+		if n := d.capacity(in.Service); n > 0 {
+			d.placing.SetEngine(now, in, n)
+		}
+	}
+	for _, in := range d.engines.Instances() {
+		d.diff(in.Key.ID)
+	}
+}
+
+// diff collects what changed of an engine's adapters.
+func (d *desk) diff(id string) {
+	told := d.known[id]
+	if told == nil {
+		told = make(map[tracker.Adapter]int)
+		d.known[id] = told
+	}
+	present := d.placing.Residents(id)
+	if len(present) == 0 && len(told) == 0 {
+		return
+	}
+	seen := make(map[tracker.Adapter]bool, len(present))
+	for _, r := range present {
+		seen[r.Adapter] = true
+		if v, ok := told[r.Adapter]; !ok || v != r.Version {
+			told[r.Adapter] = r.Version
+			d.moves = append(d.moves, Move{Engine: id, Adapter: r.Adapter, Version: r.Version})
+		}
+	}
+	for ad := range told {
+		if !seen[ad] {
+			delete(told, ad)
+			d.moves = append(d.moves, Move{Engine: id, Adapter: ad, Gone: true})
+		}
+	}
+}
+
+// news returns what entries must be told since the last call; false if nothing.
+func (d *desk) news() (Down, bool) {
+	if len(d.moves) == 0 && len(d.changed) == 0 {
+		return Down{}, false
+	}
+	down := Down{Moves: d.moves}
+	for id := range d.changed {
+		if in, ok := d.engines.Instance(id); ok {
+			in.Residents = nil
+			down.Engines = append(down.Engines, in)
+		} else {
+			down.Gone = append(down.Gone, id)
+		}
+	}
+	slices.Sort(down.Gone)
+	d.moves, d.changed = nil, make(map[string]bool)
+	return down, true
+}
+
+// whole returns everything that an entry must know.
+func (d *desk) whole(state *durable) Down {
+	down := Down{
+		Welcome: &Welcome{Era: d.era}, Doc: &state.Doc, Versions: state.Versions, Left: state.Left,
+	}
+	for _, in := range d.engines.Instances() {
+		in.Residents = d.placing.Residents(in.Key.ID)
+		down.Engines = append(down.Engines, in)
+	}
+	return down
+}
--- /dev/null
+++ b/stage/governor/follow.go
@@ -0,0 +1,107 @@
+package governor
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/encoder"
+)
+
+const (
+	// beatEvery is how often a session says that it is there.
+	beatEvery = 500 * time.Millisecond
+	// sessionSilence is when a leader that doesn't answer is given up.
+	sessionSilence = 1500 * time.Millisecond
+	dialTimeout    = time.Second
+	retryPause     = 100 * time.Millisecond
+)
+
+var errNoLeaderThere = errors.New("this replica does not lead")
+
+// Dial opens a session at a replica and runs it until it breaks: it sends hello, then what up brings, and hands each
+// message to take. It returns the leader's address if the replica named it.
+func Dial(ctx context.Context, addr string, hello Hello, up <-chan Up, take func(Down)) (redirect string, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	client := encoder.NewClient()
+	defer client.CloseIdleConnections()
+	call := connect.NewClient[Up, Down](client, "http://"+addr+pathSession, encoder.Option(), connect.WithReadMaxBytes(maxMessage))
+	stream := call.CallBidiStream(ctx)
+	defer func() { _ = stream.CloseRequest() }()
+	silence := time.AfterFunc(dialTimeout, func() { cancel(errors.New("the leader is silent")) })
+	defer silence.Stop()
+	if err := stream.Send(&Up{Hello: &hello}); err != nil {
+		return "", err
+	}
+	var number uint64
+	received := make(chan error, 1)
+	go func() {
+		for {
+			d, err := stream.Receive()
+			if err != nil {
+				received <- err
+				return
+			}
+			silence.Reset(sessionSilence)
+			if d.Welcome == nil && d.Redirect != "" {
+				redirect = d.Redirect
+			}
+			if d.Welcome == nil && d.Redirect == "" && isEmpty(d) {
+				received <- errNoLeaderThere
+				return
+			}
+			take(*d)
+		}
+	}()
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
+		var m Up
+		select {
+		case err := <-received:
+			return redirect, err
+		case <-ticker.C:
+			number++
+			m = Up{Beat: number}
+		case m = <-up:
+		case <-ctx.Done():
+			cancel(nil)
+			<-received
+			return "", context.Cause(ctx)
+		}
+		if err := stream.Send(&m); err != nil {
+			cancel(err)
+			return redirect, errors.Join(err, <-received)
+		}
+	}
+}
+
+// isEmpty reports whether a message says nothing, as of a replica that knows no leader.
+func isEmpty(d *Down) bool {
+	return d.Doc == nil && d.Beat == 0 && d.Entries == 0 && len(d.Engines)+len(d.Gone)+len(d.Moves)+len(d.Versions)+len(d.Left) == 0
+}
+
+// follow keeps a session to the leader while another replica leads, so that the leader knows that this one lives.
+func (h *hub) follow() {
+	for h.ctx.Err() == nil {
+		pause(h.ctx, 2*retryPause)
+		r := h.seat.log()
+		if r == nil {
+			continue
+		}
+		st := r.Status()
+		if st.Leader == 0 || st.Leader == st.ID {
+			continue
+		}
+		for _, m := range st.Members {
+			if m.ID != st.Leader {
+				continue
+			}
+			hello := Hello{Node: h.cfg.Node, Zone: h.cfg.Zone, Replica: st.ID}
+			_, _ = Dial(h.ctx, m.Addr, hello, nil, func(d Down) { h.seat.learn(d.Replicas) })
+		}
+	}
+}
--- /dev/null
+++ b/stage/governor/governor.go
@@ -0,0 +1,204 @@
+package governor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/coord/carrier"
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/logger"
+)
+
+const (
+	// proposeTimeout bounds the wait for a command; the operator asks elsewhere after a second without an answer.
+	proposeTimeout = 3 * time.Second
+	// confirmTimeout bounds the wait for the quorum before a read.
+	confirmTimeout = time.Second
+	// ackWait bounds the wait for entries to take a document before it is acknowledged.
+	ackWait = 500 * time.Millisecond
+)
+
+// ErrNoLeader says that no leader is known now.
+var ErrNoLeader = errors.New("no leader is known now")
+
+// NotLeaderError says that another replica leads.
+type NotLeaderError struct {
+	// Host is the leader's IP address.
+	Host string
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string { return "the leader is at " + e.Host }
+
+// Config says which replica this is and how it finds the others.
+type Config struct {
+	Node string
+	Zone string
+	// Addr is the listener for entries and other replicas, as ip:port.
+	Addr string
+	// Folder is the data folder.
+	Folder string
+	// Seeds are the addresses of some replicas for entries and other replicas.
+	Seeds []string
+	// First says that the whole deployment starts for the first time, so that the seeds found the group.
+	First bool
+}
+
+// Deps are the parts that a governor works with.
+type Deps struct {
+	// Decode reads the operator's document.
+	Decode  func(Doc) (*matcher.Table, error)
+	Engines Engines
+	Log     *logger.Logger
+}
+
+// Governor is one running replica of control.
+type Governor struct {
+	cfg    Config
+	deps   Deps
+	log    *logger.Part
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+	seat   *seat
+	hub    *hub
+	server *http.Server
+}
+
+// New starts a replica; it listens once it has returned, and finds its group by itself.
+func New(cfg Config, deps Deps) (*Governor, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(context.Background(), "tcp", cfg.Addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", cfg.Addr)
+	}
+	g := &Governor{cfg: cfg, deps: deps, log: deps.Log.Part("control")}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.seat = newSeat(cfg, g.log)
+	g.hub = newHub(cfg, deps, g.seat, g.log, g.ctx, g.wg.Go)
+	g.seat.machineChanged = g.hub.stateChanged
+	mux := http.NewServeMux()
+	mux.Handle(carrier.Path, http.HandlerFunc(g.seat.carry))
+	g.mount(mux)
+	g.server = encoder.NewServer(mux)
+	g.wg.Go(func() {
+		if err := g.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("listener ended", err)
+		}
+	})
+	g.wg.Go(func() { g.seat.run(g.ctx) })
+	g.wg.Go(g.hub.run)
+	g.wg.Go(g.hub.follow)
+	return g, nil
+}
+
+// Close hands the lead over and stops everything.
+func (g *Governor) Close() error {
+	g.hub.retire()
+	g.seat.handOver()
+	g.cancel()
+	err := g.server.Close()
+	g.wg.Wait()
+	return err
+}
+
+// lead returns nil if this replica leads under its quorum's lease.
+func (g *Governor) lead() error {
+	r := g.seat.log()
+	if r == nil {
+		return ErrNoLeader
+	}
+	s := r.Status()
+	if s.IsLeader(time.Now()) {
+		return nil
+	}
+	for _, m := range s.Members {
+		if m.ID == s.Leader && s.Leader != s.ID {
+			host, _, err := net.SplitHostPort(m.Addr)
+			if err != nil {
+				return ErrNoLeader
+			}
+			return &NotLeaderError{Host: host}
+		}
+	}
+	return ErrNoLeader
+}
+
+// Put has a document of the operator replace the last one, if its version is higher; it returns once it is committed.
+func (g *Governor) Put(ctx context.Context, doc Doc) error {
+	if err := g.propose(ctx, command{Doc: &doc}); err != nil {
+		return err
+	}
+	g.hub.awaitVersion(ctx, doc.Version)
+	return nil
+}
+
+// Doc returns the newest committed document.
+func (g *Governor) Doc(ctx context.Context) (Doc, error) {
+	if err := g.lead(); err != nil {
+		return Doc{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	r := g.seat.log()
+	if r == nil {
+		return Doc{}, ErrNoLeader
+	}
+	if err := r.Confirm(ctx); err != nil {
+		return Doc{}, errors.Wrap(err, "confirm the lead")
+	}
+	return g.seat.state().Doc, nil
+}
+
+// Name puts a new version of an adapter in force.
+func (g *Governor) Name(ctx context.Context, v tracker.Resident) error {
+	return g.propose(ctx, command{Version: &v})
+}
+
+// Announce takes what a backend server says of itself.
+func (g *Governor) Announce(ctx context.Context, in tracker.Instance) error {
+	if err := g.lead(); err != nil {
+		return err
+	}
+	if in.Leaving {
+		return g.Leave(ctx, in.Key)
+	}
+	g.hub.post(func(now time.Time) {
+		if g.hub.desk != nil {
+			g.hub.desk.announce(now, in)
+		}
+	})
+	return nil
+}
+
+// Leave marks a start of a backend server as leaving; it returns once that is committed and entries were told.
+func (g *Governor) Leave(ctx context.Context, k tracker.Key) error {
+	if g.seat.hasLeft(k) {
+		return g.lead()
+	}
+	if err := g.propose(ctx, command{Left: &k}); err != nil {
+		return err
+	}
+	g.log.Info("backend server leaves", k.ID)
+	return nil
+}
+
+func (g *Governor) propose(ctx context.Context, cmd command) error {
+	if err := g.lead(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err := g.seat.propose(ctx, cmd)
+	return err
+}
+
+var _ runner.Machine = (*machine)(nil)
--- /dev/null
+++ b/stage/governor/machine.go
@@ -0,0 +1,139 @@
+package governor
+
+import (
+	"sync/atomic"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/tracker"
+)
+
+// maxLeft is how many starts of backend servers are remembered as leaving; a start that left is gone within seconds.
+const maxLeft = 1024
+
+// firstID is the first number for replicas that join; founders have the numbers below.
+const firstID = 100
+
+// command is one entry of the log; exactly one of its parts is set.
+type command struct {
+	// Doc replaces the operator's document if its version is higher.
+	Doc *Doc `cbor:"1,keyasint,omitempty"`
+	// Version names a new version of an adapter.
+	Version *tracker.Resident `cbor:"2,keyasint,omitempty"`
+	// Left marks a start of a backend server as leaving.
+	Left *tracker.Key `cbor:"3,keyasint,omitempty"`
+	// Era begins a leadership.
+	Era bool `cbor:"4,keyasint,omitempty"`
+	// Allot takes a number for a replica that joins.
+	Allot bool `cbor:"5,keyasint,omitempty"`
+}
+
+// result is what a command returned.
+type result struct {
+	// Number is an era or a replica's number.
+	Number uint64 `cbor:"1,keyasint,omitempty"`
+}
+
+// Doc is the operator's document as it was sent.
+type Doc struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Body    []byte `cbor:"2,keyasint"`
+}
+
+// durable is the replicated state; a published one is never changed.
+type durable struct {
+	Doc      Doc                `cbor:"1,keyasint"`
+	Versions []tracker.Resident `cbor:"2,keyasint,omitempty"`
+	Left     []tracker.Key      `cbor:"3,keyasint,omitempty"`
+	Era      uint64             `cbor:"4,keyasint"`
+	LastID   uint64             `cbor:"5,keyasint"`
+	// Applied counts commands, so that readers see whether anything changed.
+	Applied uint64 `cbor:"6,keyasint"`
+}
+
+// machine is the replicated state machine; the log's goroutine writes it, others read the published state.
+type machine struct {
+	state   atomic.Pointer[durable]
+	changed func()
+}
+
+func newMachine(changed func()) *machine {
+	m := &machine{changed: changed}
+	m.state.Store(&durable{LastID: firstID})
+	return m
+}
+
+// now returns the state after the last applied command.
+func (m *machine) now() *durable { return m.state.Load() }
+
+// Apply implements runner.Machine.
+func (m *machine) Apply(_ uint64, data []byte) []byte {
+	var cmd command
+	if err := encoder.Unmarshal(data, &cmd); err != nil {
+		// A command of a later release that this one can't read changes nothing here.
+		return nil
+	}
+	next := *m.now()
+	next.Applied++
+	var res result
+	switch {
+	case cmd.Doc != nil:
+		if cmd.Doc.Version > next.Doc.Version {
+			next.Doc = *cmd.Doc
+		}
+	case cmd.Version != nil:
+		next.Versions = withVersion(next.Versions, *cmd.Version)
+	case cmd.Left != nil:
+		next.Left = withLeft(next.Left, *cmd.Left)
+	case cmd.Era:
+		next.Era++
+		res.Number = next.Era
+	case cmd.Allot:
+		next.LastID++
+		res.Number = next.LastID
+	}
+	m.state.Store(&next)
+	m.changed()
+	out, err := encoder.Marshal(res)
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+// withVersion returns the list with the adapter at the higher of both versions.
+func withVersion(list []tracker.Resident, v tracker.Resident) []tracker.Resident {
+	out := make([]tracker.Resident, 0, len(list)+1)
+	for _, r := range list {
+		if r.Adapter == v.Adapter {
+			v.Version = max(v.Version, r.Version)
+			continue
+		}
+		out = append(out, r)
+	}
+	return append(out, v)
+}
+
+// withLeft returns the list with the key, without the oldest beyond the bound.
+func withLeft(list []tracker.Key, k tracker.Key) []tracker.Key {
+	for _, old := range list {
+		if old == k {
+			return list
+		}
+	}
+	out := append(append(make([]tracker.Key, 0, len(list)+1), list...), k)
+	return out[max(len(out)-maxLeft, 0):]
+}
+
+// Snapshot implements runner.Machine.
+func (m *machine) Snapshot() ([]byte, error) { return encoder.Marshal(m.now()) }
+
+// Restore implements runner.Machine.
+func (m *machine) Restore(data []byte) error {
+	var next durable
+	if err := encoder.Unmarshal(data, &next); err != nil {
+		return err
+	}
+	m.state.Store(&next)
+	m.changed()
+	return nil
+}
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/phuslu/log"
 )
@@ -51,3 +52,20 @@
 	}
 	e.Msg(p.prefix + sentence)
 }
+
+// Order tells of an order to an engine and its answer.
+func (p *Part) Order(engine, adapter string, load bool, verdict int, expected uint64) {
+	p.log.Info().Str("engine", engine).Str("adapter", adapter).Bool("load", load).Int("verdict", verdict).
+		Uint64("expected", expected).Msg(p.prefix + "order answered")
+}
+
+// Attempt tells how one try of a request at a backend server ended without an answer.
+func (p *Part) Attempt(id, server, reason string, took time.Duration) {
+	p.log.Info().Str("request", id).Str("server", server).Str("reason", reason).Int64("ms", took.Milliseconds()).
+		Msg(p.prefix + "attempt ended")
+}
+
+// Document tells that a version of the operator's document is in force here.
+func (p *Part) Document(version uint64) {
+	p.log.Info().Uint64("version", version).Msg(p.prefix + "document is in force")
+}
--- /dev/null
+++ b/stage/relayer/answer.go
@@ -0,0 +1,103 @@
+package relayer
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// writeTimeout is when a caller that doesn't read is given up.
+const writeTimeout = 5 * time.Second
+
+// answer writes to one caller.
+type answer struct {
+	conn net.Conn
+	// begun says that the head of a stream was written, last is the last event passed on.
+	begun bool
+	last  string
+	// closing says that the connection ends after the answer.
+	closing bool
+	failed  bool
+	status  int
+	first   time.Time
+}
+
+func (w *answer) write(b []byte) bool {
+	if w.failed {
+		return false
+	}
+	if w.first.IsZero() {
+		w.first = time.Now()
+	}
+	err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err == nil {
+		_, err = w.conn.Write(b)
+	}
+	w.failed = err != nil
+	return !w.failed
+}
+
+// statusLine begins a head.
+func (w *answer) statusLine(b *bytes.Buffer, status int) {
+	w.status = status
+	fmt.Fprintf(b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if w.closing {
+		b.WriteString("Connection: close\r\n")
+	}
+}
+
+// whole writes an answer that is complete.
+func (w *answer) whole(status int, fields []field, body []byte, bodiless bool) bool {
+	var b bytes.Buffer
+	w.statusLine(&b, status)
+	for _, f := range fields {
+		b.WriteString(f.name + ": " + f.value + "\r\n")
+	}
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	if !bodiless {
+		b.Write(body)
+	}
+	return w.write(b.Bytes())
+}
+
+// begin writes the head of a stream; the first event follows at once.
+func (w *answer) begin(h *fasthttp.ResponseHeader) bool {
+	var b bytes.Buffer
+	w.statusLine(&b, h.StatusCode())
+	for _, f := range answerFields(h) {
+		b.WriteString(f.name + ": " + f.value + "\r\n")
+	}
+	b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	w.begun = true
+	return w.write(b.Bytes())
+}
+
+// chunk writes events.
+func (w *answer) chunk(events []byte) bool {
+	b := make([]byte, 0, len(events)+16)
+	b = strconv.AppendInt(b, int64(len(events)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, events...)
+	b = append(b, "\r\n"...)
+	return w.write(b)
+}
+
+// end ends a stream that is whole.
+func (w *answer) end() bool { return w.write([]byte("0\r\n\r\n")) }
+
+// fail writes an answer of the entry's own; after is when the caller may come back, 0 if that is of no use.
+func (w *answer) fail(status int, reason string, after time.Duration) bool {
+	fields := []field{{"Content-Type", "application/json"}}
+	if after > 0 {
+		fields = append(fields, field{"Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64)})
+	}
+	return w.whole(status, fields, fmt.Appendf(nil, `{"error":{"message":%q}}`, reason), false)
+}
--- /dev/null
+++ b/stage/relayer/exchange.go
@@ -0,0 +1,252 @@
+package relayer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/serving/balancer"
+)
+
+const (
+	// maxAnswer bounds an answer that isn't a stream, in bytes.
+	maxAnswer = 16 << 20
+	// maxStray bounds the answers to earlier requests that are skipped on a connection.
+	maxStray = 3
+	// largeBody is the size from which a request is written while its answer may come already, in bytes.
+	largeBody = 8 << 10
+	// deadlineSlack is how much longer than the engine this entry waits, so that the engine's own word arrives.
+	deadlineSlack = 30 * time.Millisecond
+)
+
+// outcome says what became of an attempt.
+type outcome int
+
+const (
+	// answered means that the whole answer is there or was passed on.
+	answered outcome = iota
+	// notRun means that the server did not and will not run the request.
+	notRun
+	// unsent means that no byte of the request reached a server.
+	unsent
+	// unknown means that the request may have run.
+	unknown
+	// cut means that a stream broke after events were passed on.
+	cut
+)
+
+// attempt is one try of a call at one server.
+type attempt struct {
+	call   *call
+	choice balancer.Choice
+	// resume is the last event that the caller has, once one was passed on.
+	resume string
+}
+
+// reply is what an attempt brought.
+type reply struct {
+	outcome outcome
+	reason  string
+	// missing says that the server doesn't hold the adapter or version, or isn't the one that was meant.
+	missing bool
+	// full says that the server rejected the request since it has no room.
+	full   bool
+	status int
+	fields []field
+	body   []byte
+	result balancer.Result
+}
+
+func lost(reason string, err error) reply {
+	return reply{outcome: unknown, reason: reason + ": " + err.Error(), result: balancer.Failed}
+}
+
+// exchange makes one attempt; events of a stream go to out as they come.
+func (e *Relayer) exchange(ctx context.Context, a *attempt, out *answer) reply {
+	c, err := e.pool.take(ctx, a.choice.Instance, e.connLimit(a.choice.Service))
+	if err != nil {
+		r := reply{outcome: unsent, reason: "connect: " + err.Error(), result: balancer.Unreachable}
+		if errors.Is(err, errCrowded) {
+			r.result = balancer.Void
+		}
+		if ctx.Err() != nil {
+			r.result = balancer.Void
+		}
+		return r
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	r, keep := e.talk(ctx, c, a, out)
+	if !stop() {
+		keep = -1
+	}
+	if ctx.Err() != nil && r.outcome == unknown {
+		r.result = balancer.Void
+	}
+	if keep < 0 {
+		_ = c.Close()
+	} else {
+		e.pool.put(c, keep)
+	}
+	return r
+}
+
+// talk writes the request and reads its answer; it returns how long the connection may be kept, or -1.
+func (e *Relayer) talk(ctx context.Context, c *conn, a *attempt, out *answer) (reply, time.Duration) {
+	left := time.Until(a.call.deadline)
+	if left <= 0 {
+		return reply{outcome: unsent, reason: "no time is left", result: balancer.Void}, 0
+	}
+	if err := c.SetDeadline(a.call.deadline.Add(deadlineSlack)); err != nil {
+		return reply{outcome: unsent, reason: err.Error(), result: balancer.Unreachable}, -1
+	}
+	data := e.serialize(a, left)
+	written := make(chan error, 1)
+	if len(data) > largeBody {
+		go func() {
+			_, err := c.Write(data)
+			written <- err
+		}()
+	} else {
+		_, err := c.Write(data)
+		if err != nil {
+			return lost("write", err), -1
+		}
+		written <- nil
+	}
+	r, keep := e.read(ctx, c, a, out)
+	select {
+	case err := <-written:
+		if err != nil {
+			keep = -1
+		}
+	default:
+		// The server answered before it has read the request; the rest of it must not be taken for another one.
+		keep = -1
+	}
+	return r, keep
+}
+
+// serialize returns the request as it goes to the server.
+func (e *Relayer) serialize(a *attempt, left time.Duration) []byte {
+	n := e.names
+	var b bytes.Buffer
+	b.Grow(len(a.call.head) + len(a.call.req.body) + 256)
+	if a.resume == "" {
+		b.Write(a.call.head)
+	} else {
+		b.Write(a.call.headWithout(n.Resume))
+		fmt.Fprintf(&b, "%s: %s\r\n", n.Resume, a.resume)
+	}
+	fmt.Fprintf(&b, "%s: %d\r\n%s: %s\r\n", n.Deadline, max(left.Milliseconds(), 1), n.Expect, a.choice.Key.ID)
+	if a.choice.Version > 0 {
+		fmt.Fprintf(&b, "%s: %d\r\n", n.ExpectVersion, a.choice.Version)
+	}
+	if a.call.route.Stream {
+		fmt.Fprintf(&b, "%s: %d\r\n", n.Priority, min(a.call.route.Rank, 9))
+	}
+	b.WriteString("\r\n")
+	b.Write(a.call.req.body)
+	return b.Bytes()
+}
+
+// read reads the answer; those of earlier requests on the connection are skipped.
+func (e *Relayer) read(ctx context.Context, c *conn, a *attempt, out *answer) (reply, time.Duration) {
+	for range maxStray {
+		var h fasthttp.ResponseHeader
+		if err := h.Read(c.br); err != nil {
+			return lost("read", err), -1
+		}
+		named := string(h.Peek(e.names.Attempt))
+		if named != "" && named != a.call.id {
+			if h.ContentLength() < 0 {
+				break
+			}
+			if _, err := c.br.Discard(h.ContentLength()); err != nil {
+				return lost("skip an answer to another request", err), -1
+			}
+			continue
+		}
+		return e.take(ctx, c, &h, a, out)
+	}
+	return lost("read", errors.New("the answer belongs to another request")), -1
+}
+
+// take judges an answer by its head and reads its body.
+func (e *Relayer) take(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer) (reply, time.Duration) {
+	status := h.StatusCode()
+	sealed := len(h.Peek(e.names.Seal)) > 0
+	keep := keepAlive(string(h.Peek("Keep-Alive")))
+	if h.ConnectionClose() {
+		keep = -1
+	}
+	success := status >= 200 && status < 300
+	if success && !sealed {
+		return lost("answer", errors.New("a success without the server's seal")), -1
+	}
+	if success && a.call.route.Stream {
+		return e.stream(ctx, c, h, a, out, keep)
+	}
+	body, whole, err := readWhole(c.br, h, a.call.req.method)
+	if err != nil {
+		return lost("body", err), -1
+	}
+	if !whole {
+		keep = -1
+	}
+	r := reply{outcome: answered, status: status, body: body, fields: answerFields(h), result: balancer.OK}
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		r.outcome, r.missing, r.result, r.reason = notRun, true, balancer.Rejected, "the server is not the one that was meant, or lacks the adapter"
+	case len(h.Peek(e.names.NotRun)) > 0:
+		r.outcome, r.full, r.result, r.reason = notRun, true, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(status)
+	case status >= 500:
+		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(status)
+	}
+	return r, keep
+}
+
+// readWhole reads a body that isn't a stream; whole says that the connection can be used again.
+func readWhole(br *bufio.Reader, h *fasthttp.ResponseHeader, method string) (body []byte, whole bool, err error) {
+	status := h.StatusCode()
+	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		return nil, true, nil
+	}
+	switch n := h.ContentLength(); {
+	case n > maxAnswer:
+		return nil, false, errors.Errorf("the answer has %d bytes", n)
+	case n >= 0:
+		body = make([]byte, n)
+		_, err = io.ReadFull(br, body)
+		return body, err == nil, err
+	case n == -1:
+		body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), maxAnswer))
+		if err == nil {
+			err = skipTrailer(br)
+		}
+		return body, err == nil, err
+	default:
+		body, err = io.ReadAll(io.LimitReader(br, maxAnswer))
+		return body, false, err
+	}
+}
+
+// answerFields returns the headers of an answer that go to the caller.
+func answerFields(h *fasthttp.ResponseHeader) []field {
+	var out []field
+	for k, v := range h.All() {
+		name := http.CanonicalHeaderKey(string(k))
+		if !hopByHop[name] {
+			out = append(out, field{name, string(v)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/stage/relayer/head.go
@@ -0,0 +1,251 @@
+package relayer
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// badRequestError says what is wrong with a request, as an HTTP status.
+type badRequestError struct {
+	status int
+	reason string
+}
+
+// Error implements error.
+func (e *badRequestError) Error() string { return e.reason }
+
+func bad(format string, args ...any) error {
+	return &badRequestError{status: http.StatusBadRequest, reason: fmt.Sprintf(format, args...)}
+}
+
+// field is one header line.
+type field struct{ name, value string }
+
+// request is a caller's request, read in full.
+type request struct {
+	method string
+	uri    string
+	path   string
+	host   string
+	fields []field
+	length int
+	// chunked says that the body comes in chunks.
+	chunked bool
+	// awaits says that the caller sends its body only after an interim answer.
+	awaits bool
+	// once says that the connection ends after the answer.
+	once bool
+	body []byte
+}
+
+// get returns the value of a header, which has its canonical name.
+func (r *request) get(name string) string {
+	for _, f := range r.fields {
+		if f.name == name {
+			return f.value
+		}
+	}
+	return ""
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// readHead reads a request's head of limit bytes at most; br must have room for it.
+func readHead(br *bufio.Reader, limit int) (*request, error) {
+	raw, err := peekHead(br, limit)
+	if err != nil {
+		return nil, err
+	}
+	fields, err := parseFields(raw)
+	if err != nil {
+		return nil, err
+	}
+	var h fasthttp.RequestHeader
+	if err := h.Read(br); err != nil {
+		return nil, bad("the head can't be read: %v", err)
+	}
+	r := &request{
+		method: string(h.Method()), uri: string(h.RequestURI()), host: strings.ToLower(string(h.Host())), fields: fields,
+		once: h.ConnectionClose(),
+	}
+	if !strings.HasPrefix(r.uri, "/") {
+		return nil, bad("the target %q is not a path", r.uri)
+	}
+	r.path, _, _ = strings.Cut(r.uri, "?")
+	if host, _, ok := strings.Cut(r.host, ":"); ok {
+		r.host = host
+	}
+	return r, r.frame()
+}
+
+// peekHead returns the bytes of a head without taking them.
+func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
+	for n := 1; ; {
+		b, err := br.Peek(n)
+		if err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return nil, &badRequestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the head is too large"}
+			}
+			return nil, err
+		}
+		b, _ = br.Peek(br.Buffered())
+		if i := bytes.Index(b, headEnd); i >= 0 && i+len(headEnd) <= limit {
+			return b[:i+len(headEnd)], nil
+		}
+		if len(b) > limit {
+			return nil, &badRequestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the head is too large"}
+		}
+		n = len(b) + 1
+	}
+}
+
+// parseFields checks each header line strictly, so that no other reader can take the head for something else.
+func parseFields(raw []byte) ([]field, error) {
+	lines := strings.Split(strings.TrimSuffix(string(raw), "\r\n\r\n"), "\r\n")
+	parts := strings.Split(lines[0], " ")
+	if len(parts) != 3 || parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" || !isToken(parts[0]) {
+		return nil, bad("the request line %q is malformed", lines[0])
+	}
+	if strings.ContainsAny(lines[0], "\r\n\x00\t") {
+		return nil, bad("the request line has a control character")
+	}
+	fields := make([]field, 0, len(lines)-1)
+	hosts := 0
+	for i, line := range lines[1:] {
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) || strings.ContainsAny(value, "\r\n\x00") {
+			return nil, bad("header line %d is malformed", i+1)
+		}
+		f := field{http.CanonicalHeaderKey(name), strings.Trim(value, " \t")}
+		if f.name == "Host" {
+			hosts++
+		}
+		fields = append(fields, f)
+	}
+	if hosts != 1 {
+		return nil, bad("the request has %d host headers", hosts)
+	}
+	return fields, nil
+}
+
+// isToken reports whether s may name a header or a method.
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`()<>@,;:\"/[]?={}`, c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// frame finds how the body is delimited; anything ambiguous is an error.
+func (r *request) frame() error {
+	lengths, codings := 0, 0
+	for _, f := range r.fields {
+		switch f.name {
+		case "Content-Length":
+			lengths++
+			n, err := strconv.ParseUint(f.value, 10, 31)
+			if err != nil || strings.HasPrefix(f.value, "+") {
+				return bad("content length %q is not a number", f.value)
+			}
+			r.length = int(n)
+		case "Transfer-Encoding":
+			codings++
+			if !strings.EqualFold(f.value, "chunked") {
+				return bad("transfer encoding %q is not supported", f.value)
+			}
+			r.chunked = true
+		case "Expect":
+			r.awaits = strings.EqualFold(f.value, "100-continue")
+		}
+	}
+	if lengths > 1 || codings > 1 || lengths+codings > 1 {
+		return bad("the length of the body is ambiguous")
+	}
+	return nil
+}
+
+// readBody reads the body of at most limit bytes.
+func (r *request) readBody(br *bufio.Reader, limit int) error {
+	tooLarge := &badRequestError{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	if !r.chunked {
+		if r.length > limit {
+			return tooLarge
+		}
+		if r.length == 0 {
+			return nil
+		}
+		r.body = make([]byte, r.length)
+		_, err := io.ReadFull(br, r.body)
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), int64(limit)+1))
+	switch {
+	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !isTimeout(err):
+		return bad("the chunks can't be read: %v", err)
+	case err != nil:
+		return err
+	case len(body) > limit:
+		return tooLarge
+	}
+	r.body = body
+	return skipTrailer(br)
+}
+
+// skipTrailer reads what follows the last chunk.
+func skipTrailer(br *bufio.Reader) error {
+	for {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// forward returns the header lines that go on to a backend server; the system's own follow them.
+func (r *request) forward(n *names) []byte {
+	local := make(map[string]bool)
+	for _, f := range r.fields {
+		if f.name != "Connection" {
+			continue
+		}
+		for _, name := range strings.Split(f.value, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			local[name] = !n.kept[name]
+		}
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n", r.method, r.uri)
+	for _, f := range r.fields {
+		if hopByHop[f.name] || local[f.name] || n.dropped[f.name] {
+			continue
+		}
+		b.WriteString(f.name)
+		b.WriteString(": ")
+		b.WriteString(f.value)
+		b.WriteString("\r\n")
+	}
+	if len(r.body) > 0 || r.method == http.MethodPost || r.method == http.MethodPut || r.method == http.MethodPatch {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/stage/relayer/pool.go
@@ -0,0 +1,188 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/serving/tracker"
+)
+
+const (
+	dialTimeout = 700 * time.Millisecond
+	// idleDefault is how long an unused connection is kept where the server doesn't say how long it keeps it.
+	idleDefault = 2 * time.Second
+	// idleMargin is how long before the server's own timeout a connection isn't used any more.
+	idleMargin = time.Second
+	// connShare is the part of a server's connections that entries may take together; the rest is for other callers.
+	connShare      = 0.9
+	serverBuffer   = 4 << 10
+	keepAliveProbe = time.Second
+)
+
+var errCrowded = errors.New("this entry has all connections to the server that it may have")
+
+// conn is a connection to a backend server.
+type conn struct {
+	net.Conn
+	br     *bufio.Reader
+	key    tracker.Key
+	used   bool
+	until  time.Time
+	closed sync.Once
+	pool   *pool
+}
+
+// Close closes the connection once.
+func (c *conn) Close() error {
+	var err error
+	c.closed.Do(func() {
+		err = c.Conn.Close()
+		c.pool.gone(c.key)
+	})
+	return err
+}
+
+// pool keeps the connections to all starts of backend servers.
+type pool struct {
+	mu   sync.Mutex
+	idle map[tracker.Key][]*conn
+	open map[tracker.Key]int
+}
+
+func newPool() *pool {
+	return &pool{idle: make(map[tracker.Key][]*conn), open: make(map[tracker.Key]int)}
+}
+
+// take returns a connection to the server, of which there are limit at most.
+func (p *pool) take(ctx context.Context, in tracker.Instance, limit int) (*conn, error) {
+	for {
+		c := p.takeIdle(in.Key)
+		if c == nil {
+			break
+		}
+		if c.isQuiet() {
+			c.used = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	p.mu.Lock()
+	if p.open[in.Key] >= limit {
+		p.mu.Unlock()
+		return nil, errCrowded
+	}
+	p.open[in.Key]++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveProbe}
+	raw, err := d.DialContext(ctx, "tcp", in.Addr)
+	if err != nil {
+		p.gone(in.Key)
+		return nil, err
+	}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, serverBuffer), key: in.Key, pool: p}, nil
+}
+
+func (p *pool) takeIdle(k tracker.Key) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[k]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[k] = list[:len(list)-1]
+	return c
+}
+
+// gone takes note of a closed connection.
+func (p *pool) gone(k tracker.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[k]--; p.open[k] <= 0 {
+		delete(p.open, k)
+	}
+}
+
+// put keeps a connection for another request; keep is the server's own timeout, or 0.
+func (p *pool) put(c *conn, keep time.Duration) {
+	idle := idleDefault
+	if keep > 0 {
+		idle = keep - idleMargin
+	}
+	if c.br.Buffered() > 0 || idle <= 0 {
+		_ = c.Close()
+		return
+	}
+	c.until = time.Now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
+// sweep closes connections that were unused for too long.
+func (p *pool) sweep(now time.Time) {
+	var old []*conn
+	p.mu.Lock()
+	for k, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.After(c.until) {
+				old = append(old, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if p.idle[k] = kept; len(kept) == 0 {
+			delete(p.idle, k)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// isQuiet reports whether nothing has come on an unused connection: neither its end nor bytes that belong to nobody.
+func (c *conn) isQuiet() bool {
+	if c.br.Buffered() > 0 || time.Now().After(c.until) {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepAlive returns the timeout that a Keep-Alive header states, or 0.
+func keepAlive(value string) time.Duration {
+	for _, part := range strings.Split(value, ",") {
+		name, n, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(strings.TrimSpace(n)); err == nil && s > 0 {
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/stage/relayer/relayer.go
@@ -0,0 +1,342 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/stage/governor"
+	"redwingstage.org/stage/logger"
+)
+
+const (
+	// headBuffer has room for the largest head that limits usually allow; a document may allow more only up to it.
+	headBuffer = 16<<10 + 512
+	// Limits until the first document is known.
+	defaultHeaderTime = 3 * time.Second
+	defaultIdle       = 15 * time.Second
+	defaultHeader     = 16 << 10
+	defaultBody       = 4 << 20
+	// bodyTime bounds the time for a body.
+	bodyTime = 10 * time.Second
+	// leaveTime is how long the balancer may take to notice that this entry takes no more connections.
+	leaveTime  = 3 * time.Second
+	sweepEvery = 500 * time.Millisecond
+)
+
+// Config says where an entry listens and who it is.
+type Config struct {
+	Node string
+	Zone string
+	// Callers is the callers' listener, Ready that of the balancer's questions, as ip:port.
+	Callers string
+	Ready   string
+	// Controls are the addresses of some control replicas.
+	Controls []string
+	// RetryShare is the part of requests that may be sent once more, RetrySlack how many more in RetryWindow, over all
+	// entries.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Deps are the parts that an entry works with.
+type Deps struct {
+	Dialect Dialect
+	Decode  func(governor.Doc) (*matcher.Table, error)
+	Log     *logger.Logger
+}
+
+// Relayer is a running entry.
+type Relayer struct {
+	cfg      Config
+	deps     Deps
+	names    *names
+	log      *logger.Part
+	pool     *pool
+	balancer *balancer.Balancer
+	budget   *budget
+	link     *link
+	table    atomic.Pointer[matcher.Table]
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       conc.WaitGroup
+	requests sync.WaitGroup
+	listener net.Listener
+	ready    *http.Server
+	leaving  atomic.Bool
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// New starts an entry; it is ready once control has told it of a document and of backend servers.
+func New(cfg Config, deps Deps) (*Relayer, error) {
+	var lc net.ListenConfig
+	callers, err := lc.Listen(context.Background(), "tcp", cfg.Callers)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", cfg.Callers)
+	}
+	ready, err := lc.Listen(context.Background(), "tcp", cfg.Ready)
+	if err != nil {
+		return nil, errors.Join(errors.Wrapf(err, "listen on %s", cfg.Ready), callers.Close())
+	}
+	e := &Relayer{
+		cfg: cfg, deps: deps, names: newNames(deps.Dialect), log: deps.Log.Part("entry"), pool: newPool(),
+		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]bool),
+		budget: newBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.link = newLink(e)
+	mux := http.NewServeMux()
+	mux.HandleFunc(deps.Dialect.ReadyPath, e.answerReady)
+	e.ready = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTime}
+	e.wg.Go(func() {
+		if err := e.ready.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("listener ended", err)
+		}
+	})
+	e.wg.Go(func() { e.link.run(e.ctx) })
+	e.wg.Go(e.sweep)
+	e.wg.Go(e.accept)
+	return e, nil
+}
+
+// SetControls replaces the addresses of control replicas that the settings name.
+func (e *Relayer) SetControls(addrs []string) { e.link.setSeeds(addrs) }
+
+// answerReady tells the balancer whether this entry takes connections.
+func (e *Relayer) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() || e.table.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Relayer) sweep() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case now := <-t.C:
+			e.pool.sweep(now)
+		}
+	}
+}
+
+func (e *Relayer) accept() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			if e.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			e.log.Error("accept", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		e.mu.Lock()
+		e.conns[c] = false
+		e.mu.Unlock()
+		e.wg.Go(func() {
+			e.serve(c)
+			e.mu.Lock()
+			delete(e.conns, c)
+			e.mu.Unlock()
+			_ = c.Close()
+		})
+	}
+}
+
+// mark notes whether a connection has a request, so that a shutdown closes only those without; false means that it ends.
+func (e *Relayer) mark(c net.Conn, busy bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.conns[c]; !ok {
+		return false
+	}
+	e.conns[c] = busy
+	return true
+}
+
+func (e *Relayer) limits() matcher.Limits {
+	l := matcher.Limits{HeaderBytes: defaultHeader, BodyBytes: defaultBody, Header: defaultHeaderTime, Idle: defaultIdle}
+	if t := e.table.Load(); t != nil {
+		given := t.Limits()
+		if given.HeaderBytes > 0 {
+			l.HeaderBytes = min(given.HeaderBytes, defaultHeader)
+		}
+		if given.BodyBytes > 0 {
+			l.BodyBytes = given.BodyBytes
+		}
+		if given.Header > 0 {
+			l.Header = given.Header
+		}
+		if given.Idle > 0 {
+			l.Idle = given.Idle
+		}
+	}
+	return l
+}
+
+// serve answers the requests of one connection.
+func (e *Relayer) serve(c net.Conn) {
+	br := bufio.NewReaderSize(c, headBuffer)
+	for {
+		limits := e.limits()
+		if !e.mark(c, false) || c.SetReadDeadline(time.Now().Add(limits.Idle)) != nil {
+			return
+		}
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		if !e.mark(c, true) {
+			return
+		}
+		if c.SetReadDeadline(time.Now().Add(limits.Header)) != nil {
+			return
+		}
+		w := &answer{conn: c}
+		req, err := e.receive(c, br, limits)
+		if err != nil {
+			refuseRequest(w, err)
+			return
+		}
+		w.closing = req.once || e.leaving.Load()
+		e.requests.Add(1)
+		ok := e.watch(c, br, req, w)
+		e.requests.Done()
+		if !ok || w.failed || w.closing {
+			return
+		}
+	}
+}
+
+// receive reads a request in full.
+func (e *Relayer) receive(c net.Conn, br *bufio.Reader, limits matcher.Limits) (*request, error) {
+	req, err := readHead(br, limits.HeaderBytes)
+	if err != nil {
+		return nil, err
+	}
+	if req.awaits && (req.chunked || req.length > 0) {
+		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		return nil, err
+	}
+	return req, req.readBody(br, limits.BodyBytes)
+}
+
+// refuseRequest answers a request that can't be read; the connection ends after it.
+func refuseRequest(w *answer, err error) {
+	w.closing = true
+	var b *badRequestError
+	switch {
+	case errors.As(err, &b):
+		w.fail(b.status, b.reason, 0)
+	case isTimeout(err):
+		w.fail(http.StatusRequestTimeout, "the request did not arrive in time", 0)
+	}
+}
+
+// watch handles a request while it watches whether the caller stays; false means that the connection ends.
+func (e *Relayer) watch(c net.Conn, br *bufio.Reader, req *request, w *answer) bool {
+	ctx, cancel := context.WithCancel(e.ctx)
+	defer cancel()
+	if c.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	var watching conc.WaitGroup
+	var gone atomic.Bool
+	watching.Go(func() {
+		if _, err := br.Peek(1); err != nil && !isTimeout(err) {
+			gone.Store(true)
+			cancel()
+		}
+	})
+	ok := e.handle(ctx, req, w)
+	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
+		ok = false
+	}
+	watching.Wait()
+	return ok && !gone.Load()
+}
+
+// Close shuts the entry down: not ready, open requests are answered, new ones as long as they come, until ctx is done.
+func (e *Relayer) Close(ctx context.Context) error {
+	e.log.Info("shutting down", "")
+	e.leaving.Store(true)
+	pauseFor(ctx, leaveTime)
+	err := e.listener.Close()
+	e.closeIdle()
+	done := make(chan struct{})
+	go func() {
+		e.requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	e.cancel()
+	e.mu.Lock()
+	for c := range e.conns {
+		_ = c.Close()
+	}
+	e.mu.Unlock()
+	err = errors.Join(err, e.ready.Close())
+	e.wg.Wait()
+	return err
+}
+
+// closeIdle closes the connections without a request; the others end with their answers.
+func (e *Relayer) closeIdle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c, busy := range e.conns {
+		if !busy {
+			delete(e.conns, c)
+			_ = c.Close()
+		}
+	}
+}
+
+// connLimit returns how many connections this entry may have to a server of the service.
+func (e *Relayer) connLimit(service string) int {
+	t := e.table.Load()
+	if t == nil {
+		return 1
+	}
+	s, ok := t.Service(service)
+	if !ok || s.MaxConns <= 0 {
+		return 1 << 16
+	}
+	return max(int(connShare*float64(s.MaxConns))/e.balancer.Entries(), 1)
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// point returns a random point for the choice among a route's services.
+func point() float64 { return rand.Float64() }
--- /dev/null
+++ b/stage/relayer/request.go
@@ -0,0 +1,251 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
+)
+
+const (
+	// wantEvery is how often an adapter is asked for while a request waits for it.
+	wantEvery = 400 * time.Millisecond
+	// waitFactor bounds the wait for an adapter or a server, in the route's target; later an answer is worth little.
+	waitFactor = 2
+	// maxSends bounds the tries of one request that reached no server.
+	maxSends = 8
+	// copyPause is the shortest time between two requests for one more copy of an adapter.
+	copyPause = time.Second
+	// Times to come back after a refusal.
+	comeBackLoad = 300 * time.Millisecond
+	comeBackFull = 500 * time.Millisecond
+	comeBackNone = time.Second
+)
+
+// call is a request with what the table says of it.
+type call struct {
+	req      *request
+	route    *matcher.Route
+	service  string
+	adapter  tracker.Adapter
+	id       string
+	head     []byte
+	arrived  time.Time
+	deadline time.Time
+	sends    int
+	// reached are the servers that got the request.
+	reached map[string]bool
+	// ran says that an attempt may have run.
+	ran    bool
+	except map[string]bool
+}
+
+// headWithout returns the head without the lines of a header.
+func (c *call) headWithout(name string) []byte {
+	var out []byte
+	for _, line := range bytes.SplitAfter(c.head, []byte("\r\n")) {
+		if !bytes.HasPrefix(line, []byte(name+":")) {
+			out = append(out, line...)
+		}
+	}
+	return out
+}
+
+// handle answers a request; false means that the connection must end.
+func (e *Relayer) handle(ctx context.Context, req *request, w *answer) bool {
+	table := e.table.Load()
+	if table == nil {
+		return w.fail(http.StatusServiceUnavailable, "this entry has no configuration yet", comeBackNone)
+	}
+	route, ok := table.Match(req.host, req.path)
+	if !ok {
+		return w.fail(http.StatusNotFound, "no route matches "+req.host+req.path, 0)
+	}
+	c := &call{
+		req: req, route: route, service: route.Pick(point()), id: req.get(e.names.Attempt), arrived: time.Now(),
+		reached: make(map[string]bool), except: make(map[string]bool),
+	}
+	if c.id == "" {
+		return w.fail(http.StatusBadRequest, "the header "+e.names.Attempt+" is missing", 0)
+	}
+	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
+		c.adapter = e.names.ParseModel(req.get(e.names.Model))
+	}
+	c.deadline = c.arrived.Add(route.Timeout)
+	if ms, err := strconv.ParseInt(req.get(e.names.Deadline), 10, 64); err == nil && ms > 0 {
+		c.deadline = earlier(c.deadline, c.arrived.Add(time.Duration(ms)*time.Millisecond))
+	}
+	c.head = req.forward(e.names)
+	e.budget.arrive()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
+	defer cancel()
+	ok = e.attempts(ctx, c, w)
+	return ok
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// attempts tries servers until one answers or the request must be given up.
+func (e *Relayer) attempts(ctx context.Context, c *call, w *answer) bool {
+	for try := 0; ; try++ {
+		choice, v := e.choose(ctx, c)
+		if v != balancer.Chosen {
+			return e.giveUp(ctx, c, w, v)
+		}
+		a := &attempt{call: c, choice: choice, resume: w.last}
+		began := time.Now()
+		r := e.exchange(ctx, a, w)
+		e.balancer.End(time.Now(), choice, c.adapter, r.result)
+		if r.outcome != unsent {
+			c.sends++
+			c.reached[choice.Key.ID] = true
+		}
+		switch r.outcome {
+		case answered:
+			return e.finish(c, w, r)
+		case notRun:
+			e.rejected(c, choice, r)
+		case unsent:
+			c.except[choice.Key.ID] = true
+		case unknown, cut:
+			c.ran = true
+			c.except[choice.Key.ID] = true
+		}
+		e.log.Attempt(c.id, choice.Key.ID, r.reason, time.Since(began))
+		if !e.again(ctx, c, w, r, try) {
+			return e.fail(ctx, c, w, r)
+		}
+	}
+}
+
+// rejected takes note of why a server did not run a request.
+func (e *Relayer) rejected(c *call, choice balancer.Choice, r reply) {
+	if r.missing && c.adapter.Name != "" {
+		e.balancer.Drop(choice.Key.ID, c.adapter)
+		e.link.missing(governor.AdapterAt{Engine: choice.Key.ID, Adapter: c.adapter})
+		return
+	}
+	c.except[choice.Key.ID] = true
+}
+
+// again reports whether the request may be sent once more.
+func (e *Relayer) again(ctx context.Context, c *call, w *answer, r reply, try int) bool {
+	if ctx.Err() != nil || w.failed || try >= maxSends || time.Until(c.deadline) <= 0 {
+		return false
+	}
+	switch r.outcome {
+	case unsent:
+		return true
+	case notRun:
+		return c.sends < c.route.Attempts && e.budget.spend(time.Now(), e.balancer.Entries())
+	case unknown, cut:
+		if !c.route.Idempotent() || w.begun && (!c.route.Resumable || w.last == "") {
+			return false
+		}
+		return c.sends < c.route.Attempts && e.budget.spend(time.Now(), e.balancer.Entries())
+	}
+	return false
+}
+
+// finish passes a whole answer on.
+func (e *Relayer) finish(c *call, w *answer, r reply) bool {
+	if r.result == balancer.Void {
+		return false
+	}
+	if w.begun {
+		return w.end()
+	}
+	if c.route.Stream && r.fields == nil {
+		return false
+	}
+	return w.whole(r.status, r.fields, r.body, c.req.method == http.MethodHead)
+}
+
+// fail ends a request whose last attempt brought no answer.
+func (e *Relayer) fail(ctx context.Context, c *call, w *answer, r reply) bool {
+	switch {
+	case w.failed || ctx.Err() != nil && time.Now().Before(c.deadline):
+		// The caller left.
+		return false
+	case w.begun:
+		// An answer that isn't whole must not look so.
+		return false
+	case !c.ran:
+		return e.refuse(c, w, "the request was not run: "+r.reason, comeBackFull)
+	case !time.Now().Before(c.deadline):
+		return e.own(c, w, http.StatusGatewayTimeout, "no answer came in time: "+r.reason)
+	}
+	return e.own(c, w, http.StatusBadGateway, "the request may have run: "+r.reason)
+}
+
+// giveUp ends a request for which there is no server.
+func (e *Relayer) giveUp(ctx context.Context, c *call, w *answer, v balancer.Verdict) bool {
+	switch {
+	case w.failed || w.begun || ctx.Err() != nil && time.Now().Before(c.deadline):
+		return false
+	case c.ran:
+		return e.own(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
+	case v == balancer.Absent:
+		return e.refuse(c, w, "no server holds the adapter yet", comeBackLoad)
+	}
+	return e.refuse(c, w, "no server answers for "+c.service+" now", comeBackNone)
+}
+
+// refuse tells the caller that the request was not run, and when to come back.
+func (e *Relayer) refuse(c *call, w *answer, reason string, after time.Duration) bool {
+	e.log.Request(c.id, c.adapter.Name, "refused", reason, http.StatusServiceUnavailable)
+	return w.fail(http.StatusServiceUnavailable, reason, after)
+}
+
+func (e *Relayer) own(c *call, w *answer, status int, reason string) bool {
+	e.log.Request(c.id, c.adapter.Name, "failed", reason, status)
+	return w.fail(status, reason, 0)
+}
+
+// choose returns the server for the next attempt; it waits a bounded time for an adapter to be loaded.
+func (e *Relayer) choose(ctx context.Context, c *call) (balancer.Choice, balancer.Verdict) {
+	limit := earlier(c.arrived.Add(max(waitFactor*c.route.Target, wantEvery)), c.deadline)
+	ask := balancer.Ask{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.except}
+	for {
+		var loaded <-chan struct{}
+		if c.adapter.Name != "" {
+			loaded = e.balancer.Await(c.adapter)
+		}
+		now := time.Now()
+		choice, v := e.balancer.Pick(now, ask)
+		switch {
+		case v == balancer.Chosen:
+			if c.adapter.Name != "" && (choice.Remote || choice.Crowded) {
+				e.link.want(governor.Want{Service: c.service, Adapter: c.adapter, Copy: true})
+			}
+			return choice, v
+		case v == balancer.None && len(c.except) > 0:
+			return choice, v
+		case now.After(limit):
+			return choice, v
+		}
+		if v == balancer.Absent && c.adapter.Name != "" {
+			e.link.want(governor.Want{Service: c.service, Adapter: c.adapter})
+		}
+		t := time.NewTimer(min(wantEvery, time.Until(limit)+time.Millisecond))
+		select {
+		case <-loaded:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return choice, v
+		}
+		t.Stop()
+	}
+}
