allocator, governor: fresh adapters stay until their use is known, orders under way count once

Cause: a just loaded adapter had no reported use, so it was the first victim; popular adapters were loaded up to 57 times. A repeated load that the engine is carrying out answers 202 without counting, so preconditions missed and loads were given up as failed while the engine went on with them (LIMIT). Ruled out: the engines' slots (16 as stated), the order of unload and load.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -20,6 +20,9 @@
 	wantTTL = time.Second
 	// copyFactor is how much more an adapter must be used than the victim for one more copy, so that copies don't alternate.
 	copyFactor = 2
+	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 200 ms, and
+	// requests that waited for it are sent at once.
+	settleTime = 500 * time.Millisecond
 	// listLag is how long an engine's own list may lag behind what orders did to it.
 	listLag = 3 * time.Second
 )
@@ -184,21 +187,29 @@
 	}
 }
 
-// Want takes a request for an adapter.
+// Want takes a request for an adapter; it counts as a use, since those that wait will use it.
 func (a *Allocator) Want(now time.Time, w Want) {
 	a.wants[wantKey{w.Service, w.Adapter, w.Zone, w.Copy}] = now
+	if !w.Copy {
+		a.used(now, w.Adapter, 1)
+	}
+}
+
+// used counts uses of an adapter.
+func (a *Allocator) used(now time.Time, ad tracker.Adapter, n int) {
+	r := a.rates[ad]
+	if r == nil {
+		r = &rate{at: now}
+		a.rates[ad] = r
+	}
+	r.value = r.decayed(now, a.cfg.HalfLife) + float64(n)
+	r.at = now
 }
 
 // Use takes how often an adapter was used since a process's last report, and how many of its requests run now.
 func (a *Allocator) Use(now time.Time, process, engineID string, ad tracker.Adapter, starts, running int) {
 	if starts > 0 {
-		r := a.rates[ad]
-		if r == nil {
-			r = &rate{at: now}
-			a.rates[ad] = r
-		}
-		r.value = r.decayed(now, a.cfg.HalfLife) + float64(starts)
-		r.at = now
+		a.used(now, ad, starts)
 	}
 	e := a.engines[engineID]
 	if e == nil || e.slots[ad] == nil {
@@ -388,14 +399,15 @@
 	return o, true, true
 }
 
-// score prefers the caller's data centre, engines that held the adapter lately, and those whose victim is used least.
+// score prefers engines that held the adapter lately, since others fetch it from the store, then the caller's data
+// centre, and those whose victim is used least.
 func (a *Allocator) score(now time.Time, e *engine, k wantKey, victim tracker.Adapter) float64 {
 	score := 0.0
-	if e.Zone == k.zone {
-		score += 4
-	}
 	if e.held[k.adapter] {
-		score += 2
+		score += 8
+	}
+	if e.Zone == k.zone {
+		score++
 	}
 	score -= float64(e.busy)
 	if victim.Name != "" {
@@ -416,7 +428,7 @@
 	var worst tracker.Adapter
 	worstRate := math.Inf(1)
 	for ad, s := range e.slots {
-		if s.state != resident || len(s.inUse) > 0 {
+		if s.state != resident || len(s.inUse) > 0 || now.Sub(s.since) < settleTime {
 			continue
 		}
 		if r := a.rate(now, ad); r < worstRate || r == worstRate && ad.Name < worst.Name {
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -56,13 +56,25 @@
 	load(c, a, start, want("a2", "z"))
 	a.Use(start, "p", "x", adapter("a1"), 1, 1)
 	a.Use(start, "p", "x", adapter("a2"), 9, 0)
-	o := load(c, a, start, want("a3", "z"))
+	later := start.Add(time.Second)
+	o := load(c, a, later, want("a3", "z"))
 	c.Check(o.Evict, qt.Equals, adapter("a2"), qt.Commentf("a1 is in use"))
-	a.Use(start, "p", "x", adapter("a3"), 1, 1)
-	a.Want(start, want("a4", "z"))
-	c.Check(a.Plan(start), qt.HasLen, 0, qt.Commentf("all are in use"))
+	a.Use(later, "p", "x", adapter("a3"), 1, 1)
+	later = later.Add(time.Second)
+	a.Want(later, want("a4", "z"))
+	c.Check(a.Plan(later), qt.HasLen, 0, qt.Commentf("all are in use"))
 	a.Forget("p")
-	c.Check(a.Plan(start), qt.HasLen, 1)
+	c.Check(a.Plan(later), qt.HasLen, 1)
+}
+
+func TestALoadedAdapterStaysUntilItsUseCanBeKnown(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	a.SetEngine(start, engine("x", "z"), 1)
+	load(c, a, start, want("a1", "z"))
+	a.Want(start.Add(300*time.Millisecond), want("a2", "z"))
+	c.Check(a.Plan(start.Add(300*time.Millisecond)), qt.HasLen, 0)
+	c.Check(a.Plan(start.Add(600*time.Millisecond)), qt.HasLen, 1)
 }
 
 func TestBoundsLoadsUnderWay(t *testing.T) {
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -14,9 +14,9 @@
 	// loadTime and recentLoadTime are how long engines take for an adapter that they didn't hold before, and for one
 	// that they did; a longer load is asked about again.
 	loadTime       = 250 * time.Millisecond
-	recentLoadTime = 30 * time.Millisecond
+	recentLoadTime = 26 * time.Millisecond
 	// confirmEvery is how often an engine is asked whether a load has ended.
-	confirmEvery = 40 * time.Millisecond
+	confirmEvery = 25 * time.Millisecond
 	// loadLimit is when a load counts as failed.
 	loadLimit = 4 * time.Second
 	// evictLimit is how long an eviction may wait for the adapter's last requests.
@@ -132,7 +132,9 @@
 // carryOut evicts, orders the load, and has its end awaited while the next order goes out.
 func (w *worker) carryOut(o allocator.Order) {
 	if o.Evict.Name != "" {
-		ok := w.repeat(EngineOrder{Adapter: o.Evict}, evictLimit)
+		evict := EngineOrder{Adapter: o.Evict}
+		v := w.order(evict, true)
+		ok := v == Holds || v != Refused && v != Fenced && w.repeat(evict, v != Accepted, evictLimit)
 		w.evicted(o, ok)
 		if !ok {
 			w.ended(o, false)
@@ -140,7 +142,7 @@
 		}
 	}
 	order := EngineOrder{Load: true, Adapter: o.Adapter, Version: o.Version}
-	switch w.order(order) {
+	switch w.order(order, true) {
 	case Holds:
 		w.ended(o, true)
 	case Accepted:
@@ -150,29 +152,32 @@
 				first = recentLoadTime
 			}
 			pause(w.ctx, first)
-			w.ended(o, w.repeat(order, loadLimit))
+			w.ended(o, w.repeat(order, false, loadLimit))
 		})
 	default:
 		w.ended(o, false)
 	}
 }
 
-// repeat gives an order until what it says is so.
-func (w *worker) repeat(o EngineOrder, limit time.Duration) bool {
+// repeat gives an order until what it says is so; first says that the engine hasn't taken it yet.
+func (w *worker) repeat(o EngineOrder, first bool, limit time.Duration) bool {
 	for until := time.Now().Add(limit); w.ctx.Err() == nil && time.Now().Before(until); pause(w.ctx, confirmEvery) {
-		switch w.order(o) {
+		switch w.order(o, first) {
 		case Holds:
 			return true
 		case Refused, Fenced:
 			return false
-		case Accepted, Conflict:
+		case Accepted:
+			first = false
+		case Conflict:
 		}
 	}
 	return false
 }
 
-// order gives one order and keeps count of those that the engine has taken.
-func (w *worker) order(o EngineOrder) Verdict {
+// order gives one order and keeps count of those that the engine has taken; an order that it is carrying out already,
+// and one that changes nothing, count once.
+func (w *worker) order(o EngineOrder, first bool) Verdict {
 	select {
 	case w.turn <- struct{}{}:
 	case <-w.ctx.Done():
@@ -200,7 +205,7 @@
 	switch {
 	case v == Conflict:
 		w.sure = false
-	case v == Accepted, v == Holds && !o.Load:
+	case first && (v == Accepted || v == Holds && !o.Load):
 		w.taken++
 	}
 	return v
