Control orders only at engines whose holdings are known; silent leaders are left at once; leaves without a birth count

(4) A server's own failure of an idempotent request was final. Ruled out: late notices of leaves (an entry's trace shows them within 1 ms), full queues at the leader. Change: the allocator places nothing at an engine before its report was taken up, and again after each doubt; orders whose end is unknown keep their place. A request that a server failed goes on while attempts and the shared budget last.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -23,8 +23,6 @@
 	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 200 ms, and
 	// requests that waited for it are sent at once.
 	settleTime = 500 * time.Millisecond
-	// listLag is how long an engine's own list may lag behind what orders did to it.
-	listLag = 3 * time.Second
 )
 
 // Config holds the bounds of an Allocator.
@@ -44,6 +42,7 @@
 	Evict tracker.Adapter
 	// Recent says that the engine held the adapter lately, so that it loads faster.
 	Recent bool
+	want   wantKey
 }
 
 // Want asks for an adapter on behalf of a data centre.
@@ -61,6 +60,8 @@
 	loading state = iota
 	resident
 	evicting
+	// doubtful is an adapter that the engine may hold or be loading; it takes a place until the engine says more.
+	doubtful
 )
 
 // slot is an adapter at an engine.
@@ -77,8 +78,23 @@
 	slots    map[tracker.Adapter]*slot
 	held     map[tracker.Adapter]bool
 	busy     int
+	// synced says that the table accounts for everything that the engine holds, so that orders can't exceed its room.
+	synced bool
 }
 
+// Outcome says how an order ended.
+type Outcome int
+
+// The outcomes of orders.
+const (
+	// Done means that the engine confirmed it.
+	Done Outcome = iota
+	// Undone means that the engine did not and will not carry it out.
+	Undone
+	// Doubtful means that it may be carried out.
+	Doubtful
+)
+
 // rate is a decayed count of uses.
 type rate struct {
 	value float64
@@ -115,45 +131,72 @@
 	}
 }
 
-// SetEngine takes up an engine with the number of adapters that it may hold, or what it says of itself now; it reports
-// whether the list of its adapters changed.
-func (a *Allocator) SetEngine(now time.Time, in tracker.Instance, capacity int) bool {
+// SetEngine takes up an engine with the number of adapters that it may hold; no adapter is ordered there before Sync.
+func (a *Allocator) SetEngine(in tracker.Instance, capacity int) {
 	e, ok := a.engines[in.Key.ID]
 	if !ok || e.Key != in.Key {
 		e = &engine{slots: make(map[tracker.Adapter]*slot), held: make(map[tracker.Adapter]bool)}
 		a.engines[in.Key.ID] = e
 	}
 	e.Instance, e.capacity = in, capacity
-	return e.reconcile(now, in.Residents)
 }
 
-// reconcile takes up an engine's own list where no order of late explains a difference.
-func (e *engine) reconcile(now time.Time, list []tracker.Resident) bool {
-	changed := false
-	listed := make(map[tracker.Adapter]bool, len(list))
-	for _, r := range list {
-		if r.Adapter.Name == "" {
-			continue
-		}
-		listed[r.Adapter] = true
-		s := e.slots[r.Adapter]
-		switch {
-		case s == nil && !e.held[r.Adapter]:
-			e.slots[r.Adapter] = &slot{version: r.Version, state: resident, since: now}
-			e.held[r.Adapter] = true
-			changed = true
-		case s != nil && s.state == resident && s.version != r.Version && now.Sub(s.since) > listLag:
-			s.version, s.since = r.Version, now
-			changed = true
+// Sync takes up what an engine itself reports to hold, and to be loading, after all orders that were given to it.
+func (a *Allocator) Sync(now time.Time, id string, residents, pending []tracker.Resident) {
+	e := a.engines[id]
+	if e == nil {
+		return
+	}
+	e.synced = true
+	listed := make(map[tracker.Adapter]state, len(residents)+len(pending))
+	for _, r := range pending {
+		listed[r.Adapter] = doubtful
+		e.take(now, r, doubtful)
+	}
+	for _, r := range residents {
+		if r.Adapter.Name != "" {
+			listed[r.Adapter] = resident
+			e.take(now, r, resident)
 		}
 	}
 	for ad, s := range e.slots {
-		if s.state == resident && !listed[ad] && now.Sub(s.since) > listLag {
+		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful) {
 			delete(e.slots, ad)
-			changed = true
 		}
 	}
-	return changed
+}
+
+// take enters what an engine reports, unless an order that is under way will tell more.
+func (e *engine) take(now time.Time, r tracker.Resident, as state) {
+	s := e.slots[r.Adapter]
+	switch {
+	case s == nil:
+		e.slots[r.Adapter] = &slot{version: r.Version, state: as, since: now}
+	case s.state == doubtful, s.state == resident:
+		s.state, s.version = as, r.Version
+	}
+	if as == resident {
+		e.held[r.Adapter] = true
+	}
+}
+
+// Unsync says that what an engine holds isn't sure any more.
+func (a *Allocator) Unsync(id string) {
+	if e := a.engines[id]; e != nil {
+		e.synced = false
+	}
+}
+
+// Unsynced returns the engines that must be asked what they hold, by ID.
+func (a *Allocator) Unsynced() []string {
+	var out []string
+	for id, e := range a.engines {
+		if !e.synced && !e.Leaving {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // RemoveEngine forgets an engine.
@@ -256,8 +299,8 @@
 	return true
 }
 
-// Loaded ends a load; a failed one leaves the slot free.
-func (a *Allocator) Loaded(now time.Time, o Order, ok bool) {
+// Loaded ends a load; what is wanted still is placed again.
+func (a *Allocator) Loaded(now time.Time, o Order, out Outcome) {
 	e := a.engines[o.Engine]
 	if e == nil {
 		return
@@ -267,25 +310,35 @@
 	if s == nil || s.state != loading {
 		return
 	}
-	if !ok {
+	switch out {
+	case Done:
+		s.state, s.since, s.version = resident, now, o.Version
+		e.held[o.Adapter] = true
+	case Undone:
 		delete(e.slots, o.Adapter)
-		return
+		a.wants[o.want] = now
+	case Doubtful:
+		s.state, s.since = doubtful, now
+		a.wants[o.want] = now
 	}
-	s.state, s.since, s.version = resident, now, o.Version
-	e.held[o.Adapter] = true
 }
 
-// Evicted ends an eviction; after a failed one the adapter stays.
-func (a *Allocator) Evicted(now time.Time, o Order, ok bool) {
+// Evicted ends an eviction; after one that wasn't carried out the adapter stays.
+func (a *Allocator) Evicted(now time.Time, o Order, out Outcome) {
 	e := a.engines[o.Engine]
 	if e == nil || e.slots[o.Evict] == nil || e.slots[o.Evict].state != evicting {
 		return
 	}
-	if ok {
+	s := e.slots[o.Evict]
+	s.since = now
+	switch out {
+	case Done:
 		delete(e.slots, o.Evict)
-		return
+	case Undone:
+		s.state = resident
+	case Doubtful:
+		s.state = doubtful
 	}
-	e.slots[o.Evict].state, e.slots[o.Evict].since = resident, now
 }
 
 // Plan returns the orders that follow from what is wanted.
@@ -313,12 +366,12 @@
 		e := a.engines[id]
 		for ad, s := range e.slots {
 			v := a.versions[ad]
-			if s.state != resident || s.version >= v || e.busy >= a.cfg.Transit {
+			if !e.synced || s.state != resident || s.version >= v || e.busy >= a.cfg.Transit {
 				continue
 			}
 			s.state, s.since = loading, now
 			e.busy++
-			out = append(out, Order{Engine: id, Adapter: ad, Version: v})
+			out = append(out, Order{Engine: id, Adapter: ad, Version: v, want: wantKey{service: e.Service, adapter: ad, zone: e.Zone}})
 		}
 	}
 	return out
@@ -370,12 +423,12 @@
 			continue
 		}
 		if s := e.slots[k.adapter]; s != nil {
-			if s.state == loading || !k.copied && s.state == resident && s.version >= version {
+			if s.state == loading && s.version >= version || !k.copied && s.state == resident && s.version >= version {
 				return Order{}, true, false
 			}
 			continue
 		}
-		if e.busy >= a.cfg.Transit {
+		if !e.synced || e.busy >= a.cfg.Transit {
 			continue
 		}
 		v, free := a.victim(now, e, k)
@@ -390,7 +443,7 @@
 	if best == nil {
 		return Order{}, k.copied, false
 	}
-	o = Order{Engine: best.Key.ID, Adapter: k.adapter, Version: version, Evict: victim, Recent: best.held[k.adapter]}
+	o = Order{Engine: best.Key.ID, Adapter: k.adapter, Version: version, Evict: victim, Recent: best.held[k.adapter], want: k}
 	best.slots[k.adapter] = &slot{version: version, state: loading, since: now}
 	best.busy++
 	if victim.Name != "" {
@@ -428,6 +481,10 @@
 	var worst tracker.Adapter
 	worstRate := math.Inf(1)
 	for ad, s := range e.slots {
+		if s.state == doubtful {
+			// An order to unload it makes sure of it.
+			return ad, false
+		}
 		if s.state != resident || len(s.inUse) > 0 || now.Sub(s.since) < settleTime {
 			continue
 		}
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -22,23 +22,29 @@
 	return allocator.Want{Service: "s", Adapter: adapter(name), Zone: zone}
 }
 
+// add takes up an engine that holds nothing.
+func add(a *allocator.Allocator, in tracker.Instance, capacity int) {
+	a.SetEngine(in, capacity)
+	a.Sync(start, in.Key.ID, nil, nil)
+}
+
 // load has an adapter loaded and returns its order.
 func load(c *qt.C, a *allocator.Allocator, now time.Time, w allocator.Want) allocator.Order {
 	a.Want(now, w)
 	orders := a.Plan(now)
 	c.Assert(orders, qt.HasLen, 1)
 	if orders[0].Evict.Name != "" {
-		a.Evicted(now, orders[0], true)
+		a.Evicted(now, orders[0], allocator.Done)
 	}
-	a.Loaded(now, orders[0], true)
+	a.Loaded(now, orders[0], allocator.Done)
 	return orders[0]
 }
 
 func TestPlacesInTheCallersDataCentre(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
-	a.SetEngine(start, engine("x", "z1"), 2)
-	a.SetEngine(start, engine("y", "z2"), 2)
+	add(a, engine("x", "z1"), 2)
+	add(a, engine("y", "z2"), 2)
 	c.Check(load(c, a, start, want("a1", "z2")).Engine, qt.Equals, "y")
 	a.Want(start, want("a1", "z1"))
 	c.Check(a.Plan(start), qt.HasLen, 0, qt.Commentf("a copy exists"))
@@ -51,7 +57,7 @@
 func TestEvictsWhatIsUsedLeastAndNeverWhatRuns(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
-	a.SetEngine(start, engine("x", "z"), 2)
+	add(a, engine("x", "z"), 2)
 	load(c, a, start, want("a1", "z"))
 	load(c, a, start, want("a2", "z"))
 	a.Use(start, "p", "x", adapter("a1"), 1, 1)
@@ -70,7 +76,7 @@
 func TestALoadedAdapterStaysUntilItsUseCanBeKnown(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
-	a.SetEngine(start, engine("x", "z"), 1)
+	add(a, engine("x", "z"), 1)
 	load(c, a, start, want("a1", "z"))
 	a.Want(start.Add(300*time.Millisecond), want("a2", "z"))
 	c.Check(a.Plan(start.Add(300*time.Millisecond)), qt.HasLen, 0)
@@ -80,41 +86,91 @@
 func TestBoundsLoadsUnderWay(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{Transit: 2})
-	a.SetEngine(start, engine("x", "z"), 8)
+	add(a, engine("x", "z"), 8)
 	for _, name := range []string{"a1", "a2", "a3"} {
 		a.Want(start, want(name, "z"))
 	}
 	orders := a.Plan(start)
 	c.Assert(orders, qt.HasLen, 2)
-	a.Loaded(start, orders[0], false)
+	a.Loaded(start, orders[0], allocator.Undone)
 	c.Check(a.Plan(start), qt.HasLen, 1)
 }
 
 func TestReplacesOldVersions(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
-	a.SetEngine(start, engine("x", "z"), 2)
+	add(a, engine("x", "z"), 2)
 	load(c, a, start, want("a1", "z"))
 	a.SetVersion(adapter("a1"), 7)
 	orders := a.Plan(start)
 	c.Assert(orders, qt.HasLen, 1)
 	c.Check(orders[0].Version, qt.Equals, 7)
 	c.Check(a.Residents("x"), qt.HasLen, 0)
-	a.Loaded(start, orders[0], true)
+	a.Loaded(start, orders[0], allocator.Done)
 	c.Check(a.Residents("x"), qt.DeepEquals, []tracker.Resident{{Adapter: adapter("a1"), Version: 7}})
 }
 
-func TestAnEnginesListCountsOnceOrdersAreOld(t *testing.T) {
+func residents(names ...string) []tracker.Resident {
+	var out []tracker.Resident
+	for _, name := range names {
+		out = append(out, tracker.Resident{Adapter: adapter(name), Version: 1})
+	}
+	return out
+}
+
+func TestNothingIsOrderedBeforeTheEngineSaidWhatItHolds(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	a.SetEngine(engine("x", "z"), 2)
+	a.Want(start, want("a1", "z"))
+	c.Check(a.Plan(start), qt.HasLen, 0)
+	c.Check(a.Unsynced(), qt.DeepEquals, []string{"x"})
+	a.Sync(start, "x", residents("a8"), residents("a9"))
+	orders := a.Plan(start.Add(time.Second))
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Evict, qt.Equals, adapter("a9"), qt.Commentf("what is loading takes a place too"))
+	c.Check(a.Residents("x"), qt.DeepEquals, residents("a8"))
+}
+
+func TestADoubtfulLoadTakesAPlace(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	a.Want(start, want("a1", "z"))
+	orders := a.Plan(start)
+	c.Assert(orders, qt.HasLen, 1)
+	a.Loaded(start, orders[0], allocator.Doubtful)
+	c.Check(a.Residents("x"), qt.HasLen, 0)
+	a.Want(start, want("a2", "z"))
+	for _, o := range a.Plan(start) {
+		c.Check(o.Evict, qt.Equals, adapter("a1"))
+	}
+}
+
+func TestSyncTakesUpWhatTheEngineReports(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
-	in := engine("x", "z")
-	a.SetEngine(start, in, 2)
+	add(a, engine("x", "z"), 3)
 	load(c, a, start, want("a1", "z"))
-	c.Check(a.SetEngine(start.Add(time.Second), in, 2), qt.IsFalse, qt.Commentf("the list may be older than the load"))
-	c.Check(a.SetEngine(start.Add(time.Minute), in, 2), qt.IsTrue)
+	a.Want(start, want("a2", "z"))
+	c.Assert(a.Plan(start), qt.HasLen, 1)
+	a.Sync(start, "x", residents("a3"), nil)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents("a3"), qt.Commentf("a1 is gone, a2 is under way"))
+	again := engine("x", "z")
+	again.Key.Born = 2
+	a.SetEngine(again, 3)
 	c.Check(a.Residents("x"), qt.HasLen, 0)
-	in.Key.Born = 2
-	in.Residents = []tracker.Resident{{Adapter: adapter("a9"), Version: 1}}
-	a.SetEngine(start, in, 2)
-	c.Check(a.Residents("x"), qt.DeepEquals, in.Residents)
+}
+
+func TestWhatFailedIsPlacedAgain(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	a.Want(start, want("a1", "z"))
+	orders := a.Plan(start)
+	a.Loaded(start, orders[0], allocator.Undone)
+	a.Unsync("x")
+	c.Check(a.Plan(start), qt.HasLen, 0)
+	a.Sync(start, "x", nil, nil)
+	c.Check(a.Plan(start), qt.HasLen, 1)
 }
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -167,13 +167,17 @@
 	}
 }
 
-// Leave has a start of a server get no new requests for good.
+// Leave has a start of a server get no new requests for good; a key without a birth means the start that is known.
 func (b *Balancer) Leave(keys []tracker.Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, k := range keys {
+		s := b.servers[k.ID]
+		if s != nil && k.Born == 0 && !b.left[k] {
+			b.left[s.Key] = true
+		}
 		b.left[k] = true
-		if s := b.servers[k.ID]; s != nil && s.Key == k {
+		if s != nil && b.left[s.Key] {
 			s.Leaving = true
 		}
 	}
--- a/serving/balancer/balancer_test.go
+++ b/serving/balancer/balancer_test.go
@@ -81,6 +81,21 @@
 	c.Check(v, qt.Equals, balancer.Chosen)
 }
 
+func TestALeaveWithoutABirthMeansTheKnownStart(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	b.Leave([]tracker.Key{{ID: "x"}})
+	_, v := b.Pick(start, balancer.Ask{Service: "s", Zone: "z"})
+	c.Check(v, qt.Equals, balancer.None)
+	again := server("x", "z")
+	again.Key.Born = 2
+	b.Set([]tracker.Instance{again}, true)
+	b.Leave([]tracker.Key{{ID: "x"}})
+	_, v = b.Pick(start, balancer.Ask{Service: "s", Zone: "z"})
+	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("an old leave says nothing of a later start"))
+}
+
 func TestUsesTellsWhatChanged(t *testing.T) {
 	c := qt.New(t)
 	b := balancer.New()
--- a/serving/tracker/tracker.go
+++ b/serving/tracker/tracker.go
@@ -92,8 +92,11 @@
 		a.Leaving == b.Leaving
 }
 
-// Leave marks a start of an instance as leaving for good, whatever it says later.
+// Leave marks a start of an instance as leaving for good, whatever it says later; without a birth it is the known one.
 func (t *Tracker) Leave(k Key) {
+	if r, ok := t.known[k.ID]; ok && k.Born == 0 {
+		k = r.Key
+	}
 	t.left[k] = true
 	if r, ok := t.known[k.ID]; ok && r.Key == k && !r.Leaving {
 		r.Leaving = true
--- a/serving/tracker/tracker_test.go
+++ b/serving/tracker/tracker_test.go
@@ -79,6 +79,14 @@
 	c.Check(in.Leaving, qt.IsFalse)
 }
 
+func TestALeaveWithoutABirthMeansTheKnownStart(t *testing.T) {
+	c := qt.New(t)
+	tr := tracker.New()
+	tr.Announce(start, instance("a", 7, 1, "x"))
+	tr.Leave(tracker.Key{ID: "a"})
+	c.Check(tr.HasLeft(tracker.Key{ID: "a", Born: 7}), qt.IsTrue)
+}
+
 func TestExpire(t *testing.T) {
 	c := qt.New(t)
 	tr := tracker.New()
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -50,7 +50,7 @@
 	for _, v := range state.Versions {
 		d.placing.SetVersion(v.Adapter, v.Version)
 	}
-	d.sync(time.Time{})
+	d.sync()
 }
 
 // announce takes what an instance says of itself.
@@ -58,11 +58,7 @@
 	if !d.engines.Announce(now, in) {
 		return
 	}
-	in, _ = d.engines.Instance(in.Key.ID)
-	if n := d.capacity(in.Service); n > 0 {
-		d.placing.SetEngine(now, in, n)
-	}
-	d.sync(now)
+	d.sync()
 }
 
 // claim takes up what an entry knows of backend servers since an earlier leader.
@@ -77,16 +73,16 @@
 }
 
 // resize gives every engine the number of adapters that the document allows.
-func (d *desk) resize(now time.Time) {
+func (d *desk) resize() {
 	for _, in := range d.engines.Instances() {
 		if n := d.capacity(in.Service); n > 0 {
-			d.placing.SetEngine(now, in, n)
+			d.placing.SetEngine(in, n)
 		}
 	}
 }
 
 // sync collects what changed for entries.
-func (d *desk) sync(now time.Time) {
+func (d *desk) sync() {
 	for _, id := range d.engines.Changes() {
 		d.changed[id] = true
 		in, ok := d.engines.Instance(id)
@@ -96,7 +92,7 @@
 			continue
 		}
 		if n := d.capacity(in.Service); n > 0 {
-			d.placing.SetEngine(now, in, n)
+			d.placing.SetEngine(in, n)
 		}
 	}
 	for _, in := range d.engines.Instances() {
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -34,7 +34,7 @@
 	silence := time.AfterFunc(dialTimeout, func() { cancel(errors.New("the leader is silent")) })
 	defer silence.Stop()
 	if err := stream.Send(&Up{Hello: &hello}); err != nil {
-		return "", err
+		return "", errors.Wrap(err, "send hello")
 	}
 	var number uint64
 	received := make(chan error, 1)
@@ -68,12 +68,14 @@
 			m = Up{Beat: number}
 		case m = <-up:
 		case <-ctx.Done():
-			cancel(nil)
+			// The transport looks at the context only once the request has ended.
+			_ = stream.CloseRequest()
 			<-received
-			return "", context.Cause(ctx)
+			return redirect, context.Cause(ctx)
 		}
 		if err := stream.Send(&m); err != nil {
 			cancel(err)
+			_ = stream.CloseRequest()
 			return redirect, errors.Join(err, <-received)
 		}
 	}
--- /dev/null
+++ b/stage/governor/follow_test.go
@@ -0,0 +1,39 @@
+package governor
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+)
+
+// A leader that stands still keeps its connections open and says nothing.
+func TestDialGivesUpASilentLeader(t *testing.T) {
+	c := qt.New(t)
+	frozen := make(chan struct{})
+	mux := http.NewServeMux()
+	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession,
+		func(_ context.Context, s *connect.BidiStream[Up, Down]) error {
+			if err := s.Send(&Down{Welcome: &Welcome{Era: 1}, Entries: 1}); err != nil {
+				return err
+			}
+			<-frozen
+			return nil
+		}, encoder.Option()))
+	srv := httptest.NewUnstartedServer(nil)
+	srv.Config = encoder.NewServer(mux)
+	srv.Start()
+	defer srv.Close()
+	defer close(frozen)
+	welcomed := 0
+	_, err := Dial(context.Background(), srv.Listener.Addr().String(), Hello{Node: "n"}, make(chan Up), func(d Down) {
+		welcomed += d.Entries
+	})
+	c.Check(err, qt.ErrorMatches, "the leader is silent")
+	c.Check(welcomed, qt.Equals, 1)
+}
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -180,7 +180,12 @@
 }
 
 // Leave marks a start of a backend server as leaving; it returns once that is committed and entries were told.
+//
+// A key without a birth means the start that is known now.
 func (g *Governor) Leave(ctx context.Context, k tracker.Key) error {
+	if k.Born == 0 {
+		k = g.hub.latest(k.ID)
+	}
 	if g.seat.hasLeft(k) {
 		return g.lead()
 	}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"net/http"
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
 )
 
@@ -141,7 +142,13 @@
 		}
 	}
 	h.desk.engines.Expire(now, instanceTTL)
-	h.desk.sync(now)
+	h.desk.sync()
+	for id, w := range h.workers {
+		if _, ok := h.desk.engines.Instance(id); !ok {
+			w.close()
+			delete(h.workers, id)
+		}
+	}
 	h.joiner.tick(now)
 	h.finishWaits()
 }
@@ -243,7 +250,7 @@
 	down := Down{Versions: state.Versions, Left: state.Left}
 	if h.table == nil || h.table.Version() != state.Doc.Version {
 		h.table = h.decode(state.Doc)
-		h.desk.resize(now)
+		h.desk.resize()
 		down.Doc = &state.Doc
 	}
 	h.desk.refresh(state)
@@ -314,27 +321,53 @@
 	if h.desk == nil {
 		return
 	}
+	for _, id := range h.desk.placing.Unsynced() {
+		h.worker(id).sync()
+	}
 	for _, o := range h.desk.placing.Plan(now) {
-		h.worker(o).add(o)
+		h.worker(o.Engine).add(o)
 	}
-	h.desk.sync(now)
+	h.desk.sync()
 }
 
-// worker returns the goroutine that gives an engine its orders.
-func (h *hub) worker(o allocator.Order) *worker {
-	w := h.workers[o.Engine]
-	in, _ := h.desk.engines.Instance(o.Engine)
+// worker returns what gives an engine its orders.
+func (h *hub) worker(id string) *worker {
+	w := h.workers[id]
+	in, _ := h.desk.engines.Instance(id)
 	if w != nil && w.target.Key != in.Key {
 		w.close()
 		w = nil
 	}
 	if w == nil {
 		w = newWorker(h, in)
-		h.workers[o.Engine] = w
+		h.workers[id] = w
 	}
 	return w
 }
 
+// latest returns the key of the latest known start of a backend server; any goroutine may call it.
+func (h *hub) latest(id string) tracker.Key {
+	key := make(chan tracker.Key, 1)
+	ok := h.post(func(time.Time) {
+		k := tracker.Key{ID: id}
+		if h.desk != nil {
+			if in, ok := h.desk.engines.Instance(id); ok {
+				k = in.Key
+			}
+		}
+		key <- k
+	})
+	if !ok {
+		return tracker.Key{ID: id}
+	}
+	select {
+	case k := <-key:
+		return k
+	case <-h.ctx.Done():
+		return tracker.Key{ID: id}
+	}
+}
+
 // awaitVersion returns once all entries have a version of the document, or soon; any goroutine may call it.
 func (h *hub) awaitVersion(ctx context.Context, version uint64) {
 	w := versionWait{version: version, done: make(chan struct{})}
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -21,7 +21,11 @@
 	loadLimit = 4 * time.Second
 	// evictLimit is how long an eviction may wait for the adapter's last requests.
 	evictLimit = time.Second
-	maxOrders  = 64
+	// syncPause is the wait before an engine is asked again what it holds.
+	syncPause = 300 * time.Millisecond
+	// lagPause is the wait for a report that is younger than the latest order, and lagTries how often it is waited for.
+	lagPause = 100 * time.Millisecond
+	lagTries = 10
 )
 
 // Verdict is an engine's answer to an order.
@@ -55,8 +59,11 @@
 
 // EngineReport is what an engine tells of its orders.
 type EngineReport struct {
+	// Orders is how many orders the engine has taken since its start.
 	Orders    uint64
 	Residents []tracker.Resident
+	// Pending are adapters that it is loading.
+	Pending []tracker.Resident
 }
 
 // Engines gives orders to engines.
@@ -65,148 +72,193 @@
 	Report(ctx context.Context, in tracker.Instance) (EngineReport, error)
 }
 
-// worker gives orders to one start of an engine, one after the other.
+// worker gives orders to one start of an engine, one at a time.
 type worker struct {
 	hub    *hub
 	target tracker.Instance
 	fence  uint64
-	orders chan allocator.Order
 	ctx    context.Context
 	cancel context.CancelFunc
-	turn   chan struct{}
+	// turn is held while an order or a report is under way; it guards the fields below.
+	turn chan struct{}
 	// taken is how many orders the engine has taken; it counts only while sure.
-	taken uint64
-	sure  bool
+	taken  uint64
+	sure   bool
+	fenced bool
+	// asking says that the engine is being asked what it holds; the control goroutine sets it.
+	asking bool
 }
 
 func newWorker(h *hub, in tracker.Instance) *worker {
-	w := &worker{hub: h, target: in, fence: h.desk.era, orders: make(chan allocator.Order, maxOrders), turn: make(chan struct{}, 1)}
+	w := &worker{hub: h, target: in, fence: h.desk.era, turn: make(chan struct{}, 1)}
 	w.ctx, w.cancel = context.WithCancel(h.ctx)
-	h.spawn(w.run)
 	return w
 }
 
 func (w *worker) close() { w.cancel() }
 
-// add queues an order; the allocator bounds how many are under way.
-func (w *worker) add(o allocator.Order) {
-	select {
-	case w.orders <- o:
-	default:
-		w.ended(o, false)
+// post has f run by the control goroutine while the worker's era lasts.
+func (w *worker) post(f func(now time.Time, d *desk)) {
+	w.hub.post(func(now time.Time) {
+		if d := w.hub.desk; d != nil && d.era == w.fence && w.ctx.Err() == nil {
+			f(now, d)
+			d.diff(w.target.Key.ID)
+		}
+	})
+}
+
+// sync asks the engine what it holds, until it has said so; the control goroutine calls it.
+func (w *worker) sync() {
+	if w.asking {
+		return
 	}
+	w.asking = true
+	w.hub.spawn(func() {
+		for !w.ask() && w.ctx.Err() == nil {
+			pause(w.ctx, syncPause)
+		}
+	})
 }
 
-func (w *worker) run() {
-	for {
-		select {
-		case <-w.ctx.Done():
-			return
-		case o := <-w.orders:
-			w.carryOut(o)
+// ask takes up one report that is as young as the latest order.
+func (w *worker) ask() bool {
+	if !w.enter() {
+		return false
+	}
+	defer w.leave()
+	for range lagTries {
+		ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
+		report, err := w.hub.deps.Engines.Report(ctx, w.target)
+		cancel()
+		if err != nil {
+			w.hub.log.Error("report of "+w.target.Key.ID, err)
+			return false
 		}
+		if report.Orders < w.taken {
+			pause(w.ctx, lagPause)
+			continue
+		}
+		w.take(report)
+		return true
 	}
+	// The engine has taken fewer orders than were counted here.
+	w.taken = 0
+	return false
 }
 
-// ended tells the control goroutine how a load ended.
-func (w *worker) ended(o allocator.Order, ok bool) {
-	w.hub.spawn(func() {
-		w.hub.post(func(now time.Time) {
-			if d := w.hub.desk; d != nil && d.era == w.fence {
-				d.placing.Loaded(now, o, ok)
-				d.diff(o.Engine)
-			}
-		})
+func (w *worker) take(report EngineReport) {
+	w.taken, w.sure = report.Orders, true
+	w.post(func(now time.Time, d *desk) {
+		w.asking = false
+		d.placing.Sync(now, w.target.Key.ID, report.Residents, report.Pending)
 	})
 }
 
-func (w *worker) evicted(o allocator.Order, ok bool) {
-	w.hub.post(func(now time.Time) {
-		if d := w.hub.desk; d != nil && d.era == w.fence {
-			d.placing.Evicted(now, o, ok)
-			d.diff(o.Engine)
-		}
-	})
+func (w *worker) enter() bool {
+	select {
+	case w.turn <- struct{}{}:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
 }
 
-// carryOut evicts, orders the load, and has its end awaited while the next order goes out.
+func (w *worker) leave() { <-w.turn }
+
+// add carries an order out; the allocator bounds how many are under way.
+func (w *worker) add(o allocator.Order) { w.hub.spawn(func() { w.carryOut(o) }) }
+
+// carryOut evicts, orders the load and awaits its end.
 func (w *worker) carryOut(o allocator.Order) {
 	if o.Evict.Name != "" {
-		evict := EngineOrder{Adapter: o.Evict}
-		v := w.order(evict, true)
-		ok := v == Holds || v != Refused && v != Fenced && w.repeat(evict, v != Accepted, evictLimit)
-		w.evicted(o, ok)
-		if !ok {
-			w.ended(o, false)
+		out := w.evict(EngineOrder{Adapter: o.Evict})
+		w.post(func(now time.Time, d *desk) { d.placing.Evicted(now, o, out) })
+		if out != allocator.Done {
+			w.post(func(now time.Time, d *desk) { d.placing.Loaded(now, o, allocator.Undone) })
 			return
 		}
 	}
-	order := EngineOrder{Load: true, Adapter: o.Adapter, Version: o.Version}
-	switch w.order(order, true) {
-	case Holds:
-		w.ended(o, true)
-	case Accepted:
-		w.hub.spawn(func() {
-			first := loadTime
-			if o.Recent {
-				first = recentLoadTime
-			}
-			pause(w.ctx, first)
-			w.ended(o, w.repeat(order, false, loadLimit))
-		})
-	default:
-		w.ended(o, false)
+	out := w.load(EngineOrder{Load: true, Adapter: o.Adapter, Version: o.Version}, o.Recent)
+	w.post(func(now time.Time, d *desk) { d.placing.Loaded(now, o, out) })
+}
+
+func (w *worker) evict(o EngineOrder) allocator.Outcome {
+	switch v, err := w.order(o, true); {
+	case err != nil:
+		return allocator.Doubtful
+	case v == Holds:
+		return allocator.Done
+	case v == Accepted:
+		pause(w.ctx, confirmEvery)
+		return w.confirm(o, evictLimit)
+	}
+	return allocator.Undone
+}
+
+func (w *worker) load(o EngineOrder, recent bool) allocator.Outcome {
+	switch v, err := w.order(o, true); {
+	case err != nil:
+		return allocator.Doubtful
+	case v == Holds:
+		return allocator.Done
+	case v == Accepted:
+		first := loadTime
+		if recent {
+			first = recentLoadTime
+		}
+		pause(w.ctx, first)
+		return w.confirm(o, loadLimit)
 	}
+	return allocator.Undone
 }
 
-// repeat gives an order until what it says is so; first says that the engine hasn't taken it yet.
-func (w *worker) repeat(o EngineOrder, first bool, limit time.Duration) bool {
+// confirm repeats an order that the engine has taken until it says that it is done.
+func (w *worker) confirm(o EngineOrder, limit time.Duration) allocator.Outcome {
 	for until := time.Now().Add(limit); w.ctx.Err() == nil && time.Now().Before(until); pause(w.ctx, confirmEvery) {
-		switch w.order(o, first) {
-		case Holds:
-			return true
-		case Refused, Fenced:
-			return false
-		case Accepted:
-			first = false
-		case Conflict:
+		v, err := w.order(o, false)
+		if err == nil && v == Holds {
+			return allocator.Done
+		}
+		if err == nil && v == Refused {
+			break
 		}
 	}
-	return false
+	w.doubt()
+	return allocator.Doubtful
+}
+
+// doubt has the engine asked what it holds before the next order.
+func (w *worker) doubt() {
+	w.post(func(_ time.Time, d *desk) { d.placing.Unsync(w.target.Key.ID) })
 }
 
 // order gives one order and keeps count of those that the engine has taken; an order that it is carrying out already,
-// and one that changes nothing, count once.
-func (w *worker) order(o EngineOrder, first bool) Verdict {
-	select {
-	case w.turn <- struct{}{}:
-	case <-w.ctx.Done():
-		return Refused
+// and one that changes nothing, count once. After an error the order may have been taken, or may be later, as long as
+// the engine takes no other.
+func (w *worker) order(o EngineOrder, first bool) (Verdict, error) {
+	if !w.enter() {
+		return Refused, nil
+	}
+	defer w.leave()
+	if !w.sure || w.fenced {
+		return Conflict, nil
 	}
-	defer func() { <-w.turn }()
 	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
 	defer cancel()
-	if !w.sure {
-		report, err := w.hub.deps.Engines.Report(ctx, w.target)
-		if err != nil {
-			w.hub.log.Error("report of "+w.target.Key.ID, err)
-			return Refused
-		}
-		w.taken, w.sure = report.Orders, true
-	}
 	o.Holder, o.Fence, o.Expect = w.hub.cfg.Node, w.fence, w.taken
 	v, err := w.hub.deps.Engines.Order(ctx, w.target, o)
-	w.hub.log.Order(w.target.Key.ID, o.Adapter.Name, o.Load, int(v), o.Expect)
-	if err != nil {
-		w.hub.log.Error("order at "+w.target.Key.ID, err)
-		w.sure = false
-		return Conflict
+	if first || err != nil {
+		w.hub.log.Order(w.target.Key.ID, o.Adapter.Name, o.Load, int(v), o.Expect, err)
 	}
 	switch {
-	case v == Conflict:
+	case err != nil, v == Conflict && first:
 		w.sure = false
+		w.doubt()
+	case v == Fenced:
+		w.fenced = true
+		w.doubt()
 	case first && (v == Accepted || v == Holds && !o.Load):
 		w.taken++
 	}
-	return v
+	return v, err
 }
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -54,8 +54,12 @@
 }
 
 // Order tells of an order to an engine and its answer.
-func (p *Part) Order(engine, adapter string, load bool, verdict int, expected uint64) {
-	p.log.Info().Str("engine", engine).Str("adapter", adapter).Bool("load", load).Int("verdict", verdict).
+func (p *Part) Order(engine, adapter string, load bool, verdict int, expected uint64, err error) {
+	e := p.log.Info()
+	if err != nil {
+		e = p.log.Error().Err(err)
+	}
+	e.Str("engine", engine).Str("adapter", adapter).Bool("load", load).Int("verdict", verdict).
 		Uint64("expected", expected).Msg(p.prefix + "order answered")
 }
 
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -111,6 +111,12 @@
 			c.sends++
 			c.reached[choice.Key.ID] = true
 		}
+		if e.failedAgain(c, w, r) {
+			c.ran = true
+			c.except[choice.Key.ID] = true
+			e.log.Attempt(c.id, choice.Key.ID, r.reason, time.Since(began))
+			continue
+		}
 		switch r.outcome {
 		case answered:
 			return e.finish(c, w, r)
@@ -129,6 +135,12 @@
 	}
 }
 
+// failedAgain reports whether a request that a server failed goes on to another one.
+func (e *Relayer) failedAgain(c *call, w *answer, r reply) bool {
+	return r.outcome == answered && r.result == balancer.Failed && c.route.Idempotent() && !w.begun &&
+		c.sends < c.route.Attempts && e.budget.spend(time.Now(), e.balancer.Entries())
+}
+
 // rejected takes note of why a server did not run a request.
 func (e *Relayer) rejected(c *call, choice balancer.Choice, r reply) {
 	if r.missing && c.adapter.Name != "" {
