Engines that start without a base model load one first

Ruled out: lost counts of orders (the engine reports 0 taken and expects 0), loads of four adapters at once. Change: the allocator orders the base model with the fewest copies, within the store's rate; entries send only to engines that hold the base model; after a conflict a report is waited for.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -42,7 +43,9 @@
 	Evict tracker.Adapter
 	// Recent says that the engine held the adapter lately, so that it loads faster.
 	Recent bool
-	want   wantKey
+	// Time is how long the load of a base model takes, 0 for adapters.
+	Time time.Duration
+	want wantKey
 }
 
 // Want asks for an adapter on behalf of a data centre.
@@ -74,9 +77,12 @@
 
 type engine struct {
 	tracker.Instance
-	capacity int
-	slots    map[tracker.Adapter]*slot
-	held     map[tracker.Adapter]bool
+	room  Room
+	slots map[tracker.Adapter]*slot
+	held  map[tracker.Adapter]bool
+	// models are the base models that it holds, with their versions; fetching is the one that it is loading.
+	models   map[string]int
+	fetching string
 	busy     int
 	// synced says that the table accounts for everything that the engine holds, so that orders can't exceed its room.
 	synced bool
@@ -108,9 +114,20 @@
 	copied  bool
 }
 
+// Room is what the engines of a service may hold.
+type Room struct {
+	// Adapters is the number of adapters at one engine.
+	Adapters int
+	// Models are the service's base models; an engine that holds none is ordered to load one.
+	Models []matcher.Model
+	// LoadsPerSecond bounds how often a load of a base model may begin, over all engines.
+	LoadsPerSecond float64
+}
+
 // Allocator keeps the engines' adapters; one goroutine calls it.
 type Allocator struct {
 	cfg      Config
+	fetched  time.Time
 	engines  map[string]*engine
 	rates    map[tracker.Adapter]*rate
 	versions map[tracker.Adapter]int
@@ -131,14 +148,16 @@
 	}
 }
 
-// SetEngine takes up an engine with the number of adapters that it may hold; no adapter is ordered there before Sync.
-func (a *Allocator) SetEngine(in tracker.Instance, capacity int) {
+// SetEngine takes up an engine with what it may hold; no adapter is ordered there before Sync.
+func (a *Allocator) SetEngine(in tracker.Instance, room Room) {
 	e, ok := a.engines[in.Key.ID]
 	if !ok || e.Key != in.Key {
-		e = &engine{slots: make(map[tracker.Adapter]*slot), held: make(map[tracker.Adapter]bool)}
+		e = &engine{
+			slots: make(map[tracker.Adapter]*slot), held: make(map[tracker.Adapter]bool), models: make(map[string]int),
+		}
 		a.engines[in.Key.ID] = e
 	}
-	e.Instance, e.capacity = in, capacity
+	e.Instance, e.room = in, room
 }
 
 // Sync takes up what an engine itself reports to hold, and to be loading, after all orders that were given to it.
@@ -148,16 +167,19 @@
 		return
 	}
 	e.synced = true
+	clear(e.models)
 	listed := make(map[tracker.Adapter]state, len(residents)+len(pending))
 	for _, r := range pending {
 		listed[r.Adapter] = doubtful
 		e.take(now, r, doubtful)
 	}
 	for _, r := range residents {
-		if r.Adapter.Name != "" {
-			listed[r.Adapter] = resident
-			e.take(now, r, resident)
+		if r.Adapter.Name == "" {
+			e.models[r.Adapter.Model] = r.Version
+			continue
 		}
+		listed[r.Adapter] = resident
+		e.take(now, r, resident)
 	}
 	for ad, s := range e.slots {
 		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful) {
@@ -202,13 +224,16 @@
 // RemoveEngine forgets an engine.
 func (a *Allocator) RemoveEngine(id string) { delete(a.engines, id) }
 
-// Residents returns the adapters that may be used at an engine.
+// Residents returns the base models and adapters that may be used at an engine.
 func (a *Allocator) Residents(id string) []tracker.Resident {
 	e, ok := a.engines[id]
 	if !ok {
 		return nil
 	}
 	var out []tracker.Resident
+	for m, v := range e.models {
+		out = append(out, tracker.Resident{Adapter: tracker.Adapter{Model: m}, Version: v})
+	}
 	for ad, s := range e.slots {
 		if s.state == resident {
 			out = append(out, tracker.Resident{Adapter: ad, Version: s.version})
@@ -305,6 +330,13 @@
 	if e == nil {
 		return
 	}
+	if o.Adapter.Name == "" {
+		e.fetching = ""
+		if out == Done {
+			e.models[o.Adapter.Model] = o.Version
+		}
+		return
+	}
 	e.busy = max(e.busy-1, 0)
 	s := e.slots[o.Adapter]
 	if s == nil || s.state != loading {
@@ -343,7 +375,7 @@
 
 // Plan returns the orders that follow from what is wanted.
 func (a *Allocator) Plan(now time.Time) []Order {
-	orders := a.replace(now)
+	orders := append(a.fetch(now), a.replace(now)...)
 	for _, k := range a.sortedWants(now) {
 		o, done, ok := a.place(now, k)
 		if ok {
@@ -356,6 +388,39 @@
 	return orders
 }
 
+// fetch orders engines without a base model, such as those that started anew, to load the one with the fewest copies.
+func (a *Allocator) fetch(now time.Time) []Order {
+	var out []Order
+	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
+		e := a.engines[id]
+		if !e.synced || e.Leaving || len(e.models) > 0 || e.fetching != "" || len(e.room.Models) == 0 {
+			continue
+		}
+		if e.room.LoadsPerSecond > 0 && now.Sub(a.fetched) < time.Duration(float64(time.Second)/e.room.LoadsPerSecond) {
+			break
+		}
+		m := a.rarest(e)
+		a.fetched, e.fetching = now, m.Name
+		out = append(out, Order{Engine: id, Adapter: tracker.Adapter{Model: m.Name}, Version: 1, Time: m.LoadTime})
+	}
+	return out
+}
+
+// rarest returns the base model of the engine's service that the fewest engines hold or load.
+func (a *Allocator) rarest(e *engine) matcher.Model {
+	copies := make(map[string]int)
+	for _, o := range a.engines {
+		if o.Service != e.Service || o.Leaving {
+			continue
+		}
+		copies[o.fetching]++
+		for m := range o.models {
+			copies[m]++
+		}
+	}
+	return slices.MinFunc(e.room.Models, func(x, y matcher.Model) int { return copies[x.Name] - copies[y.Name] })
+}
+
 // replace orders newer versions to engines that hold older ones.
 func (a *Allocator) replace(now time.Time) []Order {
 	if len(a.versions) == 0 {
@@ -428,7 +493,7 @@
 			}
 			continue
 		}
-		if !e.synced || e.busy >= a.cfg.Transit {
+		if _, ok := e.models[k.adapter.Model]; !ok || !e.synced || e.busy >= a.cfg.Transit {
 			continue
 		}
 		v, free := a.victim(now, e, k)
@@ -475,7 +540,7 @@
 
 // victim returns the adapter that would make way, or that there is a free slot.
 func (a *Allocator) victim(now time.Time, e *engine, k wantKey) (tracker.Adapter, bool) {
-	if len(e.slots) < e.capacity {
+	if len(e.slots) < e.room.Adapters {
 		return tracker.Adapter{}, true
 	}
 	var worst tracker.Adapter
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -22,10 +23,16 @@
 	return allocator.Want{Service: "s", Adapter: adapter(name), Zone: zone}
 }
 
-// add takes up an engine that holds nothing.
+func room(adapters int) allocator.Room {
+	return allocator.Room{
+		Adapters: adapters, Models: []matcher.Model{{Name: "m", LoadTime: time.Second}}, LoadsPerSecond: 2,
+	}
+}
+
+// add takes up an engine that holds the base model only.
 func add(a *allocator.Allocator, in tracker.Instance, capacity int) {
-	a.SetEngine(in, capacity)
-	a.Sync(start, in.Key.ID, nil, nil)
+	a.SetEngine(in, room(capacity))
+	a.Sync(start, in.Key.ID, residents(""), nil)
 }
 
 // load has an adapter loaded and returns its order.
@@ -105,9 +112,9 @@
 	orders := a.Plan(start)
 	c.Assert(orders, qt.HasLen, 1)
 	c.Check(orders[0].Version, qt.Equals, 7)
-	c.Check(a.Residents("x"), qt.HasLen, 0)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents(""))
 	a.Loaded(start, orders[0], allocator.Done)
-	c.Check(a.Residents("x"), qt.DeepEquals, []tracker.Resident{{Adapter: adapter("a1"), Version: 7}})
+	c.Check(a.Residents("x"), qt.Contains, tracker.Resident{Adapter: adapter("a1"), Version: 7})
 }
 
 func residents(names ...string) []tracker.Resident {
@@ -121,15 +128,15 @@
 func TestNothingIsOrderedBeforeTheEngineSaidWhatItHolds(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
-	a.SetEngine(engine("x", "z"), 2)
+	a.SetEngine(engine("x", "z"), room(2))
 	a.Want(start, want("a1", "z"))
 	c.Check(a.Plan(start), qt.HasLen, 0)
 	c.Check(a.Unsynced(), qt.DeepEquals, []string{"x"})
-	a.Sync(start, "x", residents("a8"), residents("a9"))
+	a.Sync(start, "x", residents("", "a8"), residents("a9"))
 	orders := a.Plan(start.Add(time.Second))
 	c.Assert(orders, qt.HasLen, 1)
 	c.Check(orders[0].Evict, qt.Equals, adapter("a9"), qt.Commentf("what is loading takes a place too"))
-	c.Check(a.Residents("x"), qt.DeepEquals, residents("a8"))
+	c.Check(a.Residents("x"), qt.DeepEquals, residents("", "a8"))
 }
 
 func TestADoubtfulLoadTakesAPlace(t *testing.T) {
@@ -140,7 +147,7 @@
 	orders := a.Plan(start)
 	c.Assert(orders, qt.HasLen, 1)
 	a.Loaded(start, orders[0], allocator.Doubtful)
-	c.Check(a.Residents("x"), qt.HasLen, 0)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents(""))
 	a.Want(start, want("a2", "z"))
 	for _, o := range a.Plan(start) {
 		c.Check(o.Evict, qt.Equals, adapter("a1"))
@@ -154,11 +161,11 @@
 	load(c, a, start, want("a1", "z"))
 	a.Want(start, want("a2", "z"))
 	c.Assert(a.Plan(start), qt.HasLen, 1)
-	a.Sync(start, "x", residents("a3"), nil)
-	c.Check(a.Residents("x"), qt.DeepEquals, residents("a3"), qt.Commentf("a1 is gone, a2 is under way"))
+	a.Sync(start, "x", residents("", "a3"), nil)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents("", "a3"), qt.Commentf("a1 is gone, a2 is under way"))
 	again := engine("x", "z")
 	again.Key.Born = 2
-	a.SetEngine(again, 3)
+	a.SetEngine(again, room(3))
 	c.Check(a.Residents("x"), qt.HasLen, 0)
 }
 
@@ -171,6 +178,27 @@
 	a.Loaded(start, orders[0], allocator.Undone)
 	a.Unsync("x")
 	c.Check(a.Plan(start), qt.HasLen, 0)
-	a.Sync(start, "x", nil, nil)
+	a.Sync(start, "x", residents(""), nil)
 	c.Check(a.Plan(start), qt.HasLen, 1)
 }
+
+func TestAnEngineWithoutABaseModelLoadsOneFirst(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	for _, id := range []string{"x", "y"} {
+		a.SetEngine(engine(id, "z"), room(2))
+		a.Sync(start, id, nil, nil)
+	}
+	a.Want(start, want("a1", "z"))
+	orders := a.Plan(start)
+	c.Assert(orders, qt.HasLen, 1, qt.Commentf("the store allows two loads a second"))
+	c.Check(orders[0].Adapter, qt.Equals, adapter(""))
+	c.Check(orders[0].Time, qt.Equals, time.Second)
+	later := start.Add(600 * time.Millisecond)
+	c.Check(a.Plan(later), qt.HasLen, 1)
+	a.Loaded(later, orders[0], allocator.Done)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents(""))
+	orders = a.Plan(later)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Adapter, qt.Equals, adapter("a1"))
+}
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -45,7 +45,7 @@
 // Ask describes what a request needs.
 type Ask struct {
 	Service string
-	// Adapter is empty for the base model and for plain services.
+	// Adapter is empty for plain services, and has no name for a base model.
 	Adapter tracker.Adapter
 	Zone    string
 	// Except are servers that must not be chosen, by ID.
@@ -274,7 +274,7 @@
 		if verdict == None {
 			verdict = Absent
 		}
-		if a.Adapter.Name != "" && !b.usable(now, s, a.Adapter) {
+		if a.Adapter.Model != "" && !b.usable(now, s, a.Adapter) {
 			continue
 		}
 		score := b.score(now, s, a.Zone)
@@ -289,8 +289,10 @@
 	c := Choice{
 		Instance: best.Instance, Remote: best.Zone != a.Zone, Crowded: b.load(best) > remotePenalty,
 	}
-	if a.Adapter.Name != "" {
+	if a.Adapter.Model != "" {
 		c.Version = best.residents[a.Adapter]
+	}
+	if a.Adapter.Name != "" {
 		u := best.use(a.Adapter)
 		u.Starts++
 		u.Running++
@@ -314,6 +316,9 @@
 	if !ok {
 		return false
 	}
+	if ad.Name == "" {
+		return true
+	}
 	v := b.versions[ad]
 	return have >= v.number || now.Sub(v.since) < oldVersionGrace
 }
--- a/serving/balancer/balancer_test.go
+++ b/serving/balancer/balancer_test.go
@@ -66,6 +66,18 @@
 	c.Check(v, qt.Equals, balancer.Absent)
 }
 
+func TestABaseModelNeedsAnEngineThatHoldsIt(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	ask := balancer.Ask{Service: "s", Zone: "z", Adapter: tracker.Adapter{Model: "m"}}
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	_, v := b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.Absent)
+	b.Hold("x", ask.Adapter, 1)
+	_, v = b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.Chosen)
+}
+
 func TestALeavingServerStaysSo(t *testing.T) {
 	c := qt.New(t)
 	b := balancer.New()
--- a/serving/matcher/matcher.go
+++ b/serving/matcher/matcher.go
@@ -90,7 +90,9 @@
 	Slots int
 	// AdapterSlots is how many adapters an engine holds.
 	AdapterSlots int
-	Models       []Model
+	// LoadsPerSecond is how often a load of a base model may begin, over all engines.
+	LoadsPerSecond float64
+	Models         []Model
 }
 
 // Limits bound what a client may send and how long it may take.
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -16,16 +16,16 @@
 	settleTime = 5 * time.Second
 )
 
-// Capacity says how many adapters an engine of a service holds, 0 for services without adapters.
-type Capacity func(service string) int
+// Room says what the engines of a service may hold; ok is false for services without adapters.
+type Room func(service string) (room allocator.Room, ok bool)
 
 // desk is the leader's memory of one era; the hub's goroutine calls it.
 type desk struct {
-	era      uint64
-	begun    time.Time
-	engines  *tracker.Tracker
-	placing  *allocator.Allocator
-	capacity Capacity
+	era     uint64
+	begun   time.Time
+	engines *tracker.Tracker
+	placing *allocator.Allocator
+	room    Room
 	// known is what entries were told of each engine's adapters.
 	known map[string]map[tracker.Adapter]int
 	// fresh are the moves and instances that entries weren't told of.
@@ -33,9 +33,9 @@
 	changed map[string]bool
 }
 
-func newDesk(era uint64, now time.Time, state *durable, capacity Capacity) *desk {
+func newDesk(era uint64, now time.Time, state *durable, room Room) *desk {
 	d := &desk{
-		era: era, begun: now, engines: tracker.New(), placing: allocator.New(allocator.Config{}), capacity: capacity,
+		era: era, begun: now, engines: tracker.New(), placing: allocator.New(allocator.Config{}), room: room,
 		known: make(map[string]map[tracker.Adapter]int), changed: make(map[string]bool),
 	}
 	d.refresh(state)
@@ -75,8 +75,8 @@
 // resize gives every engine the number of adapters that the document allows.
 func (d *desk) resize() {
 	for _, in := range d.engines.Instances() {
-		if n := d.capacity(in.Service); n > 0 {
-			d.placing.SetEngine(in, n)
+		if room, ok := d.room(in.Service); ok {
+			d.placing.SetEngine(in, room)
 		}
 	}
 }
@@ -91,8 +91,8 @@
 			delete(d.known, id)
 			continue
 		}
-		if n := d.capacity(in.Service); n > 0 {
-			d.placing.SetEngine(in, n)
+		if room, ok := d.room(in.Service); ok {
+			d.placing.SetEngine(in, room)
 		}
 	}
 	for _, in := range d.engines.Instances() {
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -188,7 +188,7 @@
 	state := h.seat.state()
 	h.term = term
 	h.table = h.decode(state.Doc)
-	h.desk = newDesk(era, now, state, h.capacity)
+	h.desk = newDesk(era, now, state, h.room)
 	h.applied = state.Applied
 	h.joiner = newJoiner(h)
 	h.log.Info("leads", h.cfg.Node)
@@ -213,16 +213,16 @@
 	h.waits = nil
 }
 
-// capacity returns how many adapters an engine of the service holds.
-func (h *hub) capacity(service string) int {
+// room returns what the engines of a service may hold.
+func (h *hub) room(service string) (allocator.Room, bool) {
 	if h.table == nil {
-		return 0
+		return allocator.Room{}, false
 	}
 	s, ok := h.table.Service(service)
-	if !ok {
-		return 0
+	if !ok || s.AdapterSlots == 0 {
+		return allocator.Room{}, false
 	}
-	return s.AdapterSlots
+	return allocator.Room{Adapters: s.AdapterSlots, Models: s.Models, LoadsPerSecond: s.LoadsPerSecond}, true
 }
 
 func (h *hub) decode(doc Doc) *matcher.Table {
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -17,6 +17,10 @@
 	recentLoadTime = 26 * time.Millisecond
 	// confirmEvery is how often an engine is asked whether a load has ended.
 	confirmEvery = 25 * time.Millisecond
+	// modelConfirmEvery is the same for base models, which take seconds, and modelLoadFactor how much longer than alone
+	// one may take beside others.
+	modelConfirmEvery = 200 * time.Millisecond
+	modelLoadFactor   = 8
 	// loadLimit is when a load counts as failed.
 	loadLimit = 4 * time.Second
 	// evictLimit is how long an eviction may wait for the adapter's last requests.
@@ -87,6 +91,8 @@
 	fenced bool
 	// asking says that the engine is being asked what it holds; the control goroutine sets it.
 	asking bool
+	// asked says that it was asked before; only one goroutine asks at a time.
+	asked bool
 }
 
 func newWorker(h *hub, in tracker.Instance) *worker {
@@ -114,6 +120,11 @@
 	}
 	w.asking = true
 	w.hub.spawn(func() {
+		if w.asked {
+			// A report lags behind the orders that the engine took last.
+			pause(w.ctx, lagPause)
+		}
+		w.asked = true
 		for !w.ask() && w.ctx.Err() == nil {
 			pause(w.ctx, syncPause)
 		}
@@ -178,7 +189,7 @@
 			return
 		}
 	}
-	out := w.load(EngineOrder{Load: true, Adapter: o.Adapter, Version: o.Version}, o.Recent)
+	out := w.load(o)
 	w.post(func(now time.Time, d *desk) { d.placing.Loaded(now, o, out) })
 }
 
@@ -190,31 +201,36 @@
 		return allocator.Done
 	case v == Accepted:
 		pause(w.ctx, confirmEvery)
-		return w.confirm(o, evictLimit)
+		return w.confirm(o, confirmEvery, evictLimit)
 	}
 	return allocator.Undone
 }
 
-func (w *worker) load(o EngineOrder, recent bool) allocator.Outcome {
+func (w *worker) load(ordered allocator.Order) allocator.Outcome {
+	o := EngineOrder{Load: true, Adapter: ordered.Adapter, Version: ordered.Version}
+	first, every, limit := loadTime, confirmEvery, loadLimit
+	switch {
+	case ordered.Time > 0:
+		o.Version = 0
+		first, every, limit = ordered.Time/4, modelConfirmEvery, modelLoadFactor*ordered.Time
+	case ordered.Recent:
+		first = recentLoadTime
+	}
 	switch v, err := w.order(o, true); {
 	case err != nil:
 		return allocator.Doubtful
 	case v == Holds:
 		return allocator.Done
 	case v == Accepted:
-		first := loadTime
-		if recent {
-			first = recentLoadTime
-		}
 		pause(w.ctx, first)
-		return w.confirm(o, loadLimit)
+		return w.confirm(o, every, limit)
 	}
 	return allocator.Undone
 }
 
 // confirm repeats an order that the engine has taken until it says that it is done.
-func (w *worker) confirm(o EngineOrder, limit time.Duration) allocator.Outcome {
-	for until := time.Now().Add(limit); w.ctx.Err() == nil && time.Now().Before(until); pause(w.ctx, confirmEvery) {
+func (w *worker) confirm(o EngineOrder, every, limit time.Duration) allocator.Outcome {
+	for until := time.Now().Add(limit); w.ctx.Err() == nil && time.Now().Before(until); pause(w.ctx, every) {
 		v, err := w.order(o, false)
 		if err == nil && v == Holds {
 			return allocator.Done
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -147,7 +147,7 @@
 		fmt.Fprintf(&b, "%s: %s\r\n", n.Resume, a.resume)
 	}
 	fmt.Fprintf(&b, "%s: %d\r\n%s: %s\r\n", n.Deadline, max(left.Milliseconds(), 1), n.Expect, a.choice.Key.ID)
-	if a.choice.Version > 0 {
+	if a.choice.Version > 0 && a.call.adapter.Name != "" {
 		fmt.Fprintf(&b, "%s: %d\r\n", n.ExpectVersion, a.choice.Version)
 	}
 	if a.call.route.Stream {
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -143,7 +143,7 @@
 
 // rejected takes note of why a server did not run a request.
 func (e *Relayer) rejected(c *call, choice balancer.Choice, r reply) {
-	if r.missing && c.adapter.Name != "" {
+	if r.missing && c.adapter.Model != "" {
 		e.balancer.Drop(choice.Key.ID, c.adapter)
 		e.link.missing(governor.AdapterAt{Engine: choice.Key.ID, Adapter: c.adapter})
 		return
@@ -231,7 +231,7 @@
 	ask := balancer.Ask{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.except}
 	for {
 		var loaded <-chan struct{}
-		if c.adapter.Name != "" {
+		if c.adapter.Model != "" {
 			loaded = e.balancer.Await(c.adapter)
 		}
 		now := time.Now()
