--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -19,6 +19,12 @@
 	DefaultHalfLife = 8 * time.Second
 	// wantTTL is how long a request for an adapter counts; its sender repeats it while somebody waits.
 	wantTTL = time.Second
+	// minCopyRate is the decayed count of uses from which one more copy saves more than it costs: with the default half-life
+	// about one use a second.
+	minCopyRate = 12
+	// holderWait is how long an adapter waits for an engine that held it lately: as long as another one would fetch it from
+	// the store.
+	holderWait = 250 * time.Millisecond
 	// copyFactor is how much more an adapter must be used than the victim for one more copy, so that copies don't alternate.
 	copyFactor = 2
 	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 200 ms, and
@@ -131,9 +137,12 @@
 	engines  map[string]*engine
 	rates    map[tracker.Adapter]*rate
 	versions map[tracker.Adapter]int
-	wants    map[wantKey]time.Time
+	wants    map[wantKey]wanting
 }
 
+// wanting says since when an adapter is wanted, and when it was asked for last.
+type wanting struct{ since, last time.Time }
+
 // New returns an Allocator without engines.
 func New(cfg Config) *Allocator {
 	if cfg.Transit <= 0 {
@@ -144,7 +153,7 @@
 	}
 	return &Allocator{
 		cfg: cfg, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
-		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]time.Time),
+		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]wanting),
 	}
 }
 
@@ -257,12 +266,21 @@
 
 // Want takes a request for an adapter; it counts as a use, since those that wait will use it.
 func (a *Allocator) Want(now time.Time, w Want) {
-	a.wants[wantKey{w.Service, w.Adapter, w.Zone, w.Copy}] = now
+	a.want(now, wantKey{w.Service, w.Adapter, w.Zone, w.Copy})
 	if !w.Copy {
 		a.used(now, w.Adapter, 1)
 	}
 }
 
+func (a *Allocator) want(now time.Time, k wantKey) {
+	v, ok := a.wants[k]
+	if !ok {
+		v.since = now
+	}
+	v.last = now
+	a.wants[k] = v
+}
+
 // used counts uses of an adapter.
 func (a *Allocator) used(now time.Time, ad tracker.Adapter, n int) {
 	r := a.rates[ad]
@@ -348,10 +366,10 @@
 		e.held[o.Adapter] = true
 	case Undone:
 		delete(e.slots, o.Adapter)
-		a.wants[o.want] = now
+		a.want(now, o.want)
 	case Doubtful:
 		s.state, s.since = doubtful, now
-		a.wants[o.want] = now
+		a.want(now, o.want)
 	}
 }
 
@@ -445,8 +463,8 @@
 // sortedWants returns what is wanted, first copies before more copies, the most used first, and drops what is too old.
 func (a *Allocator) sortedWants(now time.Time) []wantKey {
 	keys := make([]wantKey, 0, len(a.wants))
-	for k, at := range a.wants {
-		if now.Sub(at) > wantTTL {
+	for k, v := range a.wants {
+		if now.Sub(v.last) > wantTTL {
 			delete(a.wants, k)
 			continue
 		}
@@ -479,6 +497,10 @@
 // place chooses the engine for an adapter; done says that no order is needed.
 func (a *Allocator) place(now time.Time, k wantKey) (o Order, done, ok bool) {
 	version := a.version(k.adapter)
+	if k.copied && a.rate(now, k.adapter) < minCopyRate {
+		return Order{}, true, false
+	}
+	patient := !k.copied && now.Sub(a.wants[k].since) < holderWait && a.isHeld(k)
 	var best *engine
 	var bestScore float64
 	var victim tracker.Adapter
@@ -496,6 +518,9 @@
 		if _, ok := e.models[k.adapter.Model]; !ok || !e.synced || e.busy >= a.cfg.Transit {
 			continue
 		}
+		if patient && !e.held[k.adapter] {
+			continue
+		}
 		v, free := a.victim(now, e, k)
 		if !free && v.Name == "" {
 			continue
@@ -517,6 +542,16 @@
 	return o, true, true
 }
 
+// isHeld reports whether an engine that takes work held the adapter lately.
+func (a *Allocator) isHeld(k wantKey) bool {
+	for _, e := range a.engines {
+		if e.Service == k.service && !e.Leaving && e.synced && e.held[k.adapter] {
+			return true
+		}
+	}
+	return false
+}
+
 // score prefers engines that held the adapter lately, since others fetch it from the store, then the caller's data
 // centre, and those whose victim is used least.
 func (a *Allocator) score(now time.Time, e *engine, k wantKey, victim tracker.Adapter) float64 {
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -57,8 +57,7 @@
 	tracker.Instance
 	// Version is the version of the adapter that the server holds, or 0.
 	Version int
-	// Remote says that the server is in another data centre, Crowded that it is loaded well.
-	Remote  bool
+	// Crowded says that the server is loaded well.
 	Crowded bool
 }
 
@@ -287,7 +286,7 @@
 	}
 	best.running++
 	c := Choice{
-		Instance: best.Instance, Remote: best.Zone != a.Zone, Crowded: b.load(best) > remotePenalty,
+		Instance: best.Instance, Crowded: b.load(best) > remotePenalty,
 	}
 	if a.Adapter.Model != "" {
 		c.Version = best.residents[a.Adapter]
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -15,8 +15,10 @@
 	beatEvery = 500 * time.Millisecond
 	// sessionSilence is when a leader that doesn't answer is given up.
 	sessionSilence = 1500 * time.Millisecond
-	dialTimeout    = time.Second
-	retryPause     = 100 * time.Millisecond
+	// dialTimeout bounds the wait for a replica's first word; a replica without power doesn't answer at all, and up to two
+	// of them are tried before the next leader.
+	dialTimeout = 400 * time.Millisecond
+	retryPause  = 100 * time.Millisecond
 )
 
 var errNoLeaderThere = errors.New("this replica does not lead")
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -59,7 +59,9 @@
 	// missing says that the server doesn't hold the adapter or version, or isn't the one that was meant.
 	missing bool
 	// full says that the server rejected the request since it has no room.
-	full   bool
+	full bool
+	// spent says that one more send was taken from the budget already.
+	spent  bool
 	status int
 	fields []field
 	body   []byte
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -25,7 +25,9 @@
 	mu       sync.Mutex
 	seeds    []string
 	replicas []string
-	asked    map[governor.Want]time.Time
+	// last is where the last session was.
+	last  string
+	asked map[governor.Want]time.Time
 }
 
 func newLink(e *Relayer) *link {
@@ -38,7 +40,7 @@
 	l.seeds = slices.Clone(addrs)
 }
 
-// addresses returns all control replicas that are known.
+// addresses returns all control replicas that are known, that of the last session at the end.
 func (l *link) addresses() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -48,6 +50,9 @@
 			out = append(out, a)
 		}
 	}
+	if i := slices.Index(out, l.last); i >= 0 {
+		out = append(slices.Delete(out, i, i+1), l.last)
+	}
 	return out
 }
 
@@ -87,39 +92,48 @@
 	go l.report(ctx)
 	for ctx.Err() == nil {
 		for _, addr := range l.addresses() {
-			l.try(ctx, addr)
+			began := l.try(ctx, addr)
 			if ctx.Err() != nil {
 				return
 			}
+			if began {
+				// What broke is most likely the leader: the others are asked first.
+				break
+			}
 		}
 		pauseFor(ctx, linkPause)
 	}
 }
 
-// try opens a session at a replica, or at the leader that it names.
-func (l *link) try(ctx context.Context, addr string) {
+// try runs a session at a replica, or at the leader that it names; it reports whether one began.
+func (l *link) try(ctx context.Context, addr string) bool {
 	for range 2 {
 		for len(l.up) > 0 {
 			// What was meant for an earlier session is asked for again by who still waits.
 			<-l.up
 		}
 		hello := governor.Hello{Node: l.entry.cfg.Node, Zone: l.entry.cfg.Zone, Known: l.entry.balancer.Known()}
-		began := false
+		began, at := false, addr
 		redirect, err := governor.Dial(ctx, addr, hello, l.up, func(d governor.Down) {
 			if d.Welcome != nil {
 				began = true
-				l.entry.log.Info("session with the control leader", addr)
+				l.entry.log.Info("session with the control leader", at)
 			}
 			l.take(d)
 		})
 		if began {
 			l.entry.log.Error("session with the control leader ended", err)
+			l.mu.Lock()
+			l.last = at
+			l.mu.Unlock()
+			return true
 		}
 		if redirect == "" || redirect == addr {
-			return
+			return false
 		}
 		addr = redirect
 	}
+	return false
 }
 
 // take takes a message of the leader.
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -165,7 +165,7 @@
 		if !c.route.Idempotent() || w.begun && (!c.route.Resumable || w.last == "") {
 			return false
 		}
-		return c.sends < c.route.Attempts && e.budget.spend(time.Now(), e.balancer.Entries())
+		return c.sends < c.route.Attempts && (r.spent || e.budget.spend(time.Now(), e.balancer.Entries()))
 	}
 	return false
 }
@@ -238,7 +238,7 @@
 		choice, v := e.balancer.Pick(now, ask)
 		switch {
 		case v == balancer.Chosen:
-			if c.adapter.Name != "" && (choice.Remote || choice.Crowded) {
+			if c.adapter.Name != "" && choice.Crowded {
 				e.link.want(governor.Want{Service: c.service, Adapter: c.adapter, Copy: true})
 			}
 			return choice, v
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http/httputil"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,12 +17,13 @@
 
 const (
 	// firstFactor and firstFloor bound the wait for a stream's first event before another engine is asked, in the route's
-	// target; engines that are alive but loaded take longer than the target.
-	firstFactor = 3
-	firstFloor  = 1500 * time.Millisecond
-	// gapFactor and gapFloor bound the wait between two events in the route's longest gap that is on time.
-	gapFactor = 3
-	gapFloor  = 1200 * time.Millisecond
+	// target. Callers leave after four targets or two seconds, whichever is longer; loaded engines take longer than one.
+	firstFactor = 2.5
+	firstFloor  = 1600 * time.Millisecond
+	// gapFactor and gapFloor bound the wait between two events in the route's longest gap that is on time. Callers leave
+	// after eight gaps or two seconds.
+	gapFactor = 5
+	gapFloor  = 1600 * time.Millisecond
 	maxEvent  = 1 << 20
 )
 
@@ -40,18 +42,16 @@
 	}
 	events := &eventReader{br: bufio.NewReaderSize(body, serverBuffer)}
 	route := a.call.route
-	wait := max(firstFactor*route.Target, firstFloor)
-	passed := false
-	for {
-		if route.Resumable {
-			limit := time.Now().Add(wait)
-			if limit.After(a.call.deadline) {
-				limit = a.call.deadline.Add(deadlineSlack)
-			}
-			if err := c.SetReadDeadline(limit); err != nil {
-				return lost("stream", err), -1
-			}
+	var spent atomic.Bool
+	patience := time.AfterFunc(max(time.Duration(firstFactor*float64(route.Target)), firstFloor), func() {
+		// An engine's silence ends its answer only if the request can go on elsewhere.
+		if e.mayResume(a) && e.budget.spend(time.Now(), e.balancer.Entries()) {
+			spent.Store(true)
+			_ = c.Close()
 		}
+	})
+	defer patience.Stop()
+	for {
 		block, id, err := events.next()
 		if errors.Is(err, io.EOF) && (limited < 0 || events.taken == limited) {
 			if !out.begun && !out.begin(h) {
@@ -66,13 +66,10 @@
 		}
 		if err != nil {
 			r := lost("stream", err)
+			r.spent = spent.Load()
 			if out.begun {
 				r.outcome = cut
 			}
-			if !passed {
-				// Nothing of this attempt reached the caller, so that what came before still ends at the same event.
-				return r, -1
-			}
 			return r, -1
 		}
 		if !out.begun && !out.begin(h) {
@@ -81,17 +78,22 @@
 		if !out.chunk(block) {
 			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
 		}
-		passed = true
 		if id != "" {
 			a.resume, out.last = id, id
 		}
-		wait = max(gapFactor*route.Gap, gapFloor)
+		patience.Reset(max(gapFactor*route.Gap, gapFloor))
 		if ctx.Err() != nil {
 			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
 		}
 	}
 }
 
+// mayResume reports whether a stream may go on at another engine after this attempt.
+func (e *Relayer) mayResume(a *attempt) bool {
+	c := a.call
+	return c.route.Stream && c.route.Resumable && c.sends+1 < c.route.Attempts && time.Until(c.deadline) > c.route.Target/2
+}
+
 // eventReader cuts a stream into blocks of whole events.
 type eventReader struct {
 	br    *bufio.Reader
