relayer: connections end with their answers once a shutdown began; tests at the socket

Ruled out: new connections (the listener is closed 3 s after SIGTERM), streams of the balancer's own.

--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,6 +18,8 @@
 // answer writes to one caller.
 type answer struct {
 	conn net.Conn
+	// leaving says that the entry shuts down, so that connections end with their answers.
+	leaving *atomic.Bool
 	// begun says that the head of a stream was written, last is the last event passed on.
 	begun bool
 	last  string
@@ -45,6 +48,7 @@
 // statusLine begins a head.
 func (w *answer) statusLine(b *bytes.Buffer, status int) {
 	w.status = status
+	w.closing = w.closing || w.leaving.Load()
 	fmt.Fprintf(b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	if w.closing {
 		b.WriteString("Connection: close\r\n")
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -78,6 +78,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// drained says that no request is taken any more.
+	drained bool
 }
 
 // New starts an entry; it is ready once control has told it of a document and of backend servers.
@@ -165,7 +167,7 @@
 func (e *Relayer) mark(c net.Conn, busy bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.conns[c]; !ok {
+	if _, ok := e.conns[c]; !ok || e.drained {
 		return false
 	}
 	e.conns[c] = busy
@@ -209,13 +211,13 @@
 		if c.SetReadDeadline(time.Now().Add(limits.Header)) != nil {
 			return
 		}
-		w := &answer{conn: c}
+		w := &answer{conn: c, leaving: &e.leaving}
 		req, err := e.receive(c, br, limits)
 		if err != nil {
 			refuseRequest(w, err)
 			return
 		}
-		w.closing = req.once || e.leaving.Load()
+		w.closing = req.once
 		e.requests.Add(1)
 		ok := e.watch(c, br, req, w)
 		e.requests.Done()
@@ -308,6 +310,7 @@
 func (e *Relayer) closeIdle() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.drained = true
 	for c, busy := range e.conns {
 		if !busy {
 			delete(e.conns, c)
--- /dev/null
+++ b/stage/relayer/relayer_test.go
@@ -0,0 +1,328 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
+	"redwingstage.org/stage/logger"
+)
+
+const (
+	testHost     = "h.example"
+	testAttempt  = "X-Attempt"
+	testSeal     = "X-Seal"
+	testNotRun   = "X-Not-Run"
+	testDeadline = "X-Deadline"
+	testResume   = "X-Resume"
+)
+
+var testDialect = Dialect{
+	Attempt: testAttempt, Deadline: testDeadline, Seal: testSeal, NotRun: testNotRun, Expect: "X-Expect",
+	ExpectVersion: "X-Version", Priority: "X-Priority", Model: "X-Model", Resume: testResume, ReadyPath: "/ready",
+	Reserved: []string{"X-Hold"},
+	ParseModel: func(v string) tracker.Adapter {
+		model, name, _ := strings.Cut(v, "/")
+		return tracker.Adapter{Model: model, Name: name}
+	},
+}
+
+// testTable has a route of each kind below one host.
+func testTable(c *qt.C, gap time.Duration) *matcher.Table {
+	shares := []matcher.Share{{Service: "s", Weight: 1}}
+	base := matcher.Route{Host: testHost, Timeout: 20 * time.Second, Target: 300 * time.Millisecond, Gap: gap, Attempts: 2, Shares: shares}
+	once, safe, stream, resumable := base, base, base, base
+	once.Name, once.Prefix = "once", "/once/"
+	safe.Name, safe.Prefix, safe.Repeat = "safe", "/safe/", matcher.Again
+	stream.Name, stream.Prefix, stream.Stream = "stream", "/stream/", true
+	resumable.Name, resumable.Prefix, resumable.Stream, resumable.Resumable = "resumable", "/resumable/", true, true
+	t, err := matcher.New(1, []matcher.Route{once, safe, stream, resumable}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	c.Assert(err, qt.IsNil)
+	return t
+}
+
+// start runs an entry before the handlers, each of which is a backend server by the name s0, s1 and so on.
+func start(c *qt.C, handlers ...http.HandlerFunc) *Relayer {
+	e, err := New(Config{
+		Node: "n", Zone: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", RetryShare: 1, RetrySlack: 1000, RetryWindow: time.Second,
+	}, Deps{Dialect: testDialect, Log: logger.New(io.Discard, "error")})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		c.Check(e.Close(ctx), qt.IsNil)
+	})
+	e.table.Store(testTable(c, 100*time.Millisecond))
+	var engines []tracker.Instance
+	for i, h := range handlers {
+		srv := httptest.NewServer(h)
+		c.Cleanup(srv.Close)
+		engines = append(engines, tracker.Instance{
+			Key: tracker.Key{ID: fmt.Sprintf("s%d", i), Born: 1}, Service: "s", Zone: "z", Addr: srv.Listener.Addr().String(), Slots: 8,
+		})
+	}
+	e.link.take(governor.Down{Welcome: &governor.Welcome{Era: 1}, Engines: engines, Entries: 1})
+	return e
+}
+
+// caller is one connection to an entry.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func dial(c *qt.C, e *Relayer) *caller {
+	conn, err := net.Dial("tcp", e.listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return &caller{conn, bufio.NewReader(conn)}
+}
+
+func (l *caller) send(c *qt.C, method, path, body string, headers ...string) {
+	head := method + " " + path + " HTTP/1.1\r\nHost: " + testHost + "\r\n" + testAttempt + ": id-1\r\n"
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	_, err := fmt.Fprintf(l, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	c.Assert(err, qt.IsNil)
+}
+
+func (l *caller) receive(c *qt.C) (*http.Response, string, error) {
+	resp, err := http.ReadResponse(l.br, nil)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// sealed begins a server's answer.
+func sealed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testAttempt, r.Header.Get(testAttempt))
+	w.Header().Set(testSeal, "seal")
+}
+
+func event(w http.ResponseWriter, id int) {
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func TestARequestGoesOnUnchanged(t *testing.T) {
+	c := qt.New(t)
+	var got *http.Request
+	var body []byte
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Clone(context.Background())
+		body, _ = io.ReadAll(r.Body)
+		sealed(w, r)
+		_, _ = io.WriteString(w, "ok")
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/a%20b?q=1", "hello", "X-Hold: mine", "X-Other: kept", "Connection: X-Local, X-Attempt", "X-Local: 1", testDeadline+": 5000")
+	resp, answer, err := l.receive(c)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, 200)
+	c.Check(resp.Header.Get(testSeal), qt.Equals, "seal")
+	c.Check(answer, qt.Equals, "ok")
+	c.Check(got.RequestURI, qt.Equals, "/once/a%20b?q=1")
+	c.Check(string(body), qt.Equals, "hello")
+	c.Check(got.Header.Get("X-Other"), qt.Equals, "kept")
+	c.Check(got.Header.Get("X-Hold"), qt.Equals, "", qt.Commentf("only the system may set it"))
+	c.Check(got.Header.Get("X-Local"), qt.Equals, "")
+	c.Check(got.Header.Get(testAttempt), qt.Equals, "id-1", qt.Commentf("a caller can't have it removed"))
+	c.Check(got.Header.Get("X-Expect"), qt.Equals, "s0")
+}
+
+func TestFailuresAndWhatTheyPromise(t *testing.T) {
+	fail := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		w.WriteHeader(500)
+	}
+	full := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		w.Header().Set(testNotRun, "1")
+		w.WriteHeader(503)
+	}
+	unsealed := func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "whose?") }
+	hangUp := func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }
+	crossed := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		w.Header().Set(testAttempt, "another")
+		_, _ = io.WriteString(w, "theirs")
+	}
+	for _, row := range []struct {
+		name    string
+		handler http.HandlerFunc
+		path    string
+		status  int
+		calls   int32
+	}{
+		{"a full server did not run it", full, "/once/", 503, 2},
+		{"a server's failure is passed on", fail, "/once/", 500, 1},
+		{"a failure of an idempotent request is tried again", fail, "/safe/", 500, 2},
+		{"a request that may have run isn't sent again", hangUp, "/once/", 502, 1},
+		{"an idempotent one is", hangUp, "/safe/", 502, 2},
+		{"a success without a seal is no success", unsealed, "/once/", 502, 1},
+		{"an answer to another request is none", crossed, "/once/", 504, 1},
+		{"a stream that isn't resumable runs once", hangUp, "/stream/", 502, 1},
+		{"one that is goes on", hangUp, "/resumable/", 502, 2},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int32
+			counted := func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				row.handler(w, r)
+			}
+			e := start(c, counted, counted)
+			l := dial(c, e)
+			deadline := "8000"
+			if row.status == 504 {
+				deadline = "200"
+			}
+			l.send(c, "POST", row.path, "x", testDeadline+": "+deadline)
+			resp, _, _ := l.receive(c)
+			c.Check(resp.StatusCode, qt.Equals, row.status)
+			c.Check(calls.Load(), qt.Equals, row.calls)
+			c.Check(resp.Header.Get("Retry-After") != "", qt.Equals, row.status == 503)
+		})
+	}
+}
+
+func TestAStreamGoesOnAtAnotherServer(t *testing.T) {
+	c := qt.New(t)
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		event(w, 1)
+		_, _ = io.WriteString(w, "id: 2\ndata: torn")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		if r.Header.Get(testResume) != "1" {
+			w.WriteHeader(400)
+			return
+		}
+		event(w, 2)
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/resumable/", "x", testDeadline+": 8000")
+	_, body, err := l.receive(c)
+	c.Check(err, qt.IsNil)
+	c.Check(body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
+
+func TestAStreamThatCannotGoOnDoesNotLookWhole(t *testing.T) {
+	c := qt.New(t)
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		event(w, 1)
+		panic(http.ErrAbortHandler)
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 8000")
+	_, body, err := l.receive(c)
+	c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
+	c.Check(body, qt.Equals, "id: 1\ndata: 1\n\n")
+}
+
+// A loaded engine may pause longer than callers like; its answer is better than none.
+func TestSilenceEndsAStreamOnlyIfItCanGoOn(t *testing.T) {
+	c := qt.New(t)
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		event(w, 1)
+		time.Sleep(gapFloor + 500*time.Millisecond)
+		event(w, 2)
+	}
+	e := start(c, silent)
+	e.budget.share, e.budget.slack, e.budget.tokens = 0, 0, 0
+	l := dial(c, e)
+	l.send(c, "POST", "/resumable/", "x", testDeadline+": 9000")
+	_, body, err := l.receive(c)
+	c.Check(err, qt.IsNil)
+	c.Check(body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
+
+// A connection whose request came before the shutdown began may not bring another one after it.
+func TestAShutdownEndsConnectionsWithTheirAnswers(t *testing.T) {
+	c := qt.New(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-release
+		sealed(w, r)
+		_, _ = io.WriteString(w, "ok")
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	<-began
+	e.leaving.Store(true)
+	e.closeIdle()
+	close(release)
+	resp, body, err := l.receive(c)
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "ok")
+	c.Check(resp.Close, qt.IsTrue)
+	_, err = l.br.ReadByte()
+	c.Check(err, qt.Equals, io.EOF)
+}
+
+func TestMalformedRequestsReachNoServer(t *testing.T) {
+	for _, row := range []struct {
+		name, head string
+		status     int
+	}{
+		{"two lengths", "POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx", 400},
+		{"length and chunks", "POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"an unknown coding", "POST /once/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 400},
+		{"a signed length", "POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: +1\r\n\r\nx", 400},
+		{"a folded line", "POST /once/ HTTP/1.1\r\nHost: h.example\r\n X: y\r\n\r\n", 400},
+		{"a space before the colon", "POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length : 1\r\n\r\nx", 400},
+		{"two hosts", "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nHost: other\r\n\r\n", 400},
+		{"no attempt", "GET /safe/ HTTP/1.1\r\nHost: h.example\r\n\r\n", 400},
+		{"no route", "GET /none HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a\r\n\r\n", 404},
+		{"a large head", "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nX: " + strings.Repeat("a", 17<<10) + "\r\n\r\n", 431},
+		{"a bad chunk", "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int32
+			e := start(c, func(http.ResponseWriter, *http.Request) { calls.Add(1) })
+			l := dial(c, e)
+			_, err := io.WriteString(l, row.head)
+			c.Assert(err, qt.IsNil)
+			resp, _, _ := l.receive(c)
+			c.Check(resp.StatusCode, qt.Equals, row.status)
+			c.Check(calls.Load(), qt.Equals, int32(0))
+		})
+	}
+}
+
+func TestACallerWhoLeavesEndsTheRun(t *testing.T) {
+	c := qt.New(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		event(w, 1)
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 9000")
+	<-began
+	c.Assert(l.Close(), qt.IsNil)
+	<-ended
+}
