Entries queue before busy services; an order without an answer holds its engine for 0.3 s

Orders without an answer held their engine's turn for a second. Ruled out: uneven choice (busiest/mean 1.00), connections.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -18,6 +18,9 @@
 	// minEject and maxEject bound how long a server that can't be reached gets no requests.
 	minEject = 500 * time.Millisecond
 	maxEject = 4 * time.Second
+	// limitFactor is how many requests all entries together may have at a server, in its slots: those beyond the slots wait
+	// there, and servers queue a few times as many as they run.
+	limitFactor = 2.5
 	// defaultSlots stands for servers that don't say how many requests they run at once.
 	defaultSlots = 4
 	// oldVersionGrace is how long an engine's older version of an adapter may be used after a newer one was named; it
@@ -50,6 +53,8 @@
 	Zone    string
 	// Except are servers that must not be chosen, by ID.
 	Except map[string]bool
+	// Ticket is the request's place in the queue, if it has one.
+	Ticket *Ticket
 }
 
 // Choice is the server for one attempt.
@@ -70,6 +75,8 @@
 	Chosen Verdict = iota
 	// Absent means that no usable server holds the adapter.
 	Absent
+	// Full means that this entry has as many requests at all usable servers as it may have.
+	Full
 	// None means that no usable server answers for the service.
 	None
 )
@@ -106,6 +113,7 @@
 	left     map[tracker.Key]bool
 	versions map[tracker.Adapter]version
 	waiting  map[tracker.Adapter]chan struct{}
+	queues   map[string]*queue
 	entries  int
 }
 
@@ -114,7 +122,7 @@
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		left: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter]version),
-		waiting: make(map[tracker.Adapter]chan struct{}), entries: 1,
+		waiting: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), entries: 1,
 	}
 }
 
@@ -239,6 +247,31 @@
 	return out
 }
 
+// queue returns the queue of a service; the caller holds the lock.
+func (b *Balancer) queue(service string) *queue {
+	q := b.queues[service]
+	if q == nil {
+		q = newQueue()
+		b.queues[service] = q
+	}
+	return q
+}
+
+// Enqueue takes a place behind the requests that wait for the service already, if its turn is likely to come within
+// patience; otherwise it returns the expected wait.
+func (b *Balancer) Enqueue(now time.Time, service string, ad tracker.Adapter, patience time.Duration) (*Ticket, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue(service).enter(now, ad, patience)
+}
+
+// Dequeue takes a place in the queue back.
+func (b *Balancer) Dequeue(service string, t *Ticket) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue(service).leave(t)
+}
+
 // wake wakes those who wait for an adapter; the caller holds the lock.
 func (b *Balancer) wake(ad tracker.Adapter) {
 	if ch := b.waiting[ad]; ch != nil {
@@ -263,6 +296,9 @@
 func (b *Balancer) Pick(now time.Time, a Ask) (Choice, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if q := b.queues[a.Service]; q != nil && q.isBehind(a.Adapter, a.Ticket) {
+		return Choice{}, Full
+	}
 	verdict := None
 	var best *server
 	bestScore := math.Inf(1)
@@ -276,6 +312,10 @@
 		if a.Adapter.Model != "" && !b.usable(now, s, a.Adapter) {
 			continue
 		}
+		if s.running >= b.limit(s) {
+			verdict = Full
+			continue
+		}
 		score := b.score(now, s, a.Zone)
 		if score < bestScore || score == bestScore && s.Key.ID < best.Key.ID {
 			best, bestScore = s, score
@@ -331,6 +371,16 @@
 	return float64(s.running*b.entries) / float64(slots)
 }
 
+// limit returns how many requests this entry may have at a server: enough to keep it busy while other entries are idle,
+// too few for all entries together to overrun its queue.
+func (b *Balancer) limit(s *server) int {
+	slots := s.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return max(int(math.Ceil(limitFactor*float64(slots)/float64(b.entries))), 1)
+}
+
 // score is lower for the better server; one that can't be reached comes after all others.
 func (b *Balancer) score(now time.Time, s *server, zone string) float64 {
 	score := b.load(s) + failurePenalty*s.failures
@@ -347,6 +397,7 @@
 func (b *Balancer) End(now time.Time, c Choice, ad tracker.Adapter, r Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.queue(c.Service).ended(now, r)
 	s := b.servers[c.Key.ID]
 	if s == nil || s.Key != c.Key {
 		return
--- a/serving/balancer/balancer_test.go
+++ b/serving/balancer/balancer_test.go
@@ -108,6 +108,32 @@
 	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("an old leave says nothing of a later start"))
 }
 
+func TestRequestsWaitInOrderOnceServersHaveEnough(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	b.SetEntries(5)
+	ask := balancer.Ask{Service: "s", Zone: "z"}
+	ch, _ := b.Pick(start, ask)
+	_, v := b.Pick(start, ask)
+	c.Assert(v, qt.Equals, balancer.Chosen)
+	_, v = b.Pick(start, ask)
+	c.Assert(v, qt.Equals, balancer.Full, qt.Commentf("four slots among five entries, two and a half times"))
+	first, _ := b.Enqueue(start, "s", tracker.Adapter{}, time.Minute)
+	c.Assert(first, qt.IsNotNil)
+	none, wait := b.Enqueue(start, "s", tracker.Adapter{}, time.Millisecond)
+	c.Check(none, qt.IsNil, qt.Commentf("nothing was answered yet, so that the wait is long"))
+	c.Check(wait > time.Millisecond, qt.IsTrue)
+	b.End(start, ch, tracker.Adapter{}, balancer.OK)
+	<-first.Turn()
+	_, v = b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.Full, qt.Commentf("who waits goes first"))
+	ask.Ticket = first
+	_, v = b.Pick(start, ask)
+	c.Check(v, qt.Equals, balancer.Chosen)
+	b.Dequeue("s", first)
+}
+
 func TestUsesTellsWhatChanged(t *testing.T) {
 	c := qt.New(t)
 	b := balancer.New()
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// orderTimeout is when an order without an answer is uncertain; an engine answers within milliseconds.
-	orderTimeout = time.Second
+	// orderTimeout is when an order without an answer is uncertain; an engine answers within milliseconds, and all others
+	// for it wait meanwhile.
+	orderTimeout = 300 * time.Millisecond
 	// loadTime and recentLoadTime are how long engines take for an adapter that they didn't hold before, and for one
 	// that they did; a longer load is asked about again.
 	loadTime       = 250 * time.Millisecond
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -18,6 +18,8 @@
 	wantEvery = 400 * time.Millisecond
 	// waitFactor bounds the wait for an adapter or a server, in the route's target; later an answer is worth little.
 	waitFactor = 2
+	// queueShare is the part of a request's time that the queue before its service may be expected to take.
+	queueShare = 0.4
 	// maxSends bounds the tries of one request that reached no server.
 	maxSends = 8
 	// copyPause is the shortest time between two requests for one more copy of an adapter.
@@ -39,6 +41,8 @@
 	arrived  time.Time
 	deadline time.Time
 	sends    int
+	// wait is the expected wait that was too long.
+	wait time.Duration
 	// reached are the servers that got the request.
 	reached map[string]bool
 	// ran says that an attempt may have run.
@@ -210,6 +214,8 @@
 		return e.own(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
 	case v == balancer.Absent:
 		return e.refuse(c, w, "no server holds the adapter yet", comeBackLoad)
+	case v == balancer.Full:
+		return e.refuse(c, w, "all servers of "+c.service+" are busy", max(c.wait, comeBackFull))
 	}
 	return e.refuse(c, w, "no server answers for "+c.service+" now", comeBackNone)
 }
@@ -225,12 +231,17 @@
 	return w.fail(status, reason, 0)
 }
 
-// choose returns the server for the next attempt; it waits a bounded time for an adapter to be loaded.
+// choose returns the server for the next attempt; it waits a bounded time for a place or for an adapter to be loaded.
 func (e *Relayer) choose(ctx context.Context, c *call) (balancer.Choice, balancer.Verdict) {
-	limit := earlier(c.arrived.Add(max(waitFactor*c.route.Target, wantEvery)), c.deadline)
 	ask := balancer.Ask{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.except}
+	defer func() {
+		if ask.Ticket != nil {
+			e.balancer.Dequeue(c.service, ask.Ticket)
+		}
+	}()
+	limit := earlier(c.arrived.Add(max(waitFactor*c.route.Target, wantEvery)), c.deadline)
 	for {
-		var loaded <-chan struct{}
+		var loaded, turn <-chan struct{}
 		if c.adapter.Model != "" {
 			loaded = e.balancer.Await(c.adapter)
 		}
@@ -244,15 +255,25 @@
 			return choice, v
 		case v == balancer.None && len(c.except) > 0:
 			return choice, v
+		case v == balancer.Full && ask.Ticket == nil:
+			patience := time.Duration(queueShare * float64(time.Until(c.deadline)))
+			if ask.Ticket, c.wait = e.balancer.Enqueue(now, c.service, c.adapter, patience); ask.Ticket == nil {
+				return choice, v
+			}
+			limit = now.Add(2 * patience)
 		case now.After(limit):
 			return choice, v
 		}
 		if v == balancer.Absent && c.adapter.Name != "" {
 			e.link.want(governor.Want{Service: c.service, Adapter: c.adapter})
 		}
+		if ask.Ticket != nil {
+			turn = ask.Ticket.Turn()
+		}
 		t := time.NewTimer(min(wantEvery, time.Until(limit)+time.Millisecond))
 		select {
 		case <-loaded:
+		case <-turn:
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
