Slots come free sooner, fetches are bounded by two an engine, elections after 0.7 s

More fetches at once than the store serves at full speed made each take longer. Ruled out: the engines' speed (batches of 13 of 64), queues at entries.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -22,14 +22,17 @@
 	// minCopyRate is the decayed count of uses from which one more copy saves more than it costs: with the default half-life
 	// about one use a second.
 	minCopyRate = 12
-	// holderWait is how long an adapter waits for an engine that held it lately: as long as another one would fetch it from
-	// the store.
-	holderWait = 250 * time.Millisecond
+	// holderWait is how long an adapter waits for an engine that held it lately: less than another one would take to fetch
+	// it from the store.
+	holderWait = 100 * time.Millisecond
 	// copyFactor is how much more an adapter must be used than the victim for one more copy, so that copies don't alternate.
 	copyFactor = 2
-	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 200 ms, and
+	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 100 ms, and
 	// requests that waited for it are sent at once.
-	settleTime = 500 * time.Millisecond
+	settleTime = 250 * time.Millisecond
+	// fetchesPerEngine bounds the adapters that are on their way from the store at once, over all engines: more of them
+	// only take longer each, and what is wanted most should come first.
+	fetchesPerEngine = 2
 )
 
 // Config holds the bounds of an Allocator.
@@ -79,6 +82,8 @@
 	state   state
 	since   time.Time
 	inUse   map[string]int
+	// fetched says that the adapter comes from the store, not from the engine's own disk.
+	fetched bool
 }
 
 type engine struct {
@@ -501,6 +506,7 @@
 		return Order{}, true, false
 	}
 	patient := !k.copied && now.Sub(a.wants[k].since) < holderWait && a.isHeld(k)
+	limited := a.fetches() >= fetchesPerEngine*len(a.engines)
 	var best *engine
 	var bestScore float64
 	var victim tracker.Adapter
@@ -518,7 +524,7 @@
 		if _, ok := e.models[k.adapter.Model]; !ok || !e.synced || e.busy >= a.cfg.Transit {
 			continue
 		}
-		if patient && !e.held[k.adapter] {
+		if (patient || limited) && !e.held[k.adapter] {
 			continue
 		}
 		v, free := a.victim(now, e, k)
@@ -534,7 +540,7 @@
 		return Order{}, k.copied, false
 	}
 	o = Order{Engine: best.Key.ID, Adapter: k.adapter, Version: version, Evict: victim, Recent: best.held[k.adapter], want: k}
-	best.slots[k.adapter] = &slot{version: version, state: loading, since: now}
+	best.slots[k.adapter] = &slot{version: version, state: loading, since: now, fetched: !best.held[k.adapter]}
 	best.busy++
 	if victim.Name != "" {
 		best.slots[victim].state, best.slots[victim].since = evicting, now
@@ -542,6 +548,19 @@
 	return o, true, true
 }
 
+// fetches returns how many adapters are on their way from the store.
+func (a *Allocator) fetches() int {
+	n := 0
+	for _, e := range a.engines {
+		for _, s := range e.slots {
+			if s.state == loading && s.fetched {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // isHeld reports whether an engine that takes work held the adapter lately.
 func (a *Allocator) isHeld(k wantKey) bool {
 	for _, e := range a.engines {
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -12,9 +12,9 @@
 
 const (
 	// beatEvery is how often a session says that it is there.
-	beatEvery = 500 * time.Millisecond
-	// sessionSilence is when a leader that doesn't answer is given up.
-	sessionSilence = 1500 * time.Millisecond
+	beatEvery = 300 * time.Millisecond
+	// sessionSilence is when a leader that doesn't answer is given up; three beats may be lost.
+	sessionSilence = time.Second
 	// dialTimeout bounds the wait for a replica's first word; a replica without power doesn't answer at all, and up to two
 	// of them are tried before the next leader.
 	dialTimeout = 400 * time.Millisecond
--- a/stage/governor/seat.go
+++ b/stage/governor/seat.go
@@ -26,10 +26,10 @@
 const (
 	cluster = "redwingstage"
 	// heartbeat and election keep a change of leader well under the time in which a change must be in force.
-	heartbeat = 200 * time.Millisecond
-	election  = time.Second
+	heartbeat = 150 * time.Millisecond
+	election  = 700 * time.Millisecond
 	// carrierSilence lies between the heartbeat and the election timeout.
-	carrierSilence = 600 * time.Millisecond
+	carrierSilence = 450 * time.Millisecond
 	// snapshotEvery and snapshotBytes keep the journal far below a small disk.
 	snapshotEvery = 2000
 	snapshotBytes = 8 << 20
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// useEvery is how often the leader is told which adapters are in use.
-	useEvery = 200 * time.Millisecond
+	// useEvery is how often the leader is told which adapters are in use, and usePerEntry what each entry adds to it beyond
+	// usual deployments, so that the leader gets a bounded number of messages.
+	useEvery    = 100 * time.Millisecond
+	usePerEntry = 4 * time.Millisecond
 	// linkPause is the wait between two rounds over the known replicas.
 	linkPause = 150 * time.Millisecond
 	maxUps    = 1024
@@ -182,14 +184,8 @@
 
 // report tells the leader which adapters are in use.
 func (l *link) report(ctx context.Context) {
-	t := time.NewTicker(useEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	for ctx.Err() == nil {
+		pauseFor(ctx, max(useEvery, time.Duration(l.entry.balancer.Entries())*usePerEntry))
 		var up governor.Up
 		for _, u := range l.entry.balancer.Uses() {
 			up.Uses = append(up.Uses, governor.Use{Engine: u.Engine, Adapter: u.Adapter, Starts: u.Starts, Running: u.Running})
