Reports lag: what orders changed of late counts more, and a new leader waits for reports that list all orders

Ruled out: late orders (their precondition fails once another order was taken), places of what is under way.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -19,6 +19,8 @@
 	DefaultHalfLife = 8 * time.Second
 	// wantTTL is how long a request for an adapter counts; its sender repeats it while somebody waits.
 	wantTTL = time.Second
+	// ReportLag is how long an engine's report may lag behind what orders did to it.
+	ReportLag = 700 * time.Millisecond
 	// minCopyRate is the decayed count of uses from which one more copy saves more than it costs: with the default half-life
 	// about one use a second.
 	minCopyRate = 12
@@ -174,7 +176,7 @@
 	e.Instance, e.room = in, room
 }
 
-// Sync takes up what an engine itself reports to hold, and to be loading, after all orders that were given to it.
+// Sync takes up what an engine itself reports to hold, and to be loading; what changed of late counts more than a report.
 func (a *Allocator) Sync(now time.Time, id string, residents, pending []tracker.Resident) {
 	e := a.engines[id]
 	if e == nil {
@@ -196,7 +198,7 @@
 		e.take(now, r, resident)
 	}
 	for ad, s := range e.slots {
-		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful) {
+		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful) && now.Sub(s.since) > ReportLag {
 			delete(e.slots, ad)
 		}
 	}
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -196,7 +196,9 @@
 	load(c, a, start, want("a1", "z"))
 	a.Want(start, want("a2", "z"))
 	c.Assert(a.Plan(start), qt.HasLen, 1)
-	a.Sync(start, "x", residents("", "a3"), nil)
+	a.Sync(start, "x", residents(""), nil)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents("", "a1"), qt.Commentf("the report may be older than the load"))
+	a.Sync(start.Add(time.Second), "x", residents("", "a3"), nil)
 	c.Check(a.Residents("x"), qt.DeepEquals, residents("", "a3"), qt.Commentf("a1 is gone, a2 is under way"))
 	again := engine("x", "z")
 	again.Key.Born = 2
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -90,6 +90,8 @@
 	taken  uint64
 	sure   bool
 	fenced bool
+	// settled says that the reports list all orders of earlier leaders.
+	settled bool
 	// asking says that the engine is being asked what it holds; the control goroutine sets it.
 	asking bool
 	// asked says that it was asked before; only one goroutine asks at a time.
@@ -150,6 +152,13 @@
 			pause(w.ctx, lagPause)
 			continue
 		}
+		if !w.settled && report.Orders > 0 {
+			// An earlier leader's latest orders may count already and not be listed yet.
+			w.settled = true
+			pause(w.ctx, allocator.ReportLag)
+			continue
+		}
+		w.settled = true
 		w.take(report)
 		return true
 	}
--- /dev/null
+++ b/stage/governor/worker_test.go
@@ -0,0 +1,156 @@
+package governor
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/logger"
+)
+
+// scripted is an engine that answers by functions.
+type scripted struct {
+	order  func(o EngineOrder) (Verdict, error)
+	report func() (EngineReport, error)
+}
+
+func (s *scripted) Order(_ context.Context, _ tracker.Instance, o EngineOrder) (Verdict, error) {
+	return s.order(o)
+}
+
+func (s *scripted) Report(context.Context, tracker.Instance) (EngineReport, error) { return s.report() }
+
+var (
+	testKey  = tracker.Key{ID: "x", Born: 1}
+	testBase = tracker.Resident{Adapter: tracker.Adapter{Model: "m"}, Version: 1}
+)
+
+func testAdapter(name string) tracker.Resident {
+	return tracker.Resident{Adapter: tracker.Adapter{Model: "m", Name: name}, Version: 1}
+}
+
+// lead returns the hub of a leader that knows one engine with room for some adapters.
+func lead(c *qt.C, engine Engines, adapters int) *hub {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	h := &hub{
+		cfg: Config{Node: "n"}, deps: Deps{Engines: engine}, log: logger.New(io.Discard, "error").Part("test"), ctx: ctx,
+		spawn: wg.Go, events: make(chan func(time.Time), 64), workers: make(map[string]*worker),
+	}
+	h.desk = newDesk(1, time.Now(), &durable{}, func(string) (allocator.Room, bool) {
+		return allocator.Room{Adapters: adapters, Models: []matcher.Model{{Name: "m", LoadTime: time.Millisecond}}}, true
+	})
+	h.desk.announce(time.Now(), tracker.Instance{Key: testKey, Service: "s", Addr: "a", Sequence: 1})
+	c.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return h
+}
+
+// until lets the hub work until done holds.
+func (h *hub) until(done func() bool) {
+	for !done() {
+		h.plan(time.Now())
+		select {
+		case f := <-h.events:
+			f(time.Now())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (h *hub) holds(r tracker.Resident) bool {
+	for _, have := range h.desk.placing.Residents(testKey.ID) {
+		if have == r {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *hub) want(name string) {
+	h.desk.placing.Want(time.Now(), allocator.Want{Service: "s", Adapter: testAdapter(name).Adapter, Zone: "z"})
+}
+
+// A new leader's first report may count an order of the last leader whose adapter it doesn't list yet.
+func TestANewLeaderWaitsForReportsThatListAllOrders(t *testing.T) {
+	c := qt.New(t)
+	reports, evicted, overrun := 0, false, false
+	h := lead(c, &scripted{
+		report: func() (EngineReport, error) {
+			reports++
+			r := EngineReport{Orders: 1, Residents: []tracker.Resident{testBase}}
+			if reports > 1 {
+				r.Pending = []tracker.Resident{testAdapter("a1")}
+			}
+			return r, nil
+		},
+		order: func(o EngineOrder) (Verdict, error) {
+			evicted = evicted || !o.Load
+			overrun = overrun || o.Load && !evicted
+			return Holds, nil
+		},
+	}, 1)
+	h.until(func() bool {
+		h.want("a2")
+		return h.holds(testAdapter("a2"))
+	})
+	c.Check(overrun, qt.IsFalse, qt.Commentf("a1 takes the only place until it is unloaded"))
+}
+
+func TestAnOrderWithoutAnAnswerKeepsItsPlace(t *testing.T) {
+	c := qt.New(t)
+	var orders []EngineOrder
+	h := lead(c, &scripted{
+		report: func() (EngineReport, error) {
+			return EngineReport{Residents: []tracker.Resident{testBase}}, nil
+		},
+		order: func(o EngineOrder) (Verdict, error) {
+			orders = append(orders, o)
+			if len(orders) == 1 {
+				return Refused, context.DeadlineExceeded
+			}
+			return Holds, nil
+		},
+	}, 1)
+	h.want("a1")
+	h.until(func() bool { return len(orders) > 0 })
+	h.until(func() bool {
+		h.want("a2")
+		return h.holds(testAdapter("a2"))
+	})
+	c.Check(orders[0].Load, qt.IsTrue)
+	c.Check(orders[1].Load, qt.IsFalse, qt.Commentf("the engine may hold a1, so that it is unloaded first"))
+	c.Check(orders[1].Adapter.Name, qt.Equals, "a1")
+}
+
+func TestAConflictHasTheEngineAskedBeforeTheNextOrder(t *testing.T) {
+	c := qt.New(t)
+	taken, reports := uint64(0), 0
+	h := lead(c, &scripted{
+		report: func() (EngineReport, error) {
+			reports++
+			return EngineReport{Orders: taken, Residents: []tracker.Resident{testBase}}, nil
+		},
+		order: func(o EngineOrder) (Verdict, error) {
+			if o.Expect != 3 {
+				taken = 3
+				return Conflict, nil
+			}
+			return Holds, nil
+		},
+	}, 1)
+	h.until(func() bool {
+		h.want("a1")
+		return h.holds(testAdapter("a1"))
+	})
+	c.Check(reports > 1, qt.IsTrue)
+}
