What engines hold survives a change of leader; fetches follow the store's speed

Causes: a new leader told entries of engines without their adapters until their reports were final, so that requests waited 0.7 s and more for adapters that were there. Ruled out: elections (0.7 s), the entries' own sessions (0.1 s after the leader's start).

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -32,9 +32,17 @@
 	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 100 ms, and
 	// requests that waited for it are sent at once.
 	settleTime = 250 * time.Millisecond
-	// fetchesPerEngine bounds the adapters that are on their way from the store at once, over all engines: more of them
-	// only take longer each, and what is wanted most should come first.
-	fetchesPerEngine = 2
+	// fetchesPerEngine is how many adapters may be on their way from the store at once for each engine, at first and at the
+	// least. More than the store serves at full speed only take longer each, and what is wanted most should come first, so
+	// the bound follows the times that fetches take.
+	fetchesPerEngine    = 2
+	minFetchesPerEngine = 1
+	maxFetchesPerEngine = 4
+	// slowFetch is how much longer than the fastest a fetch takes when the store is beyond its full speed.
+	slowFetch = 1.2
+	// fetchDecrease and fetchIncrease move the bound after a slow and after a fast fetch.
+	fetchDecrease = 0.97
+	fetchIncrease = 0.1
 )
 
 // Config holds the bounds of an Allocator.
@@ -56,6 +64,8 @@
 	Recent bool
 	// Time is how long the load of a base model takes, 0 for adapters.
 	Time time.Duration
+	// Took is how long the load took, once it has ended.
+	Took time.Duration
 	want wantKey
 }
 
@@ -139,12 +149,15 @@
 
 // Allocator keeps the engines' adapters; one goroutine calls it.
 type Allocator struct {
-	cfg      Config
-	fetched  time.Time
-	engines  map[string]*engine
-	rates    map[tracker.Adapter]*rate
-	versions map[tracker.Adapter]int
-	wants    map[wantKey]wanting
+	cfg     Config
+	fetched time.Time
+	// fastest is the shortest time that a fetch took, perEngine the bound that follows from the others.
+	fastest   time.Duration
+	perEngine float64
+	engines   map[string]*engine
+	rates     map[tracker.Adapter]*rate
+	versions  map[tracker.Adapter]int
+	wants     map[wantKey]wanting
 }
 
 // wanting says since when an adapter is wanted, and when it was asked for last.
@@ -159,7 +172,7 @@
 		cfg.HalfLife = DefaultHalfLife
 	}
 	return &Allocator{
-		cfg: cfg, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
+		cfg: cfg, perEngine: fetchesPerEngine, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
 		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]wanting),
 	}
 }
@@ -369,6 +382,9 @@
 	}
 	switch out {
 	case Done:
+		if s.fetched {
+			a.learn(o.Took)
+		}
 		s.state, s.since, s.version = resident, now, o.Version
 		e.held[o.Adapter] = true
 	case Undone:
@@ -380,6 +396,21 @@
 	}
 }
 
+// learn adapts how many fetches may be under way to the time that one took.
+func (a *Allocator) learn(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	if a.fastest == 0 || took < a.fastest {
+		a.fastest = took
+	}
+	if float64(took) > slowFetch*float64(a.fastest) {
+		a.perEngine = max(a.perEngine*fetchDecrease, minFetchesPerEngine)
+	} else {
+		a.perEngine = min(a.perEngine+fetchIncrease/float64(len(a.engines)), maxFetchesPerEngine)
+	}
+}
+
 // Evicted ends an eviction; after one that wasn't carried out the adapter stays.
 func (a *Allocator) Evicted(now time.Time, o Order, out Outcome) {
 	e := a.engines[o.Engine]
@@ -508,7 +539,7 @@
 		return Order{}, true, false
 	}
 	patient := !k.copied && now.Sub(a.wants[k].since) < holderWait && a.isHeld(k)
-	limited := a.fetches() >= fetchesPerEngine*len(a.engines)
+	limited := float64(a.fetches()) >= a.perEngine*float64(len(a.engines))
 	var best *engine
 	var bestScore float64
 	var victim tracker.Adapter
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -1,6 +1,7 @@
 package allocator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -138,6 +139,42 @@
 	c.Check(a.Plan(start), qt.HasLen, 1)
 }
 
+func TestFetchesFollowTheStoresSpeed(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 500)
+	add(a, engine("y", "z"), 500)
+	next := 0
+	// round has adapters fetched that take so long each, and returns how many were under way at once.
+	round := func(took time.Duration) int {
+		for range 8 {
+			next++
+			a.Want(start, want(fmt.Sprintf("a%d", next), "z"))
+		}
+		orders := a.Plan(start)
+		for _, o := range orders {
+			o.Took = took
+			a.Loaded(start, o, allocator.Done)
+		}
+		for rest := a.Plan(start); len(rest) > 0; rest = a.Plan(start) {
+			for _, o := range rest {
+				o.Took = took
+				a.Loaded(start, o, allocator.Done)
+			}
+		}
+		return len(orders)
+	}
+	c.Check(round(250*time.Millisecond), qt.Equals, 4)
+	for range 20 {
+		round(400 * time.Millisecond)
+	}
+	c.Check(round(400*time.Millisecond), qt.Equals, 2)
+	for range 50 {
+		round(250 * time.Millisecond)
+	}
+	c.Check(round(250*time.Millisecond), qt.Equals, 8)
+}
+
 func TestReplacesOldVersions(t *testing.T) {
 	c := qt.New(t)
 	a := allocator.New(allocator.Config{})
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// Set takes up servers; what they hold counts only for those that are new here or if whole is set.
+// Set takes up servers; what they hold counts only if whole is set, and if it is known: engines hold a base model at least.
 func (b *Balancer) Set(list []tracker.Instance, whole bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -148,7 +148,7 @@
 			b.services[in.Service] = make(map[string]*server)
 		}
 		b.services[in.Service][in.Key.ID] = s
-		if whole {
+		if whole && len(in.Residents) > 0 {
 			clear(s.residents)
 			for _, r := range in.Residents {
 				s.residents[r.Adapter] = r.Version
--- a/serving/balancer/balancer_test.go
+++ b/serving/balancer/balancer_test.go
@@ -78,6 +78,21 @@
 	c.Check(v, qt.Equals, balancer.Chosen)
 }
 
+func TestANewLeaderThatKnowsLessTakesNothingAway(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	b.Hold("x", adapter, 1)
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	_, v := b.Pick(start, balancer.Ask{Service: "s", Zone: "z", Adapter: adapter})
+	c.Check(v, qt.Equals, balancer.Chosen)
+	known := server("x", "z")
+	known.Residents = []tracker.Resident{{Adapter: tracker.Adapter{Model: "m"}, Version: 1}}
+	b.Set([]tracker.Instance{known}, true)
+	_, v = b.Pick(start, balancer.Ask{Service: "s", Zone: "z", Adapter: adapter})
+	c.Check(v, qt.Equals, balancer.Absent)
+}
+
 func TestALeavingServerStaysSo(t *testing.T) {
 	c := qt.New(t)
 	b := balancer.New()
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -31,12 +31,14 @@
 	// fresh are the moves and instances that entries weren't told of.
 	moves   []Move
 	changed map[string]bool
+	exact   map[string]bool
 }
 
 func newDesk(era uint64, now time.Time, state *durable, room Room) *desk {
 	d := &desk{
 		era: era, begun: now, engines: tracker.New(), placing: allocator.New(allocator.Config{}), room: room,
 		known: make(map[string]map[tracker.Adapter]int), changed: make(map[string]bool),
+		exact: make(map[string]bool),
 	}
 	d.refresh(state)
 	return d
@@ -100,6 +102,15 @@
 	}
 }
 
+// report takes up what an engine says that it holds; orders follow only if the report is final.
+func (d *desk) report(now time.Time, id string, r EngineReport, final bool) {
+	d.placing.Sync(now, id, r.Residents, r.Pending)
+	if !final {
+		d.placing.Unsync(id)
+	}
+	d.exact[id] = true
+}
+
 // diff collects what changed of an engine's adapters.
 func (d *desk) diff(id string) {
 	told := d.known[id]
@@ -129,7 +140,7 @@
 
 // news returns what entries must be told since the last call; false if nothing.
 func (d *desk) news() (Down, bool) {
-	if len(d.moves) == 0 && len(d.changed) == 0 {
+	if len(d.moves) == 0 && len(d.changed) == 0 && len(d.exact) == 0 {
 		return Down{}, false
 	}
 	down := Down{Moves: d.moves}
@@ -141,8 +152,14 @@
 			down.Gone = append(down.Gone, id)
 		}
 	}
+	for id := range d.exact {
+		if in, ok := d.engines.Instance(id); ok {
+			in.Residents = d.placing.Residents(id)
+			down.Exact = append(down.Exact, in)
+		}
+	}
 	slices.Sort(down.Gone)
-	d.moves, d.changed = nil, make(map[string]bool)
+	d.moves, d.changed, d.exact = nil, make(map[string]bool), make(map[string]bool)
 	return down, true
 }
 
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -303,7 +303,7 @@
 
 // spread sends what changed of engines; it returns when the rest is due.
 func (h *hub) spread(now time.Time) (time.Duration, bool) {
-	if h.desk == nil || len(h.desk.moves) == 0 && len(h.desk.changed) == 0 {
+	if h.desk == nil || len(h.desk.moves)+len(h.desk.changed)+len(h.desk.exact) == 0 {
 		return 0, false
 	}
 	if wait := h.newsAt.Sub(now); wait > 0 && len(h.desk.changed) == 0 {
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -70,6 +70,8 @@
 	Replicas []string `cbor:"10,keyasint,omitempty"`
 	// Left are the starts of backend servers that must get no new work.
 	Left []tracker.Key `cbor:"11,keyasint,omitempty"`
+	// Exact are engines with all that they hold.
+	Exact []tracker.Instance `cbor:"12,keyasint,omitempty"`
 }
 
 // Welcome opens the leader's side of a session.
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -155,6 +155,7 @@
 		if !w.settled && report.Orders > 0 {
 			// An earlier leader's latest orders may count already and not be listed yet.
 			w.settled = true
+			w.post(func(now time.Time, d *desk) { d.report(now, w.target.Key.ID, report, false) })
 			pause(w.ctx, allocator.ReportLag)
 			continue
 		}
@@ -171,7 +172,7 @@
 	w.taken, w.sure = report.Orders, true
 	w.post(func(now time.Time, d *desk) {
 		w.asking = false
-		d.placing.Sync(now, w.target.Key.ID, report.Residents, report.Pending)
+		d.report(now, w.target.Key.ID, report, true)
 	})
 }
 
@@ -199,7 +200,7 @@
 			return
 		}
 	}
-	out := w.load(o)
+	out := w.load(&o)
 	w.post(func(now time.Time, d *desk) { d.placing.Loaded(now, o, out) })
 }
 
@@ -216,7 +217,7 @@
 	return allocator.Undone
 }
 
-func (w *worker) load(ordered allocator.Order) allocator.Outcome {
+func (w *worker) load(ordered *allocator.Order) allocator.Outcome {
 	o := EngineOrder{Load: true, Adapter: ordered.Adapter, Version: ordered.Version}
 	first, every, limit := loadTime, confirmEvery, loadLimit
 	switch {
@@ -232,8 +233,11 @@
 	case v == Holds:
 		return allocator.Done
 	case v == Accepted:
+		began := time.Now()
 		pause(w.ctx, first)
-		return w.confirm(o, every, limit)
+		out := w.confirm(o, every, limit)
+		ordered.Took = time.Since(began)
+		return out
 	}
 	return allocator.Undone
 }
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -154,6 +154,7 @@
 	b.SetVersions(now, d.Versions)
 	b.Leave(d.Left)
 	b.Set(d.Engines, d.Welcome != nil)
+	b.Set(d.Exact, true)
 	b.Remove(d.Gone)
 	for _, m := range d.Moves {
 		if m.Gone {
