--- /dev/null
+++ b/serving/allocator/place.go
@@ -0,0 +1,158 @@
+package allocator
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingstage.org/serving/tracker"
+)
+
+// candidate is an engine that could load an adapter now.
+type candidate struct {
+	engine *engine
+	victim tracker.Adapter
+	score  float64
+}
+
+// place chooses the engine for an adapter; done says that no order is needed.
+func (a *Allocator) place(now time.Time, k wantKey) (o Order, done, ok bool) {
+	if a.isSettled(now, k) {
+		return Order{}, true, false
+	}
+	best := a.best(now, k)
+	if best.engine == nil {
+		return Order{}, k.copied, false
+	}
+	return a.begin(now, k, best), true, true
+}
+
+// isSettled reports whether nothing needs to be ordered: the adapter is there or under way, or one more copy of it saves
+// less than it costs.
+func (a *Allocator) isSettled(now time.Time, k wantKey) bool {
+	if k.copied && a.rate(now, k.adapter) < minCopyRate {
+		return true
+	}
+	version := a.version(k.adapter)
+	for _, e := range a.engines {
+		s := e.slots[k.adapter]
+		if e.Service != k.service || e.Leaving || s == nil || s.version < version {
+			continue
+		}
+		if s.state == loading || !k.copied && s.state == resident {
+			return true
+		}
+	}
+	return false
+}
+
+// best returns the candidate with the highest score, if there is one.
+func (a *Allocator) best(now time.Time, k wantKey) candidate {
+	patient := !k.copied && now.Sub(a.wants[k].since) < holderWait && a.isHeld(k)
+	limited := float64(a.fetches()) >= a.perEngine*float64(len(a.engines))
+	var best candidate
+	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
+		e := a.engines[id]
+		if !a.takes(e, k) || (patient || limited) && !e.held[k.adapter] {
+			continue
+		}
+		v, free := a.victim(now, e, k)
+		if !free && v.Name == "" {
+			continue
+		}
+		if score := a.score(now, e, k, v); best.engine == nil || score > best.score {
+			best = candidate{engine: e, victim: v, score: score}
+		}
+	}
+	return best
+}
+
+// takes reports whether an engine may be ordered to load the adapter.
+func (a *Allocator) takes(e *engine, k wantKey) bool {
+	_, hasModel := e.models[k.adapter.Model]
+	return e.Service == k.service && !e.Leaving && e.synced && hasModel && e.slots[k.adapter] == nil && e.busy < a.cfg.Transit
+}
+
+// begin enters a load, and the eviction that makes way for it.
+func (a *Allocator) begin(now time.Time, k wantKey, c candidate) Order {
+	e, version := c.engine, a.version(k.adapter)
+	recent := e.held[k.adapter]
+	e.slots[k.adapter] = &slot{version: version, state: loading, since: now, fetched: !recent}
+	e.busy++
+	if c.victim.Name != "" {
+		e.slots[c.victim].state, e.slots[c.victim].since = evicting, now
+	}
+	return Order{Engine: e.Key.ID, Adapter: k.adapter, Version: version, Evict: c.victim, Recent: recent, want: k}
+}
+
+// fetches returns how many adapters are on their way from the store.
+func (a *Allocator) fetches() int {
+	n := 0
+	for _, e := range a.engines {
+		for _, s := range e.slots {
+			if s.state == loading && s.fetched {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// isHeld reports whether an engine that takes work held the adapter lately.
+func (a *Allocator) isHeld(k wantKey) bool {
+	for _, e := range a.engines {
+		if e.Service == k.service && !e.Leaving && e.synced && e.held[k.adapter] {
+			return true
+		}
+	}
+	return false
+}
+
+// score prefers engines that held the adapter lately, since others fetch it from the store, then the caller's data
+// centre, and those whose victim is used least.
+func (a *Allocator) score(now time.Time, e *engine, k wantKey, victim tracker.Adapter) float64 {
+	score := 0.0
+	if e.held[k.adapter] {
+		score += 8
+	}
+	if e.Zone == k.zone {
+		score++
+	}
+	score -= float64(e.busy)
+	if victim.Name != "" {
+		score -= min(a.rate(now, victim)/4, 2)
+	} else {
+		score++
+	}
+	// A fixed order by adapter spreads adapters over engines that are equal otherwise.
+	h := xxhash.Sum64String(e.Key.ID + "\x00" + k.adapter.Name)
+	return score + float64(h>>11)/float64(1<<53)
+}
+
+// victim returns the adapter that would make way, or that there is a free slot.
+func (a *Allocator) victim(now time.Time, e *engine, k wantKey) (tracker.Adapter, bool) {
+	if len(e.slots) < e.room.Adapters {
+		return tracker.Adapter{}, true
+	}
+	var worst tracker.Adapter
+	worstRate := math.Inf(1)
+	for ad, s := range e.slots {
+		if s.state == doubtful {
+			// An order to unload it makes sure of it.
+			return ad, false
+		}
+		if s.state != resident || len(s.inUse) > 0 || now.Sub(s.since) < settleTime {
+			continue
+		}
+		if r := a.rate(now, ad); r < worstRate || r == worstRate && ad.Name < worst.Name {
+			worst, worstRate = ad, r
+		}
+	}
+	if k.copied && worstRate*copyFactor > a.rate(now, k.adapter) {
+		return tracker.Adapter{}, false
+	}
+	return worst, false
+}
--- /dev/null
+++ b/serving/allocator/plan.go
@@ -0,0 +1,113 @@
+package allocator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
+)
+
+// Plan returns the orders that follow from what is wanted.
+func (a *Allocator) Plan(now time.Time) []Order {
+	orders := append(a.fetch(now), a.replace(now)...)
+	for _, k := range a.sortedWants(now) {
+		o, done, ok := a.place(now, k)
+		if ok {
+			orders = append(orders, o)
+		}
+		if ok || done {
+			delete(a.wants, k)
+		}
+	}
+	return orders
+}
+
+// fetch orders engines without a base model, such as those that started anew, to load the one with the fewest copies.
+func (a *Allocator) fetch(now time.Time) []Order {
+	var out []Order
+	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
+		e := a.engines[id]
+		if !e.synced || e.Leaving || len(e.models) > 0 || e.fetching != "" || len(e.room.Models) == 0 {
+			continue
+		}
+		if e.room.LoadsPerSecond > 0 && now.Sub(a.fetched) < time.Duration(float64(time.Second)/e.room.LoadsPerSecond) {
+			break
+		}
+		m := a.rarest(e)
+		a.fetched, e.fetching = now, m.Name
+		out = append(out, Order{Engine: id, Adapter: tracker.Adapter{Model: m.Name}, Version: 1, Time: m.LoadTime})
+	}
+	return out
+}
+
+// rarest returns the base model of the engine's service that the fewest engines hold or load.
+func (a *Allocator) rarest(e *engine) matcher.Model {
+	copies := make(map[string]int)
+	for _, o := range a.engines {
+		if o.Service != e.Service || o.Leaving {
+			continue
+		}
+		copies[o.fetching]++
+		for m := range o.models {
+			copies[m]++
+		}
+	}
+	return slices.MinFunc(e.room.Models, func(x, y matcher.Model) int { return copies[x.Name] - copies[y.Name] })
+}
+
+// replace orders newer versions to engines that hold older ones.
+func (a *Allocator) replace(now time.Time) []Order {
+	if len(a.versions) == 0 {
+		return nil
+	}
+	var out []Order
+	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
+		e := a.engines[id]
+		for ad, s := range e.slots {
+			v := a.versions[ad]
+			if !e.synced || s.state != resident || s.version >= v || e.busy >= a.cfg.Transit {
+				continue
+			}
+			s.state, s.since = loading, now
+			e.busy++
+			out = append(out, Order{Engine: id, Adapter: ad, Version: v, want: wantKey{service: e.Service, adapter: ad, zone: e.Zone}})
+		}
+	}
+	return out
+}
+
+// sortedWants returns what is wanted, first copies before more copies, the most used first, and drops what is too old.
+func (a *Allocator) sortedWants(now time.Time) []wantKey {
+	keys := make([]wantKey, 0, len(a.wants))
+	for k, v := range a.wants {
+		if now.Sub(v.last) > wantTTL {
+			delete(a.wants, k)
+			continue
+		}
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(x, y wantKey) int {
+		if x.copied != y.copied {
+			if y.copied {
+				return -1
+			}
+			return 1
+		}
+		rx, ry := a.rate(now, x.adapter), a.rate(now, y.adapter)
+		switch {
+		case rx > ry:
+			return -1
+		case rx < ry:
+			return 1
+		case x.adapter.Name < y.adapter.Name:
+			return -1
+		}
+		return 1
+	})
+	return keys
+}
+
+// version returns the version of an adapter to load; each adapter begins at version 1.
+func (a *Allocator) version(ad tracker.Adapter) int { return max(a.versions[ad], 1) }
--- a/serving/tracker/tracker_test.go
+++ b/serving/tracker/tracker_test.go
@@ -27,27 +27,32 @@
 		{
 			"a late call of the same start is dropped",
 			[]tracker.Instance{instance("a", 1, 5, "x"), instance("a", 1, 4, "y")},
-			[]bool{true, false}, map[string]string{"a": "x"},
+			[]bool{true, false},
+			map[string]string{"a": "x"},
 		},
 		{
 			"a new start under the old name counts from the beginning",
 			[]tracker.Instance{instance("a", 1, 5, "x"), instance("a", 2, 1, "x")},
-			[]bool{true, true}, map[string]string{"a": "x"},
+			[]bool{true, true},
+			map[string]string{"a": "x"},
 		},
 		{
 			"a call of an earlier start is dropped",
 			[]tracker.Instance{instance("a", 2, 1, "x"), instance("a", 1, 9, "y")},
-			[]bool{true, false}, map[string]string{"a": "x"},
+			[]bool{true, false},
+			map[string]string{"a": "x"},
 		},
 		{
 			"a new instance takes over the address",
 			[]tracker.Instance{instance("a", 1, 5, "x"), instance("b", 2, 1, "x")},
-			[]bool{true, true}, map[string]string{"b": "x"},
+			[]bool{true, true},
+			map[string]string{"b": "x"},
 		},
 		{
 			"a delayed call of the address's earlier instance is dropped",
 			[]tracker.Instance{instance("b", 2, 1, "x"), instance("a", 1, 5, "x")},
-			[]bool{true, false}, map[string]string{"b": "x"},
+			[]bool{true, false},
+			map[string]string{"b": "x"},
 		},
 	} {
 		c.Run(row.name, func(c *qt.C) {
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -72,7 +72,9 @@
 		case <-ctx.Done():
 			// The transport looks at the context only once the request has ended.
 			_ = stream.CloseRequest()
-			<-received
+			if err := <-received; context.Cause(ctx) == nil {
+				return redirect, err
+			}
 			return redirect, context.Cause(ctx)
 		}
 		if err := stream.Send(&m); err != nil {
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -83,7 +83,7 @@
 	g := &Governor{cfg: cfg, deps: deps, log: deps.Log.Part("control")}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.seat = newSeat(cfg, g.log)
-	g.hub = newHub(cfg, deps, g.seat, g.log, g.ctx, g.wg.Go)
+	g.hub = newHub(g.ctx, cfg, deps, g.seat, g.log, g.wg.Go)
 	g.seat.machineChanged = g.hub.stateChanged
 	mux := http.NewServeMux()
 	mux.Handle(carrier.Path, http.HandlerFunc(g.seat.carry))
--- /dev/null
+++ b/stage/governor/governor_test.go
@@ -0,0 +1,225 @@
+package governor
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/logger"
+	"redwingstage.org/standin/launcher"
+)
+
+// group is a deployment's replicas on loopback.
+type group struct {
+	c       *qt.C
+	folder  string
+	addrs   []string
+	running map[int]*Governor
+}
+
+// newGroup founds a group by its first three replicas; the others join.
+func newGroup(c *qt.C, n int) *group {
+	g := &group{c: c, folder: c.TempDir(), running: make(map[int]*Governor)}
+	for range n {
+		addr, err := launcher.FreeAddr(context.Background())
+		c.Assert(err, qt.IsNil)
+		g.addrs = append(g.addrs, addr)
+	}
+	for i := range n {
+		g.start(i, true)
+	}
+	c.Cleanup(func() {
+		for i := range g.running {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *group) start(i int, first bool) {
+	gov, err := New(Config{
+		Node: "core-" + strconv.Itoa(i), Zone: "z", Addr: g.addrs[i], Folder: filepath.Join(g.folder, strconv.Itoa(i)),
+		Seeds: g.addrs[:3], First: first,
+	}, Deps{
+		Decode: func(d Doc) (*matcher.Table, error) { return matcher.New(d.Version, nil, nil, matcher.Limits{}) },
+		Engines: &scripted{
+			report: func() (EngineReport, error) { return EngineReport{}, nil },
+			order:  func(EngineOrder) (Verdict, error) { return Refused, nil },
+		},
+		Log: logger.New(io.Discard, "error"),
+	})
+	g.c.Assert(err, qt.IsNil)
+	g.running[i] = gov
+}
+
+func (g *group) stop(i int) {
+	g.c.Check(g.running[i].Close(), qt.IsNil)
+	delete(g.running, i)
+}
+
+// wipe loses a replica's disk.
+func (g *group) wipe(i int) {
+	g.c.Assert(os.RemoveAll(filepath.Join(g.folder, strconv.Itoa(i))), qt.IsNil)
+}
+
+// leader returns the replica that leads, once there is one.
+func (g *group) leader() (int, *Governor) {
+	for {
+		for i, gov := range g.running {
+			if gov.lead() == nil {
+				return i, gov
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// try repeats a call at the leader until it succeeds.
+func (g *group) try(call func(gov *Governor) error) {
+	for {
+		if _, gov := g.leader(); call(gov) == nil {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (g *group) put(version uint64) {
+	g.try(func(gov *Governor) error {
+		return gov.Put(context.Background(), Doc{Version: version, Body: []byte(strconv.FormatUint(version, 10))})
+	})
+}
+
+// version returns the version of the document in force.
+func (g *group) version() uint64 {
+	var doc Doc
+	g.try(func(gov *Governor) error {
+		var err error
+		doc, err = gov.Doc(context.Background())
+		return err
+	})
+	return doc.Version
+}
+
+// settled waits until the group has n voters, all of which run here.
+func (g *group) settled(n int) {
+	for {
+		_, gov := g.leader()
+		voters := make(map[string]bool)
+		if r := gov.seat.log(); r != nil {
+			for _, m := range r.Status().Members {
+				if !m.Learner {
+					voters[m.Addr] = true
+				}
+			}
+		}
+		live := 0
+		for i := range g.running {
+			if voters[g.addrs[i]] {
+				live++
+			}
+		}
+		if live == n && len(voters) == n {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestAGroupOfFiveOutlivesItsDisks(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 5)
+	g.settled(5)
+	g.put(3)
+	lost, _ := g.leader()
+	other := (lost + 1) % 5
+	for _, i := range []int{lost, other} {
+		g.stop(i)
+		g.wipe(i)
+	}
+	g.put(5)
+	c.Check(g.version(), qt.Equals, uint64(5))
+	for _, i := range []int{lost, other} {
+		g.start(i, false)
+	}
+	g.settled(5)
+	c.Check(g.version(), qt.Equals, uint64(5))
+	g.put(4)
+	c.Check(g.version(), qt.Equals, uint64(5), qt.Commentf("the highest version stays"))
+}
+
+func TestAllReplicasStartAgain(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 4)
+	g.settled(4)
+	g.put(7)
+	key := tracker.Key{ID: "e", Born: 5}
+	g.try(func(gov *Governor) error { return gov.Leave(context.Background(), key) })
+	g.try(func(gov *Governor) error {
+		return gov.Name(context.Background(), tracker.Resident{Adapter: tracker.Adapter{Model: "m", Name: "a"}, Version: 2})
+	})
+	for i := range 4 {
+		g.stop(i)
+	}
+	for i := range 4 {
+		g.start(i, false)
+	}
+	c.Check(g.version(), qt.Equals, uint64(7))
+	state := &durable{}
+	for state.Era < 2 {
+		// The second leadership begins its own era.
+		_, gov := g.leader()
+		state = gov.seat.state()
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Check(state.Left, qt.DeepEquals, []tracker.Key{key})
+	c.Check(state.Versions, qt.HasLen, 1)
+}
+
+func TestAnEntryFollowsTheLeader(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	versions := make(chan uint64, 64)
+	entry := func(addr string) {
+		hello := Hello{Node: "entry", Zone: "z"}
+		for ctx.Err() == nil {
+			redirect, _ := Dial(ctx, addr, hello, make(chan Up), func(d Down) {
+				if d.Doc != nil && d.Doc.Version > 0 {
+					versions <- d.Doc.Version
+				}
+			})
+			if redirect != "" {
+				addr = redirect
+			}
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		entry(g.addrs[0])
+	}()
+	g.put(1)
+	for v := range versions {
+		if v == 1 {
+			break
+		}
+	}
+	g.put(2)
+	for v := range versions {
+		if v == 2 {
+			break
+		}
+	}
+	cancel()
+	<-done
+}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -63,8 +62,6 @@
 	newsAt   time.Time
 	waits    []versionWait
 	retiring bool
-	stale    bool
-	once     sync.Once
 }
 
 // versionWait is closed once all entries have a version of the document.
@@ -73,7 +70,7 @@
 	done    chan struct{}
 }
 
-func newHub(cfg Config, deps Deps, s *seat, l *logger.Part, ctx context.Context, spawn func(func())) *hub {
+func newHub(ctx context.Context, cfg Config, deps Deps, s *seat, l *logger.Part, spawn func(func())) *hub {
 	h := &hub{
 		cfg: cfg, deps: deps, seat: s, log: l, ctx: ctx, spawn: spawn, events: make(chan func(now time.Time), maxEvents),
 		sessions: make(map[*session]bool), workers: make(map[string]*worker),
@@ -122,7 +119,7 @@
 		case <-news.C:
 		}
 		now := time.Now()
-		h.refresh(now)
+		h.refresh()
 		h.plan(now)
 		if wait, due := h.spread(now); due {
 			news.Reset(wait)
@@ -238,7 +235,7 @@
 }
 
 // refresh tells entries what changed in the replicated state.
-func (h *hub) refresh(now time.Time) {
+func (h *hub) refresh() {
 	if h.desk == nil {
 		return
 	}
--- a/stage/relayer/head.go
+++ b/stage/relayer/head.go
@@ -90,14 +90,16 @@
 // peekHead returns the bytes of a head without taking them.
 func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
 	for n := 1; ; {
-		b, err := br.Peek(n)
-		if err != nil {
+		if _, err := br.Peek(n); err != nil {
 			if errors.Is(err, bufio.ErrBufferFull) {
 				return nil, &badRequestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the head is too large"}
 			}
 			return nil, err
 		}
-		b, _ = br.Peek(br.Buffered())
+		b, err := br.Peek(br.Buffered())
+		if err != nil {
+			return nil, err
+		}
 		if i := bytes.Index(b, headEnd); i >= 0 && i+len(headEnd) <= limit {
 			return b[:i+len(headEnd)], nil
 		}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -100,11 +100,21 @@
 	c.Assert(err, qt.IsNil)
 }
 
-func (l *caller) receive(c *qt.C) (*http.Response, string, error) {
+// received is a whole answer, or what came of one.
+type received struct {
+	status int
+	header http.Header
+	body   string
+	closes bool
+	err    error
+}
+
+func (l *caller) receive(c *qt.C) received {
 	resp, err := http.ReadResponse(l.br, nil)
 	c.Assert(err, qt.IsNil)
 	body, err := io.ReadAll(resp.Body)
-	return resp, string(body), err
+	_ = resp.Body.Close()
+	return received{resp.StatusCode, resp.Header, string(body), resp.Close, err}
 }
 
 // sealed begins a server's answer.
@@ -130,11 +140,11 @@
 	})
 	l := dial(c, e)
 	l.send(c, "POST", "/once/a%20b?q=1", "hello", "X-Hold: mine", "X-Other: kept", "Connection: X-Local, X-Attempt", "X-Local: 1", testDeadline+": 5000")
-	resp, answer, err := l.receive(c)
-	c.Assert(err, qt.IsNil)
-	c.Check(resp.StatusCode, qt.Equals, 200)
-	c.Check(resp.Header.Get(testSeal), qt.Equals, "seal")
-	c.Check(answer, qt.Equals, "ok")
+	answer := l.receive(c)
+	c.Assert(answer.err, qt.IsNil)
+	c.Check(answer.status, qt.Equals, 200)
+	c.Check(answer.header.Get(testSeal), qt.Equals, "seal")
+	c.Check(answer.body, qt.Equals, "ok")
 	c.Check(got.RequestURI, qt.Equals, "/once/a%20b?q=1")
 	c.Check(string(body), qt.Equals, "hello")
 	c.Check(got.Header.Get("X-Other"), qt.Equals, "kept")
@@ -192,10 +202,10 @@
 				deadline = "200"
 			}
 			l.send(c, "POST", row.path, "x", testDeadline+": "+deadline)
-			resp, _, _ := l.receive(c)
-			c.Check(resp.StatusCode, qt.Equals, row.status)
+			resp := l.receive(c)
+			c.Check(resp.status, qt.Equals, row.status)
 			c.Check(calls.Load(), qt.Equals, row.calls)
-			c.Check(resp.Header.Get("Retry-After") != "", qt.Equals, row.status == 503)
+			c.Check(resp.header.Get("Retry-After") != "", qt.Equals, row.status == 503)
 		})
 	}
 }
@@ -218,9 +228,9 @@
 	})
 	l := dial(c, e)
 	l.send(c, "POST", "/resumable/", "x", testDeadline+": 8000")
-	_, body, err := l.receive(c)
-	c.Check(err, qt.IsNil)
-	c.Check(body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 }
 
 func TestAStreamThatCannotGoOnDoesNotLookWhole(t *testing.T) {
@@ -232,9 +242,9 @@
 	})
 	l := dial(c, e)
 	l.send(c, "POST", "/stream/", "x", testDeadline+": 8000")
-	_, body, err := l.receive(c)
-	c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
-	c.Check(body, qt.Equals, "id: 1\ndata: 1\n\n")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.Equals, io.ErrUnexpectedEOF)
+	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\n")
 }
 
 // A loaded engine may pause longer than callers like; its answer is better than none.
@@ -250,9 +260,9 @@
 	e.budget.share, e.budget.slack, e.budget.tokens = 0, 0, 0
 	l := dial(c, e)
 	l.send(c, "POST", "/resumable/", "x", testDeadline+": 9000")
-	_, body, err := l.receive(c)
-	c.Check(err, qt.IsNil)
-	c.Check(body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 }
 
 // A connection whose request came before the shutdown began may not bring another one after it.
@@ -271,11 +281,11 @@
 	e.leaving.Store(true)
 	e.closeIdle()
 	close(release)
-	resp, body, err := l.receive(c)
-	c.Assert(err, qt.IsNil)
-	c.Check(body, qt.Equals, "ok")
-	c.Check(resp.Close, qt.IsTrue)
-	_, err = l.br.ReadByte()
+	resp := l.receive(c)
+	c.Assert(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "ok")
+	c.Check(resp.closes, qt.IsTrue)
+	_, err := l.br.ReadByte()
 	c.Check(err, qt.Equals, io.EOF)
 }
 
@@ -303,8 +313,8 @@
 			l := dial(c, e)
 			_, err := io.WriteString(l, row.head)
 			c.Assert(err, qt.IsNil)
-			resp, _, _ := l.receive(c)
-			c.Check(resp.StatusCode, qt.Equals, row.status)
+			resp := l.receive(c)
+			c.Check(resp.status, qt.Equals, row.status)
 			c.Check(calls.Load(), qt.Equals, int32(0))
 		})
 	}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -29,16 +29,9 @@
 
 // stream passes the events of an answer on as they come, each only once it is whole.
 func (e *Relayer) stream(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer, keep time.Duration) (reply, time.Duration) {
-	var body io.Reader
-	limited := -1
-	switch n := h.ContentLength(); {
-	case n >= 0:
-		limited = n
-		body = io.LimitReader(c.br, int64(n))
-	case n == -1:
-		body = httputil.NewChunkedReader(c.br)
-	default:
-		body, keep = c.br, -1
+	body, limited := streamBody(c.br, h)
+	if limited == untilClose {
+		keep = -1
 	}
 	events := &eventReader{br: bufio.NewReaderSize(body, serverBuffer)}
 	route := a.call.route
@@ -54,15 +47,7 @@
 	for {
 		block, id, err := events.next()
 		if errors.Is(err, io.EOF) && (limited < 0 || events.taken == limited) {
-			if !out.begun && !out.begin(h) {
-				return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
-			}
-			if limited < 0 && keep >= 0 {
-				if err := skipTrailer(c.br); err != nil {
-					keep = -1
-				}
-			}
-			return reply{outcome: answered, status: h.StatusCode(), result: balancer.OK}, keep
+			return endStream(c, h, out, limited, keep)
 		}
 		if err != nil {
 			r := lost("stream", err)
@@ -88,6 +73,34 @@
 	}
 }
 
+// endStream ends a stream that is whole.
+func endStream(c *conn, h *fasthttp.ResponseHeader, out *answer, limited int, keep time.Duration) (reply, time.Duration) {
+	if !out.begun && !out.begin(h) {
+		return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
+	}
+	if limited == inChunks && skipTrailer(c.br) != nil {
+		keep = -1
+	}
+	return reply{outcome: answered, status: h.StatusCode(), result: balancer.OK}, keep
+}
+
+// How an answer's body is delimited, where it has no length.
+const (
+	inChunks   = -1
+	untilClose = -2
+)
+
+// streamBody returns the body of an answer, and its length or how it is delimited.
+func streamBody(br *bufio.Reader, h *fasthttp.ResponseHeader) (io.Reader, int) {
+	switch n := h.ContentLength(); {
+	case n >= 0:
+		return io.LimitReader(br, int64(n)), n
+	case n == inChunks:
+		return httputil.NewChunkedReader(br), n
+	}
+	return br, untilClose
+}
+
 // mayResume reports whether a stream may go on at another engine after this attempt.
 func (e *Relayer) mayResume(a *attempt) bool {
 	c := a.call
