--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -62,6 +62,7 @@
 	newsAt   time.Time
 	waits    []versionWait
 	retiring bool
+	metrics  *metrics
 }
 
 // versionWait is closed once all entries have a version of the document.
@@ -76,6 +77,7 @@
 		sessions: make(map[*session]bool), workers: make(map[string]*worker),
 	}
 	h.joiner = newJoiner(h)
+	h.metrics = newMetrics()
 	return h
 }
 
@@ -130,9 +132,12 @@
 // tick lets time pass.
 func (h *hub) tick(now time.Time) {
 	h.checkLead(now)
+	h.metrics.sessions.Set(float64(len(h.sessions)))
+	h.metrics.leads.Set(0)
 	if h.desk == nil {
 		return
 	}
+	h.metrics.leads.Set(1)
 	for s := range h.sessions {
 		if now.Sub(s.heard) > silentSession {
 			h.drop(s)
@@ -469,6 +474,7 @@
 // mount adds the handlers for entries and other replicas.
 func (g *Governor) mount(mux *http.ServeMux) {
 	opts := []connect.HandlerOption{encoder.Option(), connect.WithReadMaxBytes(maxMessage)}
+	mux.Handle(metricsPath, g.hub.metrics.handler())
 	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession, g.serveSession, opts...))
 	mux.Handle(pathJoin, connect.NewUnaryHandler(pathJoin, func(ctx context.Context, r *connect.Request[joinAsk]) (*connect.Response[joinReply], error) {
 		reply, err := g.hub.joiner.ask(ctx, *r.Msg)
--- /dev/null
+++ b/stage/governor/metrics.go
@@ -0,0 +1,61 @@
+package governor
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"redwingstage.org/serving/allocator"
+)
+
+// metricsPath is where the listener for entries and other replicas shows metrics.
+const metricsPath = "/metrics"
+
+// metrics counts what a replica does.
+type metrics struct {
+	registry *prometheus.Registry
+	orders   *prometheus.CounterVec
+	loads    *prometheus.HistogramVec
+	sessions prometheus.Gauge
+	leads    prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_control_orders_total", Help: "Orders to engines by kind and by how they ended.",
+		}, []string{"kind", "outcome"}),
+		loads: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "redwingstage_control_load_seconds", Help: "From an accepted load to its confirmation.",
+			Buckets: []float64{.03, .1, .25, .3, .4, .6, 1, 2, 4},
+		}, []string{"recent"}),
+		sessions: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "redwingstage_control_sessions", Help: "Sessions of entries and replicas at this leader.",
+		}),
+		leads: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "redwingstage_control_leads", Help: "1 while this replica leads.",
+		}),
+	}
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads)
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+var outcomes = map[allocator.Outcome]string{
+	allocator.Done: "done", allocator.Undone: "undone", allocator.Doubtful: "doubtful",
+}
+
+func (m *metrics) ordered(kind string, out allocator.Outcome) {
+	m.orders.WithLabelValues(kind, outcomes[out]).Inc()
+}
+
+func (m *metrics) loaded(recent bool, took time.Duration) {
+	m.loads.WithLabelValues(strconv.FormatBool(recent)).Observe(took.Seconds())
+}
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -194,6 +194,7 @@
 func (w *worker) carryOut(o allocator.Order) {
 	if o.Evict.Name != "" {
 		out := w.evict(EngineOrder{Adapter: o.Evict})
+		w.hub.metrics.ordered("unload", out)
 		w.post(func(now time.Time, d *desk) { d.placing.Evicted(now, o, out) })
 		if out != allocator.Done {
 			w.post(func(now time.Time, d *desk) { d.placing.Loaded(now, o, allocator.Undone) })
@@ -201,6 +202,10 @@
 		}
 	}
 	out := w.load(&o)
+	w.hub.metrics.ordered("load", out)
+	if out == allocator.Done {
+		w.hub.metrics.loaded(o.Recent, o.Took)
+	}
 	w.post(func(now time.Time, d *desk) { d.placing.Loaded(now, o, out) })
 }
 
--- /dev/null
+++ b/stage/relayer/metrics.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"redwingstage.org/serving/balancer"
+)
+
+// metricsPath is where the ready listener shows metrics.
+const metricsPath = "/metrics"
+
+// metrics counts what an entry does.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	first    prometheus.Histogram
+	wait     prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	buckets := []float64{.01, .03, .1, .2, .3, .6, 1, 2, 5}
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_requests_total", Help: "Requests by how they ended.",
+		}, []string{"outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_attempts_total", Help: "Tries at backend servers by what they tell of the server.",
+		}, []string{"result"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "redwingstage_entry_first_byte_seconds", Help: "From a request's arrival to its answer's first byte.", Buckets: buckets,
+		}),
+		wait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.attempts, m.first, m.wait)
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// results names what an attempt tells of its server.
+var results = map[balancer.Result]string{
+	balancer.OK: "ok", balancer.Rejected: "rejected", balancer.Failed: "failed", balancer.Unreachable: "unreachable",
+	balancer.Void: "void",
+}
+
+func (m *metrics) tried(r balancer.Result) { m.attempts.WithLabelValues(results[r]).Inc() }
+
+func (m *metrics) chosen(c *call, now time.Time) {
+	if c.sends == 0 {
+		m.wait.Observe(now.Sub(c.arrived).Seconds())
+	}
+}
+
+// ended counts a request by its answer.
+func (m *metrics) ended(arrived time.Time, w *answer) {
+	outcome := "unanswered"
+	switch {
+	case w.status >= 200 && w.status < 300 && !w.failed:
+		outcome = "served"
+	case w.status == http.StatusServiceUnavailable:
+		outcome = "refused"
+	case w.status >= 400 && w.status < 500:
+		outcome = "denied"
+	case w.status >= 500:
+		outcome = "failed"
+	}
+	m.requests.WithLabelValues(outcome).Inc()
+	if !w.first.IsZero() {
+		m.first.Observe(w.first.Sub(arrived).Seconds())
+	}
+}
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -66,6 +66,7 @@
 	pool     *pool
 	balancer *balancer.Balancer
 	budget   *budget
+	metrics  *metrics
 	link     *link
 	table    atomic.Pointer[matcher.Table]
 	ctx      context.Context
@@ -96,12 +97,14 @@
 	e := &Relayer{
 		cfg: cfg, deps: deps, names: newNames(deps.Dialect), log: deps.Log.Part("entry"), pool: newPool(),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]bool),
-		budget: newBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
+		metrics: newMetrics(),
+		budget:  newBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.link = newLink(e)
 	mux := http.NewServeMux()
 	mux.HandleFunc(deps.Dialect.ReadyPath, e.answerReady)
+	mux.Handle(metricsPath, e.metrics.handler())
 	e.ready = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTime}
 	e.wg.Go(func() {
 		if err := e.ready.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
@@ -219,8 +222,10 @@
 		}
 		w.closing = req.once
 		e.requests.Add(1)
+		arrived := time.Now()
 		ok := e.watch(c, br, req, w)
 		e.requests.Done()
+		e.metrics.ended(arrived, w)
 		if !ok || w.failed || w.closing {
 			return
 		}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -336,3 +336,21 @@
 	c.Assert(l.Close(), qt.IsNil)
 	<-ended
 }
+
+func TestMetricsCountRequestsAndAttempts(t *testing.T) {
+	c := qt.New(t)
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		_, _ = io.WriteString(w, "ok")
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(l.receive(c).status, qt.Equals, 200)
+	// The next answer on the connection comes after the first request was counted.
+	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(l.receive(c).status, qt.Equals, 200)
+	rec := httptest.NewRecorder()
+	e.ready.Handler.ServeHTTP(rec, httptest.NewRequestWithContext(context.Background(), "GET", "/metrics", nil))
+	c.Check(rec.Body.String(), qt.Contains, `redwingstage_entry_attempts_total{result="ok"} 2`)
+	c.Check(rec.Body.String(), qt.Contains, `redwingstage_entry_requests_total{outcome="served"}`)
+}
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -107,10 +107,12 @@
 		if v != balancer.Chosen {
 			return e.giveUp(ctx, c, w, v)
 		}
+		e.metrics.chosen(c, time.Now())
 		a := &attempt{call: c, choice: choice, resume: w.last}
 		began := time.Now()
 		r := e.exchange(ctx, a, w)
 		e.balancer.End(time.Now(), choice, c.adapter, r.result)
+		e.metrics.tried(r.result)
 		if r.outcome != unsent {
 			c.sends++
 			c.reached[choice.Key.ID] = true
