--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -4,13 +4,13 @@
 
 // Up is a message of an entry, or of another replica, to the leader.
 type Up struct {
-	Hello   *Hello          `cbor:"1,keyasint,omitempty"`
-	Beat    uint64          `cbor:"2,keyasint,omitempty"`
-	Wants   []Want          `cbor:"3,keyasint,omitempty"`
-	Uses    []Use           `cbor:"4,keyasint,omitempty"`
-	Missing []AdapterAt     `cbor:"5,keyasint,omitempty"`
-	Version uint64          `cbor:"6,keyasint,omitempty"`
-	Failing map[string]bool `cbor:"7,keyasint,omitempty"`
+	Hello   *Hello      `cbor:"1,keyasint,omitempty"`
+	Beat    uint64      `cbor:"2,keyasint,omitempty"`
+	Wants   []Want      `cbor:"3,keyasint,omitempty"`
+	Uses    []Use       `cbor:"4,keyasint,omitempty"`
+	Missing []AdapterAt `cbor:"5,keyasint,omitempty"`
+	// Version is that of the document in force at the sender.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Hello opens a session.
