--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -14,6 +14,7 @@
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/replicator"
+	"redwingstage.org/coord/waiter"
 )
 
 // Path is where Handler expects to be mounted.
@@ -172,21 +173,12 @@
 				backoff = minBackoff
 			}
 		}
-		wait(ctx, backoff/2+rand.N(backoff))
+		waiter.Wait(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 		p.drain()
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // drain drops what was queued while there was no stream; the sender repeats what still counts.
 func (p *peer) drain() {
 	for range len(p.queue) {
--- a/stage/attempter/attempter.go
+++ b/stage/attempter/attempter.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/registrar"
 	"redwingstage.org/serving/retrier"
@@ -239,7 +240,7 @@
 	case retrier.Retry:
 		r.tries++
 		r.left = nil
-		return sleep(ctx, d.After)
+		return waiter.Wait(ctx, d.After)
 	case retrier.Finish:
 	}
 	return false
@@ -267,16 +268,7 @@
 		return false
 	}
 	r.left = nil
-	return sleep(ctx, wait)
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
+	return waiter.Wait(ctx, wait)
 }
 
 func (r *run) lock(ctx context.Context) error {
--- a/stage/controller/change.go
+++ b/stage/controller/change.go
@@ -13,6 +13,7 @@
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/runner"
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/auditor"
 	"redwingstage.org/serving/configurer"
 )
@@ -261,7 +262,7 @@
 				return true
 			}
 		}
-		if !c.log.Status().IsLeader(time.Now()) || !sleep(ctx, leaderPoll) {
+		if !c.log.Status().IsLeader(time.Now()) || !waiter.Wait(ctx, leaderPoll) {
 			return false
 		}
 	}
--- a/stage/controller/operate.go
+++ b/stage/controller/operate.go
@@ -13,6 +13,7 @@
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/runner"
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/configurer"
 )
 
@@ -55,7 +56,7 @@
 			// A leader had the call until now.
 			deadline = now.Add(leaderWait)
 		}
-		if now.Before(deadline) && sleep(ctx, leaderPoll) {
+		if now.Before(deadline) && waiter.Wait(ctx, leaderPoll) {
 			continue
 		}
 		if taken && req.isChange() {
@@ -94,17 +95,6 @@
 	return errors.Is(err, errNoLeader) || errors.As(err, &op) && op.Op == "dial"
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // forward passes a call to the leader.
 func (c *Controller) forward(ctx context.Context, st runner.Status, req opRequest) (opResponse, error) {
 	for _, m := range st.Members {
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/waiter"
 )
 
 const (
@@ -93,7 +94,7 @@
 // follow keeps a session to the leader while another replica leads, so that the leader knows that this one lives.
 func (h *hub) follow() {
 	for h.ctx.Err() == nil {
-		pause(h.ctx, 2*retryPause)
+		waiter.Wait(h.ctx, 2*retryPause)
 		r := h.seat.log()
 		if r == nil {
 			continue
--- a/stage/governor/seat.go
+++ b/stage/governor/seat.go
@@ -19,6 +19,7 @@
 	"redwingstage.org/coord/journaler"
 	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
 )
@@ -167,7 +168,7 @@
 				s.logPart.Error("empty the data folder", err)
 			}
 		}
-		pause(ctx, reopenPause)
+		waiter.Wait(ctx, reopenPause)
 	}
 }
 
@@ -328,7 +329,7 @@
 		if id, ok := s.askToJoin(ctx, 0); ok {
 			return id, nil
 		}
-		pause(ctx, joinPause)
+		waiter.Wait(ctx, joinPause)
 	}
 	return 0, ctx.Err()
 }
@@ -369,13 +370,3 @@
 	}
 	return *res.Msg, nil
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/tracker"
 )
@@ -125,11 +126,11 @@
 	w.hub.spawn(func() {
 		if w.asked {
 			// A report lags behind the orders that the engine took last.
-			pause(w.ctx, lagPause)
+			waiter.Wait(w.ctx, lagPause)
 		}
 		w.asked = true
 		for !w.ask() && w.ctx.Err() == nil {
-			pause(w.ctx, syncPause)
+			waiter.Wait(w.ctx, syncPause)
 		}
 	})
 }
@@ -149,14 +150,14 @@
 			return false
 		}
 		if report.Orders < w.taken {
-			pause(w.ctx, lagPause)
+			waiter.Wait(w.ctx, lagPause)
 			continue
 		}
 		if !w.settled && report.Orders > 0 {
 			// An earlier leader's latest orders may count already and not be listed yet.
 			w.settled = true
 			w.post(func(now time.Time, d *desk) { d.report(now, w.target.Key.ID, report, false) })
-			pause(w.ctx, allocator.ReportLag)
+			waiter.Wait(w.ctx, allocator.ReportLag)
 			continue
 		}
 		w.settled = true
@@ -216,7 +217,7 @@
 	case v == Holds:
 		return allocator.Done
 	case v == Accepted:
-		pause(w.ctx, confirmEvery)
+		waiter.Wait(w.ctx, confirmEvery)
 		return w.confirm(o, confirmEvery, evictLimit)
 	}
 	return allocator.Undone
@@ -239,7 +240,7 @@
 		return allocator.Done
 	case v == Accepted:
 		began := time.Now()
-		pause(w.ctx, first)
+		waiter.Wait(w.ctx, first)
 		out := w.confirm(o, every, limit)
 		ordered.Took = time.Since(began)
 		return out
@@ -249,7 +250,7 @@
 
 // confirm repeats an order that the engine has taken until it says that it is done.
 func (w *worker) confirm(o EngineOrder, every, limit time.Duration) allocator.Outcome {
-	for until := time.Now().Add(limit); w.ctx.Err() == nil && time.Now().Before(until); pause(w.ctx, every) {
+	for until := time.Now().Add(limit); w.ctx.Err() == nil && time.Now().Before(until); waiter.Wait(w.ctx, every) {
 		v, err := w.order(o, false)
 		if err == nil && v == Holds {
 			return allocator.Done
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/stage/governor"
 )
 
@@ -103,7 +104,7 @@
 				break
 			}
 		}
-		pauseFor(ctx, linkPause)
+		waiter.Wait(ctx, linkPause)
 	}
 }
 
@@ -186,7 +187,7 @@
 // report tells the leader which adapters are in use.
 func (l *link) report(ctx context.Context) {
 	for ctx.Err() == nil {
-		pauseFor(ctx, max(useEvery, time.Duration(l.entry.balancer.Entries())*usePerEntry))
+		waiter.Wait(ctx, max(useEvery, time.Duration(l.entry.balancer.Entries())*usePerEntry))
 		var up governor.Up
 		for _, u := range l.entry.balancer.Uses() {
 			up.Uses = append(up.Uses, governor.Use{Engine: u.Engine, Adapter: u.Adapter, Starts: u.Starts, Running: u.Running})
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/stage/governor"
@@ -288,7 +289,7 @@
 func (e *Relayer) Close(ctx context.Context) error {
 	e.log.Info("shutting down", "")
 	e.leaving.Store(true)
-	pauseFor(ctx, leaveTime)
+	waiter.Wait(ctx, leaveTime)
 	err := e.listener.Close()
 	e.closeIdle()
 	done := make(chan struct{})
@@ -337,14 +338,5 @@
 	return max(int(connShare*float64(s.MaxConns))/e.balancer.Entries(), 1)
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // point returns a random point for the choice among a route's services.
 func point() float64 { return rand.Float64() }
