--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -164,6 +164,7 @@
 func (e *Relayer) read(ctx context.Context, c *conn, a *attempt, out *answer) (reply, time.Duration) {
 	for range maxStray {
 		var h fasthttp.ResponseHeader
+		h.SetNoDefaultContentType(true)
 		if err := h.Read(c.br); err != nil {
 			return lost("read", err), -1
 		}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -136,6 +136,7 @@
 		got = r.Clone(context.Background())
 		body, _ = io.ReadAll(r.Body)
 		sealed(w, r)
+		w.Header()["Content-Type"] = nil
 		_, _ = io.WriteString(w, "ok")
 	})
 	l := dial(c, e)
@@ -145,6 +146,7 @@
 	c.Check(answer.status, qt.Equals, 200)
 	c.Check(answer.header.Get(testSeal), qt.Equals, "seal")
 	c.Check(answer.body, qt.Equals, "ok")
+	c.Check(answer.header["Content-Type"], qt.HasLen, 0, qt.Commentf("the server named none"))
 	c.Check(got.RequestURI, qt.Equals, "/once/a%20b?q=1")
 	c.Check(string(body), qt.Equals, "hello")
 	c.Check(got.Header.Get("X-Other"), qt.Equals, "kept")
