Late answers, loads and what stands in adapters' way are logged; reports that count unknown orders are asked for again

A conflict then led to a report that counts the late order and doesn't list its adapter yet, and only a new leader waited for a second one. The same held for a replacement by a newer version that the engine did not carry out: the older version, still there, was struck off. And a report of an earlier start of an engine could be taken for the one that runs. Ruled out: orders that are carried out late by themselves (their precondition fails), fences. Change: any report whose count of orders differs from the known one is asked for again after the lag; an undone replacement leaves the older version; what a worker learns counts only for its own start of the engine. The logs say of each answer that came late what took too long, of each load why it was ordered and how long it took, and twice a second what stands in the way of adapters that are waited for. Lines of each kind are bounded by a number a second.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -63,9 +63,29 @@
 	Time time.Duration
 	// Took is how long the load took, once it has ended.
 	Took time.Duration
-	want wantKey
+	// Cause says why the adapter is loaded, Waited since when it was wanted.
+	Cause  Cause
+	Waited time.Duration
+	want   wantKey
 }
 
+// Cause says why an adapter is loaded.
+type Cause string
+
+// The causes.
+const (
+	// First means that no engine held the adapter lately.
+	First Cause = "first"
+	// Back means that the engine held it lately.
+	Back Cause = "back"
+	// Away means that engines held it lately that can't take it now.
+	Away Cause = "away"
+	// Copied means that one more engine gets the adapter.
+	Copied Cause = "copy"
+	// Newer means that the engine holds an older version.
+	Newer Cause = "newer"
+)
+
 // Want asks for an adapter on behalf of a data centre.
 type Want struct {
 	Service string
@@ -385,6 +405,11 @@
 		s.state, s.since, s.version = resident, now, o.Version
 		e.held[o.Adapter] = true
 	case Undone:
+		if o.Cause == Newer {
+			// The engine still holds the older version.
+			s.state, s.since = resident, now
+			return
+		}
 		delete(e.slots, o.Adapter)
 		a.want(now, o.want)
 	case Doubtful:
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -276,3 +276,17 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Check(orders[0].Adapter, qt.Equals, adapter("a1"))
 }
+
+func TestAReplacementThatIsNotCarriedOutLeavesTheOlderVersion(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	load(c, a, start, want("a1", "z"))
+	a.SetVersion(adapter("a1"), 2)
+	later := start.Add(time.Second)
+	orders := a.Plan(later)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Version, qt.Equals, 2)
+	a.Loaded(later, orders[0], allocator.Undone)
+	c.Check(a.Residents("x"), qt.DeepEquals, residents("", "a1"), qt.Commentf("the engine still holds the older version"))
+}
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -85,7 +85,22 @@
 	if c.victim.Name != "" {
 		e.slots[c.victim].state, e.slots[c.victim].since = evicting, now
 	}
-	return Order{Engine: e.Key.ID, Adapter: k.adapter, Version: version, Evict: c.victim, Recent: recent, want: k}
+	return Order{
+		Engine: e.Key.ID, Adapter: k.adapter, Version: version, Evict: c.victim, Recent: recent, want: k,
+		Cause: a.cause(k, recent), Waited: now.Sub(a.wants[k].since),
+	}
+}
+
+func (a *Allocator) cause(k wantKey, recent bool) Cause {
+	switch {
+	case k.copied:
+		return Copied
+	case recent:
+		return Back
+	case a.isHeld(k):
+		return Away
+	}
+	return First
 }
 
 // fetches returns how many adapters are on their way from the store.
--- a/serving/allocator/plan.go
+++ b/serving/allocator/plan.go
@@ -72,7 +72,7 @@
 			}
 			s.state, s.since = loading, now
 			e.busy++
-			out = append(out, Order{Engine: id, Adapter: ad, Version: v, want: wantKey{service: e.Service, adapter: ad, zone: e.Zone}})
+			out = append(out, Order{Engine: id, Adapter: ad, Version: v, Cause: Newer, want: wantKey{service: e.Service, adapter: ad, zone: e.Zone}})
 		}
 	}
 	return out
@@ -111,3 +111,38 @@
 
 // version returns the version of an adapter to load; each adapter begins at version 1.
 func (a *Allocator) version(ad tracker.Adapter) int { return max(a.versions[ad], 1) }
+
+// Stats sums up what stands in the way of those who wait.
+type Stats struct {
+	// Wants are adapters that are waited for, Copies more copies that are asked for.
+	Wants, Copies int
+	// Fetches are adapters on their way from the store, Bound is how many may be.
+	Fetches, Bound int
+	// Places is the number of adapters that all engines may hold, InUse those that requests use now, Idle those that none
+	// uses and that may make way.
+	Places, InUse, Idle int
+}
+
+// Stats returns what stands in the way of those who wait.
+func (a *Allocator) Stats(now time.Time) Stats {
+	s := Stats{Fetches: a.fetches(), Bound: int(a.perEngine * float64(len(a.engines)))}
+	for k := range a.wants {
+		if k.copied {
+			s.Copies++
+		} else {
+			s.Wants++
+		}
+	}
+	for _, e := range a.engines {
+		s.Places += e.room.Adapters
+		for _, sl := range e.slots {
+			switch {
+			case len(sl.inUse) > 0:
+				s.InUse++
+			case sl.state == resident && now.Sub(sl.since) >= settleTime:
+				s.Idle++
+			}
+		}
+	}
+	return s
+}
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -64,6 +64,8 @@
 	Version int
 	// Crowded says that the server is loaded well.
 	Crowded bool
+	// Running is how many requests of this entry are at the server, with this one.
+	Running int
 }
 
 // Verdict says why there is no choice.
@@ -326,7 +328,7 @@
 	}
 	best.running++
 	c := Choice{
-		Instance: best.Instance, Crowded: b.load(best) > remotePenalty,
+		Instance: best.Instance, Crowded: b.load(best) > remotePenalty, Running: best.running,
 	}
 	if a.Adapter.Model != "" {
 		c.Version = best.residents[a.Adapter]
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -24,11 +24,13 @@
 	newsPerSession = 400 * time.Microsecond
 	// silentSession is when a session without a message is closed; entries send one at least every beatEvery.
 	silentSession = 3 * time.Second
-	maxEvents     = 4096
-	maxTurn       = 256
-	maxQueued     = 4096
-	maxMessage    = 8 << 20
-	pathSession   = "/redwingstage.governor/Session"
+	// placementEvery bounds the lines about adapters that are waited for.
+	placementEvery = 500 * time.Millisecond
+	maxEvents      = 4096
+	maxTurn        = 256
+	maxQueued      = 4096
+	maxMessage     = 8 << 20
+	pathSession    = "/redwingstage.governor/Session"
 )
 
 // session is an entry's or a replica's stream at the leader.
@@ -60,6 +62,7 @@
 	workers  map[string]*worker
 	joiner   *joiner
 	newsAt   time.Time
+	toldAt   time.Time
 	waits    []versionWait
 	retiring bool
 	metrics  *metrics
@@ -153,6 +156,20 @@
 	}
 	h.joiner.tick(now)
 	h.finishWaits()
+	h.tellPlacement(now)
+}
+
+// tellPlacement logs what stands in the way of adapters, while some are waited for.
+func (h *hub) tellPlacement(now time.Time) {
+	if now.Sub(h.toldAt) < placementEvery {
+		return
+	}
+	s := h.desk.placing.Stats(now)
+	if s.Wants == 0 {
+		return
+	}
+	h.toldAt = now
+	h.log.Placement(s.Wants, s.Copies, s.Fetches, s.Bound, s.Places, s.InUse, s.Idle)
 }
 
 // checkLead begins and ends this replica's leadership.
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -7,6 +7,7 @@
 	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/logger"
 )
 
 const (
@@ -91,8 +92,6 @@
 	taken  uint64
 	sure   bool
 	fenced bool
-	// settled says that the reports list all orders of earlier leaders.
-	settled bool
 	// asking says that the engine is being asked what it holds; the control goroutine sets it.
 	asking bool
 	// asked says that it was asked before; only one goroutine asks at a time.
@@ -107,10 +106,14 @@
 
 func (w *worker) close() { w.cancel() }
 
-// post has f run by the control goroutine while the worker's era lasts.
+// post has f run by the control goroutine while the worker's era and its start of the engine last.
 func (w *worker) post(f func(now time.Time, d *desk)) {
 	w.hub.post(func(now time.Time) {
-		if d := w.hub.desk; d != nil && d.era == w.fence && w.ctx.Err() == nil {
+		d := w.hub.desk
+		if d == nil || d.era != w.fence || w.ctx.Err() != nil {
+			return
+		}
+		if in, ok := d.engines.Instance(w.target.Key.ID); ok && in.Key == w.target.Key {
 			f(now, d)
 			d.diff(w.target.Key.ID)
 		}
@@ -153,14 +156,14 @@
 			waiter.Wait(w.ctx, lagPause)
 			continue
 		}
-		if !w.settled && report.Orders > 0 {
-			// An earlier leader's latest orders may count already and not be listed yet.
-			w.settled = true
+		if report.Orders != w.taken {
+			// Orders that the table doesn't account for count already and may not be listed yet: those of an earlier leader, and
+			// those whose answers were lost.
+			w.taken = report.Orders
 			w.post(func(now time.Time, d *desk) { d.report(now, w.target.Key.ID, report, false) })
 			waiter.Wait(w.ctx, allocator.ReportLag)
 			continue
 		}
-		w.settled = true
 		w.take(report)
 		return true
 	}
@@ -204,6 +207,10 @@
 	}
 	out := w.load(&o)
 	w.hub.metrics.ordered("load", out)
+	w.hub.log.Loaded(logger.Load{
+		Engine: o.Engine, Adapter: o.Adapter.Name, Victim: o.Evict.Name, Cause: string(o.Cause), Outcome: outcomes[out],
+		Recent: o.Recent, Waited: o.Waited, Took: o.Took,
+	})
 	if out == allocator.Done {
 		w.hub.metrics.loaded(o.Recent, o.Took)
 	}
@@ -277,6 +284,7 @@
 	}
 	defer w.leave()
 	if !w.sure || w.fenced {
+		w.doubt()
 		return Conflict, nil
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
--- a/stage/governor/worker_test.go
+++ b/stage/governor/worker_test.go
@@ -154,3 +154,46 @@
 	})
 	c.Check(reports > 1, qt.IsTrue)
 }
+
+// An order whose answer was lost may be carried out seconds later, and reports count it before they list its adapter.
+func TestAReportThatCountsUnknownOrdersIsAskedForAgain(t *testing.T) {
+	c := qt.New(t)
+	taken, reports, evicted, overrun := uint64(0), 0, false, false
+	h := lead(c, &scripted{
+		report: func() (EngineReport, error) {
+			r := EngineReport{Orders: taken, Residents: []tracker.Resident{testBase}}
+			if taken == 1 {
+				if reports++; reports > 1 {
+					r.Residents = append(r.Residents, testAdapter("a1"))
+				}
+			}
+			return r, nil
+		},
+		order: func(o EngineOrder) (Verdict, error) {
+			if taken == 0 {
+				taken = 1
+				return Conflict, nil
+			}
+			evicted = evicted || !o.Load
+			overrun = overrun || o.Load && !evicted
+			return Holds, nil
+		},
+	}, 1)
+	h.until(func() bool {
+		h.want("a2")
+		return h.holds(testAdapter("a2"))
+	})
+	c.Check(overrun, qt.IsFalse, qt.Commentf("a1 takes the only place until it is unloaded"))
+}
+
+// What an earlier start of an engine reported says nothing of the start that is known now.
+func TestAReportOfAnEarlierStartIsDropped(t *testing.T) {
+	c := qt.New(t)
+	h := lead(c, &scripted{}, 1)
+	w := newWorker(h, tracker.Instance{Key: testKey, Service: "s", Addr: "a"})
+	h.desk.announce(time.Now(), tracker.Instance{Key: tracker.Key{ID: testKey.ID, Born: 2}, Service: "s", Addr: "a", Sequence: 1})
+	w.take(EngineReport{Orders: 9, Residents: []tracker.Resident{testBase, testAdapter("a1")}})
+	(<-h.events)(time.Now())
+	c.Check(h.desk.placing.Unsynced(), qt.DeepEquals, []string{testKey.ID})
+	c.Check(h.desk.placing.Residents(testKey.ID), qt.HasLen, 0)
+}
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -22,13 +22,43 @@
 
 // Part returns the log of one part; every sentence begins with its name.
 func (l *Logger) Part(name string) *Part {
-	return &Part{log: l.log, prefix: name + ": "}
+	return &Part{
+		log: l.log, prefix: name + ": ",
+		requests: quota{perSecond: requestLines}, attempts: quota{perSecond: attemptLines},
+		late: quota{perSecond: lateLines}, orders: quota{perSecond: orderLines},
+		loads: quota{perSecond: orderLines},
+	}
 }
 
-// Part is the log of one part of a process.
+// Part is the log of one part of a process; lines about requests and orders are bounded by a number a second each.
 type Part struct {
-	log    *log.Logger
-	prefix string
+	log      *log.Logger
+	prefix   string
+	requests quota
+	attempts quota
+	late     quota
+	orders   quota
+	loads    quota
+}
+
+// Timing says where the time of a request went.
+type Timing struct {
+	Server string
+	Model  string
+	// Reason is the part that took too long.
+	Reason string
+	// Wait ends with the choice of the last server, First with the first byte of its answer; Gap is the longest pause after it.
+	Wait, First, Gap time.Duration
+	// Running is how many requests of this process were at the server, Sends how many servers got the request.
+	Running, Sends int
+}
+
+// bounded adds how many lines of the same kind were left out before.
+func bounded(e *log.Entry, leftOut int) *log.Entry {
+	if leftOut > 0 {
+		e = e.Int("left_out", leftOut)
+	}
+	return e
 }
 
 // Info tells of something ordinary; subject names what it is about, or is empty.
@@ -42,10 +72,25 @@
 
 // Request tells how a request ended.
 func (p *Part) Request(id, model, outcome, reason string, status int) {
-	p.log.Info().Str("request", id).Str("model", model).Str("outcome", outcome).Str("reason", reason).
+	leftOut, ok := p.requests.take(time.Now())
+	if !ok {
+		return
+	}
+	bounded(p.log.Info(), leftOut).Str("request", id).Str("model", model).Str("outcome", outcome).Str("reason", reason).
 		Int("status", status).Msg(p.prefix + "request ended")
 }
 
+// Late tells of an answer that was complete and came later than its route asks for.
+func (p *Part) Late(id string, t Timing) {
+	leftOut, ok := p.late.take(time.Now())
+	if !ok {
+		return
+	}
+	bounded(p.log.Info(), leftOut).Str("request", id).Str("model", t.Model).Str("server", t.Server).Str("reason", t.Reason).
+		Int64("wait_ms", t.Wait.Milliseconds()).Int64("first_ms", t.First.Milliseconds()).Int64("gap_ms", t.Gap.Milliseconds()).
+		Int("running", t.Running).Int("sends", t.Sends).Msg(p.prefix + "request served late")
+}
+
 func (p *Part) write(e *log.Entry, sentence, subject string) {
 	if subject != "" {
 		e = e.Str("subject", subject)
@@ -55,17 +100,25 @@
 
 // Order tells of an order to an engine and its answer.
 func (p *Part) Order(engine, adapter string, load bool, verdict int, expected uint64, err error) {
+	leftOut, ok := p.orders.take(time.Now())
+	if !ok {
+		return
+	}
 	e := p.log.Info()
 	if err != nil {
 		e = p.log.Error().Err(err)
 	}
-	e.Str("engine", engine).Str("adapter", adapter).Bool("load", load).Int("verdict", verdict).
+	bounded(e, leftOut).Str("engine", engine).Str("adapter", adapter).Bool("load", load).Int("verdict", verdict).
 		Uint64("expected", expected).Msg(p.prefix + "order answered")
 }
 
 // Attempt tells how one try of a request at a backend server ended without an answer.
 func (p *Part) Attempt(id, server, reason string, took time.Duration) {
-	p.log.Info().Str("request", id).Str("server", server).Str("reason", reason).Int64("ms", took.Milliseconds()).
+	leftOut, ok := p.attempts.take(time.Now())
+	if !ok {
+		return
+	}
+	bounded(p.log.Info(), leftOut).Str("request", id).Str("server", server).Str("reason", reason).Int64("ms", took.Milliseconds()).
 		Msg(p.prefix + "attempt ended")
 }
 
@@ -73,3 +126,31 @@
 func (p *Part) Document(version uint64) {
 	p.log.Info().Uint64("version", version).Msg(p.prefix + "document is in force")
 }
+
+// Placement tells what stands in the way of adapters that are waited for.
+func (p *Part) Placement(wants, copies, fetches, bound, places, inUse, idle int) {
+	p.log.Info().Int("wants", wants).Int("copies", copies).Int("fetches", fetches).Int("bound", bound).
+		Int("places", places).Int("in_use", inUse).Int("idle", idle).Msg(p.prefix + "adapters are waited for")
+}
+
+// Load is a load of an adapter that has ended.
+type Load struct {
+	Engine, Adapter, Victim string
+	// Cause says why it was ordered, Outcome how it ended.
+	Cause, Outcome string
+	// Recent says that the engine held the adapter lately.
+	Recent bool
+	// Waited is the time from the first request to the order, Took that from its acceptance to the end.
+	Waited, Took time.Duration
+}
+
+// Loaded tells how a load ended.
+func (p *Part) Loaded(l Load) {
+	leftOut, ok := p.loads.take(time.Now())
+	if !ok {
+		return
+	}
+	bounded(p.log.Info(), leftOut).Str("engine", l.Engine).Str("adapter", l.Adapter).Str("victim", l.Victim).
+		Str("cause", l.Cause).Str("outcome", l.Outcome).Bool("recent", l.Recent).
+		Int64("waited_ms", l.Waited.Milliseconds()).Int64("ms", l.Took.Milliseconds()).Msg(p.prefix + "load ended")
+}
--- /dev/null
+++ b/stage/logger/logger_test.go
@@ -0,0 +1,45 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestQuotaBoundsLinesAndCountsThoseLeftOut(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	q := quota{perSecond: 2}
+	for _, row := range []struct {
+		after   time.Duration
+		ok      bool
+		leftOut int
+	}{
+		{0, true, 0},
+		{100 * time.Millisecond, true, 0},
+		{200 * time.Millisecond, false, 0},
+		{900 * time.Millisecond, false, 0},
+		{1100 * time.Millisecond, true, 2},
+		{1200 * time.Millisecond, true, 0},
+		{1300 * time.Millisecond, false, 0},
+	} {
+		leftOut, ok := q.take(now.Add(row.after))
+		c.Check(ok, qt.Equals, row.ok, qt.Commentf("after %v", row.after))
+		c.Check(leftOut, qt.Equals, row.leftOut, qt.Commentf("after %v", row.after))
+	}
+}
+
+func TestKindsOfLinesHaveQuotasOfTheirOwn(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	p := New(&out, "info").Part("entry")
+	for range 3 * lateLines {
+		p.Late("r1", Timing{Reason: "first event"})
+	}
+	p.Request("r2", "", "refused", "full", 503)
+	c.Check(strings.Count(out.String(), "request served late"), qt.Equals, lateLines)
+	c.Check(strings.Count(out.String(), "request ended"), qt.Equals, 1)
+}
--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -27,7 +27,10 @@
 	closing bool
 	failed  bool
 	status  int
-	first   time.Time
+	// first is when the answer began, wrote when its latest event was passed on, and gap the longest pause between two.
+	first time.Time
+	wrote time.Time
+	gap   time.Duration
 }
 
 func (w *answer) write(b []byte) bool {
@@ -86,6 +89,11 @@
 
 // chunk writes events.
 func (w *answer) chunk(events []byte) bool {
+	now := time.Now()
+	if !w.wrote.IsZero() {
+		w.gap = max(w.gap, now.Sub(w.wrote))
+	}
+	w.wrote = now
 	b := make([]byte, 0, len(events)+16)
 	b = strconv.AppendInt(b, int64(len(events)), 16)
 	b = append(b, "\r\n"...)
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -18,6 +18,7 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	late     *prometheus.CounterVec
 	first    prometheus.Histogram
 	wait     prometheus.Histogram
 }
@@ -32,6 +33,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_attempts_total", Help: "Tries at backend servers by what they tell of the server.",
 		}, []string{"result"}),
+		late: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_late_total", Help: "Whole answers that came later than their route asks for, by what took too long.",
+		}, []string{"reason"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "redwingstage_entry_first_byte_seconds", Help: "From a request's arrival to its answer's first byte.", Buckets: buckets,
 		}),
@@ -39,7 +43,7 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.first, m.wait)
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.first, m.wait)
 	return m
 }
 
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -11,6 +11,7 @@
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
+	"redwingstage.org/stage/logger"
 )
 
 const (
@@ -43,6 +44,11 @@
 	sends    int
 	// wait is the expected wait that was too long.
 	wait time.Duration
+	// choice is the server of the latest attempt, chosen since chosen.
+	choice balancer.Choice
+	chosen time.Time
+	// held is what the request waited for before its first server.
+	held string
 	// reached are the servers that got the request.
 	reached map[string]bool
 	// ran says that an attempt may have run.
@@ -107,9 +113,10 @@
 		if v != balancer.Chosen {
 			return e.giveUp(ctx, c, w, v)
 		}
-		e.metrics.chosen(c, time.Now())
-		a := &attempt{call: c, choice: choice, resume: w.last}
 		began := time.Now()
+		e.metrics.chosen(c, began)
+		c.choice, c.chosen = choice, began
+		a := &attempt{call: c, choice: choice, resume: w.last}
 		r := e.exchange(ctx, a, w)
 		e.balancer.End(time.Now(), choice, c.adapter, r.result)
 		e.metrics.tried(r.result)
@@ -181,13 +188,39 @@
 	if r.result == balancer.Void {
 		return false
 	}
+	if !w.begun && c.route.Stream && r.fields == nil {
+		return false
+	}
+	var ok bool
 	if w.begun {
-		return w.end()
+		ok = w.end()
+	} else {
+		ok = w.whole(r.status, r.fields, r.body, c.req.method == http.MethodHead)
 	}
-	if c.route.Stream && r.fields == nil {
-		return false
+	if ok && r.status < http.StatusMultipleChoices {
+		e.judgeTime(c, w)
+	}
+	return ok
+}
+
+// judgeTime tells of answers that came later than their route asks for.
+func (e *Relayer) judgeTime(c *call, w *answer) {
+	t := logger.Timing{
+		Server: c.choice.Key.ID, Model: c.adapter.Name, Wait: c.chosen.Sub(c.arrived), First: w.first.Sub(c.arrived), Gap: w.gap,
+		Running: c.choice.Running, Sends: c.sends,
 	}
-	return w.whole(r.status, r.fields, r.body, c.req.method == http.MethodHead)
+	switch {
+	case c.route.Target > 0 && t.First > c.route.Target && t.Wait > t.First/2:
+		t.Reason = "wait before the server: " + c.held
+	case c.route.Target > 0 && t.First > c.route.Target:
+		t.Reason = "first byte of the server"
+	case c.route.Gap > 0 && t.Gap > c.route.Gap:
+		t.Reason = "pause of the server"
+	default:
+		return
+	}
+	e.metrics.late.WithLabelValues(t.Reason).Inc()
+	e.log.Late(c.id, t)
 }
 
 // fail ends a request whose last attempt brought no answer.
@@ -233,6 +266,11 @@
 	return w.fail(status, reason, 0)
 }
 
+// held names what a request waits for.
+var held = map[balancer.Verdict]string{
+	balancer.Absent: "an adapter", balancer.Full: "a place", balancer.None: "a server",
+}
+
 // choose returns the server for the next attempt; it waits a bounded time for a place or for an adapter to be loaded.
 func (e *Relayer) choose(ctx context.Context, c *call) (balancer.Choice, balancer.Verdict) {
 	ask := balancer.Ask{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.except}
@@ -266,6 +304,7 @@
 		case now.After(limit):
 			return choice, v
 		}
+		c.held = held[v]
 		if v == balancer.Absent && c.adapter.Name != "" {
 			e.link.want(governor.Want{Service: c.service, Adapter: c.adapter})
 		}
