Engines load their last adapters from their own disks: the log remembers which, and how many is learned

A trace of loads by their place in the order of last loads shows that engines load the last 96 (six for each place) from their own disks: the fast ones end at 96, the slow ones begin at 98. Ruled out: age (fast and slow overlap from 14 to 22 s), evictions since (overlap from 72 to 124). Change: control records loads in its log twice a second; an engine's shelf is an LRU whose size follows the times that loads took. The bound on fetches falls only when they take 1.4 times the fastest (it fell to half of what the store serves). Entries get versions and leaves only when these changed.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -3,8 +3,11 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 )
@@ -35,8 +38,16 @@
 	fetchesPerEngine    = 2
 	minFetchesPerEngine = 1
 	maxFetchesPerEngine = 4
-	// slowFetch is how much longer than the fastest a fetch takes when the store is beyond its full speed.
-	slowFetch = 1.2
+	// slowFetch is how much longer than the fastest a fetch takes when the store is well beyond its full speed. Beyond it
+	// all fetches share the store's speed, so that a bound slightly too high costs little and one too low leaves it idle.
+	slowFetch = 1.4
+	// firstShelved is how many adapters an engine loads from its own disk, for each that it can hold, until loads that
+	// were faster or slower than expected tell more; engines were seen to keep six times what they hold. Each such load
+	// moves the figure by shelfStep, within minShelved and maxShelved.
+	firstShelved = 6
+	shelfStep    = 0.05
+	minShelved   = 1
+	maxShelved   = 64
 	// fetchDecrease and fetchIncrease move the bound after a slow and after a fast fetch.
 	fetchDecrease = 0.97
 	fetchIncrease = 0.1
@@ -119,7 +130,8 @@
 	tracker.Instance
 	room  Room
 	slots map[tracker.Adapter]*slot
-	held  map[tracker.Adapter]bool
+	// shelf is what the engine loads from its own disk, the adapter that it loaded last at the end.
+	shelf *simplelru.LRU[tracker.Adapter, struct{}]
 	// models are the base models that it holds, with their versions; fetching is the one that it is loading.
 	models   map[string]int
 	fetching string
@@ -171,10 +183,21 @@
 	// fastest is the shortest time that a fetch took, perEngine the bound that follows from the others.
 	fastest   time.Duration
 	perEngine float64
-	engines   map[string]*engine
-	rates     map[tracker.Adapter]*rate
-	versions  map[tracker.Adapter]int
-	wants     map[wantKey]wanting
+	// shelved is how many adapters an engine loads from its own disk, for each that it can hold at once.
+	shelved  float64
+	engines  map[string]*engine
+	rates    map[tracker.Adapter]*rate
+	versions map[tracker.Adapter]int
+	wants    map[wantKey]wanting
+	// past is what starts of engines are known to have held before, news what is new of that.
+	past map[tracker.Key][]tracker.Adapter
+	news map[tracker.Key][]tracker.Adapter
+}
+
+// Holding is what a start of an engine held, so that it loads that faster than from the store.
+type Holding struct {
+	Engine   tracker.Key       `cbor:"1,keyasint"`
+	Adapters []tracker.Adapter `cbor:"2,keyasint"`
 }
 
 // wanting says since when an adapter is wanted, and when it was asked for last.
@@ -189,9 +212,46 @@
 		cfg.HalfLife = DefaultHalfLife
 	}
 	return &Allocator{
-		cfg: cfg, perEngine: fetchesPerEngine, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
+		cfg: cfg, perEngine: fetchesPerEngine, shelved: firstShelved, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
 		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]wanting),
+		past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
+	}
+}
+
+// Remember takes up what starts of engines held, as recorded by an earlier Allocator.
+func (a *Allocator) Remember(list []Holding) {
+	for _, h := range list {
+		a.past[h.Engine] = append(a.past[h.Engine], h.Adapters...)
+	}
+}
+
+// TakeHeld returns what engines held that was neither remembered nor returned before.
+func (a *Allocator) TakeHeld() []Holding {
+	out := make([]Holding, 0, len(a.news))
+	for k, list := range a.news {
+		out = append(out, Holding{Engine: k, Adapters: list})
+	}
+	clear(a.news)
+	slices.SortFunc(out, func(x, y Holding) int { return strings.Compare(x.Engine.ID, y.Engine.ID) })
+	return out
+}
+
+// hold notes that an engine loaded an adapter.
+func (a *Allocator) hold(e *engine, ad tracker.Adapter) {
+	e.shelf.Add(ad, struct{}{})
+	a.news[e.Key] = append(a.news[e.Key], ad)
+}
+
+// shelfSize returns how many adapters an engine is taken to load from its own disk.
+func (a *Allocator) shelfSize(room Room) int { return max(int(a.shelved*float64(room.Adapters)), 1) }
+
+func newShelf(size int) *simplelru.LRU[tracker.Adapter, struct{}] {
+	shelf, err := simplelru.NewLRU[tracker.Adapter, struct{}](size, nil)
+	if err != nil {
+		// The size is at least 1, and the library refuses nothing else.
+		panic(err)
 	}
+	return shelf
 }
 
 // SetEngine takes up an engine with what it may hold; no adapter is ordered there before Sync.
@@ -199,11 +259,15 @@
 	e, ok := a.engines[in.Key.ID]
 	if !ok || e.Key != in.Key {
 		e = &engine{
-			slots: make(map[tracker.Adapter]*slot), held: make(map[tracker.Adapter]bool), models: make(map[string]int),
+			slots: make(map[tracker.Adapter]*slot), shelf: newShelf(a.shelfSize(room)), models: make(map[string]int),
+		}
+		for _, ad := range a.past[in.Key] {
+			e.shelf.Add(ad, struct{}{})
 		}
 		a.engines[in.Key.ID] = e
 	}
 	e.Instance, e.room = in, room
+	e.shelf.Resize(a.shelfSize(room))
 }
 
 // Sync takes up what an engine itself reports to hold, and to be loading; what changed of late counts more than a report.
@@ -217,7 +281,7 @@
 	listed := make(map[tracker.Adapter]state, len(residents)+len(pending))
 	for _, r := range pending {
 		listed[r.Adapter] = doubtful
-		e.take(now, r, doubtful)
+		a.take(now, e, r, doubtful)
 	}
 	for _, r := range residents {
 		if r.Adapter.Name == "" {
@@ -225,7 +289,7 @@
 			continue
 		}
 		listed[r.Adapter] = resident
-		e.take(now, r, resident)
+		a.take(now, e, r, resident)
 	}
 	for ad, s := range e.slots {
 		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful) && now.Sub(s.since) > ReportLag {
@@ -235,7 +299,7 @@
 }
 
 // take enters what an engine reports, unless an order that is under way will tell more.
-func (e *engine) take(now time.Time, r tracker.Resident, as state) {
+func (a *Allocator) take(now time.Time, e *engine, r tracker.Resident, as state) {
 	s := e.slots[r.Adapter]
 	switch {
 	case s == nil:
@@ -243,8 +307,8 @@
 	case s.state == doubtful, s.state == resident:
 		s.state, s.version = as, r.Version
 	}
-	if as == resident {
-		e.held[r.Adapter] = true
+	if as == resident && !e.shelf.Contains(r.Adapter) {
+		a.hold(e, r.Adapter)
 	}
 }
 
@@ -399,11 +463,9 @@
 	}
 	switch out {
 	case Done:
-		if s.fetched {
-			a.learn(o.Took)
-		}
+		a.learn(e, s.fetched, o.Took)
 		s.state, s.since, s.version = resident, now, o.Version
-		e.held[o.Adapter] = true
+		a.hold(e, o.Adapter)
 	case Undone:
 		if o.Cause == Newer {
 			// The engine still holds the older version.
@@ -418,12 +480,25 @@
 	}
 }
 
-// learn adapts how many fetches may be under way to the time that one took.
-func (a *Allocator) learn(took time.Duration) {
+// learn adapts how many fetches may be under way, and how many adapters engines are taken to load from their own disks, to
+// the time that a load took.
+func (a *Allocator) learn(e *engine, fetched bool, took time.Duration) {
 	if took <= 0 {
 		return
 	}
-	if a.fastest == 0 || took < a.fastest {
+	fromStore := a.fastest > 0 && took > a.fastest*9/10
+	switch {
+	case !fetched && fromStore:
+		a.shelved = max(a.shelved-shelfStep, minShelved)
+		e.shelf.Resize(a.shelfSize(e.room))
+		return
+	case !fetched:
+		return
+	case took < a.fastest/2:
+		a.shelved = min(a.shelved+shelfStep, maxShelved)
+		e.shelf.Resize(a.shelfSize(e.room))
+		return
+	case a.fastest == 0 || took < a.fastest:
 		a.fastest = took
 	}
 	if float64(took) > slowFetch*float64(a.fastest) {
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -290,3 +290,73 @@
 	a.Loaded(later, orders[0], allocator.Undone)
 	c.Check(a.Residents("x"), qt.DeepEquals, residents("", "a1"), qt.Commentf("the engine still holds the older version"))
 }
+
+func TestWhatEnginesHeldOutlivesTheAllocator(t *testing.T) {
+	c := qt.New(t)
+	before := allocator.New(allocator.Config{})
+	add(before, engine("x", "z1"), 1)
+	load(c, before, start, want("a1", "z1"))
+	load(c, before, start.Add(time.Second), want("a2", "z1"))
+	held := before.TakeHeld()
+	c.Check(held, qt.DeepEquals, []allocator.Holding{
+		{Engine: tracker.Key{ID: "x", Born: 1}, Adapters: []tracker.Adapter{adapter("a1"), adapter("a2")}},
+	})
+	c.Check(before.TakeHeld(), qt.HasLen, 0)
+
+	after := allocator.New(allocator.Config{})
+	after.Remember(held)
+	add(after, engine("x", "z1"), 1)
+	add(after, engine("y", "z2"), 1)
+	o := load(c, after, start, want("a1", "z2"))
+	c.Check(o.Engine, qt.Equals, "x", qt.Commentf("it loads a1 from its own disk"))
+	c.Check(o.Recent, qt.IsTrue)
+	c.Check(after.TakeHeld(), qt.DeepEquals, []allocator.Holding{
+		{Engine: tracker.Key{ID: "x", Born: 1}, Adapters: []tracker.Adapter{adapter("a1")}},
+	}, qt.Commentf("a1 was loaded last now"))
+
+	reborn := engine("x", "z1")
+	reborn.Key.Born = 2
+	add(after, reborn, 1)
+	o = load(c, after, start.Add(time.Second), want("a2", "z1"))
+	c.Check(o.Recent, qt.IsFalse, qt.Commentf("a new start holds nothing of before"))
+}
+
+// fetchTime is what a load from the store takes in these tests.
+const fetchTime = 250 * time.Millisecond
+
+// An engine keeps the adapters that it loaded last on its own disk, how many is learned from the times of loads.
+func TestLearnsHowManyAdaptersEnginesKeep(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	now := start
+	const keeps = 3
+	var disk []string
+	back := 0
+	for i := range 600 {
+		now = now.Add(time.Second)
+		name := fmt.Sprint("a", i%(keeps+1))
+		a.Want(now, want(name, "z"))
+		orders := a.Plan(now)
+		c.Assert(orders, qt.HasLen, 1)
+		o := orders[0]
+		if o.Evict.Name != "" {
+			a.Evicted(now, o, allocator.Done)
+		}
+		o.Took = fetchTime
+		for j, have := range disk {
+			if have == name {
+				o.Took = fetchTime / 10
+				disk = append(disk[:j:j], disk[j+1:]...)
+				break
+			}
+		}
+		disk = append(disk, name)
+		disk = disk[max(len(disk)-keeps, 0):]
+		if i > 500 && o.Recent {
+			back++
+		}
+		a.Loaded(now, o, allocator.Done)
+	}
+	c.Check(back < 10, qt.IsTrue, qt.Commentf("%d loads of the last 100 were expected from the disk, none came from it", back))
+}
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -56,7 +56,7 @@
 	var best candidate
 	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
 		e := a.engines[id]
-		if !a.takes(e, k) || (patient || limited) && !e.held[k.adapter] {
+		if !a.takes(e, k) || (patient || limited) && !e.shelf.Contains(k.adapter) {
 			continue
 		}
 		v, free := a.victim(now, e, k)
@@ -79,7 +79,7 @@
 // begin enters a load, and the eviction that makes way for it.
 func (a *Allocator) begin(now time.Time, k wantKey, c candidate) Order {
 	e, version := c.engine, a.version(k.adapter)
-	recent := e.held[k.adapter]
+	recent := e.shelf.Contains(k.adapter)
 	e.slots[k.adapter] = &slot{version: version, state: loading, since: now, fetched: !recent}
 	e.busy++
 	if c.victim.Name != "" {
@@ -119,7 +119,7 @@
 // isHeld reports whether an engine that takes work held the adapter lately.
 func (a *Allocator) isHeld(k wantKey) bool {
 	for _, e := range a.engines {
-		if e.Service == k.service && !e.Leaving && e.synced && e.held[k.adapter] {
+		if e.Service == k.service && !e.Leaving && e.synced && e.shelf.Contains(k.adapter) {
 			return true
 		}
 	}
@@ -130,7 +130,7 @@
 // centre, and those whose victim is used least.
 func (a *Allocator) score(now time.Time, e *engine, k wantKey, victim tracker.Adapter) float64 {
 	score := 0.0
-	if e.held[k.adapter] {
+	if e.shelf.Contains(k.adapter) {
 		score += 8
 	}
 	if e.Zone == k.zone {
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -40,6 +40,7 @@
 		known: make(map[string]map[tracker.Adapter]int), changed: make(map[string]bool),
 		exact: make(map[string]bool),
 	}
+	d.placing.Remember(state.Held)
 	d.refresh(state)
 	return d
 }
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -26,11 +26,14 @@
 	silentSession = 3 * time.Second
 	// placementEvery bounds the lines about adapters that are waited for.
 	placementEvery = 500 * time.Millisecond
-	maxEvents      = 4096
-	maxTurn        = 256
-	maxQueued      = 4096
-	maxMessage     = 8 << 20
-	pathSession    = "/redwingstage.governor/Session"
+	// recordEvery is how often what engines held is recorded in the log: what is lost with a leader is fetched from the
+	// store once more.
+	recordEvery = 500 * time.Millisecond
+	maxEvents   = 4096
+	maxTurn     = 256
+	maxQueued   = 4096
+	maxMessage  = 8 << 20
+	pathSession = "/redwingstage.governor/Session"
 )
 
 // session is an entry's or a replica's stream at the leader.
@@ -56,6 +59,8 @@
 	term     uint64
 	starting bool
 	applied  uint64
+	// told is the replicated state that entries know.
+	told     *durable
 	table    *matcher.Table
 	sessions map[*session]bool
 	entries  int
@@ -63,6 +68,7 @@
 	joiner   *joiner
 	newsAt   time.Time
 	toldAt   time.Time
+	recorder recorder
 	waits    []versionWait
 	retiring bool
 	metrics  *metrics
@@ -157,6 +163,37 @@
 	h.joiner.tick(now)
 	h.finishWaits()
 	h.tellPlacement(now)
+	h.record(now)
+}
+
+// recorder keeps what engines held until the log has it.
+type recorder struct {
+	at   time.Time
+	busy bool
+	open []allocator.Holding
+}
+
+// record has the log remember what engines held, so that the next leader knows it too.
+func (h *hub) record(now time.Time) {
+	r := &h.recorder
+	r.open = append(r.open, h.desk.placing.TakeHeld()...)
+	if r.busy || len(r.open) == 0 || now.Sub(r.at) < recordEvery {
+		return
+	}
+	sent := r.open
+	r.at, r.busy, r.open = now, true, nil
+	h.spawn(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, proposeTimeout)
+		defer cancel()
+		_, err := h.seat.propose(ctx, command{Held: sent})
+		h.post(func(time.Time) {
+			r.busy = false
+			if err != nil {
+				h.log.Error("record what engines held", err)
+				r.open = append(sent, r.open...)
+			}
+		})
+	})
 }
 
 // tellPlacement logs what stands in the way of adapters, while some are waited for.
@@ -209,6 +246,8 @@
 	h.table = h.decode(state.Doc)
 	h.desk = newDesk(era, now, state, h.room)
 	h.applied = state.Applied
+	h.told = state
+	h.recorder = recorder{}
 	h.joiner = newJoiner(h)
 	h.log.Info("leads", h.cfg.Node)
 }
@@ -266,14 +305,28 @@
 		return
 	}
 	h.applied = state.Applied
-	down := Down{Versions: state.Versions, Left: state.Left}
+	down := Down{}
+	if !isSame(h.told.Versions, state.Versions) {
+		down.Versions = state.Versions
+	}
+	if !isSame(h.told.Left, state.Left) {
+		down.Left = state.Left
+	}
+	h.told = state
 	if h.table == nil || h.table.Version() != state.Doc.Version {
 		h.table = h.decode(state.Doc)
 		h.desk.resize()
 		down.Doc = &state.Doc
 	}
 	h.desk.refresh(state)
-	h.broadcast(down)
+	if !isEmpty(&down) {
+		h.broadcast(down)
+	}
+}
+
+// isSame reports whether two lists of published states are the same; published lists are never changed.
+func isSame[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 func (h *hub) broadcast(d Down) {
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -1,15 +1,24 @@
 package governor
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/tracker"
 )
 
 // maxLeft is how many starts of backend servers are remembered as leaving; a start that left is gone within seconds.
 const maxLeft = 1024
 
+// maxHeld is how many adapters are remembered of an engine, some fifty times what one holds at once, and maxHolders of how
+// many engines: twice the largest deployment.
+const (
+	maxHeld    = 1024
+	maxHolders = 1200
+)
+
 // firstID is the first number for replicas that join; founders have the numbers below.
 const firstID = 100
 
@@ -25,6 +34,8 @@
 	Era bool `cbor:"4,keyasint,omitempty"`
 	// Allot takes a number for a replica that joins.
 	Allot bool `cbor:"5,keyasint,omitempty"`
+	// Held tells of adapters that starts of engines loaded.
+	Held []allocator.Holding `cbor:"6,keyasint,omitempty"`
 }
 
 // result is what a command returned.
@@ -48,6 +59,8 @@
 	LastID   uint64             `cbor:"5,keyasint"`
 	// Applied counts commands, so that readers see whether anything changed.
 	Applied uint64 `cbor:"6,keyasint"`
+	// Held are the adapters that starts of engines loaded, in the order of their last loads.
+	Held []allocator.Holding `cbor:"7,keyasint,omitempty"`
 }
 
 // machine is the replicated state machine; the log's goroutine writes it, others read the published state.
@@ -90,6 +103,8 @@
 	case cmd.Allot:
 		next.LastID++
 		res.Number = next.LastID
+	case cmd.Held != nil:
+		next.Held = withHeld(next.Held, cmd.Held)
 	}
 	m.state.Store(&next)
 	m.changed()
@@ -124,6 +139,27 @@
 	return out[max(len(out)-maxLeft, 0):]
 }
 
+// withHeld returns the list with what engines held besides; an earlier start of an engine is dropped, and so is the oldest
+// beyond the bounds.
+func withHeld(list, more []allocator.Holding) []allocator.Holding {
+	out := slices.Clone(list)
+	for _, h := range more {
+		out = slices.DeleteFunc(out, func(old allocator.Holding) bool {
+			return old.Engine.ID == h.Engine.ID && old.Engine.Born < h.Engine.Born
+		})
+		i := slices.IndexFunc(out, func(old allocator.Holding) bool { return old.Engine == h.Engine })
+		if i < 0 {
+			out = append(out, allocator.Holding{Engine: h.Engine})
+			i = len(out) - 1
+		}
+		// What is loaded again moves to the end.
+		kept := slices.DeleteFunc(slices.Clone(out[i].Adapters), func(ad tracker.Adapter) bool { return slices.Contains(h.Adapters, ad) })
+		all := slices.Concat(kept, h.Adapters)
+		out[i].Adapters = all[max(len(all)-maxHeld, 0):]
+	}
+	return out[max(len(out)-maxHolders, 0):]
+}
+
 // Snapshot implements runner.Machine.
 func (m *machine) Snapshot() ([]byte, error) { return encoder.Marshal(m.now()) }
 
