Adapters that can still come in time are loaded first; requests wait for theirs as long as their callers do

Cause: at the crest and after each change of leader 50 to 170 adapters wait for 24 to 30 fetches at once. Ruled out: the leader's processor time (0.04 of a core), orders (4 ms each). Change: entries say how much time is left. What can come in time goes first, the latest first; then what can't, the oldest first. A stream waits until half a second before its caller would leave, instead of twice its target.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -24,6 +24,8 @@
 	// minCopyRate is the decayed count of uses from which one more copy saves more than it costs: with the default half-life
 	// about one use a second.
 	minCopyRate = 12
+	// fetchTime is what a load from the store takes until one was seen.
+	fetchTime = 250 * time.Millisecond
 	// holderWait is how long an adapter waits for an engine that held it lately: less than another one would take to fetch
 	// it from the store.
 	holderWait = 100 * time.Millisecond
@@ -78,6 +80,7 @@
 	Cause  Cause
 	Waited time.Duration
 	want   wantKey
+	due    time.Time
 }
 
 // Cause says why an adapter is loaded.
@@ -104,6 +107,8 @@
 	Zone    string
 	// Copy asks for one more copy of an adapter that is loaded already, closer to or beside those in use.
 	Copy bool
+	// Due is when the answer to the request that waits should begin.
+	Due time.Time
 }
 
 type state int
@@ -200,8 +205,9 @@
 	Adapters []tracker.Adapter `cbor:"2,keyasint"`
 }
 
-// wanting says since when an adapter is wanted, and when it was asked for last.
-type wanting struct{ since, last time.Time }
+// wanting says since when an adapter is wanted, when it was asked for last, and when the latest of those who wait should
+// have it.
+type wanting struct{ since, last, due time.Time }
 
 // New returns an Allocator without engines.
 func New(cfg Config) *Allocator {
@@ -367,18 +373,21 @@
 
 // Want takes a request for an adapter; it counts as a use, since those that wait will use it.
 func (a *Allocator) Want(now time.Time, w Want) {
-	a.want(now, wantKey{w.Service, w.Adapter, w.Zone, w.Copy})
+	a.want(now, wantKey{w.Service, w.Adapter, w.Zone, w.Copy}, w.Due)
 	if !w.Copy {
 		a.used(now, w.Adapter, 1)
 	}
 }
 
-func (a *Allocator) want(now time.Time, k wantKey) {
+func (a *Allocator) want(now time.Time, k wantKey, due time.Time) {
 	v, ok := a.wants[k]
 	if !ok {
 		v.since = now
 	}
 	v.last = now
+	if due.After(v.due) {
+		v.due = due
+	}
 	a.wants[k] = v
 }
 
@@ -473,10 +482,10 @@
 			return
 		}
 		delete(e.slots, o.Adapter)
-		a.want(now, o.want)
+		a.want(now, o.want, o.due)
 	case Doubtful:
 		s.state, s.since = doubtful, now
-		a.want(now, o.want)
+		a.want(now, o.want, o.due)
 	}
 }
 
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -360,3 +360,25 @@
 	}
 	c.Check(back < 10, qt.IsTrue, qt.Commentf("%d loads of the last 100 were expected from the disk, none came from it", back))
 }
+
+// A crest asks for more adapters than can be loaded: those that can still come in time go first, the others aren't lost.
+func TestWhatCanComeInTimeIsLoadedFirst(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{Transit: 1})
+	add(a, engine("x", "z"), 8)
+	now := start
+	for i, left := range []time.Duration{-200, 100, 400, 600} {
+		w := want(fmt.Sprint("a", i), "z")
+		w.Due = now.Add(left * time.Millisecond)
+		a.Want(now.Add(time.Duration(i)*time.Millisecond), w)
+	}
+	now = now.Add(4 * time.Millisecond)
+	var got []string
+	for range 4 {
+		orders := a.Plan(now)
+		c.Assert(orders, qt.HasLen, 1)
+		got = append(got, orders[0].Adapter.Name)
+		a.Loaded(now, orders[0], allocator.Done)
+	}
+	c.Check(got, qt.DeepEquals, []string{"a3", "a2", "a0", "a1"})
+}
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -87,7 +87,7 @@
 	}
 	return Order{
 		Engine: e.Key.ID, Adapter: k.adapter, Version: version, Evict: c.victim, Recent: recent, want: k,
-		Cause: a.cause(k, recent), Waited: now.Sub(a.wants[k].since),
+		Cause: a.cause(k, recent), Waited: now.Sub(a.wants[k].since), due: a.wants[k].due,
 	}
 }
 
--- a/serving/allocator/plan.go
+++ b/serving/allocator/plan.go
@@ -1,8 +1,10 @@
 package allocator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"redwingstage.org/serving/matcher"
@@ -78,7 +80,10 @@
 	return out
 }
 
-// sortedWants returns what is wanted, first copies before more copies, the most used first, and drops what is too old.
+// sortedWants returns what is wanted and drops what is too old: first what can still come in time, the latest first, then
+// what can't, the oldest first, then more copies, the most used first.
+//
+// When there is more than can be loaded, the oldest first would have all come late.
 func (a *Allocator) sortedWants(now time.Time) []wantKey {
 	keys := make([]wantKey, 0, len(a.wants))
 	for k, v := range a.wants {
@@ -88,27 +93,44 @@
 		}
 		keys = append(keys, k)
 	}
+	inTime := now.Add(max(a.fastest, fetchTime))
 	slices.SortFunc(keys, func(x, y wantKey) int {
-		if x.copied != y.copied {
-			if y.copied {
-				return -1
-			}
-			return 1
-		}
-		rx, ry := a.rate(now, x.adapter), a.rate(now, y.adapter)
+		wx, wy := a.wants[x], a.wants[y]
+		rx, ry := a.rank(x, wx, inTime), a.rank(y, wy, inTime)
 		switch {
-		case rx > ry:
-			return -1
-		case rx < ry:
-			return 1
-		case x.adapter.Name < y.adapter.Name:
-			return -1
+		case rx != ry:
+			return rx - ry
+		case rx == rankInTime && !wx.due.Equal(wy.due):
+			return wy.due.Compare(wx.due)
+		case rx == rankLate && !wx.since.Equal(wy.since):
+			return wx.since.Compare(wy.since)
 		}
-		return 1
+		if c := cmp.Compare(a.rate(now, y.adapter), a.rate(now, x.adapter)); c != 0 {
+			return c
+		}
+		return strings.Compare(x.adapter.Name, y.adapter.Name)
 	})
 	return keys
 }
 
+// The ranks of what is wanted.
+const (
+	rankInTime = iota
+	rankLate
+	rankCopy
+)
+
+// rank returns the rank of what is wanted if it comes at a time.
+func (a *Allocator) rank(k wantKey, w wanting, at time.Time) int {
+	switch {
+	case k.copied:
+		return rankCopy
+	case w.due.Before(at):
+		return rankLate
+	}
+	return rankInTime
+}
+
 // version returns the version of an adapter to load; each adapter begins at version 1.
 func (a *Allocator) version(ad tracker.Adapter) int { return max(a.versions[ad], 1) }
 
@@ -121,6 +143,8 @@
 	// Places is the number of adapters that all engines may hold, InUse those that requests use now, Idle those that none
 	// uses and that may make way.
 	Places, InUse, Idle int
+	// Distinct is how many different adapters engines hold.
+	Distinct int
 }
 
 // Stats returns what stands in the way of those who wait.
@@ -133,9 +157,11 @@
 			s.Wants++
 		}
 	}
+	distinct := make(map[tracker.Adapter]bool)
 	for _, e := range a.engines {
 		s.Places += e.room.Adapters
-		for _, sl := range e.slots {
+		for ad, sl := range e.slots {
+			distinct[ad] = true
 			switch {
 			case len(sl.inUse) > 0:
 				s.InUse++
@@ -144,5 +170,6 @@
 			}
 		}
 	}
+	s.Distinct = len(distinct)
 	return s
 }
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -206,7 +206,7 @@
 		return
 	}
 	h.toldAt = now
-	h.log.Placement(s.Wants, s.Copies, s.Fetches, s.Bound, s.Places, s.InUse, s.Idle)
+	h.log.Placement(s.Wants, s.Copies, s.Fetches, s.Bound, s.Places, s.InUse, s.Idle, s.Distinct)
 }
 
 // checkLead begins and ends this replica's leadership.
@@ -513,7 +513,7 @@
 		}
 	}
 	for _, w := range up.Wants {
-		h.desk.placing.Want(now, allocator.Want{Service: w.Service, Adapter: w.Adapter, Zone: s.hello.Zone, Copy: w.Copy})
+		h.desk.placing.Want(now, allocator.Want{Service: w.Service, Adapter: w.Adapter, Zone: s.hello.Zone, Copy: w.Copy, Due: now.Add(w.Left)})
 	}
 	if up.Beat > 0 {
 		h.send(s, Down{Beat: up.Beat})
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -1,6 +1,10 @@
 package governor
 
-import "redwingstage.org/serving/tracker"
+import (
+	"time"
+
+	"redwingstage.org/serving/tracker"
+)
 
 // Up is a message of an entry, or of another replica, to the leader.
 type Up struct {
@@ -28,6 +32,8 @@
 	Service string          `cbor:"1,keyasint"`
 	Adapter tracker.Adapter `cbor:"2,keyasint"`
 	Copy    bool            `cbor:"3,keyasint,omitempty"`
+	// Left is the time in which the request that waits should be answered; it may be negative.
+	Left time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Use tells of an adapter at an engine since the last report.
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -128,9 +128,10 @@
 }
 
 // Placement tells what stands in the way of adapters that are waited for.
-func (p *Part) Placement(wants, copies, fetches, bound, places, inUse, idle int) {
+func (p *Part) Placement(wants, copies, fetches, bound, places, inUse, idle, distinct int) {
 	p.log.Info().Int("wants", wants).Int("copies", copies).Int("fetches", fetches).Int("bound", bound).
-		Int("places", places).Int("in_use", inUse).Int("idle", idle).Msg(p.prefix + "adapters are waited for")
+		Int("places", places).Int("in_use", inUse).Int("idle", idle).Int("distinct", distinct).
+		Msg(p.prefix + "adapters are waited for")
 }
 
 // Load is a load of an adapter that has ended.
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwingstage.org/coord/waiter"
+	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
 )
 
@@ -30,11 +31,18 @@
 	replicas []string
 	// last is where the last session was.
 	last  string
-	asked map[governor.Want]time.Time
+	asked map[ask]time.Time
+}
+
+// ask is what was asked for.
+type ask struct {
+	service string
+	adapter tracker.Adapter
+	copied  bool
 }
 
 func newLink(e *Relayer) *link {
-	return &link{entry: e, up: make(chan governor.Up, maxUps), seeds: slices.Clone(e.cfg.Controls), asked: make(map[governor.Want]time.Time)}
+	return &link{entry: e, up: make(chan governor.Up, maxUps), seeds: slices.Clone(e.cfg.Controls), asked: make(map[ask]time.Time)}
 }
 
 func (l *link) setSeeds(addrs []string) {
@@ -67,7 +75,8 @@
 		pause = copyPause
 	}
 	l.mu.Lock()
-	at, ok := l.asked[w]
+	k := ask{w.Service, w.Adapter, w.Copy}
+	at, ok := l.asked[k]
 	if ok && now.Sub(at) < pause {
 		l.mu.Unlock()
 		return
@@ -75,7 +84,7 @@
 	if len(l.asked) > maxUps {
 		clear(l.asked)
 	}
-	l.asked[w] = now
+	l.asked[k] = now
 	l.mu.Unlock()
 	l.send(governor.Up{Wants: []governor.Want{w}})
 }
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -17,8 +17,15 @@
 const (
 	// wantEvery is how often an adapter is asked for while a request waits for it.
 	wantEvery = 400 * time.Millisecond
-	// waitFactor bounds the wait for an adapter or a server, in the route's target; later an answer is worth little.
+	// waitFactor bounds the wait for a server that runs whole requests, in the route's target.
 	waitFactor = 2
+	// Callers leave a stream that doesn't begin within the longest of a time, a number of the route's targets, and a number of
+	// its longest gaps.
+	leaveFloor   = 2 * time.Second
+	leaveTargets = 4
+	leaveGaps    = 8
+	// lateWork is what a request that waited for long still needs to begin its answer: a prompt beside others.
+	lateWork = 500 * time.Millisecond
 	// queueShare is the part of a request's time that the queue before its service may be expected to take.
 	queueShare = 0.4
 	// maxSends bounds the tries of one request that reached no server.
@@ -266,6 +273,15 @@
 	return w.fail(status, reason, 0)
 }
 
+// waitLimit returns until when a request may wait for its server: as long as an answer would still find its caller.
+func (c *call) waitLimit() time.Time {
+	if !c.route.Stream {
+		return earlier(c.arrived.Add(max(waitFactor*c.route.Target, wantEvery)), c.deadline)
+	}
+	patience := max(leaveFloor, leaveTargets*c.route.Target, leaveGaps*c.route.Gap)
+	return earlier(c.arrived.Add(patience), c.deadline).Add(-lateWork)
+}
+
 // held names what a request waits for.
 var held = map[balancer.Verdict]string{
 	balancer.Absent: "an adapter", balancer.Full: "a place", balancer.None: "a server",
@@ -279,7 +295,7 @@
 			e.balancer.Dequeue(c.service, ask.Ticket)
 		}
 	}()
-	limit := earlier(c.arrived.Add(max(waitFactor*c.route.Target, wantEvery)), c.deadline)
+	limit := c.waitLimit()
 	for {
 		var loaded, turn <-chan struct{}
 		if c.adapter.Model != "" {
@@ -306,7 +322,7 @@
 		}
 		c.held = held[v]
 		if v == balancer.Absent && c.adapter.Name != "" {
-			e.link.want(governor.Want{Service: c.service, Adapter: c.adapter})
+			e.link.want(governor.Want{Service: c.service, Adapter: c.adapter, Left: time.Until(c.arrived.Add(c.route.Target))})
 		}
 		if ask.Ticket != nil {
 			turn = ask.Ticket.Turn()
