Copies of an adapter follow its part of all work; placement and victims count an engine's load and an adapter's copies

Copies were asked for at half of an engine's 64 slots, where its answers are late already, and the own data centre was preferred up to a difference of 32 requests.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -141,6 +141,8 @@
 	models   map[string]int
 	fetching string
 	busy     int
+	// running is how many requests run there.
+	running int
 	// synced says that the table accounts for everything that the engine holds, so that orders can't exceed its room.
 	synced bool
 }
@@ -196,7 +198,12 @@
 	wants    map[wantKey]wanting
 	// past is what starts of engines are known to have held before, news what is new of that.
 	past map[tracker.Key][]tracker.Adapter
-	news map[tracker.Key][]tracker.Adapter
+	// surveyed is when it was looked for adapters that need more copies.
+	surveyed time.Time
+	// copies is how many engines hold or load each adapter, running how many requests run at all of them.
+	copies  map[tracker.Adapter]int
+	running int
+	news    map[tracker.Key][]tracker.Adapter
 }
 
 // Holding is what a start of an engine held, so that it loads that faster than from the store.
@@ -220,7 +227,7 @@
 	return &Allocator{
 		cfg: cfg, perEngine: fetchesPerEngine, shelved: firstShelved, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
 		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]wanting),
-		past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
+		copies: make(map[tracker.Adapter]int), past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
 	}
 }
 
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -11,6 +11,14 @@
 	"redwingstage.org/serving/tracker"
 )
 
+// The weights of an engine's score, in those of one load that is under way there: that it is in the caller's data centre,
+// and each time that it has the mean engine's work to do, up to a bound.
+const (
+	zoneScore    = 0.5
+	loadScore    = 1.5
+	maxLoadScore = 4
+)
+
 // candidate is an engine that could load an adapter now.
 type candidate struct {
 	engine *engine
@@ -127,18 +135,18 @@
 }
 
 // score prefers engines that held the adapter lately, since others fetch it from the store, then the caller's data
-// centre, and those whose victim is used least.
+// centre, those that have less to do, and those whose victim is used least.
 func (a *Allocator) score(now time.Time, e *engine, k wantKey, victim tracker.Adapter) float64 {
 	score := 0.0
 	if e.shelf.Contains(k.adapter) {
 		score += 8
 	}
 	if e.Zone == k.zone {
-		score++
+		score += zoneScore
 	}
-	score -= float64(e.busy)
+	score -= float64(e.busy) + loadScore*min(a.load(e), maxLoadScore)
 	if victim.Name != "" {
-		score -= min(a.rate(now, victim)/4, 2)
+		score -= min(a.worth(now, victim, a.copies[victim])/4, 2)
 	} else {
 		score++
 	}
@@ -162,11 +170,11 @@
 		if s.state != resident || len(s.inUse) > 0 || now.Sub(s.since) < settleTime {
 			continue
 		}
-		if r := a.rate(now, ad); r < worstRate || r == worstRate && ad.Name < worst.Name {
+		if r := a.worth(now, ad, a.copies[ad]); r < worstRate || r == worstRate && ad.Name < worst.Name {
 			worst, worstRate = ad, r
 		}
 	}
-	if k.copied && worstRate*copyFactor > a.rate(now, k.adapter) {
+	if k.copied && worstRate*copyFactor > a.worth(now, k.adapter, a.copies[k.adapter]+1) {
 		return tracker.Adapter{}, false
 	}
 	return worst, false
--- a/serving/allocator/plan.go
+++ b/serving/allocator/plan.go
@@ -14,6 +14,14 @@
 // Plan returns the orders that follow from what is wanted.
 func (a *Allocator) Plan(now time.Time) []Order {
 	orders := append(a.fetch(now), a.replace(now)...)
+	if now.Sub(a.surveyed) >= surveyEvery {
+		a.surveyed = now
+		a.survey(now)
+	}
+	if len(a.wants) == 0 {
+		return orders
+	}
+	a.count()
 	for _, k := range a.sortedWants(now) {
 		o, done, ok := a.place(now, k)
 		if ok {
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -10,7 +10,9 @@
 
 const (
 	// remotePenalty is the load, as a share of a server's slots, at which a server in another data centre is preferred.
-	remotePenalty = 0.5
+	remotePenalty = 0.1
+	// crowdedLoad is the load from which one more copy of an adapter is asked for.
+	crowdedLoad = 0.5
 	// failurePenalty weighs a server's recent share of failures against load.
 	failurePenalty = 3.0
 	// failureDecay is the weight of the latest answer in the share of failures.
@@ -328,7 +330,7 @@
 	}
 	best.running++
 	c := Choice{
-		Instance: best.Instance, Crowded: b.load(best) > remotePenalty, Running: best.running,
+		Instance: best.Instance, Crowded: b.load(best) > crowdedLoad, Running: best.running,
 	}
 	if a.Adapter.Model != "" {
 		c.Version = best.residents[a.Adapter]
