allocator: an adapter in use is replaced once a newer copy serves; the engine would take no other order meanwhile

Ruled out: the store (3 of 52 fetches under way), places (35 adapters idle), engines without a base model (their loads run). Change: older copies retire, as many at once as there are newer ones, and are replaced once idle; without a newer copy one is loaded at another engine first.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -26,6 +26,8 @@
 	minCopyRate = 12
 	// fetchTime is what a load from the store takes until one was seen.
 	fetchTime = 250 * time.Millisecond
+	// versionWait is how long older versions are used after a newer one was named; callers get them for some seconds more.
+	versionWait = 2 * time.Second
 	// holderWait is how long an adapter waits for an engine that held it lately: less than another one would take to fetch
 	// it from the store.
 	holderWait = 100 * time.Millisecond
@@ -119,6 +121,8 @@
 	evicting
 	// doubtful is an adapter that the engine may hold or be loading; it takes a place until the engine says more.
 	doubtful
+	// retiring is an adapter of an older version that gets no new requests.
+	retiring
 )
 
 // slot is an adapter at an engine.
@@ -305,7 +309,7 @@
 		a.take(now, e, r, resident)
 	}
 	for ad, s := range e.slots {
-		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful) && now.Sub(s.since) > ReportLag {
+		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == doubtful || s.state == retiring) && now.Sub(s.since) > ReportLag {
 			delete(e.slots, ad)
 		}
 	}
@@ -371,13 +375,6 @@
 	return out
 }
 
-// SetVersion says which version of an adapter is in force; engines that hold an older one are ordered to replace it.
-func (a *Allocator) SetVersion(ad tracker.Adapter, version int) {
-	if version > a.versions[ad] {
-		a.versions[ad] = version
-	}
-}
-
 // Want takes a request for an adapter; it counts as a use, since those that wait will use it.
 func (a *Allocator) Want(now time.Time, w Want) {
 	a.want(now, wantKey{w.Service, w.Adapter, w.Zone, w.Copy}, w.Due)
@@ -452,7 +449,7 @@
 // Missing takes note that an engine denied holding an adapter.
 func (a *Allocator) Missing(engineID string, ad tracker.Adapter) bool {
 	e := a.engines[engineID]
-	if e == nil || e.slots[ad] == nil || e.slots[ad].state != resident {
+	if e == nil || e.slots[ad] == nil || e.slots[ad].state != resident && e.slots[ad].state != retiring {
 		return false
 	}
 	delete(e.slots, ad)
@@ -485,7 +482,7 @@
 	case Undone:
 		if o.Cause == Newer {
 			// The engine still holds the older version.
-			s.state, s.since = resident, now
+			s.state, s.since = retiring, now
 			return
 		}
 		delete(e.slots, o.Adapter)
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -47,7 +47,14 @@
 	version := a.version(k.adapter)
 	for _, e := range a.engines {
 		s := e.slots[k.adapter]
-		if e.Service != k.service || e.Leaving || s == nil || s.version < version {
+		if e.Service != k.service || e.Leaving || s == nil {
+			continue
+		}
+		if s.state == retiring && len(s.inUse) == 0 && !k.copied {
+			// It is replaced as soon as it is idle for sure.
+			return true
+		}
+		if s.version < version {
 			continue
 		}
 		if s.state == loading || !k.copied && s.state == resident {
@@ -124,10 +131,10 @@
 	return n
 }
 
-// isHeld reports whether an engine that takes work held the adapter lately.
+// isHeld reports whether an engine that takes work held the adapter lately and could take it back.
 func (a *Allocator) isHeld(k wantKey) bool {
 	for _, e := range a.engines {
-		if e.Service == k.service && !e.Leaving && e.synced && e.shelf.Contains(k.adapter) {
+		if e.Service == k.service && !e.Leaving && e.synced && e.slots[k.adapter] == nil && e.shelf.Contains(k.adapter) {
 			return true
 		}
 	}
@@ -167,7 +174,7 @@
 			// An order to unload it makes sure of it.
 			return ad, false
 		}
-		if s.state != resident || len(s.inUse) > 0 || now.Sub(s.since) < settleTime {
+		if s.state != resident && s.state != retiring || !a.isIdle(now, s) {
 			continue
 		}
 		if r := a.worth(now, ad, a.copies[ad]); r < worstRate || r == worstRate && ad.Name < worst.Name {
--- a/serving/allocator/plan.go
+++ b/serving/allocator/plan.go
@@ -67,27 +67,6 @@
 	return slices.MinFunc(e.room.Models, func(x, y matcher.Model) int { return copies[x.Name] - copies[y.Name] })
 }
 
-// replace orders newer versions to engines that hold older ones.
-func (a *Allocator) replace(now time.Time) []Order {
-	if len(a.versions) == 0 {
-		return nil
-	}
-	var out []Order
-	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
-		e := a.engines[id]
-		for ad, s := range e.slots {
-			v := a.versions[ad]
-			if !e.synced || s.state != resident || s.version >= v || e.busy >= a.cfg.Transit {
-				continue
-			}
-			s.state, s.since = loading, now
-			e.busy++
-			out = append(out, Order{Engine: id, Adapter: ad, Version: v, Cause: Newer, want: wantKey{service: e.Service, adapter: ad, zone: e.Zone}})
-		}
-	}
-	return out
-}
-
 // sortedWants returns what is wanted and drops what is too old: first what can still come in time, the latest first, then
 // what can't, the oldest first, then more copies, the most used first.
 //
@@ -139,9 +118,6 @@
 	return rankInTime
 }
 
-// version returns the version of an adapter to load; each adapter begins at version 1.
-func (a *Allocator) version(ad tracker.Adapter) int { return max(a.versions[ad], 1) }
-
 // Stats sums up what stands in the way of those who wait.
 type Stats struct {
 	// Wants are adapters that are waited for, Copies more copies that are asked for.
