--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -13,6 +13,9 @@
 	remotePenalty = 0.1
 	// crowdedLoad is the load from which one more copy of an adapter is asked for.
 	crowdedLoad = 0.5
+	// readingPenalty is the load that a long prompt counts for while it is read: other streams pause for about as long as
+	// with so many more requests at the server.
+	readingPenalty = 0.3
 	// failurePenalty weighs a server's recent share of failures against load.
 	failurePenalty = 3.0
 	// failureDecay is the weight of the latest answer in the share of failures.
@@ -57,6 +60,9 @@
 	Except map[string]bool
 	// Ticket is the request's place in the queue, if it has one.
 	Ticket *Ticket
+	// Long says that the request's prompt takes an engine long enough to hold its other streams up, Press that it goes to an
+	// engine that is reading another such prompt if there is no other.
+	Long, Press bool
 }
 
 // Choice is the server for one attempt.
@@ -66,8 +72,12 @@
 	Version int
 	// Crowded says that the server is loaded well.
 	Crowded bool
-	// Running is how many requests of this entry are at the server, with this one.
+	// Running is how many requests are at the server, as far as this entry knows, with this one.
 	Running int
+	// Reading is how many long prompts the server was reading already.
+	Reading int
+	// unread is set while the server is reading a long prompt.
+	unread *bool
 }
 
 // Verdict says why there is no choice.
@@ -83,16 +93,23 @@
 	Full
 	// None means that no usable server answers for the service.
 	None
+	// Occupied means that all usable servers are reading long prompts.
+	Occupied
 )
 
 type server struct {
 	tracker.Instance
 	residents map[tracker.Adapter]int
 	running   int
-	failures  float64
-	ejected   time.Time
-	eject     time.Duration
-	uses      map[tracker.Adapter]*Use
+	// reading is how many long prompts of this entry the server is reading.
+	reading  int
+	told     Load
+	others   Load
+	othersAt time.Time
+	failures float64
+	ejected  time.Time
+	eject    time.Duration
+	uses     map[tracker.Adapter]*Use
 }
 
 // Use counts the requests of an adapter at a server since the last report, and those that run.
@@ -320,7 +337,13 @@
 			verdict = Full
 			continue
 		}
-		score := b.score(now, s, a.Zone)
+		if a.Long && !a.Press && b.reading(now, s) > 0 {
+			if verdict != Full {
+				verdict = Occupied
+			}
+			continue
+		}
+		score := b.score(now, s, a)
 		if score < bestScore || score == bestScore && s.Key.ID < best.Key.ID {
 			best, bestScore = s, score
 		}
@@ -328,10 +351,14 @@
 	if best == nil {
 		return Choice{}, verdict
 	}
+	c := Choice{Instance: best.Instance, Reading: b.reading(now, best)}
 	best.running++
-	c := Choice{
-		Instance: best.Instance, Crowded: b.load(best) > crowdedLoad, Running: best.running,
+	if a.Long {
+		best.reading++
+		c.unread = new(bool)
+		*c.unread = true
 	}
+	c.Running, c.Crowded = b.running(now, best), b.load(now, best) > crowdedLoad
 	if a.Adapter.Model != "" {
 		c.Version = best.residents[a.Adapter]
 	}
@@ -366,13 +393,13 @@
 	return have >= v.number || now.Sub(v.since) < oldVersionGrace
 }
 
-// load estimates a server's load as a share of its slots: other entries send about as much as this one.
-func (b *Balancer) load(s *server) float64 {
+// load returns a server's load as a share of its slots.
+func (b *Balancer) load(now time.Time, s *server) float64 {
 	slots := s.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return float64(s.running*b.entries) / float64(slots)
+	return float64(b.running(now, s)) / float64(slots)
 }
 
 // limit returns how many requests this entry may have at a server: enough to keep it busy while other entries are idle,
@@ -386,9 +413,9 @@
 }
 
 // score is lower for the better server; one that can't be reached comes after all others.
-func (b *Balancer) score(now time.Time, s *server, zone string) float64 {
-	score := b.load(s) + failurePenalty*s.failures
-	if s.Zone != zone {
+func (b *Balancer) score(now time.Time, s *server, a Ask) float64 {
+	score := b.load(now, s) + failurePenalty*s.failures + readingPenalty*float64(b.reading(now, s))
+	if s.Zone != a.Zone {
 		score += remotePenalty
 	}
 	if now.Before(s.ejected) {
@@ -407,6 +434,7 @@
 		return
 	}
 	s.running = max(s.running-1, 0)
+	s.read(c)
 	if ad.Name != "" {
 		u := s.use(ad)
 		u.Running = max(u.Running-1, 0)
--- /dev/null
+++ b/serving/balancer/loads.go
@@ -0,0 +1,86 @@
+package balancer
+
+import "time"
+
+// loadsTTL is how long what all entries have at a server counts; it is told ten times a second while it changes.
+const loadsTTL = 2 * time.Second
+
+// Load is what is under way at a server.
+type Load struct {
+	Server string
+	// Running is the number of requests, Reading that of long prompts that the server is still reading.
+	Running int
+	Reading int
+}
+
+// Loads returns what this entry has at servers, where that changed since the last call.
+func (b *Balancer) Loads() []Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Load
+	for id, s := range b.servers {
+		own := Load{Server: id, Running: s.running, Reading: s.reading}
+		if own != s.told {
+			s.told = own
+			out = append(out, own)
+		}
+	}
+	return out
+}
+
+// RetellLoads has the next call of Loads return all servers with work, since the one who was told is gone.
+func (b *Balancer) RetellLoads() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.servers {
+		s.told, s.others, s.othersAt = Load{Server: id}, Load{}, time.Time{}
+	}
+}
+
+// SetLoads takes up what all entries together have at servers.
+func (b *Balancer) SetLoads(now time.Time, list []Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range list {
+		s := b.servers[l.Server]
+		if s == nil {
+			continue
+		}
+		// What this entry told last is part of the sum.
+		s.others = Load{Running: max(l.Running-s.told.Running, 0), Reading: max(l.Reading-s.told.Reading, 0)}
+		s.othersAt = now
+	}
+}
+
+// Read tells that the server has read the prompt of a choice; it reports whether the prompt was a long one.
+func (b *Balancer) Read(c Choice) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[c.Key.ID]
+	return s != nil && s.Key == c.Key && s.read(c)
+}
+
+func (s *server) read(c Choice) bool {
+	if c.unread == nil || !*c.unread {
+		return false
+	}
+	*c.unread = false
+	s.reading = max(s.reading-1, 0)
+	return true
+}
+
+// running returns how many requests are at a server: other entries send about as much as this one, unless they have told.
+func (b *Balancer) running(now time.Time, s *server) int {
+	if now.Sub(s.othersAt) > loadsTTL {
+		return s.running * b.entries
+	}
+	return s.running + s.others.Running
+}
+
+// reading returns how many long prompts a server is reading.
+func (b *Balancer) reading(now time.Time, s *server) int {
+	if now.Sub(s.othersAt) > loadsTTL {
+		return s.reading
+	}
+	return s.reading + s.others.Reading
+}
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -88,7 +88,7 @@
 
 // isEmpty reports whether a message says nothing, as of a replica that knows no leader.
 func isEmpty(d *Down) bool {
-	return d.Doc == nil && d.Beat == 0 && d.Entries == 0 && len(d.Exact)+len(d.Engines)+len(d.Gone)+len(d.Moves)+len(d.Versions)+len(d.Left) == 0
+	return d.Doc == nil && d.Beat == 0 && d.Entries == 0 && len(d.Exact)+len(d.Engines)+len(d.Gone)+len(d.Moves)+len(d.Versions)+len(d.Left)+len(d.Loads) == 0
 }
 
 // follow keeps a session to the leader while another replica leads, so that the leader knows that this one lives.
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -69,6 +69,7 @@
 	newsAt   time.Time
 	toldAt   time.Time
 	recorder recorder
+	loads    *loads
 	waits    []versionWait
 	retiring bool
 	metrics  *metrics
@@ -83,7 +84,7 @@
 func newHub(ctx context.Context, cfg Config, deps Deps, s *seat, l *logger.Part, spawn func(func())) *hub {
 	h := &hub{
 		cfg: cfg, deps: deps, seat: s, log: l, ctx: ctx, spawn: spawn, events: make(chan func(now time.Time), maxEvents),
-		sessions: make(map[*session]bool), workers: make(map[string]*worker),
+		sessions: make(map[*session]bool), workers: make(map[string]*worker), loads: newLoads(),
 	}
 	h.joiner = newJoiner(h)
 	h.metrics = newMetrics()
@@ -247,7 +248,7 @@
 	h.desk = newDesk(era, now, state, h.room)
 	h.applied = state.Applied
 	h.told = state
-	h.recorder = recorder{}
+	h.recorder, h.loads = recorder{}, newLoads()
 	h.joiner = newJoiner(h)
 	h.log.Info("leads", h.cfg.Node)
 }
@@ -353,6 +354,7 @@
 	s.closed = true
 	delete(h.sessions, s)
 	close(s.out)
+	h.loads.drop(s)
 	if h.desk != nil && s.hello != nil && s.hello.Replica == 0 {
 		h.desk.placing.Forget(s.hello.Node)
 	}
@@ -375,15 +377,18 @@
 
 // spread sends what changed of engines; it returns when the rest is due.
 func (h *hub) spread(now time.Time) (time.Duration, bool) {
-	if h.desk == nil || len(h.desk.moves)+len(h.desk.changed)+len(h.desk.exact) == 0 {
+	if h.desk == nil || len(h.desk.moves)+len(h.desk.changed)+len(h.desk.exact)+len(h.loads.changed) == 0 {
 		return 0, false
 	}
 	if wait := h.newsAt.Sub(now); wait > 0 && len(h.desk.changed) == 0 {
 		return wait, true
 	}
-	if d, ok := h.desk.news(); ok {
-		h.broadcast(d)
+	d, ok := h.desk.news()
+	d.Loads = h.loads.take(now)
+	if !ok && len(d.Loads) == 0 {
+		return 0, false
 	}
+	h.broadcast(d)
 	h.newsAt = now.Add(newsEvery + time.Duration(len(h.sessions))*newsPerSession)
 	return 0, false
 }
@@ -507,6 +512,9 @@
 	for _, u := range up.Uses {
 		h.desk.placing.Use(now, s.hello.Node, u.Engine, u.Adapter, u.Starts, u.Running)
 	}
+	for _, l := range up.Loads {
+		h.loads.set(s, l)
+	}
 	for _, m := range up.Missing {
 		if h.desk.placing.Missing(m.Engine, m.Adapter) {
 			h.desk.diff(m.Engine)
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -15,6 +15,8 @@
 	Missing []AdapterAt `cbor:"5,keyasint,omitempty"`
 	// Version is that of the document in force at the sender.
 	Version uint64 `cbor:"6,keyasint,omitempty"`
+	// Loads are what the sender has at servers, where that changed.
+	Loads []Load `cbor:"7,keyasint,omitempty"`
 }
 
 // Hello opens a session.
@@ -78,6 +80,16 @@
 	Left []tracker.Key `cbor:"11,keyasint,omitempty"`
 	// Exact are engines with all that they hold.
 	Exact []tracker.Instance `cbor:"12,keyasint,omitempty"`
+	// Loads are what all entries together have at servers, where that changed.
+	Loads []Load `cbor:"13,keyasint,omitempty"`
+}
+
+// Load is what is under way at a server.
+type Load struct {
+	Server string `cbor:"1,keyasint"`
+	// Running is the number of requests, Reading that of long prompts that the server is still reading.
+	Running int `cbor:"2,keyasint,omitempty"`
+	Reading int `cbor:"3,keyasint,omitempty"`
 }
 
 // Welcome opens the leader's side of a session.
--- a/stage/relayer/dialect.go
+++ b/stage/relayer/dialect.go
@@ -24,12 +24,16 @@
 	// Model names model and adapter, Resume the last event that the caller has.
 	Model  string
 	Resume string
+	// Usage tells how many tokens the prompt has, and how many the answer may have.
+	Usage string
 	// Kept are headers that callers may not have removed by naming them as concerning one connection only.
 	Kept []string
 	// Reserved are headers that only the system may set.
 	Reserved []string
 	// ParseModel splits the value of the header Model.
 	ParseModel func(value string) tracker.Adapter
+	// ParseUsage reads the tokens of the prompt from the header Usage; 0 if it tells none.
+	ParseUsage func(value string) int
 	// ReadyPath is where the balancer asks whether this entry takes connections.
 	ReadyPath string
 }
@@ -49,7 +53,7 @@
 
 func newNames(d Dialect) *names {
 	n := &names{Dialect: d, kept: make(map[string]bool), dropped: make(map[string]bool)}
-	for _, h := range append([]string{d.Attempt, d.Model, d.Resume, "Host"}, d.Kept...) {
+	for _, h := range append([]string{d.Attempt, d.Model, d.Resume, d.Usage, "Host"}, d.Kept...) {
 		n.kept[http.CanonicalHeaderKey(h)] = true
 	}
 	for _, h := range append([]string{d.Deadline, d.Expect, d.ExpectVersion, d.Priority}, d.Reserved...) {
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwingstage.org/coord/waiter"
+	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
 )
@@ -99,6 +100,21 @@
 	}
 }
 
+// tellLoads tells what this entry has at servers, where that changed.
+func (l *link) tellLoads() {
+	if up := l.loads(); len(up.Loads) > 0 {
+		l.send(up)
+	}
+}
+
+func (l *link) loads() governor.Up {
+	var up governor.Up
+	for _, v := range l.entry.balancer.Loads() {
+		up.Loads = append(up.Loads, governor.Load(v))
+	}
+	return up
+}
+
 // run keeps a session open until ctx ends.
 func (l *link) run(ctx context.Context) {
 	go l.report(ctx)
@@ -129,6 +145,7 @@
 		redirect, err := governor.Dial(ctx, addr, hello, l.up, func(d governor.Down) {
 			if d.Welcome != nil {
 				began = true
+				l.entry.balancer.RetellLoads()
 				l.entry.log.Info("session with the control leader", at)
 			}
 			l.take(d)
@@ -173,6 +190,13 @@
 			b.Hold(m.Engine, m.Adapter, m.Version)
 		}
 	}
+	if len(d.Loads) > 0 {
+		sums := make([]balancer.Load, 0, len(d.Loads))
+		for _, v := range d.Loads {
+			sums = append(sums, balancer.Load(v))
+		}
+		b.SetLoads(now, sums)
+	}
 	if d.Entries > 0 {
 		b.SetEntries(d.Entries)
 	}
@@ -197,11 +221,11 @@
 func (l *link) report(ctx context.Context) {
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, max(useEvery, time.Duration(l.entry.balancer.Entries())*usePerEntry))
-		var up governor.Up
+		up := l.loads()
 		for _, u := range l.entry.balancer.Uses() {
 			up.Uses = append(up.Uses, governor.Use{Engine: u.Engine, Adapter: u.Adapter, Starts: u.Starts, Running: u.Running})
 		}
-		if len(up.Uses) > 0 {
+		if len(up.Uses)+len(up.Loads) > 0 {
 			l.send(up)
 		}
 	}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -60,6 +60,9 @@
 		if !out.begun && !out.begin(h) {
 			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
 		}
+		if a.call.long && e.balancer.Read(a.choice) {
+			e.link.tellLoads()
+		}
 		if !out.chunk(block) {
 			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
 		}
