--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -26,8 +26,8 @@
 	minCopyRate = 12
 	// fetchTime is what a load from the store takes until one was seen.
 	fetchTime = 250 * time.Millisecond
-	// versionWait is how long older versions are used after a newer one was named; callers get them for some seconds more.
-	versionWait = 2 * time.Second
+	// versionWait is how long entries use older versions after a newer one was named.
+	versionWait = time.Second
 	// holderWait is how long an adapter waits for an engine that held it lately: less than another one would take to fetch
 	// it from the store.
 	holderWait = 100 * time.Millisecond
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -28,9 +28,9 @@
 	limitFactor = 2.5
 	// defaultSlots stands for servers that don't say how many requests they run at once.
 	defaultSlots = 4
-	// oldVersionGrace is how long an engine's older version of an adapter may be used after a newer one was named; it
-	// ends before callers may no longer get it.
-	oldVersionGrace = 3 * time.Second
+	// oldVersionGrace is how long an engine's older version of an adapter may be used after a newer one was named. Callers
+	// may get the older one for 5 s, and a request may wait at its engine for as long as its caller waits, 4 s at most.
+	oldVersionGrace = time.Second
 )
 
 // Result says what a request's end tells of its server.
@@ -337,7 +337,7 @@
 			verdict = Full
 			continue
 		}
-		if a.Long && !a.Press && b.reading(now, s) > 0 {
+		if a.Adapter.Model != "" && !a.Press && b.reading(now, s) > 0 {
 			if verdict != Full {
 				verdict = Occupied
 			}
--- a/serving/balancer/balancer_test.go
+++ b/serving/balancer/balancer_test.go
@@ -63,10 +63,10 @@
 	c.Check(v, qt.Equals, balancer.Chosen)
 	c.Check(ch.Version, qt.Equals, 1)
 	b.SetVersions(start, []tracker.Resident{{Adapter: adapter, Version: 2}})
-	_, v = b.Pick(start.Add(time.Second), ask)
+	_, v = b.Pick(start.Add(900*time.Millisecond), ask)
 	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("the older version serves until the newer one is loaded"))
-	_, v = b.Pick(start.Add(4*time.Second), ask)
-	c.Check(v, qt.Equals, balancer.Absent)
+	_, v = b.Pick(start.Add(1100*time.Millisecond), ask)
+	c.Check(v, qt.Equals, balancer.Absent, qt.Commentf("a request that waits at its engine for 4 s begins within 5 s"))
 }
 
 func TestABaseModelNeedsAnEngineThatHoldsIt(t *testing.T) {
@@ -169,3 +169,60 @@
 	c.Check(uses[0].Running, qt.Equals, 0)
 	c.Check(b.Uses(), qt.HasLen, 0)
 }
+
+// long asks for a server for a prompt that takes an engine long to read.
+var long = balancer.Ask{Service: "s", Zone: "z", Adapter: adapter, Long: true}
+
+func TestLongPromptsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z"), server("y", "z")}, true)
+	b.Hold("x", adapter, 1)
+	b.Hold("y", adapter, 1)
+	first, _ := b.Pick(start, long)
+	second, _ := b.Pick(start, long)
+	c.Check(first.Key.ID != second.Key.ID, qt.IsTrue)
+	_, v := b.Pick(start, long)
+	c.Check(v, qt.Equals, balancer.Occupied)
+	short := long
+	short.Long = false
+	_, v = b.Pick(start, short)
+	c.Check(v, qt.Equals, balancer.Occupied, qt.Commentf("short prompts add to the pause of all streams"))
+	pressed := short
+	pressed.Press = true
+	_, v = b.Pick(start, pressed)
+	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("it has waited long enough"))
+	c.Check(b.Read(first), qt.IsTrue)
+	c.Check(b.Read(first), qt.IsFalse, qt.Commentf("it was read before"))
+	again, v := b.Pick(start, long)
+	c.Check(v, qt.Equals, balancer.Chosen)
+	c.Check(again.Key.ID, qt.Equals, first.Key.ID)
+	b.End(start, second, adapter, balancer.OK)
+	_, v = b.Pick(start, short)
+	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("an end frees the turn too"))
+}
+
+// What other entries have at servers counts, as long as the leader tells it.
+func TestLoadsOfAllEntriesCount(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.SetEntries(3)
+	b.Set([]tracker.Instance{server("x", "z"), server("y", "z")}, true)
+	b.Hold("x", adapter, 1)
+	b.Hold("y", adapter, 1)
+	short := long
+	short.Long = false
+	ch, _ := b.Pick(start, short)
+	c.Check(ch.Key.ID, qt.Equals, "x")
+	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Running: 1}})
+	c.Check(b.Loads(), qt.HasLen, 0)
+	b.SetLoads(start, []balancer.Load{{Server: "x", Running: 1}, {Server: "y", Running: 4, Reading: 1}})
+	ch, _ = b.Pick(start, short)
+	c.Check(ch.Key.ID, qt.Equals, "x", qt.Commentf("others have four requests at y"))
+	c.Check(ch.Running, qt.Equals, 2)
+	later := start.Add(3 * time.Second)
+	ch, _ = b.Pick(later, short)
+	c.Check(ch.Key.ID, qt.Equals, "y", qt.Commentf("what was told 3 s ago counts no more"))
+	b.RetellLoads()
+	c.Check(b.Loads(), qt.HasLen, 2)
+}
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -20,7 +20,7 @@
 	var out []Load
 	for id, s := range b.servers {
 		own := Load{Server: id, Running: s.running, Reading: s.reading}
-		if own != s.told {
+		if own.Running != s.told.Running || own.Reading != s.told.Reading {
 			s.told = own
 			out = append(out, own)
 		}
@@ -32,8 +32,8 @@
 func (b *Balancer) RetellLoads() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.servers {
-		s.told, s.others, s.othersAt = Load{Server: id}, Load{}, time.Time{}
+	for _, s := range b.servers {
+		s.told, s.others, s.othersAt = Load{}, Load{}, time.Time{}
 	}
 }
 
--- /dev/null
+++ b/stage/governor/loads_test.go
@@ -0,0 +1,27 @@
+package governor
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestLoadsAreSummedUpOverEntries(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	a, b := &session{}, &session{}
+	l := newLoads()
+	l.set(a, Load{Server: "x", Running: 2})
+	l.set(b, Load{Server: "x", Running: 3})
+	c.Check(l.take(now), qt.DeepEquals, []Load{{Server: "x", Running: 5}})
+	l.set(a, Load{Server: "x", Running: 1})
+	c.Check(l.take(now), qt.HasLen, 0, qt.Commentf("requests are told ten times a second"))
+	l.set(b, Load{Server: "x", Running: 3, Reading: 1})
+	c.Check(l.take(now), qt.DeepEquals, []Load{{Server: "x", Running: 4, Reading: 1}}, qt.Commentf("a long prompt is told at once"))
+	l.drop(b)
+	c.Check(l.take(now), qt.DeepEquals, []Load{{Server: "x", Running: 1}}, qt.Commentf("what a lost entry was reading is over"))
+	l.set(a, Load{Server: "x"})
+	c.Check(l.take(now.Add(time.Second)), qt.DeepEquals, []Load{{Server: "x"}})
+	c.Check(l.of, qt.HasLen, 0)
+}
