Entries know what all of them have at servers; long prompts take turns at engines; copies for each fifth of an engine's work

Change: entries tell what they have at servers, the leader sums it up ten times a second, and at once where a long prompt begins or is read. A long prompt waits up to half of its target for an engine that isn't reading one. What is told ages, so that an entry adds what all have sent since, as far as it can tell by itself. An adapter gets a copy for each fifth of the mean engine's work. Streams beside one long prompt still pause for 313 ms in the middle: engines seem to read in pieces of about 2,000 tokens, so that only separate engines would help.

--- a/serving/allocator/copies.go
+++ b/serving/allocator/copies.go
@@ -11,7 +11,7 @@
 	surveyEvery = 100 * time.Millisecond
 	// copyShare is the part of an engine's mean work that one copy of an adapter may bring, so that no engine is busy with
 	// one adapter while others are idle.
-	copyShare = 0.33
+	copyShare = 0.2
 )
 
 // count notes how many engines hold each adapter and how much each engine has to do.
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -337,7 +337,7 @@
 			verdict = Full
 			continue
 		}
-		if a.Adapter.Model != "" && !a.Press && b.reading(now, s) > 0 {
+		if a.Long && !a.Press && b.reading(now, s) > 0 {
 			if verdict != Full {
 				verdict = Occupied
 			}
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -69,12 +69,14 @@
 	return true
 }
 
-// running returns how many requests are at a server: other entries send about as much as this one, unless they have told.
+// running returns how many requests are at a server: what all entries told last, and since then as many more from each as
+// from this one. Without that, all of them would send to the server that was told to have the least.
 func (b *Balancer) running(now time.Time, s *server) int {
 	if now.Sub(s.othersAt) > loadsTTL {
 		return s.running * b.entries
 	}
-	return s.running + s.others.Running
+	since := (s.running - s.told.Running) * b.entries
+	return max(s.others.Running+s.told.Running+since, s.running)
 }
 
 // reading returns how many long prompts a server is reading.
