allocator: the bound on fetches follows the fastest of sixteen, not single ones

Ruled out: places (200 to 370 idle), transit (4 an engine), processor time of the leader (0.48 of 0.96 of a core at most). Change: sixteen fetches are judged by their fastest, since a store beyond its speed slows all of them.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -42,9 +42,15 @@
 	fetchesPerEngine    = 2
 	minFetchesPerEngine = 1
 	maxFetchesPerEngine = 4
-	// slowFetch is how much longer than the fastest a fetch takes when the store is well beyond its full speed. Beyond it
-	// all fetches share the store's speed, so that a bound slightly too high costs little and one too low leaves it idle.
-	slowFetch = 1.4
+	// slowFetch is how much longer than the fastest ever the fastest of some fetches takes when the store is beyond its full
+	// speed. Then all fetches share the store, so that a bound slightly too high costs little and one too low leaves it
+	// idle. Single fetches tell nothing: their ends may be seen late.
+	slowFetch = 1.25
+	// fetchWindow is how many fetches are judged together, fetchDecrease and fetchIncrease what moves the bound after slow
+	// ones and after others.
+	fetchWindow   = 16
+	fetchDecrease = 0.85
+	fetchIncrease = 0.1
 	// firstShelved is how many adapters an engine loads from its own disk, for each that it can hold, until loads that
 	// were faster or slower than expected tell more; engines were seen to keep six times what they hold. Each such load
 	// moves the figure by shelfStep, within minShelved and maxShelved.
@@ -52,9 +58,6 @@
 	shelfStep    = 0.05
 	minShelved   = 1
 	maxShelved   = 64
-	// fetchDecrease and fetchIncrease move the bound after a slow and after a fast fetch.
-	fetchDecrease = 0.97
-	fetchIncrease = 0.1
 )
 
 // Config holds the bounds of an Allocator.
@@ -194,6 +197,11 @@
 	// fastest is the shortest time that a fetch took, perEngine the bound that follows from the others.
 	fastest   time.Duration
 	perEngine float64
+	// window are the fetches that are judged next.
+	window struct {
+		n       int
+		fastest time.Duration
+	}
 	// shelved is how many adapters an engine loads from its own disk, for each that it can hold at once.
 	shelved  float64
 	engines  map[string]*engine
@@ -511,14 +519,27 @@
 		a.shelved = min(a.shelved+shelfStep, maxShelved)
 		e.shelf.Resize(a.shelfSize(e.room))
 		return
-	case a.fastest == 0 || took < a.fastest:
+	}
+	a.judgeFetch(took)
+}
+
+// judgeFetch adapts how many fetches may be under way once some have ended.
+func (a *Allocator) judgeFetch(took time.Duration) {
+	if a.fastest == 0 || took < a.fastest {
 		a.fastest = took
 	}
-	if float64(took) > slowFetch*float64(a.fastest) {
+	if a.window.n == 0 || took < a.window.fastest {
+		a.window.fastest = took
+	}
+	if a.window.n++; a.window.n < fetchWindow {
+		return
+	}
+	if float64(a.window.fastest) > slowFetch*float64(a.fastest) {
 		a.perEngine = max(a.perEngine*fetchDecrease, minFetchesPerEngine)
 	} else {
-		a.perEngine = min(a.perEngine+fetchIncrease/float64(len(a.engines)), maxFetchesPerEngine)
+		a.perEngine = min(a.perEngine+fetchIncrease, maxFetchesPerEngine)
 	}
+	a.window.n = 0
 }
 
 // Evicted ends an eviction; after one that wasn't carried out the adapter stays.
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -414,3 +414,55 @@
 	}
 	c.Check(got, qt.DeepEquals, []string{"a3", "a2", "a0", "a1"})
 }
+
+// fetchLoop has n engines load new adapters for some rounds, in which a fetch takes as long as took says of those that are
+// under way together, and returns how many that were in the end.
+func fetchLoop(c *qt.C, n int, took func(together, i int) time.Duration) int {
+	a := allocator.New(allocator.Config{})
+	for i := range n {
+		add(a, engine(fmt.Sprint("e", i), "z"), 100)
+	}
+	now := start
+	together := 0
+	for round := range 60 {
+		now = now.Add(2 * time.Second)
+		wants := 8 * n
+		if round == 0 {
+			// One by itself shows how fast the store is.
+			wants = 1
+		}
+		for i := range wants {
+			a.Want(now, want(fmt.Sprint("r", round, "-", i), "z"))
+		}
+		orders := a.Plan(now)
+		together = len(orders)
+		c.Assert(together > 0, qt.IsTrue)
+		for i, o := range orders {
+			if o.Evict.Name != "" {
+				a.Evicted(now, o, allocator.Done)
+			}
+			o.Took = took(together, i)
+			a.Loaded(now, o, allocator.Done)
+		}
+	}
+	return together
+}
+
+func TestFetchesFollowTheStore(t *testing.T) {
+	c := qt.New(t)
+	const engines = 12
+	for _, full := range []int{16, 24, 40} {
+		got := fetchLoop(c, engines, func(together, i int) time.Duration {
+			return fetchTime * time.Duration(max(together, full)) / time.Duration(full)
+		})
+		c.Check(got >= full*3/4 && got <= full*3/2, qt.IsTrue, qt.Commentf("%d at once, the store serves %d at full speed", got, full))
+	}
+	// A leader with much to do sees most ends of fetches late.
+	got := fetchLoop(c, engines, func(_, i int) time.Duration {
+		if i%8 != 0 {
+			return 2 * fetchTime
+		}
+		return fetchTime
+	})
+	c.Check(got >= 3*engines, qt.IsTrue, qt.Commentf("%d at once, the store serves any number", got))
+}
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -10,7 +10,7 @@
 
 const (
 	// remotePenalty is the load, as a share of a server's slots, at which a server in another data centre is preferred.
-	remotePenalty = 0.1
+	remotePenalty = 0.25
 	// crowdedLoad is the load from which one more copy of an adapter is asked for.
 	crowdedLoad = 0.5
 	// readingPenalty is the load that a long prompt counts for while it is read: other streams pause for about as long as
