governor: only engines that changed are compared with what entries know

After each event of the control goroutine the adapters of all engines were compared; now those that an order, a report or a denial touched.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -210,6 +211,8 @@
 	wants    map[wantKey]wanting
 	// past is what starts of engines are known to have held before, news what is new of that.
 	past map[tracker.Key][]tracker.Adapter
+	// touched are the engines whose residents may have changed.
+	touched map[string]bool
 	// surveyed is when it was looked for adapters that need more copies.
 	surveyed time.Time
 	// copies is how many engines hold or load each adapter, running how many requests run at all of them.
@@ -239,7 +242,7 @@
 	return &Allocator{
 		cfg: cfg, perEngine: fetchesPerEngine, shelved: firstShelved, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
 		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]wanting),
-		copies: make(map[tracker.Adapter]int), past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
+		touched: make(map[string]bool), copies: make(map[tracker.Adapter]int), past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
 	}
 }
 
@@ -290,6 +293,7 @@
 			e.shelf.Add(ad, struct{}{})
 		}
 		a.engines[in.Key.ID] = e
+		a.touched[in.Key.ID] = true
 	}
 	e.Instance, e.room = in, room
 	e.shelf.Resize(a.shelfSize(room))
@@ -301,6 +305,7 @@
 	if e == nil {
 		return
 	}
+	a.touched[id] = true
 	e.synced = true
 	clear(e.models)
 	listed := make(map[tracker.Adapter]state, len(residents)+len(pending))
@@ -359,6 +364,16 @@
 // RemoveEngine forgets an engine.
 func (a *Allocator) RemoveEngine(id string) { delete(a.engines, id) }
 
+// Touched returns the engines whose residents may have changed since the last call.
+func (a *Allocator) Touched() []string {
+	if len(a.touched) == 0 {
+		return nil
+	}
+	out := slices.Sorted(maps.Keys(a.touched))
+	clear(a.touched)
+	return out
+}
+
 // Residents returns the base models and adapters that may be used at an engine.
 func (a *Allocator) Residents(id string) []tracker.Resident {
 	e, ok := a.engines[id]
@@ -455,13 +470,13 @@
 }
 
 // Missing takes note that an engine denied holding an adapter.
-func (a *Allocator) Missing(engineID string, ad tracker.Adapter) bool {
+func (a *Allocator) Missing(engineID string, ad tracker.Adapter) {
 	e := a.engines[engineID]
 	if e == nil || e.slots[ad] == nil || e.slots[ad].state != resident && e.slots[ad].state != retiring {
-		return false
+		return
 	}
+	a.touched[engineID] = true
 	delete(e.slots, ad)
-	return true
 }
 
 // Loaded ends a load; what is wanted still is placed again.
@@ -470,6 +485,7 @@
 	if e == nil {
 		return
 	}
+	a.touched[o.Engine] = true
 	if o.Adapter.Name == "" {
 		e.fetching = ""
 		if out == Done {
@@ -548,6 +564,7 @@
 	if e == nil || e.slots[o.Evict] == nil || e.slots[o.Evict].state != evicting {
 		return
 	}
+	a.touched[o.Engine] = true
 	s := e.slots[o.Evict]
 	s.since = now
 	switch out {
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -466,3 +466,23 @@
 	})
 	c.Check(got >= 3*engines, qt.IsTrue, qt.Commentf("%d at once, the store serves any number", got))
 }
+
+func TestTellsWhichEnginesChanged(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	add(a, engine("y", "z"), 1)
+	c.Check(a.Touched(), qt.DeepEquals, []string{"x", "y"})
+	c.Check(a.Touched(), qt.HasLen, 0)
+	o := load(c, a, start, want("a1", "z"))
+	c.Check(a.Touched(), qt.DeepEquals, []string{o.Engine})
+	a.Missing(o.Engine, adapter("a2"))
+	c.Check(a.Touched(), qt.HasLen, 0, qt.Commentf("nobody thought that it holds a2"))
+	a.Missing(o.Engine, adapter("a1"))
+	c.Check(a.Touched(), qt.DeepEquals, []string{o.Engine})
+	load(c, a, start, want("a3", "z"))
+	a.Touched()
+	a.SetVersion(adapter("a3"), 2)
+	a.Plan(start.Add(time.Second))
+	c.Check(a.Touched(), qt.HasLen, 1, qt.Commentf("an older version gets no new requests"))
+}
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -94,6 +94,7 @@
 // begin enters a load, and the eviction that makes way for it.
 func (a *Allocator) begin(now time.Time, k wantKey, c candidate) Order {
 	e, version := c.engine, a.version(k.adapter)
+	a.touched[e.Key.ID] = true
 	recent := e.shelf.Contains(k.adapter)
 	e.slots[k.adapter] = &slot{version: version, state: loading, since: now, fetched: !recent}
 	e.busy++
--- a/serving/allocator/versions.go
+++ b/serving/allocator/versions.go
@@ -39,10 +39,12 @@
 			switch {
 			case s.state == retiring && a.isIdle(now, s) && e.busy < a.cfg.Transit:
 				s.state, s.since = loading, now
+				a.touched[id] = true
 				e.busy++
 				out = append(out, Order{Engine: id, Adapter: ad, Version: a.version(ad), Cause: Newer, want: k})
 			case s.state == resident && (len(s.inUse) == 0 || retired[ad] < newer[ad]):
 				s.state, s.since = retiring, now
+				a.touched[id] = true
 				retired[ad]++
 			case s.state == resident && newer[ad] == 0:
 				a.want(now, k, now.Add(versionWait))
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -324,22 +324,9 @@
 	var best *server
 	bestScore := math.Inf(1)
 	for _, s := range b.services[a.Service] {
-		if s.Leaving || a.Except[s.Key.ID] {
-			continue
-		}
-		if verdict == None {
-			verdict = Absent
-		}
-		if a.Adapter.Model != "" && !b.usable(now, s, a.Adapter) {
-			continue
-		}
-		if s.running >= b.limit(s) {
-			verdict = Full
-			continue
-		}
-		if a.Long && !a.Press && b.reading(now, s) > 0 {
-			if verdict != Full {
-				verdict = Occupied
+		if v := b.judge(now, s, a); v != Chosen {
+			if told[v] > told[verdict] {
+				verdict = v
 			}
 			continue
 		}
@@ -371,6 +358,24 @@
 	return c, Chosen
 }
 
+// told orders the verdicts on servers: of several, the last is what the caller is told.
+var told = map[Verdict]int{None: 0, Absent: 1, Occupied: 2, Full: 3}
+
+// judge reports whether a server may take the request, or why not.
+func (b *Balancer) judge(now time.Time, s *server, a Ask) Verdict {
+	switch {
+	case s.Leaving || a.Except[s.Key.ID]:
+		return None
+	case a.Adapter.Model != "" && !b.usable(now, s, a.Adapter):
+		return Absent
+	case s.running >= b.limit(s):
+		return Full
+	case a.Long && !a.Press && b.reading(now, s) > 0:
+		return Occupied
+	}
+	return Chosen
+}
+
 func (s *server) use(ad tracker.Adapter) *Use {
 	u := s.uses[ad]
 	if u == nil {
--- a/serving/tracker/tracker.go
+++ b/serving/tracker/tracker.go
@@ -133,14 +133,6 @@
 	return r.Instance, true
 }
 
-// Seen returns when the instance was heard of last.
-func (t *Tracker) Seen(id string) time.Time {
-	if r, ok := t.known[id]; ok {
-		return r.seen
-	}
-	return time.Time{}
-}
-
 // Instances returns all instances by ID.
 func (t *Tracker) Instances() []Instance {
 	out := make([]Instance, 0, len(t.known))
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -98,8 +98,10 @@
 			d.placing.SetEngine(in, room)
 		}
 	}
-	for _, in := range d.engines.Instances() {
-		d.diff(in.Key.ID)
+	for _, id := range d.placing.Touched() {
+		if _, ok := d.engines.Instance(id); ok {
+			d.diff(id)
+		}
 	}
 }
 
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -516,9 +516,7 @@
 		h.loads.set(s, l)
 	}
 	for _, m := range up.Missing {
-		if h.desk.placing.Missing(m.Engine, m.Adapter) {
-			h.desk.diff(m.Engine)
-		}
+		h.desk.placing.Missing(m.Engine, m.Adapter)
 	}
 	for _, w := range up.Wants {
 		h.desk.placing.Want(now, allocator.Want{Service: w.Service, Adapter: w.Adapter, Zone: s.hello.Zone, Copy: w.Copy, Due: now.Add(w.Left)})
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -115,7 +115,6 @@
 		}
 		if in, ok := d.engines.Instance(w.target.Key.ID); ok && in.Key == w.target.Key {
 			f(now, d)
-			d.diff(w.target.Key.ID)
 		}
 	})
 }
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -58,8 +58,6 @@
 	reason  string
 	// missing says that the server doesn't hold the adapter or version, or isn't the one that was meant.
 	missing bool
-	// full says that the server rejected the request since it has no room.
-	full bool
 	// spent says that one more send was taken from the budget already.
 	spent  bool
 	status int
@@ -210,7 +208,7 @@
 	case status == http.StatusMisdirectedRequest:
 		r.outcome, r.missing, r.result, r.reason = notRun, true, balancer.Rejected, "the server is not the one that was meant, or lacks the adapter"
 	case len(h.Peek(e.names.NotRun)) > 0:
-		r.outcome, r.full, r.result, r.reason = notRun, true, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(status)
+		r.outcome, r.result, r.reason = notRun, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(status)
 	case status >= 500:
 		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(status)
 	}
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -349,15 +349,22 @@
 		if v == balancer.Occupied {
 			pause = turnEvery
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-loaded:
-		case <-turn:
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !await(ctx, pause, loaded, turn) {
 			return choice, v
 		}
-		t.Stop()
 	}
 }
+
+// await waits until something came or the time is over; false means that ctx has ended.
+func await(ctx context.Context, pause time.Duration, loaded, turn <-chan struct{}) bool {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-loaded:
+	case <-turn:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
