--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -37,28 +36,6 @@
 	// settleTime protects a loaded adapter until processes have reported its first uses; they report every 100 ms, and
 	// requests that waited for it are sent at once.
 	settleTime = 250 * time.Millisecond
-	// fetchesPerEngine is how many adapters may be on their way from the store at once for each engine, at first and at the
-	// least. More than the store serves at full speed only take longer each, and what is wanted most should come first, so
-	// the bound follows the times that fetches take.
-	fetchesPerEngine    = 2
-	minFetchesPerEngine = 1
-	maxFetchesPerEngine = 4
-	// slowFetch is how much longer than the fastest ever the fastest of some fetches takes when the store is beyond its full
-	// speed. Then all fetches share the store, so that a bound slightly too high costs little and one too low leaves it
-	// idle. Single fetches tell nothing: their ends may be seen late.
-	slowFetch = 1.25
-	// fetchWindow is how many fetches are judged together, fetchDecrease and fetchIncrease what moves the bound after slow
-	// ones and after others.
-	fetchWindow   = 16
-	fetchDecrease = 0.85
-	fetchIncrease = 0.1
-	// firstShelved is how many adapters an engine loads from its own disk, for each that it can hold, until loads that
-	// were faster or slower than expected tell more; engines were seen to keep six times what they hold. Each such load
-	// moves the figure by shelfStep, within minShelved and maxShelved.
-	firstShelved = 6
-	shelfStep    = 0.05
-	minShelved   = 1
-	maxShelved   = 64
 )
 
 // Config holds the bounds of an Allocator.
@@ -209,8 +186,9 @@
 	rates    map[tracker.Adapter]*rate
 	versions map[tracker.Adapter]int
 	wants    map[wantKey]wanting
-	// past is what starts of engines are known to have held before, news what is new of that.
+	// past are the loads of starts of engines that an earlier Allocator knew, news those since TakeHeld.
 	past map[tracker.Key][]tracker.Adapter
+	news map[tracker.Key][]tracker.Adapter
 	// touched are the engines whose residents may have changed.
 	touched map[string]bool
 	// surveyed is when it was looked for adapters that need more copies.
@@ -218,13 +196,6 @@
 	// copies is how many engines hold or load each adapter, running how many requests run at all of them.
 	copies  map[tracker.Adapter]int
 	running int
-	news    map[tracker.Key][]tracker.Adapter
-}
-
-// Holding is what a start of an engine held, so that it loads that faster than from the store.
-type Holding struct {
-	Engine   tracker.Key       `cbor:"1,keyasint"`
-	Adapters []tracker.Adapter `cbor:"2,keyasint"`
 }
 
 // wanting says since when an adapter is wanted, when it was asked for last, and when the latest of those who wait should
@@ -240,46 +211,12 @@
 		cfg.HalfLife = DefaultHalfLife
 	}
 	return &Allocator{
-		cfg: cfg, perEngine: fetchesPerEngine, shelved: firstShelved, engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
+		cfg: cfg, perEngine: fetchesPerEngine, shelved: firstShelved,
+		engines: make(map[string]*engine), rates: make(map[tracker.Adapter]*rate),
 		versions: make(map[tracker.Adapter]int), wants: make(map[wantKey]wanting),
-		touched: make(map[string]bool), copies: make(map[tracker.Adapter]int), past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
-	}
-}
-
-// Remember takes up what starts of engines held, as recorded by an earlier Allocator.
-func (a *Allocator) Remember(list []Holding) {
-	for _, h := range list {
-		a.past[h.Engine] = append(a.past[h.Engine], h.Adapters...)
-	}
-}
-
-// TakeHeld returns what engines held that was neither remembered nor returned before.
-func (a *Allocator) TakeHeld() []Holding {
-	out := make([]Holding, 0, len(a.news))
-	for k, list := range a.news {
-		out = append(out, Holding{Engine: k, Adapters: list})
+		past: make(map[tracker.Key][]tracker.Adapter), news: make(map[tracker.Key][]tracker.Adapter),
+		touched: make(map[string]bool), copies: make(map[tracker.Adapter]int),
 	}
-	clear(a.news)
-	slices.SortFunc(out, func(x, y Holding) int { return strings.Compare(x.Engine.ID, y.Engine.ID) })
-	return out
-}
-
-// hold notes that an engine loaded an adapter.
-func (a *Allocator) hold(e *engine, ad tracker.Adapter) {
-	e.shelf.Add(ad, struct{}{})
-	a.news[e.Key] = append(a.news[e.Key], ad)
-}
-
-// shelfSize returns how many adapters an engine is taken to load from its own disk.
-func (a *Allocator) shelfSize(room Room) int { return max(int(a.shelved*float64(room.Adapters)), 1) }
-
-func newShelf(size int) *simplelru.LRU[tracker.Adapter, struct{}] {
-	shelf, err := simplelru.NewLRU[tracker.Adapter, struct{}](size, nil)
-	if err != nil {
-		// The size is at least 1, and the library refuses nothing else.
-		panic(err)
-	}
-	return shelf
 }
 
 // SetEngine takes up an engine with what it may hold; no adapter is ordered there before Sync.
@@ -517,47 +454,6 @@
 	}
 }
 
-// learn adapts how many fetches may be under way, and how many adapters engines are taken to load from their own disks, to
-// the time that a load took.
-func (a *Allocator) learn(e *engine, fetched bool, took time.Duration) {
-	if took <= 0 {
-		return
-	}
-	fromStore := a.fastest > 0 && took > a.fastest*9/10
-	switch {
-	case !fetched && fromStore:
-		a.shelved = max(a.shelved-shelfStep, minShelved)
-		e.shelf.Resize(a.shelfSize(e.room))
-		return
-	case !fetched:
-		return
-	case took < a.fastest/2:
-		a.shelved = min(a.shelved+shelfStep, maxShelved)
-		e.shelf.Resize(a.shelfSize(e.room))
-		return
-	}
-	a.judgeFetch(took)
-}
-
-// judgeFetch adapts how many fetches may be under way once some have ended.
-func (a *Allocator) judgeFetch(took time.Duration) {
-	if a.fastest == 0 || took < a.fastest {
-		a.fastest = took
-	}
-	if a.window.n == 0 || took < a.window.fastest {
-		a.window.fastest = took
-	}
-	if a.window.n++; a.window.n < fetchWindow {
-		return
-	}
-	if float64(a.window.fastest) > slowFetch*float64(a.fastest) {
-		a.perEngine = max(a.perEngine*fetchDecrease, minFetchesPerEngine)
-	} else {
-		a.perEngine = min(a.perEngine+fetchIncrease, maxFetchesPerEngine)
-	}
-	a.window.n = 0
-}
-
 // Evicted ends an eviction; after one that wasn't carried out the adapter stays.
 func (a *Allocator) Evicted(now time.Time, o Order, out Outcome) {
 	e := a.engines[o.Engine]
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -119,19 +119,6 @@
 	return First
 }
 
-// fetches returns how many adapters are on their way from the store.
-func (a *Allocator) fetches() int {
-	n := 0
-	for _, e := range a.engines {
-		for _, s := range e.slots {
-			if s.state == loading && s.fetched {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // isHeld reports whether an engine that takes work held the adapter lately and could take it back.
 func (a *Allocator) isHeld(k wantKey) bool {
 	for _, e := range a.engines {
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -325,7 +325,7 @@
 	bestScore := math.Inf(1)
 	for _, s := range b.services[a.Service] {
 		if v := b.judge(now, s, a); v != Chosen {
-			if told[v] > told[verdict] {
+			if precedence[v] > precedence[verdict] {
 				verdict = v
 			}
 			continue
@@ -358,8 +358,8 @@
 	return c, Chosen
 }
 
-// told orders the verdicts on servers: of several, the last is what the caller is told.
-var told = map[Verdict]int{None: 0, Absent: 1, Occupied: 2, Full: 3}
+// precedence orders the verdicts on servers; of several, the highest is that on the request.
+var precedence = map[Verdict]int{None: 0, Absent: 1, Occupied: 2, Full: 3}
 
 // judge reports whether a server may take the request, or why not.
 func (b *Balancer) judge(now time.Time, s *server, a Ask) Verdict {
