governor: one joiner for a replica's life, reset when a leadership begins

Change: the joiner stays and is reset by the control goroutine; a change of an earlier leadership doesn't end a later one's turn; a request to join ends with its context. Eight parallel askers while a leadership began did not show the race in 5 plays, so that no such test is kept.

--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -249,7 +249,7 @@
 	h.applied = state.Applied
 	h.told = state
 	h.recorder, h.loads = recorder{}, newLoads()
-	h.joiner = newJoiner(h)
+	h.joiner.reset()
 	h.log.Info("leads", h.cfg.Node)
 }
 
--- a/stage/governor/join.go
+++ b/stage/governor/join.go
@@ -20,9 +20,11 @@
 	groupSize = 5
 )
 
-// joiner adds and removes replicas for the leader, one change at a time.
+// joiner adds and removes replicas for the leader, one change at a time; the control goroutine calls it but for ask.
 type joiner struct {
 	hub *hub
+	// era counts leaderships, so that a change of an earlier one doesn't end a later one's turn.
+	era int
 	// offered are numbers that were given and aren't members yet, by address.
 	offered map[string]uint64
 	// heard is when each member's session was alive last.
@@ -35,6 +37,14 @@
 	return &joiner{hub: h, offered: make(map[string]uint64), heard: make(map[uint64]time.Time)}
 }
 
+// reset forgets what an earlier leadership knew.
+func (j *joiner) reset() {
+	j.era++
+	clear(j.offered)
+	clear(j.heard)
+	j.busy, j.queue = false, nil
+}
+
 // ask answers a replica that wants a place; it runs outside of the control goroutine.
 func (j *joiner) ask(ctx context.Context, ask joinAsk) (joinReply, error) {
 	r := j.hub.seat.log()
@@ -57,7 +67,12 @@
 	if !j.hub.post(func(time.Time) { known <- j.offered[ask.Addr] }) {
 		return joinReply{}, ErrNoLeader
 	}
-	id := <-known
+	var id uint64
+	select {
+	case id = <-known:
+	case <-ctx.Done():
+		return joinReply{}, ctx.Err()
+	}
 	if id == 0 || ask.ID != 0 && ask.ID != id {
 		res, err := j.hub.seat.propose(ctx, command{Allot: true})
 		if err != nil {
@@ -105,11 +120,12 @@
 
 func (j *joiner) start(f func(ctx context.Context)) {
 	j.busy = true
+	era := j.era
 	j.hub.spawn(func() {
 		ctx, cancel := context.WithTimeout(j.hub.ctx, addTimeout)
 		defer cancel()
 		f(ctx)
-		j.hub.post(func(time.Time) { j.busy = false })
+		j.hub.post(func(time.Time) { j.busy = j.busy && j.era != era })
 	})
 }
 
