--- a/stage/governor/worker_test.go
+++ b/stage/governor/worker_test.go
@@ -80,10 +80,30 @@
 	h.desk.placing.Want(time.Now(), allocator.Want{Service: "s", Adapter: testAdapter(name).Adapter, Zone: "z"})
 }
 
+// onePlace is the only place of an engine that holds a1.
+type onePlace struct{ evicted, overrun bool }
+
+// take carries an order out.
+func (p *onePlace) take(o EngineOrder) (Verdict, error) {
+	p.evicted = p.evicted || !o.Load
+	p.overrun = p.overrun || o.Load && !p.evicted
+	return Holds, nil
+}
+
+// check wants a2 until the engine holds it.
+func (p *onePlace) check(c *qt.C, h *hub) {
+	h.until(func() bool {
+		h.want("a2")
+		return h.holds(testAdapter("a2"))
+	})
+	c.Check(p.overrun, qt.IsFalse, qt.Commentf("a1 takes the only place until it is unloaded"))
+}
+
 // A new leader's first report may count an order of the last leader whose adapter it doesn't list yet.
 func TestANewLeaderWaitsForReportsThatListAllOrders(t *testing.T) {
 	c := qt.New(t)
-	reports, evicted, overrun := 0, false, false
+	reports := 0
+	var place onePlace
 	h := lead(c, &scripted{
 		report: func() (EngineReport, error) {
 			reports++
@@ -94,16 +114,10 @@
 			return r, nil
 		},
 		order: func(o EngineOrder) (Verdict, error) {
-			evicted = evicted || !o.Load
-			overrun = overrun || o.Load && !evicted
-			return Holds, nil
+			return place.take(o)
 		},
 	}, 1)
-	h.until(func() bool {
-		h.want("a2")
-		return h.holds(testAdapter("a2"))
-	})
-	c.Check(overrun, qt.IsFalse, qt.Commentf("a1 takes the only place until it is unloaded"))
+	place.check(c, h)
 }
 
 func TestAnOrderWithoutAnAnswerKeepsItsPlace(t *testing.T) {
@@ -158,7 +172,8 @@
 // An order whose answer was lost may be carried out seconds later, and reports count it before they list its adapter.
 func TestAReportThatCountsUnknownOrdersIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
-	taken, reports, evicted, overrun := uint64(0), 0, false, false
+	taken, reports := uint64(0), 0
+	var place onePlace
 	h := lead(c, &scripted{
 		report: func() (EngineReport, error) {
 			r := EngineReport{Orders: taken, Residents: []tracker.Resident{testBase}}
@@ -174,16 +189,10 @@
 				taken = 1
 				return Conflict, nil
 			}
-			evicted = evicted || !o.Load
-			overrun = overrun || o.Load && !evicted
-			return Holds, nil
+			return place.take(o)
 		},
 	}, 1)
-	h.until(func() bool {
-		h.want("a2")
-		return h.holds(testAdapter("a2"))
-	})
-	c.Check(overrun, qt.IsFalse, qt.Commentf("a1 takes the only place until it is unloaded"))
+	place.check(c, h)
 }
 
 // What an earlier start of an engine reported says nothing of the start that is known now.
