relayer: silence ends a stream only for a server that takes it at once; bytes that are no answer reach nobody

Ruled out: the deadline (15 s), the route's new time-out (the document in force at arrival counts). A stream that its engine broke off waited until 3.5 s after its arrival, too, however old it was. Change: another engine is chosen and paid for first, and only then the silent one loses the request; a broken stream waits as long as its caller does since the latest event. Who waits for an adapter names the servers that gave no answer, so that it is loaded elsewhere though a crashed engine is still listed with it.

Now: one delimiting, a name on each reused connection, large successes are passed on as they come, failures and events are held up to 256 KB, a hundred answers without end stay below half of an entry's memory (measured by the test).

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -92,6 +92,8 @@
 	Copy bool
 	// Due is when the answer to the request that waits should begin.
 	Due time.Time
+	// Except are engines that hold the adapter and did not answer.
+	Except []string
 }
 
 type state int
@@ -200,7 +202,11 @@
 
 // wanting says since when an adapter is wanted, when it was asked for last, and when the latest of those who wait should
 // have it.
-type wanting struct{ since, last, due time.Time }
+type wanting struct {
+	since, last, due time.Time
+	// except are engines that did not answer those who wait.
+	except []string
+}
 
 // New returns an Allocator without engines.
 func New(cfg Config) *Allocator {
@@ -337,7 +343,13 @@
 
 // Want takes a request for an adapter; it counts as a use, since those that wait will use it.
 func (a *Allocator) Want(now time.Time, w Want) {
-	a.want(now, wantKey{w.Service, w.Adapter, w.Zone, w.Copy}, w.Due)
+	k := wantKey{w.Service, w.Adapter, w.Zone, w.Copy}
+	a.want(now, k, w.Due)
+	if len(w.Except) > 0 {
+		v := a.wants[k]
+		v.except = w.Except
+		a.wants[k] = v
+	}
 	if !w.Copy {
 		a.used(now, w.Adapter, 1)
 	}
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -486,3 +486,21 @@
 	a.Plan(start.Add(time.Second))
 	c.Check(a.Touched(), qt.HasLen, 1, qt.Commentf("an older version gets no new requests"))
 }
+
+// An engine that crashed stays listed for a while: those whose requests got no answer there need the adapter elsewhere.
+func TestAnEngineThatDoesNotAnswerIsNoReasonNotToLoad(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z1"), 1)
+	add(a, engine("y", "z2"), 1)
+	c.Assert(load(c, a, start, want("a1", "z1")).Engine, qt.Equals, "x")
+	again := want("a1", "z1")
+	a.Want(start, again)
+	c.Check(a.Plan(start), qt.HasLen, 0)
+	again.Except = []string{"x"}
+	a.Want(start, again)
+	later := start.Add(300 * time.Millisecond)
+	orders := a.Plan(later)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Engine, qt.Equals, "y")
+}
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -44,10 +44,10 @@
 	if k.copied && a.rate(now, k.adapter) < minCopyRate {
 		return true
 	}
-	version := a.version(k.adapter)
-	for _, e := range a.engines {
+	version, except := a.version(k.adapter), a.wants[k].except
+	for id, e := range a.engines {
 		s := e.slots[k.adapter]
-		if e.Service != k.service || e.Leaving || s == nil {
+		if e.Service != k.service || e.Leaving || s == nil || slices.Contains(except, id) {
 			continue
 		}
 		if s.state == retiring && len(s.inUse) == 0 && !k.copied {
@@ -71,7 +71,7 @@
 	var best candidate
 	for _, id := range slices.Sorted(maps.Keys(a.engines)) {
 		e := a.engines[id]
-		if !a.takes(e, k) || (patient || limited) && !e.shelf.Contains(k.adapter) {
+		if !a.takes(e, k) || slices.Contains(a.wants[k].except, id) || (patient || limited) && !e.shelf.Contains(k.adapter) {
 			continue
 		}
 		v, free := a.victim(now, e, k)
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -519,7 +519,7 @@
 		h.desk.placing.Missing(m.Engine, m.Adapter)
 	}
 	for _, w := range up.Wants {
-		h.desk.placing.Want(now, allocator.Want{Service: w.Service, Adapter: w.Adapter, Zone: s.hello.Zone, Copy: w.Copy, Due: now.Add(w.Left)})
+		h.desk.placing.Want(now, allocator.Want{Service: w.Service, Adapter: w.Adapter, Zone: s.hello.Zone, Copy: w.Copy, Due: now.Add(w.Left), Except: w.Except})
 	}
 	if up.Beat > 0 {
 		h.send(s, Down{Beat: up.Beat})
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -36,6 +36,8 @@
 	Copy    bool            `cbor:"3,keyasint,omitempty"`
 	// Left is the time in which the request that waits should be answered; it may be negative.
 	Left time.Duration `cbor:"4,keyasint,omitempty"`
+	// Except are servers that did not answer the request; that they hold the adapter doesn't help it.
+	Except []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Use tells of an adapter at an engine since the last report.
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -1,14 +1,12 @@
 package relayer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,10 +16,9 @@
 )
 
 const (
-	// maxAnswer bounds an answer that isn't a stream, in bytes.
-	maxAnswer = 16 << 20
-	// maxStray bounds the answers to earlier requests that are skipped on a connection.
-	maxStray = 3
+	// maxStray bounds the answers to earlier requests, and maxInterim the interim answers, that are skipped on a connection.
+	maxStray   = 3
+	maxInterim = 8
 	// largeBody is the size from which a request is written while its answer may come already, in bytes.
 	largeBody = 8 << 10
 	// deadlineSlack is how much longer than the engine this entry waits, so that the engine's own word arrives.
@@ -58,8 +55,8 @@
 	reason  string
 	// missing says that the server doesn't hold the adapter or version, or isn't the one that was meant.
 	missing bool
-	// spent says that one more send was taken from the budget already.
-	spent  bool
+	// next is the server at which the request goes on, if it is chosen already; the budget has paid for it.
+	next   *balancer.Choice
 	status int
 	fields []field
 	body   []byte
@@ -158,86 +155,78 @@
 	return b.Bytes()
 }
 
-// read reads the answer; those of earlier requests on the connection are skipped.
+// read reads the answer; interim ones and those of earlier requests on the connection are skipped.
 func (e *Relayer) read(ctx context.Context, c *conn, a *attempt, out *answer) (reply, time.Duration) {
-	for range maxStray {
-		var h fasthttp.ResponseHeader
-		h.SetNoDefaultContentType(true)
-		if err := h.Read(c.br); err != nil {
+	for stray, interim := 0, 0; stray < maxStray && interim < maxInterim; {
+		h, err := readAnswerHead(c.br)
+		if err != nil {
 			return lost("read", err), -1
 		}
 		named := string(h.Peek(e.names.Attempt))
-		if named != "" && named != a.call.id {
-			if h.ContentLength() < 0 {
-				break
-			}
-			if _, err := c.br.Discard(h.ContentLength()); err != nil {
+		switch {
+		case h.StatusCode() < http.StatusOK:
+			interim++
+		case named == a.call.id, named == "" && !c.used && stray == 0:
+			// A first answer that names no request can only belong to the connection's first one.
+			return e.take(ctx, c, h, a, out)
+		case named == "":
+			return lost("read", errors.New("an answer that names no request came on a connection that was used before")), -1
+		default:
+			if err := skipBody(c.br, h); err != nil {
 				return lost("skip an answer to another request", err), -1
 			}
-			continue
+			stray++
 		}
-		return e.take(ctx, c, &h, a, out)
 	}
 	return lost("read", errors.New("the answer belongs to another request")), -1
 }
 
-// take judges an answer by its head and reads its body.
+// take judges an answer by its head and reads its body; a large one is passed on as it comes.
 func (e *Relayer) take(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer) (reply, time.Duration) {
 	status := h.StatusCode()
-	sealed := len(h.Peek(e.names.Seal)) > 0
 	keep := keepAlive(string(h.Peek("Keep-Alive")))
 	if h.ConnectionClose() {
 		keep = -1
 	}
-	success := status >= 200 && status < 300
-	if success && !sealed {
+	success := isSuccess(status)
+	switch {
+	case success && len(h.Peek(e.names.Seal)) == 0:
 		return lost("answer", errors.New("a success without the server's seal")), -1
-	}
-	if success && a.call.route.Stream {
+	case success && !isPlain(h):
+		return lost("answer", errors.Errorf("the body is encoded as %q, which nobody asked for", h.Peek("Content-Encoding"))), -1
+	case success && a.call.route.Stream:
 		return e.stream(ctx, c, h, a, out, keep)
 	}
-	body, whole, err := readWhole(c.br, h, a.call.req.method)
-	if err != nil {
+	b := newBody(c.br, h, a.call.req.method)
+	data, whole, err := b.head(heldAnswer)
+	switch {
+	case err != nil:
 		return lost("body", err), -1
-	}
-	if !whole {
+	case !whole && !success:
+		return lost("body", errors.New("a failure with a large body")), -1
+	case !whole:
+		return e.pass(h, b, data, out, keep)
+	case b.delimit == untilClose:
 		keep = -1
 	}
-	r := reply{outcome: answered, status: status, body: body, fields: answerFields(h), result: balancer.OK}
+	r := reply{outcome: answered, status: status, body: data, fields: answerFields(h), result: balancer.OK}
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		r.outcome, r.missing, r.result, r.reason = notRun, true, balancer.Rejected, "the server is not the one that was meant, or lacks the adapter"
 	case len(h.Peek(e.names.NotRun)) > 0:
 		r.outcome, r.result, r.reason = notRun, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(status)
-	case status >= 500:
+	case status >= http.StatusInternalServerError:
 		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(status)
 	}
 	return r, keep
 }
 
-// readWhole reads a body that isn't a stream; whole says that the connection can be used again.
-func readWhole(br *bufio.Reader, h *fasthttp.ResponseHeader, method string) (body []byte, whole bool, err error) {
-	status := h.StatusCode()
-	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
-		return nil, true, nil
-	}
-	switch n := h.ContentLength(); {
-	case n > maxAnswer:
-		return nil, false, errors.Errorf("the answer has %d bytes", n)
-	case n >= 0:
-		body = make([]byte, n)
-		_, err = io.ReadFull(br, body)
-		return body, err == nil, err
-	case n == -1:
-		body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), maxAnswer))
-		if err == nil {
-			err = skipTrailer(br)
-		}
-		return body, err == nil, err
-	default:
-		body, err = io.ReadAll(io.LimitReader(br, maxAnswer))
-		return body, false, err
-	}
+func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+
+// isPlain reports whether a body comes as the server made it; callers ask for no encoding.
+func isPlain(h *fasthttp.ResponseHeader) bool {
+	v := string(h.Peek("Content-Encoding"))
+	return v == "" || strings.EqualFold(v, "identity")
 }
 
 // answerFields returns the headers of an answer that go to the caller.
--- a/stage/relayer/head.go
+++ b/stage/relayer/head.go
@@ -205,19 +205,6 @@
 	return skipTrailer(br)
 }
 
-// skipTrailer reads what follows the last chunk.
-func skipTrailer(br *bufio.Reader) error {
-	for {
-		line, err := br.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-}
-
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- /dev/null
+++ b/stage/relayer/hostile_test.go
@@ -0,0 +1,357 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
+)
+
+// script answers the requests of one connection, from 0, by writing bytes; false ends the connection.
+type script func(w io.Writer, n int, r *http.Request) bool
+
+// hostile runs an entry before one server that speaks by a script; seen counts the requests that reached the server.
+func hostile(c *qt.C, s script) (e *Relayer, seen *atomic.Int32) {
+	e, seen = start(c), new(atomic.Int32)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					seen.Add(1)
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !s(conn, n, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	e.link.take(governor.Down{Welcome: &governor.Welcome{Era: 1}, Entries: 1, Engines: []tracker.Instance{{
+		Key: tracker.Key{ID: "s0", Born: 1}, Service: "s", Zone: "z", Addr: ln.Addr().String(), Slots: 200,
+	}}})
+	return e, seen
+}
+
+// headOf begins a server's answer to a request.
+func headOf(r *http.Request, status int, headers ...string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal\r\n", status, testAttempt, r.Header.Get(testAttempt), testSeal)
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	return head + "\r\n"
+}
+
+// endless writes the same bytes until the entry closes the connection.
+func endless(w io.Writer, text string) {
+	block := strings.Repeat(text, max(1<<14/len(text), 1))
+	for {
+		if _, err := io.WriteString(w, block); err != nil {
+			return
+		}
+	}
+}
+
+// TestBytesThatAreNoAnswer plays servers in trouble: each caller gets its own whole answer or a failure, in bounded time,
+// and what isn't whole doesn't look so.
+func TestBytesThatAreNoAnswer(t *testing.T) {
+	ok := "Content-Length: 2"
+	for _, row := range []struct {
+		name string
+		path string
+		// send is written as the answer, then more without end.
+		send func(r *http.Request) string
+		more string
+		// status is the caller's, or 0 where the answer breaks off after its head; body is that of a success.
+		status int
+		body   string
+	}{
+		{name: "one interim answer", path: "/once/", status: 200, body: "ok", send: func(r *http.Request) string {
+			return "HTTP/1.1 100 Continue\r\n\r\n" + headOf(r, 200, ok) + "ok"
+		}},
+		{name: "interim answers with headers", path: "/stream/", status: 200, body: "id: 1\n\n", send: func(r *http.Request) string {
+			return "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + headOf(r, 200, "Content-Length: 7") + "id: 1\n\n"
+		}},
+		{name: "interim answers without end", path: "/once/", status: 502, more: "HTTP/1.1 100 Continue\r\n\r\n"},
+		{name: "another protocol", path: "/once/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 101, "Upgrade: x")
+		}},
+		{name: "a head without end", path: "/once/", status: 502, more: "X: y\r\n", send: func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\n"
+		}},
+		{name: "a header without end", path: "/once/", status: 502, more: "y", send: func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\nX: "
+		}},
+		{name: "no protocol at all", path: "/once/", status: 502, more: "\x00\x01garbage"},
+		{name: "a body without length or end", path: "/once/", more: "x", send: func(r *http.Request) string { return headOf(r, 200) }},
+		{name: "a failure without length or end", path: "/once/", status: 502, more: "x", send: func(r *http.Request) string {
+			return headOf(r, 500)
+		}},
+		{name: "chunks without end", path: "/once/", more: "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n", send: func(r *http.Request) string {
+			return headOf(r, 200, "Transfer-Encoding: chunked")
+		}},
+		{name: "a chunk's extension without end", path: "/once/", status: 502, more: "y", send: func(r *http.Request) string {
+			return headOf(r, 200, "Transfer-Encoding: chunked") + "2;x="
+		}},
+		{name: "a trailer without end", path: "/once/", status: 502, more: "X: y\r\n", send: func(r *http.Request) string {
+			return headOf(r, 200, "Transfer-Encoding: chunked") + "2\r\nok\r\n0\r\n"
+		}},
+		{name: "two lengths", path: "/once/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 200, ok, "Content-Length: 4") + "okok"
+		}},
+		{name: "a length and chunks", path: "/once/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 200, ok, "Transfer-Encoding: chunked") + "2\r\nok\r\n0\r\n\r\n"
+		}},
+		{name: "a length that is none", path: "/once/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 200, "Content-Length: 2, 2") + "ok"
+		}},
+		{name: "an encoded body", path: "/once/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 200, ok, "Content-Encoding: gzip") + "ok"
+		}},
+		{name: "a body that ends early", path: "/once/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 200, "Content-Length: 9") + "ok"
+		}},
+		{name: "an event that never ends", path: "/stream/", status: 502, more: "data: x\n", send: func(r *http.Request) string {
+			return headOf(r, 200)
+		}},
+		{name: "a line that never ends", path: "/stream/", status: 502, more: "x", send: func(r *http.Request) string {
+			return headOf(r, 200)
+		}},
+		{name: "an event that never ends after others", path: "/stream/", more: "data: x\n", send: func(r *http.Request) string {
+			return headOf(r, 200, "Transfer-Encoding: chunked") + "7\r\nid: 1\n\n\r\n100000000\r\n"
+		}},
+		{name: "a stream whose last event is torn", path: "/stream/", status: 502, send: func(r *http.Request) string {
+			return headOf(r, 200) + "id: 1\nda"
+		}},
+		{name: "another's answer of any length first", path: "/once/", status: 502, more: "x", send: func(r *http.Request) string {
+			return strings.Replace(headOf(r, 200, "Content-Length: 99999999999"), "id-1", "id-0", 1)
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			e, seen := hostile(c, func(w io.Writer, _ int, r *http.Request) bool {
+				if row.send != nil {
+					_, _ = io.WriteString(w, row.send(r))
+				}
+				if row.more != "" {
+					endless(w, row.more)
+				}
+				return false
+			})
+			l := dial(c, e)
+			l.send(c, "POST", row.path, "x", testDeadline+": 9000")
+			answer := l.receive(c)
+			if row.status == 0 {
+				c.Check(answer.status, qt.Equals, 200)
+				c.Check(answer.err, qt.Equals, io.ErrUnexpectedEOF, qt.Commentf("%d bytes look whole", len(answer.body)))
+			} else {
+				c.Check(answer.status, qt.Equals, row.status, qt.Commentf("%.200s", answer.body))
+				c.Check(answer.err, qt.IsNil)
+			}
+			if row.body != "" {
+				c.Check(answer.body, qt.Equals, row.body)
+			}
+			c.Check(seen.Load(), qt.Equals, int32(1))
+		})
+	}
+}
+
+// A server's second copy of an answer comes on a connection that is in use again: the next caller gets its own answer.
+func TestASecondCopyOfAnAnswerReachesNobody(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		copied func(first string) string
+		status int
+	}{
+		{"named", func(first string) string { return first }, 200},
+		{"twice", func(first string) string { return first + first }, 200},
+		{"in chunks", func(first string) string {
+			return strings.Replace(first, "Content-Length: 3\r\n\r\none", "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", 1)
+		}, 200},
+		{"without a name", func(first string) string { return strings.Replace(first, testAttempt, "X-Lost", 1) }, 502},
+		{"that says not run", func(first string) string {
+			return strings.Replace(strings.Replace(first, testAttempt, "X-Lost", 1), "200 X\r\n", "503 X\r\n"+testNotRun+": 1\r\n", 1)
+		}, 502},
+		{"cut in its head", func(first string) string { return first[:len(first)/2] }, 502},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			var first string
+			e, _ := hostile(c, func(w io.Writer, n int, r *http.Request) bool {
+				if n == 0 {
+					first = headOf(r, 200, "Content-Length: 3") + "one"
+					_, _ = io.WriteString(w, first)
+					return true
+				}
+				// The copy comes once the connection is in use again.
+				_, _ = io.WriteString(w, row.copied(first))
+				_, _ = io.WriteString(w, headOf(r, 200, "Content-Length: 3")+"two")
+				return true
+			})
+			l := dial(c, e)
+			l.send(c, "POST", "/once/", "x", testDeadline+": 900")
+			c.Check(l.receive(c).body, qt.Equals, "one")
+			_, err := fmt.Fprintf(l, "POST /once/ HTTP/1.1\r\nHost: %s\r\n%s: id-2\r\n%s: 900\r\nContent-Length: 0\r\n\r\n", testHost, testAttempt, testDeadline)
+			c.Assert(err, qt.IsNil)
+			answer := l.receive(c)
+			c.Check(answer.status, qt.Equals, row.status)
+			if row.status == 200 {
+				c.Check(answer.body, qt.Equals, "two")
+			}
+		})
+	}
+}
+
+// A stream that sends a byte now and then, and never an event, ends at the caller's deadline and not later.
+func TestATricklingStreamEndsAtItsDeadline(t *testing.T) {
+	c := qt.New(t)
+	e, _ := hostile(c, func(w io.Writer, _ int, r *http.Request) bool {
+		_, _ = io.WriteString(w, headOf(r, 200)+"id: 1\n\n")
+		for {
+			if _, err := io.WriteString(w, ":"); err != nil {
+				return false
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/resumable/", "x", testDeadline+": 700")
+	answer := l.receive(c)
+	c.Check(answer.body, qt.Equals, "id: 1\n\n")
+	c.Check(answer.err, qt.Equals, io.ErrUnexpectedEOF)
+}
+
+// Answers without end at a hundred callers at once stay within half of a small entry's memory.
+func TestAHundredAnswersWithoutEndFitIntoAnEntry(t *testing.T) {
+	const half = 92 << 20
+	for _, row := range []struct{ name, path, head, more string }{
+		{"bodies", "/once/", "X-A: b", "x"},
+		{"failures", "/once/", "X-A: b", "x"},
+		{"events", "/stream/", "X-A: b", "data: x\n"},
+		{"lines", "/stream/", "X-A: b", "x"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			status := 200
+			if row.name == "failures" {
+				status = 500
+			}
+			e, _ := hostile(c, func(w io.Writer, _ int, r *http.Request) bool {
+				_, _ = io.WriteString(w, headOf(r, status, row.head))
+				endless(w, row.more)
+				return false
+			})
+			var peak atomic.Uint64
+			stop := make(chan struct{})
+			var watch, callers sync.WaitGroup
+			watch.Go(func() {
+				for {
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					if m.HeapAlloc > peak.Load() {
+						peak.Store(m.HeapAlloc)
+					}
+					select {
+					case <-stop:
+						return
+					case <-time.After(5 * time.Millisecond):
+					}
+				}
+			})
+			for range 100 {
+				l := dial(c, e)
+				l.send(c, "POST", row.path, "x", testDeadline+": 3000")
+				callers.Go(func() {
+					resp, err := http.ReadResponse(l.br, nil)
+					if err == nil {
+						// Callers leave after a while; what they got isn't held here.
+						_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
+					}
+					_ = l.Close()
+				})
+			}
+			callers.Wait()
+			close(stop)
+			watch.Wait()
+			c.Check(peak.Load() < half, qt.IsTrue, qt.Commentf("%d MB", peak.Load()>>20))
+		})
+	}
+}
+
+// An engine's silence ends no answer where no other engine takes the request, though the budget has room.
+func TestASilentStreamIsWaitedForWhereNoOtherTakesIt(t *testing.T) {
+	c := qt.New(t)
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		event(w, 1)
+		time.Sleep(gapFloor + 500*time.Millisecond)
+		event(w, 2)
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/resumable/", "x", testDeadline+": 9000")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
+
+// A stream that its engine broke off waits for another one as long as its caller does, counted from the last event.
+func TestABrokenStreamWaitsForAnotherServerFromItsLastEvent(t *testing.T) {
+	c := qt.New(t)
+	var joined tracker.Instance
+	release := make(chan struct{})
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		if r.Header.Get(testResume) == "" {
+			event(w, 1)
+			<-release
+			event(w, 2)
+			panic(http.ErrAbortHandler)
+		}
+		event(w, 3)
+	})
+	for _, in := range e.balancer.Known() {
+		joined = in
+	}
+	joined.Service = "adapters"
+	e.link.take(governor.Down{Engines: []tracker.Instance{joined}})
+	joined.Key.ID = "s1"
+	adapter := tracker.Adapter{Model: "m", Name: "a"}
+	e.balancer.Hold("s0", adapter, 1)
+	l := dial(c, e)
+	l.send(c, "POST", "/tuned/", "x", testDeadline+": 9000", "X-Model: m/a")
+	_, err := l.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	// The stream is as old as its caller would have waited for a first event.
+	time.Sleep(leaveFloor)
+	close(release)
+	time.Sleep(300 * time.Millisecond)
+	e.link.take(governor.Down{Engines: []tracker.Instance{joined}})
+	e.balancer.Hold("s1", adapter, 1)
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
+}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -38,6 +38,7 @@
 		model, name, _ := strings.Cut(v, "/")
 		return tracker.Adapter{Model: model, Name: name}
 	},
+	ParseUsage: func(string) int { return 0 },
 }
 
 // testTable has a route of each kind below one host.
@@ -49,7 +50,10 @@
 	safe.Name, safe.Prefix, safe.Repeat = "safe", "/safe/", matcher.Again
 	stream.Name, stream.Prefix, stream.Stream = "stream", "/stream/", true
 	resumable.Name, resumable.Prefix, resumable.Stream, resumable.Resumable = "resumable", "/resumable/", true, true
-	t, err := matcher.New(1, []matcher.Route{once, safe, stream, resumable}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	tuned := resumable
+	tuned.Name, tuned.Prefix, tuned.Shares = "tuned", "/tuned/", []matcher.Share{{Service: "adapters", Weight: 1}}
+	services := []matcher.Service{{Name: "s"}, {Name: "adapters", AdapterSlots: 4}}
+	t, err := matcher.New(1, []matcher.Route{once, safe, stream, resumable, tuned}, services, matcher.Limits{})
 	c.Assert(err, qt.IsNil)
 	return t
 }
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -57,7 +57,9 @@
 	head     []byte
 	arrived  time.Time
 	deadline time.Time
-	sends    int
+	// since is when the caller heard of the request last: its arrival, or the latest event.
+	since time.Time
+	sends int
 	// wait is the expected wait that was too long.
 	wait time.Duration
 	// choice is the server of the latest attempt, chosen since chosen.
@@ -70,6 +72,8 @@
 	// ran says that an attempt may have run.
 	ran    bool
 	except map[string]bool
+	// silent are the servers that gave no answer.
+	silent []string
 }
 
 // headWithout returns the head without the lines of a header.
@@ -125,9 +129,13 @@
 
 // attempts tries servers until one answers or the request must be given up.
 func (e *Relayer) attempts(ctx context.Context, c *call, w *answer) bool {
+	c.since = c.arrived
+	var next *balancer.Choice
 	for try := 0; ; try++ {
-		choice, v := e.choose(ctx, c)
-		if v != balancer.Chosen {
+		choice, v := balancer.Choice{}, balancer.Chosen
+		if next != nil {
+			choice, next = *next, nil
+		} else if choice, v = e.choose(ctx, c); v != balancer.Chosen {
 			return e.giveUp(ctx, c, w, v)
 		}
 		began := time.Now()
@@ -161,10 +169,18 @@
 			c.ran = true
 			c.except[choice.Key.ID] = true
 		}
+		if r.result == balancer.Unreachable || r.result == balancer.Failed {
+			c.silent = append(c.silent, choice.Key.ID)
+		}
 		e.log.Attempt(c.id, choice.Key.ID, r.reason, time.Since(began))
+		next = r.next
 		if !e.again(ctx, c, w, r, try) {
+			e.release(c, next)
 			return e.fail(ctx, c, w, r)
 		}
+		if w.begun {
+			c.since = w.wrote
+		}
 	}
 }
 
@@ -198,7 +214,7 @@
 		if !c.route.Idempotent() || w.begun && (!c.route.Resumable || w.last == "") {
 			return false
 		}
-		return c.sends < c.route.Attempts && (r.spent || e.budget.spend(time.Now(), e.balancer.Entries()))
+		return c.sends < c.route.Attempts && (r.next != nil || e.budget.spend(time.Now(), e.balancer.Entries()))
 	}
 	return false
 }
@@ -292,7 +308,7 @@
 		return earlier(c.arrived.Add(max(waitFactor*c.route.Target, wantEvery)), c.deadline)
 	}
 	patience := max(leaveFloor, leaveTargets*c.route.Target, leaveGaps*c.route.Gap)
-	return earlier(c.arrived.Add(patience), c.deadline).Add(-lateWork)
+	return earlier(c.since.Add(patience), c.deadline).Add(-lateWork)
 }
 
 // held names what a request waits for.
@@ -327,7 +343,8 @@
 				e.link.want(governor.Want{Service: c.service, Adapter: c.adapter, Copy: true})
 			}
 			return choice, v
-		case v == balancer.None && len(c.except) > 0:
+		case v == balancer.None && len(c.except) > 0 && c.since == c.arrived:
+			// A stream that has begun waits for another server as long as its caller does.
 			return choice, v
 		case v == balancer.Full && ask.Ticket == nil:
 			patience := time.Duration(queueShare * float64(time.Until(c.deadline)))
@@ -340,7 +357,10 @@
 		}
 		c.held = held[v]
 		if v == balancer.Absent && c.adapter.Name != "" {
-			e.link.want(governor.Want{Service: c.service, Adapter: c.adapter, Left: time.Until(c.arrived.Add(c.route.Target))})
+			e.link.want(governor.Want{
+				Service: c.service, Adapter: c.adapter, Left: time.Until(c.arrived.Add(c.route.Target)),
+				Except: c.silent,
+			})
 		}
 		if ask.Ticket != nil {
 			turn = ask.Ticket.Turn()
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -5,8 +5,8 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http/httputil"
-	"sync/atomic"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,86 +24,131 @@
 	// after eight gaps or two seconds.
 	gapFactor = 5
 	gapFloor  = 1600 * time.Millisecond
-	maxEvent  = 1 << 20
+	// silenceEvery is how often another engine is looked for while one is silent for too long.
+	silenceEvery = 100 * time.Millisecond
+	// maxEvent bounds an event in bytes.
+	maxEvent = 256 << 10
 )
 
 // stream passes the events of an answer on as they come, each only once it is whole.
 func (e *Relayer) stream(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer, keep time.Duration) (reply, time.Duration) {
-	body, limited := streamBody(c.br, h)
-	if limited == untilClose {
+	b := newBody(c.br, h, a.call.req.method)
+	if b.delimit == untilClose {
 		keep = -1
 	}
-	events := &eventReader{br: bufio.NewReaderSize(body, serverBuffer)}
+	events := &eventReader{br: bufio.NewReaderSize(b, serverBuffer)}
 	route := a.call.route
-	var spent atomic.Bool
-	patience := time.AfterFunc(max(time.Duration(firstFactor*float64(route.Target)), firstFloor), func() {
-		// An engine's silence ends its answer only if the request can go on elsewhere.
-		if e.mayResume(a) && e.budget.spend(time.Now(), e.balancer.Entries()) {
-			spent.Store(true)
-			_ = c.Close()
-		}
-	})
-	defer patience.Stop()
+	silence := e.watchSilence(c, a, max(time.Duration(firstFactor*float64(route.Target)), firstFloor))
+	left := reply{outcome: answered, reason: "the caller left", result: balancer.Void}
 	for {
 		block, id, err := events.next()
-		if errors.Is(err, io.EOF) && (limited < 0 || events.taken == limited) {
-			return endStream(c, h, out, limited, keep)
-		}
 		if err != nil {
+			next := silence.stop()
+			if errors.Is(err, io.EOF) {
+				e.release(a.call, next)
+				if !out.begun && !out.begin(h) {
+					return left, -1
+				}
+				return reply{outcome: answered, status: h.StatusCode(), result: balancer.OK}, keep
+			}
 			r := lost("stream", err)
-			r.spent = spent.Load()
+			r.next = next
 			if out.begun {
 				r.outcome = cut
 			}
 			return r, -1
 		}
 		if !out.begun && !out.begin(h) {
-			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
+			e.release(a.call, silence.stop())
+			return left, -1
 		}
 		if a.call.long && e.balancer.Read(a.choice) {
 			e.link.tellLoads()
 		}
-		if !out.chunk(block) {
-			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
+		if !out.chunk(block) || ctx.Err() != nil {
+			e.release(a.call, silence.stop())
+			return left, -1
 		}
 		if id != "" {
 			a.resume, out.last = id, id
 		}
-		patience.Reset(max(gapFactor*route.Gap, gapFloor))
-		if ctx.Err() != nil {
-			return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
-		}
+		silence.reset(max(gapFactor*route.Gap, gapFloor))
 	}
 }
 
-// endStream ends a stream that is whole.
-func endStream(c *conn, h *fasthttp.ResponseHeader, out *answer, limited int, keep time.Duration) (reply, time.Duration) {
-	if !out.begun && !out.begin(h) {
-		return reply{outcome: answered, reason: "the caller left", result: balancer.Void}, -1
-	}
-	if limited == inChunks && skipTrailer(c.br) != nil {
-		keep = -1
+// silence watches over one attempt at a stream: an engine that is silent for too long loses the request, but only to
+// another one that takes it at once. Without that, a late answer is better than none.
+type silence struct {
+	entry *Relayer
+	conn  *conn
+	try   *attempt
+	timer *time.Timer
+
+	mu    sync.Mutex
+	ended bool
+	// next is the engine at which the request goes on.
+	next *balancer.Choice
+}
+
+func (e *Relayer) watchSilence(c *conn, a *attempt, first time.Duration) *silence {
+	s := &silence{entry: e, conn: c, try: a}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(first, s.look)
+	return s
+}
+
+// reset begins the wait for the next event.
+func (s *silence) reset(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended && s.next == nil {
+		s.timer.Reset(d)
 	}
-	return reply{outcome: answered, status: h.StatusCode(), result: balancer.OK}, keep
 }
 
-// How an answer's body is delimited, where it has no length.
-const (
-	inChunks   = -1
-	untilClose = -2
-)
+// stop ends the watch; it returns the engine that has been chosen to go on, if there is one.
+func (s *silence) stop() *balancer.Choice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.timer.Stop()
+	return s.next
+}
 
-// streamBody returns the body of an answer, and its length or how it is delimited.
-func streamBody(br *bufio.Reader, h *fasthttp.ResponseHeader) (io.Reader, int) {
-	switch n := h.ContentLength(); {
-	case n >= 0:
-		return io.LimitReader(br, int64(n)), n
-	case n == inChunks:
-		return httputil.NewChunkedReader(br), n
+// look ends the attempt if another engine takes the request now.
+func (s *silence) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, call := s.entry, s.try.call
+	if s.ended || s.next != nil || !e.mayResume(s.try) {
+		return
+	}
+	except := maps.Clone(call.except)
+	except[s.try.choice.Key.ID] = true
+	now := time.Now()
+	choice, v := e.balancer.Pick(now, balancer.Ask{
+		Service: call.service, Adapter: call.adapter, Zone: e.cfg.Zone, Except: except, Long: call.long, Press: true,
+	})
+	if v != balancer.Chosen {
+		s.timer.Reset(silenceEvery)
+		return
+	}
+	if !e.budget.spend(now, e.balancer.Entries()) {
+		e.release(call, &choice)
+		s.timer.Reset(silenceEvery)
+		return
 	}
-	return br, untilClose
+	s.next = &choice
+	_ = s.conn.Close()
 }
 
+// release gives a chosen engine back that isn't used.
+func (e *Relayer) release(c *call, choice *balancer.Choice) {
+	if choice != nil {
+		e.balancer.End(time.Now(), *choice, c.adapter, balancer.Void)
+	}
+}
 // mayResume reports whether a stream may go on at another engine after this attempt.
 func (e *Relayer) mayResume(a *attempt) bool {
 	c := a.call
@@ -112,9 +157,8 @@
 
 // eventReader cuts a stream into blocks of whole events.
 type eventReader struct {
-	br    *bufio.Reader
-	taken int
-	buf   []byte
+	br  *bufio.Reader
+	buf []byte
 }
 
 // next returns the events that are there, at least one, and the id of the last; io.EOF only between two events.
@@ -123,13 +167,11 @@
 	whole := 0
 	for {
 		line, err := r.br.ReadSlice('\n')
-		r.taken += len(line)
 		r.buf = append(r.buf, line...)
 		switch {
+		case len(r.buf) > maxEvent:
+			return nil, "", errors.Errorf("an event has more than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(r.buf) > maxEvent {
-				return nil, "", errors.New("an event is too large")
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(r.buf) == 0:
 			return nil, "", io.EOF
