--- a/coord/encoder/encoder.go
+++ b/coord/encoder/encoder.go
@@ -76,8 +76,16 @@
 // Name implements connect.Codec.
 func (Codec) Name() string { return Name }
 
+// Raw is a message that is encoded already, so that one encoding serves many receivers.
+type Raw []byte
+
 // Marshal implements connect.Codec.
-func (Codec) Marshal(v any) ([]byte, error) { return Marshal(v) }
+func (Codec) Marshal(v any) ([]byte, error) {
+	if r, ok := v.(*Raw); ok {
+		return *r, nil
+	}
+	return Marshal(v)
+}
 
 // Unmarshal implements connect.Codec; an empty body is the zero value.
 func (Codec) Unmarshal(data []byte, v any) error {
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -167,9 +167,9 @@
 }
 
 // whole returns everything that an entry must know.
-func (d *desk) whole(state *durable) Down {
+func (d *desk) whole(state *durable, now time.Time) Down {
 	down := Down{
-		Welcome: &Welcome{Era: d.era}, Doc: &state.Doc, Versions: state.Versions, Left: state.Left,
+		Welcome: &Welcome{Era: d.era, Settled: now.Sub(d.begun) >= settleTime}, Doc: &state.Doc, Versions: state.Versions, Left: state.Left,
 	}
 	for _, in := range d.engines.Instances() {
 		in.Residents = d.placing.Residents(in.Key.ID)
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -9,6 +10,7 @@
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/waiter"
+	"redwingstage.org/serving/tracker"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// of them are tried before the next leader.
 	dialTimeout = 400 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
+	// maxUpstream is how many messages of a relay wait for the leader's connection.
+	maxUpstream = 64
 )
 
 var errNoLeaderThere = errors.New("this replica does not lead")
@@ -49,6 +53,10 @@
 				return
 			}
 			silence.Reset(sessionSilence)
+			if d, err = unpack(d); err != nil {
+				received <- err
+				return
+			}
 			if d.Welcome == nil && d.Redirect != "" {
 				redirect = d.Redirect
 			}
@@ -88,10 +96,11 @@
 
 // isEmpty reports whether a message says nothing, as of a replica that knows no leader.
 func isEmpty(d *Down) bool {
-	return d.Doc == nil && d.Beat == 0 && d.Entries == 0 && len(d.Exact)+len(d.Engines)+len(d.Gone)+len(d.Moves)+len(d.Versions)+len(d.Left)+len(d.Loads) == 0
+	return d.Doc == nil && d.Beat == 0 && d.Entries == 0 && len(d.Replicas)+len(d.Exact)+len(d.Engines)+len(d.Gone)+len(d.Moves)+len(d.Versions)+len(d.Left)+len(d.Loads) == 0
 }
 
-// follow keeps a session to the leader while another replica leads, so that the leader knows that this one lives.
+// follow keeps a session to the leader while another replica leads: the leader hears that this one lives, and its relay
+// has a source.
 func (h *hub) follow() {
 	for h.ctx.Err() == nil {
 		waiter.Wait(h.ctx, 2*retryPause)
@@ -104,11 +113,60 @@
 			continue
 		}
 		for _, m := range st.Members {
-			if m.ID != st.Leader {
-				continue
+			if m.ID == st.Leader {
+				h.followAt(m.Addr, Hello{Node: h.cfg.Node, Zone: h.cfg.Zone, Replica: st.ID})
+			}
+		}
+	}
+}
+
+// followAt runs one session at the leader.
+func (h *hub) followAt(addr string, hello Hello) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	up := make(chan Up, maxUpstream)
+	_, err := Dial(ctx, addr, hello, up, func(d Down) {
+		h.seat.learn(d.Replicas)
+		h.post(func(time.Time) { h.takeSource(up, &d) })
+	})
+	h.post(func(now time.Time) {
+		if h.desk == nil && h.relay.source != nil {
+			h.log.Error("the relay's session with the leader ended", err)
+			h.relay.disconnect(now)
+		}
+	})
+}
+
+// takeSource takes up a message of the leader for this replica's relay.
+func (h *hub) takeSource(up chan<- Up, d *Down) {
+	if h.desk != nil || h.retiring {
+		return
+	}
+	if d.Welcome != nil {
+		h.relay.connect(func(m Up) bool {
+			select {
+			case up <- m:
+				return true
+			default:
+				return false
 			}
-			hello := Hello{Node: h.cfg.Node, Zone: h.cfg.Zone, Replica: st.ID}
-			_, _ = Dial(h.ctx, m.Addr, hello, nil, func(d Down) { h.seat.learn(d.Replicas) })
+		})
+		known := unlisted(h.relay.view.servers(), d)
+		if len(known) > 0 {
+			up <- Up{Known: known}
 		}
 	}
+	h.relay.take(d)
+}
+
+// unlisted returns the servers that a leader's first message doesn't list, unless they are gone for sure.
+func unlisted(known []tracker.Instance, d *Down) []tracker.Instance {
+	if d.Welcome.Settled {
+		return nil
+	}
+	listed := make(map[string]bool, len(d.Engines))
+	for _, in := range d.Engines {
+		listed[in.Key.ID] = true
+	}
+	return slices.DeleteFunc(known, func(in tracker.Instance) bool { return listed[in.Key.ID] })
 }
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
+	"strings"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/matcher"
@@ -18,12 +16,8 @@
 const (
 	// tickEvery is how often time passes for the control goroutine.
 	tickEvery = 50 * time.Millisecond
-	// newsEvery is the shortest time between two messages about engines to all entries, and newsPerSession what each
-	// session adds to it, so that a large deployment gets fewer and larger messages.
-	newsEvery      = 8 * time.Millisecond
-	newsPerSession = 400 * time.Microsecond
-	// silentSession is when a session without a message is closed; entries send one at least every beatEvery.
-	silentSession = 3 * time.Second
+	// planEvery is the shortest time between two looks for orders, so that a crowd of wants costs one look.
+	planEvery = 3 * time.Millisecond
 	// placementEvery bounds the lines about adapters that are waited for.
 	placementEvery = 500 * time.Millisecond
 	// recordEvery is how often what engines held is recorded in the log: what is lost with a leader is fetched from the
@@ -31,20 +25,8 @@
 	recordEvery = 500 * time.Millisecond
 	maxEvents   = 4096
 	maxTurn     = 256
-	maxQueued   = 4096
-	maxMessage  = 8 << 20
-	pathSession = "/redwingstage.governor/Session"
 )
 
-// session is an entry's or a replica's stream at the leader.
-type session struct {
-	hello   *Hello
-	out     chan Down
-	heard   time.Time
-	version uint64
-	closed  bool
-}
-
 // hub is the control state of a replica; its methods run on the control goroutine unless they say otherwise.
 type hub struct {
 	cfg    Config
@@ -60,13 +42,20 @@
 	starting bool
 	applied  uint64
 	// told is the replicated state that entries know.
-	told     *durable
-	table    *matcher.Table
-	sessions map[*session]bool
+	told  *durable
+	table *matcher.Table
+	// relay serves the entries that have their sessions here; peers are the leader's sessions with relays, own the one with
+	// its own relay.
+	relay    *relay
+	peers    map[*session]bool
+	own      *session
+	open     map[*session]bool
 	entries  int
+	listed   []Peer
 	workers  map[string]*worker
 	joiner   *joiner
 	newsAt   time.Time
+	planAt   time.Time
 	toldAt   time.Time
 	recorder recorder
 	loads    *loads
@@ -84,10 +73,11 @@
 func newHub(ctx context.Context, cfg Config, deps Deps, s *seat, l *logger.Part, spawn func(func())) *hub {
 	h := &hub{
 		cfg: cfg, deps: deps, seat: s, log: l, ctx: ctx, spawn: spawn, events: make(chan func(now time.Time), maxEvents),
-		sessions: make(map[*session]bool), workers: make(map[string]*worker), loads: newLoads(),
+		peers: make(map[*session]bool), open: make(map[*session]bool), workers: make(map[string]*worker), loads: newLoads(),
+		metrics: newMetrics(),
 	}
 	h.joiner = newJoiner(h)
-	h.metrics = newMetrics()
+	h.relay = newRelay(l, h.metrics)
 	return h
 }
 
@@ -130,29 +120,37 @@
 			h.tick(time.Now())
 		case <-news.C:
 		}
-		now := time.Now()
-		h.refresh()
-		h.plan(now)
-		if wait, due := h.spread(now); due {
+		if wait := h.turn(time.Now()); wait > 0 {
 			news.Reset(wait)
 		}
 	}
 }
 
+// turn does what follows from the events so far; it returns when more is due, or 0.
+func (h *hub) turn(now time.Time) time.Duration {
+	h.refresh()
+	wait := h.relay.spreadUp(now)
+	wait = shorter(wait, h.plan(now))
+	wait = shorter(wait, h.spread(now))
+	return shorter(wait, h.relay.spreadDown(now))
+}
+
 // tick lets time pass.
 func (h *hub) tick(now time.Time) {
 	h.checkLead(now)
-	h.metrics.sessions.Set(float64(len(h.sessions)))
+	h.metrics.sessions.Set(float64(len(h.open)))
 	h.metrics.leads.Set(0)
+	h.relay.tick(now)
 	if h.desk == nil {
 		return
 	}
 	h.metrics.leads.Set(1)
-	for s := range h.sessions {
-		if now.Sub(s.heard) > silentSession {
+	for s := range h.peers {
+		if s != h.own && now.Sub(s.heard) > silentSession {
 			h.drop(s)
 		}
 	}
+	h.tellReplicas()
 	h.desk.engines.Expire(now, instanceTTL)
 	h.desk.sync()
 	for id, w := range h.workers {
@@ -251,6 +249,56 @@
 	h.recorder, h.loads = recorder{}, newLoads()
 	h.joiner.reset()
 	h.log.Info("leads", h.cfg.Node)
+	h.desk.claim(now, h.relay.view.servers())
+	h.listed = h.replicas()
+	d := h.whole()
+	h.own = &session{hello: &Hello{Node: h.cfg.Node, Zone: h.cfg.Zone}}
+	h.peers[h.own] = true
+	h.relay.connect(func(up Up) bool {
+		h.absorb(time.Now(), h.own, up)
+		return true
+	})
+	h.relay.take(&d)
+}
+
+// whole returns everything that a relay must know.
+func (h *hub) whole() Down {
+	d := h.desk.whole(h.seat.state(), time.Now())
+	d.Replicas, d.Entries = h.listed, h.entries
+	return d
+}
+
+// replicas returns the members of the group with their data centres, as far as those are known.
+func (h *hub) replicas() []Peer {
+	zones := make(map[uint64]string, len(h.peers))
+	for s := range h.peers {
+		if s.isPeer() {
+			zones[s.hello.Replica] = s.hello.Zone
+		}
+	}
+	var out []Peer
+	if r := h.seat.log(); r != nil {
+		st := r.Status()
+		zones[st.ID] = h.cfg.Zone
+		for _, m := range st.Members {
+			out = append(out, Peer{Addr: m.Addr, Zone: zones[m.ID]})
+		}
+	}
+	for _, addr := range h.seat.addresses() {
+		if !slices.ContainsFunc(out, func(p Peer) bool { return p.Addr == addr }) {
+			out = append(out, Peer{Addr: addr})
+		}
+	}
+	slices.SortFunc(out, func(x, y Peer) int { return strings.Compare(x.Addr, y.Addr) })
+	return out
+}
+
+// tellReplicas tells all entries where relays are, where that changed.
+func (h *hub) tellReplicas() {
+	if now := h.replicas(); !slices.Equal(now, h.listed) {
+		h.listed = now
+		h.broadcast(Down{Replicas: now})
+	}
 }
 
 func (h *hub) stepDown() {
@@ -259,9 +307,11 @@
 	}
 	h.log.Info("leads no more", h.cfg.Node)
 	h.desk = nil
-	for s := range h.sessions {
+	for s := range h.peers {
 		h.drop(s)
 	}
+	h.own = nil
+	h.relay.disconnect(time.Now())
 	for id, w := range h.workers {
 		w.close()
 		delete(h.workers, id)
@@ -306,13 +356,7 @@
 		return
 	}
 	h.applied = state.Applied
-	down := Down{}
-	if !isSame(h.told.Versions, state.Versions) {
-		down.Versions = state.Versions
-	}
-	if !isSame(h.told.Left, state.Left) {
-		down.Left = state.Left
-	}
+	down := Down{Versions: newVersions(h.told.Versions, state.Versions), Left: newLeaves(h.told.Left, state.Left)}
 	h.told = state
 	if h.table == nil || h.table.Version() != state.Doc.Version {
 		h.table = h.decode(state.Doc)
@@ -325,37 +369,91 @@
 	}
 }
 
+// newVersions returns what a list of versions has that an earlier one didn't; published lists are never changed.
+func newVersions(old, now []tracker.Resident) []tracker.Resident {
+	if isSame(old, now) {
+		return nil
+	}
+	known := make(map[tracker.Resident]bool, len(old))
+	for _, v := range old {
+		known[v] = true
+	}
+	return slices.DeleteFunc(slices.Clone(now), func(v tracker.Resident) bool { return known[v] })
+}
+
+// newLeaves does the same for starts of servers that left.
+func newLeaves(old, now []tracker.Key) []tracker.Key {
+	if isSame(old, now) {
+		return nil
+	}
+	known := make(map[tracker.Key]bool, len(old))
+	for _, k := range old {
+		known[k] = true
+	}
+	return slices.DeleteFunc(slices.Clone(now), func(k tracker.Key) bool { return known[k] })
+}
+
 // isSame reports whether two lists of published states are the same; published lists are never changed.
 func isSame[T any](a, b []T) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
+// broadcast tells all relays, the leader's own one too.
 func (h *hub) broadcast(d Down) {
-	for s := range h.sessions {
-		if s.hello != nil && s.hello.Replica == 0 {
-			h.send(s, d)
+	h.relay.take(&d)
+	if len(h.peers) < 2 {
+		return
+	}
+	data, err := encode(&d)
+	if err != nil {
+		h.log.Error("encode a message", err)
+		return
+	}
+	for s := range h.peers {
+		if s != h.own {
+			h.push(s, data)
 		}
 	}
 }
 
-// send queues a message; a session that doesn't read is closed, and its entry connects again.
-func (h *hub) send(s *session, d Down) {
-	select {
-	case s.out <- d:
-	default:
+// push sends a relay a message; one that doesn't read is closed and connects again.
+func (h *hub) push(s *session, data encoder.Raw) {
+	h.metrics.sent("relay", len(data))
+	if !s.push(data) {
+		h.log.Warn("a relay doesn't read, its session ends", s.hello.Node)
 		h.drop(s)
 	}
 }
 
+func (h *hub) send(s *session, d Down) {
+	data, err := encode(&d)
+	if err != nil {
+		h.log.Error("encode a message", err)
+		return
+	}
+	h.push(s, data)
+}
+
+// openSession takes up a session; false means that its other side must look elsewhere.
+func (h *hub) openSession(s *session) bool {
+	if h.retiring || h.desk == nil && !h.relay.accepts() {
+		return false
+	}
+	h.open[s] = true
+	return true
+}
+
+// drop ends a session of either kind.
 func (h *hub) drop(s *session) {
-	if s.closed {
+	delete(h.open, s)
+	h.relay.drop(s)
+	s.close()
+	if !h.peers[s] {
 		return
 	}
-	s.closed = true
-	delete(h.sessions, s)
-	close(s.out)
+	delete(h.peers, s)
 	h.loads.drop(s)
-	if h.desk != nil && s.hello != nil && s.hello.Replica == 0 {
+	if h.desk != nil {
 		h.desk.placing.Forget(s.hello.Node)
 	}
 	h.count()
@@ -364,40 +462,41 @@
 // count tells all entries how many there are.
 func (h *hub) count() {
 	n := 0
-	for s := range h.sessions {
-		if s.hello != nil && s.hello.Replica == 0 {
-			n++
-		}
+	for s := range h.peers {
+		n += s.entries
 	}
-	if n != h.entries {
+	if n != h.entries && h.desk != nil {
 		h.entries = n
 		h.broadcast(Down{Entries: n})
 	}
 }
 
-// spread sends what changed of engines; it returns when the rest is due.
-func (h *hub) spread(now time.Time) (time.Duration, bool) {
-	if h.desk == nil || len(h.desk.moves)+len(h.desk.changed)+len(h.desk.exact)+len(h.loads.changed) == 0 {
-		return 0, false
+// spread sends what changed of engines to all relays; it returns when the rest is due, or 0.
+func (h *hub) spread(now time.Time) time.Duration {
+	if h.desk == nil || len(h.desk.moves)+len(h.desk.changed)+len(h.desk.exact) == 0 && !h.loads.due(now) {
+		return 0
 	}
 	if wait := h.newsAt.Sub(now); wait > 0 && len(h.desk.changed) == 0 {
-		return wait, true
+		return wait
 	}
 	d, ok := h.desk.news()
 	d.Loads = h.loads.take(now)
-	if !ok && len(d.Loads) == 0 {
-		return 0, false
+	if ok || len(d.Loads) > 0 {
+		h.broadcast(d)
+		h.newsAt = now.Add(newsEvery)
 	}
-	h.broadcast(d)
-	h.newsAt = now.Add(newsEvery + time.Duration(len(h.sessions))*newsPerSession)
-	return 0, false
+	return 0
 }
 
-// plan has orders carried out that follow from what is wanted.
-func (h *hub) plan(now time.Time) {
+// plan has orders carried out that follow from what is wanted; it returns when it is due, or 0.
+func (h *hub) plan(now time.Time) time.Duration {
 	if h.desk == nil {
-		return
+		return 0
+	}
+	if wait := h.planAt.Sub(now); wait > 0 {
+		return wait
 	}
+	h.planAt = now.Add(planEvery)
 	for _, id := range h.desk.placing.Unsynced() {
 		h.worker(id).sync()
 	}
@@ -405,6 +504,7 @@
 		h.worker(o.Engine).add(o)
 	}
 	h.desk.sync()
+	return 0
 }
 
 // worker returns what gives an engine its orders.
@@ -465,8 +565,8 @@
 
 func (h *hub) finishWaits() {
 	h.waits = slices.DeleteFunc(h.waits, func(w versionWait) bool {
-		for s := range h.sessions {
-			if s.hello != nil && s.hello.Replica == 0 && s.version < w.version {
+		for s := range h.peers {
+			if s.entries > 0 && s.version < w.version {
 				return false
 			}
 		}
@@ -481,6 +581,7 @@
 	if h.post(func(time.Time) {
 		h.retiring = true
 		h.stepDown()
+		h.relay.dropAll()
 		close(done)
 	}) {
 		select {
@@ -492,23 +593,67 @@
 
 // receive takes a message of a session.
 func (h *hub) receive(now time.Time, s *session, up Up) {
-	if s.closed || h.desk == nil {
+	if s.closed {
 		return
 	}
 	s.heard = now
-	if up.Hello != nil {
-		h.hello(now, s, *up.Hello)
+	if up.Hello != nil && !h.hello(s, *up.Hello) {
+		h.drop(s)
 	}
-	if s.hello == nil {
+	switch {
+	case s.closed || s.hello == nil:
+	case s.isPeer():
+		h.joiner.heard[s.hello.Replica] = now
+		h.absorb(now, s, up)
+		if up.Beat > 0 {
+			h.send(s, Down{Beat: up.Beat})
+		}
+	default:
+		h.relay.receive(now, s, up)
+	}
+}
+
+// hello begins a session: an entry's at the relay, a relay's at the leader.
+func (h *hub) hello(s *session, hello Hello) bool {
+	s.hello = &hello
+	if !s.isPeer() {
+		if !h.relay.accepts() {
+			return false
+		}
+		h.relay.join(s)
+		return true
+	}
+	if h.desk == nil {
+		return false
+	}
+	for other := range h.peers {
+		if other.hello.Replica == hello.Replica {
+			h.drop(other)
+		}
+	}
+	h.peers[s] = true
+	h.send(s, h.whole())
+	return true
+}
+
+// absorb takes up what a relay tells of its entries.
+func (h *hub) absorb(now time.Time, s *session, up Up) {
+	if h.desk == nil {
 		return
 	}
-	if s.hello.Replica != 0 {
-		h.joiner.heard[s.hello.Replica] = now
+	if up.Entries != nil {
+		s.entries = *up.Entries
+		h.count()
 	}
-	if up.Version > s.version {
+	if up.Version != 0 {
 		s.version = up.Version
+	}
+	if up.Version != 0 || up.Entries != nil {
 		h.finishWaits()
 	}
+	if now.Sub(h.desk.begun) < settleTime {
+		h.desk.claim(now, up.Known)
+	}
 	for _, u := range up.Uses {
 		h.desk.placing.Use(now, s.hello.Node, u.Engine, u.Adapter, u.Starts, u.Running)
 	}
@@ -519,107 +664,8 @@
 		h.desk.placing.Missing(m.Engine, m.Adapter)
 	}
 	for _, w := range up.Wants {
-		h.desk.placing.Want(now, allocator.Want{Service: w.Service, Adapter: w.Adapter, Zone: s.hello.Zone, Copy: w.Copy, Due: now.Add(w.Left), Except: w.Except})
-	}
-	if up.Beat > 0 {
-		h.send(s, Down{Beat: up.Beat})
-	}
-}
-
-func (h *hub) hello(now time.Time, s *session, hello Hello) {
-	s.hello = &hello
-	for other := range h.sessions {
-		if other != s && other.hello != nil && other.hello.Node == hello.Node {
-			h.drop(other)
-		}
-	}
-	if hello.Replica != 0 {
-		h.send(s, Down{Welcome: &Welcome{Era: h.desk.era}, Replicas: h.seat.addresses()})
-		return
-	}
-	if now.Sub(h.desk.begun) < settleTime {
-		h.desk.claim(now, hello.Known)
-	}
-	d := h.desk.whole(h.seat.state())
-	d.Replicas = h.seat.addresses()
-	h.send(s, d)
-	h.count()
-	h.send(s, Down{Entries: h.entries})
-}
-
-// mount adds the handlers for entries and other replicas.
-func (g *Governor) mount(mux *http.ServeMux) {
-	opts := []connect.HandlerOption{encoder.Option(), connect.WithReadMaxBytes(maxMessage)}
-	mux.Handle(metricsPath, g.hub.metrics.handler())
-	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession, g.serveSession, opts...))
-	mux.Handle(pathJoin, connect.NewUnaryHandler(pathJoin, func(ctx context.Context, r *connect.Request[joinAsk]) (*connect.Response[joinReply], error) {
-		reply, err := g.hub.joiner.ask(ctx, *r.Msg)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeUnavailable, err)
-		}
-		return connect.NewResponse(&reply), nil
-	}, opts...))
-}
-
-// serveSession serves a session until either side ends it.
-func (g *Governor) serveSession(ctx context.Context, stream *connect.BidiStream[Up, Down]) error {
-	s := &session{out: make(chan Down, maxQueued), heard: time.Now()}
-	opened := make(chan bool, 1)
-	g.hub.post(func(time.Time) {
-		if g.hub.desk != nil {
-			g.hub.sessions[s] = true
-		}
-		opened <- g.hub.desk != nil
-	})
-	select {
-	case ok := <-opened:
-		if !ok {
-			return stream.Send(&Down{Redirect: g.leaderAddr()})
-		}
-	case <-g.ctx.Done():
-		return nil
-	}
-	defer g.hub.post(func(time.Time) { g.hub.drop(s) })
-	g.wg.Go(func() {
-		defer g.hub.post(func(time.Time) { g.hub.drop(s) })
-		for {
-			up, err := stream.Receive()
-			if err != nil {
-				return
-			}
-			if !g.hub.post(func(now time.Time) { g.hub.receive(now, s, *up) }) {
-				return
-			}
-		}
-	})
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-g.ctx.Done():
-			return nil
-		case d, ok := <-s.out:
-			if !ok {
-				return nil
-			}
-			if err := stream.Send(&d); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// leaderAddr returns the leader's address, if another replica leads.
-func (g *Governor) leaderAddr() string {
-	r := g.seat.log()
-	if r == nil {
-		return ""
-	}
-	st := r.Status()
-	for _, m := range st.Members {
-		if m.ID == st.Leader && m.ID != st.ID {
-			return m.Addr
-		}
+		h.desk.placing.Want(now, allocator.Want{
+			Service: w.Service, Adapter: w.Adapter, Zone: w.Zone, Copy: w.Copy, Due: now.Add(w.Left), Except: w.Except,
+		})
 	}
-	return ""
 }
--- a/stage/governor/join_test.go
+++ b/stage/governor/join_test.go
@@ -12,8 +12,6 @@
 func TestALeadershipForgetsWhatTheLastOneOffered(t *testing.T) {
 	c := qt.New(t)
 	h := lead(c, &scripted{}, 1)
-	h.seat = newSeat(Config{}, h.log)
-	h.joiner = newJoiner(h)
 	j := h.joiner
 	j.offered["a"], j.heard[7], j.busy = 5, time.Now(), true
 	h.begin(time.Now(), 1, 2)
@@ -27,7 +25,6 @@
 func TestAnEarlierChangeDoesNotEndALaterOne(t *testing.T) {
 	c := qt.New(t)
 	h := lead(c, &scripted{}, 1)
-	h.joiner = newJoiner(h)
 	j := h.joiner
 	ended := make(chan struct{})
 	j.start(func(context.Context) { <-ended })
--- a/stage/governor/loads.go
+++ b/stage/governor/loads.go
@@ -18,6 +18,11 @@
 	return &loads{of: make(map[string]map[*session]Load), changed: make(map[string]bool)}
 }
 
+// due reports whether take would return something.
+func (l *loads) due(now time.Time) bool {
+	return len(l.changed) > 0 && (l.urgent || now.Sub(l.toldAt) >= loadsEvery)
+}
+
 // set takes up what an entry has at a server.
 func (l *loads) set(s *session, v Load) {
 	m := l.of[v.Server]
@@ -32,6 +37,14 @@
 	}
 }
 
+// retell has the next call of take return all servers with work, since the one who was told is gone.
+func (l *loads) retell() {
+	for id := range l.of {
+		l.changed[id] = true
+	}
+	l.toldAt = time.Time{}
+}
+
 // drop forgets what an entry had.
 func (l *loads) drop(s *session) {
 	for id, m := range l.of {
@@ -45,7 +58,7 @@
 
 // take returns the sums that changed since the last call, if they are due.
 func (l *loads) take(now time.Time) []Load {
-	if len(l.changed) == 0 || !l.urgent && now.Sub(l.toldAt) < loadsEvery {
+	if !l.due(now) {
 		return nil
 	}
 	out := make([]Load, 0, len(l.changed))
--- a/stage/governor/metrics.go
+++ b/stage/governor/metrics.go
@@ -21,6 +21,8 @@
 	loads    *prometheus.HistogramVec
 	sessions prometheus.Gauge
 	leads    prometheus.Gauge
+	bytes    *prometheus.CounterVec
+	messages *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -39,11 +41,23 @@
 		leads: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "redwingstage_control_leads", Help: "1 while this replica leads.",
 		}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_control_sent_bytes_total", Help: "Bytes of messages to relays and entries, by kind.",
+		}, []string{"kind"}),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_control_sent_messages_total", Help: "Messages to relays and entries, by kind.",
+		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads)
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages)
 	return m
 }
 
+// sent counts a message: "relay" from the leader to a relay, the others from a relay to an entry.
+func (m *metrics) sent(kind string, bytes int) {
+	m.bytes.WithLabelValues(kind).Add(float64(bytes))
+	m.messages.WithLabelValues(kind).Inc()
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/stage/governor/seat.go
+++ b/stage/governor/seat.go
@@ -100,13 +100,13 @@
 	return out
 }
 
-// learn adds addresses of replicas.
-func (s *seat) learn(addrs []string) {
+// learn adds replicas.
+func (s *seat) learn(list []Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range addrs {
-		if a != "" && !slices.Contains(s.peers, a) {
-			s.peers = append(s.peers, a)
+	for _, p := range list {
+		if p.Addr != "" && !slices.Contains(s.peers, p.Addr) {
+			s.peers = append(s.peers, p.Addr)
 		}
 	}
 }
@@ -352,7 +352,7 @@
 				break
 			}
 			addr = reply.Redirect
-			s.learn([]string{addr})
+			s.learn([]Peer{{Addr: addr}})
 		}
 	}
 	return 0, false
--- /dev/null
+++ b/stage/governor/session.go
@@ -0,0 +1,193 @@
+package governor
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/encoder"
+)
+
+const (
+	// silentSession is when a session without a message is closed; entries send one at least every beatEvery.
+	silentSession = 3 * time.Second
+	// maxQueued and maxQueuedBytes bound what waits for a session that doesn't read; beyond, it is closed.
+	maxQueued      = 256
+	maxQueuedBytes = 4 << 20
+	maxMessage     = 8 << 20
+	// packFrom is the size in bytes from which a message is compressed, once for all sessions.
+	packFrom    = 2 << 10
+	pathSession = "/redwingstage.governor/Session"
+)
+
+// session is an entry's stream at a relay, or a relay's at the leader. The control goroutine owns it but for out.
+type session struct {
+	hello *Hello
+	// out is nil for the leader's own relay.
+	out chan encoder.Raw
+	// queued is how many bytes wait in out.
+	queued atomic.Int64
+	heard  time.Time
+	// version is that of the document in force at the other side, entries how many there are behind it.
+	version uint64
+	entries int
+	closed  bool
+}
+
+func (s *session) isPeer() bool { return s.hello != nil && s.hello.Replica != 0 }
+
+// push queues a message; it reports false for a session that doesn't read, which must be closed.
+func (s *session) push(data encoder.Raw) bool {
+	if s.out == nil || s.closed {
+		return true
+	}
+	if s.queued.Load()+int64(len(data)) > maxQueuedBytes {
+		return false
+	}
+	select {
+	case s.out <- data:
+		s.queued.Add(int64(len(data)))
+		return true
+	default:
+		return false
+	}
+}
+
+// close ends a session once.
+func (s *session) close() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if s.out != nil {
+		close(s.out)
+	}
+}
+
+// encode returns a message as it goes to sessions.
+func encode(d *Down) (encoder.Raw, error) {
+	data, err := encoder.Marshal(d)
+	if err != nil || len(data) < packFrom {
+		return data, err
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return encoder.Marshal(&Down{Packed: b.Bytes()})
+}
+
+// unpack returns the message that another one carries in compressed form, or the message itself.
+func unpack(d *Down) (*Down, error) {
+	if len(d.Packed) == 0 {
+		return d, nil
+	}
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(d.Packed)), maxMessage+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack a message")
+	}
+	if len(data) > maxMessage {
+		return nil, errors.Errorf("a message has more than %d bytes", maxMessage)
+	}
+	var out Down
+	if err := encoder.Unmarshal(data, &out); err != nil {
+		return nil, err
+	}
+	return &out, nil
+}
+
+// mount adds the handlers for entries and other replicas.
+func (g *Governor) mount(mux *http.ServeMux) {
+	opts := []connect.HandlerOption{encoder.Option(), connect.WithReadMaxBytes(maxMessage)}
+	mux.Handle(metricsPath, g.hub.metrics.handler())
+	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession, g.serveSession, opts...))
+	mux.Handle(pathJoin, connect.NewUnaryHandler(pathJoin, func(ctx context.Context, r *connect.Request[joinAsk]) (*connect.Response[joinReply], error) {
+		reply, err := g.hub.joiner.ask(ctx, *r.Msg)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		return connect.NewResponse(&reply), nil
+	}, opts...))
+}
+
+// serveSession serves a session until either side ends it.
+func (g *Governor) serveSession(ctx context.Context, stream *connect.BidiStream[Up, encoder.Raw]) error {
+	s := &session{out: make(chan encoder.Raw, maxQueued), heard: time.Now()}
+	opened := make(chan bool, 1)
+	g.hub.post(func(time.Time) { opened <- g.hub.openSession(s) })
+	select {
+	case ok := <-opened:
+		if !ok {
+			return g.redirect(stream)
+		}
+	case <-g.ctx.Done():
+		return nil
+	}
+	defer g.hub.post(func(time.Time) { g.hub.drop(s) })
+	g.wg.Go(func() {
+		defer g.hub.post(func(time.Time) { g.hub.drop(s) })
+		for {
+			up, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			if !g.hub.post(func(now time.Time) { g.hub.receive(now, s, *up) }) {
+				return
+			}
+		}
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.ctx.Done():
+			return nil
+		case data, ok := <-s.out:
+			if !ok {
+				return nil
+			}
+			s.queued.Add(-int64(len(data)))
+			if err := stream.Send(&data); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// redirect names the leader, if another replica leads.
+func (g *Governor) redirect(stream *connect.BidiStream[Up, encoder.Raw]) error {
+	data, err := encode(&Down{Redirect: g.leaderAddr()})
+	if err != nil {
+		return err
+	}
+	return stream.Send(&data)
+}
+
+// leaderAddr returns the leader's address, if another replica leads.
+func (g *Governor) leaderAddr() string {
+	r := g.seat.log()
+	if r == nil {
+		return ""
+	}
+	st := r.Status()
+	for _, m := range st.Members {
+		if m.ID == st.Leader && m.ID != st.ID {
+			return m.Addr
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/stage/governor/view.go
@@ -0,0 +1,297 @@
+package governor
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"redwingstage.org/serving/tracker"
+)
+
+// view is what entries must know, as the leader told it, and what changed since it was passed on. Changes to the same thing
+// are passed on once, so that a message is never larger than the state. The control goroutine calls it.
+type view struct {
+	welcome  Welcome
+	doc      Doc
+	versions map[tracker.Adapter]int
+	left     map[tracker.Key]bool
+	engines  map[string]tracker.Instance
+	// born is the latest start of each server ever: an earlier one doesn't come back, also not by a late announcement.
+	born     map[string]int64
+	held     map[string]map[tracker.Adapter]int
+	loads    map[string]Load
+	entries  int
+	replicas []Peer
+	changes  changes
+}
+
+// changes are what isn't passed on yet.
+type changes struct {
+	doc, entries, replicas bool
+	versions               map[tracker.Adapter]bool
+	left                   map[tracker.Key]bool
+	engines                map[string]bool
+	held                   map[AdapterAt]bool
+	loads                  map[string]bool
+}
+
+func newView() *view {
+	v := &view{
+		versions: make(map[tracker.Adapter]int), left: make(map[tracker.Key]bool), engines: make(map[string]tracker.Instance),
+		born: make(map[string]int64), held: make(map[string]map[tracker.Adapter]int), loads: make(map[string]Load),
+	}
+	v.forget()
+	return v
+}
+
+// forget takes all changes as passed on.
+func (v *view) forget() {
+	v.changes = changes{
+		versions: make(map[tracker.Adapter]bool), left: make(map[tracker.Key]bool), engines: make(map[string]bool),
+		held: make(map[AdapterAt]bool), loads: make(map[string]bool),
+	}
+}
+
+// isUrgent reports whether something changed that breaks a promise where it is known late.
+func (c *changes) isUrgent() bool {
+	return c.doc || c.replicas || len(c.versions)+len(c.left)+len(c.engines) > 0
+}
+
+func (c *changes) isEmpty() bool {
+	return !c.isUrgent() && !c.entries && len(c.held)+len(c.loads) == 0
+}
+
+// apply takes up a message of the leader. Documents, versions and leaves only ever advance, also from one leader to the next.
+func (v *view) apply(d *Down) {
+	if d.Welcome != nil {
+		v.welcome = *d.Welcome
+		v.begin(d)
+	}
+	if d.Doc != nil && d.Doc.Version > v.doc.Version {
+		v.doc, v.changes.doc = *d.Doc, true
+	}
+	for _, r := range d.Versions {
+		if r.Version > v.versions[r.Adapter] {
+			v.versions[r.Adapter] = r.Version
+			v.changes.versions[r.Adapter] = true
+		}
+	}
+	for _, k := range d.Left {
+		if !v.left[k] {
+			v.left[k], v.changes.left[k] = true, true
+		}
+	}
+	for _, in := range d.Engines {
+		v.set(in, d.Welcome != nil)
+	}
+	for _, in := range d.Exact {
+		v.set(in, true)
+	}
+	for _, id := range d.Gone {
+		v.remove(id)
+	}
+	for _, m := range d.Moves {
+		if m.Gone {
+			v.drop(AdapterAt{m.Engine, m.Adapter})
+		} else {
+			v.hold(AdapterAt{m.Engine, m.Adapter}, m.Version)
+		}
+	}
+	for _, l := range d.Loads {
+		v.loads[l.Server] = l
+		v.changes.loads[l.Server] = true
+	}
+	if d.Entries > 0 && d.Entries != v.entries {
+		v.entries, v.changes.entries = d.Entries, true
+	}
+	if list := v.located(d.Replicas); len(list) > 0 && !slices.Equal(list, v.replicas) {
+		v.replicas, v.changes.replicas = list, true
+	}
+}
+
+// located returns a list of replicas with the data centres that are known of earlier: a new leader learns them anew.
+func (v *view) located(list []Peer) []Peer {
+	out := slices.Clone(list)
+	for i, p := range out {
+		for _, old := range v.replicas {
+			if p.Zone == "" && old.Addr == p.Addr {
+				out[i].Zone = old.Zone
+			}
+		}
+	}
+	return out
+}
+
+// begin takes up a leader's first message: once it has heard of all servers, those that it doesn't list are gone.
+func (v *view) begin(d *Down) {
+	if !d.Welcome.Settled {
+		return
+	}
+	listed := make(map[string]bool, len(d.Engines))
+	for _, in := range d.Engines {
+		listed[in.Key.ID] = true
+	}
+	for id := range v.engines {
+		if !listed[id] {
+			v.remove(id)
+		}
+	}
+}
+
+// set takes up a server; what it holds counts only if whole is set, and if it is known: engines hold a base model at least.
+func (v *view) set(in tracker.Instance, whole bool) {
+	id := in.Key.ID
+	old, ok := v.engines[id]
+	if in.Key.Born < v.born[id] {
+		return
+	}
+	v.born[id] = in.Key.Born
+	residents := in.Residents
+	in.Residents = nil
+	if ok && old.Key != in.Key {
+		v.empty(id)
+	}
+	if !ok || !isSameServer(old, in) {
+		v.changes.engines[id] = true
+	}
+	v.engines[id] = in
+	if !whole || len(residents) == 0 {
+		return
+	}
+	listed := make(map[tracker.Adapter]bool, len(residents))
+	for _, r := range residents {
+		listed[r.Adapter] = true
+		v.hold(AdapterAt{id, r.Adapter}, r.Version)
+	}
+	for ad := range v.held[id] {
+		if !listed[ad] {
+			v.drop(AdapterAt{id, ad})
+		}
+	}
+}
+
+// isSameServer reports whether nothing changed but the number of the announcement.
+func isSameServer(a, b tracker.Instance) bool {
+	return a.Key == b.Key && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving
+}
+
+func (v *view) remove(id string) {
+	if _, ok := v.engines[id]; ok {
+		delete(v.engines, id)
+		v.empty(id)
+		delete(v.loads, id)
+		v.changes.engines[id] = true
+	}
+}
+
+// empty forgets what a server held; it may come back before that was passed on.
+func (v *view) empty(id string) {
+	for ad := range v.held[id] {
+		v.changes.held[AdapterAt{id, ad}] = true
+	}
+	delete(v.held, id)
+}
+
+func (v *view) hold(at AdapterAt, version int) {
+	if _, ok := v.engines[at.Engine]; !ok {
+		return
+	}
+	m := v.held[at.Engine]
+	if m == nil {
+		m = make(map[tracker.Adapter]int)
+		v.held[at.Engine] = m
+	}
+	if have, ok := m[at.Adapter]; !ok || have != version {
+		m[at.Adapter] = version
+		v.changes.held[at] = true
+	}
+}
+
+func (v *view) drop(at AdapterAt) {
+	if _, ok := v.held[at.Engine][at.Adapter]; ok {
+		delete(v.held[at.Engine], at.Adapter)
+		v.changes.held[at] = true
+	}
+}
+
+// take returns what changed since the last call; loads and moves only where all is set.
+func (v *view) take(all bool) Down {
+	c := v.changes
+	v.forget()
+	var d Down
+	if c.doc {
+		doc := v.doc
+		d.Doc = &doc
+	}
+	for ad := range c.versions {
+		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: v.versions[ad]})
+	}
+	d.Left = sortedKeys(c.left)
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
+		if in, ok := v.engines[id]; ok {
+			d.Engines = append(d.Engines, in)
+		} else {
+			d.Gone = append(d.Gone, id)
+		}
+	}
+	if c.replicas {
+		d.Replicas = v.replicas
+	}
+	if !all {
+		v.changes.held, v.changes.loads, v.changes.entries = c.held, c.loads, c.entries
+		return d
+	}
+	if c.entries {
+		d.Entries = v.entries
+	}
+	for at := range c.held {
+		version, ok := v.held[at.Engine][at.Adapter]
+		if _, listed := v.engines[at.Engine]; listed {
+			d.Moves = append(d.Moves, Move{Engine: at.Engine, Adapter: at.Adapter, Version: version, Gone: !ok})
+		}
+	}
+	slices.SortFunc(d.Moves, func(x, y Move) int {
+		return cmp.Or(cmp.Compare(x.Engine, y.Engine), cmp.Compare(x.Adapter.Name, y.Adapter.Name))
+	})
+	for _, id := range slices.Sorted(maps.Keys(c.loads)) {
+		d.Loads = append(d.Loads, v.loads[id])
+	}
+	return d
+}
+
+// whole returns everything that an entry must know.
+func (v *view) whole() Down {
+	welcome, doc := v.welcome, v.doc
+	d := Down{Welcome: &welcome, Doc: &doc, Left: sortedKeys(v.left), Entries: v.entries, Replicas: v.replicas}
+	for ad, n := range v.versions {
+		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: n})
+	}
+	for _, in := range v.servers() {
+		for ad, n := range v.held[in.Key.ID] {
+			in.Residents = append(in.Residents, tracker.Resident{Adapter: ad, Version: n})
+		}
+		d.Engines = append(d.Engines, in)
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.loads)) {
+		d.Loads = append(d.Loads, v.loads[id])
+	}
+	return d
+}
+
+// servers returns all servers without what they hold.
+func (v *view) servers() []tracker.Instance {
+	out := make([]tracker.Instance, 0, len(v.engines))
+	for _, id := range slices.Sorted(maps.Keys(v.engines)) {
+		out = append(out, v.engines[id])
+	}
+	return out
+}
+
+func sortedKeys(set map[tracker.Key]bool) []tracker.Key {
+	if len(set) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Keys(set), func(x, y tracker.Key) int {
+		return cmp.Or(cmp.Compare(x.ID, y.ID), cmp.Compare(x.Born, y.Born))
+	})
+}
--- /dev/null
+++ b/stage/governor/view_test.go
@@ -0,0 +1,111 @@
+package governor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/tracker"
+)
+
+// randomDown returns a message as leaders send them, over few servers and adapters so that changes meet.
+func randomDown(r *rand.Rand) Down {
+	id := func() string { return fmt.Sprint("e", r.IntN(4)) }
+	ad := func() tracker.Adapter { return tracker.Adapter{Model: "m", Name: fmt.Sprint("a", r.IntN(4))} }
+	in := func() tracker.Instance {
+		x := tracker.Instance{Key: tracker.Key{ID: id(), Born: int64(1 + r.IntN(2))}, Service: "s", Addr: "a", Slots: r.IntN(2)}
+		for range r.IntN(3) {
+			x.Residents = append(x.Residents, tracker.Resident{Adapter: ad(), Version: 1 + r.IntN(2)})
+		}
+		return x
+	}
+	var d Down
+	switch r.IntN(8) {
+	case 0:
+		d.Welcome = &Welcome{Era: 1, Settled: r.IntN(2) == 0}
+		d.Engines = []tracker.Instance{in()}
+	case 1:
+		d.Doc = &Doc{Version: uint64(r.IntN(9))}
+	case 2:
+		d.Versions = []tracker.Resident{{Adapter: ad(), Version: r.IntN(5)}}
+	case 3:
+		d.Left = []tracker.Key{{ID: id(), Born: int64(1 + r.IntN(2))}}
+	case 4:
+		x := in()
+		x.Residents = nil
+		d.Engines = []tracker.Instance{x}
+	case 5:
+		d.Exact = []tracker.Instance{in()}
+	case 6:
+		d.Gone = []string{id()}
+	case 7:
+		d.Loads = []Load{{Server: id(), Running: r.IntN(3)}}
+		d.Entries = 1 + r.IntN(3)
+	}
+	for range r.IntN(3) {
+		d.Moves = append(d.Moves, Move{Engine: id(), Adapter: ad(), Version: 1 + r.IntN(2), Gone: r.IntN(2) == 0})
+	}
+	return d
+}
+
+// state is what a view tells, in a form that can be compared.
+func (v *view) state() string {
+	return fmt.Sprint(v.doc.Version, v.versions, v.left, v.engines, v.held, v.entries, v.replicas)
+}
+
+// TestWhatChangedMakesTheWhole has a second view follow the first by what changed only, at random moments; one that joins
+// late gets the whole. Both must know the same.
+func TestWhatChangedMakesTheWhole(t *testing.T) {
+	for seed := range uint64(400) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		first, follower, late := newView(), newView(), newView()
+		for range 40 {
+			d := randomDown(r)
+			first.apply(&d)
+			if r.IntN(3) == 0 {
+				news := first.take(r.IntN(2) == 0)
+				follower.apply(&news)
+			}
+		}
+		news := first.take(true)
+		follower.apply(&news)
+		whole := first.whole()
+		late.apply(&whole)
+		c := qt.New(t)
+		c.Assert(follower.prune().state(), qt.Equals, first.prune().state(), qt.Commentf("seed %d", seed))
+		c.Assert(late.prune().state(), qt.Equals, first.prune().state(), qt.Commentf("seed %d", seed))
+		c.Assert(first.changes.isEmpty(), qt.IsTrue)
+	}
+}
+
+// prune drops empty lists, which tell nothing.
+func (v *view) prune() *view {
+	for id, m := range v.held {
+		if len(m) == 0 {
+			delete(v.held, id)
+		}
+	}
+	return v
+}
+
+// A new leader that hasn't heard of all servers takes none away, one that has does; versions and leaves never go back.
+func TestANewLeaderTakesOnlyWhatIsGoneForSure(t *testing.T) {
+	c := qt.New(t)
+	v := newView()
+	x, y := tracker.Instance{Key: tracker.Key{ID: "x", Born: 1}}, tracker.Instance{Key: tracker.Key{ID: "y", Born: 1}}
+	left := tracker.Key{ID: "z", Born: 1}
+	ad := tracker.Adapter{Model: "m", Name: "a"}
+	v.apply(&Down{
+		Welcome: &Welcome{Era: 1}, Doc: &Doc{Version: 5}, Engines: []tracker.Instance{x, y}, Left: []tracker.Key{left},
+		Versions: []tracker.Resident{{Adapter: ad, Version: 3}},
+	})
+	v.apply(&Down{Welcome: &Welcome{Era: 2}, Doc: &Doc{Version: 4}, Engines: []tracker.Instance{x}, Versions: []tracker.Resident{{Adapter: ad, Version: 2}}})
+	c.Check(v.engines, qt.HasLen, 2)
+	c.Check(v.doc.Version, qt.Equals, uint64(5))
+	c.Check(v.versions[ad], qt.Equals, 3)
+	c.Check(v.left[left], qt.IsTrue)
+	v.apply(&Down{Welcome: &Welcome{Era: 3, Settled: true}, Engines: []tracker.Instance{x}})
+	c.Check(v.engines, qt.HasLen, 1)
+}
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -17,15 +17,17 @@
 	Version uint64 `cbor:"6,keyasint,omitempty"`
 	// Loads are what the sender has at servers, where that changed.
 	Loads []Load `cbor:"7,keyasint,omitempty"`
+	// Known are servers that the leader's first message didn't list and that the sender knows since an earlier leader.
+	Known []tracker.Instance `cbor:"8,keyasint,omitempty"`
+	// Entries is how many entries the sender has sessions with, if it is a relay.
+	Entries *int `cbor:"9,keyasint,omitempty"`
 }
 
 // Hello opens a session.
 type Hello struct {
 	Node string `cbor:"1,keyasint"`
 	Zone string `cbor:"2,keyasint"`
-	// Known are the backend servers that the sender knows, so that a new leader knows them too.
-	Known []tracker.Instance `cbor:"3,keyasint,omitempty"`
-	// Replica is the number of a replica of the log, 0 for entries.
+	// Replica is the number of a replica of the log, 0 for entries. Replicas are relays to the entries of their sessions.
 	Replica uint64 `cbor:"4,keyasint,omitempty"`
 }
 
@@ -38,6 +40,8 @@
 	Left time.Duration `cbor:"4,keyasint,omitempty"`
 	// Except are servers that did not answer the request; that they hold the adapter doesn't help it.
 	Except []string `cbor:"5,keyasint,omitempty"`
+	// Zone is the data centre of the entry, where a relay passes its want on.
+	Zone string `cbor:"6,keyasint,omitempty"`
 }
 
 // Use tells of an adapter at an engine since the last report.
@@ -76,14 +80,22 @@
 	Beat     uint64             `cbor:"8,keyasint,omitempty"`
 	// Entries is the number of entries with a session.
 	Entries int `cbor:"9,keyasint,omitempty"`
-	// Replicas are the addresses of all replicas.
-	Replicas []string `cbor:"10,keyasint,omitempty"`
+	// Replicas are all replicas.
+	Replicas []Peer `cbor:"10,keyasint,omitempty"`
 	// Left are the starts of backend servers that must get no new work.
 	Left []tracker.Key `cbor:"11,keyasint,omitempty"`
 	// Exact are engines with all that they hold.
 	Exact []tracker.Instance `cbor:"12,keyasint,omitempty"`
 	// Loads are what all entries together have at servers, where that changed.
 	Loads []Load `cbor:"13,keyasint,omitempty"`
+	// Packed is another message, compressed.
+	Packed []byte `cbor:"14,keyasint,omitempty"`
+}
+
+// Peer is a replica: where it is reached, and in which data centre, if that is known.
+type Peer struct {
+	Addr string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint,omitempty"`
 }
 
 // Load is what is under way at a server.
@@ -97,6 +109,8 @@
 // Welcome opens the leader's side of a session.
 type Welcome struct {
 	Era uint64 `cbor:"1,keyasint"`
+	// Settled says that the leader has had the time to hear of all servers, so that others are gone.
+	Settled bool `cbor:"2,keyasint,omitempty"`
 }
 
 // joinAsk asks for a place in the group.
--- a/stage/governor/worker_test.go
+++ b/stage/governor/worker_test.go
@@ -40,10 +40,8 @@
 func lead(c *qt.C, engine Engines, adapters int) *hub {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	h := &hub{
-		cfg: Config{Node: "n"}, deps: Deps{Engines: engine}, log: logger.New(io.Discard, "error").Part("test"), ctx: ctx,
-		spawn: wg.Go, events: make(chan func(time.Time), 64), workers: make(map[string]*worker), metrics: newMetrics(),
-	}
+	l := logger.New(io.Discard, "error").Part("test")
+	h := newHub(ctx, Config{Node: "n"}, Deps{Engines: engine}, newSeat(Config{}, l), l, wg.Go)
 	h.desk = newDesk(1, time.Now(), &durable{}, func(string) (allocator.Room, bool) {
 		return allocator.Room{Adapters: adapters, Models: []matcher.Model{{Name: "m", LoadTime: time.Millisecond}}}, true
 	})
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -221,7 +221,9 @@
 	return r, keep
 }
 
-func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
 
 // isPlain reports whether a body comes as the server made it; callers ask for no encoding.
 func isPlain(h *fasthttp.ResponseHeader) bool {
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -1,11 +1,15 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
 	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/tracker"
@@ -14,25 +18,34 @@
 
 const (
 	// useEvery is how often the leader is told which adapters are in use, and usePerEntry what each entry adds to it beyond
-	// usual deployments, so that the leader gets a bounded number of messages.
+	// usual deployments, so that relays get a bounded number of messages.
 	useEvery    = 100 * time.Millisecond
-	usePerEntry = 4 * time.Millisecond
+	usePerEntry = 500 * time.Microsecond
 	// linkPause is the wait between two rounds over the known replicas.
 	linkPause = 150 * time.Millisecond
 	maxUps    = 1024
+	// homeRetry is how long a replica of this entry's data centre that failed isn't tried again while another one serves.
+	homeRetry = 10 * time.Second
+	// readyGrace is how long an entry without a session counts as ready: a change of leader takes less, and beyond it others
+	// know more. Its open connections are served on.
+	readyGrace = 3 * time.Second
 )
 
-// link keeps a session to the control leader.
+// link keeps a session to a control replica, in this entry's data centre if there is one.
 type link struct {
 	entry *Relayer
 	up    chan governor.Up
 
 	mu       sync.Mutex
 	seeds    []string
-	replicas []string
-	// last is where the last session was.
-	last  string
-	asked map[ask]time.Time
+	replicas []governor.Peer
+	// at is where the session is, cancel ends it; lost is since when there is none.
+	at     string
+	cancel context.CancelFunc
+	lost   time.Time
+	// failed is when addresses failed last.
+	failed map[string]time.Time
+	asked  map[ask]time.Time
 }
 
 // ask is what was asked for.
@@ -43,7 +56,10 @@
 }
 
 func newLink(e *Relayer) *link {
-	return &link{entry: e, up: make(chan governor.Up, maxUps), seeds: slices.Clone(e.cfg.Controls), asked: make(map[ask]time.Time)}
+	return &link{
+		entry: e, up: make(chan governor.Up, maxUps), seeds: slices.Clone(e.cfg.Controls), asked: make(map[ask]time.Time),
+		failed: make(map[string]time.Time), lost: time.Now(),
+	}
 }
 
 func (l *link) setSeeds(addrs []string) {
@@ -52,22 +68,74 @@
 	l.seeds = slices.Clone(addrs)
 }
 
-// addresses returns all control replicas that are known, that of the last session at the end.
-func (l *link) addresses() []string {
+// addresses returns all control replicas that are known: those of this entry's data centre first, those that failed of
+// late at the end, otherwise in an order of this entry's own, so that entries spread over them.
+func (l *link) addresses(now time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := slices.Clone(l.replicas)
+	home := make(map[string]bool)
+	var out []string
+	for _, p := range l.replicas {
+		home[p.Addr] = p.Zone == l.entry.cfg.Zone
+		out = append(out, p.Addr)
+	}
 	for _, a := range l.seeds {
 		if !slices.Contains(out, a) {
 			out = append(out, a)
 		}
 	}
-	if i := slices.Index(out, l.last); i >= 0 {
-		out = append(slices.Delete(out, i, i+1), l.last)
+	rank := func(addr string) int {
+		switch at, ok := l.failed[addr]; {
+		case ok && now.Sub(at) < homeRetry:
+			return 2
+		case home[addr]:
+			return 0
+		}
+		return 1
 	}
+	own := func(addr string) uint64 { return xxhash.Sum64String(l.entry.cfg.Node + "\x00" + addr) }
+	slices.SortFunc(out, func(x, y string) int {
+		rx, ry := rank(x), rank(y)
+		if rx == 2 && ry == 2 {
+			return l.failed[x].Compare(l.failed[y])
+		}
+		return cmp.Or(cmp.Compare(rx, ry), cmp.Compare(own(x), own(y)))
+	})
 	return out
 }
 
+// goHome ends a session in another data centre once a replica of this entry's own may serve it.
+func (l *link) goHome(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cancel == nil {
+		return
+	}
+	better := false
+	for _, p := range l.replicas {
+		switch at, failed := l.failed[p.Addr]; {
+		case p.Addr == l.at && (p.Zone == l.entry.cfg.Zone || p.Zone == ""):
+			return
+		case p.Zone == l.entry.cfg.Zone && (!failed || now.Sub(at) >= homeRetry):
+			better = true
+		}
+	}
+	if better {
+		l.cancel()
+		l.cancel = nil
+	}
+}
+
+// silentFor returns how long the entry has been without a session.
+func (l *link) silentFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost.IsZero() {
+		return 0
+	}
+	return now.Sub(l.lost)
+}
+
 // want asks for an adapter; the same is asked for again only after a while.
 func (l *link) want(w governor.Want) {
 	now := time.Now()
@@ -117,15 +185,16 @@
 
 // run keeps a session open until ctx ends.
 func (l *link) run(ctx context.Context) {
-	go l.report(ctx)
+	var reporting conc.WaitGroup
+	reporting.Go(func() { l.report(ctx) })
+	defer reporting.Wait()
 	for ctx.Err() == nil {
-		for _, addr := range l.addresses() {
+		for _, addr := range l.addresses(time.Now()) {
 			began := l.try(ctx, addr)
 			if ctx.Err() != nil {
 				return
 			}
 			if began {
-				// What broke is most likely the leader: the others are asked first.
 				break
 			}
 		}
@@ -140,21 +209,20 @@
 			// What was meant for an earlier session is asked for again by who still waits.
 			<-l.up
 		}
-		hello := governor.Hello{Node: l.entry.cfg.Node, Zone: l.entry.cfg.Zone, Known: l.entry.balancer.Known()}
-		began, at := false, addr
-		redirect, err := governor.Dial(ctx, addr, hello, l.up, func(d governor.Down) {
-			if d.Welcome != nil {
-				began = true
-				l.entry.balancer.RetellLoads()
-				l.entry.log.Info("session with the control leader", at)
-			}
-			l.take(d)
-		})
+		began, redirect, err := l.session(ctx, addr)
+		now := time.Now()
+		l.mu.Lock()
+		moved := l.cancel == nil
+		if began && l.lost.IsZero() {
+			l.lost = now
+		}
+		if !began || !moved {
+			l.failed[addr] = now
+		}
+		l.at, l.cancel = "", nil
+		l.mu.Unlock()
 		if began {
-			l.entry.log.Error("session with the control leader ended", err)
-			l.mu.Lock()
-			l.last = at
-			l.mu.Unlock()
+			l.entry.log.Error("session with a control replica ended", err)
 			return true
 		}
 		if redirect == "" || redirect == addr {
@@ -165,7 +233,29 @@
 	return false
 }
 
-// take takes a message of the leader.
+// session runs a session at a replica.
+func (l *link) session(ctx context.Context, addr string) (began bool, redirect string, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.mu.Lock()
+	l.at, l.cancel = addr, cancel
+	l.mu.Unlock()
+	hello := governor.Hello{Node: l.entry.cfg.Node, Zone: l.entry.cfg.Zone}
+	redirect, err = governor.Dial(ctx, addr, hello, l.up, func(d governor.Down) {
+		if d.Welcome != nil {
+			began = true
+			l.mu.Lock()
+			delete(l.failed, addr)
+			l.mu.Unlock()
+			l.entry.balancer.RetellLoads()
+			l.entry.log.Info("session with a control replica", addr)
+		}
+		l.take(d)
+	})
+	return began, redirect, err
+}
+
+// take takes a message of the replica.
 func (l *link) take(d governor.Down) {
 	e := l.entry
 	if len(d.Replicas) > 0 {
@@ -180,6 +270,9 @@
 	b := e.balancer
 	b.SetVersions(now, d.Versions)
 	b.Leave(d.Left)
+	if d.Welcome != nil {
+		l.begin(&d)
+	}
 	b.Set(d.Engines, d.Welcome != nil)
 	b.Set(d.Exact, true)
 	b.Remove(d.Gone)
@@ -202,6 +295,33 @@
 	}
 }
 
+// begin compares what this entry knows with a session's first message: a leader that hasn't heard of all servers yet is told
+// of the others, one that has knows that they are gone.
+func (l *link) begin(d *governor.Down) {
+	l.mu.Lock()
+	l.lost = time.Time{}
+	l.mu.Unlock()
+	listed := make(map[string]bool, len(d.Engines))
+	for _, in := range d.Engines {
+		listed[in.Key.ID] = true
+	}
+	var known []tracker.Instance
+	var gone []string
+	for _, in := range l.entry.balancer.Known() {
+		switch {
+		case listed[in.Key.ID]:
+		case d.Welcome.Settled:
+			gone = append(gone, in.Key.ID)
+		default:
+			known = append(known, in)
+		}
+	}
+	l.entry.balancer.Remove(gone)
+	if len(known) > 0 {
+		l.send(governor.Up{Known: known})
+	}
+}
+
 // document takes a version of the operator's document into force, never an older one.
 func (l *link) document(doc governor.Doc) {
 	e := l.entry
@@ -221,6 +341,7 @@
 func (l *link) report(ctx context.Context) {
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, max(useEvery, time.Duration(l.entry.balancer.Entries())*usePerEntry))
+		l.goHome(time.Now())
 		up := l.loads()
 		for _, u := range l.entry.balancer.Uses() {
 			up.Uses = append(up.Uses, governor.Use{Engine: u.Engine, Adapter: u.Adapter, Starts: u.Starts, Running: u.Running})
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -123,7 +123,7 @@
 
 // answerReady tells the balancer whether this entry takes connections.
 func (e *Relayer) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.table.Load() == nil {
+	if e.leaving.Load() || e.table.Load() == nil || e.link.silentFor(time.Now()) > readyGrace {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -94,6 +94,9 @@
 		return w.fail(http.StatusServiceUnavailable, "this entry has no configuration yet", comeBackNone)
 	}
 	route, ok := table.Match(req.host, req.path)
+	if !ok && e.link.silentFor(time.Now()) > 0 {
+		return w.fail(http.StatusServiceUnavailable, "no route matches, and this entry may not know the newest ones", comeBackNone)
+	}
 	if !ok {
 		return w.fail(http.StatusNotFound, "no route matches "+req.host+req.path, 0)
 	}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -149,6 +149,7 @@
 		e.balancer.End(time.Now(), *choice, c.adapter, balancer.Void)
 	}
 }
+
 // mayResume reports whether a stream may go on at another engine after this attempt.
 func (e *Relayer) mayResume(a *attempt) bool {
 	c := a.call
