--- a/coord/encoder/encoder.go
+++ b/coord/encoder/encoder.go
@@ -82,7 +82,8 @@
 // Marshal implements connect.Codec.
 func (Codec) Marshal(v any) ([]byte, error) {
 	if r, ok := v.(*Raw); ok {
-		return *r, nil
+		// connect-go keeps what it gets for later messages.
+		return bytes.Clone(*r), nil
 	}
 	return Marshal(v)
 }
--- a/coord/encoder/encoder_test.go
+++ b/coord/encoder/encoder_test.go
@@ -35,3 +35,16 @@
 	qt.Assert(t, Unmarshal(whole, &s), qt.IsNil)
 	qt.Assert(t, s, qt.Equals, sample{Name: "a", N: 7})
 }
+
+// One encoded message goes to several receivers, while connect-go uses what it gets again as a buffer.
+func TestARawMessageIsNeverHandedOutItself(t *testing.T) {
+	raw := Raw("one message")
+	for range 2 {
+		data, err := Codec{}.Marshal(&raw)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(data), qt.Equals, "one message")
+		for i := range data {
+			data[i] = 0
+		}
+	}
+}
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -2,6 +2,9 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +29,9 @@
 	// limitFactor is how many requests all entries together may have at a server, in its slots: those beyond the slots wait
 	// there, and servers queue a few times as many as they run.
 	limitFactor = 2.5
+	// rivals is how many entries look at a server at the same time, as far as there are so many: each of more entries looks
+	// at a random part of the servers, so that they don't all choose the one that was told to have the least to do.
+	rivals = 8
 	// defaultSlots stands for servers that don't say how many requests they run at once.
 	defaultSlots = 4
 	// oldVersionGrace is how long an engine's older version of an adapter may be used after a newer one was named. Callers
@@ -136,6 +142,8 @@
 	waiting  map[tracker.Adapter]chan struct{}
 	queues   map[string]*queue
 	entries  int
+	// random returns a number from 0 below n.
+	random func(n int) int
 }
 
 // New returns a Balancer that knows no server.
@@ -143,7 +151,7 @@
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		left: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter]version),
-		waiting: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), entries: 1,
+		waiting: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), entries: 1, random: rand.IntN,
 	}
 }
 
@@ -320,21 +328,8 @@
 	if q := b.queues[a.Service]; q != nil && q.isBehind(a.Adapter, a.Ticket) {
 		return Choice{}, Full
 	}
-	verdict := None
-	var best *server
-	bestScore := math.Inf(1)
-	for _, s := range b.services[a.Service] {
-		if v := b.judge(now, s, a); v != Chosen {
-			if precedence[v] > precedence[verdict] {
-				verdict = v
-			}
-			continue
-		}
-		score := b.score(now, s, a)
-		if score < bestScore || score == bestScore && s.Key.ID < best.Key.ID {
-			best, bestScore = s, score
-		}
-	}
+	usable, verdict := b.usableServers(now, a)
+	best := b.best(now, a, b.sample(usable, a.Zone))
 	if best == nil {
 		return Choice{}, verdict
 	}
@@ -358,6 +353,65 @@
 	return c, Chosen
 }
 
+// usableServers returns the servers that may take a request, by ID, or why there is none.
+func (b *Balancer) usableServers(now time.Time, a Ask) ([]*server, Verdict) {
+	verdict := None
+	var out []*server
+	for _, s := range b.services[a.Service] {
+		if v := b.judge(now, s, a); v == Chosen {
+			out = append(out, s)
+		} else if precedence[v] > precedence[verdict] {
+			verdict = v
+		}
+	}
+	slices.SortFunc(out, func(x, y *server) int { return strings.Compare(x.Key.ID, y.Key.ID) })
+	return out, verdict
+}
+
+// sample returns the part of the servers that this entry looks at: of those in its data centre and of the others, so many
+// that each is looked at by some rivals.
+func (b *Balancer) sample(list []*server, zone string) []*server {
+	if b.entries <= rivals {
+		return list
+	}
+	near, far := partition(list, func(s *server) bool { return s.Zone == zone })
+	return append(b.some(near), b.some(far)...)
+}
+
+func partition(list []*server, is func(*server) bool) (yes, no []*server) {
+	for _, s := range list {
+		if is(s) {
+			yes = append(yes, s)
+		} else {
+			no = append(no, s)
+		}
+	}
+	return yes, no
+}
+
+// some returns a random part of the servers, two at least.
+func (b *Balancer) some(list []*server) []*server {
+	n := max(2, (len(list)*rivals+b.entries-1)/b.entries)
+	for i := range min(n, len(list)) {
+		j := i + b.random(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:min(n, len(list))]
+}
+
+// best returns the server with the lowest score, or nil.
+func (b *Balancer) best(now time.Time, a Ask, list []*server) *server {
+	var best *server
+	bestScore := math.Inf(1)
+	for _, s := range list {
+		score := b.score(now, s, a)
+		if score < bestScore || score == bestScore && s.Key.ID < best.Key.ID {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
 // precedence orders the verdicts on servers; of several, the highest is that on the request.
 var precedence = map[Verdict]int{None: 0, Absent: 1, Occupied: 2, Full: 3}
 
@@ -368,7 +422,7 @@
 		return None
 	case a.Adapter.Model != "" && !b.usable(now, s, a.Adapter):
 		return Absent
-	case s.running >= b.limit(s):
+	case b.isFull(now, s):
 		return Full
 	case a.Long && !a.Press && b.reading(now, s) > 0:
 		return Occupied
@@ -407,14 +461,18 @@
 	return float64(b.running(now, s)) / float64(slots)
 }
 
-// limit returns how many requests this entry may have at a server: enough to keep it busy while other entries are idle,
-// too few for all entries together to overrun its queue.
-func (b *Balancer) limit(s *server) int {
+// isFull reports whether a server has as many requests as all entries together may have there: enough to keep it busy, too
+// few to overrun its queue. Without word of the others, each entry may have its part.
+func (b *Balancer) isFull(now time.Time, s *server) bool {
 	slots := s.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return max(int(math.Ceil(limitFactor*float64(slots)/float64(b.entries))), 1)
+	most := math.Ceil(limitFactor * float64(slots))
+	if b.isTold(now, s) {
+		return float64(b.running(now, s)) >= most
+	}
+	return s.running >= max(int(math.Ceil(most/float64(b.entries))), 1)
 }
 
 // score is lower for the better server; one that can't be reached comes after all others.
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -69,19 +69,22 @@
 	return true
 }
 
-// running returns how many requests are at a server: what all entries told last, and since then as many more from each as
-// from this one. Without that, all of them would send to the server that was told to have the least.
+// isTold reports whether it is known what all entries have at a server.
+func (b *Balancer) isTold(now time.Time, s *server) bool { return now.Sub(s.othersAt) <= loadsTTL }
+
+// running returns how many requests are at a server: what all entries told last, and since then as many more from each
+// rival as from this one. Without that, all of them would send to the server that was told to have the least.
 func (b *Balancer) running(now time.Time, s *server) int {
-	if now.Sub(s.othersAt) > loadsTTL {
+	if !b.isTold(now, s) {
 		return s.running * b.entries
 	}
-	since := (s.running - s.told.Running) * b.entries
+	since := (s.running - s.told.Running) * min(b.entries, rivals)
 	return max(s.others.Running+s.told.Running+since, s.running)
 }
 
 // reading returns how many long prompts a server is reading.
 func (b *Balancer) reading(now time.Time, s *server) int {
-	if now.Sub(s.othersAt) > loadsTTL {
+	if !b.isTold(now, s) {
 		return s.reading
 	}
 	return s.reading + s.others.Reading
