--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -16,8 +16,7 @@
 	remotePenalty = 0.25
 	// crowdedLoad is the load from which one more copy of an adapter is asked for.
 	crowdedLoad = 0.5
-	// readingPenalty is the load that a long prompt counts for while it is read: other streams pause for about as long as
-	// with so many more requests at the server.
+	// readingPenalty is the load that as many tokens of prompts count for as a server may be reading at once.
 	readingPenalty = 0.3
 	// failurePenalty weighs a server's recent share of failures against load.
 	failurePenalty = 3.0
@@ -66,9 +65,11 @@
 	Except map[string]bool
 	// Ticket is the request's place in the queue, if it has one.
 	Ticket *Ticket
-	// Long says that the request's prompt takes an engine long enough to hold its other streams up, Press that it goes to an
-	// engine that is reading another such prompt if there is no other.
-	Long, Press bool
+	// Tokens is the length of the prompt, Gap the longest pause of the service's streams. Press says that the prompt goes to an
+	// engine that is reading others if there is no other.
+	Tokens int
+	Gap    time.Duration
+	Press  bool
 }
 
 // Choice is the server for one attempt.
@@ -80,10 +81,10 @@
 	Crowded bool
 	// Running is how many requests are at the server, as far as this entry knows, with this one.
 	Running int
-	// Reading is how many long prompts the server was reading already.
+	// Reading is how many tokens of prompts the server was reading already, as far as prompts take turns.
 	Reading int
-	// unread is set while the server is reading a long prompt.
-	unread *bool
+	// unread are the tokens of the request's own prompt until the server has read them.
+	unread *int
 }
 
 // Verdict says why there is no choice.
@@ -99,7 +100,7 @@
 	Full
 	// None means that no usable server answers for the service.
 	None
-	// Occupied means that all usable servers are reading long prompts.
+	// Occupied means that all usable servers are reading other prompts.
 	Occupied
 )
 
@@ -107,7 +108,7 @@
 	tracker.Instance
 	residents map[tracker.Adapter]int
 	running   int
-	// reading is how many long prompts of this entry the server is reading.
+	// reading is how many tokens of this entry's prompts the server is reading.
 	reading  int
 	told     Load
 	others   Load
@@ -141,6 +142,7 @@
 	versions map[tracker.Adapter]version
 	waiting  map[tracker.Adapter]chan struct{}
 	queues   map[string]*queue
+	paces    map[string]*pace
 	entries  int
 	// random returns a number from 0 below n.
 	random func(n int) int
@@ -151,7 +153,7 @@
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		left: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter]version),
-		waiting: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), entries: 1, random: rand.IntN,
+		waiting: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), paces: make(map[string]*pace), entries: 1, random: rand.IntN,
 	}
 }
 
@@ -335,10 +337,9 @@
 	}
 	c := Choice{Instance: best.Instance, Reading: b.reading(now, best)}
 	best.running++
-	if a.Long {
-		best.reading++
-		c.unread = new(bool)
-		*c.unread = true
+	if b.takesTurns(a) {
+		best.reading += a.Tokens
+		c.unread = &a.Tokens
 	}
 	c.Running, c.Crowded = b.running(now, best), b.load(now, best) > crowdedLoad
 	if a.Adapter.Model != "" {
@@ -424,7 +425,7 @@
 		return Absent
 	case b.isFull(now, s):
 		return Full
-	case a.Long && !a.Press && b.reading(now, s) > 0:
+	case b.mustWait(now, s, a):
 		return Occupied
 	}
 	return Chosen
@@ -477,7 +478,7 @@
 
 // score is lower for the better server; one that can't be reached comes after all others.
 func (b *Balancer) score(now time.Time, s *server, a Ask) float64 {
-	score := b.load(now, s) + failurePenalty*s.failures + readingPenalty*float64(b.reading(now, s))
+	score := b.load(now, s) + failurePenalty*s.failures + b.readingScore(now, s, a)
 	if s.Zone != a.Zone {
 		score += remotePenalty
 	}
--- a/serving/balancer/balancer_test.go
+++ b/serving/balancer/balancer_test.go
@@ -171,7 +171,7 @@
 }
 
 // long asks for a server for a prompt that takes an engine long to read.
-var long = balancer.Ask{Service: "s", Zone: "z", Adapter: adapter, Long: true}
+var long = balancer.Ask{Service: "s", Zone: "z", Adapter: adapter, Tokens: 9190, Gap: 400 * time.Millisecond}
 
 func TestLongPromptsTakeTurns(t *testing.T) {
 	c := qt.New(t)
@@ -185,7 +185,7 @@
 	_, v := b.Pick(start, long)
 	c.Check(v, qt.Equals, balancer.Occupied)
 	short := long
-	short.Long = false
+	short.Tokens = 646
 	_, v = b.Pick(start, short)
 	c.Check(v, qt.Equals, balancer.Chosen, qt.Commentf("short prompts don't wait"))
 	pressed := long
@@ -211,7 +211,7 @@
 	b.Hold("x", adapter, 1)
 	b.Hold("y", adapter, 1)
 	short := long
-	short.Long = false
+	short.Tokens = 646
 	ch, _ := b.Pick(start, short)
 	c.Check(ch.Key.ID, qt.Equals, "x")
 	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Running: 1}})
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -8,7 +8,7 @@
 // Load is what is under way at a server.
 type Load struct {
 	Server string
-	// Running is the number of requests, Reading that of long prompts that the server is still reading.
+	// Running is the number of requests, Reading that of tokens of prompts that the server is still reading.
 	Running int
 	Reading int
 }
@@ -52,7 +52,7 @@
 	}
 }
 
-// Read tells that the server has read the prompt of a choice; it reports whether the prompt was a long one.
+// Read tells that the server has read the prompt of a choice; it reports whether the prompt took turns.
 func (b *Balancer) Read(c Choice) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -61,11 +61,11 @@
 }
 
 func (s *server) read(c Choice) bool {
-	if c.unread == nil || !*c.unread {
+	if c.unread == nil || *c.unread == 0 {
 		return false
 	}
-	*c.unread = false
-	s.reading = max(s.reading-1, 0)
+	s.reading = max(s.reading-*c.unread, 0)
+	*c.unread = 0
 	return true
 }
 
@@ -82,7 +82,7 @@
 	return max(s.others.Running+s.told.Running+since, s.running)
 }
 
-// reading returns how many long prompts a server is reading.
+// reading returns how many tokens of prompts a server is reading.
 func (b *Balancer) reading(now time.Time, s *server) int {
 	if !b.isTold(now, s) {
 		return s.reading
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -101,7 +101,7 @@
 // Load is what is under way at a server.
 type Load struct {
 	Server string `cbor:"1,keyasint"`
-	// Running is the number of requests, Reading that of long prompts that the server is still reading.
+	// Running is the number of requests, Reading that of tokens of prompts that the server is still reading.
 	Running int `cbor:"2,keyasint,omitempty"`
 	Reading int `cbor:"3,keyasint,omitempty"`
 }
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -24,11 +24,8 @@
 	leaveFloor   = 2 * time.Second
 	leaveTargets = 4
 	leaveGaps    = 8
-	// longPrompt is the number of tokens from which a prompt counts as long: engines read 30 to 40 in a millisecond, so
-	// that other streams pause for a quarter of the 400 ms that are in time.
-	longPrompt = 4000
-	// turnShare is the part of a route's target that a long prompt may wait until its engine has read another one, and
-	// turnEvery how often it looks.
+	// turnShare is the part of a route's target that a prompt may wait until its engine has read others, and turnEvery how
+	// often it looks.
 	turnShare = 0.5
 	turnEvery = 15 * time.Millisecond
 	// lateWork is what a request that waited for long still needs to begin its answer: a prompt beside others.
@@ -52,8 +49,8 @@
 	service string
 	adapter tracker.Adapter
 	id      string
-	// long says that an engine takes so long to read the prompt that its other streams pause.
-	long     bool
+	// tokens is the length of the prompt.
+	tokens   int
 	head     []byte
 	arrived  time.Time
 	deadline time.Time
@@ -109,7 +106,7 @@
 	}
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
 		c.adapter = e.names.ParseModel(req.get(e.names.Model))
-		c.long = e.names.ParseUsage(req.get(e.names.Usage)) >= longPrompt
+		c.tokens = e.names.ParseUsage(req.get(e.names.Usage))
 	}
 	c.deadline = c.arrived.Add(route.Timeout)
 	if ms, err := strconv.ParseInt(req.get(e.names.Deadline), 10, 64); err == nil && ms > 0 {
@@ -147,7 +144,7 @@
 		a := &attempt{call: c, choice: choice, resume: w.last}
 		r := e.exchange(ctx, a, w)
 		e.balancer.End(time.Now(), choice, c.adapter, r.result)
-		if c.long {
+		if c.tokens > 0 && r.outcome != answered {
 			e.link.tellLoads()
 		}
 		e.metrics.tried(r.result)
@@ -317,12 +314,12 @@
 // held names what a request waits for.
 var held = map[balancer.Verdict]string{
 	balancer.Absent: "an adapter", balancer.Full: "a place", balancer.None: "a server",
-	balancer.Occupied: "its turn among long prompts",
+	balancer.Occupied: "its turn among prompts",
 }
 
 // choose returns the server for the next attempt; it waits a bounded time for a place or for an adapter to be loaded.
 func (e *Relayer) choose(ctx context.Context, c *call) (balancer.Choice, balancer.Verdict) {
-	ask := balancer.Ask{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.except, Long: c.long}
+	ask := balancer.Ask{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.except, Tokens: c.tokens, Gap: c.route.Gap}
 	defer func() {
 		if ask.Ticket != nil {
 			e.balancer.Dequeue(c.service, ask.Ticket)
@@ -339,7 +336,7 @@
 		choice, v := e.balancer.Pick(now, ask)
 		switch {
 		case v == balancer.Chosen:
-			if c.long {
+			if choice.TakesTurns() {
 				e.link.tellLoads()
 			}
 			if c.adapter.Name != "" && choice.Crowded {
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -40,6 +40,7 @@
 	route := a.call.route
 	silence := e.watchSilence(c, a, max(time.Duration(firstFactor*float64(route.Target)), firstFloor))
 	left := reply{outcome: answered, reason: "the caller left", result: balancer.Void}
+	read := false
 	for {
 		block, id, err := events.next()
 		if err != nil {
@@ -62,8 +63,9 @@
 			e.release(a.call, silence.stop())
 			return left, -1
 		}
-		if a.call.long && e.balancer.Read(a.choice) {
-			e.link.tellLoads()
+		if !read {
+			read = true
+			e.hasRead(a)
 		}
 		if !out.chunk(block) || ctx.Err() != nil {
 			e.release(a.call, silence.stop())
@@ -76,6 +78,16 @@
 	}
 }
 
+// hasRead takes note that the server has read the prompt: its first event is there.
+func (e *Relayer) hasRead(a *attempt) {
+	if a.resume == "" {
+		e.balancer.Timed(a.call.service, a.call.tokens, time.Since(a.call.chosen))
+	}
+	if e.balancer.Read(a.choice) {
+		e.link.tellLoads()
+	}
+}
+
 // silence watches over one attempt at a stream: an engine that is silent for too long loses the request, but only to
 // another one that takes it at once. Without that, a late answer is better than none.
 type silence struct {
@@ -128,7 +140,8 @@
 	except[s.try.choice.Key.ID] = true
 	now := time.Now()
 	choice, v := e.balancer.Pick(now, balancer.Ask{
-		Service: call.service, Adapter: call.adapter, Zone: e.cfg.Zone, Except: except, Long: call.long, Press: true,
+		Service: call.service, Adapter: call.adapter, Zone: e.cfg.Zone, Except: except, Tokens: call.tokens, Gap: call.route.Gap,
+		Press: true,
 	})
 	if v != balancer.Chosen {
 		s.timer.Reset(silenceEvery)
