--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -419,14 +419,16 @@
 	return 0
 }
 
-// Missing takes note that an engine denied holding an adapter.
+// Missing takes note that an engine denied holding an adapter. It may hold another version of it, or may have loaded it
+// since, so that its place isn't free before the engine has been asked.
 func (a *Allocator) Missing(engineID string, ad tracker.Adapter) {
 	e := a.engines[engineID]
 	if e == nil || e.slots[ad] == nil || e.slots[ad].state != resident && e.slots[ad].state != retiring {
 		return
 	}
 	a.touched[engineID] = true
-	delete(e.slots, ad)
+	e.slots[ad].state = doubtful
+	e.synced = false
 }
 
 // Loaded ends a load; what is wanted still is placed again.
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -504,3 +504,30 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Check(orders[0].Engine, qt.Equals, "y")
 }
+
+// A request was denied for an adapter that the engine has loaded since, or holds in another version: its place isn't free.
+func TestADeniedAdapterKeepsItsPlaceUntilTheEngineWasAsked(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	load(c, a, start, want("a1", "z"))
+	a.Missing("x", adapter("a1"))
+	a.Want(start, want("a2", "z"))
+	c.Check(a.Plan(start), qt.HasLen, 0)
+	c.Check(a.Unsynced(), qt.DeepEquals, []string{"x"})
+	a.Sync(start, "x", residents("", "a1"), nil)
+	later := start.Add(500 * time.Millisecond)
+	orders := a.Plan(later)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Evict, qt.Equals, adapter("a1"))
+
+	add(a, engine("y", "z"), 1)
+	c.Assert(load(c, a, later, want("a3", "z")).Engine, qt.Equals, "y")
+	a.Missing("y", adapter("a3"))
+	much := later.Add(allocator.ReportLag + time.Second)
+	a.Sync(much, "y", residents(""), nil)
+	a.Want(much, want("a4", "z"))
+	orders = a.Plan(much)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Evict, qt.Equals, tracker.Adapter{}, qt.Commentf("the engine doesn't list it"))
+}
