governor: a leader knows the servers from the log, and orders by the first report after a silent leader

Change: the log has the servers that are listed (what came, changed and went, twice a second); a leader that begins long after the last word of another takes the first report as it is. An entry that moves to a relay of its data centre does so without a pause. Tests: TestServersOutliveAllReplicas, TestALeaderAfterASilentOneOrdersByTheFirstReport, TestTheLogRemembersServers.

--- a/serving/allocator/store.go
+++ b/serving/allocator/store.go
@@ -12,7 +12,7 @@
 	// slowFetch is how much longer than the fastest ever the fastest of some fetches takes when the store is beyond its full
 	// speed. Then all fetches share the store, so that a bound slightly too high costs little and one too low leaves it
 	// idle. Single fetches tell nothing: their ends may be seen late.
-	slowFetch = 1.25
+	slowFetch = 1.15
 	// fetchWindow is how many fetches are judged together, fetchDecrease and fetchIncrease what moves the bound after slow
 	// ones and after others.
 	fetchWindow   = 16
--- a/stage/governor/desk.go
+++ b/stage/governor/desk.go
@@ -26,6 +26,8 @@
 	engines *tracker.Tracker
 	placing *allocator.Allocator
 	room    Room
+	// listed is from when reports list all orders of earlier leaders.
+	listed time.Time
 	// known is what entries were told of each engine's adapters.
 	known map[string]map[tracker.Adapter]int
 	// fresh are the moves and instances that entries weren't told of.
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -127,7 +127,10 @@
 	up := make(chan Up, maxUpstream)
 	_, err := Dial(ctx, addr, hello, up, func(d Down) {
 		h.seat.learn(d.Replicas)
-		h.post(func(time.Time) { h.takeSource(up, &d) })
+		h.post(func(now time.Time) {
+			h.heard = now
+			h.takeSource(up, &d)
+		})
 	})
 	h.post(func(now time.Time) {
 		if h.desk == nil && h.relay.source != nil {
--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -223,3 +223,50 @@
 	cancel()
 	<-done
 }
+
+// Once all replicas were down, the next leader knows the servers before they announce themselves, but not one that left.
+func TestServersOutliveAllReplicas(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.settled(3)
+	state := &durable{}
+	for n := uint64(1); len(state.Servers) < 2; n++ {
+		// Servers announce themselves again and again, since a leader that has just begun may miss one.
+		for _, id := range []string{"x", "y"} {
+			in := tracker.Instance{Key: tracker.Key{ID: id, Born: 1}, Service: "s", Addr: id, Sequence: n}
+			g.try(func(gov *Governor) error { return gov.Announce(context.Background(), in) })
+		}
+		_, gov := g.leader()
+		state = gov.seat.state()
+		time.Sleep(5 * time.Millisecond)
+	}
+	g.try(func(gov *Governor) error { return gov.Leave(context.Background(), tracker.Key{ID: "y", Born: 1}) })
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := range 3 {
+		g.start(i, false)
+	}
+	i, _ := g.leader()
+	got := make(chan Down, 64)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			_, _ = Dial(ctx, g.addrs[i], Hello{Node: "entry"}, make(chan Up), func(d Down) {
+				if d.Welcome != nil {
+					got <- d
+				}
+			})
+		}
+	}()
+	d := <-got
+	cancel()
+	<-ended
+	c.Assert(d.Engines, qt.HasLen, 2)
+	for _, in := range d.Engines {
+		c.Check(in.Leaving, qt.Equals, in.Key.ID == "y")
+	}
+}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -20,11 +20,8 @@
 	planEvery = 3 * time.Millisecond
 	// placementEvery bounds the lines about adapters that are waited for.
 	placementEvery = 500 * time.Millisecond
-	// recordEvery is how often what engines held is recorded in the log: what is lost with a leader is fetched from the
-	// store once more.
-	recordEvery = 500 * time.Millisecond
-	maxEvents   = 4096
-	maxTurn     = 256
+	maxEvents      = 4096
+	maxTurn        = 256
 )
 
 // hub is the control state of a replica; its methods run on the control goroutine unless they say otherwise.
@@ -46,17 +43,19 @@
 	table *matcher.Table
 	// relay serves the entries that have their sessions here; peers are the leader's sessions with relays, own the one with
 	// its own relay.
-	relay    *relay
-	peers    map[*session]bool
-	own      *session
-	open     map[*session]bool
-	entries  int
-	listed   []Peer
-	workers  map[string]*worker
-	joiner   *joiner
-	newsAt   time.Time
-	planAt   time.Time
-	toldAt   time.Time
+	relay   *relay
+	peers   map[*session]bool
+	own     *session
+	open    map[*session]bool
+	entries int
+	listed  []Peer
+	workers map[string]*worker
+	joiner  *joiner
+	newsAt  time.Time
+	planAt  time.Time
+	toldAt  time.Time
+	// heard is when this replica knew of a leader's work last, its own included.
+	heard    time.Time
 	recorder recorder
 	loads    *loads
 	waits    []versionWait
@@ -74,7 +73,7 @@
 	h := &hub{
 		cfg: cfg, deps: deps, seat: s, log: l, ctx: ctx, spawn: spawn, events: make(chan func(now time.Time), maxEvents),
 		peers: make(map[*session]bool), open: make(map[*session]bool), workers: make(map[string]*worker), loads: newLoads(),
-		metrics: newMetrics(),
+		metrics: newMetrics(), heard: time.Now(),
 	}
 	h.joiner = newJoiner(h)
 	h.relay = newRelay(l, h.metrics)
@@ -165,36 +164,6 @@
 	h.record(now)
 }
 
-// recorder keeps what engines held until the log has it.
-type recorder struct {
-	at   time.Time
-	busy bool
-	open []allocator.Holding
-}
-
-// record has the log remember what engines held, so that the next leader knows it too.
-func (h *hub) record(now time.Time) {
-	r := &h.recorder
-	r.open = append(r.open, h.desk.placing.TakeHeld()...)
-	if r.busy || len(r.open) == 0 || now.Sub(r.at) < recordEvery {
-		return
-	}
-	sent := r.open
-	r.at, r.busy, r.open = now, true, nil
-	h.spawn(func() {
-		ctx, cancel := context.WithTimeout(h.ctx, proposeTimeout)
-		defer cancel()
-		_, err := h.seat.propose(ctx, command{Held: sent})
-		h.post(func(time.Time) {
-			r.busy = false
-			if err != nil {
-				h.log.Error("record what engines held", err)
-				r.open = append(sent, r.open...)
-			}
-		})
-	})
-}
-
 // tellPlacement logs what stands in the way of adapters, while some are waited for.
 func (h *hub) tellPlacement(now time.Time) {
 	if now.Sub(h.toldAt) < placementEvery {
@@ -244,12 +213,15 @@
 	h.term = term
 	h.table = h.decode(state.Doc)
 	h.desk = newDesk(era, now, state, h.room)
+	h.desk.listed = h.heard.Add(lastOrders)
 	h.applied = state.Applied
 	h.told = state
 	h.recorder, h.loads = recorder{}, newLoads()
 	h.joiner.reset()
 	h.log.Info("leads", h.cfg.Node)
 	h.desk.claim(now, h.relay.view.servers())
+	h.desk.claim(now, state.Servers)
+	h.recorder.know(state.Servers)
 	h.listed = h.replicas()
 	d := h.whole()
 	h.own = &session{hello: &Hello{Node: h.cfg.Node, Zone: h.cfg.Zone}}
@@ -306,7 +278,7 @@
 		return
 	}
 	h.log.Info("leads no more", h.cfg.Node)
-	h.desk = nil
+	h.desk, h.heard = nil, time.Now()
 	for s := range h.peers {
 		h.drop(s)
 	}
@@ -609,7 +581,7 @@
 			h.send(s, Down{Beat: up.Beat})
 		}
 	default:
-		h.relay.receive(now, s, up)
+		h.relay.receive(s, up)
 	}
 }
 
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -22,7 +22,7 @@
 // firstID is the first number for replicas that join; founders have the numbers below.
 const firstID = 100
 
-// command is one entry of the log; exactly one of its parts is set.
+// command is one entry of the log; exactly one of its parts is set, but for what a leader records of servers.
 type command struct {
 	// Doc replaces the operator's document if its version is higher.
 	Doc *Doc `cbor:"1,keyasint,omitempty"`
@@ -36,6 +36,10 @@
 	Allot bool `cbor:"5,keyasint,omitempty"`
 	// Held tells of adapters that starts of engines loaded.
 	Held []allocator.Holding `cbor:"6,keyasint,omitempty"`
+	// Servers tells of starts of backend servers that came or changed, Gone of those that are not listed any more, by ID;
+	// they come with Held.
+	Servers []tracker.Instance `cbor:"7,keyasint,omitempty"`
+	Gone    []string           `cbor:"8,keyasint,omitempty"`
 }
 
 // result is what a command returned.
@@ -61,6 +65,8 @@
 	Applied uint64 `cbor:"6,keyasint"`
 	// Held are the adapters that starts of engines loaded, in the order of their last loads.
 	Held []allocator.Holding `cbor:"7,keyasint,omitempty"`
+	// Servers are the backend servers that were listed last, so that they can be used as soon as there is a leader again.
+	Servers []tracker.Instance `cbor:"8,keyasint,omitempty"`
 }
 
 // machine is the replicated state machine; the log's goroutine writes it, others read the published state.
@@ -103,8 +109,9 @@
 	case cmd.Allot:
 		next.LastID++
 		res.Number = next.LastID
-	case cmd.Held != nil:
+	default:
 		next.Held = withHeld(next.Held, cmd.Held)
+		next.Servers = withServers(next.Servers, cmd.Servers, cmd.Gone)
 	}
 	m.state.Store(&next)
 	m.changed()
@@ -160,6 +167,25 @@
 	return out[max(len(out)-maxHolders, 0):]
 }
 
+// withServers returns the list with the servers that came and without those that went; an earlier start never replaces a
+// later one.
+func withServers(list, came []tracker.Instance, gone []string) []tracker.Instance {
+	if len(came)+len(gone) == 0 {
+		return list
+	}
+	out := slices.DeleteFunc(slices.Clone(list), func(in tracker.Instance) bool { return slices.Contains(gone, in.Key.ID) })
+	for _, in := range came {
+		i := slices.IndexFunc(out, func(old tracker.Instance) bool { return old.Key.ID == in.Key.ID })
+		switch {
+		case i < 0:
+			out = append(out, in)
+		case out[i].Key.Born <= in.Key.Born:
+			out[i] = in
+		}
+	}
+	return out[max(len(out)-maxHolders, 0):]
+}
+
 // Snapshot implements runner.Machine.
 func (m *machine) Snapshot() ([]byte, error) { return encoder.Marshal(m.now()) }
 
--- a/stage/governor/machine_test.go
+++ b/stage/governor/machine_test.go
@@ -51,3 +51,35 @@
 	c.Assert(other.Restore(data), qt.IsNil)
 	c.Check(other.now().Held, qt.DeepEquals, m.now().Held)
 }
+
+func TestTheLogRemembersServers(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine(func() {})
+	apply := func(cmd command) {
+		data, err := encoder.Marshal(cmd)
+		c.Assert(err, qt.IsNil)
+		m.Apply(1, data)
+	}
+	server := func(id string, born int64) tracker.Instance {
+		return tracker.Instance{Key: tracker.Key{ID: id, Born: born}, Addr: id}
+	}
+	apply(command{Servers: []tracker.Instance{server("x", 2), server("y", 1)}})
+	first := m.now().Servers
+	apply(command{Servers: []tracker.Instance{server("x", 1), server("z", 1)}, Gone: []string{"y"}})
+	c.Check(m.now().Servers, qt.DeepEquals, []tracker.Instance{server("x", 2), server("z", 1)}, qt.Commentf("an earlier start comes late"))
+	c.Check(first, qt.HasLen, 2, qt.Commentf("a published state is never changed"))
+}
+
+func TestTheRecorderTellsWhatTheLogLacks(t *testing.T) {
+	c := qt.New(t)
+	x, y := tracker.Instance{Key: tracker.Key{ID: "x", Born: 1}, Slots: 2}, tracker.Instance{Key: tracker.Key{ID: "y", Born: 1}}
+	var r recorder
+	r.know([]tracker.Instance{x, y})
+	x.Sequence, x.Residents = 9, []tracker.Resident{testBase}
+	came, gone := r.compare([]tracker.Instance{x})
+	c.Check(came, qt.HasLen, 0, qt.Commentf("only its announcement's number changed"))
+	c.Check(gone, qt.DeepEquals, []string{"y"})
+	x.Slots = 3
+	came, _ = r.compare([]tracker.Instance{x, y})
+	c.Check(came, qt.HasLen, 1)
+}
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -154,7 +154,7 @@
 func (r *relay) take(d *Down) { r.view.apply(d) }
 
 // receive takes up a message of an entry.
-func (r *relay) receive(now time.Time, s *session, up Up) {
+func (r *relay) receive(s *session, up Up) {
 	a := &r.asking
 	s.version = max(s.version, up.Version)
 	for _, u := range up.Uses {
--- a/stage/governor/relay_test.go
+++ b/stage/governor/relay_test.go
@@ -97,7 +97,7 @@
 				n++
 				ad := tracker.Adapter{Model: "m", Name: fmt.Sprint("a", (i+n)%50)}
 				id := fmt.Sprint("e", (i+n)%60)
-				r.receive(f.now, s, Up{
+				r.receive(s, Up{
 					Loads: []Load{{Server: id, Running: 1 + i%3}}, Uses: []Use{{Engine: id, Adapter: ad, Starts: 1, Running: 1}},
 					Wants: []Want{{Service: "s", Adapter: ad, Left: time.Second}},
 				})
@@ -170,9 +170,9 @@
 	r.join(a)
 	r.join(b)
 	now := time.Unix(100, 0)
-	r.receive(now, a, Up{Wants: []Want{{Service: "s", Adapter: ad, Left: 100, Except: []string{"x"}}}, Loads: []Load{{Server: "x", Running: 2}}})
-	r.receive(now, b, Up{Wants: []Want{{Service: "s", Adapter: ad, Left: 300}}, Loads: []Load{{Server: "x", Running: 1}}})
-	r.receive(now, b, Up{Uses: []Use{{Engine: "x", Adapter: ad, Starts: 2, Running: 1}}})
+	r.receive(a, Up{Wants: []Want{{Service: "s", Adapter: ad, Left: 100, Except: []string{"x"}}}, Loads: []Load{{Server: "x", Running: 2}}})
+	r.receive(b, Up{Wants: []Want{{Service: "s", Adapter: ad, Left: 300}}, Loads: []Load{{Server: "x", Running: 1}}})
+	r.receive(b, Up{Uses: []Use{{Engine: "x", Adapter: ad, Starts: 2, Running: 1}}})
 	r.spreadUp(now)
 	c.Assert(sent, qt.HasLen, 1)
 	c.Check(sent[0].Wants, qt.DeepEquals, []Want{{Service: "s", Adapter: ad, Left: 300, Except: []string{"x"}, Zone: "z"}})
@@ -233,7 +233,7 @@
 	for _, r := range f.relays {
 		for s := range r.sessions {
 			c.Check(isDone(), qt.IsFalse)
-			r.receive(f.now, s, Up{Version: 1})
+			r.receive(s, Up{Version: 1})
 		}
 	}
 	c.Check(isDone(), qt.IsTrue)
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -31,6 +31,9 @@
 	evictLimit = time.Second
 	// syncPause is the wait before an engine is asked again what it holds.
 	syncPause = 300 * time.Millisecond
+	// lastOrders is how long after the last word of a leader its orders may still reach engines, and reports may not list
+	// them: its lease is shorter than an election, its orders end with it, and reports lag.
+	lastOrders = orderTimeout + tickEvery + allocator.ReportLag
 	// lagPause is the wait for a report that is younger than the latest order, and lagTries how often it is waited for.
 	lagPause = 100 * time.Millisecond
 	lagTries = 10
@@ -102,10 +105,14 @@
 	asking bool
 	// asked says that it was asked before; only one goroutine asks at a time.
 	asked bool
+	// told says that this leader has taken a report before, or tried to.
+	told bool
+	// listed is from when reports list all orders of earlier leaders.
+	listed time.Time
 }
 
 func newWorker(h *hub, in tracker.Instance) *worker {
-	w := &worker{hub: h, target: in, fence: h.desk.era, turn: make(chan struct{}, 1)}
+	w := &worker{hub: h, target: in, fence: h.desk.era, listed: h.desk.listed, turn: make(chan struct{}, 1)}
 	w.ctx, w.cancel = context.WithCancel(h.ctx)
 	return w
 }
@@ -149,6 +156,8 @@
 		return false
 	}
 	defer w.leave()
+	first := !w.told
+	w.told = true
 	for range lagTries {
 		ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
 		report, err := w.hub.deps.Engines.Report(ctx, w.target)
@@ -161,6 +170,11 @@
 			waiter.Wait(w.ctx, lagPause)
 			continue
 		}
+		if first && w.isListed() {
+			// The earlier leader has been silent for so long that the report lists all of its orders.
+			w.take(report)
+			return true
+		}
 		if report.Orders != w.taken {
 			// Orders that the table doesn't account for count already and may not be listed yet: those of an earlier leader, and
 			// those whose answers were lost.
@@ -177,6 +191,9 @@
 	return false
 }
 
+// isListed reports whether a report lists all orders that engines took from earlier leaders.
+func (w *worker) isListed() bool { return !time.Now().Before(w.listed) }
+
 func (w *worker) take(report EngineReport) {
 	w.taken, w.sure = report.Orders, true
 	w.open = slices.DeleteFunc(w.open, func(o EngineOrder) bool { return o.Expect < report.Orders })
--- a/stage/governor/worker_test.go
+++ b/stage/governor/worker_test.go
@@ -46,6 +46,7 @@
 	h.desk = newDesk(1, time.Now(), &durable{}, func(string) (allocator.Room, bool) {
 		return allocator.Room{Adapters: adapters, Models: []matcher.Model{{Name: "m", LoadTime: time.Millisecond}}}, true
 	})
+	h.desk.listed = h.heard.Add(lastOrders)
 	h.desk.announce(time.Now(), tracker.Instance{Key: testKey, Service: "s", Addr: "a", Sequence: 1})
 	c.Cleanup(func() {
 		cancel()
@@ -119,6 +120,28 @@
 	place.check(c, h)
 }
 
+// Reports list all orders of a leader that has been silent for long, so that the next one orders at once.
+func TestALeaderAfterASilentOneOrdersByTheFirstReport(t *testing.T) {
+	c := qt.New(t)
+	reports := 0
+	h := lead(c, &scripted{
+		report: func() (EngineReport, error) {
+			reports++
+			return EngineReport{Orders: 5, Residents: []tracker.Resident{testBase}}, nil
+		},
+		order: func(o EngineOrder) (Verdict, error) {
+			c.Check(o.Expect, qt.Equals, uint64(5))
+			return Holds, nil
+		},
+	}, 1)
+	h.desk.listed = time.Now()
+	h.until(func() bool {
+		h.want("a1")
+		return h.holds(testAdapter("a1"))
+	})
+	c.Check(reports, qt.Equals, 1)
+}
+
 func TestAnOrderWithoutAnAnswerKeepsItsPlace(t *testing.T) {
 	c := qt.New(t)
 	var orders []EngineOrder
--- a/stage/relayer/hostile_test.go
+++ b/stage/relayer/hostile_test.go
@@ -286,12 +286,14 @@
 				l := dial(c, e)
 				l.send(c, "POST", row.path, "x", testDeadline+": 3000")
 				callers.Go(func() {
+					defer func() { _ = l.Close() }()
 					resp, err := http.ReadResponse(l.br, nil)
-					if err == nil {
-						// Callers leave after a while; what they got isn't held here.
-						_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
+					if err != nil {
+						return
 					}
-					_ = l.Close()
+					defer func() { _ = resp.Body.Close() }()
+					// Callers leave after a while; what they got isn't held here.
+					_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
 				})
 			}
 			callers.Wait()
--- a/stage/relayer/link.go
+++ b/stage/relayer/link.go
@@ -189,30 +189,37 @@
 	reporting.Go(func() { l.report(ctx) })
 	defer reporting.Wait()
 	for ctx.Err() == nil {
+		pause := linkPause
 		for _, addr := range l.addresses(time.Now()) {
-			began := l.try(ctx, addr)
+			began, moved := l.try(ctx, addr)
 			if ctx.Err() != nil {
 				return
 			}
+			if moved {
+				pause = 0
+			}
 			if began {
 				break
 			}
 		}
-		waiter.Wait(ctx, linkPause)
+		waiter.Wait(ctx, pause)
 	}
 }
 
-// try runs a session at a replica, or at the leader that it names; it reports whether one began.
-func (l *link) try(ctx context.Context, addr string) bool {
+// try runs a session at a replica, or at the leader that it names; it reports whether one began, and whether it ended for
+// one in this entry's own data centre.
+func (l *link) try(ctx context.Context, addr string) (began, moved bool) {
 	for range 2 {
 		for len(l.up) > 0 {
 			// What was meant for an earlier session is asked for again by who still waits.
 			<-l.up
 		}
-		began, redirect, err := l.session(ctx, addr)
+		var redirect string
+		var err error
+		began, redirect, err = l.session(ctx, addr)
 		now := time.Now()
 		l.mu.Lock()
-		moved := l.cancel == nil
+		moved = l.cancel == nil
 		if began && l.lost.IsZero() {
 			l.lost = now
 		}
@@ -223,14 +230,14 @@
 		l.mu.Unlock()
 		if began {
 			l.entry.log.Error("session with a control replica ended", err)
-			return true
+			return true, moved
 		}
 		if redirect == "" || redirect == addr {
-			return false
+			return false, false
 		}
 		addr = redirect
 	}
-	return false
+	return false, false
 }
 
 // session runs a session at a replica.
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -132,12 +132,15 @@
 	c.since = c.arrived
 	var next *balancer.Choice
 	for try := 0; ; try++ {
-		choice, v := balancer.Choice{}, balancer.Chosen
-		if next != nil {
-			choice, next = *next, nil
-		} else if choice, v = e.choose(ctx, c); v != balancer.Chosen {
-			return e.giveUp(ctx, c, w, v)
+		if next == nil {
+			choice, v := e.choose(ctx, c)
+			if v != balancer.Chosen {
+				return e.giveUp(ctx, c, w, v)
+			}
+			next = &choice
 		}
+		choice := *next
+		next = nil
 		began := time.Now()
 		e.metrics.chosen(c, began)
 		c.choice, c.chosen = choice, began
@@ -343,7 +346,7 @@
 				e.link.want(governor.Want{Service: c.service, Adapter: c.adapter, Copy: true})
 			}
 			return choice, v
-		case v == balancer.None && len(c.except) > 0 && c.since == c.arrived:
+		case v == balancer.None && len(c.except) > 0 && c.since.Equal(c.arrived):
 			// A stream that has begun waits for another server as long as its caller does.
 			return choice, v
 		case v == balancer.Full && ask.Ticket == nil:
