governor: the count of an engine's orders is never too high

Change: after a consent to unload, the next order expects the lower count first and one more if the engine refuses it. TestASecondUnloadCountsAsNoOrder failed before.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -51,9 +51,8 @@
 	Engine  string
 	Adapter tracker.Adapter
 	Version int
-	// Evict makes way for the adapter first, if it has a name; Unsure says that the engine may not hold it at all.
-	Evict  tracker.Adapter
-	Unsure bool
+	// Evict makes way for the adapter first, if it has a name.
+	Evict tracker.Adapter
 	// Recent says that the engine held the adapter lately, so that it loads faster.
 	Recent bool
 	// Time is how long the load of a base model takes, 0 for adapters.
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -98,14 +98,11 @@
 	recent := e.shelf.Contains(k.adapter)
 	e.slots[k.adapter] = &slot{version: version, state: loading, since: now, fetched: !recent}
 	e.busy++
-	unsure := false
 	if c.victim.Name != "" {
-		v := e.slots[c.victim]
-		unsure = v.state == doubtful
-		v.state, v.since = evicting, now
+		e.slots[c.victim].state, e.slots[c.victim].since = evicting, now
 	}
 	return Order{
-		Engine: e.Key.ID, Adapter: k.adapter, Version: version, Evict: c.victim, Unsure: unsure, Recent: recent, want: k,
+		Engine: e.Key.ID, Adapter: k.adapter, Version: version, Evict: c.victim, Recent: recent, want: k,
 		Cause: a.cause(k, recent), Waited: now.Sub(a.wants[k].since), due: a.wants[k].due,
 	}
 }
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -66,8 +66,6 @@
 	// Expect is the number of orders that the engine must have taken before; an engine refuses the order otherwise, also
 	// when it carries it out late.
 	Expect uint64
-	// Unsure says that an adapter to unload may not be there; then the engine's consent may not count as an order.
-	Unsure bool
 }
 
 // EngineReport is what an engine tells of its orders.
@@ -98,6 +96,9 @@
 	taken  uint64
 	sure   bool
 	fenced bool
+	// oneMore says that the engine may have taken one order more: one to unload what may not have been there, which then
+	// counted as none.
+	oneMore bool
 	// open are loads without an answer that the engine may still carry out: as long as it hasn't taken more orders than they
 	// expect.
 	open []EngineOrder
@@ -195,7 +196,7 @@
 func (w *worker) isListed() bool { return !time.Now().Before(w.listed) }
 
 func (w *worker) take(report EngineReport) {
-	w.taken, w.sure = report.Orders, true
+	w.taken, w.sure, w.oneMore = report.Orders, true, false
 	w.open = slices.DeleteFunc(w.open, func(o EngineOrder) bool { return o.Expect < report.Orders })
 	for _, o := range w.open {
 		r := tracker.Resident{Adapter: o.Adapter, Version: o.Version}
@@ -226,7 +227,7 @@
 // carryOut evicts, orders the load and awaits its end.
 func (w *worker) carryOut(o allocator.Order) {
 	if o.Evict.Name != "" {
-		out := w.evict(EngineOrder{Adapter: o.Evict, Unsure: o.Unsure})
+		out := w.evict(EngineOrder{Adapter: o.Evict})
 		w.hub.metrics.ordered("unload", out)
 		w.post(func(now time.Time, d *desk) { d.placing.Evicted(now, o, out) })
 		if out != allocator.Done {
@@ -317,12 +318,13 @@
 		w.doubt()
 		return Conflict, nil
 	}
-	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
-	defer cancel()
-	o.Holder, o.Fence, o.Expect = w.hub.cfg.Node, w.fence, w.taken
-	v, err := w.hub.deps.Engines.Order(ctx, w.target, o)
-	if first || err != nil {
-		w.hub.log.Order(w.target.Key.ID, o.Adapter.Name, o.Load, int(v), o.Expect, err)
+	v, err := w.give(&o, first)
+	if err == nil && v == Conflict && w.oneMore {
+		w.taken++
+		if v, err = w.give(&o, first); err != nil || v == Conflict {
+			// It wasn't the count that stood in the way.
+			w.taken--
+		}
 	}
 	switch {
 	case err != nil, v == Conflict && first:
@@ -334,8 +336,23 @@
 	case v == Fenced:
 		w.fenced = true
 		w.doubt()
-	case first && (v == Accepted || v == Holds && !o.Load && !o.Unsure):
+	case first && v == Accepted:
 		w.taken++
+		w.oneMore = false
+	case first && v == Holds:
+		w.oneMore = !o.Load
+	}
+	return v, err
+}
+
+// give sends an order that expects as many before it as are known.
+func (w *worker) give(o *EngineOrder, first bool) (Verdict, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
+	defer cancel()
+	o.Holder, o.Fence, o.Expect = w.hub.cfg.Node, w.fence, w.taken
+	v, err := w.hub.deps.Engines.Order(ctx, w.target, *o)
+	if first || err != nil {
+		w.hub.log.Order(w.target.Key.ID, o.Adapter.Name, o.Load, int(v), o.Expect, err)
 	}
 	return v, err
 }
--- a/stage/governor/worker_test.go
+++ b/stage/governor/worker_test.go
@@ -339,3 +339,38 @@
 		c.Check(w.open, qt.HasLen, row.open)
 	}
 }
+
+// A report may still list what was unloaded. Its second unload changes nothing and counts as no order.
+func TestASecondUnloadCountsAsNoOrder(t *testing.T) {
+	c := qt.New(t)
+	h := lead(c, &scripted{}, 1)
+	taken := uint64(7)
+	there := true
+	h.deps.Engines = &scripted{order: func(o EngineOrder) (Verdict, error) {
+		switch {
+		case o.Expect != taken:
+			return Conflict, nil
+		case !o.Load && !there:
+			return Holds, nil
+		case !o.Load:
+			there = false
+			taken++
+			return Holds, nil
+		}
+		taken++
+		return Accepted, nil
+	}}
+	w := newWorker(h, tracker.Instance{Key: testKey, Service: "s", Addr: "a"})
+	w.taken, w.sure = taken, true
+	unload, load := EngineOrder{Adapter: testAdapter("a1").Adapter}, EngineOrder{Load: true, Adapter: testAdapter("a2").Adapter}
+	for _, row := range []struct {
+		order EngineOrder
+		want  Verdict
+	}{{unload, Holds}, {unload, Holds}, {load, Accepted}, {unload, Holds}, {load, Accepted}, {load, Accepted}} {
+		v, err := w.order(row.order, true)
+		c.Assert(err, qt.IsNil)
+		c.Check(v, qt.Equals, row.want)
+		c.Check(w.taken <= taken, qt.IsTrue, qt.Commentf("counted %d of %d", w.taken, taken))
+		c.Check(w.sure, qt.IsTrue)
+	}
+}
