relayer: a planned stop answers what is on its way

By the users' list: a stop closed every connection without a request at once, also one that was just accepted or just answered and whose next request was on its way. Now a connection is closed only after half a second without a request; those that come until then are answered and end with their answers.

--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -33,6 +33,10 @@
 	// leaveTime is how long the balancer may take to notice that this entry takes no more connections.
 	leaveTime  = 3 * time.Second
 	sweepEvery = 500 * time.Millisecond
+	// restTime is how long a connection must have been without a request to be closed at a shutdown: one that was just
+	// accepted, or just answered, may bring a request that is on its way. restEvery is how often that is looked at.
+	restTime  = 500 * time.Millisecond
+	restEvery = 50 * time.Millisecond
 )
 
 // Config says where an entry listens and who it is.
@@ -73,15 +77,20 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       conc.WaitGroup
-	requests sync.WaitGroup
 	listener net.Listener
 	ready    *http.Server
 	leaving  atomic.Bool
+	// leave is how long a shutdown goes on taking connections.
+	leave time.Duration
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool
-	// drained says that no request is taken any more.
-	drained bool
+	conns map[net.Conn]use
+}
+
+// use says whether a caller's connection has a request, and since when it is so.
+type use struct {
+	busy  bool
+	since time.Time
 }
 
 // New starts an entry; it is ready once control has told it of a document and of backend servers.
@@ -97,7 +106,7 @@
 	}
 	e := &Relayer{
 		cfg: cfg, deps: deps, names: newNames(deps.Dialect), log: deps.Log.Part("entry"), pool: newPool(),
-		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]bool),
+		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]use), leave: leaveTime,
 		metrics: newMetrics(),
 		budget:  newBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
@@ -155,7 +164,7 @@
 			continue
 		}
 		e.mu.Lock()
-		e.conns[c] = false
+		e.conns[c] = use{since: time.Now()}
 		e.mu.Unlock()
 		e.wg.Go(func() {
 			e.serve(c)
@@ -171,10 +180,10 @@
 func (e *Relayer) mark(c net.Conn, busy bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.conns[c]; !ok || e.drained {
+	if _, ok := e.conns[c]; !ok {
 		return false
 	}
-	e.conns[c] = busy
+	e.conns[c] = use{busy: busy, since: time.Now()}
 	return true
 }
 
@@ -222,10 +231,8 @@
 			return
 		}
 		w.closing = req.once
-		e.requests.Add(1)
 		arrived := time.Now()
 		ok := e.watch(c, br, req, w)
-		e.requests.Done()
 		e.metrics.ended(arrived, w)
 		if !ok || w.failed || w.closing {
 			return
@@ -289,17 +296,10 @@
 func (e *Relayer) Close(ctx context.Context) error {
 	e.log.Info("shutting down", "")
 	e.leaving.Store(true)
-	waiter.Wait(ctx, leaveTime)
+	waiter.Wait(ctx, e.leave)
 	err := e.listener.Close()
-	e.closeIdle()
-	done := make(chan struct{})
-	go func() {
-		e.requests.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	for e.closeIdle(time.Now()) > 0 && ctx.Err() == nil {
+		waiter.Wait(ctx, restEvery)
 	}
 	e.cancel()
 	e.mu.Lock()
@@ -312,17 +312,18 @@
 	return err
 }
 
-// closeIdle closes the connections without a request; the others end with their answers.
-func (e *Relayer) closeIdle() {
+// closeIdle closes the connections that have been without a request for long enough; the others end with their answers. It
+// returns how many are left.
+func (e *Relayer) closeIdle(now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.drained = true
-	for c, busy := range e.conns {
-		if !busy {
+	for c, u := range e.conns {
+		if !u.busy && now.Sub(u.since) >= restTime {
 			delete(e.conns, c)
 			_ = c.Close()
 		}
 	}
+	return len(e.conns)
 }
 
 // connLimit returns how many connections this entry may have to a server of the service.
