relayer: connections end with the streams that were open when a stop began

Change: from the moment at which no connection is taken any more, each ends with its answer. TestAPlannedStopTakesNothingAfterAnOpenStream failed before.

--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -80,8 +80,10 @@
 	listener net.Listener
 	ready    *http.Server
 	leaving  atomic.Bool
-	// leave is how long a shutdown goes on taking connections.
-	leave time.Duration
+	// leave is how long a shutdown goes on taking connections; draining says that they end with their answers from now on,
+	// also with those that began before.
+	leave    time.Duration
+	draining atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]use
@@ -234,7 +236,7 @@
 		arrived := time.Now()
 		ok := e.watch(c, br, req, w)
 		e.metrics.ended(arrived, w)
-		if !ok || w.failed || w.closing {
+		if !ok || w.failed || w.closing || e.draining.Load() {
 			return
 		}
 	}
@@ -298,6 +300,7 @@
 	e.leaving.Store(true)
 	waiter.Wait(ctx, e.leave)
 	err := e.listener.Close()
+	e.draining.Store(true)
 	for e.closeIdle(time.Now()) > 0 && ctx.Err() == nil {
 		waiter.Wait(ctx, restEvery)
 	}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -336,6 +336,39 @@
 	c.Check(<-closed, qt.IsNil)
 }
 
+// A stream that began before a planned stop doesn't name its connection as closing. The connection ends with it all the
+// same: a request that came after it would be cut when the time for the stop is over.
+func TestAPlannedStopTakesNothingAfterAnOpenStream(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	var calls atomic.Int32
+	e := start(c, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		sealed(w, r)
+		event(w, 1)
+		<-release
+	})
+	e.leave = 0
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 9000")
+	_, err := l.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- e.Close(ctx) }()
+	for !e.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	c.Check(l.receive(c).err, qt.IsNil)
+	_, _ = fmt.Fprintf(l, "POST /once/ HTTP/1.1\r\nHost: %s\r\n%s: id-2\r\nContent-Length: 0\r\n\r\n", testHost, testAttempt)
+	_, err = l.br.ReadByte()
+	c.Check(err, qt.IsNotNil)
+	c.Check(<-closed, qt.IsNil)
+	c.Check(calls.Load(), qt.Equals, int32(1))
+}
+
 func TestMalformedRequestsReachNoServer(t *testing.T) {
 	for _, row := range []struct {
 		name, head string
