--- a/stage/governor/doc.go
+++ b/stage/governor/doc.go
@@ -1,6 +1,7 @@
 // Package governor is the control process of a deployment whose backend servers and operator speak to control itself: a
-// replica of the control log that finds its group by itself, and the leader's placement of adapters.
+// replica of the control log that finds its group by itself, the leader's placement of adapters, and a relay to entries.
 //
-// Entries keep one stream to the leader. They get the operator's document, the adapters' versions and the backend
-// servers, and tell what they use and miss.
+// The leader (hub, desk, worker) has one session with each replica. Every replica (relay, view) has sessions with the
+// entries of its data centre: it passes on what changed of the operator's document, the adapters' versions and the
+// backend servers, and sums up what entries use and miss.
 package governor
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -199,3 +199,32 @@
 	m.changed()
 	return nil
 }
+
+// newVersions returns what a list of versions has that an earlier one didn't; published lists are never changed.
+func newVersions(old, now []tracker.Resident) []tracker.Resident {
+	if isSame(old, now) {
+		return nil
+	}
+	known := make(map[tracker.Resident]bool, len(old))
+	for _, v := range old {
+		known[v] = true
+	}
+	return slices.DeleteFunc(slices.Clone(now), func(v tracker.Resident) bool { return known[v] })
+}
+
+// newLeaves does the same for starts of servers that left.
+func newLeaves(old, now []tracker.Key) []tracker.Key {
+	if isSame(old, now) {
+		return nil
+	}
+	known := make(map[tracker.Key]bool, len(old))
+	for _, k := range old {
+		known[k] = true
+	}
+	return slices.DeleteFunc(slices.Clone(now), func(k tracker.Key) bool { return known[k] })
+}
+
+// isSame reports whether two lists of published states are the same; published lists are never changed.
+func isSame[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
