relayer: the log and the metrics tell of each run of a stream

The entry's log has one line about such a request, "attempt ended" of its first engine; nothing tells what the second one answered, which events either brought, or that the answer has ended. A stream that was cut counted as served.

Each attempt's line now has its outcome, the server's status, the event after which it began, and its first and last event; one that went on with a stream has a line also when it brought the end. A stream that is cut leaves "request ended" with the outcome "cut" and counts as such.

No decision changes.

--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -112,14 +112,29 @@
 		Uint64("expected", expected).Msg(p.prefix + "order answered")
 }
 
-// Attempt tells how one try of a request at a backend server ended without an answer.
-func (p *Part) Attempt(id, server, reason string, took time.Duration) {
+// Attempt is one try of a request at a backend server that has ended.
+type Attempt struct {
+	Server string
+	// Outcome is one word for what became of it, Reason says why; Status is the server's, 0 if none came.
+	Outcome, Reason string
+	Status          int
+	// Of a stream: After is the last event that the caller had before, First and Last are the events that this try brought.
+	After, First, Last string
+	Took               time.Duration
+}
+
+// Attempt tells how one try of a request ended that brought no answer, or that went on with a stream.
+func (p *Part) Attempt(id string, a Attempt) {
 	leftOut, ok := p.attempts.take(time.Now())
 	if !ok {
 		return
 	}
-	bounded(p.log.Info(), leftOut).Str("request", id).Str("server", server).Str("reason", reason).Int64("ms", took.Milliseconds()).
-		Msg(p.prefix + "attempt ended")
+	e := bounded(p.log.Info(), leftOut).Str("request", id).Str("server", a.Server).Str("outcome", a.Outcome).Str("reason", a.Reason).
+		Int("status", a.Status)
+	if a.After != "" || a.Last != "" {
+		e = e.Str("after", a.After).Str("first", a.First).Str("last", a.Last)
+	}
+	e.Int64("ms", a.Took.Milliseconds()).Msg(p.prefix + "attempt ended")
 }
 
 // Document tells that a version of the operator's document is in force here.
--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -23,6 +23,9 @@
 	// begun says that the head of a stream was written, last is the last event passed on.
 	begun bool
 	last  string
+	// ended says that an answer that was passed on as it came is whole, broken that it was given up.
+	ended  bool
+	broken bool
 	// closing says that the connection ends after the answer.
 	closing bool
 	failed  bool
@@ -104,7 +107,10 @@
 }
 
 // end ends a stream that is whole.
-func (w *answer) end() bool { return w.write([]byte("0\r\n\r\n")) }
+func (w *answer) end() bool {
+	w.ended = true
+	return w.write([]byte("0\r\n\r\n"))
+}
 
 // fail writes an answer of the entry's own; after is when the caller may come back, 0 if that is of no use.
 func (w *answer) fail(status int, reason string, after time.Duration) bool {
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/stage/logger"
 )
 
 const (
@@ -41,12 +42,33 @@
 	cut
 )
 
+// outcomes names what became of an attempt.
+var outcomes = map[outcome]string{
+	answered: "answered", notRun: "not run", unsent: "unsent", unknown: "unknown", cut: "cut",
+}
+
 // attempt is one try of a call at one server.
 type attempt struct {
 	call   *call
 	choice balancer.Choice
 	// resume is the last event that the caller has, once one was passed on.
 	resume string
+	// after is what resume was when the attempt began; status is the server's, first its first event.
+	after  string
+	status int
+	first  string
+}
+
+// entry returns what the log tells of the attempt once it has ended.
+func (a *attempt) entry(r reply) logger.Attempt {
+	l := logger.Attempt{
+		Server: a.choice.Key.ID, Outcome: outcomes[r.outcome], Reason: r.reason, Status: a.status, After: a.after,
+		First: a.first, Took: time.Since(a.call.chosen),
+	}
+	if a.first != "" {
+		l.Last = a.resume
+	}
+	return l
 }
 
 // reply is what an attempt brought.
@@ -184,6 +206,7 @@
 // take judges an answer by its head and reads its body; a large one is passed on as it comes.
 func (e *Relayer) take(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer) (reply, time.Duration) {
 	status := h.StatusCode()
+	a.status = status
 	keep := keepAlive(string(h.Peek("Keep-Alive")))
 	if h.ConnectionClose() {
 		keep = -1
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -69,6 +69,10 @@
 func (m *metrics) ended(arrived time.Time, w *answer) {
 	outcome := "unanswered"
 	switch {
+	case w.broken:
+		outcome = "cut"
+	case w.begun && !w.ended:
+		// The caller left.
 	case w.status >= 200 && w.status < 300 && !w.failed:
 		outcome = "served"
 	case w.status == http.StatusServiceUnavailable:
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -61,9 +61,13 @@
 
 // start runs an entry before the handlers, each of which is a backend server by the name s0, s1 and so on.
 func start(c *qt.C, handlers ...http.HandlerFunc) *Relayer {
+	return startLogging(c, logger.New(io.Discard, "error"), handlers...)
+}
+
+func startLogging(c *qt.C, log *logger.Logger, handlers ...http.HandlerFunc) *Relayer {
 	e, err := New(Config{
 		Node: "n", Zone: "z", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", RetryShare: 1, RetrySlack: 1000, RetryWindow: time.Second,
-	}, Deps{Dialect: testDialect, Log: logger.New(io.Discard, "error")})
+	}, Deps{Dialect: testDialect, Log: log})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -429,8 +433,14 @@
 	// The next answer on the connection comes after the first request was counted.
 	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
 	c.Check(l.receive(c).status, qt.Equals, 200)
+	text := metricsText(e)
+	c.Check(text, qt.Contains, `redwingstage_entry_attempts_total{result="ok"} 2`)
+	c.Check(text, qt.Contains, `redwingstage_entry_requests_total{outcome="served"}`)
+}
+
+// metricsText returns what the ready listener shows as metrics.
+func metricsText(e *Relayer) string {
 	rec := httptest.NewRecorder()
-	e.ready.Handler.ServeHTTP(rec, httptest.NewRequestWithContext(context.Background(), "GET", "/metrics", nil))
-	c.Check(rec.Body.String(), qt.Contains, `redwingstage_entry_attempts_total{result="ok"} 2`)
-	c.Check(rec.Body.String(), qt.Contains, `redwingstage_entry_requests_total{outcome="served"}`)
+	e.ready.Handler.ServeHTTP(rec, httptest.NewRequestWithContext(context.Background(), "GET", metricsPath, nil))
+	return rec.Body.String()
 }
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -144,7 +144,7 @@
 		began := time.Now()
 		e.metrics.chosen(c, began)
 		c.choice, c.chosen = choice, began
-		a := &attempt{call: c, choice: choice, resume: w.last}
+		a := &attempt{call: c, choice: choice, resume: w.last, after: w.last}
 		r := e.exchange(ctx, a, w)
 		e.balancer.End(time.Now(), choice, c.adapter, r.result)
 		if c.tokens > 0 && r.outcome != answered {
@@ -158,11 +158,14 @@
 		if e.failedAgain(c, w, r) {
 			c.ran = true
 			c.except[choice.Key.ID] = true
-			e.log.Attempt(c.id, choice.Key.ID, r.reason, time.Since(began))
+			e.log.Attempt(c.id, a.entry(r))
 			continue
 		}
 		switch r.outcome {
 		case answered:
+			if a.after != "" {
+				e.log.Attempt(c.id, a.entry(r))
+			}
 			return e.finish(c, w, r)
 		case notRun:
 			e.rejected(c, choice, r)
@@ -175,7 +178,7 @@
 		if r.result == balancer.Unreachable || r.result == balancer.Failed {
 			c.silent = append(c.silent, choice.Key.ID)
 		}
-		e.log.Attempt(c.id, choice.Key.ID, r.reason, time.Since(began))
+		e.log.Attempt(c.id, a.entry(r))
 		next = r.next
 		if !e.again(ctx, c, w, r, try) {
 			e.release(c, next)
@@ -269,8 +272,7 @@
 		// The caller left.
 		return false
 	case w.begun:
-		// An answer that isn't whole must not look so.
-		return false
+		return e.breakOff(c, w, r.reason)
 	case !c.ran:
 		return e.refuse(c, w, "the request was not run: "+r.reason, comeBackFull)
 	case !time.Now().Before(c.deadline):
@@ -282,8 +284,10 @@
 // giveUp ends a request for which there is no server.
 func (e *Relayer) giveUp(ctx context.Context, c *call, w *answer, v balancer.Verdict) bool {
 	switch {
-	case w.failed || w.begun || ctx.Err() != nil && time.Now().Before(c.deadline):
+	case w.failed || ctx.Err() != nil && time.Now().Before(c.deadline):
 		return false
+	case w.begun:
+		return e.breakOff(c, w, "no other server can be asked")
 	case c.ran:
 		return e.own(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
 	case v == balancer.Absent:
@@ -294,6 +298,13 @@
 	return e.refuse(c, w, "no server answers for "+c.service+" now", comeBackNone)
 }
 
+// breakOff ends a connection in the middle of an answer, which must not look whole.
+func (e *Relayer) breakOff(c *call, w *answer, reason string) bool {
+	w.broken = true
+	e.log.Request(c.id, c.adapter.Name, "cut", reason, w.status)
+	return false
+}
+
 // refuse tells the caller that the request was not run, and when to come back.
 func (e *Relayer) refuse(c *call, w *answer, reason string, after time.Duration) bool {
 	e.log.Request(c.id, c.adapter.Name, "refused", reason, http.StatusServiceUnavailable)
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -73,6 +73,7 @@
 		}
 		if id != "" {
 			a.resume, out.last = id, id
+			a.first = events.first
 		}
 		silence.reset(max(gapFactor*route.Gap, gapFloor))
 	}
@@ -173,6 +174,8 @@
 type eventReader struct {
 	br  *bufio.Reader
 	buf []byte
+	// first is the id of the first event.
+	first string
 }
 
 // next returns the events that are there, at least one, and the id of the last; io.EOF only between two events.
@@ -197,6 +200,9 @@
 		text := bytes.TrimRight(line, "\r\n")
 		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
+			if r.first == "" {
+				r.first = id
+			}
 		}
 		if len(text) > 0 {
 			continue
