--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -94,3 +96,33 @@
 	})
 	c.Check(metricsText(e), qt.Contains, `redwingstage_entry_requests_total{outcome="cut"} 1`)
 }
+
+// A stream broke off at its engine and the next one answered with a failure: the caller's answer was ended as if it were
+// whole.
+func TestAFailureOfTheNextServerDoesNotEndAStream(t *testing.T) {
+	for _, status := range []int{500, 503, 504, 429, 404, 401, 400, 302} {
+		for _, body := range []string{"", "no"} {
+			t.Run(strconv.Itoa(status)+" "+body, func(t *testing.T) {
+				c := qt.New(t)
+				var calls atomic.Int32
+				server := func(w http.ResponseWriter, r *http.Request) {
+					calls.Add(1)
+					sealed(w, r)
+					if r.Header.Get(testResume) == "" {
+						event(w, 1)
+						panic(http.ErrAbortHandler)
+					}
+					w.WriteHeader(status)
+					_, _ = io.WriteString(w, body)
+				}
+				e := start(c, server, server)
+				l := dial(c, e)
+				l.send(c, "POST", "/resumable/", "x", testDeadline+": 8000")
+				resp := l.receive(c)
+				c.Check(resp.err, qt.Equals, io.ErrUnexpectedEOF, qt.Commentf("it looks whole"))
+				c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\n")
+				c.Check(calls.Load(), qt.Equals, int32(2))
+			})
+		}
+	}
+}
