relayer: a failure of the next server doesn't end a stream

What callers saw (ORDER): a stream with status 200, framed as whole, whose last events are missing.

Cause: an attempt's outcome was judged by that attempt alone. "answered" stood both for an answer that is held and for one that was passed on to its end. After a break the next server's failure is a whole answer, so "answered"; as the head of the first run had gone out, the request was finished by writing the last chunk.

Change: what was passed on to its end and what is held are two outcomes, and only the former ends the caller's framing. An answer that is held while the caller has a part of another run is a break: the request goes on at a third server within its attempts and budget, or the connection ends without the last chunk.

--- a/stage/relayer/body.go
+++ b/stage/relayer/body.go
@@ -157,22 +157,22 @@
 
 // pass passes a large answer on as it comes, after its first bytes; one that breaks never looks whole.
 func (e *Relayer) pass(h *fasthttp.ResponseHeader, b *body, first []byte, out *answer, keep time.Duration) (reply, time.Duration) {
-	left := reply{outcome: answered, reason: "the caller left", result: balancer.Void}
+	gone := reply{outcome: left, reason: "the caller left", result: balancer.Void}
 	if !out.begin(h) || !out.chunk(first) {
-		return left, -1
+		return gone, -1
 	}
 	buf := make([]byte, serverBuffer)
 	for {
 		n, err := b.Read(buf)
 		if n > 0 && !out.chunk(buf[:n]) {
-			return left, -1
+			return gone, -1
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			if b.delimit == untilClose {
 				keep = -1
 			}
-			return reply{outcome: answered, status: h.StatusCode(), result: balancer.OK}, keep
+			return reply{outcome: passed, status: h.StatusCode(), result: balancer.OK}, keep
 		case err == nil && b.taken > maxAnswer:
 			err = errors.Errorf("the answer has more than %d bytes", maxAnswer)
 		}
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -30,21 +30,28 @@
 type outcome int
 
 const (
-	// answered means that the whole answer is there or was passed on.
+	// answered means that the whole answer is held; the caller has nothing of it yet.
 	answered outcome = iota
+	// passed means that the caller has the whole answer, but for the end of its framing.
+	passed
+	// left means that the caller went away.
+	left
 	// notRun means that the server did not and will not run the request.
 	notRun
 	// unsent means that no byte of the request reached a server.
 	unsent
 	// unknown means that the request may have run.
 	unknown
-	// cut means that a stream broke after events were passed on.
+	// cut means that an answer broke after a part of it was passed on.
 	cut
 )
 
+// ends reports whether the request ends with the attempt.
+func (o outcome) ends() bool { return o == answered || o == passed || o == left }
+
 // outcomes names what became of an attempt.
 var outcomes = map[outcome]string{
-	answered: "answered", notRun: "not run", unsent: "unsent", unknown: "unknown", cut: "cut",
+	answered: "answered", passed: "passed", left: "left", notRun: "not run", unsent: "unsent", unknown: "unknown", cut: "cut",
 }
 
 // attempt is one try of a call at one server.
@@ -241,6 +248,10 @@
 	case status >= http.StatusInternalServerError:
 		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(status)
 	}
+	if out.begun && r.outcome == answered {
+		// The caller has events of an earlier run; this answer neither follows nor ends them.
+		r.outcome, r.reason = cut, "the server answered a stream that had begun with status "+strconv.Itoa(status)
+	}
 	return r, keep
 }
 
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -51,10 +51,12 @@
 	safe.Name, safe.Prefix, safe.Repeat = "safe", "/safe/", matcher.Again
 	stream.Name, stream.Prefix, stream.Stream = "stream", "/stream/", true
 	resumable.Name, resumable.Prefix, resumable.Stream, resumable.Resumable = "resumable", "/resumable/", true, true
+	thrice := resumable
+	thrice.Name, thrice.Prefix, thrice.Attempts = "thrice", "/thrice/", 3
 	tuned := resumable
 	tuned.Name, tuned.Prefix, tuned.Shares = "tuned", "/tuned/", []matcher.Share{{Service: "adapters", Weight: 1}}
 	services := []matcher.Service{{Name: "s"}, {Name: "adapters", AdapterSlots: 4}}
-	t, err := matcher.New(1, []matcher.Route{once, safe, stream, resumable, tuned}, services, matcher.Limits{})
+	t, err := matcher.New(1, []matcher.Route{once, safe, stream, resumable, thrice, tuned}, services, matcher.Limits{})
 	c.Assert(err, qt.IsNil)
 	return t
 }
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -147,7 +147,7 @@
 		a := &attempt{call: c, choice: choice, resume: w.last, after: w.last}
 		r := e.exchange(ctx, a, w)
 		e.balancer.End(time.Now(), choice, c.adapter, r.result)
-		if c.tokens > 0 && r.outcome != answered {
+		if c.tokens > 0 && !r.outcome.ends() {
 			e.link.tellLoads()
 		}
 		e.metrics.tried(r.result)
@@ -155,18 +155,20 @@
 			c.sends++
 			c.reached[choice.Key.ID] = true
 		}
-		if e.failedAgain(c, w, r) {
+		if e.failedAgain(c, r) {
 			c.ran = true
 			c.except[choice.Key.ID] = true
 			e.log.Attempt(c.id, a.entry(r))
 			continue
 		}
 		switch r.outcome {
-		case answered:
+		case answered, passed:
 			if a.after != "" {
 				e.log.Attempt(c.id, a.entry(r))
 			}
 			return e.finish(c, w, r)
+		case left:
+			return false
 		case notRun:
 			e.rejected(c, choice, r)
 		case unsent:
@@ -191,8 +193,8 @@
 }
 
 // failedAgain reports whether a request that a server failed goes on to another one.
-func (e *Relayer) failedAgain(c *call, w *answer, r reply) bool {
-	return r.outcome == answered && r.result == balancer.Failed && c.route.Idempotent() && !w.begun &&
+func (e *Relayer) failedAgain(c *call, r reply) bool {
+	return r.outcome == answered && r.result == balancer.Failed && c.route.Idempotent() &&
 		c.sends < c.route.Attempts && e.budget.spend(time.Now(), e.balancer.Entries())
 }
 
@@ -225,16 +227,10 @@
 	return false
 }
 
-// finish passes a whole answer on.
+// finish ends a caller's answer: it writes one that is held, and the end of one that was passed on.
 func (e *Relayer) finish(c *call, w *answer, r reply) bool {
-	if r.result == balancer.Void {
-		return false
-	}
-	if !w.begun && c.route.Stream && r.fields == nil {
-		return false
-	}
 	var ok bool
-	if w.begun {
+	if r.outcome == passed {
 		ok = w.end()
 	} else {
 		ok = w.whole(r.status, r.fields, r.body, c.req.method == http.MethodHead)
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -70,7 +70,7 @@
 			"status": 200.0, "after": "", "first": "1", "last": "2",
 		},
 		{
-			"message": "entry: attempt ended", "server": "s1", "outcome": "answered", "reason": "",
+			"message": "entry: attempt ended", "server": "s1", "outcome": "passed", "reason": "",
 			"status": 200.0, "after": "2", "first": "3", "last": "3",
 		},
 	})
@@ -126,3 +126,27 @@
 		}
 	}
 }
+
+// A request whose second server fails it after events have reached the caller goes on at a third one.
+func TestAStreamGoesOnAtAThirdServer(t *testing.T) {
+	c := qt.New(t)
+	var resumed atomic.Int32
+	server := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		switch {
+		case r.Header.Get(testResume) == "":
+			event(w, 1)
+			panic(http.ErrAbortHandler)
+		case resumed.Add(1) == 1:
+			w.WriteHeader(http.StatusInternalServerError)
+		default:
+			event(w, 2)
+		}
+	}
+	e := start(c, server, server, server)
+	l := dial(c, e)
+	l.send(c, "POST", "/thrice/", "x", testDeadline+": 8000")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -39,7 +39,7 @@
 	events := &eventReader{br: bufio.NewReaderSize(b, serverBuffer)}
 	route := a.call.route
 	silence := e.watchSilence(c, a, max(time.Duration(firstFactor*float64(route.Target)), firstFloor))
-	left := reply{outcome: answered, reason: "the caller left", result: balancer.Void}
+	gone := reply{outcome: left, reason: "the caller left", result: balancer.Void}
 	read := false
 	for {
 		block, id, err := events.next()
@@ -48,9 +48,9 @@
 			if errors.Is(err, io.EOF) {
 				e.release(a.call, next)
 				if !out.begun && !out.begin(h) {
-					return left, -1
+					return gone, -1
 				}
-				return reply{outcome: answered, status: h.StatusCode(), result: balancer.OK}, keep
+				return reply{outcome: passed, status: h.StatusCode(), result: balancer.OK}, keep
 			}
 			r := lost("stream", err)
 			r.next = next
@@ -61,7 +61,7 @@
 		}
 		if !out.begun && !out.begin(h) {
 			e.release(a.call, silence.stop())
-			return left, -1
+			return gone, -1
 		}
 		if !read {
 			read = true
@@ -69,7 +69,7 @@
 		}
 		if !out.chunk(block) || ctx.Err() != nil {
 			e.release(a.call, silence.stop())
-			return left, -1
+			return gone, -1
 		}
 		if id != "" {
 			a.resume, out.last = id, id
