relayer: an event isn't cut where the reader's buffer ends

Cause: a line longer than the buffer (4 KB) was judged by its last piece. A piece that is only the line's end was taken for the blank line that ends an event; a piece that begins with "id:" was taken for an id.

Evidence: TestAnEventEndsAtItsBlankLineWhereverBuffersEnd failed before, with a cut event at 5, 21 and 37 bytes and with id 9 in place of 1 at 10, 26 and 42 (buffer of 16).

Change: a line is judged once it is whole. The bound on an event counts that event only, not those before it in the same block.

--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -181,12 +181,13 @@
 // next returns the events that are there, at least one, and the id of the last; io.EOF only between two events.
 func (r *eventReader) next() (block []byte, id string, err error) {
 	r.buf = r.buf[:0]
-	whole := 0
+	// start is where the line that is being read begins, whole where the event does.
+	start, whole := 0, 0
 	for {
-		line, err := r.br.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
+		part, err := r.br.ReadSlice('\n')
+		r.buf = append(r.buf, part...)
 		switch {
-		case len(r.buf) > maxEvent:
+		case len(r.buf)-whole > maxEvent:
 			return nil, "", errors.Errorf("an event has more than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -197,19 +198,20 @@
 		case err != nil:
 			return nil, "", err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		line := bytes.TrimRight(r.buf[start:], "\r\n")
+		start = len(r.buf)
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
 			if r.first == "" {
 				r.first = id
 			}
 		}
-		if len(text) > 0 {
+		if len(line) > 0 {
 			continue
 		}
 		whole = len(r.buf)
 		if !r.hasEvent() {
-			return r.buf[:whole], id, nil
+			return r.buf, id, nil
 		}
 	}
 }
--- /dev/null
+++ b/stage/relayer/stream_test.go
@@ -0,0 +1,29 @@
+package relayer
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// An event whose line ended where the reader's buffer does was passed on in two pieces, and text at the start of a buffer was
+// taken for a line of its own.
+func TestAnEventEndsAtItsBlankLineWhereverBuffersEnd(t *testing.T) {
+	const size = 16
+	for _, newline := range []string{"\n", "\r\n"} {
+		for n := range 3 * size {
+			c := qt.New(t)
+			text := strings.ReplaceAll("id: 1\ndata: "+strings.Repeat("x", n)+"id: 9\n\n", "\n", newline)
+			r := &eventReader{br: bufio.NewReaderSize(strings.NewReader(text), size)}
+			block, id, err := r.next()
+			c.Assert(err, qt.IsNil)
+			c.Check(string(block), qt.Equals, text)
+			c.Check(id, qt.Equals, "1", qt.Commentf("%d bytes before", n))
+			_, _, err = r.next()
+			c.Check(err, qt.Equals, io.EOF)
+		}
+	}
+}
