relayer: a run that doesn't go on after the last event isn't joined

A second run was taken for the rest of the first one because it was asked to be; nothing compared its ids with the last one that the caller has. Nor were they compared within a run.

Evidence: TestARunThatDoesNotGoOnIsNotJoined failed in 10 of 14 rows before (begins anew, begins before, falls back later, repeats an event, has an id that is no number, or one with a carriage return, which went into the next server's request head as it was), and TestACallerThatComesBackGetsNoEventTwice, where the caller itself named its last event.

Change: the ids of a stream must increase, from the event that the caller has. An event that doesn't follow is a break, those before it are passed on. Numbers are compared; of other ids only a repeated one is told, so that no stream goes on after one of them.

Ruled out: leaving out the events that the caller has and passing on the rest. A run that wasn't asked to begin anew is another run, whose pieces needn't match.

--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -38,6 +38,12 @@
 	gap   time.Duration
 }
 
+// resumable reports whether another run may go on after the last event. Only a number tells which events follow it.
+func (w *answer) resumable() bool {
+	_, ok := eventNumber(w.last)
+	return ok
+}
+
 func (w *answer) write(b []byte) bool {
 	if w.failed {
 		return false
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -219,7 +219,10 @@
 	case notRun:
 		return c.sends < c.route.Attempts && e.budget.spend(time.Now(), e.balancer.Entries())
 	case unknown, cut:
-		if !c.route.Idempotent() || w.begun && (!c.route.Resumable || w.last == "") {
+		if !c.route.Idempotent() {
+			return false
+		}
+		if w.begun && (!c.route.Resumable || !w.resumable()) {
 			return false
 		}
 		return c.sends < c.route.Attempts && (r.next != nil || e.budget.spend(time.Now(), e.balancer.Entries()))
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -150,3 +150,84 @@
 	c.Check(resp.err, qt.IsNil)
 	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 }
+
+// sendIDs sends an event for each id.
+func sendIDs(w io.Writer, ids string) {
+	for id := range strings.SplitSeq(ids, " ") {
+		if id == "" {
+			continue
+		}
+		_, _ = io.WriteString(w, "id: "+id+"\ndata: x\n\n")
+	}
+}
+
+// A server didn't go on after the caller's last event but began anew: the caller got events twice.
+func TestARunThatDoesNotGoOnIsNotJoined(t *testing.T) {
+	huge := strings.Repeat("9", 30)
+	for _, row := range []struct {
+		name string
+		path string
+		// first are the ids that one server sends before it breaks off, then those of the other one; body are the caller's.
+		first, then, body string
+		whole             bool
+	}{
+		{"it goes on", "/resumable/", "1 2", "3 4", "1 2 3 4", true},
+		{"with a gap", "/resumable/", "1 2", "9", "1 2 9", true},
+		{"by number", "/resumable/", "8 9", "10", "8 9 10", true},
+		{"nothing is left", "/resumable/", "1 2", "", "1 2", true},
+		{"it begins anew", "/resumable/", "1", "1 2", "1", false},
+		{"it begins before", "/resumable/", "7 8", "7 8 9", "7 8", false},
+		{"it falls back later", "/resumable/", "1", "2 3 1", "1 2 3", false},
+		{"an event comes again", "/resumable/", "1", "2 2", "1 2", false},
+		{"an id that is no number", "/resumable/", "1", "x", "1", false},
+		{"an order that nothing tells", "/resumable/", "x", "y", "x", false},
+		{"an id out of range", "/resumable/", huge, "1", huge, false},
+		{"an id with a header", "/resumable/", "1\rX-Hold:1", "2", "1\rX-Hold:1", false},
+		{"the first one falls back", "/resumable/", "1 2 1", "3", "1 2 3", true},
+		{"no other may go on", "/stream/", "1 3 2", "3", "1 3", false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := func(w http.ResponseWriter, r *http.Request) {
+				sealed(w, r)
+				if r.Header.Get(testResume) != "" {
+					sendIDs(w, row.then)
+					return
+				}
+				sendIDs(w, row.first)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			e := start(c, server, server)
+			l := dial(c, e)
+			l.send(c, "POST", row.path, "x", testDeadline+": 8000")
+			resp := l.receive(c)
+			var want strings.Builder
+			sendIDs(&want, row.body)
+			c.Check(resp.body, qt.Equals, want.String())
+			c.Check(resp.err == nil, qt.Equals, row.whole, qt.Commentf("%v", resp.err))
+		})
+	}
+}
+
+// A caller came back with the last event that it had, and a server that began anew brought it the same events once more.
+func TestACallerThatComesBackGetsNoEventTwice(t *testing.T) {
+	c := qt.New(t)
+	var calls atomic.Int32
+	server := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		c.Check(r.Header.Get(testResume), qt.Equals, "2")
+		if calls.Add(1) == 1 {
+			sendIDs(w, "1 2 3")
+			return
+		}
+		sendIDs(w, "3")
+	}
+	e := start(c, server, server)
+	l := dial(c, e)
+	l.send(c, "POST", "/resumable/", "x", testDeadline+": 8000", testResume+": 2")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "id: 3\ndata: x\n\n")
+	c.Check(calls.Load(), qt.Equals, int32(2))
+}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,13 +37,13 @@
 	if b.delimit == untilClose {
 		keep = -1
 	}
-	events := &eventReader{br: bufio.NewReaderSize(b, serverBuffer)}
+	events := &eventReader{br: bufio.NewReaderSize(b, serverBuffer), last: e.lastEvent(a)}
 	route := a.call.route
 	silence := e.watchSilence(c, a, max(time.Duration(firstFactor*float64(route.Target)), firstFloor))
 	gone := reply{outcome: left, reason: "the caller left", result: balancer.Void}
 	read := false
 	for {
-		block, id, err := events.next()
+		block, err := events.next()
 		if err != nil {
 			next := silence.stop()
 			if errors.Is(err, io.EOF) {
@@ -71,9 +72,8 @@
 			e.release(a.call, silence.stop())
 			return gone, -1
 		}
-		if id != "" {
-			a.resume, out.last = id, id
-			a.first = events.first
+		if events.first != "" {
+			a.first, a.resume, out.last = events.first, events.last, events.last
 		}
 		silence.reset(max(gapFactor*route.Gap, gapFloor))
 	}
@@ -170,52 +170,100 @@
 	return c.route.Stream && c.route.Resumable && c.sends+1 < c.route.Attempts && time.Until(c.deadline) > c.route.Target/2
 }
 
-// eventReader cuts a stream into blocks of whole events.
+// lastEvent returns the event after which the attempt's answer goes on, "" if it is a new stream.
+func (e *Relayer) lastEvent(a *attempt) string {
+	if a.resume == "" && a.call.route.Resumable {
+		return a.call.req.get(e.names.Resume)
+	}
+	return a.resume
+}
+
+// eventReader cuts a stream into blocks of whole events. Their ids must increase, or pieces would come twice.
 type eventReader struct {
 	br  *bufio.Reader
 	buf []byte
-	// first is the id of the first event.
-	first string
+	// first and last are the ids of the first and the latest event; last may be that of another run at the start.
+	first, last string
+	// err ends the stream after the events that were returned.
+	err error
 }
 
-// next returns the events that are there, at least one, and the id of the last; io.EOF only between two events.
-func (r *eventReader) next() (block []byte, id string, err error) {
+// next returns the events that are there, at least one; io.EOF only between two events.
+func (r *eventReader) next() ([]byte, error) {
+	if r.err != nil {
+		return nil, r.err
+	}
 	r.buf = r.buf[:0]
 	// start is where the line that is being read begins, whole where the event does.
 	start, whole := 0, 0
+	var id string
 	for {
 		part, err := r.br.ReadSlice('\n')
 		r.buf = append(r.buf, part...)
 		switch {
 		case len(r.buf)-whole > maxEvent:
-			return nil, "", errors.Errorf("an event has more than %d bytes", maxEvent)
+			return nil, errors.Errorf("an event has more than %d bytes", maxEvent)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(r.buf) == 0:
-			return nil, "", io.EOF
+			return nil, io.EOF
 		case errors.Is(err, io.EOF):
-			return nil, "", io.ErrUnexpectedEOF
+			return nil, io.ErrUnexpectedEOF
 		case err != nil:
-			return nil, "", err
+			return nil, err
 		}
 		line := bytes.TrimRight(r.buf[start:], "\r\n")
 		start = len(r.buf)
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
-			if r.first == "" {
-				r.first = id
-			}
 		}
 		if len(line) > 0 {
 			continue
 		}
-		whole = len(r.buf)
+		if r.err = r.end(id); r.err != nil {
+			if whole == 0 {
+				return nil, r.err
+			}
+			return r.buf[:whole], nil
+		}
+		whole, id = len(r.buf), ""
 		if !r.hasEvent() {
-			return r.buf, id, nil
+			return r.buf, nil
 		}
 	}
 }
 
+// end takes note of the id of a whole event.
+func (r *eventReader) end(id string) error {
+	if id == "" {
+		return nil
+	}
+	if r.last != "" && !follows(r.last, id) {
+		return errors.Errorf("event %q came after event %q", id, r.last)
+	}
+	if r.first == "" {
+		r.first = id
+	}
+	r.last = id
+	return nil
+}
+
+// follows reports whether an event may come after another one. Of ids that aren't numbers only a repeated one is told.
+func follows(last, id string) bool {
+	m, ok := eventNumber(last)
+	if !ok {
+		return id != last
+	}
+	n, ok := eventNumber(id)
+	return ok && n > m
+}
+
+// eventNumber returns the number of an event, if its id is one.
+func eventNumber(id string) (uint64, bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
+
 // hasEvent reports whether another whole event is there already.
 func (r *eventReader) hasEvent() bool {
 	b, err := r.br.Peek(r.br.Buffered())
--- a/stage/relayer/stream_test.go
+++ b/stage/relayer/stream_test.go
@@ -18,11 +18,11 @@
 			c := qt.New(t)
 			text := strings.ReplaceAll("id: 1\ndata: "+strings.Repeat("x", n)+"id: 9\n\n", "\n", newline)
 			r := &eventReader{br: bufio.NewReaderSize(strings.NewReader(text), size)}
-			block, id, err := r.next()
+			block, err := r.next()
 			c.Assert(err, qt.IsNil)
 			c.Check(string(block), qt.Equals, text)
-			c.Check(id, qt.Equals, "1", qt.Commentf("%d bytes before", n))
-			_, _, err = r.next()
+			c.Check(r.last, qt.Equals, "1", qt.Commentf("%d bytes before", n))
+			_, err = r.next()
 			c.Check(err, qt.Equals, io.EOF)
 		}
 	}
