relayer: a connection that was answered before a stop isn't closed by it

What callers saw: the next request on a kept connection got no answer (EOF) although the answer before it hadn't named the connection as closing.

Cause: whether a connection ends with its answer was read after the caller had all of the answer. A stop that began in between closed a connection on which the next request was on its way.

Ruled out: connections that nobody had accepted yet (a reset, not an end), and load alone (the order of the two steps suffices).

--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -18,8 +18,10 @@
 // answer writes to one caller.
 type answer struct {
 	conn net.Conn
-	// leaving says that the entry shuts down, so that connections end with their answers.
-	leaving *atomic.Bool
+	// leaving says that the entry shuts down, so that connections end with their answers; draining says that also those end
+	// whose heads didn't tell so.
+	leaving  *atomic.Bool
+	draining *atomic.Bool
 	// begun says that the head of a stream was written, last is the last event passed on.
 	begun bool
 	last  string
@@ -115,6 +117,8 @@
 // end ends a stream that is whole.
 func (w *answer) end() bool {
 	w.ended = true
+	// Read before the caller has the end: from then on it may send its next request, which is answered.
+	w.closing = w.closing || w.draining.Load()
 	return w.write([]byte("0\r\n\r\n"))
 }
 
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -226,7 +226,7 @@
 		if c.SetReadDeadline(time.Now().Add(limits.Header)) != nil {
 			return
 		}
-		w := &answer{conn: c, leaving: &e.leaving}
+		w := &answer{conn: c, leaving: &e.leaving, draining: &e.draining}
 		req, err := e.receive(c, br, limits)
 		if err != nil {
 			refuseRequest(w, err)
@@ -236,7 +236,7 @@
 		arrived := time.Now()
 		ok := e.watch(c, br, req, w)
 		e.metrics.ended(arrived, w)
-		if !ok || w.failed || w.closing || e.draining.Load() {
+		if !ok || w.failed || w.closing {
 			return
 		}
 	}
