relayer: a stream goes on only where its ids tell all that was sent

What callers could get: an event twice (ORDER), after a break behind an event without an id; a sound but silent stream without ids cut in the middle; a stream cut though its caller had nothing of it but a comment.

The last id that was seen stood for all that the caller has, and the watch for silence didn't ask whether the stream can go on elsewhere before it closed the engine's connection.

Evidence: TestAStreamGoesOnOnlyWhereItsIDsTellAllThatWasSent failed in 2 of 5 rows before, TestASilentStreamWithoutIDsIsWaitedFor too.

Change: an event without an id makes a stream one that can't go on, until the next one with an id; comments are no events. Such a stream isn't closed for its silence, and breaks where its engine does. One of which only comments were sent begins anew.

--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -25,6 +25,8 @@
 	// begun says that the head of a stream was written, last is the last event passed on.
 	begun bool
 	last  string
+	// unnamed says that what was passed on last has no id, so that no other run can go on after it.
+	unnamed bool
 	// ended says that an answer that was passed on as it came is whole, broken that it was given up.
 	ended  bool
 	broken bool
@@ -40,10 +42,10 @@
 	gap   time.Duration
 }
 
-// resumable reports whether another run may go on after the last event. Only a number tells which events follow it.
+// resumable reports whether another run may go on after what was passed on. Only a number tells which events follow it.
 func (w *answer) resumable() bool {
 	_, ok := eventNumber(w.last)
-	return ok
+	return !w.unnamed && (ok || w.last == "")
 }
 
 func (w *answer) write(b []byte) bool {
--- a/stage/relayer/body.go
+++ b/stage/relayer/body.go
@@ -158,6 +158,7 @@
 // pass passes a large answer on as it comes, after its first bytes; one that breaks never looks whole.
 func (e *Relayer) pass(h *fasthttp.ResponseHeader, b *body, first []byte, out *answer, keep time.Duration) (reply, time.Duration) {
 	gone := reply{outcome: left, reason: "the caller left", result: balancer.Void}
+	out.unnamed = true
 	if !out.begin(h) || !out.chunk(first) {
 		return gone, -1
 	}
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -231,3 +232,63 @@
 	c.Check(resp.body, qt.Equals, "id: 3\ndata: x\n\n")
 	c.Check(calls.Load(), qt.Equals, int32(2))
 }
+
+// A stream went on at another server after an event without an id, which the caller then got twice.
+func TestAStreamGoesOnOnlyWhereItsIDsTellAllThatWasSent(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		first string
+		body  string
+		whole bool
+	}{
+		{"the last event has none", "id: 1\ndata: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\n", false},
+		{"none has one", "data: a\n\n", "data: a\n\n", false},
+		{"the one before has none", "data: a\n\nid: 2\ndata: b\n\n", "data: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", true},
+		{"a comment is no event", "id: 2\ndata: b\n\n: wait\n\n", "id: 2\ndata: b\n\n: wait\n\nid: 3\ndata: c\n\n", true},
+		{"nothing but a comment", ": wait\n\n", ": wait\n\nid: 1\ndata: a\n\n", true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int32
+			server := func(w http.ResponseWriter, r *http.Request) {
+				sealed(w, r)
+				switch {
+				case calls.Add(1) == 1:
+					_, _ = io.WriteString(w, row.first)
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				case r.Header.Get(testResume) == "1":
+					_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+				case r.Header.Get(testResume) == "2":
+					_, _ = io.WriteString(w, "id: 3\ndata: c\n\n")
+				default:
+					_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+				}
+			}
+			e := start(c, server, server)
+			l := dial(c, e)
+			l.send(c, "POST", "/resumable/", "x", testDeadline+": 8000")
+			resp := l.receive(c)
+			c.Check(resp.body, qt.Equals, row.body)
+			c.Check(resp.err == nil, qt.Equals, row.whole, qt.Commentf("%v", resp.err))
+		})
+	}
+}
+
+// A silent engine's stream was closed for one at another engine at which it can't go on.
+func TestASilentStreamWithoutIDsIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	server := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		_, _ = io.WriteString(w, "data: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(gapFloor + 500*time.Millisecond)
+		_, _ = io.WriteString(w, "data: b\n\n")
+	}
+	e := start(c, server, server)
+	l := dial(c, e)
+	l.send(c, "POST", "/resumable/", "x", testDeadline+": 9000")
+	resp := l.receive(c)
+	c.Check(resp.err, qt.IsNil)
+	c.Check(resp.body, qt.Equals, "data: a\n\ndata: b\n\n")
+}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -75,7 +75,8 @@
 		if events.first != "" {
 			a.first, a.resume, out.last = events.first, events.last, events.last
 		}
-		silence.reset(max(gapFactor*route.Gap, gapFloor))
+		out.unnamed = events.unnamed
+		silence.reset(max(gapFactor*route.Gap, gapFloor), out.resumable())
 	}
 }
 
@@ -99,6 +100,8 @@
 
 	mu    sync.Mutex
 	ended bool
+	// bound says that the stream can't go on elsewhere.
+	bound bool
 	// next is the engine at which the request goes on.
 	next *balancer.Choice
 }
@@ -111,10 +114,11 @@
 	return s
 }
 
-// reset begins the wait for the next event.
-func (s *silence) reset(d time.Duration) {
+// reset begins the wait for the next event; resumable says that the stream may go on elsewhere after the one before.
+func (s *silence) reset(d time.Duration, resumable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.bound = !resumable
 	if !s.ended && s.next == nil {
 		s.timer.Reset(d)
 	}
@@ -134,7 +138,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, call := s.entry, s.try.call
-	if s.ended || s.next != nil || !e.mayResume(s.try) {
+	if s.ended || s.bound || s.next != nil || !e.mayResume(s.try) {
 		return
 	}
 	except := maps.Clone(call.except)
@@ -184,6 +188,8 @@
 	buf []byte
 	// first and last are the ids of the first and the latest event; last may be that of another run at the start.
 	first, last string
+	// unnamed says that the latest event has no id.
+	unnamed bool
 	// err ends the stream after the events that were returned.
 	err error
 }
@@ -197,6 +203,7 @@
 	// start is where the line that is being read begins, whole where the event does.
 	start, whole := 0, 0
 	var id string
+	hasData := false
 	for {
 		part, err := r.br.ReadSlice('\n')
 		r.buf = append(r.buf, part...)
@@ -217,25 +224,27 @@
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
 		}
+		hasData = hasData || bytes.HasPrefix(line, []byte("data"))
 		if len(line) > 0 {
 			continue
 		}
-		if r.err = r.end(id); r.err != nil {
+		if r.err = r.end(id, hasData); r.err != nil {
 			if whole == 0 {
 				return nil, r.err
 			}
 			return r.buf[:whole], nil
 		}
-		whole, id = len(r.buf), ""
+		whole, id, hasData = len(r.buf), "", false
 		if !r.hasEvent() {
 			return r.buf, nil
 		}
 	}
 }
 
-// end takes note of the id of a whole event.
-func (r *eventReader) end(id string) error {
+// end takes note of a whole event; a block without data or id, such as a comment, is none.
+func (r *eventReader) end(id string, hasData bool) error {
 	if id == "" {
+		r.unnamed = r.unnamed || hasData
 		return nil
 	}
 	if r.last != "" && !follows(r.last, id) {
@@ -244,7 +253,7 @@
 	if r.first == "" {
 		r.first = id
 	}
-	r.last = id
+	r.last, r.unnamed = id, false
 	return nil
 }
 
