relayer: an answer without a body isn't framed in chunks

What callers could get: after an answer to HEAD, or a 204, on a stream's route, the five bytes of a last chunk where the next answer on the connection begins.

Cause: each success on a stream's route was passed on as a stream, with a chunked head and a last chunk, also where the protocol allows no body.

Evidence: TestAnAnswerWithoutABodyLeavesNoBytesBehind failed in both rows before. Found by reading, in the search for other places that end a caller's framing.

Change: such an answer is held and written as a whole one. As an answer to a stream that has begun, it is a break like any other.

--- a/stage/relayer/body.go
+++ b/stage/relayer/body.go
@@ -92,11 +92,15 @@
 	end error
 }
 
+// isBodiless reports whether an answer ends with its head.
+func isBodiless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 func newBody(br *bufio.Reader, h *fasthttp.ResponseHeader, method string) *body {
 	b := &body{Reader: br, br: br, delimit: h.ContentLength()}
-	status := h.StatusCode()
 	switch {
-	case method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified:
+	case isBodiless(method, h.StatusCode()):
 		b.delimit = 0
 		b.Reader = http.NoBody
 	case b.delimit >= 0:
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -224,7 +224,7 @@
 		return lost("answer", errors.New("a success without the server's seal")), -1
 	case success && !isPlain(h):
 		return lost("answer", errors.Errorf("the body is encoded as %q, which nobody asked for", h.Peek("Content-Encoding"))), -1
-	case success && a.call.route.Stream:
+	case success && a.call.route.Stream && !isBodiless(a.call.req.method, status):
 		return e.stream(ctx, c, h, a, out, keep)
 	}
 	b := newBody(c.br, h, a.call.req.method)
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -292,3 +292,31 @@
 	c.Check(resp.err, qt.IsNil)
 	c.Check(resp.body, qt.Equals, "data: a\n\ndata: b\n\n")
 }
+
+// An answer without a body was framed in chunks on a stream's route: its last chunk came where the next answer begins.
+func TestAnAnswerWithoutABodyLeavesNoBytesBehind(t *testing.T) {
+	for _, row := range []struct {
+		name, method string
+		status       int
+	}{
+		{"to HEAD", "HEAD", 200},
+		{"without content", "POST", 204},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			e := start(c, func(w http.ResponseWriter, r *http.Request) {
+				sealed(w, r)
+				w.WriteHeader(row.status)
+			})
+			l := dial(c, e)
+			for range 2 {
+				l.send(c, row.method, "/stream/", "", testDeadline+": 9000")
+				resp, err := http.ReadResponse(l.br, &http.Request{Method: row.method})
+				c.Assert(err, qt.IsNil)
+				c.Check(resp.StatusCode, qt.Equals, row.status)
+				c.Check(resp.TransferEncoding, qt.HasLen, 0)
+				c.Check(resp.Body.Close(), qt.IsNil)
+			}
+		})
+	}
+}
