relayer: a success of another kind isn't the rest of a stream

What callers could get (ORDER): a stream that broke off and then looks whole, since the next server answered with a success that has no events (202, 204 and the like), or with text of another type behind its events.

Each success on a stream's route counted as a run of the stream.

Change: a run goes on with a stream only under the same status and media type; a head without a type may. Anything else is a break. What isn't a stream is read by a function of its own.

--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	closing bool
 	failed  bool
 	status  int
+	// media is the type of the stream.
+	media string
 	// buf holds a chunk while it is written.
 	buf []byte
 	// first is when the answer began, wrote when its latest event was passed on, and gap the longest pause between two.
@@ -98,10 +101,22 @@
 		b.WriteString(f.name + ": " + f.value + "\r\n")
 	}
 	b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	w.begun = true
+	w.begun, w.media = true, mediaType(h)
 	return w.write(b.Bytes())
 }
 
+// continuedBy reports whether another server's answer may be the rest of the stream that has begun.
+func (w *answer) continuedBy(h *fasthttp.ResponseHeader) bool {
+	media := mediaType(h)
+	return h.StatusCode() == w.status && (media == w.media || media == "" || w.media == "")
+}
+
+// mediaType returns the type of an answer's body without its parameters.
+func mediaType(h *fasthttp.ResponseHeader) string {
+	media, _, _ := strings.Cut(string(h.ContentType()), ";")
+	return strings.ToLower(strings.TrimSpace(media))
+}
+
 // chunk writes events.
 func (w *answer) chunk(events []byte) bool {
 	now := time.Now()
--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -210,7 +210,7 @@
 	return lost("read", errors.New("the answer belongs to another request")), -1
 }
 
-// take judges an answer by its head and reads its body; a large one is passed on as it comes.
+// take judges an answer by its head and reads its body.
 func (e *Relayer) take(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer) (reply, time.Duration) {
 	status := h.StatusCode()
 	a.status = status
@@ -224,33 +224,40 @@
 		return lost("answer", errors.New("a success without the server's seal")), -1
 	case success && !isPlain(h):
 		return lost("answer", errors.Errorf("the body is encoded as %q, which nobody asked for", h.Peek("Content-Encoding"))), -1
+	case success && out.begun && !out.continuedBy(h):
+		return lost("answer", errors.Errorf("a stream that had begun can't go on with status %d and type %q", status, h.ContentType())), -1
 	case success && a.call.route.Stream && !isBodiless(a.call.req.method, status):
 		return e.stream(ctx, c, h, a, out, keep)
 	}
+	return e.hold(c, h, a, out, keep)
+}
+
+// hold reads an answer that isn't a stream; a large one is passed on as it comes.
+func (e *Relayer) hold(c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer, keep time.Duration) (reply, time.Duration) {
 	b := newBody(c.br, h, a.call.req.method)
 	data, whole, err := b.head(heldAnswer)
 	switch {
 	case err != nil:
 		return lost("body", err), -1
-	case !whole && !success:
+	case !whole && !isSuccess(a.status):
 		return lost("body", errors.New("a failure with a large body")), -1
 	case !whole:
 		return e.pass(h, b, data, out, keep)
 	case b.delimit == untilClose:
 		keep = -1
 	}
-	r := reply{outcome: answered, status: status, body: data, fields: answerFields(h), result: balancer.OK}
+	r := reply{outcome: answered, status: a.status, body: data, fields: answerFields(h), result: balancer.OK}
 	switch {
-	case status == http.StatusMisdirectedRequest:
+	case a.status == http.StatusMisdirectedRequest:
 		r.outcome, r.missing, r.result, r.reason = notRun, true, balancer.Rejected, "the server is not the one that was meant, or lacks the adapter"
 	case len(h.Peek(e.names.NotRun)) > 0:
-		r.outcome, r.result, r.reason = notRun, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(status)
-	case status >= http.StatusInternalServerError:
-		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(status)
+		r.outcome, r.result, r.reason = notRun, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(a.status)
+	case a.status >= http.StatusInternalServerError:
+		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(a.status)
 	}
 	if out.begun && r.outcome == answered {
 		// The caller has events of an earlier run; this answer neither follows nor ends them.
-		r.outcome, r.reason = cut, "the server answered a stream that had begun with status "+strconv.Itoa(status)
+		r.outcome, r.reason = cut, "the server answered a stream that had begun with status "+strconv.Itoa(a.status)
 	}
 	return r, keep
 }
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -320,3 +320,48 @@
 		})
 	}
 }
+
+// A success that is no stream of the same kind ended one that had begun as if it were its rest.
+func TestASuccessOfAnotherKindDoesNotEndAStream(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		status int
+		kind   string
+		body   string
+		whole  bool
+	}{
+		{"the same", 200, "text/event-stream", "id: 2\ndata: b\n\n", true},
+		{"with parameters", 200, "Text/Event-Stream; charset=utf-8", "id: 2\ndata: b\n\n", true},
+		{"no type", 200, "", "id: 2\ndata: b\n\n", true},
+		{"without content", 204, "", "", false},
+		{"another status", 202, "text/event-stream", "", false},
+		{"another type", 200, "application/json", "{\"error\":1}\n\n", false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := func(w http.ResponseWriter, r *http.Request) {
+				sealed(w, r)
+				if r.Header.Get(testResume) == "" {
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				w.Header()["Content-Type"] = []string{row.kind}
+				if row.kind == "" {
+					w.Header()["Content-Type"] = nil
+				}
+				w.WriteHeader(row.status)
+				_, _ = io.WriteString(w, row.body)
+			}
+			e := start(c, server, server)
+			l := dial(c, e)
+			l.send(c, "POST", "/resumable/", "x", testDeadline+": 8000")
+			resp := l.receive(c)
+			c.Check(resp.err == nil, qt.Equals, row.whole, qt.Commentf("%v, %q", resp.err, resp.body))
+			if !row.whole {
+				c.Check(resp.body, qt.Equals, "id: 1\ndata: a\n\n")
+			}
+		})
+	}
+}
