owner: a resumed call that is answered without a stream leaves the broken attempt as it was

Callers saw: after a break the engine answered the resumed call with a status such as 202, 400, 409 or 429 and a JSON body. A streaming caller got the first events, then the bare JSON, the framing's clean end and Redwing-Outcome: done. A caller without streaming got 200 and done with the truncated text if a hop lay between, else the events' beginning or the refusal as a whole answer. After a 500 the caller heard of the failure, but the generation was counted as ended and never cancelled, with its adapter unpinned.

Cause: such an answer counts as settled, since it is whole; exchange took it for the end of the attempt, and finish wrote its body behind the events. What it settles is the resuming call, not the attempt that it asks about.

Evidence: TestAnswersToAResume failed before for accepted, bad request, conflict, too many (body '...{"content":"x/2 "}}]}\n\n{"error":{"type":"not_found",...}}', outcome got "done" want "unknown"; without streaming got 200 '{"choices":[{"index":0,"message":{"content":"x/0 x/1 x/2 "}}],...}' want 502) and failed (generations cancelled: got 0 want 2). Ruled out, by the rows that passed before: 404, 503 not_run, 200 with another type, with an empty body, with an empty stream, with an end marker of nobody or of another attempt.

Change: an answer without any event ends the resuming; the break stands, and the attempt is cancelled until the engine confirms.

--- a/stage/dispatcher/streams_test.go
+++ b/stage/dispatcher/streams_test.go
@@ -263,6 +263,70 @@
 	}
 }
 
+// A resumed call that gets no part of its stream adds nothing to what the caller has, and doesn't end it as whole.
+func TestAnswersToAResume(t *testing.T) {
+	whole := func(status int, body string) func(c *call) {
+		return func(c *call) {
+			c.raw(c.head(status, c.attempt, fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(body))) + body)
+		}
+	}
+	streamed := func(body string) func(c *call) {
+		return func(c *call) {
+			head := c.head(http.StatusOK, c.attempt, "Connection: close\r\n")
+			c.raw(strings.Replace(head, "application/json", "text/event-stream", 1) + body)
+		}
+	}
+	const refusal = `{"error":{"type":"not_found","message":"no stream"}}`
+	tests := []struct {
+		name   string
+		answer func(c *call)
+	}{
+		{"accepted", whole(http.StatusAccepted, refusal)},
+		{"bad request", whole(http.StatusBadRequest, refusal)},
+		{"not found", whole(http.StatusNotFound, refusal)},
+		{"conflict", whole(http.StatusConflict, refusal)},
+		{"too many", whole(http.StatusTooManyRequests, refusal)},
+		{"failed", whole(http.StatusInternalServerError, refusal)},
+		{"refused", whole(http.StatusServiceUnavailable, `{"error":{"type":"not_run"}}`)},
+		{"other type", whole(http.StatusOK, `{"choices":[]}`)},
+		{"empty body", whole(http.StatusOK, "")},
+		{"empty stream", streamed("")},
+		{"end marker without a name", streamed("data: [DONE]\n\n")},
+		{"end marker of another", streamed("id: other.1.1\ndata: [DONE]\n\n")},
+	}
+	broken := `(?s)(data: \{"object"[^\n]*\n\n){3}event: error\ndata: \{[^\n]*"outcome":"unknown"[^\n]*\n\n`
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t)
+			engine := startBackend(t, "e1", configurer.KindModel)
+			engine.fault = func(_ int, c *call) bool {
+				if len(c.req.Header.Peek(marker.Resume)) > 0 {
+					tt.answer(c)
+					return true
+				}
+				id, s, offset := c.open()
+				if s == nil {
+					return false
+				}
+				c.stream(id, s, offset, offset+cutAt)
+				return true
+			}
+			near, far := w.startEntry(t, "near"), w.startEntry(t, "far")
+			w.assign(engine.server(), "near", near.Peers())
+			for i, d := range []*Dispatcher{near, far} {
+				a := post(t, d, "/v1/chat/completions", chat("a", "x", true))
+				qt.Check(t, a.body, qt.Matches, broken)
+				qt.Check(t, texts(a.body), qt.Equals, "x/0 x/1 x/2 ")
+				qt.Check(t, a.outcome, qt.Equals, "unknown")
+				a = post(t, d, "/v1/chat/completions", chat("a", "x", false))
+				qt.Check(t, a.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s", a.body))
+				qt.Check(t, a.outcome, qt.Equals, "unknown")
+				qt.Check(t, engine.ended(), qt.Equals, 2*(i+1), qt.Commentf("generations cancelled"))
+			}
+		})
+	}
+}
+
 // A caller that goes away has its generation cancelled at the engine, whichever entry it came through.
 func TestVanishedCaller(t *testing.T) {
 	for _, name := range []string{"near", "far"} {
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -197,7 +197,8 @@
 		next := o.call(j)
 		next.Attempt, next.Resume, next.Offset = o.attempt().String(), j.attempt.String(), out.events
 		resumed := o.Sender.Call(j.ctx, next, out)
-		if resumed.End.Outcome == retrier.NotRun || !resumed.Settled && resumed.Events == 0 && resumed.Status != 0 {
+		if resumed.End.Outcome == retrier.NotRun || resumed.Events == 0 && resumed.Status != 0 {
+			// An answer without a part of the stream says nothing of the attempt, which may still run.
 			break
 		}
 		reply = resumed
