attempter: a hedge that lost doesn't end the answer

Cause: serveHedged returned the first end with outcome done, whichever lane it came from.

Evidence: TestHedgeThatLostEndsNothing failed before (got {done, "cancelled", "answer abandoned by its reader"}, want {done} and {unknown, "broken"}); 20 runs under -race pass after. Ruled out: data of the loser reaching the caller (lane.Data).

Change: the request ends with the end of the lane that won, or with the last one's end when none did.

--- a/stage/attempter/attempter_test.go
+++ b/stage/attempter/attempter_test.go
@@ -197,3 +197,57 @@
 	qt.Check(t, part.Head.Status, qt.Equals, 200)
 	qt.Check(t, string(part.Data), qt.Equals, "hedge")
 }
+
+// overtaken has the first candidate win the head and end last, and the second one end with a whole answer that nobody takes.
+type overtaken struct {
+	script
+	end                 streamer.End
+	hedged, opened, out chan struct{}
+}
+
+func (o *overtaken) Serve(_ context.Context, _ *streamer.Request, _ string, last bool, sink streamer.Sink) streamer.End {
+	if last {
+		close(o.hedged)
+		<-o.opened
+		defer close(o.out)
+		sink.Head(streamer.Head{Status: 400})
+		if err := sink.Data([]byte("late")); err != nil {
+			return streamer.End{Outcome: retrier.Done, Reason: streamer.ReasonCancelled, Message: err.Error()}
+		}
+		return streamer.End{Outcome: retrier.Done}
+	}
+	<-o.hedged
+	sink.Head(streamer.Head{Status: 200})
+	close(o.opened)
+	<-o.out
+	time.Sleep(20 * time.Millisecond) // The loser's end comes first.
+	_ = sink.Data([]byte("first"))
+	return o.end
+}
+
+// An answer ends with the end of the attempt that gave it, not with that of a hedge that lost.
+func TestHedgeThatLostEndsNothing(t *testing.T) {
+	for _, want := range []streamer.End{
+		{Outcome: retrier.Done},
+		{Outcome: retrier.Unknown, Reason: streamer.ReasonBroken},
+	} {
+		t.Run(want.Outcome.String(), func(t *testing.T) {
+			s := &overtaken{end: want, hedged: make(chan struct{}), opened: make(chan struct{}), out: make(chan struct{})}
+			a := New(Deps{
+				Name: "near", Control: s, Local: s, Router: router.New(router.Config{}, 1),
+				Retrier: retrier.New(retrier.Config{}, 1), Meter: meter.New(prometheus.NewRegistry()),
+			})
+			for range 100 {
+				a.policy.first(time.Millisecond)
+			}
+			req := &streamer.Request{Target: configurer.Target{Service: "base"}, Idempotent: true, Urgent: true, Arrived: time.Now()}
+			answer := streamer.New(100)
+			end := a.Do(context.Background(), req, answer)
+			qt.Check(t, end, qt.Equals, want)
+			part, err := answer.Next(context.Background(), nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, part.Head.Status, qt.Equals, 200)
+			qt.Check(t, string(part.Data), qt.Equals, "first")
+		})
+	}
+}
--- a/stage/attempter/race.go
+++ b/stage/attempter/race.go
@@ -116,22 +116,12 @@
 			}
 		case f := <-ends:
 			open--
-			if f.lane.won() || open == 0 && race.isOpen() {
+			if f.lane.won() || open == 0 {
 				return f.end
 			}
 			if f.end.Outcome == retrier.Unknown {
 				r.ran = true
 			}
-			if f.end.Outcome == retrier.Done || open == 0 {
-				return f.end
-			}
 		}
 	}
 }
-
-// isOpen reports whether no lane has won.
-func (r *race) isOpen() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.winner == nil
-}
