owner: an answer that can't be handed over whole isn't told as done

Callers saw: a streaming caller at the owner's entry, whose request the engine refused with a body larger than the unread limit (4 MiB by default, answers up to 16 MiB are read), got the refusal's status with an empty body and Redwing-Outcome: done.

Cause: finish kept outcome done when the sink took no data, with a reason beside it that only callers without streaming had looked at.

Evidence: TestLargeRefusal failed before (status got 400 want 502, outcome got "done" want "unknown") and TestAnswerThatIsNotTaken (got "done" want "unknown"). Ruled out: the hop and callers without streaming, which passed before.

Change: such an end is unknown, slow or cancelled, as docs/OUTCOMES.md has it; a booking's answer is still stored under its key.

--- a/stage/dispatcher/callers_test.go
+++ b/stage/dispatcher/callers_test.go
@@ -182,3 +182,26 @@
 		qt.Check(t, orders.ran(func(e entry) bool { return e.key == key }), qt.Equals, 1)
 	}
 }
+
+// A refusal that is larger than what an entry holds for its caller isn't told as done without its body.
+func TestLargeRefusal(t *testing.T) {
+	w := newWorld(t)
+	engine := startBackend(t, "e1", configurer.KindModel)
+	large := strings.Repeat("x", 5<<20)
+	engine.fault = func(_ int, c *call) bool {
+		c.raw(c.head(http.StatusBadRequest, c.attempt, fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(large))) + large)
+		return true
+	}
+	near, far := w.startEntry(t, "near"), w.startEntry(t, "far")
+	w.assign(engine.server(), "near", near.Peers())
+	for _, d := range []*Dispatcher{near, far} {
+		a := post(t, d, "/v1/chat/completions", chat("a", "x", true))
+		qt.Check(t, a.status, qt.Equals, http.StatusBadGateway)
+		qt.Check(t, a.outcome, qt.Equals, "unknown")
+		qt.Check(t, len(a.body) < 1<<10, qt.IsTrue)
+		a = post(t, d, "/v1/chat/completions", chat("a", "x", false))
+		qt.Check(t, a.status, qt.Equals, http.StatusBadRequest)
+		qt.Check(t, a.outcome, qt.Equals, "done")
+		qt.Check(t, a.body == large, qt.IsTrue)
+	}
+}
--- a/stage/owner/owner_test.go
+++ b/stage/owner/owner_test.go
@@ -440,3 +440,33 @@
 	f.change(func() { f.actions = []scheduler.Action{scheduler.AskPermit{Server: "e1", Target: load}} })
 	f.wait(t, "scheduler.Granted{Server:e1 Target:"+target+" Permit:{ID:7")
 }
+
+// An answer of which its caller can't be given all isn't told as done.
+func TestAnswerThatIsNotTaken(t *testing.T) {
+	f := newFixture(t)
+	f.change(func() { f.sends, f.refuse = true, true })
+	f.wait(t, "scheduler.Reported")
+	for _, tt := range []struct {
+		name   string
+		sink   *streamer.Stream
+		reason streamer.Reason
+	}{
+		{"larger than the buffer", streamer.New(8), streamer.ReasonSlow},
+		{"caller gone", abandoned(), streamer.ReasonCancelled},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			end := f.owner.Serve(context.Background(), &streamer.Request{
+				Target: configurer.Target{Service: "base"}, Kind: configurer.KindPlain, Idempotent: true, Method: http.MethodGet,
+				URI: "/x", Arrived: time.Now(),
+			}, "e1", true, tt.sink)
+			qt.Check(t, end.Outcome, qt.Equals, retrier.Unknown)
+			qt.Check(t, end.Reason, qt.Equals, tt.reason)
+		})
+	}
+}
+
+func abandoned() *streamer.Stream {
+	s := streamer.New(1 << 10)
+	s.Abandon()
+	return s
+}
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -236,7 +236,11 @@
 	}
 	sink.Head(streamer.Head{Status: reply.Status, Type: reply.Type})
 	if err := sink.Data(reply.Body); err != nil {
-		return streamer.End{Outcome: retrier.Done, Reason: streamer.ReasonCancelled, Message: err.Error()}
+		end := streamer.End{Outcome: retrier.Unknown, Reason: streamer.ReasonCancelled, Message: err.Error()}
+		if errors.Is(err, streamer.ErrSlow) {
+			end.Reason = streamer.ReasonSlow
+		}
+		return end
 	}
 	return reply.End
 }
