receiver: the head of a resumed answer changes nothing for callers without streaming

Callers saw: a caller without streaming at the owner's entry got the raw events under another type in place of the whole answer, when the engine answered the resumed call with the right events under another content type.

Cause: the collector took each head that came, streamer.Stream only the first.

Evidence: TestEndsOfStreams/head_of_a_second_attempt/stream=false failed before (status got 400 want 200, raw events as body), and TestBreaksWithoutALength/rest_of_another_type at the owner's entry. Ruled out, by rows that passed before: streams, the hop, breaks before the first event, between two events and before the end marker of an answer without a length (each text once, [DONE] once); broken ends with an event error and ended framing, or a problem when no head was sent; the connection is kept.

Change: later heads change nothing.

--- a/stage/dispatcher/streams_test.go
+++ b/stage/dispatcher/streams_test.go
@@ -327,6 +327,54 @@
 	}
 }
 
+// An answer without a length ends with its connection; where it breaks between two events the rest is fetched, and nothing twice.
+func TestBreaksWithoutALength(t *testing.T) {
+	want := "x/0 x/1 x/2 x/3 x/4 x/5 x/6 end"
+	for _, tt := range []struct {
+		name string
+		cut  int
+		kind string
+	}{
+		{"before the first event", 0, "text/event-stream"},
+		{"between two events", cutAt, "text/event-stream"},
+		{"before the end marker", 8, "text/event-stream"},
+		{"rest of another type", cutAt, "application/json"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t)
+			engine := startBackend(t, "e1", configurer.KindModel)
+			engine.fault = func(_ int, c *call) bool {
+				resumed := len(c.req.Header.Peek(marker.Resume)) > 0
+				_, s, offset := c.open()
+				if s == nil {
+					return false
+				}
+				kind, events := "text/event-stream", s.events[:tt.cut]
+				if resumed {
+					kind, events = tt.kind, append(append([][]byte{}, s.events[offset:]...), []byte("[DONE]"))
+				}
+				c.raw(strings.Replace(c.head(http.StatusOK, c.attempt, "Connection: close\r\n"), "application/json", kind, 1))
+				for _, e := range events {
+					c.raw("id: " + c.attempt + "\ndata: " + string(e) + "\n\n")
+				}
+				return true
+			}
+			near, far := w.startEntry(t, "near"), w.startEntry(t, "far")
+			w.assign(engine.server(), "near", near.Peers())
+			for _, d := range []*Dispatcher{near, far} {
+				a := post(t, d, "/v1/chat/completions", chat("a", "x", true))
+				qt.Check(t, texts(a.body), qt.Equals, want)
+				qt.Check(t, a.outcome, qt.Equals, "done")
+				qt.Check(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"), qt.IsTrue)
+				a = post(t, d, "/v1/chat/completions", chat("a", "x", false))
+				qt.Check(t, a.body, qt.Equals,
+					`{"choices":[{"index":0,"message":{"content":"`+want+`"}}],"model":"a@2","object":"chat.completion"}`)
+				qt.Check(t, a.outcome, qt.Equals, "done")
+			}
+		})
+	}
+}
+
 // A caller that goes away has its generation cancelled at the engine, whichever entry it came through.
 func TestVanishedCaller(t *testing.T) {
 	for _, name := range []string{"near", "far"} {
--- a/stage/receiver/answer.go
+++ b/stage/receiver/answer.go
@@ -209,8 +209,12 @@
 	body   []byte
 }
 
-// Head implements streamer.Sink.
-func (c *collector) Head(h streamer.Head) { c.head, c.opened = h, true }
+// Head implements streamer.Sink; later calls, those of resumed attempts, change nothing.
+func (c *collector) Head(h streamer.Head) {
+	if !c.opened {
+		c.head, c.opened = h, true
+	}
+}
 
 // Data implements streamer.Sink.
 func (c *collector) Data(b []byte) error {
--- /dev/null
+++ b/stage/receiver/stream_test.go
@@ -0,0 +1,96 @@
+package receiver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/marker"
+	"redwingstage.org/serving/retrier"
+	"redwingstage.org/stage/streamer"
+)
+
+// scriptDoer is a doer that does as it is told.
+type scriptDoer struct {
+	control
+
+	script func(sink streamer.Sink) streamer.End
+}
+
+// Do implements Doer.
+func (d *scriptDoer) Do(_ context.Context, _ *streamer.Request, sink streamer.Sink) streamer.End {
+	return d.script(sink)
+}
+
+// An answer looks whole to its caller only if its attempt ended whole; the framing ends well either way, and the connection is kept.
+func TestEndsOfStreams(t *testing.T) {
+	const event, marked = `data: {"choices":[{"index":0,"text":"a"}]}` + "\n\n", "data: [DONE]\n\n"
+	const whole = `{"choices":[{"index":0,"text":"aa"}]}`
+	open := streamer.Head{Status: http.StatusOK, Type: "text/event-stream"}
+	other := streamer.Head{Status: http.StatusBadRequest, Type: "application/json"}
+	done := streamer.End{Outcome: retrier.Done}
+	broken := streamer.End{Reason: streamer.ReasonBroken, Message: "m"}
+	problem := `{"error":{"message":"m","type":"server_error","param":null,"code":"broken","outcome":"unknown"}}`
+	visible := "event: error\ndata: " + problem + "\n\n"
+	tests := []struct {
+		name string
+		// script holds heads, data and the end in their order.
+		script []any
+		// streamed and whole are what callers with and without streaming get.
+		streamed, whole     string
+		streamedAs, wholeAs int
+		outcome             string
+	}{
+		{"whole", []any{open, event, event, marked, done}, event + event + marked, whole, 200, 200, "done"},
+		{"head of a second attempt", []any{open, event, other, event, marked, done}, event + event + marked, whole, 200, 200, "done"},
+		{"broken", []any{open, event, broken}, event + visible, problem, 200, 502, "unknown"},
+		{"broken before the end marker", []any{open, event, event, broken}, event + event + visible, problem, 200, 502, "unknown"},
+		{"broken after the head", []any{open, broken}, visible, problem, 200, 502, "unknown"},
+		{"broken before the head", []any{broken}, problem, problem, 502, 502, "unknown"},
+		{"broken refusal", []any{other, "{", broken}, problem, problem, 502, 502, "unknown"},
+		{"refusal", []any{other, "{}", done}, "{}", "{}", 400, 400, "done"},
+	}
+	for _, tt := range tests {
+		doer := &scriptDoer{script: func(sink streamer.Sink) streamer.End {
+			for _, step := range tt.script {
+				switch step := step.(type) {
+				case streamer.Head:
+					sink.Head(step)
+				case string:
+					if err := sink.Data([]byte(step)); err != nil {
+						return streamer.End{Message: err.Error()}
+					}
+				case streamer.End:
+					return step
+				}
+			}
+			return streamer.End{}
+		}}
+		for _, streamed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/stream=%v", tt.name, streamed), func(t *testing.T) {
+				c := qt.New(t)
+				conn, br := dial(c, startReceiver(c, Config{}, doer))
+				body := fmt.Sprintf(`{"model":"base","prompt":"x","stream":%v}`, streamed)
+				_, err := fmt.Fprintf(conn, generationHead, len(body), body)
+				c.Assert(err, qt.IsNil)
+				res, err := http.ReadResponse(br, nil)
+				c.Assert(err, qt.IsNil)
+				defer res.Body.Close()
+				got, err := io.ReadAll(res.Body)
+				c.Assert(err, qt.IsNil)
+				want, status := tt.whole, tt.wholeAs
+				if streamed {
+					want, status = tt.streamed, tt.streamedAs
+				}
+				c.Check(string(got), qt.Equals, want)
+				c.Check(res.StatusCode, qt.Equals, status)
+				c.Check(res.Header.Get(marker.Outcome)+res.Trailer.Get(marker.Outcome), qt.Equals, tt.outcome)
+				c.Check(answered(conn, br), qt.IsTrue)
+			})
+		}
+	}
+}
