--- a/stage/sender/sender_test.go
+++ b/stage/sender/sender_test.go
@@ -166,6 +166,34 @@
 	}
 }
 
+// A line that meets the end of the reader's buffer is neither cut nor misread, whatever its rest begins with.
+func TestLinesAtTheBuffersEnd(t *testing.T) {
+	const name = "id: a\n"
+	for _, end := range []string{"\n", "\r\n"} {
+		for _, rest := range []string{"", "x", "id: b", "data: [DONE]", ": x", strings.Repeat("y", eventBufferSize)} {
+			// The rest begins up to 3 bytes before and after the buffer's end, with and without the name in the buffer.
+			for size := eventBufferSize - len(name) - 3; size <= eventBufferSize+3; size++ {
+				line := "data: " + strings.Repeat("x", size-len("data: ")) + rest
+				give := name + line + end + end + name + "data: [DONE]" + end + end
+				e := eventReader{r: bufio.NewReaderSize(strings.NewReader(give), eventBufferSize), attempt: "a"}
+				event, done, err := e.next()
+				note := qt.Commentf("%d bytes, then %.12q, ended by %q", size, rest, end)
+				qt.Assert(t, err, qt.IsNil, note)
+				qt.Check(t, done, qt.IsFalse, note)
+				qt.Check(t, string(event) == line+"\n\n", qt.IsTrue, note)
+				_, done, err = e.next()
+				qt.Check(t, err, qt.IsNil, note)
+				qt.Check(t, done, qt.IsTrue, note)
+				for _, cut := range []int{size, len(name) + len(line), len(name) + len(line) + len(end)} {
+					e := eventReader{r: bufio.NewReaderSize(strings.NewReader(give[:cut]), eventBufferSize), attempt: "a"}
+					_, _, err := e.next()
+					qt.Check(t, err, qt.ErrorIs, errBroken, note)
+				}
+			}
+		}
+	}
+}
+
 // lease is a context whose timer doesn't fire, as in a process that was frozen.
 type lease struct {
 	context.Context
