assembler: a failure within a stream isn't merged into a whole answer

Cause: Assemble merged every chunk alike.

Evidence: TestAssemble/failure_within_the_stream failed before (got nil error). Ruled out: "error":null in chunks (new row). Not changed: streaming callers get the engine's event as it comes, and its [DONE].

Change: such a chunk is an error of the assembly, which the receiver answers with 502, failed, unknown.

--- a/stage/assembler/assembler.go
+++ b/stage/assembler/assembler.go
@@ -12,7 +12,7 @@
 	endMarker = []byte("[DONE]")
 )
 
-// Assemble merges the chunks of a whole stream into the answer that a request without streaming gets.
+// Assemble merges the chunks of a whole stream into the answer that a request without streaming gets, unless one is a failure.
 func Assemble(events []byte) ([]byte, error) {
 	answer := map[string]any{}
 	for line := range bytes.Lines(events) {
@@ -27,6 +27,9 @@
 		if err := dec.Decode(&chunk); err != nil {
 			return nil, errors.Wrap(err, "chunk of a stream")
 		}
+		if failure := chunk["error"]; failure != nil {
+			return nil, told(failure)
+		}
 		merge(answer, chunk)
 	}
 	if len(answer) == 0 {
@@ -36,6 +39,15 @@
 	return json.Marshal(answer)
 }
 
+// told returns the failure that an engine tells within a stream, which it may end as usual.
+func told(failure any) error {
+	text, err := json.Marshal(failure)
+	if err != nil {
+		return errors.Wrap(err, "error of a stream")
+	}
+	return errors.Errorf("the stream tells an error: %s", text)
+}
+
 // finish turns the names of chunks into those of whole answers.
 func finish(answer map[string]any) {
 	if answer["object"] == "chat.completion.chunk" {
--- a/stage/assembler/assembler_test.go
+++ b/stage/assembler/assembler_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// A stream becomes one answer with every piece once, and one that tells a failure becomes none.
 func TestAssemble(t *testing.T) {
 	tests := []struct{ name, give, want, err string }{
 		{
@@ -32,6 +33,12 @@
 				"data: {\"choices\":[{\"index\":0,\"delta\":{\"tool_calls\":[{\"index\":0,\"function\":{\"arguments\":\"}\"}}]}}]}\n\n",
 			want: `{"choices":[{"index":0,"message":{"tool_calls":[{"function":{"arguments":"{}","name":"f"},"id":"t","index":0}]}}]}`,
 		},
+		{
+			name: "failure within the stream",
+			give: "data: {\"choices\":[{\"index\":0,\"text\":\"x\"}]}\n\ndata: {\"error\":{\"message\":\"m\",\"code\":500}}\n\ndata: [DONE]\n\n",
+			err:  `the stream tells an error: \{"code":500,"message":"m"\}`,
+		},
+		{name: "no failure", give: "data: {\"error\":null,\"model\":\"a\"}\n\ndata: [DONE]\n\n", want: `{"error":null,"model":"a"}`},
 		{name: "nothing", give: "data: [DONE]\n\n", err: "stream without chunks"},
 		{name: "no JSON", give: "data: {\n\n", err: "chunk of a stream: .*"},
 	}
