relayer: the entry's own failures to HEAD have no body

What callers could get: the reason of a failure of the entry's own, as JSON, where the next answer on the connection begins.

Cause: whether an answer has a body was told by the caller of whole; fail didn't know the method.

Change: an answer knows the method of its request.

--- a/stage/relayer/answer.go
+++ b/stage/relayer/answer.go
@@ -19,6 +19,8 @@
 // answer writes to one caller.
 type answer struct {
 	conn net.Conn
+	// method is that of the request.
+	method string
 	// leaving says that the entry shuts down, so that connections end with their answers; draining says that also those end
 	// whose heads didn't tell so.
 	leaving  *atomic.Bool
@@ -77,7 +79,7 @@
 }
 
 // whole writes an answer that is complete.
-func (w *answer) whole(status int, fields []field, body []byte, bodiless bool) bool {
+func (w *answer) whole(status int, fields []field, body []byte) bool {
 	var b bytes.Buffer
 	w.statusLine(&b, status)
 	for _, f := range fields {
@@ -87,7 +89,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	if !bodiless {
+	if !isBodiless(w.method, status) {
 		b.Write(body)
 	}
 	return w.write(b.Bytes())
@@ -145,5 +147,5 @@
 	if after > 0 {
 		fields = append(fields, field{"Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64)})
 	}
-	return w.whole(status, fields, fmt.Appendf(nil, `{"error":{"message":%q}}`, reason), false)
+	return w.whole(status, fields, fmt.Appendf(nil, `{"error":{"message":%q}}`, reason))
 }
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -232,7 +232,7 @@
 			refuseRequest(w, err)
 			return
 		}
-		w.closing = req.once
+		w.method, w.closing = req.method, req.once
 		arrived := time.Now()
 		ok := e.watch(c, br, req, w)
 		e.metrics.ended(arrived, w)
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -236,7 +236,7 @@
 	if r.outcome == passed {
 		ok = w.end()
 	} else {
-		ok = w.whole(r.status, r.fields, r.body, c.req.method == http.MethodHead)
+		ok = w.whole(r.status, r.fields, r.body)
 	}
 	if ok && r.status < http.StatusMultipleChoices {
 		e.judgeTime(c, w)
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -293,14 +293,16 @@
 	c.Check(resp.body, qt.Equals, "data: a\n\ndata: b\n\n")
 }
 
-// An answer without a body was framed in chunks on a stream's route: its last chunk came where the next answer begins.
+// An answer without a body had bytes behind its head, the last chunk of a stream or the reason of a failure: they came where
+// the next answer begins.
 func TestAnAnswerWithoutABodyLeavesNoBytesBehind(t *testing.T) {
 	for _, row := range []struct {
-		name, method string
-		status       int
+		name, method, path string
+		status             int
 	}{
-		{"to HEAD", "HEAD", 200},
-		{"without content", "POST", 204},
+		{"to HEAD", "HEAD", "/stream/", 200},
+		{"without content", "POST", "/stream/", 204},
+		{"of the entry's own", "HEAD", "/none/", 404},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -310,7 +312,7 @@
 			})
 			l := dial(c, e)
 			for range 2 {
-				l.send(c, row.method, "/stream/", "", testDeadline+": 9000")
+				l.send(c, row.method, row.path, "", testDeadline+": 9000")
 				resp, err := http.ReadResponse(l.br, &http.Request{Method: row.method})
 				c.Assert(err, qt.IsNil)
 				c.Check(resp.StatusCode, qt.Equals, row.status)
