relayer: a promise that the server didn't give isn't passed on

What callers could get (REFUSED): 429, 503 or 408 for a booking, or for a stream that may run once, that a server had run. They take these for the promise that the request did not and will not run.

Cause: a failure's status was passed on as it came, also where the server doesn't say that it didn't run the request.

Change: for requests that may run once, such an answer counts as none, and the caller gets 502, "may have run".

--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -252,6 +252,8 @@
 		r.outcome, r.missing, r.result, r.reason = notRun, true, balancer.Rejected, "the server is not the one that was meant, or lacks the adapter"
 	case len(h.Peek(e.names.NotRun)) > 0:
 		r.outcome, r.result, r.reason = notRun, balancer.Rejected, "the server rejected the request with status "+strconv.Itoa(a.status)
+	case promisesNotRun(a.status) && !a.call.route.Idempotent():
+		return lost("answer", errors.Errorf("status %d without the server's word that it didn't run the request", a.status)), keep
 	case a.status >= http.StatusInternalServerError:
 		r.result, r.reason = balancer.Failed, "the server failed with status "+strconv.Itoa(a.status)
 	}
@@ -262,6 +264,15 @@
 	return r, keep
 }
 
+// promisesNotRun reports whether callers take a status for a promise that the request did not and will not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -367,3 +367,25 @@
 		})
 	}
 }
+
+// A server's 429 or 503 that doesn't say that it didn't run the request reached the caller as a promise that it didn't.
+func TestAPromiseThatTheServerDidNotGiveIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, path := range []string{"/once/", "/stream/"} {
+			t.Run(strconv.Itoa(status)+path, func(t *testing.T) {
+				c := qt.New(t)
+				var calls atomic.Int32
+				server := func(w http.ResponseWriter, r *http.Request) {
+					calls.Add(1)
+					sealed(w, r)
+					w.WriteHeader(status)
+				}
+				e := start(c, server, server)
+				l := dial(c, e)
+				l.send(c, "POST", path, "x", testDeadline+": 8000")
+				c.Check(l.receive(c).status, qt.Equals, http.StatusBadGateway)
+				c.Check(calls.Load(), qt.Equals, int32(1))
+			})
+		}
+	}
+}
