sender: a resumed stream counts only if it says where it goes on

What callers could get: "x/0 x/1 x/2 x/0 x/1 ... end" with outcome done, streaming or not, when an engine leaves the headers of a resumed call unheeded and streams from the beginning.

Events name their attempt, not their place; nothing told a rest from a new run.

Evidence: TestAnswersToAResume, rows "begun anew" and "another attempt begun anew", failed before. Not seen with the stand-in, which goes on where it is asked to.

Change: the protocol has engines echo Redwing-Resume and Redwing-Offset, as they echo the attempt; an answer without them, or with others, is one to another call. The stream then stays broken and the attempt is cancelled. The stand-ins echo both. An engine of the protocol before resumes no stream: it ends with an error event, as after any break that can't be mended.

--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -286,6 +286,11 @@
 func (c *call) head(status int, attempt, extra string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, name := range []string{marker.Resume, marker.Offset} {
+		if v := c.req.Header.Peek(name); len(v) > 0 {
+			extra += fmt.Sprintf("%s: %s\r\n", name, v)
+		}
+	}
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nRedwing-Attempt: %s\r\nRedwing-Incarnation: %d\r\nRedwing-Model: %s\r\n%s\r\n",
 		status, attempt, c.incarnation, c.model, extra)
 }
--- a/stage/dispatcher/streams_test.go
+++ b/stage/dispatcher/streams_test.go
@@ -276,6 +276,17 @@
 			c.raw(strings.Replace(head, "application/json", "text/event-stream", 1) + body)
 		}
 	}
+	// anew writes the stream from its beginning, under a head that has lost a header.
+	anew := func(lost string) func(c *call) {
+		return func(c *call) {
+			_, s, _ := c.open()
+			head := strings.Replace(c.head(http.StatusOK, c.attempt, "Connection: close\r\n"), "application/json", "text/event-stream", 1)
+			c.raw(strings.Replace(head, lost+":", "X-Lost:", 1))
+			for _, e := range append(append([][]byte{}, s.events...), []byte("[DONE]")) {
+				c.raw("id: " + c.attempt + "\ndata: " + string(e) + "\n\n")
+			}
+		}
+	}
 	const refusal = `{"error":{"type":"not_found","message":"no stream"}}`
 	tests := []struct {
 		name   string
@@ -293,6 +304,8 @@
 		{"empty stream", streamed("")},
 		{"end marker without a name", streamed("data: [DONE]\n\n")},
 		{"end marker of another", streamed("id: other.1.1\ndata: [DONE]\n\n")},
+		{"begun anew", anew(marker.Offset)},
+		{"another attempt begun anew", anew(marker.Resume)},
 	}
 	broken := `(?s)(data: \{"object"[^\n]*\n\n){3}event: error\ndata: \{[^\n]*"outcome":"unknown"[^\n]*\n\n`
 	for _, tt := range tests {
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -187,6 +187,13 @@
 	if call.Incarnation != "" && string(h.Peek(marker.Incarnation)) != call.Incarnation {
 		return errors.Wrapf(errCrossed, "answer names incarnation %q", h.Peek(marker.Incarnation))
 	}
+	if call.Resume == "" {
+		return nil
+	}
+	attempt, offset := string(h.Peek(marker.Resume)), string(h.Peek(marker.Offset))
+	if attempt != call.Resume || offset != strconv.Itoa(call.Offset) {
+		return errors.Wrapf(errCrossed, "answer resumes attempt %q after %q events", attempt, offset)
+	}
 	return nil
 }
 
--- a/standin/inferer/generate.go
+++ b/standin/inferer/generate.go
@@ -72,6 +72,10 @@
 	h := &ctx.Response.Header
 	h.Set(marker.Attempt, id.attempt)
 	h.Set(marker.Model, id.model)
+	if resumed := ctx.Request.Header.Peek(marker.Resume); len(resumed) > 0 {
+		h.SetBytesV(marker.Resume, resumed)
+		h.Set(marker.Offset, strconv.Itoa(offset))
+	}
 	w := writer{id: id, chat: chat, answer: answer, created: time.Now().Unix()}
 	if g.Stream {
 		h.SetContentType("text/event-stream")
--- a/standin/inferer/inferer_test.go
+++ b/standin/inferer/inferer_test.go
@@ -134,6 +134,8 @@
 	c.Assert(whole, quicktest.IsTrue)
 	c.Assert(ids, quicktest.DeepEquals, []string{"e1.1.2", "e1.1.2"})
 	c.Assert(text, quicktest.Equals, " 5 end")
+	c.Assert(a.header.Get(marker.Resume), quicktest.Equals, "e1.1.1")
+	c.Assert(a.header.Get(marker.Offset), quicktest.Equals, "4")
 	a = call(c, s, "POST", "/v1/chat/completions", streamed, marker.Resume, "e9.1.1")
 	c.Assert(a.status, quicktest.Equals, 404)
 }
