relayer: a reset before the request is written isn't the end of an answer

Cause: a connection's error is told once. Where the request is larger than the buffers and its writer is blocked, the writer gets the reset, and the reader gets an end as if the server had closed the connection: for an answer without a length that is its end. The failed write only kept the connection from being used again.

Evidence: TestAResetBeforeTheRequestIsWrittenIsNoEnd, 4 MiB of request to a server that reads its beginning: 40 of 48 answers looked whole before, on all three kinds of route; 0 after. Found by a review. Ruled out: small requests, and answers with a length or chunks, which break as they should.

Change: an answer that ends with its connection counts only if the request was written by then.

--- a/stage/relayer/exchange.go
+++ b/stage/relayer/exchange.go
@@ -64,6 +64,8 @@
 	after  string
 	status int
 	first  string
+	// unframed says that the answer's body ends with the connection.
+	unframed bool
 }
 
 // entry returns what the log tells of the attempt once it has ended.
@@ -151,14 +153,20 @@
 	r, keep := e.read(ctx, c, a, out)
 	select {
 	case err := <-written:
-		if err != nil {
-			keep = -1
+		if err == nil {
+			return r, keep
 		}
 	default:
 		// The server answered before it has read the request; the rest of it must not be taken for another one.
-		keep = -1
 	}
-	return r, keep
+	if a.unframed && (r.outcome == answered || r.outcome == passed) {
+		// A reset ends the write with its error, and the read as if the server had closed the connection.
+		r = lost("body", errors.New("the connection ended before the request was written, and the answer has no length"))
+		if out.begun {
+			r.outcome = cut
+		}
+	}
+	return r, -1
 }
 
 // serialize returns the request as it goes to the server.
@@ -235,6 +243,7 @@
 // hold reads an answer that isn't a stream; a large one is passed on as it comes.
 func (e *Relayer) hold(c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer, keep time.Duration) (reply, time.Duration) {
 	b := newBody(c.br, h, a.call.req.method)
+	a.unframed = b.delimit == untilClose
 	data, whole, err := b.head(heldAnswer)
 	switch {
 	case err != nil:
@@ -243,7 +252,7 @@
 		return lost("body", errors.New("a failure with a large body")), -1
 	case !whole:
 		return e.pass(h, b, data, out, keep)
-	case b.delimit == untilClose:
+	case a.unframed:
 		keep = -1
 	}
 	r := reply{outcome: answered, status: a.status, body: data, fields: answerFields(h), result: balancer.OK}
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -1,9 +1,11 @@
 package relayer
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +16,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
 	"redwingstage.org/stage/logger"
 )
 
@@ -389,3 +393,53 @@
 		}
 	}
 }
+
+// An answer without a length was reset while the request was still being written: the write took the error, and the read had an
+// end that looked like the answer's.
+func TestAResetBeforeTheRequestIsWrittenIsNoEnd(t *testing.T) {
+	const body = "id: 1\ndata: 1\n\n"
+	for _, path := range []string{"/once/", "/stream/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			e := start(c)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = ln.Close() })
+			go func() {
+				for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+					go resetEarly(conn, body)
+				}
+			}()
+			e.link.take(governor.Down{Welcome: &governor.Welcome{Era: 1}, Entries: 1, Engines: []tracker.Instance{{
+				Key: tracker.Key{ID: "s0", Born: 1}, Service: "s", Zone: "z", Addr: ln.Addr().String(), Slots: 200,
+			}}})
+			var callers sync.WaitGroup
+			for range 16 {
+				l := dial(c, e)
+				callers.Go(func() {
+					l.send(c, "POST", path, strings.Repeat("x", 4<<20), testDeadline+": 9000")
+					resp := l.receive(c)
+					c.Check(resp.status == http.StatusOK && resp.err == nil, qt.IsFalse, qt.Commentf("%q looks whole", resp.body))
+				})
+			}
+			callers.Wait()
+		})
+	}
+}
+
+// resetEarly answers a request of which it reads only the beginning, and resets the connection.
+func resetEarly(conn net.Conn, body string) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetReadBuffer(4 << 10)
+	r, err := http.ReadRequest(bufio.NewReaderSize(tcp, 4<<10))
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(tcp, headOf(r, http.StatusOK, "Connection: close")+body)
+	time.Sleep(100 * time.Millisecond)
+	_ = tcp.SetLinger(0)
+	_ = tcp.Close()
+}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -34,7 +34,7 @@
 // stream passes the events of an answer on as they come, each only once it is whole.
 func (e *Relayer) stream(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *answer, keep time.Duration) (reply, time.Duration) {
 	b := newBody(c.br, h, a.call.req.method)
-	if b.delimit == untilClose {
+	if a.unframed = b.delimit == untilClose; a.unframed {
 		keep = -1
 	}
 	events := &eventReader{br: bufio.NewReaderSize(b, serverBuffer), last: e.lastEvent(a)}
