relayer: ids that are no numbers don't cut a stream

Cause: the comparison of ids, made for two runs, held within one run for ids that have no order.

Evidence: TestIDsWithoutAnOrderDoNotCutAStream failed in 8 of 12 rows before. Found by a review; engines of the platform number their events.

Change: within a run only numbers are compared: one that falls back or repeats is a piece that comes twice, and the platform's pages promise that they increase. The first event of a run that goes on must follow the caller's last one, as before.

--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -215,6 +215,28 @@
 	}
 }
 
+// A server's stream was cut where its ids are no numbers in order, though no other run had a part in it.
+func TestIDsWithoutAnOrderDoNotCutAStream(t *testing.T) {
+	for _, ids := range []string{"a a", "a b a", "1 x", "1 done", "x 1 2", "18446744073709551615 18446744073709551616"} {
+		for _, path := range []string{"/stream/", "/resumable/"} {
+			t.Run(ids+path, func(t *testing.T) {
+				c := qt.New(t)
+				e := start(c, func(w http.ResponseWriter, r *http.Request) {
+					sealed(w, r)
+					sendIDs(w, ids)
+				})
+				l := dial(c, e)
+				l.send(c, "POST", path, "x", testDeadline+": 8000")
+				resp := l.receive(c)
+				var want strings.Builder
+				sendIDs(&want, ids)
+				c.Check(resp.err, qt.IsNil)
+				c.Check(resp.body, qt.Equals, want.String())
+			})
+		}
+	}
+}
+
 // A caller came back with the last event that it had, and a server that began anew brought it the same events once more.
 func TestACallerThatComesBackGetsNoEventTwice(t *testing.T) {
 	c := qt.New(t)
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -182,7 +182,7 @@
 	return a.resume
 }
 
-// eventReader cuts a stream into blocks of whole events. Their ids must increase, or pieces would come twice.
+// eventReader cuts a stream into blocks of whole events. Those whose ids are numbers must increase, or pieces would come twice.
 type eventReader struct {
 	br  *bufio.Reader
 	buf []byte
@@ -247,7 +247,7 @@
 		r.unnamed = r.unnamed || hasData
 		return nil
 	}
-	if r.last != "" && !follows(r.last, id) {
+	if !r.follows(id) {
 		return errors.Errorf("event %q came after event %q", id, r.last)
 	}
 	if r.first == "" {
@@ -257,14 +257,20 @@
 	return nil
 }
 
-// follows reports whether an event may come after another one. Of ids that aren't numbers only a repeated one is told.
-func follows(last, id string) bool {
-	m, ok := eventNumber(last)
-	if !ok {
-		return id != last
-	}
+// follows reports whether an event may come now. Numbers must increase; of other ids, which nothing orders, only the first of
+// a run is judged, since it must go on after the event that the caller has.
+func (r *eventReader) follows(id string) bool {
+	m, ordered := eventNumber(r.last)
 	n, ok := eventNumber(id)
-	return ok && n > m
+	switch {
+	case r.last == "":
+		return true
+	case ordered && ok:
+		return n > m
+	case r.first != "":
+		return true
+	}
+	return !ordered && id != r.last
 }
 
 // eventNumber returns the number of an event, if its id is one.
