relayer: an interim answer has a time of its own to be written

What callers saw: on a connection kept for more than 5 s, a request with "Expect: 100-continue" got 408 in place of 100.

Cause: the interim answer was written under the deadline of the answer before, which was over.

Evidence: TestACallerThatAsksFirstIsToldToGoOnOnAKeptConnection failed before ("write pipe: i/o timeout").

Change: the deadline is set before that write, as before the others.

--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -249,6 +249,9 @@
 		return nil, err
 	}
 	if req.awaits && (req.chunked || req.length > 0) {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return nil, err
+		}
 		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
 		}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -406,6 +406,26 @@
 	}
 }
 
+// A caller that asked before it sent its body got a 408 on a kept connection, whose time to write the answer before was over.
+func TestACallerThatAsksFirstIsToldToGoOnOnAKeptConnection(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	c.Assert(near.SetWriteDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	e := start(c)
+	go func() {
+		br := bufio.NewReader(far)
+		_, _ = fmt.Fprintf(far, "POST /once/ HTTP/1.1\r\nHost: %s\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", testHost)
+		if resp, err := http.ReadResponse(br, nil); err != nil || resp.Body.Close() != nil || resp.StatusCode != http.StatusContinue {
+			_ = far.Close()
+			return
+		}
+		_, _ = io.WriteString(far, "x")
+	}()
+	req, err := e.receive(near, bufio.NewReaderSize(near, headBuffer), e.limits())
+	c.Assert(err, qt.IsNil)
+	c.Check(string(req.body), qt.Equals, "x")
+}
+
 func TestACallerWhoLeavesEndsTheRun(t *testing.T) {
 	c := qt.New(t)
 	began, ended := make(chan struct{}), make(chan struct{})
