relayer: a stream that the entry itself cuts is logged

What operators saw: no line, and the metric of callers who left, for a stream that was cut at its deadline while events came, or by the end of a planned stop.

Cause: any end of a request's context before its deadline was taken for a caller that left, and so was the deadline itself where an event had just come.

Found by a review.

Change: the watch over the caller tells why it ends the request. Such streams leave "request ended", cut; callers get what they got before.

--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -39,6 +39,9 @@
 	restEvery = 50 * time.Millisecond
 )
 
+// errLeft is why a request ends whose caller went away.
+var errLeft = errors.New("the caller left")
+
 // Config says where an entry listens and who it is.
 type Config struct {
 	Node string
@@ -276,8 +279,8 @@
 
 // watch handles a request while it watches whether the caller stays; false means that the connection ends.
 func (e *Relayer) watch(c net.Conn, br *bufio.Reader, req *request, w *answer) bool {
-	ctx, cancel := context.WithCancel(e.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(e.ctx)
+	defer cancel(nil)
 	if c.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
@@ -286,7 +289,7 @@
 	watching.Go(func() {
 		if _, err := br.Peek(1); err != nil && !isTimeout(err) {
 			gone.Store(true)
-			cancel()
+			cancel(errLeft)
 		}
 	})
 	ok := e.handle(ctx, req, w)
--- a/stage/relayer/request.go
+++ b/stage/relayer/request.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
@@ -267,10 +269,9 @@
 // fail ends a request whose last attempt brought no answer.
 func (e *Relayer) fail(ctx context.Context, c *call, w *answer, r reply) bool {
 	switch {
-	case w.failed || ctx.Err() != nil && time.Now().Before(c.deadline):
-		// The caller left.
+	case e.hasLeft(ctx, w):
 		return false
-	case w.begun:
+	case w.begun || e.ctx.Err() != nil:
 		return e.breakOff(c, w, r.reason)
 	case !c.ran:
 		return e.refuse(c, w, "the request was not run: "+r.reason, comeBackFull)
@@ -283,9 +284,9 @@
 // giveUp ends a request for which there is no server.
 func (e *Relayer) giveUp(ctx context.Context, c *call, w *answer, v balancer.Verdict) bool {
 	switch {
-	case w.failed || ctx.Err() != nil && time.Now().Before(c.deadline):
+	case e.hasLeft(ctx, w):
 		return false
-	case w.begun:
+	case w.begun || e.ctx.Err() != nil:
 		return e.breakOff(c, w, "no other server can be asked")
 	case c.ran:
 		return e.own(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
@@ -297,9 +298,17 @@
 	return e.refuse(c, w, "no server answers for "+c.service+" now", comeBackNone)
 }
 
-// breakOff ends a connection in the middle of an answer, which must not look whole.
+// hasLeft reports whether the caller went away or takes nothing more; an entry that ends closes connections itself.
+func (e *Relayer) hasLeft(ctx context.Context, w *answer) bool {
+	return e.ctx.Err() == nil && (w.failed || errors.Is(context.Cause(ctx), errLeft))
+}
+
+// breakOff ends a connection in the middle of an answer, which must not look whole, or without one where the entry ends.
 func (e *Relayer) breakOff(c *call, w *answer, reason string) bool {
 	w.broken = true
+	if e.ctx.Err() != nil {
+		reason = "the entry ends: " + reason
+	}
 	e.log.Request(c.id, c.adapter.Name, "cut", reason, w.status)
 	return false
 }
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -156,6 +157,44 @@
 	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 }
 
+// A stream that was cut at its deadline or by a stop was taken for one whose caller left, and had no line in the log.
+func TestAStreamThatIsCutByTheEntryIsLogged(t *testing.T) {
+	for _, row := range []struct {
+		name, deadline string
+		stop           bool
+	}{
+		{"deadline", "300", false},
+		{"stop", "9000", true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			var log lines
+			e := startLogging(c, logger.New(&log, "info"), func(w http.ResponseWriter, r *http.Request) {
+				sealed(w, r)
+				for n := 1; r.Context().Err() == nil; n++ {
+					event(w, n)
+				}
+			})
+			l := dial(c, e)
+			l.send(c, "POST", "/stream/", "x", testDeadline+": "+row.deadline)
+			if row.stop {
+				_, err := l.br.Peek(1)
+				c.Assert(err, qt.IsNil)
+				ctx, cancel := context.WithCancel(context.Background())
+				cancel()
+				c.Check(e.Close(ctx), qt.IsNil)
+			}
+			c.Check(l.receive(c).err, qt.Equals, io.ErrUnexpectedEOF)
+			_, err := io.ReadAll(l.br)
+			c.Check(err, qt.IsNil)
+			got := log.of(c, "id-1")
+			c.Assert(got, qt.Not(qt.HasLen), 0)
+			c.Check(got[len(got)-1]["outcome"], qt.Equals, "cut")
+			c.Check(metricsText(e), qt.Contains, `redwingstage_entry_requests_total{outcome="cut"} 1`)
+		})
+	}
+}
+
 // sendIDs sends an event for each id.
 func sendIDs(w io.Writer, ids string) {
 	for id := range strings.SplitSeq(ids, " ") {
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -70,6 +70,9 @@
 		}
 		if !out.chunk(block) || ctx.Err() != nil {
 			e.release(a.call, silence.stop())
+			if !e.hasLeft(ctx, out) {
+				return reply{outcome: cut, reason: "no time is left", result: balancer.Void}, -1
+			}
 			return gone, -1
 		}
 		if events.first != "" {
