relayer: a run doesn't go on with an event that has no id

What callers could get (ORDER): an event without an id, of a run that begins anew, behind those of another run.

Cause: only ids were compared with the caller's last one, so that nothing judged a run whose first event has none.

Evidence: the row "an event without an id first" failed before.

Change: the first event of a run that goes on must have an id that follows; later ones needn't, within that run.

--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -195,12 +195,16 @@
 	}
 }
 
-// sendIDs sends an event for each id.
+// sendIDs sends an event for each id, and one without an id for "-".
 func sendIDs(w io.Writer, ids string) {
 	for id := range strings.SplitSeq(ids, " ") {
 		if id == "" {
 			continue
 		}
+		if id == "-" {
+			_, _ = io.WriteString(w, "data: x\n\n")
+			continue
+		}
 		_, _ = io.WriteString(w, "id: "+id+"\ndata: x\n\n")
 	}
 }
@@ -224,6 +228,8 @@
 		{"it falls back later", "/resumable/", "1", "2 3 1", "1 2 3", false},
 		{"an event comes again", "/resumable/", "1", "2 2", "1 2", false},
 		{"an id that is no number", "/resumable/", "1", "x", "1", false},
+		{"an event without an id first", "/resumable/", "1", "- 2", "1", false},
+		{"one without an id later", "/resumable/", "1", "2 -", "1 2 -", true},
 		{"an order that nothing tells", "/resumable/", "x", "y", "x", false},
 		{"an id out of range", "/resumable/", huge, "1", huge, false},
 		{"an id with a header", "/resumable/", "1\rX-Hold:1", "2", "1\rX-Hold:1", false},
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -246,8 +246,13 @@
 
 // end takes note of a whole event; a block without data or id, such as a comment, is none.
 func (r *eventReader) end(id string, hasData bool) error {
-	if id == "" {
-		r.unnamed = r.unnamed || hasData
+	switch {
+	case id == "" && !hasData:
+		return nil
+	case id == "" && r.last != "" && r.first == "":
+		return errors.Errorf("an event without an id came after event %q of another run", r.last)
+	case id == "":
+		r.unnamed = true
 		return nil
 	}
 	if !r.follows(id) {
