--- a/stage/relayer/explore_test.go
+++ b/stage/relayer/explore_test.go
@@ -344,8 +344,8 @@
 	if ran > x.route.Attempts || ran > 1 && !x.route.Resumable {
 		err = errors.Join(err, errors.Errorf("%d engines ran it", ran))
 	}
-	// "The engine's status, body and Response-Seal are returned unchanged.", and REFUSED speaks of requests that aren't
-	// idempotent: an engine's own word may reach the caller of a stream that may be resumed.
+	// Status, body and seal of a server's answer are returned unchanged, and only requests that aren't idempotent must not be
+	// told "not run" falsely: a server's own word may reach the caller of a stream that may be resumed.
 	free := ran == 0 || x.route.Resumable && got.header.Get(testSeal) != ""
 	if slices.Contains([]int{408, 421, 429, 503}, got.status) && !free {
 		err = errors.Join(err, errors.Errorf("status %d promises that no engine ran it, but %d did", got.status, ran))
