Log: the members of the group at the start and at each change

Operators saw a group that elected no leader after several replacements and a loss of two disks. The log named neither voters nor learners, so that a quorum that counts a replaced member looked like survivors that may not lead. One line at the start of a log and one for each change name them.

--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -191,7 +191,7 @@
 	m := newMachine(ms.onStateChange)
 	r, err := runner.New(runner.Config{
 		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
-	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes))
+	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()))
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
@@ -199,6 +199,7 @@
 	ms.runner, ms.carrier, ms.machine = r, c, m
 	ms.mu.Unlock()
 	ms.logger.Info("log is open", strconv.FormatUint(id, 10))
+	ms.logger.Info("members at the start", describeMembers(r.Status().Members))
 	cause := ms.watchMembership(ctx, r, id)
 	ms.mu.Lock()
 	ms.runner, ms.carrier = nil, nil
@@ -212,6 +213,30 @@
 	return cause
 }
 
+// memberLogger returns an observer of the log that logs each change of the group's members.
+func (ms *membership) memberLogger() func(runner.Status) {
+	logged := ""
+	return func(st runner.Status) {
+		if s := describeMembers(st.Members); s != logged {
+			logged = s
+			ms.logger.Info("members changed", s)
+		}
+	}
+}
+
+// describeMembers lists the IDs of voters and learners.
+func describeMembers(members []runner.Member) string {
+	voters, learners := "voters", ", learners"
+	for _, m := range members {
+		if id := " " + strconv.FormatUint(m.ID, 10); m.Learner {
+			learners += id
+		} else {
+			voters += id
+		}
+	}
+	return voters + learners
+}
+
 // watchMembership waits until the log ends; a replica that isn't a member or has no leader requests to join again.
 func (ms *membership) watchMembership(ctx context.Context, r *runner.Runner, id uint64) error {
 	ticker := time.NewTicker(joinPause)
