Replication: a voter that is gone hands its vote to its successor

Cause: a joining replica became a voter at once, and a silent member was removed only if it had been silent for 6 s when the newcomer joined, or for 12 s in a group above five. A successor that joined 1 s after the loss made six voters, one of them gone; two lost disks left three of the four votes that an election needs. In a group of three, one replacement was enough, and nothing ever removed the fourth. The class: a timer decides whether a member counts, and the tolerance isn't compared before and after the change.

Ruled out: logs that lack what was acknowledged (with the same disks and one voter less the group recovers), and replicas that aren't admitted (the group can't elect a leader that would admit them).

Change: a newcomer is a learner without effect on the quorum. The leader exchanges a silent voter for it through a group with one voter less, in steps of which none lowers the number of further losses that are tolerated; silence is counted from the log's own heartbeats. The time is a quarter of sync_s, and the number of voters follows from tolerate.machines. The old voter stays a member with its folder. A dead newcomer no longer blocks others for 20 s. A removed replica asks for its membership after two election timeouts.

Tests changed: the joiner no longer keeps times of members, so its tests name the fields that are left; the limit of members is now one of voters and the error says so.

--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -10,9 +10,11 @@
 
 // peer is the leader's replication state for another replica.
 type peer struct {
-	matchIndex     uint64
-	nextIndex      uint64
-	ackedStamp     uint64
+	matchIndex uint64
+	nextIndex  uint64
+	ackedStamp uint64
+	// addedStamp is the last stamp before the leader began to send to this peer.
+	addedStamp     uint64
 	isProbing      bool
 	probeStamp     uint64
 	snapshotIndex  uint64
@@ -29,7 +31,7 @@
 func (r *Replicator) syncPeers() {
 	for _, mb := range r.membership.Members {
 		if mb.ID != r.cfg.ID && r.peers[mb.ID] == nil {
-			r.peers[mb.ID] = &peer{nextIndex: r.log.last() + 1, isProbing: true}
+			r.peers[mb.ID] = &peer{nextIndex: r.log.last() + 1, isProbing: true, addedStamp: r.lastStamp}
 		}
 	}
 	for id := range r.peers {
@@ -172,7 +174,7 @@
 	}
 	r.sendEntries(now, m.From, p)
 	r.confirmReads(now)
-	r.promoteLearner(now, m.From, p)
+	r.promoteLearner(now, m.From)
 	if r.transfer.target == m.From {
 		r.tryTransfer(now)
 	}
@@ -273,6 +275,7 @@
 	}
 	r.nextHeartbeat = now.Add(r.cfg.HeartbeatInterval)
 	r.tickNonceRequest()
+	r.tickMembership(now)
 	r.broadcastHeartbeat(now)
 }
 
--- a/coord/replicator/change.go
+++ b/coord/replicator/change.go
@@ -63,7 +63,8 @@
 	return r.membershipIndex <= r.commitIndex && r.commitIndex >= r.termStartIndex && r.transfer.target == 0
 }
 
-// AddMember takes the next step of adding mb as learner and promoting it to voter; call it until it returns done.
+// AddMember takes the next step of adding mb as learner and promoting it to voter; call it until it returns done. With
+// ReplaceAfter it is done once mb is a learner.
 func (r *Replicator) AddMember(mb Member) (done bool, err error) {
 	if r.role != leader {
 		return false, ErrNotLeader
@@ -72,12 +73,12 @@
 		if old.Addr != mb.Addr {
 			return false, &ChangeError{ID: mb.ID, Reason: "it is a member with address " + old.Addr}
 		}
-		return !old.Learner && r.membershipIndex <= r.commitIndex, nil
+		return (!old.Learner || r.cfg.ReplaceAfter != 0) && r.membershipIndex <= r.commitIndex, nil
 	}
 	switch {
 	case mb.ID <= r.membership.MaxID:
 		return false, &ChangeError{ID: mb.ID, Reason: "the ID was used before; take a larger one"}
-	case len(r.membership.Members) >= MaxMembers:
+	case r.isFull():
 		return false, &ChangeError{ID: mb.ID, Reason: "the group has its largest size"}
 	case r.nonceRequest.member.ID == mb.ID && r.nonceRequest.err != nil:
 		err := r.nonceRequest.err
@@ -109,6 +110,14 @@
 	return false, nil
 }
 
+// isFull reports whether the group has no room for another learner.
+func (r *Replicator) isFull() bool {
+	if r.cfg.ReplaceAfter != 0 {
+		return len(r.membership.Members)-len(r.membership.voters()) >= maxJoinLearners
+	}
+	return len(r.membership.Members) >= MaxMembers
+}
+
 // CancelAdd cancels an AddMember that hasn't changed the membership yet.
 func (r *Replicator) CancelAdd(id uint64) {
 	if r.nonceRequest.member.ID == id {
@@ -122,17 +131,21 @@
 	}
 }
 
-// promoteLearner makes a learner a voter once it has all committed entries.
-func (r *Replicator) promoteLearner(now time.Time, id uint64, p *peer) {
+// promoteLearner makes a learner a voter once it has all committed entries; with ReplaceAfter, only if the group needs it.
+func (r *Replicator) promoteLearner(now time.Time, id uint64) {
 	mb, ok := r.membership.Find(id)
-	if !ok || !mb.Learner || !r.canChangeMembership() {
-		return
-	}
-	if p.matchIndex < r.commitIndex {
-		return
+	switch {
+	case !ok || !mb.Learner:
+	case r.cfg.ReplaceAfter != 0:
+		r.tickMembership(now)
+	case r.canChangeMembership() && r.isCaughtUp(id):
+		r.changeMembership(now, r.membership.withLearner(mb, false))
 	}
-	mb.Learner = false
-	if err := r.proposeMembership(now, r.membership.with(mb)); err != nil {
+}
+
+// changeMembership proposes m as the leader's own change.
+func (r *Replicator) changeMembership(now time.Time, m Membership) {
+	if err := r.proposeMembership(now, m); err != nil {
 		r.err = err
 	}
 }
--- a/coord/replicator/membership.go
+++ b/coord/replicator/membership.go
@@ -9,8 +9,12 @@
 	"redwingstage.org/coord/encoder"
 )
 
-// MaxMembers is the largest number of replicas in a group.
-const MaxMembers = 7
+const (
+	// MaxMembers is the largest number of voters in a group.
+	MaxMembers = 7
+	// MaxLearners is the largest number of learners in a group. Lost replicas stay learners for a while.
+	MaxLearners = 16
+)
 
 // Member is one replica of the group; Nonce is the ID of the data folder with which it was added.
 type Member struct {
@@ -66,10 +70,13 @@
 }
 
 func (m Membership) check() error {
-	if len(m.Members) > MaxMembers {
-		return errors.Errorf("membership: %d members, at most %d", len(m.Members), MaxMembers)
-	}
-	if len(m.voters()) == 0 {
+	voters := len(m.voters())
+	switch learners := len(m.Members) - voters; {
+	case voters > MaxMembers:
+		return errors.Errorf("membership: %d voters, at most %d", voters, MaxMembers)
+	case learners > MaxLearners:
+		return errors.Errorf("membership: %d learners, at most %d", learners, MaxLearners)
+	case voters == 0:
 		return errors.New("membership: no voter")
 	}
 	for i, mb := range m.Members {
@@ -128,6 +135,12 @@
 	return out
 }
 
+// withLearner returns m with mb as a learner or as a voter.
+func (m Membership) withLearner(mb Member, learner bool) Membership {
+	mb.Learner = learner
+	return m.with(mb)
+}
+
 func (m Membership) without(id uint64) Membership {
 	out := Membership{MaxID: m.MaxID}
 	for _, mb := range m.Members {
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -38,6 +38,11 @@
 	HeartbeatInterval time.Duration
 	// ElectionTimeout is the minimum time without contact to a leader before an election.
 	ElectionTimeout time.Duration
+	// ReplaceAfter, at least ElectionTimeout, is how long a voter must be silent before the leader gives its vote to another
+	// member; 0 leaves the choice of voters to the callers of AddMember and RemoveMember.
+	ReplaceAfter time.Duration
+	// Voters is the number of voters that the group keeps if it can, used with ReplaceAfter: 2t+1 tolerate the loss of t disks.
+	Voters int
 	// TrailingEntries is the number of entries before a snapshot that are kept for lagging replicas.
 	TrailingEntries uint64
 	// Rand randomizes the election timeouts.
@@ -142,6 +147,12 @@
 		return nil, errors.Errorf("replicator: election timeout %v is under %d heartbeats of %v",
 			cfg.ElectionTimeout, minElectionHeartbeats, cfg.HeartbeatInterval)
 	}
+	if cfg.ReplaceAfter != 0 && cfg.ReplaceAfter < cfg.ElectionTimeout {
+		return nil, errors.Errorf("replicator: voters replaced after %v, below the election timeout of %v", cfg.ReplaceAfter, cfg.ElectionTimeout)
+	}
+	if cfg.ReplaceAfter != 0 && (cfg.Voters < 1 || cfg.Voters > MaxMembers) {
+		return nil, errors.Errorf("replicator: %d voters, from 1 to %d are possible", cfg.Voters, MaxMembers)
+	}
 	if err := checkFounders(cfg); err != nil {
 		return nil, err
 	}
--- a/coord/replicator/replicator_test.go
+++ b/coord/replicator/replicator_test.go
@@ -147,7 +147,7 @@
 			for id := uint64(1); id <= 8; id++ {
 				c.Founders = append(c.Founders, Member{ID: id})
 			}
-		}, ".*8 members, at most 7"},
+		}, ".*8 voters, at most 7"},
 		{func(_ *Config, s *Stored) { s.Entries = []Entry{entry} }, ".*stored entry 2 follows entry 0"},
 		{func(_ *Config, s *Stored) {
 			s.Snapshot.Membership = Membership{Members: []Member{{ID: 1, Nonce: 5}}, MaxID: 1}
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -52,6 +52,9 @@
 	// InitialMembers are the initial members of a new group, including this one; it is empty for a replica that joins a
 	// running group by AddMember.
 	InitialMembers []Member
+	// ReplaceAfter and Voters are those of replicator.Config: 0 leaves the choice of voters to AddMember and RemoveMember.
+	ReplaceAfter time.Duration
+	Voters       int
 	// HeartbeatInterval and ElectionTimeout, a minimum, take their defaults if 0.
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
@@ -186,8 +189,9 @@
 	}
 	r.rep, err = replicator.New(replicator.Config{
 		ID: r.cfg.ID, Nonce: r.store.journal.Nonce(), Founders: founders,
-		HeartbeatInterval: r.cfg.HeartbeatInterval, ElectionTimeout: r.cfg.ElectionTimeout, TrailingEntries: r.snapshotCommands / trailingDivisor,
-		Rand: rand.New(rand.NewPCG(uint64(r.random()), uint64(r.random()))),
+		HeartbeatInterval: r.cfg.HeartbeatInterval, ElectionTimeout: r.cfg.ElectionTimeout, ReplaceAfter: r.cfg.ReplaceAfter, Voters: r.cfg.Voters,
+		TrailingEntries: r.snapshotCommands / trailingDivisor,
+		Rand:            rand.New(rand.NewPCG(uint64(r.random()), uint64(r.random()))),
 	}, st, now)
 	return err
 }
@@ -326,6 +330,7 @@
 }
 
 // AddMember adds a replica that runs with an empty data folder and waits until it is a voter with all committed entries.
+// With ReplaceAfter it waits only until the replica is a learner, which the leader makes a voter when the group needs one.
 func (r *Runner) AddMember(ctx context.Context, mb Member) error {
 	add := replicator.Member{ID: mb.ID, Addr: mb.Addr}
 	return r.submitChange(ctx, &change{
--- a/coord/runner/sim_test.go
+++ b/coord/runner/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -44,10 +45,12 @@
 	cuts             map[[2]uint64]bool
 	lossRate         float64
 	snapshotPadBytes int
-	check            *checker
-	onStep           func(step string, n *simNode)
-	repairs          []func(r *Runner) *change
-	activeRepair     *change
+	// timing has the intervals of all replicas, the defaults where 0.
+	timing       Config
+	check        *checker
+	onStep       func(step string, n *simNode)
+	repairs      []func(r *Runner) *change
+	activeRepair *change
 }
 
 type event struct {
@@ -130,13 +133,18 @@
 }
 
 func newSim(seed uint64, size int, mutation mutation) *sim {
+	return newTimedSim(seed, size, mutation, Config{})
+}
+
+func newTimedSim(seed uint64, size int, mutation mutation, timing Config) *sim {
 	s := &sim{
+		timing: timing,
 		random: rand.New(rand.NewPCG(seed, 3)), mutation: mutation, cuts: map[[2]uint64]bool{},
 		check: newChecker(), onStep: func(string, *simNode) {}, lossRate: 0.01,
 	}
 	var founders []Member
 	for id := uint64(1); id <= uint64(size); id++ {
-		founders = append(founders, Member{ID: id, Addr: "a"})
+		founders = append(founders, Member{ID: id, Addr: fmt.Sprint(id)})
 	}
 	for _, mb := range founders {
 		s.addNode(mb.ID, founders).start()
@@ -211,6 +219,8 @@
 	n.requests, n.delayedEvents, n.isSuspended, n.diskStall = nil, nil, false, 0
 	r, err := open(Config{
 		ID: n.id, Cluster: "c", DataFolder: "/data", InitialMembers: n.founders,
+		HeartbeatInterval: n.s.timing.HeartbeatInterval, ElectionTimeout: n.s.timing.ElectionTimeout, ReplaceAfter: n.s.timing.ReplaceAfter,
+		Voters: n.s.timing.Voters,
 	}, n.machine, n, n.time(), WithFileSystem(n.fs), WithSnapshotEvery(20, 1<<20), func(r *Runner) {
 		// A new folder draws two random numbers; the nonce is the second one.
 		r.random = func() uint32 { return n.s.random.Uint32() }
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -11,6 +11,7 @@
 
 	"redwingstage.org/coord/carrier"
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
@@ -24,6 +25,9 @@
 	confirmTimeout = time.Second
 	// ackWait bounds how long the acknowledgement of a document waits for entries to apply it.
 	ackWait = 500 * time.Millisecond
+	// defaultSyncTime and defaultTolerated apply where the settings have none.
+	defaultSyncTime  = 4 * time.Second
+	defaultTolerated = 2
 )
 
 // ErrNoLeader means that no leader is known.
@@ -48,6 +52,10 @@
 	DataFolder string
 	// Seeds are the Addr values of some replicas.
 	Seeds []string
+	// SyncTime is the time after its start in which a new replica must be able to take the place of a lost one; 0 means 4 s.
+	SyncTime time.Duration
+	// Tolerated is the number of replicas that may be lost with their disks at once, from 1 to 3; 0 means 2.
+	Tolerated int
 	// NewDeployment is set if the whole deployment is new, so that the seeds are the group's initial members.
 	NewDeployment bool
 }
@@ -60,6 +68,24 @@
 	Log     *logger.Logger
 }
 
+// replaceAfter returns how long a voter may be silent: an election and the exchange must fit into SyncTime with it.
+func (cfg Config) replaceAfter() time.Duration {
+	sync := cfg.SyncTime
+	if sync == 0 {
+		sync = defaultSyncTime
+	}
+	return max(sync/4, electionTimeout)
+}
+
+// voters returns the number of voters that tolerates the loss of cfg.Tolerated disks.
+func (cfg Config) voters() int {
+	tolerated := cfg.Tolerated
+	if tolerated == 0 {
+		tolerated = defaultTolerated
+	}
+	return min(2*tolerated+1, replicator.MaxMembers)
+}
+
 // Governor is a running control replica.
 type Governor struct {
 	cfg        Config
--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -19,15 +19,17 @@
 
 // group is a deployment's control replicas on loopback.
 type group struct {
-	c       *qt.C
-	folder  string
-	addrs   []string
-	running map[int]*Governor
+	c      *qt.C
+	folder string
+	addrs  []string
+	// tolerated is Config.Tolerated.
+	tolerated int
+	running   map[int]*Governor
 }
 
 // newGroup starts n replicas; the first three are the group's initial members and the others join.
 func newGroup(c *qt.C, n int) *group {
-	g := &group{c: c, folder: c.TempDir(), running: make(map[int]*Governor)}
+	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), running: make(map[int]*Governor)}
 	for range n {
 		addr, err := launcher.FreeAddr(context.Background())
 		c.Assert(err, qt.IsNil)
@@ -47,7 +49,7 @@
 func (g *group) start(i int, first bool) {
 	gov, err := New(Config{
 		Node: "core-" + strconv.Itoa(i), Zone: "z", Addr: g.addrs[i], DataFolder: filepath.Join(g.folder, strconv.Itoa(i)),
-		Seeds: g.addrs[:3], NewDeployment: first,
+		Seeds: g.addrs[:3], NewDeployment: first, Tolerated: g.tolerated,
 	}, Deps{
 		Decode: func(d Doc) (*matcher.Table, error) { return matcher.New(d.Version, nil, nil, matcher.Limits{}) },
 		Engines: &stubEngines{
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -157,7 +157,7 @@
 			delete(h.workers, id)
 		}
 	}
-	h.joiner.tick(now)
+	h.joiner.addNext()
 	h.completeVersionWaits()
 	h.logPlacement(now)
 	h.record(now)
@@ -410,7 +410,6 @@
 	switch {
 	case s.closed || s.hello == nil:
 	case s.isRelay():
-		h.joiner.lastReceived[s.hello.Replica] = now
 		h.applyReport(now, s, up)
 		if up.Heartbeat > 0 {
 			h.send(s, DownMessage{Heartbeat: up.Heartbeat})
--- a/stage/governor/join_test.go
+++ b/stage/governor/join_test.go
@@ -13,24 +13,23 @@
 	c := qt.New(t)
 	h := newLeadingHub(c, &stubEngines{}, 1)
 	j := h.joiner
-	j.assigned["a"], j.lastReceived[7], j.changing = 5, time.Now(), true
+	j.assigned["a"], j.adding = 5, true
 	h.startLeading(time.Now(), 1, 2)
 	c.Check(h.joiner == j, qt.IsTrue)
 	c.Check(j.assigned, qt.HasLen, 0)
-	c.Check(j.lastReceived, qt.HasLen, 0)
-	c.Check(j.changing, qt.IsFalse)
+	c.Check(j.adding, qt.IsFalse)
 }
 
-// The end of a change from an earlier leadership must not clear changing for a later one.
-func TestEarlierChangeDoesNotEndLaterOne(t *testing.T) {
+// The end of an addition from an earlier leadership must not clear adding for a later one.
+func TestEarlierAdditionDoesNotEndLaterOne(t *testing.T) {
 	c := qt.New(t)
 	h := newLeadingHub(c, &stubEngines{}, 1)
 	j := h.joiner
 	ended := make(chan struct{})
-	j.startChange(func(context.Context) { <-ended })
+	j.startAdding(func(context.Context) { <-ended })
 	j.reset()
-	j.changing = true
+	j.adding = true
 	close(ended)
 	(<-h.events)(time.Now())
-	c.Check(j.changing, qt.IsTrue)
+	c.Check(j.adding, qt.IsTrue)
 }
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -40,7 +40,7 @@
 	joinPause   = 250 * time.Millisecond
 	joinTimeout = 700 * time.Millisecond
 	// rejoinAfter is how long a member is without a leader before it checks with the group whether it is still a member.
-	rejoinAfter  = 4 * time.Second
+	rejoinAfter  = 2 * electionTimeout
 	identityFile = "identity.json"
 	pathJoin     = "/redwingstage.governor/Join"
 )
@@ -190,7 +190,9 @@
 	c := carrier.New(id, clusterName, carrier.WithResponseTimeout(carrierTimeout))
 	m := newMachine(ms.onStateChange)
 	r, err := runner.New(runner.Config{
-		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
+		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members,
+		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
+		ReplaceAfter: ms.cfg.replaceAfter(), Voters: ms.cfg.voters(),
 	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()))
 	if err != nil {
 		return errors.Join(err, c.Close())
