Replication: refuse to add a replica beside a silent voter

On deployments whose replicas operators change by hand, replica add made the newcomer a voter although a voter of the group was gone: three members became four, which need three, and the next loss stopped the group.

AddMember now ends with a ChangeError while a voter of an odd group has been silent for an election timeout, and a learner isn't promoted meanwhile. An even group takes the newcomer, since its quorum stays.

TestAddBesideSilentVoterIsRefused fails with the guard switched off. The fault cells of coord/runner and the tests of stage/controller pass.

--- a/coord/replicator/change.go
+++ b/coord/replicator/change.go
@@ -65,7 +65,7 @@
 
 // AddMember takes the next step of adding mb as learner and promoting it to voter; call it until it returns done. With
 // ReplaceAfter it is done once mb is a learner.
-func (r *Replicator) AddMember(mb Member) (done bool, err error) {
+func (r *Replicator) AddMember(now time.Time, mb Member) (done bool, err error) {
 	if r.role != leader {
 		return false, ErrNotLeader
 	}
@@ -78,6 +78,8 @@
 	switch {
 	case mb.ID <= r.membership.MaxID:
 		return false, &ChangeError{ID: mb.ID, Reason: "the ID was used before; take a larger one"}
+	case r.cfg.ReplaceAfter == 0 && r.isVoteCostly(now):
+		return false, &ChangeError{ID: mb.ID, Reason: "a voter does not respond, and one more would raise the quorum; remove that one first"}
 	case r.isFull():
 		return false, &ChangeError{ID: mb.ID, Reason: "the group has its largest size"}
 	case r.nonceRequest.member.ID == mb.ID && r.nonceRequest.err != nil:
@@ -138,11 +140,17 @@
 	case !ok || !mb.Learner:
 	case r.cfg.ReplaceAfter != 0:
 		r.tickMembership(now)
-	case r.canChangeMembership() && r.isCaughtUp(id):
+	case r.canChangeMembership() && r.isCaughtUp(id) && !r.isVoteCostly(now):
 		r.changeMembership(now, r.membership.withLearner(mb, false))
 	}
 }
 
+// isVoteCostly reports whether one more voter would raise the quorum while a voter doesn't respond.
+func (r *Replicator) isVoteCostly(now time.Time) bool {
+	s := r.reachability(now)
+	return s.voters%2 == 1 && s.suspects > 0
+}
+
 // changeMembership proposes m as the leader's own change.
 func (r *Replicator) changeMembership(now time.Time, m Membership) {
 	if err := r.proposeMembership(now, m); err != nil {
--- a/coord/runner/faults_test.go
+++ b/coord/runner/faults_test.go
@@ -193,8 +193,8 @@
 			return &change{step: func(now time.Time) (bool, error) { return r.rep.RemoveMember(now, n.id) }}
 		},
 		func(r *Runner) *change {
-			return &change{step: func(time.Time) (bool, error) {
-				return r.rep.AddMember(replicator.Member{ID: replacement.id, Addr: "a"})
+			return &change{step: func(now time.Time) (bool, error) {
+				return r.rep.AddMember(now, replicator.Member{ID: replacement.id, Addr: "a"})
 			}}
 		})
 }
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -335,7 +335,7 @@
 	add := replicator.Member{ID: mb.ID, Addr: mb.Addr}
 	return r.submitChange(ctx, &change{
 		joining: mb,
-		step:    func(time.Time) (bool, error) { return r.rep.AddMember(add) },
+		step:    func(now time.Time) (bool, error) { return r.rep.AddMember(now, add) },
 		cancel:  func() { r.rep.CancelAdd(mb.ID) },
 	})
 }
--- a/coord/runner/succession_test.go
+++ b/coord/runner/succession_test.go
@@ -96,8 +96,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &change{
 		ctx: ctx, done: make(chan error, 1),
-		step: func(time.Time) (bool, error) {
-			return leader.r.rep.AddMember(replicator.Member{ID: n.id, Addr: m.addr})
+		step: func(now time.Time) (bool, error) {
+			return leader.r.rep.AddMember(now, replicator.Member{ID: n.id, Addr: m.addr})
 		},
 		cancel: func() { leader.r.rep.CancelAdd(n.id) },
 	}
@@ -281,3 +281,37 @@
 	}
 	qt.Check(t, failed > 0, qt.IsTrue)
 }
+
+// An operator added the successor of a replica that was gone before removing that one; the group of four then had no
+// quorum after one more loss.
+func TestAddBesideSilentVoterIsRefused(t *testing.T) {
+	t.Parallel()
+	s := newSim(1, 3, mutation{})
+	never := func() bool { return false }
+	s.run(outage, never)
+	leader, lost, _ := s.roles()
+	lost.kill()
+	s.run(2*outage, never)
+	var err error
+	step := func(f func(now time.Time) (bool, error)) (done bool) {
+		leader.loopOnce(func(now time.Time) { done, err = f(now) })
+		return done || err != nil
+	}
+	add := func(now time.Time) (bool, error) {
+		return leader.r.rep.AddMember(now, replicator.Member{ID: 4, Addr: "4"})
+	}
+	s.addNode(4, nil).start()
+	qt.Check(t, step(add), qt.IsTrue)
+	qt.Check(t, err, qt.ErrorMatches, "change of replica 4: a voter does not respond.*")
+	remove := func(now time.Time) (bool, error) { return leader.r.rep.RemoveMember(now, lost.id) }
+	for _, f := range []func(time.Time) (bool, error){remove, add} {
+		end := s.now + outage
+		for !step(f) && s.now < end {
+			s.run(s.now+100*time.Millisecond, never)
+			s.schedule(time.Millisecond, func() {})
+		}
+		qt.Check(t, err, qt.IsNil)
+	}
+	m, _ := leader.r.rep.Membership()
+	qt.Check(t, m.Members, qt.HasLen, 3)
+}
