--- /dev/null
+++ b/stage/governor/export_test.go
@@ -0,0 +1,31 @@
+package governor
+
+import "time"
+
+// Leads reports whether the replica leads.
+func (g *Governor) Leads() bool { return g.checkLeading() == nil }
+
+// LoseLeader ends the follower's session with the leader and keeps it from opening another one, as when it is cut off from
+// the other replicas while entries still reach it.
+func (g *Governor) LoseLeader(leader *Governor) {
+	g.membership.mu.Lock()
+	id := g.membership.runner.Status().ID
+	g.membership.runner, g.membership.carrier = nil, nil
+	g.membership.mu.Unlock()
+	done := make(chan struct{})
+	leader.hub.post(func(time.Time) {
+		defer close(done)
+		for s := range leader.hub.relaySessions {
+			if s.isRelay() && s.hello.Replica == id {
+				leader.hub.closeSession(s)
+			}
+		}
+	})
+	<-done
+}
+
+// Relays reports whether the replica accepts sessions with entries.
+func (g *Governor) Relays() bool {
+	connected := make(chan bool, 1)
+	return g.hub.post(func(time.Time) { connected <- g.hub.relay.isConnected() }) && <-connected
+}
