Entries leave a relay that has lost the leader within the time of the settings

Callers saw: a change that was acknowledged wasn't in force 2 s later; a route that it had added was refused with 404 (CONFIG).

Cause: an entry judged its control replica by the replica's own words. A relay that the leader didn't reach kept its entries for 1 s + 2.5 s, longer than apply_ms, while the leader acknowledged after 0.5 s without them. The class: the age of what a process knows is the sum of timers along the path, and nobody adds them up.

Ruled out: a relay that has the document and doesn't pass it on, an entry that has it and doesn't use it: neither logs the version.

Change: responses to heartbeats carry the age of the leader's last response to the relay, so that an entry knows a time up to which its state is complete. From half of apply_ms on it asks other replicas, one after the other, and goes to one that has been connected to its leader for 0.5 s. It keeps its session until then, so that a change of leader moves nobody; the relay repeats its responses as soon as it has a new leader. Only responses to heartbeats count as the leader's word, not its updates.

--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -27,5 +27,5 @@
 // Relays reports whether the replica accepts sessions with entries.
 func (g *Governor) Relays() bool {
 	connected := make(chan bool, 1)
-	return g.hub.post(func(time.Time) { connected <- g.hub.relay.isConnected() }) && <-connected
+	return g.hub.post(func(time.Time) { connected <- g.hub.relay.isConnected(time.Now()) }) && <-connected
 }
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -29,8 +29,9 @@
 var errNotLeading = errors.New("this replica does not lead")
 
 // Dial opens a session with a replica and runs it until it fails: it sends hello, then the messages from up, and calls
-// receive for each message it gets. It returns the leader's address if the replica redirected to it.
-func Dial(ctx context.Context, addr string, hello Hello, up <-chan UpMessage, receive func(DownMessage)) (redirect string, err error) {
+// receive for each message it gets, with the latest time at which the leader is known to have served this session. It
+// returns the leader's address if the replica redirected to it.
+func Dial(ctx context.Context, addr string, hello Hello, up <-chan UpMessage, receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := encoder.NewClient()
@@ -40,6 +41,7 @@
 	defer func() { _ = stream.CloseRequest() }()
 	silence := time.AfterFunc(firstMessageTimeout, func() { cancel(errors.New("the leader is silent")) })
 	defer silence.Stop()
+	sent := newSendTimes(time.Now())
 	if err := stream.Send(&UpMessage{Hello: &hello}); err != nil {
 		return "", errors.Wrap(err, "send hello")
 	}
@@ -64,7 +66,7 @@
 				received <- errNotLeading
 				return
 			}
-			receive(*d)
+			receive(*d, sent.confirm(d))
 		}
 	}()
 	ticker := time.NewTicker(sessionHeartbeatEvery)
@@ -76,6 +78,7 @@
 			return redirect, err
 		case <-ticker.C:
 			sequence++
+			sent.add(sequence, time.Now())
 			m = UpMessage{Heartbeat: sequence}
 		case m = <-up:
 		case <-ctx.Done():
@@ -124,11 +127,11 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	defer cancel()
 	up := make(chan UpMessage, maxQueuedReports)
-	_, err := Dial(ctx, addr, hello, up, func(d DownMessage) {
+	_, err := Dial(ctx, addr, hello, up, func(d DownMessage, confirmed time.Time) {
 		h.membership.addPeers(d.Replicas)
 		h.post(func(now time.Time) {
 			h.leaderSeenAt = now
-			h.applyLeaderMessage(up, &d)
+			h.applyLeaderMessage(now, confirmed, up, &d)
 		})
 	})
 	h.post(func(now time.Time) {
@@ -140,10 +143,11 @@
 }
 
 // applyLeaderMessage applies a message of the leader to this replica's relay.
-func (h *hub) applyLeaderMessage(up chan<- UpMessage, d *DownMessage) {
+func (h *hub) applyLeaderMessage(now, confirmed time.Time, up chan<- UpMessage, d *DownMessage) {
 	if h.leader != nil || h.shuttingDown {
 		return
 	}
+	h.relay.confirm(confirmed)
 	if d.Welcome != nil {
 		h.relay.setUpstream(func(m UpMessage) bool {
 			select {
@@ -157,8 +161,12 @@
 		if len(known) > 0 {
 			up <- UpMessage{Known: known}
 		}
+		h.relay.connectedAt = now
 	}
 	h.relay.apply(d)
+	if d.Welcome != nil {
+		h.relay.respondAll(now)
+	}
 }
 
 // unlisted returns the known servers that a leader's first message doesn't list; none if the leader has settled.
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -142,6 +142,7 @@
 	if h.leader == nil {
 		return
 	}
+	h.relay.confirm(now)
 	h.metrics.leads.Set(1)
 	for s := range h.relaySessions {
 		if s != h.ownSession && now.Sub(s.lastReceived) > sessionTimeout {
@@ -261,7 +262,7 @@
 
 // openSession accepts a session; false means that the caller must try another replica.
 func (h *hub) openSession(s *session) bool {
-	if h.shuttingDown || h.leader == nil && !h.relay.isConnected() {
+	if h.shuttingDown || h.leader == nil && !h.relay.isConnected(time.Now()) {
 		return false
 	}
 	h.sessions[s] = true
@@ -404,7 +405,7 @@
 		return
 	}
 	s.lastReceived = now
-	if up.Hello != nil && !h.beginSession(s, *up.Hello) {
+	if up.Hello != nil && !h.beginSession(now, s, *up.Hello) {
 		h.closeSession(s)
 	}
 	switch {
@@ -416,17 +417,20 @@
 		}
 	default:
 		h.relay.receive(s, up)
+		if up.Heartbeat > 0 {
+			h.relay.respond(now, s, up.Heartbeat)
+		}
 	}
 }
 
 // beginSession begins an entry's session with the relay, or a relay's with the leader.
-func (h *hub) beginSession(s *session, hello Hello) bool {
+func (h *hub) beginSession(now time.Time, s *session, hello Hello) bool {
 	s.hello = &hello
 	if !s.isRelay() {
-		if !h.relay.isConnected() {
+		if !h.relay.isConnected(now) {
 			return false
 		}
-		h.relay.addSession(s)
+		h.relay.addSession(now, s)
 		return true
 	}
 	if h.leader == nil {
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -60,7 +60,10 @@
 		h.applyReport(time.Now(), h.ownSession, up)
 		return true
 	})
+	h.relay.connectedAt = now
+	h.relay.confirm(now)
 	h.relay.apply(&d)
+	h.relay.respondAll(now)
 }
 
 // fullState returns the full state for a relay.
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -36,10 +36,12 @@
 	view     *view
 	// upstream sends a message to the leader and returns false if its queue is full; nil without a leader.
 	upstream func(UpMessage) bool
-	// upstreamLostAt is when upstream was last set to nil.
-	upstreamLostAt time.Time
-	nextUpdateAt   time.Time
-	pending        pendingReport
+	// upstreamLostAt is when upstream was last set to nil, connectedAt when a leader's first message came last.
+	upstreamLostAt, connectedAt time.Time
+	// confirmedAt is the latest time at which the leader is known to have served this relay.
+	confirmedAt  time.Time
+	nextUpdateAt time.Time
+	pending      pendingReport
 }
 
 // pendingReport is a relay's next report to the leader.
@@ -99,18 +101,47 @@
 	}
 }
 
-// isConnected reports whether the relay has a leader; only then may entries open sessions.
-func (r *relay) isConnected() bool { return r.upstream != nil }
+// isConnected reports whether the relay has a leader that serves it; only then may entries open sessions.
+func (r *relay) isConnected(now time.Time) bool {
+	return r.upstream != nil && r.leaderAge(now) <= leaderTimeout
+}
+
+// confirm records that the leader served this relay at a time.
+func (r *relay) confirm(at time.Time) {
+	if at.After(r.confirmedAt) {
+		r.confirmedAt = at
+	}
+}
+
+// leaderAge returns how long ago the leader is known to have served this relay.
+func (r *relay) leaderAge(now time.Time) time.Duration { return max(now.Sub(r.confirmedAt), 0) }
+
+// respond responds to an entry's heartbeat.
+func (r *relay) respond(now time.Time, s *session, heartbeat uint64) {
+	s.heartbeat = heartbeat
+	r.send(s, DownMessage{Heartbeat: heartbeat, LeaderAge: r.leaderAge(now)}, "beat")
+}
+
+// respondAll repeats the responses to the last heartbeats, so that entries know at once that there is a leader again.
+func (r *relay) respondAll(now time.Time) {
+	for s := range r.sessions {
+		if s.heartbeat > 0 {
+			r.respond(now, s, s.heartbeat)
+		}
+	}
+}
 
 // addSession adds an entry's session and closes an earlier one of the same entry.
-func (r *relay) addSession(s *session) {
+func (r *relay) addSession(now time.Time, s *session) {
 	for other := range r.sessions {
 		if other != s && other.hello.Node == s.hello.Node {
 			r.closeSession(other)
 		}
 	}
 	r.sessions[s] = true
-	r.send(s, r.view.fullState(), "whole")
+	d := r.view.fullState()
+	d.LeaderAge = r.leaderAge(now)
+	r.send(s, d, "whole")
 }
 
 func (r *relay) closeSession(s *session) {
@@ -175,9 +206,6 @@
 			p.known[in.Key] = in
 		}
 	}
-	if up.Heartbeat > 0 {
-		r.send(s, DownMessage{Heartbeat: up.Heartbeat}, "beat")
-	}
 }
 
 func (r *relay) addUse(s *session, use Use) {
--- a/stage/governor/relay_test.go
+++ b/stage/governor/relay_test.go
@@ -53,7 +53,7 @@
 		}
 		for n := range perZone {
 			s := &session{queue: make(chan encoder.Raw, maxQueuedMessages), lastReceived: f.now, hello: &Hello{Node: fmt.Sprint("n", z, "-", n), Zone: fmt.Sprint("z", z)}}
-			r.addSession(s)
+			r.addSession(time.Unix(100, 0), s)
 		}
 	}
 	f.relays = append(f.relays, f.hub.relay)
@@ -137,7 +137,7 @@
 	for n := range 600 {
 		s := &session{queue: make(chan encoder.Raw, maxQueuedMessages), hello: &Hello{Node: fmt.Sprint(n)}}
 		all = append(all, s)
-		r.addSession(s)
+		r.addSession(time.Unix(100, 0), s)
 	}
 	now := time.Unix(100, 0)
 	for i := range 2 * maxQueuedMessages {
@@ -167,8 +167,8 @@
 	})
 	ad := tracker.Adapter{Model: "m", Name: "a"}
 	a, b := &session{queue: make(chan encoder.Raw, 9), hello: &Hello{Node: "a", Zone: "z"}}, &session{queue: make(chan encoder.Raw, 9), hello: &Hello{Node: "b", Zone: "z"}}
-	r.addSession(a)
-	r.addSession(b)
+	r.addSession(time.Unix(100, 0), a)
+	r.addSession(time.Unix(100, 0), b)
 	now := time.Unix(100, 0)
 	r.receive(a, UpMessage{Wants: []Want{{Service: "s", Adapter: ad, Remaining: 100, FailedServers: []string{"x"}}}, Loads: []Load{{Server: "x", Running: 2}}})
 	r.receive(b, UpMessage{Wants: []Want{{Service: "s", Adapter: ad, Remaining: 300}}, Loads: []Load{{Server: "x", Running: 1}}})
@@ -201,9 +201,9 @@
 	r.setUpstream(func(UpMessage) bool { return true })
 	now := time.Unix(100, 0)
 	s := &session{queue: make(chan encoder.Raw, 9), hello: &Hello{Node: "a"}, lastReceived: now}
-	r.addSession(s)
+	r.addSession(time.Unix(100, 0), s)
 	r.clearUpstream(now)
-	c.Check(r.isConnected(), qt.IsFalse)
+	c.Check(r.isConnected(now), qt.IsFalse)
 	s.lastReceived = now.Add(2 * time.Second)
 	r.tick(now.Add(2 * time.Second))
 	c.Check(s.closed, qt.IsFalse)
--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -35,6 +35,8 @@
 	// queuedBytes is the number of bytes in queue.
 	queuedBytes  atomic.Int64
 	lastReceived time.Time
+	// heartbeat is an entry's last heartbeat.
+	heartbeat uint64
 	// version is the document in force at the other side; entries is a relay's number of sessions with entries.
 	version uint64
 	entries int
@@ -114,6 +116,13 @@
 	opts := []connect.HandlerOption{encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage)}
 	mux.Handle(metricsPath, g.hub.metrics.handler())
 	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession, g.serveSession, opts...))
+	mux.Handle(pathLink, connect.NewUnaryHandler(pathLink, func(context.Context, *connect.Request[linkRequest]) (*connect.Response[LeaderLink], error) {
+		link, err := g.leaderLink()
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		return connect.NewResponse(&link), nil
+	}, opts...))
 	mux.Handle(pathJoin, connect.NewUnaryHandler(pathJoin, func(ctx context.Context, r *connect.Request[joinRequest]) (*connect.Response[joinReply], error) {
 		reply, err := g.hub.joiner.assignID(ctx, *r.Msg)
 		if err != nil {
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -90,6 +90,8 @@
 	Loads []Load `cbor:"13,keyasint,omitempty"`
 	// Compressed is another DownMessage, compressed.
 	Compressed []byte `cbor:"14,keyasint,omitempty"`
+	// LeaderAge, beside Welcome and Heartbeat, is how long ago the leader is known to have served the sender.
+	LeaderAge time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
 // Peer is a replica's address and, if known, data centre.
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -44,7 +44,11 @@
 	cancel         context.CancelFunc
 	disconnectedAt time.Time
 	// failedAt is the time of the last failure, by address.
-	failedAt    map[string]time.Time
+	failedAt map[string]time.Time
+	// confirmedAt is the latest time at which the leader is known to have served this entry; preferred is the replica to
+	// connect to next.
+	confirmedAt time.Time
+	preferred   string
 	requestedAt map[adapterRequest]time.Time
 }
 
@@ -86,6 +90,8 @@
 	}
 	rank := func(addr string) int {
 		switch at, ok := c.failedAt[addr]; {
+		case addr == c.preferred:
+			return -1
 		case ok && now.Sub(at) < failedReplicaDelay:
 			return 2
 		case local[addr]:
@@ -126,12 +132,12 @@
 	}
 }
 
-// disconnectedFor returns how long there has been no session, 0 during one.
+// disconnectedFor returns how long there has been no session with a replica that has a leader, 0 during one.
 func (c *controlClient) disconnectedFor(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.disconnectedAt.IsZero() {
-		return 0
+		return c.staleFor(now)
 	}
 	return now.Sub(c.disconnectedAt)
 }
@@ -192,6 +198,7 @@
 func (c *controlClient) run(ctx context.Context) {
 	var reporting conc.WaitGroup
 	reporting.Go(func() { c.reportUsage(ctx) })
+	reporting.Go(func() { c.watchLeader(ctx) })
 	defer reporting.Wait()
 	for ctx.Err() == nil {
 		delay := reconnectDelay
@@ -231,6 +238,9 @@
 		if !started || !returning {
 			c.failedAt[addr] = now
 		}
+		if addr == c.preferred {
+			c.preferred = ""
+		}
 		c.addr, c.cancel = "", nil
 		c.mu.Unlock()
 		if started {
@@ -253,7 +263,12 @@
 	c.addr, c.cancel = addr, cancel
 	c.mu.Unlock()
 	hello := governor.Hello{Node: c.entry.cfg.Node, Zone: c.entry.cfg.Zone}
-	redirect, err = governor.Dial(ctx, addr, hello, c.queue, func(d governor.DownMessage) {
+	redirect, err = governor.Dial(ctx, addr, hello, c.queue, func(d governor.DownMessage, confirmed time.Time) {
+		c.mu.Lock()
+		if confirmed.After(c.confirmedAt) {
+			c.confirmedAt = confirmed
+		}
+		c.mu.Unlock()
 		if d.Welcome != nil {
 			started = true
 			c.mu.Lock()
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -56,6 +56,8 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ApplyTime is the time from a document's acknowledgement until it must be in force at all entries; 0 means 2 s.
+	ApplyTime time.Duration
 }
 
 // Deps are the dependencies of an entry.
--- /dev/null
+++ b/stage/relayer/staleness.go
@@ -0,0 +1,86 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"redwingstage.org/coord/waiter"
+	"redwingstage.org/stage/governor"
+)
+
+const (
+	defaultApplyTime = 2 * time.Second
+	// minStaleAfter is above the age that the leader's confirmation has between two heartbeats of both sessions.
+	minStaleAfter = 900 * time.Millisecond
+	// watchInterval is the interval between two checks of the leader's age.
+	watchInterval = 100 * time.Millisecond
+	// probeTimeout bounds a probe of another replica, several of which may be unreachable.
+	probeTimeout = 200 * time.Millisecond
+	// relayReconnectTime is how long after a change of leader this entry's own replica may take to connect to the new one.
+	relayReconnectTime = 500 * time.Millisecond
+)
+
+// staleAfter returns the leader's age from which this entry looks for another replica: the rest of ApplyTime is for the
+// probes and the next session.
+func (c *controlClient) staleAfter() time.Duration {
+	apply := c.entry.cfg.ApplyTime
+	if apply == 0 {
+		apply = defaultApplyTime
+	}
+	return max(apply/2, minStaleAfter)
+}
+
+// staleFor returns how long the session's replica has been without a leader that serves it, 0 without a session. The
+// caller holds mu.
+func (c *controlClient) staleFor(now time.Time) time.Duration {
+	if c.cancel == nil || !c.disconnectedAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(c.confirmedAt)-c.staleAfter(), 0)
+}
+
+// watchLeader leaves the session's replica if that one has lost the leader while another one has it. The session is kept
+// until then: during a change of leader no replica has one.
+func (c *controlClient) watchLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		waiter.Wait(ctx, watchInterval)
+		for _, addr := range c.candidates(time.Now()) {
+			current, ok := c.staleReplica(time.Now())
+			if !ok || ctx.Err() != nil {
+				break
+			}
+			if addr != current && c.hasLeader(ctx, addr) {
+				c.leave(current, addr)
+				break
+			}
+		}
+	}
+}
+
+// staleReplica returns the address of the session's replica if that one has lost the leader.
+func (c *controlClient) staleReplica(now time.Time) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addr, c.staleFor(now) > 0
+}
+
+func (c *controlClient) hasLeader(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	link, err := governor.ProbeLink(ctx, addr)
+	return err == nil && link.Age < c.staleAfter() && link.ConnectedFor >= relayReconnectTime
+}
+
+// leave ends the session with a replica that is still stale, and connects to next.
+func (c *controlClient) leave(stale, next string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.addr != stale || c.staleFor(now) == 0 {
+		return
+	}
+	c.entry.log.Warn("the control replica has lost the leader, going to another one", next)
+	c.failedAt[stale], c.preferred = now, next
+	c.cancel()
+	c.cancel = nil
+}
