Join: a replica keeps its ID when its addition fails or the leader changes

Since additions are bounded by 1 s, so that a dead newcomer blocks nobody, one that is slow to open its log could run into the bound, ask again, get another ID, empty its folder and begin anew. The same came about without any delay when the log's leader assigned an ID just before the control process began to lead and cleared its assignments; found by the new test on its first run.

The leader keeps an assigned ID until the log refuses it, and takes over one that an earlier leader assigned. A folder that is new asks without an ID and gets a new one if a member has the assigned one already.

TestFailedAdditionKeepsID failed before (102 instead of 101). A failed test of a group now prints its replicas' logs.

--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -1,11 +1,12 @@
 package governor
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,11 +26,26 @@
 	// tolerated is Config.Tolerated.
 	tolerated int
 	running   map[int]*Governor
+	// log has the replicas' log lines; a failed test prints it.
+	log *lockedBuffer
+}
+
+// lockedBuffer is a buffer that several replicas write to.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
 }
 
 // newGroup starts n replicas; the first three are the group's initial members and the others join.
 func newGroup(c *qt.C, n int) *group {
-	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), running: make(map[int]*Governor)}
+	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), running: make(map[int]*Governor), log: &lockedBuffer{}}
 	for range n {
 		addr, err := launcher.FreeAddr(context.Background())
 		c.Assert(err, qt.IsNil)
@@ -42,6 +58,9 @@
 		for i := range g.running {
 			g.stop(i)
 		}
+		if c.Failed() {
+			c.Log(g.log.buf.String())
+		}
 	})
 	return g
 }
@@ -56,7 +75,7 @@
 			report: func() (EngineReport, error) { return EngineReport{}, nil },
 			order:  func(EngineOrder) (OrderResult, error) { return Rejected, nil },
 		},
-		Log: logger.New(io.Discard, "error"),
+		Log: logger.New(g.log, "info"),
 	})
 	g.c.Assert(err, qt.IsNil)
 	g.running[i] = gov
--- a/stage/governor/join.go
+++ b/stage/governor/join.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
 )
 
@@ -19,18 +22,21 @@
 	leadership int
 	// assigned are assigned IDs of replicas that aren't members yet, by address.
 	assigned map[string]uint64
-	adding   bool
-	queue    []runner.Member
+	// refused are IDs that can't be used again.
+	refused map[uint64]bool
+	adding  bool
+	queue   []runner.Member
 }
 
 func newJoiner(h *hub) *joiner {
-	return &joiner{hub: h, assigned: make(map[string]uint64)}
+	return &joiner{hub: h, assigned: make(map[string]uint64), refused: make(map[uint64]bool)}
 }
 
 // reset clears the state of an earlier leadership.
 func (j *joiner) reset() {
 	j.leadership++
 	clear(j.assigned)
+	clear(j.refused)
 	j.adding, j.queue = false, nil
 }
 
@@ -53,7 +59,7 @@
 		return joinReply{ID: req.ID}, nil
 	}
 	known := make(chan uint64, 1)
-	if !j.hub.post(func(time.Time) { known <- j.assigned[req.Addr] }) {
+	if !j.hub.post(func(time.Time) { known <- j.knownID(req) }) {
 		return joinReply{}, ErrNoLeader
 	}
 	var id uint64
@@ -62,7 +68,8 @@
 	case <-ctx.Done():
 		return joinReply{}, ctx.Err()
 	}
-	if id == 0 || req.ID != 0 && req.ID != id {
+	isMember := slices.ContainsFunc(st.Members, func(m runner.Member) bool { return m.ID == id })
+	if id == 0 || req.ID != 0 && req.ID != id || isMember {
 		res, err := j.hub.membership.propose(ctx, command{AllocateID: true})
 		if err != nil {
 			return joinReply{}, err
@@ -73,6 +80,16 @@
 	return joinReply{ID: id}, nil
 }
 
+// knownID returns the ID that a replica has or was assigned and that may still be added, or 0.
+func (j *joiner) knownID(req joinRequest) uint64 {
+	id := j.assigned[req.Addr]
+	if isAllocated := req.ID > maxInitialID && req.ID <= j.hub.membership.state().LastID; id == 0 && isAllocated && !j.refused[req.ID] {
+		// An earlier leader assigned it.
+		return req.ID
+	}
+	return id
+}
+
 // queueAdd queues the addition of a replica.
 func (j *joiner) queueAdd(m runner.Member) {
 	if old := j.assigned[m.Addr]; old > m.ID {
@@ -110,10 +127,21 @@
 }
 
 func (j *joiner) add(ctx context.Context, r *runner.Runner, m runner.Member) {
-	if err := r.AddMember(ctx, m); err != nil {
+	err := r.AddMember(ctx, m)
+	var refused *replicator.ChangeError
+	if err != nil {
 		j.hub.log.Error("add replica "+m.Addr, err)
 	} else {
 		j.hub.log.Info("replica was added", m.Addr)
 	}
-	j.hub.post(func(time.Time) { delete(j.assigned, m.Addr) })
+	if err != nil && !errors.As(err, &refused) {
+		// The replica asks again and keeps its ID: with another one it would have to empty its folder first.
+		return
+	}
+	j.hub.post(func(time.Time) {
+		j.refused[m.ID] = err != nil
+		if j.assigned[m.Addr] == m.ID {
+			delete(j.assigned, m.Addr)
+		}
+	})
 }
--- a/stage/governor/join_test.go
+++ b/stage/governor/join_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/standin/launcher"
 )
 
 // Handlers read hub.joiner without a lock, so that it must not be replaced when a leadership begins.
@@ -33,3 +35,20 @@
 	(<-h.events)(time.Now())
 	c.Check(j.adding, qt.IsTrue)
 }
+
+// A replica whose addition took too long asked again and got another ID, for which it emptied its folder and began anew.
+func TestFailedAdditionKeepsID(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.awaitVoters(3)
+	_, gov := g.leader()
+	addr, err := launcher.FreeAddr(context.Background())
+	c.Assert(err, qt.IsNil)
+	first, err := gov.hub.joiner.assignID(context.Background(), joinRequest{Addr: addr})
+	c.Assert(err, qt.IsNil)
+	time.Sleep(addTimeout + 300*time.Millisecond)
+	again, err := gov.hub.joiner.assignID(context.Background(), joinRequest{Addr: addr, ID: first.ID})
+	c.Assert(err, qt.IsNil)
+	c.Check(again.ID, qt.Equals, first.ID)
+}
