Quarantine: parts of prompts that crash engines are refused everywhere

Cause: nobody counted. An engine that ended under a request was a failed attempt, the quarantine wasn't wired into the relayer and the governor, and its digest of a whole request would never have come twice.

What an engine answers anywhere is sound. The quarantined digests stand in the log.

Ruled out: digests of whole requests alone, counts of each entry alone, and resets of connections as evidence (the entry connects once to find out).

--- a/serving/quarantiner/registry.go
+++ b/serving/quarantiner/registry.go
@@ -1,6 +1,9 @@
 package quarantiner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Config holds the registry's limits.
 type Config struct {
@@ -10,6 +13,10 @@
 	QuarantineFor time.Duration
 	// MaxDigests limits the digests held; suspects are dropped first, then those that expire first.
 	MaxDigests int
+	// Crashes is the number of crashes from which a digest is quarantined.
+	Crashes int
+	// CrashInterval is the shortest time between two crashes that count: servers that end together count once.
+	CrashInterval time.Duration
 }
 
 // Default limits of the registry.
@@ -17,12 +24,15 @@
 	DefaultSuspectFor    = 10 * time.Minute
 	DefaultQuarantineFor = 30 * time.Minute
 	DefaultMaxDigests    = 65536
+	DefaultCrashes       = 2
 )
 
 type record struct {
-	incident string
-	standing Standing
-	expires  time.Time
+	// incidents are the crashes that were counted, countedAt is when the latest one was.
+	incidents []string
+	countedAt time.Time
+	standing  Standing
+	expires   time.Time
 }
 
 // Registry counts at how many crashes each digest was in flight.
@@ -42,23 +52,31 @@
 	if cfg.MaxDigests <= 0 {
 		cfg.MaxDigests = DefaultMaxDigests
 	}
+	if cfg.Crashes <= 0 {
+		cfg.Crashes = DefaultCrashes
+	}
 	return &Registry{cfg: cfg, records: make(map[Digest]record)}
 }
 
 // ReportCrash records that digests were in flight at a crash; incident identifies the crash, so that a repeated report counts once.
 func (r *Registry) ReportCrash(now time.Time, incident string, digests []Digest) {
 	for _, d := range digests {
-		old, ok := r.records[d]
-		if ok && old.expires.Before(now) {
-			ok = false
+		rec, ok := r.records[d]
+		if ok && rec.expires.Before(now) {
+			rec, ok = record{}, false
+		}
+		if ok && (slices.Contains(rec.incidents, incident) || now.Sub(rec.countedAt) < r.cfg.CrashInterval) {
+			continue
 		}
-		switch {
-		case ok && old.incident == incident:
-		case ok:
-			r.records[d] = record{incident: incident, standing: Quarantined, expires: now.Add(r.cfg.QuarantineFor)}
-		default:
-			r.records[d] = record{incident: incident, standing: Suspect, expires: now.Add(r.cfg.SuspectFor)}
+		rec.countedAt = now
+		if rec.standing != Quarantined {
+			rec.incidents = append(rec.incidents, incident)
 		}
+		rec.standing, rec.expires = Suspect, now.Add(r.cfg.SuspectFor)
+		if len(rec.incidents) >= r.cfg.Crashes {
+			rec.standing, rec.expires = Quarantined, now.Add(r.cfg.QuarantineFor)
+		}
+		r.records[d] = rec
 	}
 	if len(r.records) > r.cfg.MaxDigests {
 		r.evict(now)
@@ -72,6 +90,11 @@
 	}
 }
 
+// Quarantine quarantines a digest without a crash, as when a leader takes over from an earlier one.
+func (r *Registry) Quarantine(now time.Time, d Digest) {
+	r.records[d] = record{standing: Quarantined, incidents: make([]string, r.cfg.Crashes), expires: now.Add(r.cfg.QuarantineFor)}
+}
+
 // Standing returns the standing of a digest at now.
 func (r *Registry) Standing(now time.Time, d Digest) Standing {
 	rec, ok := r.records[d]
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -127,6 +127,7 @@
 // flush sends what is due; it returns the wait until more is due, or 0.
 func (h *hub) flush(now time.Time) time.Duration {
 	h.broadcastState()
+	h.broadcastStandings(now)
 	wait := h.relay.sendReport(now)
 	wait = shorterWait(wait, h.plan(now))
 	wait = shorterWait(wait, h.broadcastChanges(now))
@@ -160,6 +161,7 @@
 	}
 	h.joiner.addNext()
 	h.completeVersionWaits()
+	h.recordQuarantine()
 	h.logPlacement(now)
 	h.record(now)
 }
@@ -470,6 +472,11 @@
 	for _, l := range up.Loads {
 		h.loads.set(s, l)
 	}
+	for _, c := range up.Crashes {
+		h.log.Warn("backend server ended under requests", c.Server.ID)
+		h.leader.quarantine.reportCrash(now, c)
+	}
+	h.leader.quarantine.reportSound(up.Sound)
 	for _, m := range up.Missing {
 		h.leader.alloc.RecordMissing(m.Engine, m.Adapter)
 	}
--- a/stage/governor/leader_state.go
+++ b/stage/governor/leader_state.go
@@ -34,13 +34,14 @@
 	moves            []ResidentChange
 	changedServers   map[string]bool
 	fullResidentsDue map[string]bool
+	quarantine       *quarantine
 }
 
 func newLeaderState(leaderEpoch uint64, now time.Time, state *replicatedState, capacity CapacityFunc) *leaderState {
 	l := &leaderState{
 		leaderEpoch: leaderEpoch, startedAt: now, engines: tracker.New(), alloc: allocator.New(allocator.Config{}), capacity: capacity,
 		sentResidents: make(map[string]map[tracker.Adapter]int), changedServers: make(map[string]bool),
-		fullResidentsDue: make(map[string]bool),
+		fullResidentsDue: make(map[string]bool), quarantine: newQuarantine(now, state.Quarantined),
 	}
 	l.alloc.RestoreHoldings(state.Held)
 	l.applyState(state)
@@ -171,7 +172,7 @@
 // fullState returns the full state.
 func (l *leaderState) fullState(state *replicatedState, now time.Time) DownMessage {
 	down := DownMessage{
-		Welcome: &Welcome{LeaderEpoch: l.leaderEpoch, Settled: now.Sub(l.startedAt) >= settleTime}, Doc: &state.Doc, Versions: state.Versions, Leaving: state.Leaving,
+		Welcome: &Welcome{LeaderEpoch: l.leaderEpoch, Settled: now.Sub(l.startedAt) >= settleTime}, Doc: &state.Doc, Versions: state.Versions, Leaving: state.Leaving, Standings: l.quarantine.all(),
 	}
 	for _, in := range l.engines.Instances() {
 		in.Residents = l.alloc.Residents(in.Key.ID)
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -6,12 +6,16 @@
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 )
 
 // maxLeaving is how many leaving incarnations of backend servers are kept; each ends within seconds.
 const maxLeaving = 1024
 
+// maxQuarantined is how many quarantined digests are kept.
+const maxQuarantined = 512
+
 // maxHeldPerEngine is how many adapters are kept of an engine, about fifty times what it holds at once, and maxServers
 // how many engines and servers: twice the largest deployment.
 const (
@@ -39,6 +43,9 @@
 	// Servers are new or changed incarnations of backend servers; RemovedServers are the IDs of servers no longer listed.
 	Servers        []tracker.Instance `cbor:"7,keyasint,omitempty"`
 	RemovedServers []string           `cbor:"8,keyasint,omitempty"`
+	// Quarantined is a digest whose requests are refused from now on; Released ends that.
+	Quarantined *quarantiner.Digest `cbor:"9,keyasint,omitempty"`
+	Released    *quarantiner.Digest `cbor:"10,keyasint,omitempty"`
 }
 
 // result is the result of a command.
@@ -66,6 +73,8 @@
 	Held []allocator.Holding `cbor:"7,keyasint,omitempty"`
 	// Servers are the backend servers listed last, so that they are usable as soon as there is a leader again.
 	Servers []tracker.Instance `cbor:"8,keyasint,omitempty"`
+	// Quarantined are the digests of parts and requests that are refused.
+	Quarantined []quarantiner.Digest `cbor:"9,keyasint,omitempty"`
 }
 
 // machine is the replicated state machine; only the log's goroutine writes it, others read the published state.
@@ -108,6 +117,10 @@
 	case cmd.AllocateID:
 		next.LastID++
 		res.Number = next.LastID
+	case cmd.Quarantined != nil:
+		next.Quarantined = withQuarantined(next.Quarantined, *cmd.Quarantined)
+	case cmd.Released != nil:
+		next.Quarantined = slices.DeleteFunc(slices.Clone(next.Quarantined), func(d quarantiner.Digest) bool { return d == *cmd.Released })
 	default:
 		next.Held = withHeld(next.Held, cmd.Held)
 		next.Servers = withServers(next.Servers, cmd.Servers, cmd.RemovedServers)
@@ -145,6 +158,15 @@
 	return out[max(len(out)-maxLeaving, 0):]
 }
 
+// withQuarantined returns a list that has the digest and drops the oldest beyond the bound.
+func withQuarantined(list []quarantiner.Digest, d quarantiner.Digest) []quarantiner.Digest {
+	if slices.Contains(list, d) {
+		return list
+	}
+	out := append(slices.Clone(list), d)
+	return out[max(len(out)-maxQuarantined, 0):]
+}
+
 // withHeld merges more into a copy of the list, without earlier incarnations of an engine and the oldest beyond the bounds.
 func withHeld(list, more []allocator.Holding) []allocator.Holding {
 	out := slices.Clone(list)
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
 )
@@ -52,6 +53,8 @@
 	wants              map[wantKey]Want
 	missing            map[AdapterPlacement]bool
 	known              map[tracker.Key]tracker.Instance
+	crashes            []Crash
+	sound              map[quarantiner.Digest]bool
 	// version and entries are the values last sent to the leader.
 	version uint64
 	entries int
@@ -83,6 +86,7 @@
 func (r *relay) clearRequests() {
 	r.pending.wants, r.pending.missing = make(map[wantKey]Want), make(map[AdapterPlacement]bool)
 	r.pending.known = make(map[tracker.Key]tracker.Instance)
+	r.pending.crashes, r.pending.sound = nil, make(map[quarantiner.Digest]bool)
 }
 
 // setUpstream sets the connection to a leader, to which everything must be reported anew.
@@ -197,6 +201,14 @@
 			p.missing[m] = true
 		}
 	}
+	if len(p.crashes)+len(up.Crashes) <= maxPendingRequests {
+		p.crashes = append(p.crashes, up.Crashes...)
+	}
+	for _, d := range up.Sound {
+		if len(p.sound) < maxPendingRequests {
+			p.sound[d] = true
+		}
+	}
 	for _, w := range up.Wants {
 		w.Zone = s.hello.Zone
 		r.addWant(w)
@@ -311,7 +323,7 @@
 		return 0
 	}
 	version := r.lowestVersion()
-	urgent := len(p.wants)+len(p.missing)+len(p.known) > 0 || version != p.version || len(r.sessions) != p.entries || p.loads.due(now)
+	urgent := len(p.wants)+len(p.missing)+len(p.known)+len(p.crashes)+len(p.sound) > 0 || version != p.version || len(r.sessions) != p.entries || p.loads.due(now)
 	usesDue := now.Sub(p.usesSentAt) >= useReportEvery
 	if !urgent && !usesDue {
 		return 0
@@ -320,6 +332,7 @@
 		return wait
 	}
 	up := UpMessage{Loads: p.loads.takeChanged(now), Missing: slices.Collect(maps.Keys(p.missing)), Known: slices.Collect(maps.Values(p.known))}
+	up.Crashes, up.Sound = p.crashes, slices.Collect(maps.Keys(p.sound))
 	if version != p.version {
 		up.Version = version
 	}
@@ -356,7 +369,7 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known) == 0
+	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound) == 0
 }
 
 // takeUses returns the use that changed since the last call.
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -22,6 +23,7 @@
 	loads     map[string]Load
 	entries   int
 	replicas  []Peer
+	standings map[quarantiner.Digest]quarantiner.Standing
 	changes   changes
 }
 
@@ -33,12 +35,14 @@
 	engines                map[string]bool
 	held                   map[AdapterPlacement]bool
 	loads                  map[string]bool
+	standings              map[quarantiner.Digest]bool
 }
 
 func newView() *view {
 	v := &view{
 		versions: make(map[tracker.Adapter]int), leaving: make(map[tracker.Key]bool), engines: make(map[string]tracker.Instance),
 		startedMS: make(map[string]int64), held: make(map[string]map[tracker.Adapter]int), loads: make(map[string]Load),
+		standings: make(map[quarantiner.Digest]quarantiner.Standing),
 	}
 	v.clearChanges()
 	return v
@@ -48,13 +52,13 @@
 func (v *view) clearChanges() {
 	v.changes = changes{
 		versions: make(map[tracker.Adapter]bool), leaving: make(map[tracker.Key]bool), engines: make(map[string]bool),
-		held: make(map[AdapterPlacement]bool), loads: make(map[string]bool),
+		held: make(map[AdapterPlacement]bool), loads: make(map[string]bool), standings: make(map[quarantiner.Digest]bool),
 	}
 }
 
 // isUrgent reports whether a change is pending that breaks a guarantee if it reaches entries late.
 func (c *changes) isUrgent() bool {
-	return c.doc || c.replicas || len(c.versions)+len(c.leaving)+len(c.engines) > 0
+	return c.doc || c.replicas || len(c.versions)+len(c.leaving)+len(c.engines)+len(c.standings) > 0
 }
 
 func (c *changes) isEmpty() bool {
@@ -66,6 +70,7 @@
 	if d.Welcome != nil {
 		v.welcome = *d.Welcome
 		v.applyWelcome(d)
+		v.clearStandings()
 	}
 	if d.Doc != nil && d.Doc.Version > v.doc.Version {
 		v.doc, v.changes.doc = *d.Doc, true
@@ -81,6 +86,9 @@
 			v.leaving[k], v.changes.leaving[k] = true, true
 		}
 	}
+	for _, s := range d.Standings {
+		v.setStanding(s)
+	}
 	for _, in := range d.Engines {
 		v.setServer(in, d.Welcome != nil)
 	}
@@ -109,6 +117,22 @@
 	}
 }
 
+// clearStandings drops the standings of an earlier leader, which the next one has from the log or finds again.
+func (v *view) clearStandings() {
+	for d := range v.standings {
+		v.setStanding(DigestStanding{Digest: d})
+	}
+}
+
+func (v *view) setStanding(s DigestStanding) {
+	if s.Standing == quarantiner.Clear {
+		delete(v.standings, s.Digest)
+	} else {
+		v.standings[s.Digest] = s.Standing
+	}
+	v.changes.standings[s.Digest] = true
+}
+
 // withZones fills in data centres from the earlier list, since a new leader gets them only as replicas connect.
 func (v *view) withZones(list []Peer) []Peer {
 	out := slices.Clone(list)
@@ -228,6 +252,9 @@
 		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: v.versions[ad]})
 	}
 	d.Leaving = sortedKeys(c.leaving)
+	for digest := range c.standings {
+		d.Standings = append(d.Standings, DigestStanding{digest, v.standings[digest]})
+	}
 	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		if in, ok := v.engines[id]; ok {
 			d.Engines = append(d.Engines, in)
@@ -267,6 +294,9 @@
 	for ad, n := range v.versions {
 		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: n})
 	}
+	for digest, s := range v.standings {
+		d.Standings = append(d.Standings, DigestStanding{digest, s})
+	}
 	for _, in := range v.servers() {
 		for ad, n := range v.held[in.Key.ID] {
 			in.Residents = append(in.Residents, tracker.Resident{Adapter: ad, Version: n})
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -21,6 +22,23 @@
 	Known []tracker.Instance `cbor:"8,keyasint,omitempty"`
 	// Entries is the number of a relay's sessions with entries.
 	Entries *int `cbor:"9,keyasint,omitempty"`
+	// Crashes are the servers that ended under requests; Sound are suspect digests whose requests servers answered.
+	Crashes []Crash              `cbor:"10,keyasint,omitempty"`
+	Sound   []quarantiner.Digest `cbor:"11,keyasint,omitempty"`
+}
+
+// Crash is the end of a backend server's incarnation under requests that it had not begun to answer.
+type Crash struct {
+	Server tracker.Key `cbor:"1,keyasint"`
+	// Parts are the digests of the parts that these requests share with others, Requests those of whole requests.
+	Parts    []quarantiner.Digest `cbor:"2,keyasint,omitempty"`
+	Requests []quarantiner.Digest `cbor:"3,keyasint,omitempty"`
+}
+
+// DigestStanding is the standing of a part or of a request.
+type DigestStanding struct {
+	Digest   quarantiner.Digest   `cbor:"1,keyasint"`
+	Standing quarantiner.Standing `cbor:"2,keyasint,omitempty"`
 }
 
 // Hello opens a session.
@@ -92,6 +110,8 @@
 	Compressed []byte `cbor:"14,keyasint,omitempty"`
 	// LeaderAge, beside Welcome and Heartbeat, is how long ago the leader is known to have served the sender.
 	LeaderAge time.Duration `cbor:"15,keyasint,omitempty"`
+	// Standings are the changed standings of parts and requests; Clear ends one.
+	Standings []DigestStanding `cbor:"16,keyasint,omitempty"`
 }
 
 // Peer is a replica's address and, if known, data centre.
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -69,6 +69,8 @@
 	firstEventID string
 	// untilClose is set if the response's body ends with the connection.
 	untilClose bool
+	// blocks is the number of blocks of events that arrived.
+	blocks int
 }
 
 // logEntry returns the log entry of an attempt that has ended.
@@ -95,10 +97,12 @@
 	fields     []field
 	body       []byte
 	result     balancer.Result
+	// isBroken is set if the server ended the connection before the end of its response.
+	isBroken bool
 }
 
 func unknownResult(reason string, err error) attemptResult {
-	return attemptResult{outcome: outcomeUnknown, reason: reason + ": " + err.Error(), result: balancer.Failed}
+	return attemptResult{outcome: outcomeUnknown, reason: reason + ": " + err.Error(), result: balancer.Failed, isBroken: isBroken(err)}
 }
 
 // runAttempt makes one attempt; a stream's events are written to out as they arrive.
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -11,6 +11,7 @@
 
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
 	"redwingstage.org/stage/logger"
@@ -73,6 +74,10 @@
 	excluded   map[string]bool
 	// failedServers are the servers that failed or were unreachable, by id.
 	failedServers []string
+	// parts are the digests of the parts that the request shares with others.
+	parts []quarantiner.Digest
+	// isSuspect is set if the request was in flight at a crash.
+	isSuspect bool
 }
 
 // headWithout returns the head without the lines of the header name.
@@ -114,6 +119,10 @@
 	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
 		c.deadline = earlier(c.deadline, c.arrived.Add(time.Duration(ms)*time.Millisecond))
 	}
+	c.parts = e.partDigests(c)
+	if e.suspects.isQuarantined(c) {
+		return e.refuseQuarantined(c, w)
+	}
 	c.head = req.upstreamHead(e.headers)
 	e.budget.countRequest()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
@@ -143,20 +152,16 @@
 		}
 		choice := *next
 		next = nil
+		if e.suspects.isQuarantined(c) {
+			e.releaseChoice(c, &choice)
+			return e.refuseQuarantined(c, w)
+		}
 		chosenAt := time.Now()
 		e.metrics.observeWait(c, chosenAt)
 		c.choice, c.chosenAt = choice, chosenAt
 		a := &attempt{call: c, choice: choice, lastEventID: w.lastEventID, resumedAfter: w.lastEventID}
 		r := e.runAttempt(ctx, a, w)
-		e.balancer.End(time.Now(), choice, c.adapter, r.result)
-		if c.tokens > 0 && !r.outcome.endsRequest() {
-			e.control.enqueueLoads()
-		}
-		e.metrics.countAttempt(r.result)
-		if r.outcome != outcomeUnsent {
-			c.sends++
-			c.reached[choice.Key.ID] = true
-		}
+		e.endAttempt(a, r)
 		if e.retryServerError(c, r) {
 			c.mayHaveRun = true
 			c.excluded[choice.Key.ID] = true
@@ -194,6 +199,21 @@
 	}
 }
 
+// endAttempt records the result of an attempt.
+func (e *Relayer) endAttempt(a *attempt, r attemptResult) {
+	c := a.call
+	e.balancer.End(time.Now(), a.choice, c.adapter, r.result)
+	if c.tokens > 0 && !r.outcome.endsRequest() {
+		e.control.enqueueLoads()
+	}
+	e.metrics.countAttempt(r.result)
+	if r.outcome != outcomeUnsent {
+		c.sends++
+		c.reached[a.choice.Key.ID] = true
+	}
+	e.recordEvidence(a, r)
+}
+
 // retryServerError reports whether a request that got a server error is retried; if so, the retry budget is charged.
 func (e *Relayer) retryServerError(c *call, r attemptResult) bool {
 	return r.outcome == outcomeAnswered && r.result == balancer.Failed && c.route.Idempotent() &&
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -310,6 +310,7 @@
 			b.AddResident(m.Engine, m.Adapter, m.Version)
 		}
 	}
+	c.applyStandings(&d)
 	if len(d.Loads) > 0 {
 		totals := make([]balancer.Load, 0, len(d.Loads))
 		for _, v := range d.Loads {
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -26,6 +26,8 @@
 	Resume string
 	// Usage is the number of tokens of the prompt, and the most that the response may have.
 	Usage string
+	// Parts names the parts of the prompt.
+	Parts string
 	// AlwaysForwarded are headers that are forwarded even if the caller's Connection header names them.
 	AlwaysForwarded []string
 	// Reserved are headers that only the system may set; a caller's are removed.
@@ -34,6 +36,8 @@
 	ParseModel func(value string) tracker.Adapter
 	// ParseUsage parses the number of prompt tokens from the header Usage; 0 if it has none.
 	ParseUsage func(value string) int
+	// ParseParts parses from the header Parts the IDs of the parts that the request shares with others; nil means none.
+	ParseParts func(value string) []string
 	// ReadyPath is the path of the load balancer's readiness probe.
 	ReadyPath string
 }
@@ -53,7 +57,7 @@
 
 func newHeaderNames(names Headers) *headerNames {
 	n := &headerNames{Headers: names, kept: make(map[string]bool), dropped: make(map[string]bool)}
-	for _, h := range append([]string{names.AttemptID, names.Model, names.Resume, names.Usage, "Host"}, names.AlwaysForwarded...) {
+	for _, h := range append([]string{names.AttemptID, names.Model, names.Resume, names.Usage, names.Parts, "Host"}, names.AlwaysForwarded...) {
 		n.kept[http.CanonicalHeaderKey(h)] = true
 	}
 	for _, h := range append([]string{names.Deadline, names.Expect, names.ExpectVersion, names.Priority}, names.Reserved...) {
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -64,6 +64,9 @@
 			e.releaseChoice(a.call, watch.stop())
 			return callerLeft, -1
 		}
+		if a.blocks++; a.blocks == soundBlocks {
+			e.recordSound(a.call)
+		}
 		if !firstSeen {
 			firstSeen = true
 			e.recordPrefillEnd(a)
--- /dev/null
+++ b/stage/relayer/suspects_test.go
@@ -0,0 +1,82 @@
+package relayer
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
+)
+
+// An entry that has seen a part answered neither reports it as a suspect nor leaves the leader's suspicion as it is.
+func TestAnsweredPartIsNoSuspect(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := newSuspects()
+	sound, unknown := quarantiner.Digest{1}, quarantiner.Digest{2}
+	c.Check(s.recordSound(now, []quarantiner.Digest{sound}), qt.HasLen, 0)
+	key := tracker.Key{ID: "x"}
+	req := &call{req: &request{}, parts: []quarantiner.Digest{sound, unknown}}
+	c.Check(s.addBroken(now, key, req), qt.IsTrue)
+	c.Check(s.addBroken(now, key, req), qt.IsFalse)
+	crash := s.takeCrash(key)
+	c.Check(crash.Parts, qt.DeepEquals, []quarantiner.Digest{unknown})
+	c.Check(crash.Requests, qt.HasLen, 2)
+	list := []governor.DigestStanding{{Digest: sound, Standing: quarantiner.Suspect}, {Digest: unknown, Standing: quarantiner.Suspect}}
+	c.Check(s.apply(now, false, list), qt.DeepEquals, []quarantiner.Digest{sound})
+	c.Check(s.recordSound(now, []quarantiner.Digest{unknown}), qt.DeepEquals, []quarantiner.Digest{unknown})
+	c.Check(s.isQuarantined(req), qt.IsFalse)
+	s.apply(now, false, []governor.DigestStanding{{Digest: unknown, Standing: quarantiner.Quarantined}})
+	c.Check(s.isQuarantined(req), qt.IsTrue)
+	s.apply(now, true, nil)
+	c.Check(s.isQuarantined(req), qt.IsFalse)
+}
+
+// Only a server that no longer accepts connections has crashed; one that ends a connection hasn't.
+func TestEndedConnectionIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	for _, ends := range []bool{false, true} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = bufio.NewReader(conn).ReadString('\n')
+				if ends {
+					_ = ln.Close()
+				}
+				_ = conn.Close()
+			}
+		}()
+		e := startEntry(c)
+		e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{{
+			Key: tracker.Key{ID: "x"}, Service: "s", Addr: ln.Addr().String(), Slots: 4,
+		}}})
+		conn, err := net.Dial("tcp", e.listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, "GET /once/ HTTP/1.1\r\nHost: "+testHost+"\r\n"+testAttempt+": a\r\nConnection: close\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		_, _ = io.ReadAll(conn)
+		_ = conn.Close()
+		time.Sleep(crashGatherTime + 100*time.Millisecond)
+		crashes := 0
+		for len(e.control.queue) > 0 {
+			crashes += len((<-e.control.queue).Crashes)
+		}
+		want := 0
+		if ends {
+			want = 1
+		}
+		c.Check(crashes, qt.Equals, want)
+		_ = ln.Close()
+	}
+}
