Entry: a request isn't sent again on a connection that refused it

A second copy of the refusal bears the request's own attempt id and was taken for the next answer. The caller was told 503, not run, while the request ran.

A connection remembers the ids that were refused on it and isn't used for them again; after 16 refusals it is closed. Copies that name another request were discarded before.

TestRepeatedRefusalIsNotTheNextAnswer failed before with 503 after one run.

--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -107,7 +107,7 @@
 
 // runAttempt makes one attempt; a stream's events are written to out as they arrive.
 func (e *Relayer) runAttempt(ctx context.Context, a *attempt, out *responseWriter) attemptResult {
-	c, err := e.pool.get(ctx, a.choice.Instance, e.connLimit(a.choice.Service))
+	c, err := e.pool.get(ctx, a.choice.Instance, e.connLimit(a.choice.Service), a.call.id)
 	if err != nil {
 		r := attemptResult{outcome: outcomeUnsent, reason: "connect: " + err.Error(), result: balancer.Unreachable}
 		if errors.Is(err, errConnLimit) {
@@ -123,6 +123,9 @@
 	if !stop() {
 		keepAlive = -1
 	}
+	if r.outcome == outcomeNotRun {
+		c.refused = append(c.refused, a.call.id)
+	}
 	if ctx.Err() != nil && r.outcome == outcomeUnknown {
 		r.result = balancer.NoEvidence
 	}
--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -360,3 +360,40 @@
 	c.Check(resp.err, qt.IsNil)
 	c.Check(resp.body, qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
 }
+
+// A server wrote its refusal once more when the same request came again on the kept connection: the caller was told that
+// the request hadn't run, while it ran.
+func TestRepeatedRefusalIsNotTheNextAnswer(t *testing.T) {
+	c := qt.New(t)
+	runs := new(atomic.Int64)
+	refused := make(chan struct{})
+	var first sync.Once
+	e, _ := startScripted(c, func(w io.Writer, n int, r *http.Request) bool {
+		refusal := responseHead(r, http.StatusMisdirectedRequest, "Content-Length: 0", testNotRun+": 1")
+		isFirst := false
+		first.Do(func() { isFirst = true })
+		if isFirst {
+			_, _ = io.WriteString(w, refusal)
+			close(refused)
+			return true
+		}
+		if n > 0 {
+			_, _ = io.WriteString(w, refusal)
+		}
+		runs.Add(1)
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream", "Content-Length: 15")+"id: 1\ndata: x\n\n")
+		return true
+	})
+	holder := e.balancer.Servers()[0]
+	adapter := tracker.Adapter{Model: "m", Name: "a"}
+	holder.Key.ID, holder.Service, holder.Residents = "x", "adapters", []tracker.Resident{{Adapter: adapter, Version: 1}}
+	e.control.applyMessage(governor.DownMessage{FullResidents: []tracker.Instance{holder}})
+	l := dial(c, e)
+	l.send(c, "POST", "/tuned/", "x", testDeadline+": 3000", "X-Model: m/a")
+	<-refused
+	time.Sleep(50 * time.Millisecond)
+	e.control.applyMessage(governor.DownMessage{FullResidents: []tracker.Instance{holder}})
+	resp := l.receive(c)
+	c.Check(runs.Load(), qt.Equals, int64(1))
+	c.Check(resp.status, qt.Equals, http.StatusOK)
+}
--- a/stage/relayer/pool.go
+++ b/stage/relayer/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,8 @@
 	connShare         = 0.9
 	serverBufferBytes = 4 << 10
 	tcpKeepAlive      = time.Second
+	// maxRefusedOnConn bounds the refusals after which a connection is closed.
+	maxRefusedOnConn = 16
 )
 
 var errConnLimit = errors.New("this entry has all connections to the server that it may have")
@@ -36,8 +39,10 @@
 	key       tracker.Key
 	reused    bool
 	idleUntil time.Time
-	closed    sync.Once
-	pool      *pool
+	// refused are the attempt ids of the requests that the server refused on this connection.
+	refused []string
+	closed  sync.Once
+	pool    *pool
 }
 
 // Close closes the connection once.
@@ -61,14 +66,15 @@
 	return &pool{idle: make(map[tracker.Key][]*conn), open: make(map[tracker.Key]int)}
 }
 
-// get returns an idle or a new connection to the server, of which there may be at most limit.
-func (p *pool) get(ctx context.Context, in tracker.Instance, limit int) (*conn, error) {
+// get returns an idle or a new connection to the server, of which there may be at most limit. A connection on which the
+// server refused the request isn't used for it again: a second copy of that refusal would look like the next answer.
+func (p *pool) get(ctx context.Context, in tracker.Instance, limit int, attemptID string) (*conn, error) {
 	for {
 		c := p.popIdle(in.Key)
 		if c == nil {
 			break
 		}
-		if c.isUsable() {
+		if c.isUsable() && !slices.Contains(c.refused, attemptID) {
 			c.reused = true
 			return c, nil
 		}
@@ -117,7 +123,7 @@
 	if keepAlive > 0 {
 		idle = keepAlive - idleTimeoutMargin
 	}
-	if c.br.Buffered() > 0 || idle <= 0 {
+	if c.br.Buffered() > 0 || idle <= 0 || len(c.refused) > maxRefusedOnConn {
 		_ = c.Close()
 		return
 	}
