Entry: a server that says in an answer that it leaves gets no more requests

Until now only heartbeats told, by way of the leader: an entry that is cut off from control went on sending.

--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
 )
 
@@ -209,6 +210,9 @@
 		if err != nil {
 			return unknownResult("read", err), -1
 		}
+		if e.headers.Leaving != "" && len(h.Peek(e.headers.Leaving)) > 0 {
+			e.balancer.MarkLeaving([]tracker.Key{a.choice.Key})
+		}
 		attemptID := string(h.Peek(e.headers.AttemptID))
 		switch {
 		case h.StatusCode() < http.StatusOK:
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -19,6 +19,8 @@
 	// Expect names the only server that may respond, ExpectVersion the version of the weights or the adapter.
 	Expect        string
 	ExpectVersion string
+	// Leaving marks the answers of a server that gets no further requests.
+	Leaving string
 	// Priority is the request's priority at an engine, from 0 (highest) to 9.
 	Priority string
 	// Model names model and adapter, Resume the id of the last event that the caller received.
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -29,12 +29,13 @@
 	testNotRun   = "X-Not-Run"
 	testDeadline = "X-Deadline"
 	testResume   = "X-Resume"
+	testLeaving  = "X-Leaving"
 )
 
 var testHeaders = Headers{
 	AttemptID: testAttempt, Deadline: testDeadline, Seal: testSeal, NotRun: testNotRun, Expect: "X-Expect",
 	ExpectVersion: "X-Version", Priority: "X-Priority", Model: "X-Model", Resume: testResume, ReadyPath: "/ready",
-	Reserved: []string{"X-Hold"},
+	Leaving: testLeaving, Reserved: []string{"X-Hold"},
 	ParseModel: func(v string) tracker.Adapter {
 		model, name, _ := strings.Cut(v, "/")
 		return tracker.Adapter{Model: model, Name: name}
