Entry: a server that answers 503 with Retry-After is left alone for so long

The entry excluded it for that request only; the next one went there at once.

The balancer counts the server as full until then, so that requests wait for another place or are refused as when all are busy. A new start of the server ends the pause, and an hour is the longest.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -117,7 +117,9 @@
 	failureRate        float64
 	ejectedUntil       time.Time
 	ejectionTime       time.Duration
-	uses               map[tracker.Adapter]*Use
+	// pausedUntil is the time until which the server wants no requests of this entry.
+	pausedUntil time.Time
+	uses        map[tracker.Adapter]*Use
 }
 
 // Use counts the requests for an adapter at a server started since the last report, and those running.
@@ -228,6 +230,16 @@
 	}
 }
 
+// Pause stops new requests to a start of a server until a time.
+func (b *Balancer) Pause(k tracker.Key, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[k.ID]
+	if s != nil && s.Key == k && until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
 // AddResident records that a server now holds a version of an adapter.
 func (b *Balancer) AddResident(id string, ad tracker.Adapter, version int) {
 	b.mu.Lock()
@@ -430,7 +442,7 @@
 		return NoServer
 	case req.Adapter.Model != "" && !b.hasUsableVersion(now, s, req.Adapter):
 		return NotLoaded
-	case b.isFull(now, s):
+	case b.isFull(now, s), now.Before(s.pausedUntil):
 		return LimitReached
 	case b.mustWaitForPrefill(now, s, req):
 		return PrefillBusy
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -25,6 +25,8 @@
 	largeRequestBytes = 8 << 10
 	// deadlineSlack is how much longer than the engine this entry waits, so that the engine's own response arrives.
 	deadlineSlack = 30 * time.Millisecond
+	// maxRetryAfterSeconds bounds the time for which a server may want no requests.
+	maxRetryAfterSeconds = 3600
 )
 
 // outcome is the way an attempt ended.
@@ -240,6 +242,9 @@
 	if h.ConnectionClose() {
 		keepAlive = -1
 	}
+	if status == http.StatusServiceUnavailable {
+		e.pauseServer(a.choice, string(h.Peek("Retry-After")))
+	}
 	success := isSuccess(status)
 	switch {
 	case success && len(h.Peek(e.headers.Seal)) == 0:
@@ -254,6 +259,15 @@
 	return e.bufferResponse(c, h, a, out, keepAlive)
 }
 
+// pauseServer sends a server nothing for as many seconds as it asked for.
+func (e *Relayer) pauseServer(server balancer.Choice, retryAfter string) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(retryAfter), 64)
+	if err != nil || !(seconds > 0) {
+		return
+	}
+	e.balancer.Pause(server.Key, time.Now().Add(time.Duration(min(seconds, maxRetryAfterSeconds)*float64(time.Second))))
+}
+
 // bufferResponse reads a response that isn't an event stream into memory; a large one is forwarded as it arrives.
 func (e *Relayer) bufferResponse(c *conn, h *fasthttp.ResponseHeader, a *attempt, out *responseWriter, keepAlive time.Duration) (attemptResult, time.Duration) {
 	b := newResponseBody(c.br, h, a.call.req.method)
--- a/stage/relayer/leaving_test.go
+++ b/stage/relayer/leaving_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -48,3 +49,39 @@
 	}
 	c.Check(leaving.Load(), qt.Equals, int64(1))
 }
+
+// A server that turned a request away with a time got further requests at once.
+func TestServerIsLeftAloneUntilItsRetryAfter(t *testing.T) {
+	c := qt.New(t)
+	var turnedAway, other atomic.Int64
+	e := startEntry(c, func(w http.ResponseWriter, r *http.Request) {
+		turnedAway.Add(1)
+		w.Header().Set(testAttempt, r.Header.Get(testAttempt))
+		w.Header().Set(testNotRun, "1")
+		w.Header().Set("Retry-After", "1.2")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		other.Add(1)
+		w.Header().Set(testAttempt, r.Header.Get(testAttempt))
+		w.Header().Set(testSeal, "seal")
+		_, _ = io.WriteString(w, "x")
+	})
+	ask := func() int {
+		l := dial(c, e)
+		l.send(c, "POST", "/safe/", "x", testDeadline+": 900")
+		defer l.Close()
+		return l.receive(c).status
+	}
+	for turnedAway.Load() == 0 {
+		c.Assert(ask(), qt.Equals, http.StatusOK)
+	}
+	end := time.Now().Add(time.Second)
+	for time.Now().Before(end) {
+		c.Check(ask(), qt.Equals, http.StatusOK)
+	}
+	c.Check(turnedAway.Load(), qt.Equals, int64(1))
+	for end := time.Now().Add(3 * time.Second); turnedAway.Load() == 1 && time.Now().Before(end); {
+		ask()
+	}
+	c.Check(turnedAway.Load() > 1, qt.IsTrue, qt.Commentf("the server is asked again after its time"))
+}
