Carrier: the vote after a pre-vote is no longer lost

Found by tracing TestReplacedReplicaDoesNotCountForQuorum, which failed three times under the race detector beside other tests: three survivors of five, just a quorum, elected no leader within 12 s.

Cause: a carrier replaces a connection whose peer hasn't responded for 0.45 s, and noticed that only when it sent the next message, whatever it had sent before. A replica that had answered a peer (which awaits no answer) and later asked it for a pre-vote broke the connection under that request, waited 25 ms or more, and dropped what was queued meanwhile, among it the vote request. An idle group sends nothing else, so that each election needed luck at each peer; where all survivors must agree, rounds of about a second failed in a row.

Change: only requests await a response, and a connection is replaced before the next message is sent, which goes over the new one at once.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -164,7 +164,12 @@
 			return
 		case m := <-p.queue:
 			start := time.Now()
-			err := c.sendStream(ctx, p, m)
+			unsent, err := c.sendStream(ctx, p, m)
+			for errors.Is(err, errNoResponse) && ctx.Err() == nil {
+				// The connection is replaced, but nothing shows that the peer is away.
+				c.onError(p.id, err)
+				unsent, err = c.sendStream(ctx, p, unsent)
+			}
 			if err == nil || ctx.Err() != nil {
 				continue
 			}
@@ -186,8 +191,9 @@
 	}
 }
 
-// sendStream sends m and the queue on a new connection until it breaks or is idle, or the peer stops responding.
-func (c *Carrier) sendStream(ctx context.Context, p *peer, m replicator.Message) error {
+// sendStream sends m and the queue on a new connection until it breaks or is idle, or the peer stops responding; with
+// errNoResponse it returns the next message, which it hasn't sent.
+func (c *Carrier) sendStream(ctx context.Context, p *peer, m replicator.Message) (unsent replicator.Message, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	httpClient := encoder.NewClient()
@@ -202,22 +208,25 @@
 	defer idle.Stop()
 	var unansweredSince time.Time
 	for {
-		if err := sendFrame(s, m, cancel); err != nil {
-			return c.streamError(s, err)
-		}
 		now := time.Now()
-		if lastReceived := time.Unix(0, p.lastReceived.Load()); unansweredSince.IsZero() || lastReceived.After(unansweredSince) {
+		if time.Unix(0, p.lastReceived.Load()).After(unansweredSince) {
+			unansweredSince = time.Time{}
+		}
+		if !unansweredSince.IsZero() && now.Sub(unansweredSince) > c.responseTimeout {
+			return m, errNoResponse
+		}
+		if unansweredSince.IsZero() && m.ExpectsResponse() {
 			unansweredSince = now
 		}
-		if now.Sub(unansweredSince) > c.responseTimeout {
-			return errNoResponse
+		if err := sendFrame(s, m, cancel); err != nil {
+			return m, c.streamError(s, err)
 		}
 		idle.Reset(idleTimeout)
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return m, ctx.Err()
 		case <-idle.C:
-			return nil
+			return m, nil
 		case m = <-p.queue:
 		}
 	}
--- a/coord/carrier/carrier_test.go
+++ b/coord/carrier/carrier_test.go
@@ -163,3 +163,34 @@
 		qt.Assert(t, n, qt.DeepEquals, m)
 	})
 }
+
+// A candidate that had answered a peer some time ago lost its next two messages to that peer, a request for a pre-vote and
+// the vote after it: the connection was replaced under them, as if the peer owed a response. A group whose survivors were
+// just a quorum elected no leader for seconds.
+func TestMessagesAfterSilenceAreDelivered(t *testing.T) {
+	got := make(chan replicator.Type, 10)
+	b := New(2, "c")
+	b.SetReceiver(func(m replicator.Message) error { got <- m.Type; return nil })
+	addr := serve(t, b.Handler())
+	const timeout = 50 * time.Millisecond
+	a := New(1, "c", WithResponseTimeout(timeout))
+	a.SetPeers(map[uint64]string{2: addr})
+	send := func(ty replicator.Type) { a.Send(replicator.Message{Type: ty, From: 1, To: 2, Term: 3, Nonce: 9}) }
+	for range 10 {
+		send(replicator.TypePreVoteResponse)
+		qt.Assert(t, <-got, qt.Equals, replicator.TypePreVoteResponse)
+		time.Sleep(2 * timeout)
+		for _, ty := range []replicator.Type{replicator.TypePreVote, replicator.TypeVote} {
+			send(ty)
+			select {
+			case received := <-got:
+				qt.Check(t, received, qt.Equals, ty)
+			case <-time.After(time.Second):
+				t.Fatalf("message of type %d was lost", ty)
+			}
+		}
+		time.Sleep(2 * timeout)
+	}
+	qt.Assert(t, a.Close(), qt.IsNil)
+	qt.Assert(t, b.Close(), qt.IsNil)
+}
--- a/coord/replicator/step.go
+++ b/coord/replicator/step.go
@@ -86,6 +86,11 @@
 	}
 }
 
+// ExpectsResponse reports whether the receiver of m responds to it.
+func (m Message) ExpectsResponse() bool {
+	return m.Type == TypeHello || m.isRequest() && m.Type != TypeTransfer
+}
+
 // acceptLeader records the sender of an append or a snapshot as leader and renews its lease; a leader returns false.
 func (r *Replicator) acceptLeader(now time.Time, from uint64) bool {
 	if r.role == leader {
