Entry: a stream without a length that ends before its first event is broken

A server that crashed before the first event looked like the end of an empty answer: the caller got 200 and nothing, and the crash counted for no suspect part. One that ends inside an event was broken before.

TestStreamThatEndsBeforeItsFirstEventIsBroken failed before with 200.

--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -397,3 +397,19 @@
 	c.Check(runs.Load(), qt.Equals, int64(1))
 	c.Check(resp.status, qt.Equals, http.StatusOK)
 }
+
+// A stream without a length that ended with its connection before its first event, as when its server crashed, was passed
+// on as a whole, empty answer.
+func TestStreamThatEndsBeforeItsFirstEventIsBroken(t *testing.T) {
+	c := qt.New(t)
+	runs := new(atomic.Int64)
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		runs.Add(1)
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream", "Connection: close"))
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 900")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusBadGateway)
+	c.Check(runs.Load(), qt.Equals, int64(1))
+}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -44,6 +44,10 @@
 	firstSeen := false
 	for {
 		block, err := events.next()
+		if a.untilClose && !out.streaming && errors.Is(err, io.EOF) {
+			// Nothing else tells the end of the server from the end of its answer.
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			next := watch.stop()
 			if errors.Is(err, io.EOF) {
