Quarantine: an answer to an equal request clears a suspect everywhere

Reading the quarantine again: a whole request that was in flight at a crash was a suspect that only the entry of that very call could clear. Many callers send the same lookup; one that is popular enough to be in flight at three crashes within a minute would have been refused for 30 min although it is answered all the time.

Entries get suspect requests as they get suspect parts, and each answer to an equal request clears one. The two lists of a crash are one.

--- a/stage/governor/quarantine.go
+++ b/stage/governor/quarantine.go
@@ -22,12 +22,10 @@
 	expireEvery = time.Second
 )
 
-// quarantine finds the parts and the requests that crash backend servers, over all entries. Entries get the standings of
-// parts, so that they can report those that servers answer, and of requests only once they are quarantined: a crash makes
-// every request in flight a suspect, and the entry that sent it knows it.
+// quarantine finds the parts and the requests that crash backend servers, over all entries. Entries get the suspects too,
+// so that each of them can report those that servers answer.
 type quarantine struct {
 	registry *quarantiner.Registry
-	requests map[quarantiner.Digest]bool
 	// sent are the standings as sent to relays.
 	sent     map[quarantiner.Digest]quarantiner.Standing
 	dirty    bool
@@ -41,7 +39,7 @@
 		registry: quarantiner.New(quarantiner.Config{
 			SuspectFor: suspectFor, MaxDigests: maxSuspects, Crashes: quarantineCrashes, CrashInterval: crashInterval,
 		}),
-		requests: make(map[quarantiner.Digest]bool), sent: make(map[quarantiner.Digest]quarantiner.Standing),
+		sent: make(map[quarantiner.Digest]quarantiner.Standing),
 	}
 	for _, d := range quarantined {
 		q.registry.Quarantine(now, d)
@@ -52,10 +50,7 @@
 
 func (q *quarantine) reportCrash(now time.Time, c Crash) {
 	incident := c.Server.ID + "/" + strconv.FormatInt(c.Server.StartedMS, 10)
-	for _, d := range c.Requests {
-		q.requests[d] = true
-	}
-	q.registry.ReportCrash(now, incident, slices.Concat(c.Parts, c.Requests))
+	q.registry.ReportCrash(now, incident, c.Digests)
 	q.dirty = true
 }
 
@@ -83,17 +78,8 @@
 	}
 	q.dirty, q.expireAt = false, now.Add(expireEvery)
 	q.registry.Expire(now)
-	for d := range q.requests {
-		if q.registry.Standing(now, d) == quarantiner.Clear {
-			delete(q.requests, d)
-		}
-	}
 	current := make(map[quarantiner.Digest]quarantiner.Standing)
-	q.registry.Each(now, func(d quarantiner.Digest, s quarantiner.Standing, _ time.Time) {
-		if s == quarantiner.Quarantined || !q.requests[d] {
-			current[d] = s
-		}
-	})
+	q.registry.Each(now, func(d quarantiner.Digest, s quarantiner.Standing, _ time.Time) { current[d] = s })
 	var out []DigestStanding
 	for d, s := range current {
 		if q.sent[d] != s {
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -30,9 +30,8 @@
 // Crash is the end of a backend server's incarnation under requests that it had not begun to answer.
 type Crash struct {
 	Server tracker.Key `cbor:"1,keyasint"`
-	// Parts are the digests of the parts that these requests share with others, Requests those of whole requests.
-	Parts    []quarantiner.Digest `cbor:"2,keyasint,omitempty"`
-	Requests []quarantiner.Digest `cbor:"3,keyasint,omitempty"`
+	// Digests are those of the whole requests and of the parts that they share with others.
+	Digests []quarantiner.Digest `cbor:"2,keyasint,omitempty"`
 }
 
 // DigestStanding is the standing of a part or of a request.
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -76,8 +76,6 @@
 	failedServers []string
 	// parts are the digests of the parts that the request shares with others.
 	parts []quarantiner.Digest
-	// isSuspect is set if the request was in flight at a crash.
-	isSuspect bool
 }
 
 // headWithout returns the head without the lines of the header name.
--- a/stage/relayer/suspects.go
+++ b/stage/relayer/suspects.go
@@ -37,8 +37,6 @@
 type suspects struct {
 	mu        sync.Mutex
 	standings map[quarantiner.Digest]quarantiner.Standing
-	// quarantined is the number of quarantined digests.
-	quarantined int
 	// sound is when each part was last in a request that a server answered.
 	sound map[quarantiner.Digest]time.Time
 	// crashes are the servers that are about to be probed, with the requests that they broke off.
@@ -68,12 +66,6 @@
 			sound = append(sound, d.Digest)
 		}
 	}
-	s.quarantined = 0
-	for _, standing := range s.standings {
-		if standing == quarantiner.Quarantined {
-			s.quarantined++
-		}
-	}
 	return sound
 }
 
@@ -81,22 +73,27 @@
 func (s *suspects) isQuarantined(c *call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.quarantined == 0 {
+	if len(s.standings) == 0 {
 		return false
 	}
 	is := func(d quarantiner.Digest) bool { return s.standings[d] == quarantiner.Quarantined }
 	return slices.ContainsFunc(c.parts, is) || is(c.digest())
 }
 
-// recordSound records that a server began to answer a request, and returns the parts that the leader suspects.
-func (s *suspects) recordSound(now time.Time, parts []quarantiner.Digest) (suspected []quarantiner.Digest) {
+// recordSound records that a server began to answer a request, and returns what the leader suspects of it.
+func (s *suspects) recordSound(now time.Time, c *call) (suspected []quarantiner.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.sound)+len(parts) > maxSound {
+	if len(s.sound)+len(c.parts) > maxSound {
 		clear(s.sound)
 	}
-	for _, d := range parts {
+	for _, d := range c.parts {
 		s.sound[d] = now
+	}
+	if len(s.standings) == 0 {
+		return nil
+	}
+	for _, d := range append(slices.Clone(c.parts), c.digest()) {
 		if s.standings[d] == quarantiner.Suspect {
 			suspected = append(suspected, d)
 		}
@@ -118,13 +115,11 @@
 		crash = &governor.Crash{Server: server}
 		s.crashes[server] = crash
 	}
-	for _, d := range c.parts {
-		if at, ok := s.sound[d]; (!ok || now.Sub(at) >= soundFor) && !slices.Contains(crash.Parts, d) {
-			crash.Parts = append(crash.Parts, d)
+	for _, d := range append(slices.Clone(c.parts), c.digest()) {
+		if at, ok := s.sound[d]; (!ok || now.Sub(at) >= soundFor) && !slices.Contains(crash.Digests, d) {
+			crash.Digests = append(crash.Digests, d)
 		}
 	}
-	crash.Requests = append(crash.Requests, c.digest())
-	c.isSuspect = true
 	return first
 }
 
@@ -167,12 +162,7 @@
 }
 
 func (e *Relayer) recordSound(c *call) {
-	sound := e.suspects.recordSound(time.Now(), c.parts)
-	if c.isSuspect {
-		c.isSuspect = false
-		sound = append(sound, c.digest())
-	}
-	if len(sound) > 0 {
+	if sound := e.suspects.recordSound(time.Now(), c); len(sound) > 0 {
 		e.control.enqueue(governor.UpMessage{Sound: sound})
 	}
 }
