--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -473,7 +473,6 @@
 		h.loads.set(s, l)
 	}
 	for _, c := range up.Crashes {
-		h.log.Warn("backend server ended under requests", c.Server.ID)
 		h.leader.quarantine.reportCrash(now, c)
 	}
 	h.leader.quarantine.reportSound(up.Sound)
