Tests: shared log buffer and answers; the guard of an addition by what it says

The two test packages of stage/governor had a buffer of log lines each, the tests of servers that want no requests the same handlers twice.

--- a/coord/replicator/change.go
+++ b/coord/replicator/change.go
@@ -78,7 +78,7 @@
 	switch {
 	case mb.ID <= r.membership.MaxID:
 		return false, &ChangeError{ID: mb.ID, Reason: "the ID was used before; take a larger one"}
-	case r.cfg.ReplaceAfter == 0 && r.isVoteCostly(now):
+	case r.cfg.ReplaceAfter == 0 && r.promotionLowersTolerance(now):
 		return false, &ChangeError{ID: mb.ID, Reason: "a voter does not respond, and one more would raise the quorum; remove that one first"}
 	case r.isFull():
 		return false, &ChangeError{ID: mb.ID, Reason: "the group has its largest size"}
@@ -140,13 +140,13 @@
 	case !ok || !mb.Learner:
 	case r.cfg.ReplaceAfter != 0:
 		r.tickMembership(now)
-	case r.canChangeMembership() && r.isCaughtUp(id) && !r.isVoteCostly(now):
+	case r.canChangeMembership() && r.isCaughtUp(id) && !r.promotionLowersTolerance(now):
 		r.changeMembership(now, r.membership.withLearner(mb, false))
 	}
 }
 
-// isVoteCostly reports whether one more voter would raise the quorum while a voter doesn't respond.
-func (r *Replicator) isVoteCostly(now time.Time) bool {
+// promotionLowersTolerance reports whether one more voter would raise the quorum while a voter doesn't respond.
+func (r *Replicator) promotionLowersTolerance(now time.Time) bool {
 	s := r.reachability(now)
 	return s.voters%2 == 1 && s.suspects > 0
 }
--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -1,6 +1,48 @@
 package governor
 
-import "time"
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// LogBuffer collects the log lines of several processes.
+type LogBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *LogBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns all lines.
+func (b *LogBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// Await waits until a line contains all parts, at most d.
+func (b *LogBuffer) Await(d time.Duration, parts ...string) bool {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for line := range strings.Lines(b.String()) {
+			found := 0
+			for _, p := range parts {
+				if strings.Contains(line, p) {
+					found++
+				}
+			}
+			if found == len(parts) {
+				return true
+			}
+		}
+	}
+	return false
+}
 
 // Leads reports whether the replica leads.
 func (g *Governor) Leads() bool { return g.checkLeading() == nil }
--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -1,12 +1,10 @@
 package governor
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"path/filepath"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -27,25 +25,12 @@
 	tolerated int
 	running   map[int]*Governor
 	// log has the replicas' log lines; a failed test prints it.
-	log *lockedBuffer
-}
-
-// lockedBuffer is a buffer that several replicas write to.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
+	log *LogBuffer
 }
 
 // newGroup starts n replicas; the first three are the group's initial members and the others join.
 func newGroup(c *qt.C, n int) *group {
-	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), running: make(map[int]*Governor), log: &lockedBuffer{}}
+	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), running: make(map[int]*Governor), log: &LogBuffer{}}
 	for range n {
 		addr, err := launcher.FreeAddr(context.Background())
 		c.Assert(err, qt.IsNil)
@@ -59,7 +44,7 @@
 			g.stop(i)
 		}
 		if c.Failed() {
-			c.Log(g.log.buf.String())
+			c.Log(g.log.String())
 		}
 	})
 	return g
--- a/stage/governor/stale_relay_test.go
+++ b/stage/governor/stale_relay_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"path/filepath"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -24,40 +22,6 @@
 // testApplyTime is the time from a document's acknowledgement until it must be in force at all entries.
 const testApplyTime = 2 * time.Second
 
-// logBuffer collects log lines.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-// Write implements io.Writer.
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-// await waits until a line contains all parts, at most d.
-func (b *logBuffer) await(d time.Duration, parts ...string) bool {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		b.mu.Lock()
-		lines := strings.Split(b.text.String(), "\n")
-		b.mu.Unlock()
-		for _, line := range lines {
-			found := 0
-			for _, p := range parts {
-				if strings.Contains(line, p) {
-					found++
-				}
-			}
-			if found == len(parts) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 type noEngines struct{}
 
 // Order implements governor.Engines.
@@ -102,8 +66,8 @@
 	}
 }
 
-func startEntry(c *qt.C, zone string, controls []string) *logBuffer {
-	log := &logBuffer{}
+func startEntry(c *qt.C, zone string, controls []string) *governor.LogBuffer {
+	log := &governor.LogBuffer{}
 	e, err := relayer.New(relayer.Config{
 		Node: "entry", Zone: zone, CallersAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", Controls: controls, RetryWindow: time.Second,
 	}, relayer.Deps{Headers: relayer.Headers{ReadyPath: "/ready"}, Decode: decodeEmpty, Log: logger.New(log, "info")})
@@ -135,9 +99,9 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	log := startEntry(c, addrs[1], addrs[1:2])
-	c.Assert(log.await(10*time.Second, "session with a control replica", addrs[1]), qt.IsTrue)
-	c.Assert(log.await(10*time.Second, `"version":1,`), qt.IsTrue)
+	c.Assert(log.Await(10*time.Second, "session with a control replica", addrs[1]), qt.IsTrue)
+	c.Assert(log.Await(10*time.Second, `"version":1,`), qt.IsTrue)
 	cut.LoseLeader(leader)
 	put(2)
-	c.Check(log.await(testApplyTime, `"version":2,`), qt.IsTrue)
+	c.Check(log.Await(testApplyTime, `"version":2,`), qt.IsTrue)
 }
--- a/stage/relayer/leaving_test.go
+++ b/stage/relayer/leaving_test.go
@@ -12,29 +12,34 @@
 	"redwingstage.org/stage/governor"
 )
 
+// answerOK counts the requests and answers them, with the headers set to 1.
+func answerOK(n *atomic.Int64, headers ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		w.Header().Set(testAttempt, r.Header.Get(testAttempt))
+		w.Header().Set(testSeal, "seal")
+		for _, h := range headers {
+			w.Header().Set(h, "1")
+		}
+		_, _ = io.WriteString(w, "x")
+	}
+}
+
+// askOnce sends one request on a connection of its own and returns the status.
+func askOnce(c *qt.C, e *Relayer, path string) int {
+	l := dial(c, e)
+	defer l.Close()
+	l.send(c, "POST", path, "x", testDeadline+": 900")
+	return l.receive(c).status
+}
+
 // A server that said in an answer that it leaves got further requests until its heartbeat said so too, and again when a
 // late heartbeat called it ready.
 func TestServerThatAnswersItLeavesGetsNoMoreRequests(t *testing.T) {
 	c := qt.New(t)
 	var leaving, other atomic.Int64
-	answer := func(n *atomic.Int64, headers ...string) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			n.Add(1)
-			w.Header().Set(testAttempt, r.Header.Get(testAttempt))
-			w.Header().Set(testSeal, "seal")
-			for _, h := range headers {
-				w.Header().Set(h, "1")
-			}
-			_, _ = io.WriteString(w, "x")
-		}
-	}
-	e := startEntry(c, answer(&leaving, testLeaving), answer(&other))
-	ask := func() int {
-		l := dial(c, e)
-		l.send(c, "POST", "/once/", "x", testDeadline+": 900")
-		defer l.Close()
-		return l.receive(c).status
-	}
+	e := startEntry(c, answerOK(&leaving, testLeaving), answerOK(&other))
+	ask := func() int { return askOnce(c, e, "/once/") }
 	for leaving.Load() == 0 {
 		c.Assert(ask(), qt.Equals, http.StatusOK)
 	}
@@ -60,18 +65,8 @@
 		w.Header().Set(testNotRun, "1")
 		w.Header().Set("Retry-After", "1.2")
 		w.WriteHeader(http.StatusServiceUnavailable)
-	}, func(w http.ResponseWriter, r *http.Request) {
-		other.Add(1)
-		w.Header().Set(testAttempt, r.Header.Get(testAttempt))
-		w.Header().Set(testSeal, "seal")
-		_, _ = io.WriteString(w, "x")
-	})
-	ask := func() int {
-		l := dial(c, e)
-		l.send(c, "POST", "/safe/", "x", testDeadline+": 900")
-		defer l.Close()
-		return l.receive(c).status
-	}
+	}, answerOK(&other))
+	ask := func() int { return askOnce(c, e, "/safe/") }
 	for turnedAway.Load() == 0 {
 		c.Assert(ask(), qt.Equals, http.StatusOK)
 	}
