--- a/coord/runner/succession_test.go
+++ b/coord/runner/succession_test.go
@@ -315,3 +315,29 @@
 	m, _ := leader.r.rep.Membership()
 	qt.Check(t, m.Members, qt.HasLen, 3)
 }
+
+// A new leader must not take a voter for silent because of the time before its own election.
+func TestNewLeaderCountsSilenceAnew(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(successionSeeds) {
+		f := newFleet(seed, 5, successionTiming)
+		never := func() bool { return false }
+		f.run(syncTime, never)
+		f.succeed()
+		f.run(2*syncTime, never)
+		old := f.leader()
+		old.kill()
+		f.run(3*syncTime, func() bool { return f.leader() != nil })
+		electedAt, next := f.now, f.leader()
+		qt.Assert(t, next, qt.IsNotNil)
+		f.run(4*syncTime, func() bool {
+			m, _ := next.r.rep.Membership()
+			mb, ok := m.Find(old.id)
+			return !ok || mb.Learner
+		})
+		silence := f.now - electedAt
+		qt.Check(t, silence > successionTiming.ReplaceAfter*9/10, qt.IsTrue, qt.Commentf("seed %d: replaced after %v", seed, silence))
+		qt.Check(t, silence < 2*successionTiming.ReplaceAfter, qt.IsTrue, qt.Commentf("seed %d: replaced after %v", seed, silence))
+		qt.Check(t, f.check.err, qt.IsNil)
+	}
+}
