review: case, a planned replacement and two lost disks end the group for good

Cause: a replica that was stopped keeps its vote for a second beside its successor's; six voters need four, three are left. Ruled out: the successor, it had 6 s.

--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -41,6 +40,8 @@
 	procs    []*proc
 	nextHost int
 	seeds    []string
+	// late is set once machines are added after the first start.
+	late bool
 }
 
 func newLab(recordPath string) (*lab, error) {
@@ -94,16 +95,15 @@
 
 // proc is a process of the system at one address; the platform starts it again after a short delay if it ends by itself.
 type proc struct {
-	lab              *lab
-	name, role, ip   string
-	zone             string
-	settings, logs   string
-	dataDir          string
-	mu               sync.Mutex
-	cmd              *exec.Cmd
-	done             chan struct{}
-	stopped, quiet   bool
-	ends, overMemory int
+	lab            *lab
+	name, role, ip string
+	zone           string
+	settings, logs string
+	dataDir        string
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	done           chan struct{}
+	stopped        bool
 }
 
 // settings are those of a machine of the co-op's sheet.
@@ -144,7 +144,7 @@
 			return nil, err
 		}
 	}
-	if err := p.writeSettings(l.settingsOf(p, zone, true)); err != nil {
+	if err := p.writeSettings(l.settingsOf(p, zone, !l.late)); err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
@@ -183,9 +183,6 @@
 		close(done)
 		p.mu.Lock()
 		again := !p.stopped
-		if again {
-			p.ends++
-		}
 		p.mu.Unlock()
 		if again {
 			p.lab.note("%s ended: %v", p.name, err)
@@ -221,26 +218,6 @@
 	<-p.done
 }
 
-func (p *proc) pid() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cmd.Process.Pid
-}
-
-// residentMB returns the resident memory of the process in MB.
-func (p *proc) residentMB() float64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.pid()))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(data))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.Atoi(fields[1])
-	return float64(pages*os.Getpagesize()) / (1 << 20)
-}
-
 // deploy starts the control processes, the entries and the configuration, and waits until all entries are ready.
 func (l *lab) deploy(cores, entries int, doc map[string]any) (controls, fronts []*proc, err error) {
 	zones := []string{"talca-a", "talca-b", "linares", "chillan"}
@@ -521,3 +498,39 @@
 		_ = c.Close()
 	}
 }
+
+// addLater starts a machine that wasn't there at the first start.
+func (l *lab) addLater(role, zone string) (*proc, error) {
+	l.mu.Lock()
+	l.late = true
+	l.mu.Unlock()
+	return l.add(role, zone, l.host())
+}
+
+// plainEngine starts a server of the plain service that answers each request at once.
+func (l *lab) plainEngine(id string, controls []*proc) (*engine, error) {
+	return l.engine(id, "pedidos", "talca-a", 6, nil, controls, func(_ *engine, c net.Conn, req *http.Request, _ []byte) bool {
+		attempt := req.Header.Get("Attempt-Id")
+		return reply(c, http.StatusOK, attempt, "Response-Seal: s."+attempt+"\r\n", []byte(attempt))
+	})
+}
+
+// check sends a safe request on a new connection and returns its status.
+func check(addr, id string) (int, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		return 0, err
+	}
+	if _, err := fmt.Fprintf(c, "GET /cufi504/a HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nRequest-Deadline: 600\r\n\r\n", host, id); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
