--- a/serving/quarantiner/registry.go
+++ b/serving/quarantiner/registry.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// Crashes returns the number of counted crashes at which a digest was in flight, 0 if none is known at now.
+func (r *Registry) Crashes(now time.Time, d Digest) int {
+	rec := r.records[d]
+	if rec.expires.Before(now) {
+		return 0
+	}
+	return len(rec.incidents)
+}
+
 // Clear removes a suspect digest whose request ran to its end; a quarantined one stays.
 func (r *Registry) Clear(d Digest) {
 	if r.records[d].standing == Suspect {
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -472,9 +472,7 @@
 	for _, l := range up.Loads {
 		h.loads.set(s, l)
 	}
-	for _, c := range up.Crashes {
-		h.leader.quarantine.reportCrash(now, c)
-	}
+	h.recordCrashes(now, up.Crashes)
 	h.leader.quarantine.reportSound(up.Sound)
 	for _, m := range up.Missing {
 		h.leader.alloc.RecordMissing(m.Engine, m.Adapter)
--- a/stage/governor/quarantine.go
+++ b/stage/governor/quarantine.go
@@ -48,10 +48,19 @@
 	return q
 }
 
-func (q *quarantine) reportCrash(now time.Time, c Crash) {
+// reportCrash records a crash; it returns the number of digests for which the report counted, and their highest count.
+func (q *quarantine) reportCrash(now time.Time, c Crash) (counted, highest int) {
 	incident := c.Server.ID + "/" + strconv.FormatInt(c.Server.StartedMS, 10)
-	q.registry.ReportCrash(now, incident, c.Digests)
+	for _, d := range c.Digests {
+		before := q.registry.Crashes(now, d)
+		q.registry.ReportCrash(now, incident, []quarantiner.Digest{d})
+		if n := q.registry.Crashes(now, d); n > before {
+			counted++
+			highest = max(highest, n)
+		}
+	}
 	q.dirty = true
+	return counted, highest
 }
 
 // reportSound clears suspects; a quarantined digest stays.
@@ -110,6 +119,15 @@
 	return command{}, false
 }
 
+// recordCrashes records the crashes that a relay reports.
+func (h *hub) recordCrashes(now time.Time, crashes []Crash) {
+	for _, c := range crashes {
+		if counted, highest := h.leader.quarantine.reportCrash(now, c); counted > 0 {
+			h.log.CrashCounted(c.Server.ID, counted, highest)
+		}
+	}
+}
+
 // broadcastStandings broadcasts the changed standings.
 func (h *hub) broadcastStandings(now time.Time) {
 	if h.leader == nil {
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -142,6 +142,13 @@
 	c.log.Info().Uint64("version", version).Msg(c.prefix + "document is in force")
 }
 
+// CrashCounted logs that a backend server's end counts against requests and parts that were in flight; highest is the
+// greatest number of ends that any of them has now.
+func (c *Component) CrashCounted(server string, digests, highest int) {
+	c.log.Info().Str("server", server).Int("digests", digests).Int("highest", highest).
+		Msg(c.prefix + "a backend server's end counts against what was in flight")
+}
+
 // PendingPlacement logs why requested adapters aren't loaded yet.
 func (c *Component) PendingPlacement(wants, copies, fetches, fetchLimit, slots, inUse, idle, distinct int) {
 	c.log.Info().Int("wants", wants).Int("copies", copies).Int("fetches", fetches).Int("bound", fetchLimit).
