Entry: a server's error doesn't clear a suspect

Cause: any answer to a request cleared its digests. A server gives an error such as 504 at the deadline also for a request that it hasn't begun to run, so that a request which crashes servers could be clear again between two of them, and its count began anew.

Change: only an answer with a status below 500 that doesn't say that the request wasn't run shows that the server survives it.

Evidence: TestErrorsDontClearSuspects fails on the code before (six statuses).

--- a/stage/relayer/suspects.go
+++ b/stage/relayer/suspects.go
@@ -200,7 +200,7 @@
 func (e *Relayer) recordEvidence(a *attempt, r attemptResult) {
 	c := a.call
 	switch {
-	case r.outcome == outcomeForwarded || r.outcome == outcomeAnswered:
+	case r.outcome == outcomeForwarded || r.outcome == outcomeAnswered && r.showsSound():
 		e.recordSound(c)
 	case (r.outcome == outcomeUnknown || r.outcome == outcomeCut) && r.isBroken && a.blocks < soundBlocks:
 		if e.suspects.addBroken(a.choice.Key, c) {
@@ -214,6 +214,12 @@
 	c.onTrial = false
 }
 
+// showsSound reports whether an answer shows that the server survives the request. Errors of servers may be given before
+// the request begins to run.
+func (r *attemptResult) showsSound() bool {
+	return r.status < http.StatusInternalServerError && !impliesNotRun(r.status)
+}
+
 func (e *Relayer) recordSound(c *call) {
 	up := governor.UpMessage{Sound: e.suspects.recordSound(time.Now(), c)}
 	if c.onTrial {
--- a/stage/relayer/suspects_test.go
+++ b/stage/relayer/suspects_test.go
@@ -28,6 +28,21 @@
 	c.Check(s.recordSound(now, other), qt.HasLen, 0)
 }
 
+// An error that a server gave without running the request cleared a suspect that crashes servers.
+func TestErrorsDontClearSuspects(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	req := func() *call { return &call{service: "s", req: &request{method: "GET", uri: "/stock/crate"}} }
+	e.suspects.apply(time.Now(), false, []governor.DigestStanding{{Digest: req().digests()[0], Standing: quarantiner.Suspect}})
+	for status, clears := range map[int]bool{200: true, 204: true, 404: true, 422: true, 408: false, 429: false, 500: false, 502: false, 503: false, 504: false} {
+		e.recordEvidence(&attempt{call: req()}, attemptResult{outcome: outcomeAnswered, status: status})
+		c.Check(len(e.control.queue) > 0, qt.Equals, clears, qt.Commentf("status %d", status))
+		for len(e.control.queue) > 0 {
+			<-e.control.queue
+		}
+	}
+}
+
 // Only a server that no longer accepts connections has crashed; one that ends a connection hasn't.
 func TestEndedConnectionIsNoCrash(t *testing.T) {
 	c := qt.New(t)
