Entry: the ends of all servers that end together are reported

Cause: beyond 64 servers that were about to be probed, the requests that a server broke off were dropped, with all evidence about them: of a rack of servers that ended together, the rest was never reported.

Change: only the probes at once are bounded; the others wait for a place.

Evidence: TestAllServersThatEndTogetherAreReported, 64 of 192 before, all now.

--- a/stage/relayer/suspects.go
+++ b/stage/relayer/suspects.go
@@ -43,11 +43,14 @@
 	changed chan struct{}
 	// crashes are the servers that are about to be probed, with the requests that they broke off.
 	crashes map[tracker.Key]*quarantiner.ServerCrash
+	// probes has a place for each probe at once.
+	probes chan struct{}
 }
 
 func newSuspects(entry string) *suspects {
 	return &suspects{
 		observer: quarantiner.NewObserver(entry), changed: make(chan struct{}), crashes: make(map[tracker.Key]*quarantiner.ServerCrash),
+		probes: make(chan struct{}, maxCrashProbes),
 	}
 }
 
@@ -111,9 +114,6 @@
 	defer s.mu.Unlock()
 	crash := s.crashes[server]
 	if crash == nil {
-		if len(s.crashes) >= maxCrashProbes {
-			return false
-		}
 		first = true
 		crash = &quarantiner.ServerCrash{Server: server}
 		s.crashes[server] = crash
@@ -234,6 +234,8 @@
 // probeCrash reports a server that has ended; one that still accepts connections has only ended some.
 func (e *Relayer) probeCrash(server balancer.Choice) {
 	waiter.Wait(e.ctx, crashGatherTime)
+	e.suspects.probes <- struct{}{}
+	defer func() { <-e.suspects.probes }()
 	ctx, cancel := context.WithTimeout(e.ctx, crashProbeTimeout)
 	defer cancel()
 	var d net.Dialer
--- a/stage/relayer/suspects_test.go
+++ b/stage/relayer/suspects_test.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// Of the servers of a rack that ended together, those beyond the number of probes at once weren't reported.
+func TestAllServersThatEndTogetherAreReported(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := ln.Addr().String()
+	c.Assert(ln.Close(), qt.IsNil)
+	e := startEntry(c)
+	const servers = 3 * maxCrashProbes
+	for n := range servers {
+		a := &attempt{call: &call{service: "s", req: &request{method: "GET", uri: "/stock/crate"}}}
+		a.choice.Key, a.choice.Addr = tracker.Key{ID: "x", StartedMS: int64(n)}, addr
+		e.recordEvidence(a, attemptResult{outcome: outcomeUnknown, isBroken: true})
+	}
+	reported := make(map[tracker.Key]bool)
+	for end := time.Now().Add(5 * time.Second); len(reported) < servers && time.Now().Before(end); {
+		select {
+		case up := <-e.control.queue:
+			for _, crash := range up.Crashes {
+				reported[crash.Server] = true
+			}
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	c.Check(reported, qt.HasLen, servers)
+}
+
 // Only a server that no longer accepts connections has crashed; one that ends a connection hasn't.
 func TestEndedConnectionIsNoCrash(t *testing.T) {
 	c := qt.New(t)
