Entry: a server that ends slowly is reported too

Cause: a server that had broken off requests was probed once, after 20 ms. One that closed its connections before its listener, or whose process took longer to end, wasn't taken for ended, and its requests went on to the next server without a count.

Change: a server that still accepts is probed once more, 250 ms later.

Evidence: TestEndedConnectionIsNoCrash/ends_slowly (listener closed 100 ms after the connections) fails on the code before. The table takes the place of the test's loop; its two cases are the same.

--- a/stage/relayer/suspects.go
+++ b/stage/relayer/suspects.go
@@ -21,9 +21,7 @@
 
 const (
 	// soundBlocks is the number of blocks of events after which a stream has not crashed its server.
-	soundBlocks = 2
-	// crashGatherTime is how long requests of the same server are gathered before the server is probed.
-	crashGatherTime   = 20 * time.Millisecond
+	soundBlocks       = 2
 	crashProbeTimeout = 300 * time.Millisecond
 	// maxCrashProbes bounds the servers that are probed at once.
 	maxCrashProbes       = 64
@@ -35,6 +33,10 @@
 	crashReportInterval = 100 * time.Millisecond
 )
 
+// crashProbeWaits are the waits before the probes of a server: requests that it breaks off are gathered until the last one. A
+// server that ends closes connections before it stops to accept others.
+var crashProbeWaits = []time.Duration{20 * time.Millisecond, 250 * time.Millisecond}
+
 // suspects are the standings of parts and requests, and this entry's evidence about them.
 type suspects struct {
 	mu       sync.Mutex
@@ -233,17 +235,13 @@
 
 // probeCrash reports a server that has ended; one that still accepts connections has only ended some.
 func (e *Relayer) probeCrash(server balancer.Choice) {
-	waiter.Wait(e.ctx, crashGatherTime)
-	e.suspects.probes <- struct{}{}
-	defer func() { <-e.suspects.probes }()
-	ctx, cancel := context.WithTimeout(e.ctx, crashProbeTimeout)
-	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", server.Addr)
-	if err == nil {
-		_ = conn.Close()
+	hasEnded := false
+	for _, wait := range crashProbeWaits {
+		waiter.Wait(e.ctx, wait)
+		if hasEnded = e.refusesConnections(server.Addr); hasEnded {
+			break
+		}
 	}
-	hasEnded := errors.Is(err, syscall.ECONNREFUSED)
 	crash := e.suspects.takeBroken(time.Now(), server.Key, hasEnded)
 	if !hasEnded {
 		if len(crash.Tried) > 0 {
@@ -255,6 +253,20 @@
 	e.reportCrashes(time.Now())
 }
 
+// refusesConnections reports whether a server refuses connections, as one does that has ended.
+func (e *Relayer) refusesConnections(addr string) bool {
+	e.suspects.probes <- struct{}{}
+	defer func() { <-e.suspects.probes }()
+	ctx, cancel := context.WithTimeout(e.ctx, crashProbeTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // reportCrashes reports the crashes that are due.
 func (e *Relayer) reportCrashes(now time.Time) {
 	if up, isEmpty := e.suspects.takeReport(now); !isEmpty {
--- a/stage/relayer/suspects_test.go
+++ b/stage/relayer/suspects_test.go
@@ -70,45 +70,58 @@
 	c.Check(reported, qt.HasLen, servers)
 }
 
-// Only a server that no longer accepts connections has crashed; one that ends a connection hasn't.
+// Only a server that no longer accepts connections has crashed; one that ends a connection hasn't. A server that closed its
+// connections some time before its listener wasn't taken for ended.
 func TestEndedConnectionIsNoCrash(t *testing.T) {
-	c := qt.New(t)
-	for _, ends := range []bool{false, true} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		go func() {
-			for {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = bufio.NewReader(conn).ReadString('\n')
-				if ends {
-					_ = ln.Close()
+	for name, tt := range map[string]struct {
+		ends  bool
+		after time.Duration
+	}{"ends": {true, 0}, "ends slowly": {true, 100 * time.Millisecond}, "goes on": {false, 0}} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = ln.Close() })
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					_, err = bufio.NewReader(conn).ReadString('\n')
+					switch {
+					case err == nil && tt.ends && tt.after == 0:
+						_ = ln.Close()
+					case err == nil && tt.ends:
+						time.AfterFunc(tt.after, func() { _ = ln.Close() })
+					}
+					_ = conn.Close()
 				}
-				_ = conn.Close()
+			}()
+			e := startEntry(c)
+			e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{{
+				Key: tracker.Key{ID: "x"}, Service: "s", Addr: ln.Addr().String(), Slots: 4,
+			}}})
+			conn, err := net.Dial("tcp", e.listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			_, err = io.WriteString(conn, "GET /once/ HTTP/1.1\r\nHost: "+testHost+"\r\n"+testAttempt+": a\r\nConnection: close\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			_, _ = io.ReadAll(conn)
+			_ = conn.Close()
+			wait := 100 * time.Millisecond
+			for _, w := range crashProbeWaits {
+				wait += w
 			}
-		}()
-		e := startEntry(c)
-		e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{{
-			Key: tracker.Key{ID: "x"}, Service: "s", Addr: ln.Addr().String(), Slots: 4,
-		}}})
-		conn, err := net.Dial("tcp", e.listener.Addr().String())
-		c.Assert(err, qt.IsNil)
-		_, err = io.WriteString(conn, "GET /once/ HTTP/1.1\r\nHost: "+testHost+"\r\n"+testAttempt+": a\r\nConnection: close\r\n\r\n")
-		c.Assert(err, qt.IsNil)
-		_, _ = io.ReadAll(conn)
-		_ = conn.Close()
-		time.Sleep(crashGatherTime + 100*time.Millisecond)
-		crashes := 0
-		for len(e.control.queue) > 0 {
-			crashes += len((<-e.control.queue).Crashes)
-		}
-		want := 0
-		if ends {
-			want = 1
-		}
-		c.Check(crashes, qt.Equals, want)
-		_ = ln.Close()
+			time.Sleep(wait)
+			crashes := 0
+			for len(e.control.queue) > 0 {
+				crashes += len((<-e.control.queue).Crashes)
+			}
+			want := 0
+			if tt.ends {
+				want = 1
+			}
+			c.Check(crashes, qt.Equals, want)
+		})
 	}
 }
