Entry: a trial fails also after its caller left or its time was over

Cause: an attempt whose caller left says nothing about its server, so that a trial that ended so was due again at once. A request that crashes servers and whose callers don't wait would go on to crash one after the other.

Change: the server of such a trial is probed like one that broke it off.

Evidence: TestTrialFailsAfterItsRequestEnded fails without it (the trial is cancelled).

--- a/stage/relayer/suspects.go
+++ b/stage/relayer/suspects.go
@@ -204,7 +204,7 @@
 	switch {
 	case r.outcome == outcomeForwarded || r.outcome == outcomeAnswered && r.showsSound():
 		e.recordSound(c)
-	case (r.outcome == outcomeUnknown || r.outcome == outcomeCut) && r.isBroken && a.blocks < soundBlocks:
+	case a.mayHaveCrashedServer(r):
 		if e.suspects.addBroken(a.choice.Key, c) {
 			e.wg.Go(func() { e.probeCrash(a.choice) })
 		}
@@ -216,6 +216,17 @@
 	c.onTrial = false
 }
 
+// mayHaveCrashedServer reports whether the server broke off the request before it began to answer. Under a request on trial it
+// may also end after the caller left or the time was over.
+func (a *attempt) mayHaveCrashedServer(r attemptResult) bool {
+	switch r.outcome {
+	case outcomeUnknown, outcomeCut, outcomeCallerLeft:
+		return a.blocks < soundBlocks && (r.isBroken || a.call.onTrial)
+	default:
+		return false
+	}
+}
+
 // showsSound reports whether an answer shows that the server survives the request. Errors of servers may be given before
 // the request begins to run.
 func (r *attemptResult) showsSound() bool {
--- a/stage/relayer/suspects_test.go
+++ b/stage/relayer/suspects_test.go
@@ -70,6 +70,30 @@
 	c.Check(reported, qt.HasLen, servers)
 }
 
+// A request on trial whose caller left, or whose time was over, before its server ended was due for the next trial at once.
+func TestTrialFailsAfterItsRequestEnded(t *testing.T) {
+	for _, o := range []outcome{outcomeCallerLeft, outcomeUnknown} {
+		t.Run(outcomeNames[o], func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			a := &attempt{call: &call{service: "s", req: &request{method: "GET", uri: "/stock/crate"}, onTrial: true}}
+			a.choice.Key, a.choice.Addr = tracker.Key{ID: "x", StartedMS: 1}, ln.Addr().String()
+			e := startEntry(c)
+			e.recordEvidence(a, attemptResult{outcome: o})
+			time.AfterFunc(50*time.Millisecond, func() { _ = ln.Close() })
+			select {
+			case up := <-e.control.queue:
+				c.Check(up.Trials, qt.HasLen, 0)
+				c.Assert(up.Crashes, qt.HasLen, 1)
+				c.Check(up.Crashes[0].Tried, qt.DeepEquals, a.call.digests())
+			case <-time.After(5 * time.Second):
+				c.Fatal("nothing was reported")
+			}
+		})
+	}
+}
+
 // Only a server that no longer accepts connections has crashed; one that ends a connection hasn't. A server that closed its
 // connections some time before its listener wasn't taken for ended.
 func TestEndedConnectionIsNoCrash(t *testing.T) {
