Entry: a shutdown refuses streams that it would cut

Cause: once no connection is taken any more, a shutdown still served every request on the connections that remained, whatever time the request had.

Change: from then on, a stream whose deadline is after the shutdown's end is refused with 503 and a Retry-After of 10 ms; the caller's retry reaches another entry. One that has to end before, and requests with plain answers, are served.

--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -43,6 +43,7 @@
 	retryAfterLoad     = 300 * time.Millisecond
 	retryAfterBusy     = 500 * time.Millisecond
 	retryAfterNoServer = time.Second
+	retryAfterShutdown = 10 * time.Millisecond
 )
 
 // call is a request with its route and the state of its attempts.
@@ -121,6 +122,9 @@
 	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
 		c.deadline = earlier(c.deadline, c.arrived.Add(time.Duration(ms)*time.Millisecond))
 	}
+	if route.Stream && e.draining.Load() && e.stopsBefore(c.deadline) {
+		return e.refuse(c, w, "the entry shuts down before the stream has to end", retryAfterShutdown)
+	}
 	c.parts = e.partDigests(c)
 	if a := e.suspects.check(c); a != quarantiner.Admitted {
 		return e.refuseQuarantined(c, w, a)
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -90,6 +90,8 @@
 	// even if that began before the shutdown.
 	acceptTime time.Duration
 	draining   atomic.Bool
+	// stopAt is when a shutdown ends the requests that remain, nil if there is no such time.
+	stopAt atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
@@ -306,6 +308,9 @@
 // Close shuts the entry down: not ready, serving requests in flight and new ones, until all connections close or ctx is done.
 func (e *Relayer) Close(ctx context.Context) error {
 	e.log.Info("shutting down", "")
+	if at, ok := ctx.Deadline(); ok {
+		e.stopAt.Store(&at)
+	}
 	e.stopping.Store(true)
 	waiter.Wait(ctx, e.acceptTime)
 	err := e.listener.Close()
@@ -324,6 +329,12 @@
 	return err
 }
 
+// stopsBefore reports whether a shutdown ends requests before a time.
+func (e *Relayer) stopsBefore(t time.Time) bool {
+	at := e.stopAt.Load()
+	return at != nil && at.Before(t)
+}
+
 // closeIdle closes the connections that have been idle for drainIdleTime; the others close after their responses. It returns how
 // many remain.
 func (e *Relayer) closeIdle(now time.Time) int {
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -376,6 +376,35 @@
 	c.Check(calls.Load(), qt.Equals, int32(1))
 }
 
+// A stream that was read late in a shutdown, on a connection whose last response had begun before it, was cut at the
+// shutdown's end. One that may last longer than that is refused; one that has to end before is served.
+func TestShutdownRefusesStreamsItWouldCut(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c, func(w http.ResponseWriter, r *http.Request) {
+		setSeal(w, r)
+		writeEvent(w, 1)
+	})
+	e.acceptTime = 0
+	long, short := dial(c, e), dial(c, e)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- e.Close(ctx) }()
+	for !e.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	long.send(c, "POST", "/stream/", "x", testDeadline+": 9000")
+	short.send(c, "POST", "/stream/", "x", testDeadline+": 1000")
+	refused := long.receive(c)
+	c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(refused.header.Get("Retry-After"), qt.Equals, "0.01")
+	c.Check(refused.closes, qt.IsTrue)
+	served := short.receive(c)
+	c.Check(served.status, qt.Equals, http.StatusOK)
+	c.Check(served.err, qt.IsNil)
+	c.Check(<-closed, qt.IsNil)
+}
+
 func TestMalformedRequestsAreNotForwarded(t *testing.T) {
 	for _, row := range []struct {
 		name, head string
