Entry: a shutdown answers the requests that it ends

Cause: the end of a shutdown closed all connections at once, and responses to the requests that it cancelled were left out.

Change: a request that wasn't passed on is answered 503, one that may have run 502, before its connection closes; the shutdown waits up to 0.2 s for that. Only a response that had begun is cut.

Evidence: TestShutdownAnswersRequestsItEnds fails on the code before (no response, for both kinds).

--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -297,7 +297,7 @@
 	switch {
 	case e.callerLeft(ctx, w):
 		return false
-	case w.streaming || e.ctx.Err() != nil:
+	case w.streaming:
 		return e.abortResponse(c, w, r.reason)
 	case !c.mayHaveRun:
 		return e.refuse(c, w, "the request was not run: "+r.reason, retryAfterBusy)
@@ -312,7 +312,7 @@
 	switch {
 	case e.callerLeft(ctx, w):
 		return false
-	case w.streaming || e.ctx.Err() != nil:
+	case w.streaming:
 		return e.abortResponse(c, w, "no other server can be asked")
 	case c.mayHaveRun:
 		return e.respondError(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
@@ -329,7 +329,7 @@
 	return e.ctx.Err() == nil && (w.writeFailed || errors.Is(context.Cause(ctx), errCallerLeft))
 }
 
-// abortResponse ends a connection in mid-response, which must not look complete, or without a response when the entry shuts down.
+// abortResponse ends a connection in mid-response, which must not look complete.
 func (e *Relayer) abortResponse(c *call, w *responseWriter, reason string) bool {
 	w.aborted = true
 	if e.ctx.Err() != nil {
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -37,6 +37,8 @@
 	// was just accepted, or has just had a response. drainPollInterval is how often a shutdown checks.
 	drainIdleTime     = 500 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
+	// lastResponseTime is how long a shutdown waits for the responses to requests that it ends.
+	lastResponseTime = 200 * time.Millisecond
 )
 
 // errCallerLeft is the cancellation cause of a request whose caller disconnected.
@@ -306,6 +308,7 @@
 }
 
 // Close shuts the entry down: not ready, serving requests in flight and new ones, until all connections close or ctx is done.
+// Requests that remain then are answered with an error, but for responses that have begun.
 func (e *Relayer) Close(ctx context.Context) error {
 	e.log.Info("shutting down", "")
 	if at, ok := ctx.Deadline(); ok {
@@ -319,6 +322,9 @@
 		waiter.Wait(ctx, drainPollInterval)
 	}
 	e.cancel()
+	for end := time.Now().Add(lastResponseTime); e.countBusy() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval / 10)
+	}
 	e.mu.Lock()
 	for c := range e.conns {
 		_ = c.Close()
@@ -335,6 +341,19 @@
 	return at != nil && at.Before(t)
 }
 
+// countBusy returns the number of connections with a request.
+func (e *Relayer) countBusy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, u := range e.conns {
+		if u.busy {
+			n++
+		}
+	}
+	return n
+}
+
 // closeIdle closes the connections that have been idle for drainIdleTime; the others close after their responses. It returns how
 // many remain.
 func (e *Relayer) closeIdle(now time.Time) int {
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -405,6 +405,29 @@
 	c.Check(<-closed, qt.IsNil)
 }
 
+// A request that was still unanswered at the end of a shutdown got no answer at all.
+func TestShutdownAnswersRequestsItEnds(t *testing.T) {
+	c := qt.New(t)
+	began := make(chan struct{})
+	e := startEntry(c, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(began)
+		<-r.Context().Done()
+	})
+	e.acceptTime = 0
+	sent, waiting := dial(c, e), dial(c, e)
+	sent.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	<-began
+	waiting.send(c, "POST", "/tuned/", "x", testDeadline+": 9000")
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- e.Close(ctx) }()
+	c.Check(sent.receive(c).status, qt.Equals, http.StatusBadGateway)
+	c.Check(waiting.receive(c).status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(<-closed, qt.IsNil)
+}
+
 func TestMalformedRequestsAreNotForwarded(t *testing.T) {
 	for _, row := range []struct {
 		name, head string
