--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -246,6 +246,36 @@
 	c.Check(resp.err, qt.Equals, io.ErrUnexpectedEOF)
 }
 
+// A server that ends at any byte of its response, in the head too, never looks as if it had responded completely. A body that
+// ends with its connection is only cut in its head.
+func TestResponseCutAtAnyByteIsIncomplete(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct{ name, path, lines, body string }{
+		{"length", "/once/", "Content-Length: 4", "body"},
+		{"chunks", "/once/", "Transfer-Encoding: chunked", "4\r\nbody\r\n0\r\n\r\n"},
+		{"until close", "/once/", "X: y", ""},
+		{"events", "/stream/", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked", "7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n"},
+		{"events until close", "/stream/", "Content-Type: text/event-stream", ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			whole := len(responseHead(&http.Request{Header: http.Header{testAttempt: {"id-1"}}}, 200, row.lines) + row.body)
+			for cut := range whole {
+				c := qt.New(t)
+				e, seen := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+					_, _ = io.WriteString(w, (responseHead(r, 200, row.lines) + row.body)[:cut])
+					return false
+				})
+				l := dial(c, e)
+				l.send(c, "POST", row.path, "x", testDeadline+": 9000")
+				resp := l.receive(c)
+				c.Check(seen.Load(), qt.Equals, int32(1))
+				c.Check(resp.status == http.StatusOK && resp.err == nil, qt.IsFalse, qt.Commentf("cut after %d of %d bytes: body %q", cut, whole, resp.body))
+			}
+		})
+	}
+}
+
 // A hundred concurrent endless responses stay within half of a small entry's memory, servers and callers of the test included.
 // The memory limit is set as the process does it, so that garbage is collected before it is reached.
 func TestHundredEndlessResponsesStayWithinMemory(t *testing.T) {
