Quarantine: a restored pause doesn't follow steps of the clock

The pause that a new leader takes from the log was compared by the wall clock, so that a step of it would have made a trial due too early or late. It is counted from the change of leader by the monotonic clock.

--- a/serving/quarantiner/registry.go
+++ b/serving/quarantiner/registry.go
@@ -128,8 +128,9 @@
 func (r *Registry) Quarantine(now time.Time, d Digest, failed FailedTrials) {
 	rec := record{incidents: make([]string, r.cfg.Crashes), failed: failed}
 	since := now
-	if len(failed.Crashes) > 0 && failed.LastAt.Before(now) {
-		since = failed.LastAt
+	if ago := now.Sub(failed.LastAt); len(failed.Crashes) > 0 && ago > 0 {
+		// The sum keeps the monotonic clock, so that later steps of the wall clock change nothing.
+		since = now.Add(-ago)
 	}
 	rec.quarantine(r.cfg, since)
 	if earliest := now.Add(restoreDelay); rec.trialAt.Before(earliest) {
