--- a/serving/quarantiner/observer.go
+++ b/serving/quarantiner/observer.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// answerValidFor is how long an answer lets the report of a crash wait for another one, answerGrace how long it waits.
+	// answerValidFor is how long after an answer the report of a crash waits for another answer, answerGrace how long it waits.
 	answerValidFor = time.Minute
 	answerGrace    = 500 * time.Millisecond
 	// maxAnswered limits the digests whose answers are remembered, in each of two generations.
@@ -108,9 +108,6 @@
 	}
 }
 
-// State returns the state of a digest.
-func (o *Observer) State(d Digest) State { return o.states[d] }
-
 // IsEmpty reports whether all digests are clear.
 func (o *Observer) IsEmpty() bool { return len(o.states) == 0 }
 
@@ -192,7 +189,8 @@
 	Refused
 )
 
-// Check returns whether a request with these digests, its own last, may be sent, apart from trials that this entry would have to be given.
+// Check returns whether a request with these digests, its own last, may be sent, apart from trials that this entry would have
+// to be given.
 func (o *Observer) Check(digests []Digest) Admission {
 	worst, own := Admitted, digests[len(digests)-1]
 	for _, d := range digests {
@@ -209,8 +207,8 @@
 	return worst
 }
 
-// Admit returns whether a request with these digests, its own last, may be sent now. If it then is on trial, isTrial is set, and its result has to be reported;
-// if mustRequest is set, its trial must be requested.
+// Admit returns whether a request with these digests, its own last, may be sent now. If isTrial is set, it is on trial then, and
+// its result has to be reported; if mustRequest is set, its trial must be requested.
 func (o *Observer) Admit(now time.Time, digests []Digest) (a Admission, isTrial, mustRequest bool) {
 	own := digests[len(digests)-1]
 	var due Digest
--- a/stage/governor/quarantine_test.go
+++ b/stage/governor/quarantine_test.go
@@ -120,6 +120,11 @@
 	v.apply(&DownMessage{Welcome: &Welcome{LeaderEpoch: 2}, Standings: []DigestStanding{b}})
 	c.Check(v.fullState().Standings, qt.DeepEquals, []DigestStanding{b})
 	c.Check(v.takeUpdate(false).Standings, qt.ContentEquals, []DigestStanding{{Digest: a.Digest}, b})
+	// One that ends while there is no entry isn't kept.
+	v.apply(&DownMessage{Standings: []DigestStanding{{Digest: b.Digest, IsAnswered: true}}})
+	c.Check(v.fullState().Standings, qt.HasLen, 0)
+	v.clearChanges()
+	c.Check(v.standings, qt.HasLen, 0)
 }
 
 func applyCommand(c *qt.C, m *machine, cmd command) {
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -48,8 +48,13 @@
 	return v
 }
 
-// clearChanges marks all changes as sent.
+// clearChanges marks all changes as sent, and drops the standings that have ended.
 func (v *view) clearChanges() {
+	for digest := range v.changes.standings {
+		if v.standings[digest].Standing == quarantiner.Clear {
+			delete(v.standings, digest)
+		}
+	}
 	v.changes = changes{
 		versions: make(map[tracker.Adapter]bool), leaving: make(map[tracker.Key]bool), engines: make(map[string]bool),
 		held: make(map[AdapterPlacement]bool), loads: make(map[string]bool), standings: make(map[quarantiner.Digest]bool),
@@ -238,8 +243,11 @@
 // takeUpdate returns the changes since the last call; loads, moves and entries only if all is set.
 func (v *view) takeUpdate(all bool) DownMessage {
 	c := v.changes
-	v.clearChanges()
 	var d DownMessage
+	for digest := range c.standings {
+		d.Standings = append(d.Standings, v.standings[digest])
+	}
+	v.clearChanges()
 	if c.doc {
 		doc := v.doc
 		d.Doc = &doc
@@ -248,12 +256,6 @@
 		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: v.versions[ad]})
 	}
 	d.Leaving = sortedKeys(c.leaving)
-	for digest := range c.standings {
-		d.Standings = append(d.Standings, v.standings[digest])
-		if v.standings[digest].Standing == quarantiner.Clear {
-			delete(v.standings, digest)
-		}
-	}
 	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
 		if in, ok := v.engines[id]; ok {
 			d.Engines = append(d.Engines, in)
