--- a/serving/quarantiner/observer_test.go
+++ b/serving/quarantiner/observer_test.go
@@ -59,10 +59,10 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	o := NewObserver("n")
-	d, clear := Digest{1}, Digest{2}
+	d, sound := Digest{1}, Digest{2}
 	admit := func(want Admission, wantTrial, wantRequest bool) {
 		c.Helper()
-		a, isTrial, mustRequest := o.Admit(now, []Digest{clear, d})
+		a, isTrial, mustRequest := o.Admit(now, []Digest{sound, d})
 		c.Check([]any{a, isTrial, mustRequest}, qt.DeepEquals, []any{want, wantTrial, wantRequest})
 	}
 	admit(Admitted, false, false)
--- a/serving/quarantiner/simulation_test.go
+++ b/serving/quarantiner/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -42,21 +41,9 @@
 	do     func()
 }
 
-type simEvents []simEvent
-
-func (e simEvents) Len() int      { return len(e) }
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-func (e simEvents) Less(i, j int) bool {
-	return cmp.Or(e[i].at.Compare(e[j].at), cmp.Compare(e[i].number, e[j].number)) < 0
-}
-
-func (e *simEvents) Push(x any) { *e = append(*e, x.(simEvent)) }
-
-func (e *simEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+// compare orders events by their times, and those at the same time as they were added.
+func (e simEvent) compare(other simEvent) int {
+	return cmp.Or(e.at.Compare(other.at), cmp.Compare(e.number, other.number))
 }
 
 // simServer is a backend server; inFlight are the runs of its incarnation.
@@ -93,10 +80,11 @@
 
 // simulation is a leader, entries and servers, with drawn arrivals and faults.
 type simulation struct {
-	r        *rand.Rand
-	now      time.Time
-	end      time.Time
-	events   simEvents
+	r   *rand.Rand
+	now time.Time
+	end time.Time
+	// events are in their order.
+	events   []simEvent
 	number   int
 	registry *Registry
 	// sent are the states as sent to entries, recorded the failed trials of quarantined digests in the log.
@@ -117,7 +105,9 @@
 
 func (s *simulation) after(d time.Duration, f func()) {
 	s.number++
-	heap.Push(&s.events, simEvent{s.now.Add(d), s.number, f})
+	ev := simEvent{s.now.Add(d), s.number, f}
+	i, _ := slices.BinarySearchFunc(s.events, ev, simEvent.compare)
+	s.events = slices.Insert(s.events, i, ev)
 }
 
 func (s *simulation) between(low, high time.Duration) time.Duration {
@@ -149,8 +139,9 @@
 }
 
 func (s *simulation) run() {
-	for s.events.Len() > 0 && s.events[0].at.Before(s.end) {
-		ev := heap.Pop(&s.events).(simEvent)
+	for len(s.events) > 0 && s.events[0].at.Before(s.end) {
+		ev := s.events[0]
+		s.events = s.events[1:]
 		s.now = ev.at
 		ev.do()
 	}
