Quarantine: a trial's end concerns its own request, and one without a result is delayed

A repeated report of a failed trial ended the running trial of another request that shares a part, and blamed the part: all requests with it were refused for a minute (TestRepeatedReportLeavesOtherTrials). A trial is now known by its request's last digest.

A trial that a server refused or answered with an error was due again at once, so that a deadly request reached servers on and on while they were full (TestTrialsWithoutResultAreDelayed). It is due after 2 s, then 6 s and so on, and after a failed trial all but one of these count for the pause.

Reports are repeated after 0.5 s and up to five times: four lost ones in a row let a failed trial end without its result.

--- a/serving/quarantiner/observer.go
+++ b/serving/quarantiner/observer.go
@@ -15,8 +15,8 @@
 	maxAnswered = 16384
 	// Crashes are reported again, at first after firstRepeat and then after twice the time, until maxReports reports were
 	// made; and each time that a leader may not know them, for keepCrashFor.
-	firstRepeat  = time.Second
-	maxReports   = 4
+	firstRepeat  = 500 * time.Millisecond
+	maxReports   = 6
 	keepCrashFor = 30 * time.Minute
 	maxCrashes   = 256
 	// grantValidFor is how long a trial may begin after it was granted, shorter than the leader keeps it.
@@ -245,13 +245,16 @@
 	return a, false, false
 }
 
-// TakeExpiredGrants returns the trials that no request used in time, which others may have.
+// TakeExpiredGrants returns the last digests of the requests that didn't use their trials in time, which others may have.
 func (o *Observer) TakeExpiredGrants(now time.Time) []Digest {
 	var out []Digest
 	for d, at := range o.grantedAt {
-		if now.Sub(at) >= grantValidFor {
-			out = append(out, d)
-			delete(o.grantedAt, d)
+		if now.Sub(at) < grantValidFor {
+			continue
+		}
+		delete(o.grantedAt, d)
+		if own := o.states[d].Own; !slices.Contains(out, own) {
+			out = append(out, own)
 		}
 	}
 	return out
--- a/serving/quarantiner/registry.go
+++ b/serving/quarantiner/registry.go
@@ -41,6 +41,8 @@
 	// trialAt is when the next trial is due, failed are the crashes under failed ones.
 	trialAt time.Time
 	failed  FailedTrials
+	// undecided is the number of trials that reached a server and had no result.
+	undecided int
 	// isDoubted is set if a server crashed under a trial with another digest that may be the cause.
 	isDoubted bool
 	// holder is the entry that holds a trial until heldUntil, own the last digest of the request.
@@ -101,11 +103,13 @@
 	return record{}
 }
 
-// quarantine makes the digest quarantined; the next trial is due after the pause for its failed ones.
+// quarantine makes the digest quarantined; the next trial is due after the pause for its failed ones. Of those without a result
+// all but one count too, as they reached servers.
 func (rec *record) quarantine(cfg Config, now time.Time) {
 	rec.standing, rec.trialAt = Quarantined, now
-	if n := min(len(cfg.TrialPauses), len(rec.failed.Crashes)); n > 0 {
-		rec.trialAt = now.Add(cfg.TrialPauses[n-1])
+	if n := len(rec.failed.Crashes); n > 0 && len(cfg.TrialPauses) > 0 {
+		n += max(rec.undecided-1, 0)
+		rec.trialAt = now.Add(cfg.TrialPauses[min(n, len(cfg.TrialPauses))-1])
 	}
 	rec.expires = rec.trialAt.Add(cfg.QuarantineFor)
 	rec.holder, rec.isDoubted = "", false
--- a/serving/quarantiner/registry_test.go
+++ b/serving/quarantiner/registry_test.go
@@ -89,6 +89,29 @@
 	c.Check(r.GrantTrial(now, other, "s", "a"), qt.IsTrue)
 }
 
+// A request that crashes servers was sent again and again on trial while servers refused it or gave errors: each trial without
+// a result delays the next one.
+func TestTrialsWithoutResultAreDelayed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	shared, own := Digest{1}, Digest{2}
+	r := New(Config{Crashes: 1, TrialPauses: []time.Duration{time.Minute}, TrialFor: 10 * time.Second, QuarantineFor: time.Hour})
+	r.ReportCrash(now, "e1", []Digest{own})
+	for _, pause := range []time.Duration{2 * time.Second, 6 * time.Second, 18 * time.Second} {
+		c.Check(r.GrantTrial(now, []Digest{shared, own}, "s", "a"), qt.IsTrue)
+		r.DeferTrial(now, []Digest{shared, own}, "b")
+		c.Check(r.State(now, own).Holder, qt.Equals, "a")
+		r.DeferTrial(now, []Digest{shared, own}, "a")
+		c.Check(r.GrantTrial(now.Add(pause-1), []Digest{own}, "s", "a"), qt.IsFalse)
+		now = now.Add(pause)
+	}
+	for range 2 * maxUndecided {
+		c.Check(r.GrantTrial(now, []Digest{own}, "s", "a"), qt.IsTrue)
+		r.DeferTrial(now, []Digest{own}, "a")
+		now = now.Add(time.Hour)
+	}
+}
+
 // Each change of leader began the pause after a failed trial anew.
 func TestPauseGoesOnAfterChangeOfLeader(t *testing.T) {
 	c := qt.New(t)
@@ -104,6 +127,22 @@
 	}
 }
 
+// A repeated report of a failed trial ended the trial of another request that shares a part, and blamed the part for it.
+func TestRepeatedReportLeavesOtherTrials(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	shared, own, other := Digest{1}, Digest{2}, Digest{3}
+	r := New(Config{Crashes: 1, TrialPauses: []time.Duration{time.Minute}, TrialFor: 10 * time.Second, QuarantineFor: time.Hour})
+	r.ReportCrash(now, "e1", []Digest{shared, own})
+	now = now.Add(sharedTrialDelay)
+	c.Check(r.GrantTrial(now, []Digest{shared, own}, "s", "a"), qt.IsTrue)
+	r.FailTrial(now, "e2", []Digest{shared, own})
+	c.Check(r.GrantTrial(now, []Digest{shared, other}, "s", "b"), qt.IsTrue)
+	r.FailTrial(now, "e2", []Digest{shared, own})
+	c.Check(r.State(now, shared), qt.Equals, State{Standing: Quarantined, Holder: "b", Own: other})
+	c.Check(r.GrantTrial(now, []Digest{shared, {4}}, "s", "a"), qt.IsFalse)
+}
+
 // A part that all requests share was refused, when requests that hold it crashed servers on trial: it fails only with the
 // second of them, and other requests may clear it before.
 func TestFailedTrialBlamesTheRequest(t *testing.T) {
--- a/stage/governor/quarantine.go
+++ b/stage/governor/quarantine.go
@@ -93,12 +93,17 @@
 
 // applyTrial applies a step of a trial; it returns whether a trial was granted.
 func (q *quarantine) applyTrial(now time.Time, t Trial) (granted bool) {
+	if len(t.Digests) == 0 {
+		return false
+	}
 	q.dirty = true
 	switch t.Step {
 	case TrialRequested:
 		return q.registry.GrantTrial(now, t.Digests, t.Service, t.Entry)
 	case TrialCancelled:
 		q.registry.CancelTrial(t.Digests, t.Entry)
+	case TrialUndecided:
+		q.registry.DeferTrial(now, t.Digests, t.Entry)
 	case TrialAnswered:
 		q.registry.PassTrial(t.Digests)
 		for _, d := range t.Digests {
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -45,15 +45,17 @@
 const (
 	// TrialRequested requests a trial.
 	TrialRequested TrialStep = iota
-	// TrialCancelled ends a trial without a result.
+	// TrialCancelled ends a trial that reached no server.
 	TrialCancelled
 	// TrialAnswered ends a trial that a server answered.
 	TrialAnswered
+	// TrialUndecided ends a trial that reached a server and had no result.
+	TrialUndecided
 )
 
 // Trial is a step of the trial of a request with quarantined digests.
 type Trial struct {
-	// Digests are all those of the request, the ones that it shares with others first.
+	// Digests are all those of the request, the ones that it shares with others first; TrialCancelled may have the last only.
 	Digests []quarantiner.Digest `cbor:"1,keyasint"`
 	Step    TrialStep            `cbor:"2,keyasint,omitempty"`
 	// Entry is the entry's node, set by the relay.
--- a/stage/relayer/suspects.go
+++ b/stage/relayer/suspects.go
@@ -150,8 +150,8 @@
 	for _, c := range s.observer.TakeReports(now) {
 		up.Crashes = append(up.Crashes, governor.Crash(c))
 	}
-	if expired := s.observer.TakeExpiredGrants(now); len(expired) > 0 {
-		up.Trials = append(up.Trials, governor.Trial{Digests: expired, Step: governor.TrialCancelled})
+	for _, own := range s.observer.TakeExpiredGrants(now) {
+		up.Trials = append(up.Trials, governor.Trial{Digests: []quarantiner.Digest{own}, Step: governor.TrialCancelled})
 	}
 	return up, len(up.Crashes)+len(up.Trials) == 0
 }
@@ -210,8 +210,12 @@
 		}
 		c.onTrial = false
 	}
-	if c.onTrial {
+	switch {
+	case !c.onTrial:
+	case r.outcome == outcomeUnsent:
 		e.enqueueTrial(c.service, c.digests(), governor.TrialCancelled)
+	default:
+		e.enqueueTrial(c.service, c.digests(), governor.TrialUndecided)
 	}
 	c.onTrial = false
 }
@@ -256,7 +260,7 @@
 	crash := e.suspects.takeBroken(time.Now(), server.Key, hasEnded)
 	if !hasEnded {
 		if len(crash.Tried) > 0 {
-			e.enqueueTrial(server.Service, crash.Tried, governor.TrialCancelled)
+			e.enqueueTrial(server.Service, crash.Tried, governor.TrialUndecided)
 		}
 		return
 	}
