--- a/serving/quarantiner/simulation_test.go
+++ b/serving/quarantiner/simulation_test.go
@@ -20,7 +20,7 @@
 
 const (
 	simTime = 150 * time.Second
-	// simContact is the time after the third crash from which arrivals that run count, simAllowed how many of them may come.
+	// simContact is the time after the third crash from which arrivals count, simAllowed how many of them may come.
 	simContact = 3 * time.Second
 	simAllowed = 3
 	// simMaxRefusal is the longest time for which a request that crashes no server is refused while servers are up: the pause
@@ -97,7 +97,6 @@
 	answered map[Digest]bool
 	recorded map[Digest]FailedTrials
 	term     int
-	leaderAt time.Time
 	servers  []*simServer
 	entries  []*simEntry
 	starts   int64
@@ -229,6 +228,9 @@
 	sv.inFlight[run] = true
 	run.req.sends++
 	delete(s.refusedSince, run.req.kind)
+	if run.req.isDeadly {
+		s.arrivals[run.req.kind] = append(s.arrivals[run.req.kind], s.now)
+	}
 	if s.r.Float64() < s.full {
 		delete(sv.inFlight, run)
 		if len(run.tried) > 0 {
@@ -236,9 +238,6 @@
 		}
 		return
 	}
-	if run.req.isDeadly && s.now.Sub(s.leaderAt) > simContact {
-		s.arrivals[run.req.kind] = append(s.arrivals[run.req.kind], s.now)
-	}
 	s.after(s.between(5*time.Millisecond, 120*time.Millisecond), func() {
 		switch {
 		case sv.key != key || !sv.up:
@@ -421,7 +420,6 @@
 // changeLeader lets another leader take over, with what the log has.
 func (s *simulation) changeLeader() {
 	s.term++
-	s.leaderAt = s.now
 	s.registry = New(simConfig)
 	s.sent = make(map[Digest]State)
 	for _, d := range sorted(s.recorded) {
@@ -462,8 +460,7 @@
 	})
 }
 
-// lateArrivals returns how often a deadly request began to run later than simContact after its third crash, and after a change of
-// leader, before which entries don't count as in touch.
+// lateArrivals returns how often a deadly request arrived later than simContact after its third crash.
 func (s *simulation) lateArrivals(kind string) int {
 	if len(s.crashes[kind]) < 3 {
 		return 0
