Replicator: a replica that stops gives up its vote, and successors stand by

Cause: a caught-up learner became a voter above the configured number, and a replica that stopped kept its vote until it had been silent for ReplaceAfter. Six voters need four; three were left.

A stopping replica marks its append responses; the leader promotes a standing-by learner and demotes the resigning voter, and the process ends once both are committed. It declines if no learner responds.

--- a/coord/carrier/wire.go
+++ b/coord/carrier/wire.go
@@ -20,6 +20,7 @@
 	Offset    uint64         `cbor:"12,keyasint,omitempty"`
 	Data      []byte         `cbor:"13,keyasint,omitempty"`
 	Snapshot  *snapshotFrame `cbor:"14,keyasint,omitempty"`
+	Resign    bool           `cbor:"15,keyasint,omitempty"`
 }
 
 type entryFrame struct {
@@ -43,7 +44,7 @@
 func toFrame(m replicator.Message) (*frame, error) {
 	f := &frame{
 		Type: uint8(m.Type), Term: m.Term, Nonce: m.Nonce, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
-		SendStamp: m.SendStamp, Reject: m.Reject, Hint: m.Hint, ForceVote: m.ForceVote, Offset: m.Offset, Data: m.Data,
+		SendStamp: m.SendStamp, Reject: m.Reject, Hint: m.Hint, ForceVote: m.ForceVote, Resign: m.Resign, Offset: m.Offset, Data: m.Data,
 	}
 	for _, e := range m.Entries {
 		f.Entries = append(f.Entries, entryFrame{Term: e.Term, Kind: uint8(e.Kind), Data: e.Data})
@@ -63,7 +64,7 @@
 func (f *frame) message(from, to uint64) (replicator.Message, error) {
 	m := replicator.Message{
 		Type: replicator.Type(f.Type), From: from, To: to, Term: f.Term, Nonce: f.Nonce, Index: f.Index,
-		LogTerm: f.LogTerm, Commit: f.Commit, SendStamp: f.SendStamp, Reject: f.Reject, Hint: f.Hint, ForceVote: f.ForceVote,
+		LogTerm: f.LogTerm, Commit: f.Commit, SendStamp: f.SendStamp, Reject: f.Reject, Hint: f.Hint, ForceVote: f.ForceVote, Resign: f.Resign,
 		Offset: f.Offset, Data: f.Data,
 	}
 	for i, e := range f.Entries {
--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -20,6 +20,8 @@
 	snapshotIndex  uint64
 	snapshotOffset uint64
 	chunkSentAt    time.Time
+	// isResigning is set while the peer's responses ask for another voter in its place.
+	isResigning bool
 }
 
 func (r *Replicator) appendEntry(k Kind, data []byte) {
@@ -76,7 +78,7 @@
 
 // sendAppend sends entries from p.nextIndex on, or an empty heartbeat and a snapshot chunk if the log lacks them.
 func (r *Replicator) sendAppend(now time.Time, id uint64, p *peer) {
-	m := Message{Type: TypeAppend, To: id, Commit: r.commitIndex, SendStamp: r.nextStamp(now)}
+	m := Message{Type: TypeAppend, To: id, Commit: r.commitIndex, SendStamp: r.nextStamp(now), Resign: r.mustDecline(now, id, p)}
 	if p.nextIndex <= r.log.base {
 		r.send(m)
 		r.sendChunk(now, id, p)
@@ -97,8 +99,9 @@
 	if !r.acceptLeader(now, m.From) {
 		return
 	}
+	r.isResignationDeclined = m.Resign
 	match := m.Index + uint64(len(m.Entries))
-	ack := Message{Type: TypeAppendResponse, To: m.From, Index: match, SendStamp: m.SendStamp}
+	ack := Message{Type: TypeAppendResponse, To: m.From, Index: match, SendStamp: m.SendStamp, Resign: r.isResigning}
 	if m.Index < r.log.base {
 		// Entries up to base are committed, hence equal to the leader's.
 		skip := min(r.log.base-m.Index, uint64(len(m.Entries)))
@@ -150,7 +153,9 @@
 	if r.role != leader || p == nil || m.SendStamp > r.lastStamp || m.Index > r.log.last() {
 		return
 	}
-	p.ackedStamp = max(p.ackedStamp, m.SendStamp)
+	if m.SendStamp >= p.ackedStamp {
+		p.ackedStamp, p.isResigning = m.SendStamp, m.Resign
+	}
 	if m.Reject {
 		if m.Index <= p.matchIndex || (p.isProbing && m.SendStamp < p.probeStamp) {
 			return
@@ -182,7 +187,7 @@
 
 // quorumValue returns the largest value reached by a quorum of voters, given this replica's value and each peer's.
 func (r *Replicator) quorumValue(own uint64, peerValue func(*peer) uint64) uint64 {
-	var buf [MaxMembers]uint64
+	var buf [maxVoters]uint64
 	vals := buf[:0]
 	for _, mb := range r.membership.Members {
 		if mb.Learner {
--- a/coord/replicator/membership.go
+++ b/coord/replicator/membership.go
@@ -12,6 +12,8 @@
 const (
 	// MaxMembers is the largest number of voters in a group.
 	MaxMembers = 7
+	// maxVoters leaves room for the voter that a group of the largest size gains before it gives up a resigning one.
+	maxVoters = MaxMembers + 1
 	// MaxLearners is the largest number of learners in a group. Lost replicas stay learners for a while.
 	MaxLearners = 16
 )
@@ -72,8 +74,8 @@
 func (m Membership) check() error {
 	voters := len(m.voters())
 	switch learners := len(m.Members) - voters; {
-	case voters > MaxMembers:
-		return errors.Errorf("membership: %d voters, at most %d", voters, MaxMembers)
+	case voters > maxVoters:
+		return errors.Errorf("membership: %d voters, at most %d", voters, maxVoters)
 	case learners > MaxLearners:
 		return errors.Errorf("membership: %d learners, at most %d", learners, MaxLearners)
 	case voters == 0:
--- a/coord/replicator/message.go
+++ b/coord/replicator/message.go
@@ -71,7 +71,10 @@
 	Hint uint64
 	// ForceVote is set on vote requests after a transfer, when the leader has already given up its lease.
 	ForceVote bool
-	Entries   []Entry
+	// Resign is set on the append responses of a replica that is about to stop and gives up its vote, and on appends by
+	// which the leader declines this.
+	Resign  bool
+	Entries []Entry
 	// Offset, Data and Snapshot form one chunk of a snapshot.
 	Offset   uint64
 	Data     []byte
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -94,6 +94,8 @@
 	lastReadID     uint64
 	finishedReads  []Read
 	transfer       transfer
+	// isResigning is set once Resign was called, isResignationDeclined while the leader says that no learner can take over.
+	isResigning, isResignationDeclined bool
 
 	founderNonces map[uint64]uint32
 	nonceRequest  nonceRequest
--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -355,6 +355,13 @@
 	return false, nil
 }
 
+func (r *Runner) stepResign(now time.Time) (bool, error) {
+	if r.rep.Leader() == r.cfg.ID && !r.rep.Transfer(now) {
+		return false, ErrNoTarget
+	}
+	return r.rep.Resign(), nil
+}
+
 func (r *Runner) setPeers() {
 	addrs := map[uint64]string{}
 	m, index := r.rep.Membership()
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -352,6 +352,13 @@
 	return r.submitChange(ctx, &change{step: r.stepTransfer})
 }
 
+// Resign gives this replica's vote to a learner, so that the group tolerates as many losses without it as before. It
+// returns once that is committed, or at once if the group has no other learner; a leader transfers its leadership first.
+// Call it before Close.
+func (r *Runner) Resign(ctx context.Context) error {
+	return r.submitChange(ctx, &change{step: r.stepResign})
+}
+
 func (r *Runner) submitChange(ctx context.Context, c *change) error {
 	c.ctx, c.done = ctx, make(chan error, 1)
 	return submit(ctx, r, r.newChanges, c, c.done)
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -126,10 +126,11 @@
 	return g, nil
 }
 
-// Close transfers the leadership and stops the replica.
+// Close transfers the leadership, gives up the vote if a learner can take it, and stops the replica.
 func (g *Governor) Close() error {
 	g.hub.shutDown()
 	g.membership.transferLeadership()
+	g.membership.resign()
 	g.cancel()
 	err := g.server.Close()
 	g.wg.Wait()
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -34,6 +34,9 @@
 	// snapshotCommands and snapshotBytes keep the journal far below a small disk.
 	snapshotCommands = 2000
 	snapshotBytes    = 8 << 20
+	// resignTimeout bounds the wait at a shutdown until another replica votes instead: some elections and two changes, and
+	// less than the time after which a process is killed.
+	resignTimeout = 5 * time.Second
 	// reopenPause is the wait before a log that failed is opened again.
 	reopenPause = 300 * time.Millisecond
 	// joinPause is the wait between two rounds of join requests.
@@ -154,6 +157,19 @@
 	}
 }
 
+// resign gives this replica's vote to a standing-by learner before a shutdown.
+func (ms *membership) resign() {
+	r := ms.log()
+	if r == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	if err := r.Resign(ctx); err != nil {
+		ms.logger.Error("give up the vote", err)
+	}
+}
+
 // run keeps the log open until ctx ends.
 func (ms *membership) run(ctx context.Context) {
 	for ctx.Err() == nil {
