Allocator: only an adapter that an engine holds makes way for a load

Cause: a load without a response kept a place as long as it might be carried out, and was the first to be evicted. Its unload is answered 200, since the engine doesn't hold it, and freed a place that a report or the next load had taken already. A second one, found by the test: the first report after a change of leader may count a late load before it lists the adapter.

Change: only held adapters make way, and only at an engine with as many as it can hold. A load without a response has no place once a complete report doesn't list it: each order expects the report's count, so that the engine carries out either that load or a later order. Engines whose state is unclear are asked again; after a change of leader one place stays free until then.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -134,6 +134,10 @@
 	running int
 	// synced reports that slots covers everything that the engine holds, so that orders can't exceed its capacity.
 	synced bool
+	// syncedAt is when the last report was applied.
+	syncedAt time.Time
+	// mayHoldOneMore is set if the last report may count one load that it doesn't list.
+	mayHoldOneMore bool
 }
 
 // Outcome is how an order ended.
@@ -245,15 +249,17 @@
 	e.onDisk.Resize(a.diskSize(capacity))
 }
 
-// Sync applies an engine's report of what it holds and what it is loading; changes within the last ReportLag override
-// it.
-func (a *Allocator) Sync(now time.Time, id string, residents, pending []tracker.Resident) {
+// Sync applies an engine's report of what it holds and what it is loading; confirmed changes within the last ReportLag
+// override it. The engine gets orders if the report is complete: it shows the effect of all orders that it counts. Then
+// a load whose outcome is unknown has no place there unless it is listed: orders expect the report's count, so that
+// either the load or a later order is executed.
+func (a *Allocator) Sync(now time.Time, id string, residents, pending []tracker.Resident, isComplete bool) {
 	e := a.engines[id]
 	if e == nil {
 		return
 	}
 	a.changedEngines[id] = true
-	e.synced = true
+	e.synced, e.syncedAt, e.mayHoldOneMore = isComplete, now, false
 	clear(e.models)
 	listed := make(map[tracker.Adapter]state, len(residents)+len(pending))
 	for _, r := range pending {
@@ -269,7 +275,11 @@
 		a.applyReport(now, e, r, resident)
 	}
 	for ad, s := range e.slots {
-		if _, ok := listed[ad]; !ok && (s.state == resident || s.state == unconfirmed || s.state == draining) && now.Sub(s.since) > ReportLag {
+		if _, ok := listed[ad]; ok {
+			continue
+		}
+		isOld := now.Sub(s.since) > ReportLag
+		if (s.state == resident || s.state == draining) && isOld || s.state == unconfirmed && (isComplete || isOld) {
 			delete(e.slots, ad)
 		}
 	}
@@ -297,10 +307,10 @@
 }
 
 // Unsynced returns the IDs of the engines whose residents must be queried, sorted.
-func (a *Allocator) Unsynced() []string {
+func (a *Allocator) Unsynced(now time.Time) []string {
 	var out []string
 	for id, e := range a.engines {
-		if !e.synced && !e.Leaving {
+		if !e.Leaving && (!e.synced || e.isUnsettled() && now.Sub(e.syncedAt) > ReportLag) {
 			out = append(out, id)
 		}
 	}
@@ -308,6 +318,42 @@
 	return out
 }
 
+// occupied returns the number of slots in use; each one being evicted is counted with the load that takes its place.
+func (e *engine) occupied() int {
+	n := 0
+	for _, s := range e.slots {
+		if s.state != evicting {
+			n++
+		}
+	}
+	if e.mayHoldOneMore && n < e.capacity.Adapters {
+		n++
+	}
+	return n
+}
+
+// ExpectOneMore keeps one slot free at an engine until its next report: the last one may count a load that an earlier
+// leader ordered, before it lists the adapter.
+func (a *Allocator) ExpectOneMore(id string) {
+	if e := a.engines[id]; e != nil {
+		e.mayHoldOneMore = true
+	}
+}
+
+// isUnsettled reports whether only a newer report tells what the engine holds: it was loading an adapter that nobody here
+// ordered, or seems to hold more than it can, some of which must be gone.
+func (e *engine) isUnsettled() bool {
+	if e.mayHoldOneMore || e.capacity.Adapters > 0 && e.occupied() > e.capacity.Adapters {
+		return true
+	}
+	for _, s := range e.slots {
+		if s.state == unconfirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveEngine removes an engine.
 func (a *Allocator) RemoveEngine(id string) { delete(a.engines, id) }
 
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -150,18 +150,18 @@
 	return score + float64(h>>11)/float64(1<<53)
 }
 
-// victim returns the adapter to evict, none if there isn't one, and whether the engine has a free slot.
+// victim returns the adapter to evict, none if there isn't one, and whether the engine has a free slot. Only an adapter
+// that the engine holds makes way: an eviction of one that it may not hold, or of one beyond its capacity, frees no slot.
 func (a *Allocator) victim(now time.Time, e *engine, k wantKey) (tracker.Adapter, bool) {
-	if len(e.slots) < e.capacity.Adapters {
+	switch n := e.occupied(); {
+	case n < e.capacity.Adapters:
 		return tracker.Adapter{}, true
+	case n > e.capacity.Adapters:
+		return tracker.Adapter{}, false
 	}
 	var leastUsed tracker.Adapter
 	leastUses := math.Inf(1)
 	for ad, s := range e.slots {
-		if s.state == unconfirmed {
-			// An order to unload it settles its state.
-			return ad, false
-		}
 		if s.state != resident && s.state != draining || !a.isIdle(now, s) {
 			continue
 		}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -323,7 +323,7 @@
 		return wait
 	}
 	h.nextPlanAt = now.Add(planEvery)
-	for _, id := range h.leader.alloc.Unsynced() {
+	for _, id := range h.leader.alloc.Unsynced(now) {
 		h.worker(id).sync()
 	}
 	for _, o := range h.leader.alloc.Plan(now) {
--- a/stage/governor/leader_state.go
+++ b/stage/governor/leader_state.go
@@ -110,10 +110,7 @@
 
 // applyReport applies an engine's report; the engine gets orders only after a final one.
 func (l *leaderState) applyReport(now time.Time, id string, report EngineReport, final bool) {
-	l.alloc.Sync(now, id, report.Residents, report.Pending)
-	if !final {
-		l.alloc.Unsync(id)
-	}
+	l.alloc.Sync(now, id, report.Residents, report.Pending, final)
 	l.fullResidentsDue[id] = true
 }
 
--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -100,7 +100,7 @@
 	// maybeOneMore is set after an unload, which the engine counts only if the adapter was there.
 	maybeOneMore bool
 	// unanswered are loads without a response, which the engine may still execute until it has accepted more orders than
-	// they expect.
+	// they expect. They take no place: until then, an order of ours expects as many.
 	unanswered []EngineOrder
 	// syncing is set while a report is being requested; only the control goroutine uses it.
 	syncing bool
@@ -172,8 +172,9 @@
 			continue
 		}
 		if isFirst && w.areReportsComplete() {
-			// The earlier leader has been silent for long enough that the report includes all of its orders.
-			w.applyReport(report)
+			// The earlier leader has been silent for long enough that the report includes all of its orders, except for one
+			// without a response that the engine has executed just now.
+			w.applyReport(report, report.Orders > 0)
 			return true
 		}
 		if report.Orders != w.accepted {
@@ -184,7 +185,7 @@
 			waiter.Wait(w.ctx, allocator.ReportLag)
 			continue
 		}
-		w.applyReport(report)
+		w.applyReport(report, false)
 		return true
 	}
 	// The engine has accepted fewer orders than were counted here.
@@ -195,18 +196,16 @@
 // areReportsComplete reports whether reports include all orders that engines accepted from earlier leaders.
 func (w *worker) areReportsComplete() bool { return !time.Now().Before(w.reportsCompleteAt) }
 
-func (w *worker) applyReport(report EngineReport) {
+// applyReport applies a complete report; mayHoldOneMore means that it may count a load that it doesn't list.
+func (w *worker) applyReport(report EngineReport, mayHoldOneMore bool) {
 	w.accepted, w.countKnown, w.maybeOneMore = report.Orders, true, false
 	w.unanswered = slices.DeleteFunc(w.unanswered, func(o EngineOrder) bool { return o.ExpectedOrders < report.Orders })
-	for _, o := range w.unanswered {
-		r := tracker.Resident{Adapter: o.Adapter, Version: o.Version}
-		if o.Adapter.Name != "" && !slices.Contains(report.Residents, r) && !slices.Contains(report.Pending, r) {
-			report.Pending = append(report.Pending, r)
-		}
-	}
 	w.post(func(now time.Time, l *leaderState) {
 		w.syncing = false
 		l.applyReport(now, w.target.Key.ID, report, true)
+		if mayHoldOneMore {
+			l.alloc.ExpectOneMore(w.target.Key.ID)
+		}
 	})
 }
 
