Control: unreadable text costs neither sessions nor records

All relays' sessions had ended with "invalid UTF-8 string", and the leader's record of servers with "decode: EOF".

Cause: an ID in the path of an announcement may hold any byte. It was encoded as CBOR text, which no receiver decodes: each message with it ended its session, and the command with it was applied nowhere, without a line.

Change: names are checked where they come in; the encoder refuses what the decoder would; messages and records go on without unreadable elements; a command that can't be decoded is logged and reported to its proposer.

--- a/coord/encoder/encoder.go
+++ b/coord/encoder/encoder.go
@@ -22,11 +22,13 @@
 	dialTimeout     = 2 * time.Second
 	// minCompressedBytes is the message size in bytes from which compression saves more than it costs.
 	minCompressedBytes = 4 << 10
+	// maxShownBytes bounds the text that an error quotes.
+	maxShownBytes = 64
 )
 
 var (
 	encMode = newEncMode()
-	decMode = newDecMode()
+	decMode = newDecMode(cbor.UTF8RejectInvalid)
 )
 
 func newEncMode() cbor.EncMode {
@@ -39,8 +41,9 @@
 	return m
 }
 
-func newDecMode() cbor.DecMode {
+func newDecMode(text cbor.UTF8Mode) cbor.DecMode {
 	m, err := cbor.DecOptions{
+		UTF8:             text,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  maxNestingDepth,
 		MaxArrayElements: maxElements,
@@ -53,12 +56,16 @@
 	return m
 }
 
-// Marshal encodes v deterministically: equal values give equal bytes.
+// Marshal encodes v deterministically: equal values give equal bytes. It returns an error for a value that Unmarshal would
+// refuse, such as text that isn't UTF-8.
 func Marshal(v any) ([]byte, error) {
 	b, err := encMode.Marshal(v)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode")
 	}
+	if err := check(b); err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
 	return b, nil
 }
 
@@ -79,21 +86,37 @@
 // Raw is an already encoded message, so that one encoding serves many receivers.
 type Raw []byte
 
-// Marshal implements connect.Codec.
+// Marshal implements connect.Codec. A Partial loses the parts that Marshal refuses.
 func (Codec) Marshal(v any) ([]byte, error) {
 	if r, ok := v.(*Raw); ok {
 		// connect-go reuses the returned slice for later messages.
 		return bytes.Clone(*r), nil
 	}
+	data, err := Marshal(v)
+	p, ok := v.(Partial)
+	if err == nil || !ok {
+		return data, err
+	}
+	p.SetDropped(DropInvalid(v))
 	return Marshal(v)
 }
 
-// Unmarshal implements connect.Codec; an empty body leaves v unchanged.
+// Unmarshal implements connect.Codec; an empty body leaves v unchanged. A Partial keeps its valid parts.
 func (Codec) Unmarshal(data []byte, v any) error {
 	if len(bytes.TrimSpace(data)) == 0 {
 		return nil
 	}
-	return Unmarshal(data, v)
+	err := Unmarshal(data, v)
+	p, ok := v.(Partial)
+	if err == nil || !ok {
+		return err
+	}
+	dropped, partErr := unmarshalParts(data, v)
+	if partErr != nil {
+		return err
+	}
+	p.SetDropped(dropped)
+	return nil
 }
 
 // ConnectOption returns the option for all handlers and clients of internal messages; small messages aren't compressed.
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -30,8 +30,9 @@
 
 // Dial opens a session with a replica and runs it until it fails: it sends hello, then the messages from up, and calls
 // receive for each message it gets, with the latest time at which the leader is known to have served this session. It
-// returns the leader's address if the replica redirected to it.
-func Dial(ctx context.Context, addr string, hello Hello, up <-chan UpMessage, receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
+// returns the leader's address if the replica redirected to it. A message of which parts were dropped, since they couldn't be
+// encoded or decoded, goes on without them, and dropped is called with their fields.
+func Dial(ctx context.Context, addr string, hello Hello, up <-chan UpMessage, dropped func(fields []string), receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := encoder.NewClient()
@@ -66,6 +67,9 @@
 				received <- errNotLeading
 				return
 			}
+			if len(d.Dropped) > 0 {
+				dropped(d.Dropped)
+			}
 			receive(*d, sent.confirm(d))
 		}
 	}()
@@ -94,6 +98,9 @@
 			_ = stream.CloseRequest()
 			return redirect, errors.Join(err, <-received)
 		}
+		if len(m.Dropped) > 0 {
+			dropped(m.Dropped)
+		}
 	}
 }
 
@@ -127,7 +134,7 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	defer cancel()
 	up := make(chan UpMessage, maxQueuedReports)
-	_, err := Dial(ctx, addr, hello, up, func(d DownMessage, confirmed time.Time) {
+	_, err := Dial(ctx, addr, hello, up, h.logDropped, func(d DownMessage, confirmed time.Time) {
 		h.membership.addPeers(d.Replicas)
 		h.post(func(now time.Time) {
 			h.leaderSeenAt = now
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -186,13 +186,19 @@
 	return g.membership.state().Doc, nil
 }
 
-// PutVersion commits a new version of an adapter.
+// PutVersion commits a new version of an adapter; it returns an InputError for names that other processes couldn't read.
 func (g *Governor) PutVersion(ctx context.Context, v tracker.Resident) error {
+	if err := checkAdapter(v.Adapter); err != nil {
+		return err
+	}
 	return g.propose(ctx, command{Version: &v})
 }
 
-// Announce records a backend server's announcement.
+// Announce records a backend server's announcement; it returns an InputError for one that other processes couldn't read.
 func (g *Governor) Announce(ctx context.Context, in tracker.Instance) error {
+	if err := checkInstance(in); err != nil {
+		return err
+	}
 	if err := g.checkLeading(); err != nil {
 		return err
 	}
@@ -211,6 +217,9 @@
 //
 // A key whose StartedMS is 0 means the latest known incarnation.
 func (g *Governor) MarkLeaving(ctx context.Context, k tracker.Key) error {
+	if err := checkText("id", k.ID); err != nil {
+		return err
+	}
 	if k.StartedMS == 0 {
 		k = g.hub.latestKey(k.ID)
 	}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"redwingstage.org/coord/encoder"
@@ -228,15 +229,11 @@
 
 // broadcast sends a message to all relays, including its own.
 func (h *hub) broadcast(d DownMessage) {
-	h.relay.apply(&d)
-	if len(h.relaySessions) < 2 {
-		return
-	}
-	data, err := encode(&d)
-	if err != nil {
-		h.log.Error("encode a message", err)
+	data, ok := encodeValid(h.log, &d)
+	if !ok {
 		return
 	}
+	h.relay.apply(&d)
 	for s := range h.relaySessions {
 		if s != h.ownSession {
 			h.enqueue(s, data)
@@ -254,12 +251,16 @@
 }
 
 func (h *hub) send(s *session, d DownMessage) {
-	data, err := encode(&d)
-	if err != nil {
-		h.log.Error("encode a message", err)
-		return
+	if data, ok := encodeValid(h.log, &d); ok {
+		h.enqueue(s, data)
+	}
+}
+
+// logDropped logs the fields of which elements were dropped from a message or a command; any goroutine may call it.
+func (h *hub) logDropped(fields []string) {
+	if len(fields) > 0 {
+		h.log.Warn("dropped unreadable elements", strings.Join(fields, ", "))
 	}
-	h.enqueue(s, data)
 }
 
 // openSession accepts a session; false means that the caller must try another replica.
@@ -407,6 +408,7 @@
 		return
 	}
 	s.lastReceived = now
+	h.logDropped(up.Dropped)
 	if up.Hello != nil && !h.beginSession(now, s, *up.Hello) {
 		h.closeSession(s)
 	}
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -57,6 +57,8 @@
 type result struct {
 	// Number is a leader epoch or a replica's ID.
 	Number uint64 `cbor:"1,keyasint,omitempty"`
+	// IsUnreadable is set if the command couldn't be decoded and changed nothing.
+	IsUnreadable bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Doc is the operator's document as it was sent.
@@ -96,10 +98,12 @@
 type machine struct {
 	state    atomic.Pointer[replicatedState]
 	onChange func()
+	// onUnreadable is called for a command that can't be decoded.
+	onUnreadable func(index uint64, err error)
 }
 
-func newMachine(onChange func()) *machine {
-	m := &machine{onChange: onChange}
+func newMachine(onChange func(), onUnreadable func(index uint64, err error)) *machine {
+	m := &machine{onChange: onChange, onUnreadable: onUnreadable}
 	m.state.Store(&replicatedState{LastID: maxInitialID})
 	return m
 }
@@ -108,11 +112,12 @@
 func (m *machine) current() *replicatedState { return m.state.Load() }
 
 // Apply implements runner.StateMachine.
-func (m *machine) Apply(_ uint64, data []byte) []byte {
+func (m *machine) Apply(index uint64, data []byte) []byte {
 	var cmd command
 	if err := encoder.Unmarshal(data, &cmd); err != nil {
-		// A command of a later release that can't be decoded changes nothing.
-		return nil
+		// It changes nothing, at any replica: it is of a later release, or of an earlier one that didn't check it.
+		m.onUnreadable(index, err)
+		return encodeResult(result{IsUnreadable: true})
 	}
 	next := *m.current()
 	next.Applied++
@@ -144,8 +149,13 @@
 	}
 	m.state.Store(&next)
 	m.onChange()
+	return encodeResult(res)
+}
+
+func encodeResult(res result) []byte {
 	out, err := encoder.Marshal(res)
 	if err != nil {
+		// A result holds no text, so that it can always be encoded.
 		return nil
 	}
 	return out
--- a/stage/governor/machine_test.go
+++ b/stage/governor/machine_test.go
@@ -22,7 +22,7 @@
 
 func TestLogKeepsHeldAdapters(t *testing.T) {
 	c := qt.New(t)
-	m := newMachine(func() {})
+	m := newMachine(func() {}, func(uint64, error) {})
 	record := func(list ...allocator.Holding) {
 		data, err := encoder.Marshal(command{Held: list})
 		c.Assert(err, qt.IsNil)
@@ -47,14 +47,14 @@
 
 	data, err := m.Snapshot()
 	c.Assert(err, qt.IsNil)
-	other := newMachine(func() {})
+	other := newMachine(func() {}, func(uint64, error) {})
 	c.Assert(other.Restore(data), qt.IsNil)
 	c.Check(other.current().Held, qt.DeepEquals, m.current().Held)
 }
 
 func TestLogKeepsServers(t *testing.T) {
 	c := qt.New(t)
-	m := newMachine(func() {})
+	m := newMachine(func() {}, func(uint64, error) {})
 	apply := func(cmd command) {
 		data, err := encoder.Marshal(cmd)
 		c.Assert(err, qt.IsNil)
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -68,7 +68,7 @@
 }
 
 func newMembership(cfg Config, l *logger.Component) *membership {
-	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {})}
+	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {})}
 }
 
 // log returns the open log, or nil.
@@ -139,9 +139,19 @@
 	if err != nil {
 		return result{}, err
 	}
+	return readResult(out)
+}
+
+// readResult returns the result of a command, or an error for one that no replica could decode.
+func readResult(out runner.Result) (result, error) {
 	var res result
-	err = encoder.Unmarshal(out.Data, &res)
-	return res, err
+	if err := encoder.Unmarshal(out.Data, &res); err != nil {
+		return result{}, errors.Wrapf(err, "result of command %d", out.Index)
+	}
+	if res.IsUnreadable {
+		return result{}, errors.Errorf("command %d can't be decoded and changed nothing", out.Index)
+	}
+	return res, nil
 }
 
 // transferLeadership makes another replica lead before a shutdown.
@@ -204,7 +214,9 @@
 		return err
 	}
 	c := carrier.New(id, clusterName, carrier.WithResponseTimeout(carrierTimeout))
-	m := newMachine(ms.onStateChange)
+	m := newMachine(ms.onStateChange, func(index uint64, err error) {
+		ms.logger.Error("apply command "+strconv.FormatUint(index, 10), err)
+	})
 	r, err := runner.New(runner.Config{
 		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
--- a/stage/governor/quarantine_test.go
+++ b/stage/governor/quarantine_test.go
@@ -69,7 +69,7 @@
 func TestQuarantineSurvivesLeader(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	m := newMachine(func() {})
+	m := newMachine(func() {}, func(uint64, error) {})
 	q := newQuarantine(now, m.current())
 	bad := quarantiner.Digest{1}
 	record := func(q *quarantine) {
--- a/stage/governor/record.go
+++ b/stage/governor/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/tracker"
 )
@@ -59,11 +60,17 @@
 		return
 	}
 	held := r.unrecorded
+	cmd := command{Held: held, Servers: updated, RemovedServers: removed}
+	if _, err := encoder.Marshal(&cmd); err != nil {
+		h.log.Error("encode held adapters and servers", err)
+		h.logDropped(encoder.DropInvalid(&cmd))
+		held = cmd.Held
+	}
 	r.proposedAt, r.proposing, r.unrecorded = now, true, nil
 	h.spawn(func() {
 		ctx, cancel := context.WithTimeout(h.ctx, proposeTimeout)
 		defer cancel()
-		_, err := h.membership.propose(ctx, command{Held: held, Servers: updated, RemovedServers: removed})
+		_, err := h.membership.propose(ctx, cmd)
 		h.post(func(time.Time) {
 			r.proposing = false
 			if err != nil {
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -172,9 +172,8 @@
 
 // send queues a message for one session; a session whose queue is full is closed, and its entry reconnects.
 func (r *relay) send(s *session, d DownMessage, kind string) {
-	data, err := encode(&d)
-	if err != nil {
-		r.log.Error("encode a message", err)
+	data, ok := encodeValid(r.log, &d)
+	if !ok {
 		return
 	}
 	r.metrics.countSent(kind, len(data))
@@ -306,9 +305,8 @@
 	if wait <= 0 {
 		r.nextUpdateAt = now.Add(updateEvery + time.Duration(len(r.sessions))*updatePerSession)
 	}
-	data, err := encode(&d)
-	if err != nil {
-		r.log.Error("encode an update", err)
+	data, ok := encodeValid(r.log, &d)
+	if !ok {
 		return 0
 	}
 	for s := range r.sessions {
--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/stage/logger"
 )
 
 const (
@@ -73,9 +75,24 @@
 	}
 }
 
+// encodeValid removes from a message what other processes couldn't decode, and encodes it; ok is false if nothing is left.
+// A message without content would end the session.
+func encodeValid(l *logger.Component, d *DownMessage) (data encoder.Raw, ok bool) {
+	data, err := encode(d)
+	if err != nil {
+		l.Error("encode a message", err)
+		return nil, false
+	}
+	if len(d.Dropped) == 0 {
+		return data, true
+	}
+	l.Warn("dropped unreadable elements", strings.Join(d.Dropped, ", "))
+	return data, d.Welcome != nil || !isEmptyDown(d)
+}
+
 // encode returns a message in wire form, compressed if large.
 func encode(d *DownMessage) (encoder.Raw, error) {
-	data, err := encoder.Marshal(d)
+	data, err := (encoder.Codec{}).Marshal(d)
 	if err != nil || len(data) < minCompressedSize {
 		return data, err
 	}
@@ -106,7 +123,7 @@
 		return nil, errors.Errorf("a message has more than %d bytes", maxMessage)
 	}
 	var out DownMessage
-	if err := encoder.Unmarshal(data, &out); err != nil {
+	if err := (encoder.Codec{}).Unmarshal(data, &out); err != nil {
 		return nil, err
 	}
 	return &out, nil
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -27,8 +27,13 @@
 	Sound   []quarantiner.Digest `cbor:"11,keyasint,omitempty"`
 	// Trials are requests for trials of quarantined digests, and their results, in their order.
 	Trials []Trial `cbor:"12,keyasint,omitempty"`
+	// Dropped names the fields of elements that couldn't be encoded or decoded.
+	Dropped []string `cbor:"-"`
 }
 
+// SetDropped implements encoder.Partial.
+func (m *UpMessage) SetDropped(fields []string) { m.Dropped = fields }
+
 // Crash is the end of a backend server's incarnation under requests that it had not begun to answer.
 type Crash struct {
 	Server tracker.Key `cbor:"1,keyasint"`
@@ -154,8 +159,13 @@
 	LeaderAge time.Duration `cbor:"15,keyasint,omitempty"`
 	// Standings are the changed standings of parts and requests; Clear ends one.
 	Standings []DigestStanding `cbor:"16,keyasint,omitempty"`
+	// Dropped names the fields of elements that couldn't be encoded or decoded.
+	Dropped []string `cbor:"-"`
 }
 
+// SetDropped implements encoder.Partial.
+func (m *DownMessage) SetDropped(fields []string) { m.Dropped = fields }
+
 // Peer is a replica's address and, if known, data centre.
 type Peer struct {
 	Addr string `cbor:"1,keyasint"`
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -264,7 +265,9 @@
 	c.addr, c.cancel = addr, cancel
 	c.mu.Unlock()
 	hello := governor.Hello{Node: c.entry.cfg.Node, Zone: c.entry.cfg.Zone}
-	redirect, err = governor.Dial(ctx, addr, hello, c.queue, func(d governor.DownMessage, confirmed time.Time) {
+	redirect, err = governor.Dial(ctx, addr, hello, c.queue, func(fields []string) {
+		c.entry.log.Warn("dropped unreadable elements", strings.Join(fields, ", "))
+	}, func(d governor.DownMessage, confirmed time.Time) {
 		c.mu.Lock()
 		if confirmed.After(c.confirmedAt) {
 			c.confirmedAt = confirmed
