Control: a founder that the group removed joins it again

A replica that must begin anew empties its folder and asks for an ID; a seed of a new deployment took itself for a founder instead, for as long as its process ran. The group refuses its new folder, so that it emptied it again every 0.3 s and never took part. Two such founders of a group of three end it.

Cause: the setting for the first start outlived the first start. Change: it ends with the first folder that is given up.

TestRemovedFounderJoinsAgain failed before (no voter after 12 s) and passes now.

--- a/coord/faulter/faulter.go
+++ b/coord/faulter/faulter.go
@@ -46,6 +46,9 @@
 	failure    Failure
 	killed     bool
 	ignoreSync bool
+	// free is the number of bytes until the disk is full, if isLimited.
+	free      int
+	isLimited bool
 }
 
 type inode struct {
@@ -74,6 +77,31 @@
 	s.failAt, s.failure = s.steps+n, f
 }
 
+// Fill leaves room for a number of bytes in all files together, after which nothing can be written, created or extended,
+// until Free is called. A crash frees nothing.
+func (s *FileSystem) Fill(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.free, s.isLimited = bytes, true
+}
+
+// Free ends Fill.
+func (s *FileSystem) Free() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isLimited = false
+}
+
+// take returns how many of n bytes can be written.
+func (s *FileSystem) take(n int) int {
+	if !s.isLimited {
+		return n
+	}
+	n = min(n, s.free)
+	s.free -= n
+	return n
+}
+
 // IgnoreSync makes all syncs succeed without effect, like a disk that acknowledges unwritten data.
 func (s *FileSystem) IgnoreSync() {
 	s.mu.Lock()
@@ -223,6 +251,9 @@
 func (s *FileSystem) Create(path string) (journaler.File, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isLimited && s.free == 0 {
+		return nil, &fs.PathError{Op: "create", Path: path, Err: syscall.ENOSPC}
+	}
 	n := &inode{}
 	if err := s.changeFolder("create", folderOp{to: path, node: n}, path); err != nil {
 		return nil, err
--- a/coord/faulter/file.go
+++ b/coord/faulter/file.go
@@ -39,8 +39,12 @@
 		f.node.data = append(f.node.data, b[:half]...)
 		return half, nil
 	}
-	f.node.data = append(f.node.data, b...)
-	return len(b), nil
+	n := f.fs.take(len(b))
+	f.node.data = append(f.node.data, b[:n]...)
+	if n < len(b) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
 }
 
 // Sync implements journaler.File.
@@ -68,6 +72,9 @@
 	if _, err := f.step("truncate"); err != nil {
 		return err
 	}
+	if f.fs.isLimited && f.fs.free == 0 {
+		return syscall.ENOSPC
+	}
 	f.node.data = f.node.data[:size:size]
 	return nil
 }
--- a/stage/governor/join_test.go
+++ b/stage/governor/join_test.go
@@ -52,3 +52,32 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(again.ID, qt.Equals, first.ID)
 }
+
+// A founder that its group had removed emptied its folder and took itself for a founder again, as long as its process ran.
+// The group refused its new folder, and it never took part again.
+func TestRemovedFounderJoinsAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.awaitVoters(3)
+	g.put(1)
+	leader, gov := g.leader()
+	removed := (leader + 1) % 3
+	id := uint64(removed + 1)
+	ctx, cancel := context.WithTimeout(context.Background(), testRecoverTime)
+	defer cancel()
+	c.Assert(gov.membership.log().RemoveMember(ctx, id), qt.IsNil)
+	for end := time.Now().Add(testRecoverTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		_, gov := g.leader()
+		r := gov.membership.log()
+		if r == nil {
+			continue
+		}
+		for _, m := range r.Status().Members {
+			if m.Addr == g.addrs[removed] && m.ID != id && !m.Learner {
+				return
+			}
+		}
+	}
+	c.Error("the replica isn't a voter again")
+}
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -189,6 +189,8 @@
 		}
 		ms.logger.Error("the log ended, it is opened again", err)
 		if mustRejoin(err) {
+			// The group exists, so that nobody founds it again.
+			ms.cfg.NewDeployment = false
 			if err := ms.wipe(); err != nil {
 				ms.logger.Error("empty the data folder", err)
 			}
