Control: an identity that can't be read isn't taken for a missing one

Cause: any error of reading the identity's file, such as too many open files, counted as a missing file; the replica emptied its folder, and with it the log. Change: only a missing or torn file does; other errors are logged, and the replica tries again.

TestUnreadableIdentityKeepsTheLog failed before and passes now.

--- a/stage/governor/join_test.go
+++ b/stage/governor/join_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -81,3 +84,30 @@
 	}
 	c.Error("the replica isn't a voter again")
 }
+
+// An identity that couldn't be read for a moment, such as without a free descriptor, counted as missing, and the replica
+// emptied its folder.
+func TestUnreadableIdentityKeepsTheLog(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.awaitVoters(3)
+	g.put(1)
+	leader, _ := g.leader()
+	i := (leader + 1) % 3
+	g.stop(i)
+	path := filepath.Join(g.folder, strconv.Itoa(i), identityFile)
+	c.Assert(os.Rename(path, path+".kept"), qt.IsNil)
+	c.Assert(os.Mkdir(path, 0o755), qt.IsNil)
+	g.start(i, true)
+	c.Assert(g.log.Await(testApplyTime, "read the identity"), qt.IsTrue)
+	c.Assert(os.Remove(path), qt.IsNil)
+	c.Assert(os.Rename(path+".kept", path), qt.IsNil)
+	for end := time.Now().Add(testRecoverTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if r := g.running[i].membership.log(); r != nil && r.Status().Leader != 0 {
+			c.Check(r.Status().ID, qt.Equals, uint64(i+1))
+			return
+		}
+	}
+	c.Error("the replica has no leader")
+}
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -305,6 +305,9 @@
 	}
 	path := filepath.Join(ms.cfg.DataFolder, identityFile)
 	data, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return 0, nil, errors.Wrap(err, "read the identity")
+	}
 	if err == nil {
 		var known identity
 		if err := json.Unmarshal(data, &known); err == nil && known.ID != 0 {
