Balancer: an older version's grace runs from its own replacement

Cause: entries kept the newest version only, with the time at which it came; each newer one made all older ones usable for another second. Besides, a copy in use was drained only where some engine had the very newest version.

Change: entries keep the announcements of the last second, and judge a copy by the first one above it.

--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -539,3 +539,29 @@
 	c.Assert(orders, qt.HasLen, 1)
 	c.Check(orders[0].Evict, qt.Equals, tracker.Adapter{}, qt.Commentf("the engine doesn't list it"))
 }
+
+// While versions followed each other, no engine had the newest one, so that older copies in use were never replaced.
+func TestAdapterInUseIsReplacedWhileVersionsFollowEachOther(t *testing.T) {
+	c := qt.New(t)
+	a := allocator.New(allocator.Config{})
+	add(a, engine("x", "z"), 1)
+	load(c, a, start, want("a1", "z"))
+	add(a, engine("y", "z"), 1)
+	later := start.Add(time.Second)
+	a.RecordUse(later, "p", "x", adapter("a1"), 5, 2)
+	a.SetVersion(adapter("a1"), 2)
+	orders := a.Plan(later)
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Engine, qt.Equals, "y")
+	a.SetVersion(adapter("a1"), 3)
+	a.EndLoad(later, orders[0], allocator.Done)
+	a.RecordUse(later, "p", "y", adapter("a1"), 5, 2)
+	a.Plan(later.Add(100 * time.Millisecond))
+	c.Check(a.Residents("x"), qt.DeepEquals, residents(""), qt.Commentf("y has a newer version"))
+	c.Check(a.Residents("y"), qt.HasLen, 2)
+	a.RecordUse(later, "p", "x", adapter("a1"), 0, 0)
+	orders = a.Plan(later.Add(500 * time.Millisecond))
+	c.Assert(orders, qt.HasLen, 1)
+	c.Check(orders[0].Engine, qt.Equals, "x")
+	c.Check(orders[0].Version, qt.Equals, 3)
+}
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -138,11 +138,12 @@
 
 // Balancer chooses servers; it is safe for concurrent use.
 type Balancer struct {
-	mu           sync.Mutex
-	servers      map[string]*server
-	services     map[string]map[string]*server
-	leavingKeys  map[tracker.Key]bool
-	versions     map[tracker.Adapter]version
+	mu          sync.Mutex
+	servers     map[string]*server
+	services    map[string]map[string]*server
+	leavingKeys map[tracker.Key]bool
+	// versions are the announced versions of adapters, in order; of those from before oldVersionGrace only the last one.
+	versions     map[tracker.Adapter][]version
 	waiters      map[tracker.Adapter]chan struct{}
 	queues       map[string]*queue
 	prefillRates map[string]*prefillRate
@@ -157,7 +158,7 @@
 func New() *Balancer {
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
-		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter]version),
+		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
 		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool), entries: 1, randIntN: rand.IntN,
 	}
 }
@@ -264,9 +265,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range list {
-		if r.Version > b.versions[r.Adapter].number {
-			b.versions[r.Adapter] = version{number: r.Version, since: now}
+		list := b.versions[r.Adapter]
+		if n := len(list); n > 0 && r.Version <= list[n-1].number {
+			continue
+		}
+		list = append(list, version{number: r.Version, since: now})
+		for len(list) > 1 && now.Sub(list[1].since) >= oldVersionGrace {
+			list = list[1:]
 		}
+		b.versions[r.Adapter] = list
 	}
 }
 
@@ -468,8 +475,12 @@
 	if ad.Name == "" {
 		return true
 	}
-	v := b.versions[ad]
-	return have >= v.number || now.Sub(v.since) < oldVersionGrace
+	for _, v := range b.versions[ad] {
+		if v.number > have {
+			return now.Sub(v.since) < oldVersionGrace
+		}
+	}
+	return true
 }
 
 // load returns a server's load as a share of its slots.
