--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -175,7 +175,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
-	if err := r.Resign(ctx); err != nil {
+	if err := r.Resign(ctx); err != nil && !errors.Is(err, runner.ErrNoTarget) {
 		ms.logger.Error("give up the vote", err)
 	}
 }
