Verdict: lines about downloads are no failures, and each failure has its name

Cause: with an empty module cache, the go command writes one line for each module between the events of the tests; each counted as a failure without a name, so that the README's test command failed on a fresh machine.

TestDownloadsAreNoFailures failed before (2 failures, none named).

--- a/standin/verdicter/verdicter.go
+++ b/standin/verdicter/verdicter.go
@@ -74,7 +74,9 @@
 	for sc.Scan() {
 		var e testEvent
 		if json.Unmarshal(sc.Bytes(), &e) != nil {
-			v.otherFailures = append(v.otherFailures, sc.Text())
+			if line := sc.Text(); !isProgress(line) {
+				v.otherFailures = append(v.otherFailures, line)
+			}
 			continue
 		}
 		if e.Test == "" && e.Action == "fail" {
@@ -93,6 +95,16 @@
 	return v, nil
 }
 
+// isProgress reports whether a line of the go command says what it fetches, as with an empty module cache.
+func isProgress(line string) bool {
+	for _, action := range []string{"downloading", "extracting", "finding"} {
+		if strings.HasPrefix(line, "go: "+action+" ") {
+			return true
+		}
+	}
+	return false
+}
+
 func (v *Result) add(e testEvent, known []string, failedIn map[string]bool) {
 	name := e.Package
 	if e.Test != "" {
@@ -139,7 +151,7 @@
 func (v *Result) Print(w io.Writer) error {
 	var b strings.Builder
 	for _, line := range v.otherFailures {
-		fmt.Fprintln(&b, line)
+		fmt.Fprintf(&b, "--- go test: %s\n", line)
 	}
 	for _, name := range v.failed {
 		fmt.Fprintf(&b, "--- %s\n%s", name, strings.Join(v.output[name], ""))
--- a/standin/verdicter/verdicter_test.go
+++ b/standin/verdicter/verdicter_test.go
@@ -44,3 +44,22 @@
 		})
 	}
 }
+
+// With an empty module cache, the lines about downloads counted as failures, and nothing named them.
+func TestDownloadsAreNoFailures(t *testing.T) {
+	c := qt.New(t)
+	give := "go: downloading example.org/m v1.2.3\n" + passA + "go: downloading example.org/n v0.1.0\n"
+	v, err := Evaluate(strings.NewReader(give), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(v.IsSuccess(), qt.IsTrue)
+	var b strings.Builder
+	c.Assert(v.Print(&b), qt.IsNil)
+	c.Check(b.String(), qt.Equals, "1 passed, 0 failed, 0 skipped\n")
+
+	v, err = Evaluate(strings.NewReader(give+"go: example.org/m: no such host\n"), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(v.IsSuccess(), qt.IsFalse)
+	b.Reset()
+	c.Assert(v.Print(&b), qt.IsNil)
+	c.Check(b.String(), qt.Equals, "--- go test: go: example.org/m: no such host\n1 passed, 1 failed, 0 skipped\n")
+}
