Owner: a task doesn't wait for an event that no loop handles

Cause: an event may be queued just before the event loop ends; the task that stops an attempt waited for its result, and Close for the task, for ever.

--- a/stage/owner/owner.go
+++ b/stage/owner/owner.go
@@ -155,6 +155,21 @@
 	}
 }
 
+// await runs f in the event loop and returns its result; ok is false once the owner is closed. The loop may end with f in
+// its queue.
+func (o *Owner) await(f func() bool) (result, ok bool) {
+	done := make(chan bool, 1)
+	if !o.post(func() { done <- f() }) {
+		return false, false
+	}
+	select {
+	case result = <-done:
+		return result, true
+	case <-o.ctx.Done():
+		return false, false
+	}
+}
+
 // postEvent queues an event for the scheduler; it returns false once the owner is closed.
 func (o *Owner) postEvent(ev scheduler.Event) bool {
 	return o.post(func() { o.handleEvent(ev) })
--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -339,9 +339,8 @@
 	if err == nil && (incarnation == "" || incarnation == j.server.Incarnation) {
 		return true
 	}
-	result := make(chan bool, 1)
-	ok := o.post(func() { result <- o.handleUnconfirmedStop(j, err) })
-	return !ok || <-result
+	result, ok := o.await(func() bool { return o.handleUnconfirmedStop(j, err) })
+	return !ok || result
 }
 
 func (o *Owner) requestStop(ctx context.Context, j *job) (string, error) {
