--- a/coord/replicator/succession.go
+++ b/coord/replicator/succession.go
@@ -98,7 +98,7 @@
 	return true
 }
 
-// newestPeer returns the voter with the highest ID that isn't this replica.
+// newestPeer returns the other voter with the highest ID. The newcomer of an exchange that wasn't completed is the newest.
 func (r *Replicator) newestPeer() Member {
 	var newest Member
 	for _, mb := range r.membership.voters() {
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -353,8 +353,8 @@
 }
 
 // Resign gives this replica's vote to a learner, so that the group tolerates as many losses without it as before. It
-// returns once that is committed, or at once if the group has no other learner; a leader transfers its leadership first.
-// Call it before Close.
+// returns once that is committed, or once it is known that no other learner responds; a leader transfers its leadership
+// first. Call it before Close.
 func (r *Runner) Resign(ctx context.Context) error {
 	return r.submitChange(ctx, &change{step: r.stepResign})
 }
--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -341,7 +341,7 @@
 }
 
 // isUnsettled reports whether only a newer report tells what the engine holds: it was loading an adapter that nobody here
-// ordered, or seems to hold more than it can, some of which must be gone.
+// ordered, the last report may be incomplete, or the engine seems to hold more than it can, some of which must be gone.
 func (e *engine) isUnsettled() bool {
 	if e.mayHoldOneMore || e.capacity.Adapters > 0 && e.occupied() > e.capacity.Adapters {
 		return true
