--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -228,7 +228,9 @@
 	if o.Evict.Name != "" {
 		out := w.evict(EngineOrder{Adapter: o.Evict})
 		w.hub.metrics.countOrder("unload", out)
-		w.post(func(now time.Time, l *leaderState) { l.alloc.EndEviction(now, o, out) })
+		// load changes o while the control goroutine may not have read this yet.
+		evicted := o
+		w.post(func(now time.Time, l *leaderState) { l.alloc.EndEviction(now, evicted, out) })
 		if out != allocator.Done {
 			w.post(func(now time.Time, l *leaderState) { l.alloc.EndLoad(now, o, allocator.NotExecuted) })
 			return
