--- a/stage/governor/replacement_test.go
+++ b/stage/governor/replacement_test.go
@@ -36,6 +36,26 @@
 	delete(g.running, i)
 }
 
+// loseDisks takes the power of all replicas. All but the one that is gone come back, n of them, the successor not among them,
+// with empty disks.
+func (g *group) loseDisks(n, gone, successor int) {
+	for i := range g.addrs {
+		if g.running[i] != nil {
+			g.loseMachine(i)
+		}
+	}
+	for i := range g.addrs {
+		if i == gone {
+			continue
+		}
+		if n > 0 && i != successor {
+			g.wipe(i)
+			n--
+		}
+		g.start(i, false)
+	}
+}
+
 // versionWithin returns the version of the document in force, or 0 if no replica serves it within d.
 func (g *group) versionWithin(d time.Duration) uint64 {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -64,22 +84,7 @@
 			successor := g.add()
 			time.Sleep(testSyncTime)
 			g.put(2)
-			for i := range g.addrs {
-				if g.running[i] != nil {
-					g.loseMachine(i)
-				}
-			}
-			tolerated := (size - 1) / 2
-			for i := range g.addrs {
-				if i == (leader+1)%size {
-					continue
-				}
-				if tolerated > 0 && i != successor {
-					g.wipe(i)
-					tolerated--
-				}
-				g.start(i, false)
-			}
+			g.loseDisks((size-1)/2, (leader+1)%size, successor)
 			c.Check(g.versionWithin(testRecoverTime), qt.Equals, uint64(2))
 		})
 	}
@@ -105,22 +110,7 @@
 				}
 				g.stop(replaced)
 				g.put(2)
-				for i := range g.addrs {
-					if g.running[i] != nil {
-						g.loseMachine(i)
-					}
-				}
-				tolerated := (size - 1) / 2
-				for i := range g.addrs {
-					if i == replaced {
-						continue
-					}
-					if tolerated > 0 && i != successor {
-						g.wipe(i)
-						tolerated--
-					}
-					g.start(i, false)
-				}
+				g.loseDisks((size-1)/2, replaced, successor)
 				c.Check(g.versionWithin(testRecoverTime), qt.Equals, uint64(2))
 			})
 		}
