--- a/stage/governor/late_orders_test.go
+++ b/stage/governor/late_orders_test.go
@@ -194,6 +194,29 @@
 	}
 }
 
+// runFor runs the hub's plans and events for d.
+func (h *hub) runFor(d time.Duration) {
+	h.plan(time.Now())
+	for end := time.After(d); ; {
+		select {
+		case f := <-h.events:
+			f(time.Now())
+			h.plan(time.Now())
+		case <-end:
+			return
+		}
+	}
+}
+
+// changeLeader ends the leadership and begins the next one after a time, with a leader that knows nothing.
+func (h *hub) changeLeader(epoch uint64, after time.Duration) {
+	h.stepDown()
+	lastSeen := time.Now()
+	time.Sleep(after)
+	h.leader = newLeaderState(epoch, time.Now(), &replicatedState{}, testCapacity(enginePlaces))
+	h.leader.reportsCompleteAt = lastSeen.Add(lateOrderTime)
+}
+
 func playLateOrders(c *qt.C, seed uint64) {
 	e := newPlacesEngine(seed)
 	random := rand.New(rand.NewPCG(seed, 2))
@@ -228,12 +251,8 @@
 			case 0:
 				e.restart()
 			case 1:
-				h.stepDown()
-				lastSeen := time.Now()
-				time.Sleep(time.Duration(random.Int64N(int64(2 * time.Second))))
 				epoch++
-				h.leader = newLeaderState(epoch, time.Now(), &replicatedState{}, testCapacity(enginePlaces))
-				h.leader.reportsCompleteAt = lastSeen.Add(lateOrderTime)
+				h.changeLeader(epoch, time.Duration(random.Int64N(int64(2*time.Second))))
 			default:
 				ad := testAdapter(fmt.Sprint("a", zipf.Uint64())).Adapter
 				version++
@@ -250,16 +269,7 @@
 		if now.Sub(start) < lateOrdersEnd+calmTime {
 			h.want(fmt.Sprint("a", zipf.Uint64()))
 		}
-		h.plan(time.Now())
-		for end := time.After(wantEvery); end != nil; {
-			select {
-			case f := <-h.events:
-				f(time.Now())
-				h.plan(time.Now())
-			case <-end:
-				end = nil
-			}
-		}
+		h.runFor(wantEvery)
 		_, _, overrun := e.state()
 		if overrun != "" {
 			c.Fatalf("seed %d: after %v the engine of %d places was ordered to load %s", seed, time.Since(start), enginePlaces, overrun)
