Interfaces of the parts for client accounts, quotas, places, room and speeds

Cause: two deployments ask for client accounts, quotas, shared admission and reckoning of engines' memory; several parts are built beside each other. Nothing reads them yet: without accounts the code does what it did.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -71,6 +71,11 @@
 	Tokens             int
 	MaxPause           time.Duration
 	IgnorePrefillLimit bool
+	// Memory is the room that the request needs at an engine, in tokens of its prompt and its expected answer; 0 if unknown.
+	Memory int
+	// Priority is the request's priority; 0 is the most urgent. Deadline is when its caller leaves.
+	Priority int
+	Deadline time.Time
 }
 
 // Choice is the server for one attempt.
--- a/serving/matcher/matcher.go
+++ b/serving/matcher/matcher.go
@@ -42,6 +42,8 @@
 	Attempts int
 	// Shares are the services that answer, by weight.
 	Shares []Share
+	// Public reports that requests need no key.
+	Public bool
 }
 
 // Share is the weight of one service in a route.
@@ -93,6 +95,8 @@
 	// LoadsPerSecond limits the rate at which loads of base models start, over all engines.
 	LoadsPerSecond float64
 	Models         []Model
+	// MemoryTokens is the memory of an engine in tokens, 0 if unknown.
+	MemoryTokens int
 }
 
 // Limits holds the size and time limits of clients' requests.
@@ -104,18 +108,23 @@
 	Idle   time.Duration
 }
 
-// Table is one immutable version of the routes and services.
+// Table is one immutable version of the routes, services and client accounts.
 type Table struct {
-	version  uint64
-	limits   Limits
-	services map[string]*Service
-	hosts    map[string][]*Route
+	version       uint64
+	limits        Limits
+	services      map[string]*Service
+	hosts         map[string][]*Route
+	accounts      []*Account
+	accountsByKey map[KeyHash]*Account
 }
 
 // New returns the table of a configuration, or an error that lists every invalid field with its path.
-func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
-	t := &Table{version: version, limits: limits, services: make(map[string]*Service), hosts: make(map[string][]*Route)}
-	var problems []string
+func New(version uint64, routes []Route, services []Service, limits Limits, accounts ...Account) (*Table, error) {
+	t := &Table{
+		version: version, limits: limits, services: make(map[string]*Service), hosts: make(map[string][]*Route),
+		accountsByKey: make(map[KeyHash]*Account),
+	}
+	problems := t.addAccounts(accounts)
 	for i := range services {
 		s := &services[i]
 		if s.Name == "" || t.services[s.Name] != nil {
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -13,6 +13,7 @@
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
+	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
@@ -58,6 +59,8 @@
 	Tolerated int
 	// NewDeployment is set if the whole deployment is new, so that the seeds are the group's initial members.
 	NewDeployment bool
+	// Quota are the tolerances of client accounts' quotas.
+	Quota limiter.Bounds
 }
 
 // Deps are the dependencies of a Governor.
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -198,7 +198,7 @@
 		fmt.Fprintf(&b, "%s: %d\r\n", n.ExpectVersion, a.choice.Version)
 	}
 	if a.call.route.Stream {
-		fmt.Fprintf(&b, "%s: %d\r\n", n.Priority, min(a.call.route.Priority, 9))
+		fmt.Fprintf(&b, "%s: %d\r\n", n.Priority, min(a.call.priority, 9))
 	}
 	b.WriteString("\r\n")
 	b.Write(a.call.req.body)
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -54,7 +54,13 @@
 	adapter tracker.Adapter
 	id      string
 	// tokens is the number of tokens of the prompt, 0 if unknown.
-	tokens   int
+	tokens int
+	// outputTokens is the most tokens that the response may have, 0 if unknown.
+	outputTokens int
+	// account is the client account of the request's key, nil if there is none.
+	account *matcher.Account
+	// priority is that of the account if it has one, otherwise of the route; 0 is the most urgent.
+	priority int
 	head     []byte
 	arrived  time.Time
 	deadline time.Time
@@ -109,14 +115,14 @@
 	}
 	c := &call{
 		req: req, route: route, service: route.Pick(randomPoint()), id: req.get(e.headers.AttemptID), arrived: time.Now(),
-		reached: make(map[string]bool), excluded: make(map[string]bool),
+		reached: make(map[string]bool), excluded: make(map[string]bool), priority: route.Priority,
 	}
 	if c.id == "" {
 		return w.writeError(http.StatusBadRequest, "the header "+e.headers.AttemptID+" is missing", 0)
 	}
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
 		c.adapter = e.headers.ParseModel(req.get(e.headers.Model))
-		c.tokens = e.headers.ParseUsage(req.get(e.headers.Usage))
+		c.tokens, c.outputTokens = e.headers.ParseUsage(req.get(e.headers.Usage))
 	}
 	c.deadline = c.arrived.Add(route.Timeout)
 	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -36,8 +36,15 @@
 	Reserved []string
 	// ParseModel parses the value of the header Model.
 	ParseModel func(value string) tracker.Adapter
-	// ParseUsage parses the number of prompt tokens from the header Usage; 0 if it has none.
-	ParseUsage func(value string) int
+	// ParseUsage parses from the header Usage the tokens of the prompt and the most of the response; 0 for what it lacks.
+	ParseUsage func(value string) (prompt, output int)
+	// LengthHint is the caller's estimate of the tokens of the response; empty if callers give none.
+	LengthHint string
+	// Key carries the key of a client account, Account the account's name towards backend servers; empty if there are none.
+	Key     string
+	Account string
+	// ParseKey parses the key from the header Key; false means that the value has another form.
+	ParseKey func(value string) (key string, ok bool)
 	// ParseParts parses from the header Parts the IDs of the parts that the request shares with others; nil means none.
 	ParseParts func(value string) []string
 	// ReadyPath is the path of the load balancer's readiness probe.
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -15,6 +15,7 @@
 
 	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/stage/governor"
 	"redwingstage.org/stage/logger"
@@ -60,6 +61,15 @@
 	RetryWindow time.Duration
 	// ApplyTime is the time from a document's acknowledgement until it must be in force at all entries; 0 means 2 s.
 	ApplyTime time.Duration
+	// Quota are the tolerances of client accounts' quotas.
+	Quota limiter.Bounds
+	// CloseRevoked makes the withdrawal of a key close the connections that used it and end its requests, RevokeTime after
+	// the document's acknowledgement at the latest. Otherwise the key is only refused for new requests.
+	CloseRevoked bool
+	RevokeTime   time.Duration
+	// MemoryLimit is the memory of the process in bytes, MaxFiles its file descriptors; 0 if unknown.
+	MemoryLimit int64
+	MaxFiles    int
 }
 
 // Deps are the dependencies of an entry.
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -40,7 +40,7 @@
 		model, name, _ := strings.Cut(v, "/")
 		return tracker.Adapter{Model: model, Name: name}
 	},
-	ParseUsage: func(string) int { return 0 },
+	ParseUsage: func(string) (int, int) { return 0, 0 },
 }
 
 // testTable returns a table with a route of each kind for one host.
