Client accounts: the key is checked on the head and never passed on

The relayer decides on route and key by the head, by one table, and again if another version comes while the body is read: 401 before the body is read or asked for, 503 where this entry may not know the newest keys. With accounts the key's header isn't passed on and the account's is the system's own; without them heads are as before. Refusals for a missing route are sent after the body, as before. The time at which the leader served this entry is recorded after the message that shows it was applied, so that no refusal rests on an older version. Log lines and a metric name the account.

--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -45,6 +45,8 @@
 type RequestTiming struct {
 	Server string
 	Model  string
+	// Account is the name of the request's client account, "" if it has none.
+	Account string
 	// Reason is the phase that took too long.
 	Reason string
 	// Wait ends when the last server is chosen, First at its response's first byte; Gap is the longest pause after it.
@@ -70,14 +72,31 @@
 // Error logs a failure with its cause.
 func (c *Component) Error(msg string, err error) { c.log.Error().Err(err).Msg(c.prefix + msg) }
 
+// Request is a request that has ended.
+type Request struct {
+	ID string
+	// Account is the name of its client account, "" if it has none.
+	Account, Model  string
+	Outcome, Reason string
+	Status          int
+}
+
 // Request logs the end of a request.
-func (c *Component) Request(id, model, outcome, reason string, status int) {
+func (c *Component) Request(r Request) {
 	dropped, ok := c.requests.allow(time.Now())
 	if !ok {
 		return
 	}
-	withDropped(c.log.Info(), dropped).Str("request", id).Str("model", model).Str("outcome", outcome).Str("reason", reason).
-		Int("status", status).Msg(c.prefix + "request ended")
+	withAccount(withDropped(c.log.Info(), dropped).Str("request", r.ID), r.Account).Str("model", r.Model).Str("outcome", r.Outcome).
+		Str("reason", r.Reason).Int("status", r.Status).Msg(c.prefix + "request ended")
+}
+
+// withAccount adds the name of a client account if there is one.
+func withAccount(e *log.Entry, account string) *log.Entry {
+	if account != "" {
+		e = e.Str("account", account)
+	}
+	return e
 }
 
 // LateRequest logs a complete response that exceeded its route's latency target.
@@ -86,7 +105,7 @@
 	if !ok {
 		return
 	}
-	withDropped(c.log.Info(), dropped).Str("request", id).Str("model", t.Model).Str("server", t.Server).Str("reason", t.Reason).
+	withAccount(withDropped(c.log.Info(), dropped).Str("request", id), t.Account).Str("model", t.Model).Str("server", t.Server).Str("reason", t.Reason).
 		Int64("wait_ms", t.Wait.Milliseconds()).Int64("first_ms", t.First.Milliseconds()).Int64("gap_ms", t.Gap.Milliseconds()).
 		Int("running", t.Running).Int("sends", t.Sends).Msg(c.prefix + "request served late")
 }
--- a/stage/logger/logger_test.go
+++ b/stage/logger/logger_test.go
@@ -41,7 +41,7 @@
 	for range 3 * lateLinesPerSecond {
 		p.LateRequest("r1", RequestTiming{Reason: "first event"})
 	}
-	p.Request("r2", "", "refused", "full", 503)
+	p.Request(Request{ID: "r2", Outcome: "refused", Reason: "full", Status: 503})
 	c.Check(strings.Count(out.String(), "request served late"), qt.Equals, lateLinesPerSecond)
 	c.Check(strings.Count(out.String(), "request ended"), qt.Equals, 1)
 }
--- a/stage/receiver/answer.go
+++ b/stage/receiver/answer.go
@@ -13,6 +13,7 @@
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/serving/retrier"
 	"redwingstage.org/stage/assembler"
+	"redwingstage.org/stage/logger"
 	"redwingstage.org/stage/streamer"
 )
 
@@ -199,7 +200,9 @@
 func (r *Receiver) recordEnd(req *streamer.Request, end streamer.End, status int, now time.Time) {
 	metDeadline := end.Outcome == retrier.Done && now.Before(req.Deadline)
 	r.Meter.CountRequest(req.Class, end.Outcome.String(), metDeadline)
-	r.Log.Request(req.ID, req.Target.String(), end.Outcome.String(), string(end.Reason), status)
+	r.Log.Request(logger.Request{
+		ID: req.ID, Model: req.Target.String(), Outcome: end.Outcome.String(), Reason: string(end.Reason), Status: status,
+	})
 }
 
 // collector buffers a whole answer.
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -102,20 +102,14 @@
 
 // serveRequest serves a request; false means that the connection must close.
 func (e *Relayer) serveRequest(ctx context.Context, req *request, w *responseWriter) bool {
-	table := e.table.Load()
-	if table == nil {
-		return w.writeError(http.StatusServiceUnavailable, "this entry has no configuration yet", retryAfterNoServer)
-	}
-	route, ok := table.Match(req.host, req.path)
-	if !ok && e.control.disconnectedFor(time.Now()) > 0 {
-		return w.writeError(http.StatusServiceUnavailable, "no route matches, and this entry may not know the newest ones", retryAfterNoServer)
-	}
-	if !ok {
-		return w.writeError(http.StatusNotFound, "no route matches "+req.host+req.path, 0)
+	d := e.currentDecision(req)
+	if d.refusal != nil {
+		return e.writeRefusal(req, w, d.refusal)
 	}
+	table, route := d.table, d.route
 	c := &call{
 		req: req, route: route, service: route.Pick(randomPoint()), id: req.get(e.headers.AttemptID), arrived: time.Now(),
-		reached: make(map[string]bool), excluded: make(map[string]bool), priority: route.Priority,
+		reached: make(map[string]bool), excluded: make(map[string]bool), account: d.account, priority: d.priority(),
 	}
 	if c.id == "" {
 		return w.writeError(http.StatusBadRequest, "the header "+e.headers.AttemptID+" is missing", 0)
@@ -135,12 +129,14 @@
 	if a := e.suspects.check(c); a != quarantiner.Admitted {
 		return e.refuseQuarantined(c, w, a)
 	}
+	if d.account != nil {
+		e.metrics.countAccount(d.account.Name, accountAdmitted)
+	}
 	c.head = req.upstreamHead(e.headers)
 	e.budget.countRequest()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
 	defer cancel()
-	ok = e.tryServers(ctx, c, w)
-	return ok
+	return e.tryServers(ctx, c, w)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -281,7 +277,7 @@
 // reportLate logs and counts complete responses that missed their route's target or gap.
 func (e *Relayer) reportLate(c *call, w *responseWriter) {
 	t := logger.RequestTiming{
-		Server: c.choice.Key.ID, Model: c.adapter.Name, Wait: c.chosenAt.Sub(c.arrived), First: w.firstWriteAt.Sub(c.arrived), Gap: w.maxGap,
+		Server: c.choice.Key.ID, Model: c.adapter.Name, Account: c.req.decision.accountName(), Wait: c.chosenAt.Sub(c.arrived), First: w.firstWriteAt.Sub(c.arrived), Gap: w.maxGap,
 		Running: c.choice.Running, Sends: c.sends,
 	}
 	switch {
@@ -341,18 +337,25 @@
 	if e.ctx.Err() != nil {
 		reason = "the entry shut down: " + reason
 	}
-	e.log.Request(c.id, c.adapter.Name, "cut", reason, w.status)
+	e.logEnd(c, "cut", reason, w.status)
 	return false
 }
 
+// logEnd logs the end of a request that wasn't served.
+func (e *Relayer) logEnd(c *call, outcome, reason string, status int) {
+	e.log.Request(logger.Request{
+		ID: c.id, Account: c.req.decision.accountName(), Model: c.adapter.Name, Outcome: outcome, Reason: reason, Status: status,
+	})
+}
+
 // refuse responds that the request was not run, and when to retry.
 func (e *Relayer) refuse(c *call, w *responseWriter, reason string, retryAfter time.Duration) bool {
-	e.log.Request(c.id, c.adapter.Name, "refused", reason, http.StatusServiceUnavailable)
+	e.logEnd(c, "refused", reason, http.StatusServiceUnavailable)
 	return w.writeError(http.StatusServiceUnavailable, reason, retryAfter)
 }
 
 func (e *Relayer) respondError(c *call, w *responseWriter, status int, reason string) bool {
-	e.log.Request(c.id, c.adapter.Name, "failed", reason, status)
+	e.logEnd(c, "failed", reason, status)
 	return w.writeError(status, reason, 0)
 }
 
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -268,11 +268,6 @@
 	redirect, err = governor.Dial(ctx, addr, hello, c.queue, func(fields []string) {
 		c.entry.log.Warn("dropped unreadable elements", strings.Join(fields, ", "))
 	}, func(d governor.DownMessage, confirmed time.Time) {
-		c.mu.Lock()
-		if confirmed.After(c.confirmedAt) {
-			c.confirmedAt = confirmed
-		}
-		c.mu.Unlock()
 		if d.Welcome != nil {
 			started = true
 			c.mu.Lock()
@@ -282,10 +277,21 @@
 			c.entry.log.Info("session with a control replica", addr)
 		}
 		c.applyMessage(d)
+		c.confirm(confirmed)
 	})
 	return started, redirect, err
 }
 
+// confirm records that the leader is known to have served this entry at a time. What its messages up to then contain must
+// have been applied: from then on this entry refuses what it doesn't know.
+func (c *controlClient) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
+
 // applyMessage applies a message from the replica.
 func (c *controlClient) applyMessage(d governor.DownMessage) {
 	e := c.entry
@@ -364,6 +370,7 @@
 			return
 		}
 		e.table.Store(t)
+		e.metrics.keepAccounts(t)
 		e.log.Document(doc.Version)
 	}
 	c.enqueue(governor.UpMessage{Version: e.table.Load().Version()})
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -45,6 +45,8 @@
 	Account string
 	// ParseKey parses the key from the header Key; false means that the value has another form.
 	ParseKey func(value string) (key string, ok bool)
+	// Challenge is the value of WWW-Authenticate in a 401, the scheme of Key; empty for none.
+	Challenge string
 	// ParseParts parses from the header Parts the IDs of the parts that the request shares with others; nil means none.
 	ParseParts func(value string) []string
 	// ReadyPath is the path of the load balancer's readiness probe.
@@ -62,10 +64,15 @@
 	Headers
 	kept    map[string]bool
 	dropped map[string]bool
+	// canonicalKey and canonicalAccount are Key and Account in canonical form.
+	canonicalKey, canonicalAccount string
 }
 
 func newHeaderNames(names Headers) *headerNames {
-	n := &headerNames{Headers: names, kept: make(map[string]bool), dropped: make(map[string]bool)}
+	n := &headerNames{
+		Headers: names, kept: make(map[string]bool), dropped: make(map[string]bool),
+		canonicalKey: http.CanonicalHeaderKey(names.Key), canonicalAccount: http.CanonicalHeaderKey(names.Account),
+	}
 	for _, h := range append([]string{names.AttemptID, names.Model, names.Resume, names.Usage, names.Parts, "Host"}, names.AlwaysForwarded...) {
 		n.kept[http.CanonicalHeaderKey(h)] = true
 	}
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/matcher"
 )
 
 // metricsPath is the path of the metrics on the readiness listener.
@@ -21,12 +23,59 @@
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
+
+	accountsMu sync.Mutex
+	accounts   *prometheus.CounterVec
+	// accountNames are the accounts that have been counted.
+	accountNames map[string]bool
+}
+
+// accountOutcome is what became of a request with regard to its client account.
+type accountOutcome string
+
+const (
+	// accountAdmitted counts requests that were passed on to be served.
+	accountAdmitted accountOutcome = "admitted"
+	// accountKeyRefused counts 401 to requests without a known key.
+	accountKeyRefused accountOutcome = "refused_key"
+	// accountKeyUnsure counts 503 to requests without a known key, at an entry that may not know the newest keys.
+	accountKeyUnsure accountOutcome = "unsure_key"
+)
+
+// unknownAccount is the label of requests whose key no account holds.
+const unknownAccount = "unknown"
+
+// countAccount counts a request of an account in force, or of unknownAccount.
+func (m *metrics) countAccount(name string, o accountOutcome) {
+	m.accountsMu.Lock()
+	defer m.accountsMu.Unlock()
+	m.accountNames[name] = true
+	m.accounts.WithLabelValues(name, string(o)).Inc()
+}
+
+// keepAccounts removes the counts of accounts that a table doesn't have, which bounds the labels.
+func (m *metrics) keepAccounts(t *matcher.Table) {
+	kept := map[string]bool{unknownAccount: true}
+	for _, a := range t.Accounts() {
+		kept[a.Name] = true
+	}
+	m.accountsMu.Lock()
+	defer m.accountsMu.Unlock()
+	for name := range m.accountNames {
+		if !kept[name] {
+			m.accounts.DeletePartialMatch(prometheus.Labels{"account": name})
+			delete(m.accountNames, name)
+		}
+	}
 }
 
 func newMetrics() *metrics {
 	buckets := []float64{.01, .03, .1, .2, .3, .6, 1, 2, 5}
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		registry: prometheus.NewRegistry(), accountNames: make(map[string]bool),
+		accounts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_accounts_total", Help: "Requests of client accounts by what became of them.",
+		}, []string{"account", "outcome"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_requests_total", Help: "Requests by how they ended.",
 		}, []string{"outcome"}),
@@ -43,7 +92,7 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait)
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts)
 	return m
 }
 
--- a/stage/relayer/parse.go
+++ b/stage/relayer/parse.go
@@ -45,6 +45,9 @@
 	// closeConn is set if the caller wants the connection closed after the response.
 	closeConn bool
 	body      []byte
+	// decision is what was decided on the head; isBodyUnread is set if the request is refused and its body is left unread.
+	decision     headDecision
+	isBodyUnread bool
 }
 
 // get returns the first value of the header with the given canonical name.
@@ -210,7 +213,8 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// upstreamHead returns the request line and the header lines to forward to a backend server; serialize adds the system's own.
+// upstreamHead returns the request line and the header lines to forward to a backend server, with the name of the request's
+// client account if it has one; serialize adds the system's other headers.
 func (r *request) upstreamHead(n *headerNames) []byte {
 	connectionHeaders := make(map[string]bool)
 	for _, f := range r.fields {
@@ -225,7 +229,7 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n", r.method, r.uri)
 	for _, f := range r.fields {
-		if hopByHop[f.name] || connectionHeaders[f.name] || n.dropped[f.name] {
+		if hopByHop[f.name] || connectionHeaders[f.name] || n.dropped[f.name] || n.isHidden(&r.decision, f.name) {
 			continue
 		}
 		b.WriteString(f.name)
@@ -233,6 +237,9 @@
 		b.WriteString(f.value)
 		b.WriteString("\r\n")
 	}
+	if name := r.decision.accountName(); name != "" && n.Account != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", n.Account, name)
+	}
 	if len(r.body) > 0 || r.method == http.MethodPost || r.method == http.MethodPut || r.method == http.MethodPatch {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
 	}
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -256,18 +256,23 @@
 		arrived := time.Now()
 		ok := e.serveWhileConnected(c, br, req, w)
 		e.metrics.countRequest(arrived, w)
+		discardUnread(c, br, req)
 		if !ok || w.writeFailed || w.closeConn {
 			return
 		}
 	}
 }
 
-// readRequest reads a request's head and body; it sends "100 Continue" if the caller waits for it.
+// readRequest reads a request's head and, unless it is refused by the head, its body; it sends "100 Continue" if the caller
+// waits for it.
 func (e *Relayer) readRequest(c net.Conn, br *bufio.Reader, limits matcher.Limits) (*request, error) {
 	req, err := readHead(br, limits.HeaderBytes)
 	if err != nil {
 		return nil, err
 	}
+	if readsBody, err := e.decideRequest(req, br); err != nil || !readsBody {
+		return req, err
+	}
 	if req.expectsContinue && (req.chunked || req.length > 0) {
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return nil, err
--- a/stage/relayer/response_writer.go
+++ b/stage/relayer/response_writer.go
@@ -141,9 +141,9 @@
 	return w.write([]byte("0\r\n\r\n"))
 }
 
-// writeError writes an error response of the entry itself; retryAfter is 0 for no Retry-After header.
-func (w *responseWriter) writeError(status int, reason string, retryAfter time.Duration) bool {
-	fields := []field{{"Content-Type", "application/json"}}
+// writeError writes an error response of the entry itself; retryAfter is 0 for no Retry-After header, more are further headers.
+func (w *responseWriter) writeError(status int, reason string, retryAfter time.Duration, more ...field) bool {
+	fields := append([]field{{"Content-Type", "application/json"}}, more...)
 	if retryAfter > 0 {
 		fields = append(fields, field{"Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64)})
 	}
