Relayer, sender: an answer whose status isn't 100 to 599 is none

fasthttp takes 000 for status 200, and 099, 600 and 999 as they are, so that callers got such bytes as an answer.

The new package stage/parser checks the status line; relayer and sender (requests and control calls) use it before the library reads the head. Such an answer is an unknown outcome: 502 for requests that can't be repeated. The carrier's and the forwarder's connect clients take nothing but 200 (library).

Before: TestAnswerWithoutStatusIsNone got status 200 for 000 and for two spaces before the status, and 99, 600 and 999 as statuses; TestAnswerWithoutStatusIsUnknown got the outcome done for 000 and two spaces, and control calls got no error.

--- /dev/null
+++ b/stage/parser/status.go
@@ -0,0 +1,50 @@
+package parser
+
+import (
+	"bufio"
+	"bytes"
+
+	"github.com/go-faster/errors"
+)
+
+// statusEnd is the length in bytes of a status line up to its status, as in "HTTP/1.1 200".
+const statusEnd = 12
+
+// ErrStatus is the error for a first line that isn't a status line with three digits from 100 to 599.
+var ErrStatus = errors.New("the first line has no status from 100 to 599")
+
+// ParseStatus returns the status of a response that begins with head; the error wraps ErrStatus.
+//
+// net/http and fasthttp take any three digits, and fasthttp reports 000 as 200.
+func ParseStatus(head []byte) (int, error) {
+	line, _, _ := bytes.Cut(head, []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	rest, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !ok || len(line) < statusEnd || !isDigit(rest[0]) || rest[1] != ' ' || len(line) > statusEnd && line[statusEnd] != ' ' {
+		return 0, errors.Wrapf(ErrStatus, "%.40q", line)
+	}
+	status := 0
+	for _, c := range line[statusEnd-3 : statusEnd] {
+		if !isDigit(c) {
+			return 0, errors.Wrapf(ErrStatus, "%.40q", line)
+		}
+		status = 10*status + int(c-'0')
+	}
+	if status < 100 || status > 599 {
+		return 0, errors.Wrapf(ErrStatus, "%.40q", line)
+	}
+	return status, nil
+}
+
+// PeekStatus returns the status of the response that br returns next, without consuming it; errors are those of reading, or wrap
+// ErrStatus.
+func PeekStatus(br *bufio.Reader) (int, error) {
+	// A valid head has at least the line's end after its status.
+	head, err := br.Peek(statusEnd + 1)
+	if err != nil {
+		return 0, err
+	}
+	return ParseStatus(head)
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -443,3 +443,28 @@
 	c.Check(l.receive(c).status, qt.Equals, http.StatusBadGateway)
 	c.Check(runs.Load(), qt.Equals, int64(1))
 }
+
+// An answer whose status isn't 100 to 599 is none: the request may have run. The HTTP library takes 000 for 200, so that a caller
+// got such an answer as a success.
+func TestAnswerWithoutStatusIsNone(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1  200 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 000",
+	} {
+		for _, path := range []string{"/once/", "/stream/"} {
+			t.Run(line+path, func(t *testing.T) {
+				c := qt.New(t)
+				e, seen := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+					head := responseHead(r, 200, "Content-Length: 7")
+					_, _ = io.WriteString(w, strings.Replace(head, "HTTP/1.1 200 X", line, 1)+"id: 1\n\n")
+					return true
+				})
+				l := dial(c, e)
+				l.send(c, "POST", path, "x", testDeadline+": 9000")
+				resp := l.receive(c)
+				c.Check(resp.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%.200s", resp.body))
+				c.Check(resp.body, qt.Contains, "may have run")
+				c.Check(seen.Load(), qt.Equals, int32(1))
+			})
+		}
+	}
+}
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/stage/parser"
 )
 
 // Limits on what a server's response may take, in bytes. A hundred concurrent responses of maxBufferedBytes and of maxEventBytes
@@ -36,12 +37,15 @@
 	lengthUntilClose = -2
 )
 
-// readResponseHead reads a response's head; ambiguous framing and a protocol switch are errors.
+// readResponseHead reads a response's head; a malformed status, ambiguous framing and a protocol switch are errors.
 func readResponseHead(br *bufio.Reader) (*fasthttp.ResponseHeader, error) {
 	raw, err := peekHead(br, br.Size())
 	if err != nil {
 		return nil, err
 	}
+	if _, err := parser.ParseStatus(raw); err != nil {
+		return nil, err
+	}
 	if err := checkFraming(raw); err != nil {
 		return nil, err
 	}
--- a/stage/sender/control.go
+++ b/stage/sender/control.go
@@ -191,7 +191,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return controlReply{}, err
 	}
-	if err := resp.ReadLimitBody(c.br, maxControlReplyBytes); err != nil {
+	if err := readAnswer(c.br, resp, maxControlReplyBytes); err != nil {
 		return controlReply{}, err
 	}
 	if got := string(resp.Header.Peek(marker.Attempt)); got != call.attempt {
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -14,6 +14,7 @@
 
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/serving/retrier"
+	"redwingstage.org/stage/parser"
 	"redwingstage.org/stage/streamer"
 )
 
@@ -22,6 +23,8 @@
 	defaultReadTimeout      = 1 * time.Second
 	defaultFirstByteTimeout = 2 * time.Second
 	bodyEndTimeout          = 20 * time.Millisecond
+	// maxInterimAnswers bounds the 1xx responses before an answer.
+	maxInterimAnswers = 8
 )
 
 // Call is one attempt to be sent to a backend server.
@@ -148,7 +151,7 @@
 	if call.FirstByteTimeout > 0 {
 		c.readTimeout = call.FirstByteTimeout
 	}
-	if err := resp.ReadLimitBody(c.br, 0); err != nil {
+	if err := readAnswer(c.br, resp, 0); err != nil {
 		return Reply{End: unknownEnd(err)}, false
 	}
 	reply := Reply{Status: resp.StatusCode(), Incarnation: string(resp.Header.Peek(marker.Incarnation))}
@@ -170,6 +173,27 @@
 	return reply, reusable && !resp.ConnectionClose()
 }
 
+// readAnswer reads an answer after the interim ones before it; 0 is no limit of its body. An answer without a status is an error.
+func readAnswer(br *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
+	for range maxInterimAnswers {
+		status, err := parser.PeekStatus(br)
+		if err != nil {
+			return err
+		}
+		if status == fasthttp.StatusSwitchingProtocols {
+			return errors.New("the server switches to another protocol, which nobody asked for")
+		}
+		if status >= fasthttp.StatusOK {
+			return resp.ReadLimitBody(br, maxBody)
+		}
+		var interim fasthttp.ResponseHeader
+		if err := interim.Read(br); err != nil {
+			return err
+		}
+	}
+	return errors.New("too many interim answers")
+}
+
 // checkEcho compares the identifiers echoed in the answer's header with those of the call.
 func (s *Sender) checkEcho(h *fasthttp.ResponseHeader, call Call) error {
 	if s.skipEchoCheck {
--- a/stage/sender/sender_test.go
+++ b/stage/sender/sender_test.go
@@ -244,3 +244,23 @@
 		})
 	}
 }
+
+// An answer whose status isn't 100 to 599 is none: the attempt's outcome is unknown. The HTTP library takes 000 for 200.
+func TestAnswerWithoutStatusIsUnknown(t *testing.T) {
+	for _, line := range []string{"000 OK", "099 OK", "600 OK", "999 OK", " 200 OK"} {
+		for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			t.Run(line+interim, func(t *testing.T) {
+				s := startServer(t, func(_ int64, c net.Conn, req *fasthttp.Request) bool {
+					_, err := fmt.Fprintf(c, "%sHTTP/1.1 %s\r\nRedwing-Attempt: a\r\nContent-Length: 2\r\n\r\nok", interim, line)
+					return err == nil
+				})
+				snd := New()
+				defer snd.Close()
+				r := snd.Call(context.Background(), Call{Attempt: "a", Addr: s.addr(), Method: "POST", URI: "/x"}, nil)
+				qt.Check(t, r.End.Outcome, qt.Equals, retrier.Unknown, qt.Commentf("status %d, body %q", r.Status, r.Body))
+				_, err := snd.sendControl(context.Background(), controlCall{addr: s.addr(), method: "GET", path: "/x", attempt: "a"})
+				qt.Check(t, err, qt.IsNotNil)
+			})
+		}
+	}
+}
