--- a/stage/relayer/early_answers_test.go
+++ b/stage/relayer/early_answers_test.go
@@ -48,10 +48,10 @@
 	go func() {
 		for {
 			accepted, err := ln.Accept()
-			if err != nil {
+			conn, ok := accepted.(*net.TCPConn)
+			if err != nil || !ok {
 				return
 			}
-			conn := accepted.(*net.TCPConn)
 			go func() {
 				defer func() { _ = conn.Close() }()
 				_, _ = io.CopyN(io.Discard, conn, int64(a.reads))
--- a/stage/sender/early_answers_test.go
+++ b/stage/sender/early_answers_test.go
@@ -35,8 +35,8 @@
 						_, _ = io.CopyN(io.Discard, conn, 1<<10)
 						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: a\r\n\r\nid: 1\ndata: x\n\n", marker.Attempt)
 						time.Sleep(20 * time.Millisecond)
-						if reset {
-							_ = conn.(*net.TCPConn).SetLinger(0)
+						if tcp, ok := conn.(*net.TCPConn); ok && reset {
+							_ = tcp.SetLinger(0)
 						}
 					}()
 					s := New()
