Quotas: shares of client accounts' quotas at entries, a pool at the leader

Cause: nothing limited what an account may send over all entries. Change: serving/limiter has an entry's buckets and the leader's pool, without a clock; the governor passes demands to the leader and additions to single entries; the relayer charges, waits shortly, refuses with 429 and refunds. Accounts without a limit, and configurations without accounts, send and do nothing new.

--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -129,7 +129,7 @@
 func (h *hub) flush(now time.Time) time.Duration {
 	h.broadcastState()
 	h.broadcastStandings(now)
-	wait := h.relay.sendReport(now)
+	wait := shorterWait(h.relay.sendReport(now), h.distributeQuotas(now))
 	wait = shorterWait(wait, h.plan(now))
 	wait = shorterWait(wait, h.broadcastChanges(now))
 	return shorterWait(wait, h.relay.sendUpdate(now))
@@ -164,6 +164,7 @@
 	h.completeVersionWaits()
 	h.recordQuarantine()
 	h.logPlacement(now)
+	h.logQuotas(now)
 	h.record(now)
 }
 
@@ -219,6 +220,7 @@
 	if h.table == nil || h.table.Version() != state.Doc.Version {
 		h.table = h.decode(state.Doc)
 		h.leader.updateCapacity()
+		h.leader.quotas.configure(h.table)
 		down.Doc = &state.Doc
 	}
 	h.leader.applyState(state)
@@ -282,6 +284,7 @@
 	delete(h.relaySessions, s)
 	h.loads.removeSession(s)
 	if h.leader != nil {
+		h.leader.quotas.pool.RemoveRelay(s.hello.Replica)
 		h.leader.alloc.RemoveReporter(s.hello.Node)
 	}
 	h.broadcastEntryCount()
@@ -474,6 +477,7 @@
 	for _, l := range up.Loads {
 		h.loads.set(s, l)
 	}
+	h.applyQuotaReport(now, s, up.Quotas)
 	h.recordCrashes(now, up.Crashes)
 	h.leader.quarantine.reportSound(now, up.Sound)
 	h.applyTrials(now, up.Trials)
--- a/stage/governor/leader_state.go
+++ b/stage/governor/leader_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -35,6 +36,7 @@
 	changedServers   map[string]bool
 	fullResidentsDue map[string]bool
 	quarantine       *quarantine
+	quotas           *leaderQuotas
 }
 
 func newLeaderState(leaderEpoch uint64, now time.Time, state *replicatedState, capacity CapacityFunc) *leaderState {
@@ -42,6 +44,7 @@
 		leaderEpoch: leaderEpoch, startedAt: now, engines: tracker.New(), alloc: allocator.New(allocator.Config{}), capacity: capacity,
 		sentResidents: make(map[string]map[tracker.Adapter]int), changedServers: make(map[string]bool),
 		fullResidentsDue: make(map[string]bool), quarantine: newQuarantine(now, state),
+		quotas: newLeaderQuotas(now, limiter.Bounds{}, nil, 0),
 	}
 	l.alloc.RestoreHoldings(state.Held)
 	l.applyState(state)
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -43,6 +43,7 @@
 	h.term = term
 	h.table = h.decode(state.Doc)
 	h.leader = newLeaderState(leaderEpoch, now, state, h.capacity)
+	h.leader.quotas = newLeaderQuotas(now, h.cfg.Quota, h.table, h.relay.view.quotas.Entries)
 	h.leader.reportsCompleteAt = h.leaderSeenAt.Add(lateOrderTime)
 	h.applied = state.Applied
 	h.sentState = state
@@ -70,6 +71,7 @@
 func (h *hub) fullState() DownMessage {
 	d := h.leader.fullState(h.membership.state(), time.Now())
 	d.Replicas, d.Entries = h.sentReplicas, h.entries
+	d.Quotas = h.quotaAnnouncement()
 	return d
 }
 
--- a/stage/governor/metrics.go
+++ b/stage/governor/metrics.go
@@ -23,6 +23,7 @@
 	leads    prometheus.Gauge
 	bytes    *prometheus.CounterVec
 	messages *prometheus.CounterVec
+	granted  *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -48,7 +49,10 @@
 			Name: "redwingstage_control_sent_messages_total", Help: "Messages to relays and entries, by kind.",
 		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages)
+	m.granted = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_control_quota_granted_total", Help: "What the leader gave to entries of client accounts' quotas, in the quota's unit.",
+	}, []string{"account"})
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted)
 	return m
 }
 
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -43,6 +43,7 @@
 	confirmedAt  time.Time
 	nextUpdateAt time.Time
 	pending      pendingReport
+	quotas       relayQuotas
 }
 
 // pendingReport is a relay's next report to the leader.
@@ -77,7 +78,7 @@
 }
 
 func newRelay(l *logger.Component, m *metrics) *relay {
-	r := &relay{log: l, metrics: m, sessions: make(map[*session]bool), view: newView()}
+	r := &relay{log: l, metrics: m, sessions: make(map[*session]bool), view: newView(), quotas: newRelayQuotas()}
 	r.pending.loads = newLoads()
 	r.pending.uses = make(map[AdapterPlacement]*usage)
 	r.clearRequests()
@@ -88,6 +89,7 @@
 	r.pending.wants, r.pending.missing = make(map[wantKey]Want), make(map[AdapterPlacement]bool)
 	r.pending.known = make(map[tracker.Key]tracker.Instance)
 	r.pending.crashes, r.pending.sound, r.pending.trials = nil, make(map[quarantiner.Digest]bool), nil
+	r.quotas.clearReport()
 }
 
 // setUpstream sets the connection to a leader, to which everything must be reported anew.
@@ -98,6 +100,7 @@
 	for _, u := range r.pending.uses {
 		u.changed = true
 	}
+	r.quotas.restart(r.view.quotas.Entries)
 }
 
 func (r *relay) clearUpstream(now time.Time) {
@@ -144,6 +147,7 @@
 		}
 	}
 	r.sessions[s] = true
+	r.quotas.add(s)
 	d := r.view.fullState()
 	d.LeaderAge = r.leaderAge(now)
 	r.send(s, d, "whole")
@@ -155,6 +159,7 @@
 	}
 	delete(r.sessions, s)
 	s.close()
+	r.quotas.remove(s)
 	r.pending.loads.removeSession(s)
 	for _, u := range r.pending.uses {
 		if _, ok := u.running[s]; ok {
@@ -184,7 +189,12 @@
 }
 
 // apply applies a message of the leader.
-func (r *relay) apply(d *DownMessage) { r.view.apply(d) }
+func (r *relay) apply(d *DownMessage) {
+	r.view.apply(d)
+	if d.Quotas != nil {
+		r.applyQuotas(d.Quotas)
+	}
+}
 
 // receive adds an entry's message to the pending report.
 func (r *relay) receive(s *session, up UpMessage) {
@@ -224,6 +234,7 @@
 			p.known[in.Key] = in
 		}
 	}
+	r.quotas.receive(s, up.Quotas)
 }
 
 func (r *relay) addUse(s *session, use Use) {
@@ -274,6 +285,7 @@
 			r.closeSession(s)
 		}
 	}
+	r.quotas.countLive(now, r.sessions)
 	if r.upstream == nil && len(r.sessions) > 0 && now.Sub(r.upstreamLostAt) > upstreamGrace {
 		r.log.Warn("without a leader for too long, closing all sessions with entries", "")
 		r.closeSessions()
@@ -328,7 +340,7 @@
 		return 0
 	}
 	version := r.lowestVersion()
-	urgent := len(p.wants)+len(p.missing)+len(p.known)+len(p.crashes)+len(p.sound)+len(p.trials) > 0 || version != p.version || len(r.sessions) != p.entries || p.loads.due(now)
+	urgent := len(p.wants)+len(p.missing)+len(p.known)+len(p.crashes)+len(p.sound)+len(p.trials) > 0 || version != p.version || len(r.sessions) != p.entries || p.loads.due(now) || r.quotas.isDue()
 	usesDue := now.Sub(p.usesSentAt) >= useReportEvery
 	if !urgent && !usesDue {
 		return 0
@@ -337,6 +349,7 @@
 		return wait
 	}
 	up := UpMessage{Loads: p.loads.takeChanged(now), Missing: slices.Collect(maps.Keys(p.missing)), Known: slices.Collect(maps.Values(p.known))}
+	up.Quotas = r.quotas.report()
 	up.Crashes, up.Sound, up.Trials = p.crashes, slices.Collect(maps.Keys(p.sound)), p.trials
 	if version != p.version {
 		up.Version = version
@@ -374,7 +387,7 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials) == 0
+	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials) == 0
 }
 
 // takeUses returns the use that changed since the last call.
--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -42,7 +42,10 @@
 	// version is the document in force at the other side; entries is a relay's number of sessions with entries.
 	version uint64
 	entries int
-	closed  bool
+	// id identifies an entry's session to the leader; live is the number of a relay's entries that were heard of lately.
+	id     uint64
+	live   int
+	closed bool
 }
 
 func (s *session) isRelay() bool { return s.hello != nil && s.hello.Replica != 0 }
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -24,18 +24,20 @@
 	entries   int
 	replicas  []Peer
 	standings map[quarantiner.Digest]DigestStanding
-	changes   changes
+	// quotas is the leader's latest announcement, without additions.
+	quotas  QuotaUpdate
+	changes changes
 }
 
 // changes are the parts of a view that entries don't have yet.
 type changes struct {
-	doc, entries, replicas bool
-	versions               map[tracker.Adapter]bool
-	leaving                map[tracker.Key]bool
-	engines                map[string]bool
-	held                   map[AdapterPlacement]bool
-	loads                  map[string]bool
-	standings              map[quarantiner.Digest]bool
+	doc, entries, replicas, quotas bool
+	versions                       map[tracker.Adapter]bool
+	leaving                        map[tracker.Key]bool
+	engines                        map[string]bool
+	held                           map[AdapterPlacement]bool
+	loads                          map[string]bool
+	standings                      map[quarantiner.Digest]bool
 }
 
 func newView() *view {
@@ -67,7 +69,7 @@
 }
 
 func (c *changes) isEmpty() bool {
-	return !c.isUrgent() && !c.entries && len(c.held)+len(c.loads) == 0
+	return !c.isUrgent() && !c.entries && !c.quotas && len(c.held)+len(c.loads) == 0
 }
 
 // apply applies a message of the leader. Documents, versions and leaving servers never go back, even with a new leader.
@@ -117,6 +119,10 @@
 	if d.Entries > 0 && d.Entries != v.entries {
 		v.entries, v.changes.entries = d.Entries, true
 	}
+	if d.Quotas != nil && d.Quotas.Entries > 0 {
+		v.quotas, v.changes.quotas = *d.Quotas, true
+		v.quotas.Additions = nil
+	}
 	if list := v.withZones(d.Replicas); len(list) > 0 && !slices.Equal(list, v.replicas) {
 		v.replicas, v.changes.replicas = list, true
 	}
@@ -267,12 +273,16 @@
 		d.Replicas = v.replicas
 	}
 	if !all {
-		v.changes.held, v.changes.loads, v.changes.entries = c.held, c.loads, c.entries
+		v.changes.held, v.changes.loads, v.changes.entries, v.changes.quotas = c.held, c.loads, c.entries, c.quotas
 		return d
 	}
 	if c.entries {
 		d.Entries = v.entries
 	}
+	if c.quotas {
+		quotas := v.quotas
+		d.Quotas = &quotas
+	}
 	for at := range c.held {
 		version, ok := v.held[at.Engine][at.Adapter]
 		if _, listed := v.engines[at.Engine]; listed {
@@ -292,6 +302,10 @@
 func (v *view) fullState() DownMessage {
 	welcome, doc := v.welcome, v.doc
 	d := DownMessage{Welcome: &welcome, Doc: &doc, Leaving: sortedKeys(v.leaving), Entries: v.entries, Replicas: v.replicas}
+	if v.quotas.Entries > 0 {
+		quotas := v.quotas
+		d.Quotas = &quotas
+	}
 	for ad, n := range v.versions {
 		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: n})
 	}
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -26,7 +26,7 @@
 		log: l.log, prefix: name + ": ",
 		requests: lineQuota{perSecond: requestLinesPerSecond}, attempts: lineQuota{perSecond: attemptLinesPerSecond},
 		late: lineQuota{perSecond: lateLinesPerSecond}, orders: lineQuota{perSecond: orderLinesPerSecond},
-		loads: lineQuota{perSecond: orderLinesPerSecond},
+		loads: lineQuota{perSecond: orderLinesPerSecond}, refusals: lineQuota{perSecond: refusalLinesPerSecond},
 	}
 }
 
@@ -39,6 +39,7 @@
 	late     lineQuota
 	orders   lineQuota
 	loads    lineQuota
+	refusals lineQuota
 }
 
 // RequestTiming is the latency breakdown of a request.
@@ -177,3 +178,21 @@
 		Str("cause", l.Cause).Str("outcome", l.Outcome).Bool("recent", l.WasRecentlyLoaded).
 		Int64("waited_ms", l.Waited.Milliseconds()).Int64("ms", l.Duration.Milliseconds()).Msg(c.prefix + "load ended")
 }
+
+// QuotaRefused logs a request that its account's quota has no room for: what it needs, what is missing here, and the time
+// after which the caller was told to come back.
+func (c *Component) QuotaRefused(id, account string, need, missing float64, wait time.Duration) {
+	dropped, ok := c.refusals.allow(time.Now())
+	if !ok {
+		return
+	}
+	withDropped(c.log.Info(), dropped).Str("request", id).Str("account", account).Float64("need", need).Float64("missing", missing).
+		Int64("wait_ms", wait.Milliseconds()).Msg(c.prefix + "request exceeds the account's quota")
+}
+
+// QuotaGranted logs what the leader gave out of an account's quota since the last line, what it has left, and the number of
+// entries that ask for more.
+func (c *Component) QuotaGranted(account string, granted, left float64, unmet int, scarce bool) {
+	c.log.Info().Str("account", account).Float64("granted", granted).Float64("left", left).Int("unmet", unmet).Bool("scarce", scarce).
+		Msg(c.prefix + "quota is short")
+}
--- a/stage/logger/quota.go
+++ b/stage/logger/quota.go
@@ -12,6 +12,7 @@
 	attemptLinesPerSecond = 50
 	lateLinesPerSecond    = 20
 	orderLinesPerSecond   = 200
+	refusalLinesPerSecond = 20
 )
 
 // lineQuota limits one kind of line per second.
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -59,6 +59,9 @@
 	outputTokens int
 	// account is the client account of the request's key, nil if there is none.
 	account *matcher.Account
+	// charged is what the request counts of the account's quota, 0 if nothing; wasSent is set once a server may have run it.
+	charged float64
+	wasSent bool
 	// priority is that of the account if it has one, otherwise of the route; 0 is the most urgent.
 	priority int
 	head     []byte
@@ -135,6 +138,10 @@
 	if a := e.suspects.check(c); a != quarantiner.Admitted {
 		return e.refuseQuarantined(c, w, a)
 	}
+	if admitted, ok := e.admitToQuota(ctx, c, w); !admitted {
+		return ok
+	}
+	defer e.refundQuota(c)
 	c.head = req.upstreamHead(e.headers)
 	e.budget.countRequest()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
@@ -219,6 +226,7 @@
 		e.control.enqueueLoads()
 	}
 	e.metrics.countAttempt(r.result)
+	c.wasSent = c.wasSent || r.outcome != outcomeUnsent && r.outcome != outcomeNotRun
 	if r.outcome != outcomeUnsent {
 		c.sends++
 		c.reached[a.choice.Key.ID] = true
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -201,6 +201,7 @@
 	reporting.Go(func() { c.reportUsage(ctx) })
 	reporting.Go(func() { c.watchLeader(ctx) })
 	reporting.Go(func() { c.reportCrashes(ctx) })
+	reporting.Go(func() { c.reportQuotas(ctx) })
 	defer reporting.Wait()
 	for ctx.Err() == nil {
 		delay := reconnectDelay
@@ -273,6 +274,7 @@
 			c.confirmedAt = confirmed
 		}
 		c.mu.Unlock()
+		c.entry.quotas.confirm(confirmed)
 		if d.Welcome != nil {
 			started = true
 			c.mu.Lock()
@@ -315,6 +317,7 @@
 		}
 	}
 	c.applyStandings(&d)
+	e.quotas.apply(now, d.Quotas)
 	if len(d.Loads) > 0 {
 		totals := make([]balancer.Load, 0, len(d.Loads))
 		for _, v := range d.Loads {
@@ -364,6 +367,7 @@
 			return
 		}
 		e.table.Store(t)
+		e.quotas.configure(time.Now(), t.Accounts())
 		e.log.Document(doc.Version)
 	}
 	c.enqueue(governor.UpMessage{Version: e.table.Load().Version()})
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -21,6 +21,8 @@
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
+	quotas    *prometheus.CounterVec
+	amounts   *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -43,7 +45,13 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait)
+	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_entry_quota_requests_total", Help: "Requests of client accounts with a quota by how it decided on them.",
+	}, []string{"account", "decision"})
+	m.amounts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_entry_quota_amount_total", Help: "Amounts of client accounts' quotas, in the quota's unit, by what became of them.",
+	}, []string{"account", "kind"})
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.quotas, m.amounts)
 	return m
 }
 
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -87,6 +87,7 @@
 	log      *logger.Component
 	pool     *pool
 	suspects *suspects
+	quotas   *quotas
 	balancer *balancer.Balancer
 	budget   *retryBudget
 	metrics  *metrics
@@ -128,6 +129,7 @@
 	}
 	e := &Relayer{
 		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(), suspects: newSuspects(cfg.Node),
+		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
 		metrics: newMetrics(),
 		budget:  newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
