--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -201,6 +201,7 @@
 	reporting.Go(func() { c.reportUsage(ctx) })
 	reporting.Go(func() { c.watchLeader(ctx) })
 	reporting.Go(func() { c.reportCrashes(ctx) })
+	reporting.Go(func() { c.reportQuotas(ctx) })
 	defer reporting.Wait()
 	for ctx.Err() == nil {
 		delay := reconnectDelay
@@ -278,6 +279,7 @@
 		}
 		c.applyMessage(d)
 		c.confirm(confirmed)
+		c.entry.quotas.confirm(confirmed)
 	})
 	return started, redirect, err
 }
@@ -321,6 +323,7 @@
 		}
 	}
 	c.applyStandings(&d)
+	e.quotas.apply(now, d.Quotas)
 	if len(d.Loads) > 0 {
 		totals := make([]balancer.Load, 0, len(d.Loads))
 		for _, v := range d.Loads {
@@ -371,6 +374,7 @@
 		}
 		e.table.Store(t)
 		e.metrics.keepAccounts(t)
+		e.quotas.configure(time.Now(), t.Accounts())
 		e.log.Document(doc.Version)
 	}
 	c.enqueue(governor.UpMessage{Version: e.table.Load().Version()})
