Balancer: places at servers by time-averaged sums, refusals and an admitted share

Cause: with more entries than places, sums of loads are older than a short request takes, so that all entries chose the same servers: in the simulation of 63 entries before 7 servers with 6 slots at half load, 14.9 % of arrivals were refused with sums and 3.0 % without any. Change: with more than 8 entries, a sum counts by its age in relation to how long requests stay, beyond that the average counts; servers are chosen at random by score; refusals of servers count in the score and are summed over entries (Load 5); plain services admit a share of their requests that all entries derive from the same sums, or from their own refusals without any; Retry-After is spread. A refusal no longer counts as a sound answer.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -89,6 +89,7 @@
 	Running int
 	// PrefillTokens is the number of prompt tokens of long prompts that the server was already prefilling.
 	PrefillTokens int
+	pickedAt      time.Time
 	// pendingPrefill is the request's own prompt tokens until the server has prefilled them.
 	pendingPrefill *int
 }
@@ -125,6 +126,15 @@
 	// pausedUntil is the time until which the server wants no requests of this entry.
 	pausedUntil time.Time
 	uses        map[tracker.Adapter]*Use
+	// others forecasts the requests of other entries, sumRefusals is the last reported sum of recent refusals.
+	others      forecast
+	sumRefusals int
+	// refusedShare is the share of this entry's requests that the server refused, as of shareAt; refusals counts the recent
+	// ones, the last at refusedAt.
+	refusedShare float64
+	shareAt      time.Time
+	refusedAt    time.Time
+	refusals     recentCount
 }
 
 // Use counts the requests for an adapter at a server started since the last report, and those running.
@@ -152,9 +162,14 @@
 	waiters      map[tracker.Adapter]chan struct{}
 	queues       map[string]*queue
 	prefillRates map[string]*prefillRate
+	// stays and admissions are kept by service.
+	stays      map[string]*stays
+	admissions map[string]*admission
 	// mustReport are the servers with reported work that were removed or restarted, or whose reports may be lost.
 	mustReport map[string]bool
 	entries    int
+	// latest is the latest time that the balancer was told.
+	latest time.Time
 	// randIntN returns a random number in [0, n).
 	randIntN func(n int) int
 }
@@ -164,7 +179,8 @@
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
-		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool), entries: 1, randIntN: rand.IntN,
+		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool),
+		stays: make(map[string]*stays), admissions: make(map[string]*admission), entries: 1, randIntN: rand.IntN,
 	}
 }
 
@@ -212,7 +228,7 @@
 
 func (b *Balancer) remove(id string) {
 	if s := b.servers[id]; s != nil {
-		if s.reportedLoad.Running+s.reportedLoad.PrefillTokens > 0 {
+		if s.hasReported() {
 			b.mustReport[id] = true
 		}
 		delete(b.services[s.Service], id)
@@ -358,15 +374,16 @@
 func (b *Balancer) Pick(now time.Time, req Request) (Choice, PickStatus) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.observe(now)
 	if q := b.queues[req.Service]; q != nil && q.isBehind(req.Adapter, req.Ticket) {
 		return Choice{}, LimitReached
 	}
 	usable, status := b.usableServers(now, req)
-	best := b.best(now, req, b.sample(usable, req.Zone))
+	best := b.selectServer(now, req, usable)
 	if best == nil {
 		return Choice{}, status
 	}
-	c := Choice{Instance: best.Instance, PrefillTokens: b.totalPrefill(now, best)}
+	c := Choice{Instance: best.Instance, pickedAt: now, PrefillTokens: b.totalPrefill(now, best)}
 	best.running++
 	if b.isLongPrompt(req) {
 		best.prefill += req.Tokens
@@ -431,6 +448,14 @@
 	return list[:min(n, len(list))]
 }
 
+// selectServer returns the server for a request, or nil.
+func (b *Balancer) selectServer(now time.Time, req Request, usable []*server) *server {
+	if b.isCrowded() {
+		return b.choose(now, req, b.sample(usable, req.Zone))
+	}
+	return b.best(now, req, b.sample(usable, req.Zone))
+}
+
 // best returns the server with the lowest score, or nil.
 func (b *Balancer) best(now time.Time, req Request, list []*server) *server {
 	var best *server
@@ -490,21 +515,19 @@
 
 // load returns a server's load as a share of its slots.
 func (b *Balancer) load(now time.Time, s *server) float64 {
-	slots := s.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	if b.isCrowded() {
+		return b.expectedRunning(now, s) / float64(s.slots())
 	}
-	return float64(b.totalRunning(now, s)) / float64(slots)
+	return float64(b.totalRunning(now, s)) / float64(s.slots())
 }
 
 // isFull reports whether a server has as many requests as all entries together may have there: enough to keep it busy,
 // too few to overflow its queue. Without fresh loads of the others, each entry may use an equal part of the limit.
 func (b *Balancer) isFull(now time.Time, s *server) bool {
-	slots := s.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	limit := math.Ceil(maxRequestsPerSlot * float64(s.slots()))
+	if b.isCrowded() {
+		return float64(s.running)+s.others.last >= limit && b.hasFreshLoads(now, s)
 	}
-	limit := math.Ceil(maxRequestsPerSlot * float64(slots))
 	if b.hasFreshLoads(now, s) {
 		return float64(b.totalRunning(now, s)) >= limit
 	}
@@ -514,6 +537,9 @@
 // score is lower for the better server; an unreachable one comes after all others.
 func (b *Balancer) score(now time.Time, s *server, req Request) float64 {
 	score := b.load(now, s) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
+	if b.isCrowded() {
+		score += b.refusalScore(now, s)
+	}
 	if s.Zone != req.Zone {
 		score += remotePenalty
 	}
@@ -527,6 +553,7 @@
 func (b *Balancer) End(now time.Time, c Choice, ad tracker.Adapter, r Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.observe(now)
 	b.queue(c.Service).recordResult(now, r)
 	s := b.servers[c.Key.ID]
 	if s == nil || s.Key != c.Key {
@@ -534,6 +561,11 @@
 	}
 	s.running = max(s.running-1, 0)
 	s.endPrefill(c)
+	s.recordRefusal(now, r)
+	b.admission(c.Service).record(now, r)
+	if r == OK {
+		b.recordStay(c.Service, now.Sub(c.pickedAt))
+	}
 	if ad.Name != "" {
 		u := s.use(ad)
 		u.Running = max(u.Running-1, 0)
@@ -541,9 +573,12 @@
 	}
 	switch r {
 	case NoEvidence:
-	case OK, Rejected:
+	case OK:
 		s.failureRate *= 1 - failureDecay
 		s.ejectionTime, s.ejectedUntil = 0, time.Time{}
+	case Rejected:
+		// The server is reachable; whether it would answer well remains open.
+		s.ejectionTime, s.ejectedUntil = 0, time.Time{}
 	case Failed:
 		s.failureRate += failureDecay * (1 - s.failureRate)
 	case Unreachable:
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -11,23 +11,26 @@
 	// Running is the number of requests, PrefillTokens the number of long-prompt tokens that the server is prefilling.
 	Running       int
 	PrefillTokens int
+	// Refusals is the number of requests that the server refused within countTime, about.
+	Refusals int
 }
 
 // Loads returns this entry's loads that changed since the last call.
 func (b *Balancer) Loads() []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.latest
 	var out []Load
 	for id := range b.mustReport {
 		// Work at an earlier start is over; work at the current start is reported below.
-		if s := b.servers[id]; s == nil || s.running+s.prefill == 0 {
+		if s := b.servers[id]; s == nil || s.running+s.prefill+s.refusals.count(now) == 0 {
 			out = append(out, Load{Server: id})
 		}
 	}
 	clear(b.mustReport)
 	for id, s := range b.servers {
-		own := Load{Server: id, Running: s.running, PrefillTokens: s.prefill}
-		if own.Running != s.reportedLoad.Running || own.PrefillTokens != s.reportedLoad.PrefillTokens {
+		own := Load{Server: id, Running: s.running, PrefillTokens: s.prefill, Refusals: s.refusals.count(now)}
+		if own.Running != s.reportedLoad.Running || own.PrefillTokens != s.reportedLoad.PrefillTokens || own.Refusals != s.reportedLoad.Refusals {
 			s.reportedLoad = own
 			out = append(out, own)
 		}
@@ -41,7 +44,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.servers {
-		if s.reportedLoad.Running+s.reportedLoad.PrefillTokens > 0 {
+		if s.hasReported() {
 			b.mustReport[id] = true
 		}
 		s.reportedLoad, s.otherEntriesLoad, s.otherEntriesLoadAt = Load{}, Load{}, time.Time{}
@@ -52,6 +55,7 @@
 func (b *Balancer) SetLoads(now time.Time, list []Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.observe(now)
 	for _, l := range list {
 		s := b.servers[l.Server]
 		if s == nil {
@@ -59,7 +63,15 @@
 		}
 		// The sum includes this entry's last report.
 		s.otherEntriesLoad = Load{Running: max(l.Running-s.reportedLoad.Running, 0), PrefillTokens: max(l.PrefillTokens-s.reportedLoad.PrefillTokens, 0)}
-		s.otherEntriesLoadAt = now
+		s.otherEntriesLoadAt, s.sumRefusals = now, l.Refusals
+		s.others.set(now, float64(s.otherEntriesLoad.Running))
+	}
+}
+
+// observe records the latest time that the balancer was told.
+func (b *Balancer) observe(now time.Time) {
+	if now.After(b.latest) {
+		b.latest = now
 	}
 }
 
@@ -103,3 +115,10 @@
 	}
 	return s.prefill + s.otherEntriesLoad.PrefillTokens
 }
+
+// hasReported reports whether the last report of the server's load was anything but zero.
+func (s *server) hasReported() bool {
+	l := s.reportedLoad
+	l.Server = ""
+	return l != Load{}
+}
--- /dev/null
+++ b/serving/balancer/selection.go
@@ -0,0 +1,94 @@
+package balancer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// selectivity is how much a difference of score counts in the random choice among servers: a server whose score is
+	// higher by d is chosen e^(-selectivity d) times as often. Where sums are fresh in relation to a request's stay,
+	// freshSelectivity is added in proportion.
+	selectivity      = 6.0
+	freshSelectivity = 20.0
+	// refusalPenalty weighs the share of requests that a server refused against load.
+	refusalPenalty = 1.0
+	// fullPenalty is the load that a server counts for which refused this entry's request within a request's stay.
+	fullPenalty = 1.0
+	// refusalWeight is the weight of the latest answer in the share of refused requests, refusalMemory the time constant
+	// with which a share is forgotten.
+	refusalWeight = 0.2
+	refusalMemory = 2 * time.Second
+)
+
+func (s *server) slots() int {
+	if s.Slots <= 0 {
+		return defaultSlots
+	}
+	return s.Slots
+}
+
+// expectedRunning returns the requests that are expected at a server now; without sums, this entry's own.
+func (b *Balancer) expectedRunning(now time.Time, s *server) float64 {
+	if !b.hasFreshLoads(now, s) {
+		return float64(s.running)
+	}
+	return float64(s.running) + s.others.running(now, b.stay(s.Service))
+}
+
+// recordRefusal records whether a server refused a request.
+func (s *server) recordRefusal(now time.Time, r Result) {
+	v := s.refusalRate(now)
+	switch r {
+	case Rejected:
+		s.refusedShare = v + refusalWeight*(1-v)
+		s.refusedAt = now
+		s.refusals.add(now)
+	case OK, Failed:
+		s.refusedShare = v * (1 - refusalWeight)
+	}
+	s.shareAt = now
+}
+
+func (s *server) refusalRate(now time.Time) float64 {
+	if s.shareAt.IsZero() {
+		return 0
+	}
+	return s.refusedShare * math.Exp(-float64(max(now.Sub(s.shareAt), 0))/float64(refusalMemory))
+}
+
+// refusalScore returns the load that a server's refusals count for.
+func (b *Balancer) refusalScore(now time.Time, s *server) float64 {
+	score := refusalPenalty * s.refusalRate(now)
+	if !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < b.stay(s.Service) {
+		score += fullPenalty
+	}
+	return score
+}
+
+// choose returns a server at random, those with a lower score more often, or nil. If all entries chose the one with the
+// lowest score, the same server would get all their requests until the next sums.
+func (b *Balancer) choose(now time.Time, req Request, list []*server) *server {
+	if len(list) == 0 {
+		return nil
+	}
+	steepness := selectivity + freshSelectivity*sumWeight(0, b.stay(req.Service))
+	scores := make([]float64, len(list))
+	lowest := math.Inf(1)
+	for i, s := range list {
+		scores[i] = b.score(now, s, req)
+		lowest = min(lowest, scores[i])
+	}
+	total := 0.0
+	for i, v := range scores {
+		scores[i] = float64(list[i].slots()) * math.Exp(-steepness*(v-lowest))
+		total += scores[i]
+	}
+	point := b.random() * total
+	for i, v := range scores {
+		if point -= v; point < 0 {
+			return list[i]
+		}
+	}
+	return list[len(list)-1]
+}
--- a/stage/governor/loads.go
+++ b/stage/governor/loads.go
@@ -32,7 +32,7 @@
 	}
 	l.urgent = l.urgent || m[s].PrefillTokens != v.PrefillTokens
 	l.changed[v.Server] = true
-	if m[s] = v; v.Running == 0 && v.PrefillTokens == 0 {
+	if m[s] = v; v == (Load{Server: v.Server}) {
 		delete(m, s)
 	}
 }
@@ -67,6 +67,7 @@
 		for _, v := range l.byServer[id] {
 			sum.Running += v.Running
 			sum.PrefillTokens += v.PrefillTokens
+			sum.Refusals += v.Refusals
 		}
 		if len(l.byServer[id]) == 0 {
 			delete(l.byServer, id)
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -178,6 +178,8 @@
 	// Running is the number of requests; PrefillTokens is the number of tokens of prompts in prefill.
 	Running       int `cbor:"2,keyasint,omitempty"`
 	PrefillTokens int `cbor:"3,keyasint,omitempty"`
+	// Refusals is the number of requests that the server refused lately.
+	Refusals int `cbor:"5,keyasint,omitempty"`
 }
 
 // Welcome opens the leader's side of a session.
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -137,6 +138,11 @@
 	}
 	c.head = req.upstreamHead(e.headers)
 	e.budget.countRequest()
+	if a := e.balancer.Admit(time.Now(), c.pickRequest(e.cfg.Zone)); !a.Admitted {
+		e.metrics.countPlace(c, placeRefused, "share")
+		reason := fmt.Sprintf("the servers of %s are full, %.0f %% of its requests are admitted", c.service, 100*a.Share)
+		return e.refuse(c, w, reason, a.RetryAfter)
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
 	defer cancel()
 	ok = e.tryServers(ctx, c, w)
@@ -306,7 +312,8 @@
 	case w.streaming:
 		return e.abortResponse(c, w, r.reason)
 	case !c.mayHaveRun:
-		return e.refuse(c, w, "the request was not run: "+r.reason, retryAfterBusy)
+		e.metrics.countPlace(c, placeRefused, "attempts")
+		return e.refuse(c, w, "the request was not run: "+r.reason, e.retryAfterBusy(c))
 	case !time.Now().Before(c.deadline):
 		return e.respondError(c, w, http.StatusGatewayTimeout, "no answer came in time: "+r.reason)
 	}
@@ -325,11 +332,17 @@
 	case status == balancer.NotLoaded:
 		return e.refuse(c, w, "no server holds the adapter yet", retryAfterLoad)
 	case status == balancer.LimitReached:
-		return e.refuse(c, w, "all servers of "+c.service+" are busy", max(c.expectedWait, retryAfterBusy))
+		e.metrics.countPlace(c, placeRefused, "queue")
+		return e.refuse(c, w, "all servers of "+c.service+" are busy", max(c.expectedWait, e.retryAfterBusy(c)))
 	}
 	return e.refuse(c, w, "no server answers for "+c.service+" now", retryAfterNoServer)
 }
 
+// retryAfterBusy returns when the caller of a request that no server took may come back.
+func (e *Relayer) retryAfterBusy(c *call) time.Duration {
+	return e.balancer.RetryAfter(time.Now(), c.pickRequest(e.cfg.Zone), retryAfterBusy)
+}
+
 // callerLeft reports whether the caller disconnected or a write to it failed; false once the entry itself closes connections.
 func (e *Relayer) callerLeft(ctx context.Context, w *responseWriter) bool {
 	return e.ctx.Err() == nil && (w.writeFailed || errors.Is(context.Cause(ctx), errCallerLeft))
@@ -365,6 +378,14 @@
 	return earlier(c.lastProgressAt.Add(callerTimeout), c.deadline).Add(-firstByteReserve)
 }
 
+// pickRequest describes the server that the request needs to an entry in the zone.
+func (c *call) pickRequest(zone string) balancer.Request {
+	return balancer.Request{
+		Service: c.service, Adapter: c.adapter, Zone: zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause,
+		Priority: c.priority, Deadline: c.deadline,
+	}
+}
+
 // waitReasons names what a request waits for, in the log and in the metric of late responses.
 var waitReasons = map[balancer.PickStatus]string{
 	balancer.NotLoaded: "an adapter", balancer.LimitReached: "a place", balancer.NoServer: "a server",
@@ -373,7 +394,7 @@
 
 // chooseServer returns the server for the next attempt; it waits a bounded time for a free slot or for an adapter to be loaded.
 func (e *Relayer) chooseServer(ctx context.Context, c *call) (balancer.Choice, balancer.PickStatus) {
-	pickRequest := balancer.Request{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause}
+	pickRequest := c.pickRequest(e.cfg.Zone)
 	defer func() {
 		if pickRequest.Ticket != nil {
 			e.balancer.Dequeue(c.service, pickRequest.Ticket)
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -18,6 +18,7 @@
 	registry  *prometheus.Registry
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
+	places    *prometheus.CounterVec
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
@@ -33,6 +34,10 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_attempts_total", Help: "Tries at backend servers by what they tell of the server.",
 		}, []string{"result"}),
+		places: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_places_total",
+			Help: "Requests by service, by whether a server was chosen at once (admitted) or later (waited) or none took them (refused), and by why.",
+		}, []string{"service", "result", "reason"}),
 		late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_late_total", Help: "Whole answers that came later than their route asks for, by what took too long.",
 		}, []string{"reason"}),
@@ -43,7 +48,7 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait)
+	m.registry.MustRegister(m.requests, m.attempts, m.places, m.late, m.firstByte, m.wait)
 	return m
 }
 
@@ -60,9 +65,27 @@
 func (m *metrics) countAttempt(r balancer.Result) { m.attempts.WithLabelValues(resultLabels[r]).Inc() }
 
 func (m *metrics) observeWait(c *call, now time.Time) {
-	if c.sends == 0 {
-		m.wait.Observe(now.Sub(c.arrived).Seconds())
+	if c.sends > 0 {
+		return
 	}
+	m.wait.Observe(now.Sub(c.arrived).Seconds())
+	if c.waitedFor == "" {
+		m.countPlace(c, placeAdmitted, "")
+	} else {
+		m.countPlace(c, placeWaited, c.waitedFor)
+	}
+}
+
+// The results of requests that ask for a place at a server.
+const (
+	placeAdmitted = "admitted"
+	placeWaited   = "waited"
+	placeRefused  = "refused"
+)
+
+// countPlace counts whether a request got a place at a server, and what it waited for or why it was refused.
+func (m *metrics) countPlace(c *call, result, reason string) {
+	m.places.WithLabelValues(c.service, result, reason).Inc()
 }
 
 // countRequest counts a request by its outcome.
