--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -20,6 +20,7 @@
 	registry  *prometheus.Registry
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
+	places    *prometheus.CounterVec
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
@@ -84,6 +85,10 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_attempts_total", Help: "Tries at backend servers by what they tell of the server.",
 		}, []string{"result"}),
+		places: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_places_total",
+			Help: "Requests by service, by whether a server was chosen at once (admitted) or later (waited) or none took them (refused), and by why.",
+		}, []string{"service", "result", "reason"}),
 		late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_late_total", Help: "Whole answers that came later than their route asks for, by what took too long.",
 		}, []string{"reason"}),
@@ -100,7 +105,7 @@
 	m.amounts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_amount_total", Help: "Amounts of client accounts' quotas, in the quota's unit, by what became of them.",
 	}, []string{"account", "kind"})
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts)
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places)
 	return m
 }
 
@@ -117,9 +122,27 @@
 func (m *metrics) countAttempt(r balancer.Result) { m.attempts.WithLabelValues(resultLabels[r]).Inc() }
 
 func (m *metrics) observeWait(c *call, now time.Time) {
-	if c.sends == 0 {
-		m.wait.Observe(now.Sub(c.arrived).Seconds())
+	if c.sends > 0 {
+		return
 	}
+	m.wait.Observe(now.Sub(c.arrived).Seconds())
+	if c.waitedFor == "" {
+		m.countPlace(c, placeAdmitted, "")
+	} else {
+		m.countPlace(c, placeWaited, c.waitedFor)
+	}
+}
+
+// The results of requests that ask for a place at a server.
+const (
+	placeAdmitted = "admitted"
+	placeWaited   = "waited"
+	placeRefused  = "refused"
+)
+
+// countPlace counts whether a request got a place at a server, and what it waited for or why it was refused.
+func (m *metrics) countPlace(c *call, result, reason string) {
+	m.places.WithLabelValues(c.service, result, reason).Inc()
 }
 
 // countRequest counts a request by its outcome.
