Speeds of engines learnt from all entries' streams

Cause: engines of a service differ by two and become slow for a while; balance and the prefill limit took them as equal. Change: serving/profiler compares the times between events and before first events; entries report sums (UpMessage 14), the leader sends speeds (DownMessage 18); the balancer divides load by speed, the prefill limit and placement follow it.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -132,6 +132,8 @@
 	loadsInFlight int
 	// running is the number of requests that run there.
 	running int
+	// speed is its speed in relation to its service's median, 0 if unknown.
+	speed float64
 	// synced reports that slots covers everything that the engine holds, so that orders can't exceed its capacity.
 	synced bool
 	// syncedAt is when the last report was applied.
--- a/serving/allocator/copies.go
+++ b/serving/allocator/copies.go
@@ -37,9 +37,20 @@
 	return a.uses(now, ad) / float64(max(copies, 1))
 }
 
-// relativeLoad returns an engine's running requests relative to the mean over engines.
+// SetSpeed records an engine's speed in relation to its service's median; a slow engine counts as loaded.
+func (a *Allocator) SetSpeed(id string, speed float64) {
+	if e := a.engines[id]; e != nil {
+		e.speed = speed
+	}
+}
+
+// relativeLoad returns an engine's running requests relative to the mean over engines, weighed by its speed.
 func (a *Allocator) relativeLoad(e *engine) float64 {
-	return float64(e.running+1) * float64(len(a.engines)) / float64(a.running+len(a.engines))
+	load := float64(e.running+1) * float64(len(a.engines)) / float64(a.running+len(a.engines))
+	if e.speed > 0 {
+		load /= e.speed
+	}
+	return load
 }
 
 // requestCopies requests one more copy of each adapter whose copies each exceed maxCopyShare.
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -125,6 +126,7 @@
 	// pausedUntil is the time until which the server wants no requests of this entry.
 	pausedUntil time.Time
 	uses        map[tracker.Adapter]*Use
+	speed       speed
 }
 
 // Use counts the requests for an adapter at a server started since the last report, and those running.
@@ -155,6 +157,7 @@
 	// mustReport are the servers with reported work that were removed or restarted, or whose reports may be lost.
 	mustReport map[string]bool
 	entries    int
+	samples    *profiler.Collector
 	// randIntN returns a random number in [0, n).
 	randIntN func(n int) int
 }
@@ -164,7 +167,7 @@
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
-		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool), entries: 1, randIntN: rand.IntN,
+		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool), samples: profiler.NewCollector(), entries: 1, randIntN: rand.IntN,
 	}
 }
 
@@ -513,7 +516,7 @@
 
 // score is lower for the better server; an unreachable one comes after all others.
 func (b *Balancer) score(now time.Time, s *server, req Request) float64 {
-	score := b.load(now, s) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
+	score := s.loadBySpeed(b.load(now, s)) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
 	if s.Zone != req.Zone {
 		score += remotePenalty
 	}
--- a/serving/balancer/prefill.go
+++ b/serving/balancer/prefill.go
@@ -83,12 +83,12 @@
 		return false
 	}
 	prefill := b.totalPrefill(now, s)
-	return prefill > 0 && float64(prefill+req.Tokens) > b.prefillLimit(req.Service, req.MaxPause)
+	return prefill > 0 && float64(prefill+req.Tokens) > b.prefillLimit(req.Service, req.MaxPause)*s.prefillRateOf()
 }
 
 // prefillScore returns the load that a server's prefills count for.
 func (b *Balancer) prefillScore(now time.Time, s *server, req Request) float64 {
-	limit := b.prefillLimit(req.Service, req.MaxPause)
+	limit := b.prefillLimit(req.Service, req.MaxPause) * s.prefillRateOf()
 	if limit <= 0 {
 		return 0
 	}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -54,6 +54,7 @@
 	nextUpdateAt      time.Time
 	nextPlanAt        time.Time
 	placementLoggedAt time.Time
+	slowLoggedAt      time.Time
 	// leaderSeenAt is when this replica last received from a leader or led itself.
 	leaderSeenAt time.Time
 	recorder     recorder
@@ -154,6 +155,7 @@
 	h.broadcastReplicas()
 	h.leader.engines.Expire(now, instanceTTL)
 	h.leader.collectChanges()
+	h.broadcastSpeeds(now)
 	for id, w := range h.workers {
 		if _, ok := h.leader.engines.Instance(id); !ok {
 			w.close()
@@ -308,6 +310,9 @@
 	}
 	d, ok := h.leader.takeUpdate()
 	d.Loads = h.loads.takeChanged(now)
+	for _, id := range d.RemovedServers {
+		h.metrics.removeServer(id)
+	}
 	if ok || len(d.Loads) > 0 {
 		h.broadcast(d)
 		h.nextUpdateAt = now.Add(updateEvery)
@@ -474,6 +479,7 @@
 	for _, l := range up.Loads {
 		h.loads.set(s, l)
 	}
+	h.leader.recordSpeeds(now, up.Speeds)
 	h.recordCrashes(now, up.Crashes)
 	h.leader.quarantine.reportSound(now, up.Sound)
 	h.applyTrials(now, up.Trials)
--- a/stage/governor/leader_state.go
+++ b/stage/governor/leader_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -35,6 +36,7 @@
 	changedServers   map[string]bool
 	fullResidentsDue map[string]bool
 	quarantine       *quarantine
+	speeds           *profiler.Profiler
 }
 
 func newLeaderState(leaderEpoch uint64, now time.Time, state *replicatedState, capacity CapacityFunc) *leaderState {
@@ -42,6 +44,7 @@
 		leaderEpoch: leaderEpoch, startedAt: now, engines: tracker.New(), alloc: allocator.New(allocator.Config{}), capacity: capacity,
 		sentResidents: make(map[string]map[tracker.Adapter]int), changedServers: make(map[string]bool),
 		fullResidentsDue: make(map[string]bool), quarantine: newQuarantine(now, state),
+		speeds: profiler.New(),
 	}
 	l.alloc.RestoreHoldings(state.Held)
 	l.applyState(state)
@@ -83,6 +86,7 @@
 	for _, in := range l.engines.Instances() {
 		if limits, ok := l.capacity(in.Service); ok {
 			l.alloc.SetEngine(in, limits)
+			l.speeds.Set(in.Key.ID, in.Key.StartedMS, in.Service)
 		}
 	}
 }
@@ -94,11 +98,13 @@
 		in, ok := l.engines.Instance(id)
 		if !ok {
 			l.alloc.RemoveEngine(id)
+			l.speeds.Remove(id)
 			delete(l.sentResidents, id)
 			continue
 		}
 		if limits, ok := l.capacity(in.Service); ok {
 			l.alloc.SetEngine(in, limits)
+			l.speeds.Set(id, in.Key.StartedMS, in.Service)
 		}
 	}
 	for _, id := range l.alloc.TakeChanged() {
@@ -175,5 +181,8 @@
 		in.Residents = l.alloc.Residents(in.Key.ID)
 		down.Engines = append(down.Engines, in)
 	}
+	for _, v := range l.speeds.Sent() {
+		down.Speeds = append(down.Speeds, Speed(v))
+	}
 	return down
 }
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -52,6 +52,7 @@
 	h.leader.adoptServers(now, h.relay.view.servers())
 	h.leader.adoptServers(now, state.Servers)
 	h.recorder.reset(state.Servers)
+	h.leader.adoptSpeeds(h.relay.view.sortedSpeeds())
 	h.sentReplicas = h.replicas()
 	d := h.fullState()
 	h.ownSession = &session{hello: &Hello{Node: h.cfg.Node, Zone: h.cfg.Zone}}
@@ -112,6 +113,7 @@
 	}
 	h.log.Info("leads no more", h.cfg.Node)
 	h.leader, h.leaderSeenAt = nil, time.Now()
+	h.metrics.speeds.Reset()
 	for s := range h.relaySessions {
 		h.closeSession(s)
 	}
--- a/stage/governor/metrics.go
+++ b/stage/governor/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"redwingstage.org/serving/allocator"
+	"redwingstage.org/serving/profiler"
 )
 
 // metricsPath is the path of the metrics on the listener for entries and other replicas.
@@ -23,6 +24,8 @@
 	leads    prometheus.Gauge
 	bytes    *prometheus.CounterVec
 	messages *prometheus.CounterVec
+	// speeds has series for the servers that this leader sent a speed of.
+	speeds *prometheus.GaugeVec
 }
 
 func newMetrics() *metrics {
@@ -47,8 +50,11 @@
 		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_control_sent_messages_total", Help: "Messages to relays and entries, by kind.",
 		}, []string{"kind"}),
+		speeds: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "redwingstage_control_server_speed_ratio", Help: "Speed of a server by the median of its service, between events and before the first one.",
+		}, []string{"server", "part"}),
 	}
-	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages)
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.speeds)
 	return m
 }
 
@@ -58,6 +64,16 @@
 	m.messages.WithLabelValues(kind).Inc()
 }
 
+func (m *metrics) setSpeed(v Speed) {
+	m.speeds.WithLabelValues(v.Server, "step").Set(float64(v.Step) / profiler.Usual)
+	m.speeds.WithLabelValues(v.Server, "prefill").Set(float64(v.Prefill) / profiler.Usual)
+}
+
+// removeServer deletes the series of a server.
+func (m *metrics) removeServer(id string) {
+	m.speeds.DeletePartialMatch(prometheus.Labels{"server": id})
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
@@ -56,6 +57,7 @@
 	crashes            []Crash
 	sound              map[quarantiner.Digest]bool
 	trials             []Trial
+	speeds             *profiler.Collector
 	// version and entries are the values last sent to the leader.
 	version uint64
 	entries int
@@ -80,6 +82,7 @@
 	r := &relay{log: l, metrics: m, sessions: make(map[*session]bool), view: newView()}
 	r.pending.loads = newLoads()
 	r.pending.uses = make(map[AdapterPlacement]*usage)
+	r.pending.speeds = profiler.NewCollector()
 	r.clearRequests()
 	return r
 }
@@ -196,6 +199,11 @@
 	for _, l := range up.Loads {
 		p.loads.set(s, l)
 	}
+	for _, v := range up.Speeds {
+		if _, ok := r.view.engines[v.Server]; ok {
+			p.speeds.Add(profiler.Sample(v))
+		}
+	}
 	for _, m := range up.Missing {
 		if len(p.missing) < maxPendingRequests {
 			p.missing[m] = true
@@ -325,6 +333,7 @@
 	if r.upstream == nil {
 		// Entries repeat their requests once there is a leader.
 		r.clearRequests()
+		p.takeSpeeds()
 		return 0
 	}
 	version := r.lowestVersion()
@@ -352,7 +361,7 @@
 	})
 	if usesDue {
 		p.usesSentAt = now
-		up.Uses = p.takeUses()
+		up.Uses, up.Speeds = p.takeUses(), p.takeSpeeds()
 	}
 	if isEmptyUp(&up) {
 		return 0
@@ -374,7 +383,16 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials) == 0
+	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds) == 0
+}
+
+// takeSpeeds returns the samples of servers' speeds since the last call.
+func (p *pendingReport) takeSpeeds() []SpeedSample {
+	var out []SpeedSample
+	for _, v := range p.speeds.Take() {
+		out = append(out, SpeedSample(v))
+	}
+	return out
 }
 
 // takeUses returns the use that changed since the last call.
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/quarantiner"
 	"redwingstage.org/serving/tracker"
 )
@@ -24,6 +25,7 @@
 	entries   int
 	replicas  []Peer
 	standings map[quarantiner.Digest]DigestStanding
+	speeds    map[string]Speed
 	changes   changes
 }
 
@@ -36,13 +38,14 @@
 	held                   map[AdapterPlacement]bool
 	loads                  map[string]bool
 	standings              map[quarantiner.Digest]bool
+	speeds                 map[string]bool
 }
 
 func newView() *view {
 	v := &view{
 		versions: make(map[tracker.Adapter]int), leaving: make(map[tracker.Key]bool), engines: make(map[string]tracker.Instance),
 		startedMS: make(map[string]int64), held: make(map[string]map[tracker.Adapter]int), loads: make(map[string]Load),
-		standings: make(map[quarantiner.Digest]DigestStanding),
+		standings: make(map[quarantiner.Digest]DigestStanding), speeds: make(map[string]Speed),
 	}
 	v.clearChanges()
 	return v
@@ -58,6 +61,7 @@
 	v.changes = changes{
 		versions: make(map[tracker.Adapter]bool), leaving: make(map[tracker.Key]bool), engines: make(map[string]bool),
 		held: make(map[AdapterPlacement]bool), loads: make(map[string]bool), standings: make(map[quarantiner.Digest]bool),
+		speeds: make(map[string]bool),
 	}
 }
 
@@ -67,7 +71,7 @@
 }
 
 func (c *changes) isEmpty() bool {
-	return !c.isUrgent() && !c.entries && len(c.held)+len(c.loads) == 0
+	return !c.isUrgent() && !c.entries && len(c.held)+len(c.loads)+len(c.speeds) == 0
 }
 
 // apply applies a message of the leader. Documents, versions and leaving servers never go back, even with a new leader.
@@ -76,6 +80,7 @@
 		v.welcome = *d.Welcome
 		v.applyWelcome(d)
 		v.clearStandings()
+		v.clearSpeeds()
 	}
 	if d.Doc != nil && d.Doc.Version > v.doc.Version {
 		v.doc, v.changes.doc = *d.Doc, true
@@ -114,6 +119,9 @@
 		v.loads[l.Server] = l
 		v.changes.loads[l.Server] = true
 	}
+	for _, s := range d.Speeds {
+		v.setSpeed(s)
+	}
 	if d.Entries > 0 && d.Entries != v.entries {
 		v.entries, v.changes.entries = d.Entries, true
 	}
@@ -134,6 +142,39 @@
 	v.changes.standings[s.Digest] = true
 }
 
+// clearSpeeds sets the usual speed of all servers; a leader's first message lists the others.
+func (v *view) clearSpeeds() {
+	for id := range v.speeds {
+		v.removeSpeed(id)
+	}
+}
+
+// removeSpeed sets a server's usual speed; the server may return before the removal is sent.
+func (v *view) removeSpeed(id string) {
+	if _, ok := v.speeds[id]; ok {
+		delete(v.speeds, id)
+		v.changes.speeds[id] = true
+	}
+}
+
+func (v *view) setSpeed(s Speed) {
+	if _, ok := v.engines[s.Server]; !ok {
+		return
+	}
+	v.changes.speeds[s.Server] = true
+	if v.speeds[s.Server] = s; s.Step == profiler.Usual && s.Prefill == profiler.Usual {
+		delete(v.speeds, s.Server)
+	}
+}
+
+// speed returns the speed of a server that entries are told.
+func (v *view) speed(id string) Speed {
+	if s, ok := v.speeds[id]; ok {
+		return s
+	}
+	return Speed{Server: id, Step: profiler.Usual, Prefill: profiler.Usual}
+}
+
 // withZones fills in data centres from the earlier list, since a new leader gets them only as replicas connect.
 func (v *view) withZones(list []Peer) []Peer {
 	out := slices.Clone(list)
@@ -176,6 +217,7 @@
 	in.Residents = nil
 	if ok && old.Key != in.Key {
 		v.clearHeld(id)
+		v.removeSpeed(id)
 	}
 	if !ok || !isSameServer(old, in) {
 		v.changes.engines[id] = true
@@ -206,6 +248,7 @@
 		delete(v.engines, id)
 		v.clearHeld(id)
 		delete(v.loads, id)
+		v.removeSpeed(id)
 		v.changes.engines[id] = true
 	}
 }
@@ -267,7 +310,7 @@
 		d.Replicas = v.replicas
 	}
 	if !all {
-		v.changes.held, v.changes.loads, v.changes.entries = c.held, c.loads, c.entries
+		v.changes.held, v.changes.loads, v.changes.entries, v.changes.speeds = c.held, c.loads, c.entries, c.speeds
 		return d
 	}
 	if c.entries {
@@ -285,6 +328,11 @@
 	for _, id := range slices.Sorted(maps.Keys(c.loads)) {
 		d.Loads = append(d.Loads, v.loads[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(c.speeds)) {
+		if _, ok := v.engines[id]; ok {
+			d.Speeds = append(d.Speeds, v.speed(id))
+		}
+	}
 	return d
 }
 
@@ -309,9 +357,19 @@
 	for _, id := range slices.Sorted(maps.Keys(v.loads)) {
 		d.Loads = append(d.Loads, v.loads[id])
 	}
+	d.Speeds = v.sortedSpeeds()
 	return d
 }
 
+// sortedSpeeds returns the speeds that differ from the usual one.
+func (v *view) sortedSpeeds() []Speed {
+	var out []Speed
+	for _, id := range slices.Sorted(maps.Keys(v.speeds)) {
+		out = append(out, v.speeds[id])
+	}
+	return out
+}
+
 // servers returns all servers, sorted by ID, without residents.
 func (v *view) servers() []tracker.Instance {
 	out := make([]tracker.Instance, 0, len(v.engines))
--- a/stage/governor/view_test.go
+++ b/stage/governor/view_test.go
@@ -22,7 +22,7 @@
 		return x
 	}
 	var d DownMessage
-	switch r.IntN(8) {
+	switch r.IntN(9) {
 	case 0:
 		d.Welcome = &Welcome{LeaderEpoch: 1, Settled: r.IntN(2) == 0}
 		d.Engines = []tracker.Instance{in()}
@@ -43,6 +43,8 @@
 	case 7:
 		d.Loads = []Load{{Server: id(), Running: r.IntN(3)}}
 		d.Entries = 1 + r.IntN(3)
+	case 8:
+		d.Speeds = []Speed{{Server: id(), Step: 60 + 20*r.IntN(3), Prefill: 100}}
 	}
 	for range r.IntN(3) {
 		d.ResidentChanges = append(d.ResidentChanges, ResidentChange{Engine: id(), Adapter: ad(), Version: 1 + r.IntN(2), Removed: r.IntN(2) == 0})
@@ -52,7 +54,7 @@
 
 // state returns a view's state in a form that can be compared.
 func (v *view) state() string {
-	return fmt.Sprint(v.doc.Version, v.versions, v.leaving, v.engines, v.held, v.entries, v.replicas)
+	return fmt.Sprint(v.doc.Version, v.versions, v.leaving, v.engines, v.held, v.entries, v.replicas, v.speeds)
 }
 
 // TestUpdatesAddUpToFullState checks that a view that gets only updates, at random times, and one that gets the full
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -27,6 +27,8 @@
 	Sound   []quarantiner.Digest `cbor:"11,keyasint,omitempty"`
 	// Trials are requests for trials of quarantined digests, and their results, in their order.
 	Trials []Trial `cbor:"12,keyasint,omitempty"`
+	// Speeds sum what the sender saw of servers' streams since its last message.
+	Speeds []SpeedSample `cbor:"14,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -159,6 +161,8 @@
 	LeaderAge time.Duration `cbor:"15,keyasint,omitempty"`
 	// Standings are the changed standings of parts and requests; Clear ends one.
 	Standings []DigestStanding `cbor:"16,keyasint,omitempty"`
+	// Speeds are the servers' speeds where they changed; beside Welcome, all that differ from the usual one.
+	Speeds []Speed `cbor:"18,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -180,6 +184,24 @@
 	PrefillTokens int `cbor:"3,keyasint,omitempty"`
 }
 
+// SpeedSample sums what processes saw of a server's streams; the fields are those of profiler.Sample.
+type SpeedSample struct {
+	Server  string `cbor:"1,keyasint"`
+	Events  int    `cbor:"2,keyasint,omitempty"`
+	Load    int    `cbor:"3,keyasint,omitempty"`
+	Pause   int    `cbor:"4,keyasint,omitempty"`
+	Prompts int    `cbor:"5,keyasint,omitempty"`
+	Held    int    `cbor:"6,keyasint,omitempty"`
+	First   int    `cbor:"7,keyasint,omitempty"`
+}
+
+// Speed is a server's speed in relation to its service's median; the fields are those of profiler.Speed.
+type Speed struct {
+	Server  string `cbor:"1,keyasint"`
+	Step    int    `cbor:"2,keyasint,omitempty"`
+	Prefill int    `cbor:"3,keyasint,omitempty"`
+}
+
 // Welcome opens the leader's side of a session.
 type Welcome struct {
 	LeaderEpoch uint64 `cbor:"1,keyasint"`
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -72,8 +72,9 @@
 	firstEventID string
 	// untilClose is set if the response's body ends with the connection.
 	untilClose bool
-	// blocks is the number of blocks of events that arrived.
-	blocks int
+	// blocks is the number of blocks of events that arrived, lastEventAt the time of the latest one with an event.
+	blocks      int
+	lastEventAt time.Time
 }
 
 // logEntry returns the log entry of an attempt that has ended.
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -13,6 +13,7 @@
 
 	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
 )
@@ -322,6 +323,11 @@
 		}
 		b.SetLoads(now, totals)
 	}
+	speeds := make([]profiler.Speed, 0, len(d.Speeds))
+	for _, v := range d.Speeds {
+		speeds = append(speeds, profiler.Speed(v))
+	}
+	b.SetSpeeds(speeds, d.Welcome != nil)
 	if d.Entries > 0 {
 		b.SetEntries(d.Entries)
 	}
@@ -378,7 +384,10 @@
 		for _, u := range c.entry.balancer.Uses() {
 			up.Uses = append(up.Uses, governor.Use{Engine: u.Engine, Adapter: u.Adapter, Starts: u.Starts, Running: u.Running})
 		}
-		if len(up.Uses)+len(up.Loads) > 0 {
+		for _, v := range c.entry.balancer.SpeedSamples() {
+			up.Speeds = append(up.Speeds, governor.SpeedSample(v))
+		}
+		if len(up.Uses)+len(up.Loads)+len(up.Speeds) > 0 {
 			c.enqueue(up)
 		}
 	}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -75,6 +75,7 @@
 			firstSeen = true
 			e.recordPrefillEnd(a)
 		}
+		e.recordEvents(a, events.count)
 		if !out.writeChunk(block) || ctx.Err() != nil {
 			e.releaseChoice(a.call, watch.stop())
 			if !e.callerLeft(ctx, out) {
@@ -93,13 +94,27 @@
 // recordPrefillEnd records that the server has prefilled the prompt, as its first event shows.
 func (e *Relayer) recordPrefillEnd(a *attempt) {
 	if a.lastEventID == "" {
-		e.balancer.RecordPrefillTime(a.call.service, a.call.tokens, time.Since(a.call.chosenAt))
+		took := time.Since(a.call.chosenAt)
+		e.balancer.RecordPrefillTime(a.call.service, a.call.tokens, took)
+		e.balancer.RecordFirstEvent(time.Now(), a.choice, a.call.tokens, took)
 	}
 	if e.balancer.EndPrefill(a.choice) {
 		e.control.enqueueLoads()
 	}
 }
 
+// recordEvents records the time since the stream's events before; n is the number of events that came now.
+func (e *Relayer) recordEvents(a *attempt, n int) {
+	if a.call.adapter.Model == "" || n == 0 {
+		return
+	}
+	now := time.Now()
+	if !a.lastEventAt.IsZero() {
+		e.balancer.RecordEvents(now, a.choice, n, now.Sub(a.lastEventAt))
+	}
+	a.lastEventAt = now
+}
+
 // silenceWatch monitors one attempt at a stream: when the engine is silent for too long, the request moves to another engine, but
 // only if one accepts it at once. Otherwise it stays, as a late response is better than none.
 type silenceWatch struct {
@@ -200,6 +215,8 @@
 	firstID, lastID string
 	// lastWithoutID is set if the latest event has no id.
 	lastWithoutID bool
+	// count is the number of events that the last call of next returned.
+	count int
 	// err is returned by the next call of next, after the events before the error were returned.
 	err error
 }
@@ -209,7 +226,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	r.buf = r.buf[:0]
+	r.buf, r.count = r.buf[:0], 0
 	// start is the offset of the current line in buf, eventStart that of the current event.
 	start, eventStart := 0, 0
 	var id string
@@ -260,6 +277,7 @@
 		return errors.Errorf("an event without an id came after event %q of another run", r.lastID)
 	case id == "":
 		r.lastWithoutID = true
+		r.count++
 		return nil
 	}
 	if !r.isInOrder(id) {
@@ -269,6 +287,7 @@
 		r.firstID = id
 	}
 	r.lastID, r.lastWithoutID = id, false
+	r.count++
 	return nil
 }
 
