--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -135,6 +136,7 @@
 	shareAt      time.Time
 	refusedAt    time.Time
 	refusals     recentCount
+	speed        speed
 }
 
 // Use counts the requests for an adapter at a server started since the last report, and those running.
@@ -169,7 +171,8 @@
 	mustReport map[string]bool
 	entries    int
 	// latest is the latest time that the balancer was told.
-	latest time.Time
+	latest  time.Time
+	samples *profiler.Collector
 	// randIntN returns a random number in [0, n).
 	randIntN func(n int) int
 }
@@ -180,7 +183,7 @@
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
 		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool),
-		stays: make(map[string]*stays), admissions: make(map[string]*admission), entries: 1, randIntN: rand.IntN,
+		stays: make(map[string]*stays), admissions: make(map[string]*admission), samples: profiler.NewCollector(), entries: 1, randIntN: rand.IntN,
 	}
 }
 
@@ -536,7 +539,7 @@
 
 // score is lower for the better server; an unreachable one comes after all others.
 func (b *Balancer) score(now time.Time, s *server, req Request) float64 {
-	score := b.load(now, s) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
+	score := s.loadBySpeed(b.load(now, s)) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
 	if b.isCrowded() {
 		score += b.refusalScore(now, s)
 	}
--- a/stage/governor/leader_state.go
+++ b/stage/governor/leader_state.go
@@ -6,6 +6,7 @@
 
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/limiter"
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -37,6 +38,7 @@
 	fullResidentsDue map[string]bool
 	quarantine       *quarantine
 	quotas           *leaderQuotas
+	speeds           *profiler.Profiler
 }
 
 func newLeaderState(leaderEpoch uint64, now time.Time, state *replicatedState, capacity CapacityFunc) *leaderState {
@@ -45,6 +47,7 @@
 		sentResidents: make(map[string]map[tracker.Adapter]int), changedServers: make(map[string]bool),
 		fullResidentsDue: make(map[string]bool), quarantine: newQuarantine(now, state),
 		quotas: newLeaderQuotas(now, limiter.Bounds{}, nil, 0),
+		speeds: profiler.New(),
 	}
 	l.alloc.RestoreHoldings(state.Held)
 	l.applyState(state)
@@ -86,6 +89,7 @@
 	for _, in := range l.engines.Instances() {
 		if limits, ok := l.capacity(in.Service); ok {
 			l.alloc.SetEngine(in, limits)
+			l.speeds.Set(in.Key.ID, in.Key.StartedMS, in.Service)
 		}
 	}
 }
@@ -97,11 +101,13 @@
 		in, ok := l.engines.Instance(id)
 		if !ok {
 			l.alloc.RemoveEngine(id)
+			l.speeds.Remove(id)
 			delete(l.sentResidents, id)
 			continue
 		}
 		if limits, ok := l.capacity(in.Service); ok {
 			l.alloc.SetEngine(in, limits)
+			l.speeds.Set(id, in.Key.StartedMS, in.Service)
 		}
 	}
 	for _, id := range l.alloc.TakeChanged() {
@@ -178,5 +184,8 @@
 		in.Residents = l.alloc.Residents(in.Key.ID)
 		down.Engines = append(down.Engines, in)
 	}
+	for _, v := range l.speeds.Sent() {
+		down.Speeds = append(down.Speeds, Speed(v))
+	}
 	return down
 }
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -29,6 +29,8 @@
 	Trials []Trial `cbor:"12,keyasint,omitempty"`
 	// Quotas is the sender's report on client accounts' quotas.
 	Quotas *QuotaReport `cbor:"13,keyasint,omitempty"`
+	// Speeds sum what the sender saw of servers' streams since its last message.
+	Speeds []SpeedSample `cbor:"14,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -163,6 +165,8 @@
 	Standings []DigestStanding `cbor:"16,keyasint,omitempty"`
 	// Quotas is what the leader gives out of client accounts' quotas.
 	Quotas *QuotaUpdate `cbor:"17,keyasint,omitempty"`
+	// Speeds are the servers' speeds where they changed; beside Welcome, all that differ from the usual one.
+	Speeds []Speed `cbor:"18,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -186,6 +190,24 @@
 	Refusals int `cbor:"5,keyasint,omitempty"`
 }
 
+// SpeedSample sums what processes saw of a server's streams; the fields are those of profiler.Sample.
+type SpeedSample struct {
+	Server  string `cbor:"1,keyasint"`
+	Events  int    `cbor:"2,keyasint,omitempty"`
+	Load    int    `cbor:"3,keyasint,omitempty"`
+	Pause   int    `cbor:"4,keyasint,omitempty"`
+	Prompts int    `cbor:"5,keyasint,omitempty"`
+	Held    int    `cbor:"6,keyasint,omitempty"`
+	First   int    `cbor:"7,keyasint,omitempty"`
+}
+
+// Speed is a server's speed in relation to its service's median; the fields are those of profiler.Speed.
+type Speed struct {
+	Server  string `cbor:"1,keyasint"`
+	Step    int    `cbor:"2,keyasint,omitempty"`
+	Prefill int    `cbor:"3,keyasint,omitempty"`
+}
+
 // Welcome opens the leader's side of a session.
 type Welcome struct {
 	LeaderEpoch uint64 `cbor:"1,keyasint"`
