Balancer: the saved prefill of a cached beginning is weighed against load

Change: the time that a cached beginning saves, as a share of the route's latency target, counts against load; long shared beginnings are announced to all entries; held tokens aren't prompts to prefill. Only for services whose engines' memory is known.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"redwingstage.org/serving/prefixer"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -76,6 +78,8 @@
 	// Priority is the request's priority; 0 is the most urgent. Deadline is when its caller leaves.
 	Priority int
 	Deadline time.Time
+	// Prompt is the request's prompt, as far as engines may have cached its beginning.
+	Prompt Prompt
 }
 
 // Choice is the server for one attempt.
@@ -89,6 +93,8 @@
 	Running int
 	// PrefillTokens is the number of prompt tokens of long prompts that the server was already prefilling.
 	PrefillTokens int
+	// Cached is the number of tokens of the prompt that the server is believed to have cached.
+	Cached int
 	// pendingPrefill is the request's own prompt tokens until the server has prefilled them.
 	pendingPrefill *int
 }
@@ -152,6 +158,8 @@
 	waiters      map[tracker.Adapter]chan struct{}
 	queues       map[string]*queue
 	prefillRates map[string]*prefillRate
+	// prefixes are the cached beginnings of prompts, by service.
+	prefixes map[string]*prefixer.Index
 	// mustReport are the servers with reported work that were removed or restarted, or whose reports may be lost.
 	mustReport map[string]bool
 	entries    int
@@ -164,7 +172,8 @@
 	return &Balancer{
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
-		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool), entries: 1, randIntN: rand.IntN,
+		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate),
+		prefixes: make(map[string]*prefixer.Index), mustReport: make(map[string]bool), entries: 1, randIntN: rand.IntN,
 	}
 }
 
@@ -192,8 +201,12 @@
 		}
 		b.services[in.Service][in.Key.ID] = s
 		if complete && len(in.Residents) > 0 {
+			old := maps.Clone(s.residents)
 			clear(s.residents)
 			for _, r := range in.Residents {
+				if old[r.Adapter] != r.Version {
+					b.forgetAdapterPrompts(s, r.Adapter)
+				}
 				s.residents[r.Adapter] = r.Version
 				b.notifyWaiters(r.Adapter)
 			}
@@ -215,6 +228,7 @@
 		if s.reportedLoad.Running+s.reportedLoad.PrefillTokens > 0 {
 			b.mustReport[id] = true
 		}
+		b.forgetPrompts(s)
 		delete(b.services[s.Service], id)
 		delete(b.servers, id)
 	}
@@ -251,6 +265,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		if old, ok := s.residents[ad]; !ok || old != version {
+			b.forgetAdapterPrompts(s, ad)
+		}
 		s.residents[ad] = version
 		b.notifyWaiters(ad)
 	}
@@ -261,6 +278,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		b.forgetAdapterPrompts(s, ad)
 		delete(s.residents, ad)
 	}
 }
@@ -362,15 +380,16 @@
 		return Choice{}, LimitReached
 	}
 	usable, status := b.usableServers(now, req)
-	best := b.best(now, req, b.sample(usable, req.Zone))
+	best := b.best(now, req, b.withHolders(now, req, b.sample(usable, req.Zone), usable))
 	if best == nil {
 		return Choice{}, status
 	}
 	c := Choice{Instance: best.Instance, PrefillTokens: b.totalPrefill(now, best)}
 	best.running++
-	if b.isLongPrompt(req) {
-		best.prefill += req.Tokens
-		c.pendingPrefill = &req.Tokens
+	c.Cached = b.held(now, best, req)
+	if tokens := max(req.Tokens-c.Cached, 0); b.isLongPrompt(req, tokens) {
+		best.prefill += tokens
+		c.pendingPrefill = &tokens
 	}
 	c.Running, c.HighLoad = b.totalRunning(now, best), b.load(now, best) > highLoad
 	if req.Adapter.Model != "" {
@@ -513,7 +532,7 @@
 
 // score is lower for the better server; an unreachable one comes after all others.
 func (b *Balancer) score(now time.Time, s *server, req Request) float64 {
-	score := b.load(now, s) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
+	score := b.load(now, s) + failurePenalty*s.failureRate + b.prefillScore(now, s, req) + b.prefixScore(now, s, req)
 	if s.Zone != req.Zone {
 		score += remotePenalty
 	}
--- a/serving/balancer/prefill.go
+++ b/serving/balancer/prefill.go
@@ -62,16 +62,20 @@
 // prefillLimit returns how many prompt tokens a server of the service may prefill at once for streams whose pauses may
 // be as long as maxPause; 0 if pauses don't matter.
 func (b *Balancer) prefillLimit(service string, maxPause time.Duration) float64 {
-	rate := initialPrefillRate
+	return prefillShare * b.prefillRate(service) * float64(maxPause) / float64(time.Millisecond)
+}
+
+// prefillRate returns how many prompt tokens engines of the service prefill in a millisecond.
+func (b *Balancer) prefillRate(service string) float64 {
 	if p := b.prefillRates[service]; p != nil && p.rate > 0 {
-		rate = p.rate
+		return p.rate
 	}
-	return prefillShare * rate * float64(maxPause) / float64(time.Millisecond)
+	return initialPrefillRate
 }
 
-// isLongPrompt reports whether a prompt is so long that it is serialized with others.
-func (b *Balancer) isLongPrompt(req Request) bool {
-	return req.MaxPause > 0 && float64(req.Tokens) >= longPromptShare*b.prefillLimit(req.Service, req.MaxPause)
+// isLongPrompt reports whether so many tokens of a prompt have to be prefilled that it is serialized with others.
+func (b *Balancer) isLongPrompt(req Request, tokens int) bool {
+	return req.MaxPause > 0 && float64(tokens) >= longPromptShare*b.prefillLimit(req.Service, req.MaxPause)
 }
 
 // DelaysPrefill reports whether other long prompts have to wait while the server prefills the request's prompt.
@@ -79,11 +83,12 @@
 
 // mustWaitForPrefill reports whether a server has to prefill other prompts first.
 func (b *Balancer) mustWaitForPrefill(now time.Time, s *server, req Request) bool {
-	if req.IgnorePrefillLimit || !b.isLongPrompt(req) {
+	tokens := b.tokensToPrefill(now, s, req)
+	if req.IgnorePrefillLimit || !b.isLongPrompt(req, tokens) {
 		return false
 	}
 	prefill := b.totalPrefill(now, s)
-	return prefill > 0 && float64(prefill+req.Tokens) > b.prefillLimit(req.Service, req.MaxPause)
+	return prefill > 0 && float64(prefill+tokens) > b.prefillLimit(req.Service, req.MaxPause)
 }
 
 // prefillScore returns the load that a server's prefills count for.
--- a/serving/prefixer/prefixer.go
+++ b/serving/prefixer/prefixer.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// AddShared records a prefix that another entry had read at an engine.
-func (x *Index) AddShared(now time.Time, s Shared, retention time.Duration) {
-	x.add(now, s.Engine, s.Adapter, s.Prefix, retention).sharedAt = now
+// AddShared records a prefix that an engine has read for another entry.
+func (x *Index) AddShared(now time.Time, s Shared) {
+	x.add(now, s.Engine, s.Adapter, s.Prefix, maxRetention).sharedAt = now
 }
 
 // TakeShared returns the prefixes for other entries that were recorded since the last call.
--- a/serving/prefixer/prefixer_test.go
+++ b/serving/prefixer/prefixer_test.go
@@ -78,7 +78,7 @@
 	shared := x.TakeShared()
 	c.Assert(shared, qt.HasLen, 1)
 	c.Check(shared[0].Prefix.Tokens, qt.Equals, 200)
-	y.AddShared(start, shared[0], retention)
+	y.AddShared(start, shared[0])
 	c.Check(y.TakeShared(), qt.HasLen, 0)
 	c.Check(y.Held(start, engine, prompt("a", "b", "other"), retention), qt.Equals, 200)
 	x.Record(start.Add(6*time.Second), engine, adapter, prompt("a", "b", "own"), 150, retention)
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -58,6 +58,8 @@
 	leaderSeenAt time.Time
 	recorder     recorder
 	loads        *loads
+	// cached are beginnings of prompts that entries reported and that aren't sent to relays yet.
+	cached       []CachedPrefix
 	versionWaits []versionWait
 	shuttingDown bool
 	metrics      *metrics
@@ -300,7 +302,7 @@
 
 // broadcastChanges broadcasts changes of engines and loads; it returns the wait until the rest is due, or 0.
 func (h *hub) broadcastChanges(now time.Time) time.Duration {
-	if h.leader == nil || len(h.leader.moves)+len(h.leader.changedServers)+len(h.leader.fullResidentsDue) == 0 && !h.loads.due(now) {
+	if h.leader == nil || len(h.leader.moves)+len(h.leader.changedServers)+len(h.leader.fullResidentsDue)+len(h.cached) == 0 && !h.loads.due(now) {
 		return 0
 	}
 	if wait := h.nextUpdateAt.Sub(now); wait > 0 && len(h.leader.changedServers) == 0 {
@@ -308,7 +310,8 @@
 	}
 	d, ok := h.leader.takeUpdate()
 	d.Loads = h.loads.takeChanged(now)
-	if ok || len(d.Loads) > 0 {
+	d.Cached, h.cached = h.cached, nil
+	if ok || len(d.Loads)+len(d.Cached) > 0 {
 		h.broadcast(d)
 		h.nextUpdateAt = now.Add(updateEvery)
 	}
@@ -474,6 +477,7 @@
 	for _, l := range up.Loads {
 		h.loads.set(s, l)
 	}
+	h.cached = appendPrefixes(h.cached, up.Cached)
 	h.recordCrashes(now, up.Crashes)
 	h.leader.quarantine.reportSound(now, up.Sound)
 	h.applyTrials(now, up.Trials)
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -56,6 +56,7 @@
 	crashes            []Crash
 	sound              map[quarantiner.Digest]bool
 	trials             []Trial
+	cached             []CachedPrefix
 	// version and entries are the values last sent to the leader.
 	version uint64
 	entries int
@@ -88,6 +89,7 @@
 	r.pending.wants, r.pending.missing = make(map[wantKey]Want), make(map[AdapterPlacement]bool)
 	r.pending.known = make(map[tracker.Key]tracker.Instance)
 	r.pending.crashes, r.pending.sound, r.pending.trials = nil, make(map[quarantiner.Digest]bool), nil
+	r.pending.cached = nil
 }
 
 // setUpstream sets the connection to a leader, to which everything must be reported anew.
@@ -204,6 +206,7 @@
 	if len(p.crashes)+len(up.Crashes) <= maxPendingRequests {
 		p.crashes = append(p.crashes, up.Crashes...)
 	}
+	p.cached = appendPrefixes(p.cached, up.Cached)
 	for _, d := range up.Sound {
 		if len(p.sound) < maxPendingRequests {
 			p.sound[d] = true
@@ -337,7 +340,7 @@
 		return wait
 	}
 	up := UpMessage{Loads: p.loads.takeChanged(now), Missing: slices.Collect(maps.Keys(p.missing)), Known: slices.Collect(maps.Values(p.known))}
-	up.Crashes, up.Sound, up.Trials = p.crashes, slices.Collect(maps.Keys(p.sound)), p.trials
+	up.Crashes, up.Sound, up.Trials, up.Cached = p.crashes, slices.Collect(maps.Keys(p.sound)), p.trials, p.cached
 	if version != p.version {
 		up.Version = version
 	}
@@ -374,7 +377,7 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials) == 0
+	return up.Version == 0 && up.Entries == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Cached) == 0
 }
 
 // takeUses returns the use that changed since the last call.
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -36,6 +36,7 @@
 	held                   map[AdapterPlacement]bool
 	loads                  map[string]bool
 	standings              map[quarantiner.Digest]bool
+	cached                 []CachedPrefix
 }
 
 func newView() *view {
@@ -67,7 +68,7 @@
 }
 
 func (c *changes) isEmpty() bool {
-	return !c.isUrgent() && !c.entries && len(c.held)+len(c.loads) == 0
+	return !c.isUrgent() && !c.entries && len(c.held)+len(c.loads)+len(c.cached) == 0
 }
 
 // apply applies a message of the leader. Documents, versions and leaving servers never go back, even with a new leader.
@@ -114,6 +115,7 @@
 		v.loads[l.Server] = l
 		v.changes.loads[l.Server] = true
 	}
+	v.changes.cached = appendPrefixes(v.changes.cached, d.Cached)
 	if d.Entries > 0 && d.Entries != v.entries {
 		v.entries, v.changes.entries = d.Entries, true
 	}
@@ -267,9 +269,10 @@
 		d.Replicas = v.replicas
 	}
 	if !all {
-		v.changes.held, v.changes.loads, v.changes.entries = c.held, c.loads, c.entries
+		v.changes.held, v.changes.loads, v.changes.entries, v.changes.cached = c.held, c.loads, c.entries, c.cached
 		return d
 	}
+	d.Cached = c.cached
 	if c.entries {
 		d.Entries = v.entries
 	}
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -27,6 +27,8 @@
 	Sound   []quarantiner.Digest `cbor:"11,keyasint,omitempty"`
 	// Trials are requests for trials of quarantined digests, and their results, in their order.
 	Trials []Trial `cbor:"12,keyasint,omitempty"`
+	// Cached are beginnings of prompts that engines have read for the sender.
+	Cached []CachedPrefix `cbor:"15,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -159,6 +161,8 @@
 	LeaderAge time.Duration `cbor:"15,keyasint,omitempty"`
 	// Standings are the changed standings of parts and requests; Clear ends one.
 	Standings []DigestStanding `cbor:"16,keyasint,omitempty"`
+	// Cached are beginnings of prompts that engines have read for any entry.
+	Cached []CachedPrefix `cbor:"19,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -85,6 +85,8 @@
 	parts []quarantiner.Digest
 	// allDigests are those and the digest of the whole request, nil until they are needed.
 	allDigests []quarantiner.Digest
+	// prompt is the prompt, as far as engines may have cached its beginning.
+	prompt balancer.Prompt
 	// onTrial is set if the latest attempt is a trial whose result isn't reported yet.
 	onTrial bool
 }
@@ -123,6 +125,7 @@
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
 		c.adapter = e.headers.ParseModel(req.get(e.headers.Model))
 		c.tokens, c.outputTokens = e.headers.ParseUsage(req.get(e.headers.Usage))
+		c.prompt = e.promptOf(c, s)
 	}
 	c.deadline = c.arrived.Add(route.Timeout)
 	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
@@ -373,7 +376,7 @@
 
 // chooseServer returns the server for the next attempt; it waits a bounded time for a free slot or for an adapter to be loaded.
 func (e *Relayer) chooseServer(ctx context.Context, c *call) (balancer.Choice, balancer.PickStatus) {
-	pickRequest := balancer.Request{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause}
+	pickRequest := balancer.Request{Service: c.service, Adapter: c.adapter, Zone: e.cfg.Zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause, Prompt: c.prompt}
 	defer func() {
 		if pickRequest.Ticket != nil {
 			e.balancer.Dequeue(c.service, pickRequest.Ticket)
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -322,6 +322,9 @@
 		}
 		b.SetLoads(now, totals)
 	}
+	if len(d.Cached) > 0 {
+		b.AddSharedPrefixes(now, sharedPrefixes(d.Cached))
+	}
 	if d.Entries > 0 {
 		b.SetEntries(d.Entries)
 	}
@@ -378,7 +381,10 @@
 		for _, u := range c.entry.balancer.Uses() {
 			up.Uses = append(up.Uses, governor.Use{Engine: u.Engine, Adapter: u.Adapter, Starts: u.Starts, Running: u.Running})
 		}
-		if len(up.Uses)+len(up.Loads) > 0 {
+		for _, p := range c.entry.balancer.SharedPrefixes() {
+			up.Cached = append(up.Cached, governor.CachedPrefix{Engine: p.Engine, Adapter: p.Adapter, Digest: p.Prefix.Digest, Tokens: p.Prefix.Tokens})
+		}
+		if len(up.Uses)+len(up.Loads)+len(up.Cached) > 0 {
 			c.enqueue(up)
 		}
 	}
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"redwingstage.org/serving/prefixer"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -47,6 +48,8 @@
 	ParseKey func(value string) (key string, ok bool)
 	// ParseParts parses from the header Parts the IDs of the parts that the request shares with others; nil means none.
 	ParseParts func(value string) []string
+	// ParsePrompt parses from the header Parts all parts of the prompt with their tokens; nil means that they are unknown.
+	ParsePrompt func(value string) []prefixer.Part
 	// ReadyPath is the path of the load balancer's readiness probe.
 	ReadyPath string
 }
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -21,6 +21,7 @@
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
+	prompts   *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -43,7 +44,10 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait)
+	m.prompts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_entry_prompt_tokens_total", Help: "Tokens of prompts by whether the chosen engine was believed to hold them.",
+	}, []string{"state"})
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.prompts)
 	return m
 }
 
@@ -87,3 +91,9 @@
 		m.firstByte.Observe(w.firstWriteAt.Sub(arrived).Seconds())
 	}
 }
+
+// countPrompt counts the tokens of a prompt that a server has read.
+func (m *metrics) countPrompt(tokens, cached int) {
+	m.prompts.WithLabelValues("cached").Add(float64(min(cached, tokens)))
+	m.prompts.WithLabelValues("read").Add(float64(max(tokens-cached, 0)))
+}
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -93,7 +93,9 @@
 // recordPrefillEnd records that the server has prefilled the prompt, as its first event shows.
 func (e *Relayer) recordPrefillEnd(a *attempt) {
 	if a.lastEventID == "" {
-		e.balancer.RecordPrefillTime(a.call.service, a.call.tokens, time.Since(a.call.chosenAt))
+		e.balancer.RecordPrefillTime(a.call.service, a.call.tokens-a.choice.Cached, time.Since(a.call.chosenAt))
+		e.balancer.RecordPrompt(time.Now(), a.choice, a.call.adapter, a.call.prompt)
+		e.metrics.countPrompt(a.call.tokens, a.choice.Cached)
 	}
 	if e.balancer.EndPrefill(a.choice) {
 		e.control.enqueueLoads()
@@ -156,7 +158,7 @@
 	now := time.Now()
 	choice, status := e.balancer.Pick(now, balancer.Request{
 		Service: call.service, Adapter: call.adapter, Zone: e.cfg.Zone, Except: excluded, Tokens: call.tokens, MaxPause: call.route.MaxPause,
-		IgnorePrefillLimit: true,
+		IgnorePrefillLimit: true, Prompt: call.prompt,
 	})
 	if status != balancer.Picked {
 		s.timer.Reset(silencePollInterval)
