--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"redwingstage.org/serving/prefixer"
 	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 )
@@ -77,6 +79,8 @@
 	// Priority is the request's priority; 0 is the most urgent. Deadline is when its caller leaves.
 	Priority int
 	Deadline time.Time
+	// Prompt is the request's prompt, as far as engines may have cached its beginning.
+	Prompt Prompt
 }
 
 // Choice is the server for one attempt.
@@ -91,6 +95,8 @@
 	// PrefillTokens is the number of prompt tokens of long prompts that the server was already prefilling.
 	PrefillTokens int
 	pickedAt      time.Time
+	// Cached is the number of tokens of the prompt that the server is believed to have cached.
+	Cached int
 	// pendingPrefill is the request's own prompt tokens until the server has prefilled them.
 	pendingPrefill *int
 }
@@ -167,6 +173,8 @@
 	// stays and admissions are kept by service.
 	stays      map[string]*stays
 	admissions map[string]*admission
+	// prefixes are the cached beginnings of prompts, by service.
+	prefixes map[string]*prefixer.Index
 	// mustReport are the servers with reported work that were removed or restarted, or whose reports may be lost.
 	mustReport map[string]bool
 	entries    int
@@ -183,7 +191,7 @@
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
 		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool),
-		stays: make(map[string]*stays), admissions: make(map[string]*admission), samples: profiler.NewCollector(), entries: 1, randIntN: rand.IntN,
+		stays: make(map[string]*stays), admissions: make(map[string]*admission), prefixes: make(map[string]*prefixer.Index), samples: profiler.NewCollector(), entries: 1, randIntN: rand.IntN,
 	}
 }
 
@@ -211,8 +219,12 @@
 		}
 		b.services[in.Service][in.Key.ID] = s
 		if complete && len(in.Residents) > 0 {
+			old := maps.Clone(s.residents)
 			clear(s.residents)
 			for _, r := range in.Residents {
+				if old[r.Adapter] != r.Version {
+					b.forgetAdapterPrompts(s, r.Adapter)
+				}
 				s.residents[r.Adapter] = r.Version
 				b.notifyWaiters(r.Adapter)
 			}
@@ -234,6 +246,7 @@
 		if s.hasReported() {
 			b.mustReport[id] = true
 		}
+		b.forgetPrompts(s)
 		delete(b.services[s.Service], id)
 		delete(b.servers, id)
 	}
@@ -270,6 +283,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		if old, ok := s.residents[ad]; !ok || old != version {
+			b.forgetAdapterPrompts(s, ad)
+		}
 		s.residents[ad] = version
 		b.notifyWaiters(ad)
 	}
@@ -280,6 +296,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		b.forgetAdapterPrompts(s, ad)
 		delete(s.residents, ad)
 	}
 }
@@ -388,9 +405,10 @@
 	}
 	c := Choice{Instance: best.Instance, pickedAt: now, PrefillTokens: b.totalPrefill(now, best)}
 	best.running++
-	if b.isLongPrompt(req) {
-		best.prefill += req.Tokens
-		c.pendingPrefill = &req.Tokens
+	c.Cached = b.held(now, best, req)
+	if tokens := max(req.Tokens-c.Cached, 0); b.isLongPrompt(req, tokens) {
+		best.prefill += tokens
+		c.pendingPrefill = &tokens
 	}
 	c.Running, c.HighLoad = b.totalRunning(now, best), b.load(now, best) > highLoad
 	if req.Adapter.Model != "" {
@@ -454,7 +472,7 @@
 // selectServer returns the server for a request, or nil.
 func (b *Balancer) selectServer(now time.Time, req Request, usable []*server) *server {
 	if b.isCrowded() {
-		return b.choose(now, req, b.sample(usable, req.Zone))
+		return b.choose(now, req, b.withHolders(now, req, b.sample(usable, req.Zone), usable))
 	}
 	return b.best(now, req, b.sample(usable, req.Zone))
 }
@@ -539,7 +557,7 @@
 
 // score is lower for the better server; an unreachable one comes after all others.
 func (b *Balancer) score(now time.Time, s *server, req Request) float64 {
-	score := s.loadBySpeed(b.load(now, s)) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
+	score := s.loadBySpeed(b.load(now, s)) + failurePenalty*s.failureRate + b.prefillScore(now, s, req) + b.prefixScore(now, s, req)
 	if b.isCrowded() {
 		score += b.refusalScore(now, s)
 	}
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -59,6 +59,8 @@
 	leaderSeenAt time.Time
 	recorder     recorder
 	loads        *loads
+	// cached are beginnings of prompts that entries reported and that aren't sent to relays yet.
+	cached       []CachedPrefix
 	versionWaits []versionWait
 	shuttingDown bool
 	metrics      *metrics
@@ -305,7 +307,7 @@
 
 // broadcastChanges broadcasts changes of engines and loads; it returns the wait until the rest is due, or 0.
 func (h *hub) broadcastChanges(now time.Time) time.Duration {
-	if h.leader == nil || len(h.leader.moves)+len(h.leader.changedServers)+len(h.leader.fullResidentsDue) == 0 && !h.loads.due(now) {
+	if h.leader == nil || len(h.leader.moves)+len(h.leader.changedServers)+len(h.leader.fullResidentsDue)+len(h.cached) == 0 && !h.loads.due(now) {
 		return 0
 	}
 	if wait := h.nextUpdateAt.Sub(now); wait > 0 && len(h.leader.changedServers) == 0 {
@@ -316,7 +318,8 @@
 	for _, id := range d.RemovedServers {
 		h.metrics.removeServer(id)
 	}
-	if ok || len(d.Loads) > 0 {
+	d.Cached, h.cached = h.cached, nil
+	if ok || len(d.Loads)+len(d.Cached) > 0 {
 		h.broadcast(d)
 		h.nextUpdateAt = now.Add(updateEvery)
 	}
@@ -484,6 +487,7 @@
 	}
 	h.applyQuotaReport(now, s, up.Quotas)
 	h.leader.recordSpeeds(now, up.Speeds)
+	h.cached = appendPrefixes(h.cached, up.Cached)
 	h.recordCrashes(now, up.Crashes)
 	h.leader.quarantine.reportSound(now, up.Sound)
 	h.applyTrials(now, up.Trials)
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -59,6 +59,7 @@
 	sound              map[quarantiner.Digest]bool
 	trials             []Trial
 	speeds             *profiler.Collector
+	cached             []CachedPrefix
 	// version and entries are the values last sent to the leader.
 	version uint64
 	entries int
@@ -93,6 +94,7 @@
 	r.pending.known = make(map[tracker.Key]tracker.Instance)
 	r.pending.crashes, r.pending.sound, r.pending.trials = nil, make(map[quarantiner.Digest]bool), nil
 	r.quotas.clearReport()
+	r.pending.cached = nil
 }
 
 // setUpstream sets the connection to a leader, to which everything must be reported anew.
@@ -222,6 +224,7 @@
 	if len(p.crashes)+len(up.Crashes) <= maxPendingRequests {
 		p.crashes = append(p.crashes, up.Crashes...)
 	}
+	p.cached = appendPrefixes(p.cached, up.Cached)
 	for _, d := range up.Sound {
 		if len(p.sound) < maxPendingRequests {
 			p.sound[d] = true
@@ -359,7 +362,7 @@
 	}
 	up := UpMessage{Loads: p.loads.takeChanged(now), Missing: slices.Collect(maps.Keys(p.missing)), Known: slices.Collect(maps.Values(p.known))}
 	up.Quotas = r.quotas.report()
-	up.Crashes, up.Sound, up.Trials = p.crashes, slices.Collect(maps.Keys(p.sound)), p.trials
+	up.Crashes, up.Sound, up.Trials, up.Cached = p.crashes, slices.Collect(maps.Keys(p.sound)), p.trials, p.cached
 	if version != p.version {
 		up.Version = version
 	}
@@ -396,7 +399,7 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds) == 0
+	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds)+len(up.Cached) == 0
 }
 
 // takeSpeeds returns the samples of servers' speeds since the last call.
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -41,6 +41,7 @@
 	loads                          map[string]bool
 	standings                      map[quarantiner.Digest]bool
 	speeds                         map[string]bool
+	cached                         []CachedPrefix
 }
 
 func newView() *view {
@@ -73,7 +74,7 @@
 }
 
 func (c *changes) isEmpty() bool {
-	return !c.isUrgent() && !c.entries && !c.quotas && len(c.held)+len(c.loads)+len(c.speeds) == 0
+	return !c.isUrgent() && !c.entries && !c.quotas && len(c.held)+len(c.loads)+len(c.speeds)+len(c.cached) == 0
 }
 
 // apply applies a message of the leader. Documents, versions and leaving servers never go back, even with a new leader.
@@ -124,6 +125,7 @@
 	for _, s := range d.Speeds {
 		v.setSpeed(s)
 	}
+	v.changes.cached = appendPrefixes(v.changes.cached, d.Cached)
 	if d.Entries > 0 && d.Entries != v.entries {
 		v.entries, v.changes.entries = d.Entries, true
 	}
@@ -317,8 +319,10 @@
 	}
 	if !all {
 		v.changes.held, v.changes.loads, v.changes.entries, v.changes.quotas, v.changes.speeds = c.held, c.loads, c.entries, c.quotas, c.speeds
+		v.changes.cached = c.cached
 		return d
 	}
+	d.Cached = c.cached
 	if c.entries {
 		d.Entries = v.entries
 	}
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -31,6 +31,8 @@
 	Quotas *QuotaReport `cbor:"13,keyasint,omitempty"`
 	// Speeds sum what the sender saw of servers' streams since its last message.
 	Speeds []SpeedSample `cbor:"14,keyasint,omitempty"`
+	// Cached are beginnings of prompts that engines have read for the sender.
+	Cached []CachedPrefix `cbor:"15,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -167,6 +169,8 @@
 	Quotas *QuotaUpdate `cbor:"17,keyasint,omitempty"`
 	// Speeds are the servers' speeds where they changed; beside Welcome, all that differ from the usual one.
 	Speeds []Speed `cbor:"18,keyasint,omitempty"`
+	// Cached are beginnings of prompts that engines have read for any entry.
+	Cached []CachedPrefix `cbor:"19,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -89,6 +89,8 @@
 	parts []quarantiner.Digest
 	// allDigests are those and the digest of the whole request, nil until they are needed.
 	allDigests []quarantiner.Digest
+	// prompt is the prompt, as far as engines may have cached its beginning.
+	prompt balancer.Prompt
 	// onTrial is set if the latest attempt is a trial whose result isn't reported yet.
 	onTrial bool
 }
@@ -121,6 +123,7 @@
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
 		c.adapter = e.headers.ParseModel(req.get(e.headers.Model))
 		c.tokens, c.outputTokens = e.headers.ParseUsage(req.get(e.headers.Usage))
+		c.prompt = e.promptOf(c, s)
 	}
 	c.deadline = c.arrived.Add(route.Timeout)
 	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
@@ -393,7 +396,7 @@
 func (c *call) pickRequest(zone string) balancer.Request {
 	return balancer.Request{
 		Service: c.service, Adapter: c.adapter, Zone: zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause,
-		Priority: c.priority, Deadline: c.deadline,
+		Priority: c.priority, Deadline: c.deadline, Prompt: c.prompt,
 	}
 }
 
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -337,6 +337,9 @@
 		speeds = append(speeds, profiler.Speed(v))
 	}
 	b.SetSpeeds(speeds, d.Welcome != nil)
+	if len(d.Cached) > 0 {
+		b.AddSharedPrefixes(now, sharedPrefixes(d.Cached))
+	}
 	if d.Entries > 0 {
 		b.SetEntries(d.Entries)
 	}
@@ -398,7 +401,10 @@
 		for _, v := range c.entry.balancer.SpeedSamples() {
 			up.Speeds = append(up.Speeds, governor.SpeedSample(v))
 		}
-		if len(up.Uses)+len(up.Loads)+len(up.Speeds) > 0 {
+		for _, p := range c.entry.balancer.SharedPrefixes() {
+			up.Cached = append(up.Cached, governor.CachedPrefix{Engine: p.Engine, Adapter: p.Adapter, Digest: p.Prefix.Digest, Tokens: p.Prefix.Tokens})
+		}
+		if len(up.Uses)+len(up.Loads)+len(up.Speeds)+len(up.Cached) > 0 {
 			c.enqueue(up)
 		}
 	}
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -24,6 +24,7 @@
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
+	prompts   *prometheus.CounterVec
 	quotas    *prometheus.CounterVec
 	amounts   *prometheus.CounterVec
 
@@ -99,13 +100,16 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
+	m.prompts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_entry_prompt_tokens_total", Help: "Tokens of prompts by whether the chosen engine was believed to hold them.",
+	}, []string{"state"})
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_requests_total", Help: "Requests of client accounts with a quota by how it decided on them.",
 	}, []string{"account", "decision"})
 	m.amounts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_amount_total", Help: "Amounts of client accounts' quotas, in the quota's unit, by what became of them.",
 	}, []string{"account", "kind"})
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places)
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places, m.prompts)
 	return m
 }
 
@@ -167,3 +171,9 @@
 		m.firstByte.Observe(w.firstWriteAt.Sub(arrived).Seconds())
 	}
 }
+
+// countPrompt counts the tokens of a prompt that a server has read.
+func (m *metrics) countPrompt(tokens, cached int) {
+	m.prompts.WithLabelValues("cached").Add(float64(min(cached, tokens)))
+	m.prompts.WithLabelValues("read").Add(float64(max(tokens-cached, 0)))
+}
