Client accounts: withdrawal of a key, tests of cuts, restarts and moved keys

Cause: revoke_closed and revoke_ms decide what becomes of connections and running requests of a key that is taken away; nothing read them. Change: with revoke_closed, a table that takes a key away or moves it to another account cancels its requests (401 if nothing ran, 502 if it may have run, a cut stream) and closes the connections on which it was used; without it they end as usual. The message that brings a version confirms the leader only after it was applied. Measured: go test -race -count=15 of the new tests of stage/relayer ok, TestKeysAfterCutsAndRestarts (1.9 s) and, twice, TestKeysAtEntryBesideRelayThatLostLeader (5.1 s) ok. TestNewKeyIsNotDeniedWhileItsVersionIsRead fails with the order of before.

--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -147,6 +147,8 @@
 		reason := fmt.Sprintf("the servers of %s are full, %.0f %% of its requests are admitted", c.service, 100*a.Share)
 		return e.refuse(c, w, reason, a.RetryAfter)
 	}
+	ctx, release := e.withWithdrawal(ctx, w.conn, d)
+	defer release(nil)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
 	defer cancel()
 	return e.tryServers(ctx, c, w)
@@ -313,6 +315,8 @@
 	switch {
 	case e.callerLeft(ctx, w):
 		return false
+	case isWithdrawn(ctx):
+		return e.failWithdrawn(c, w)
 	case w.streaming:
 		return e.abortResponse(c, w, r.reason)
 	case !c.mayHaveRun:
@@ -329,6 +333,8 @@
 	switch {
 	case e.callerLeft(ctx, w):
 		return false
+	case isWithdrawn(ctx):
+		return e.failWithdrawn(c, w)
 	case w.streaming:
 		return e.abortResponse(c, w, "no other server can be asked")
 	case c.mayHaveRun:
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -272,26 +272,28 @@
 	}, func(d governor.DownMessage, confirmed time.Time) {
 		if d.Welcome != nil {
 			started = true
-			c.mu.Lock()
-			delete(c.failedAt, addr)
-			c.mu.Unlock()
-			c.entry.balancer.ResendLoads()
-			c.entry.log.Info("session with a control replica", addr)
 		}
-		c.applyMessage(d)
-		c.confirm(confirmed)
-		c.entry.quotas.confirm(confirmed)
+		c.receive(addr, d, confirmed)
 	})
 	return started, redirect, err
 }
 
-// confirm records that the leader is known to have served this entry at a time. What its messages up to then contain must
-// have been applied: from then on this entry refuses what it doesn't know.
-func (c *controlClient) confirm(at time.Time) {
+// receive applies a message from the replica at addr, and then records that the leader is known to have served this entry at
+// a time: from then on this entry refuses routes and keys that it doesn't know.
+func (c *controlClient) receive(addr string, d governor.DownMessage, confirmed time.Time) {
+	if d.Welcome != nil {
+		c.mu.Lock()
+		delete(c.failedAt, addr)
+		c.mu.Unlock()
+		c.entry.balancer.ResendLoads()
+		c.entry.log.Info("session with a control replica", addr)
+	}
+	c.applyMessage(d)
+	c.entry.quotas.confirm(confirmed)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at.After(c.confirmedAt) {
-		c.confirmedAt = at
+	if confirmed.After(c.confirmedAt) {
+		c.confirmedAt = confirmed
 	}
 }
 
@@ -381,6 +383,7 @@
 		e.table.Store(t)
 		e.metrics.keepAccounts(t)
 		e.quotas.configure(time.Now(), t.Accounts())
+		e.keyUses.withdraw(t)
 		e.log.Document(doc.Version)
 	}
 	c.enqueue(governor.UpMessage{Version: e.table.Load().Version()})
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -43,6 +43,8 @@
 	accountKeyRefused accountOutcome = "refused_key"
 	// accountKeyUnsure counts 503 to requests without a known key, at an entry that may not know the newest keys.
 	accountKeyUnsure accountOutcome = "unsure_key"
+	// accountWithdrawn counts requests that were ended because their key was taken away.
+	accountWithdrawn accountOutcome = "withdrawn_key"
 )
 
 // unknownAccount is the label of requests whose key no account holds.
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -91,6 +91,7 @@
 	balancer *balancer.Balancer
 	budget   *retryBudget
 	metrics  *metrics
+	keyUses  *keyUses
 	control  *controlClient
 	table    atomic.Pointer[matcher.Table]
 	ctx      context.Context
@@ -131,8 +132,8 @@
 		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(), suspects: newSuspects(cfg.Node),
 		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
-		metrics: newMetrics(),
-		budget:  newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
+		metrics: newMetrics(), keyUses: newKeyUses(),
+		budget: newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.control = newControlClient(e)
@@ -234,15 +235,16 @@
 // serveConn serves the requests of one connection.
 func (e *Relayer) serveConn(c net.Conn) {
 	br := bufio.NewReaderSize(c, callerBufferBytes)
+	defer e.keyUses.forget(c)
 	for {
 		limits := e.limits()
-		if !e.setBusy(c, false) || c.SetReadDeadline(time.Now().Add(limits.Idle)) != nil {
+		if !e.keyUses.setBusy(c, false) || !e.setBusy(c, false) || c.SetReadDeadline(time.Now().Add(limits.Idle)) != nil {
 			return
 		}
 		if _, err := br.Peek(1); err != nil {
 			return
 		}
-		if !e.setBusy(c, true) {
+		if !e.keyUses.setBusy(c, true) || !e.setBusy(c, true) {
 			return
 		}
 		if c.SetReadDeadline(time.Now().Add(limits.Header)) != nil {
