Metrics: the counts of quotas end with their account too

Cause: labels of accounts that a version has taken away stayed in the quotas' counts, so that they grew with the versions. Change: one place removes all counts of an account that the version in force doesn't have. Measured: the tests of accounts, keys and metrics in stage/relayer ok, -race -count=3.

--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -29,7 +29,7 @@
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
-	// accountNames are the accounts that have been counted.
+	// accountNames are the accounts that may have been counted.
 	accountNames map[string]bool
 }
 
@@ -68,10 +68,12 @@
 	defer m.accountsMu.Unlock()
 	for name := range m.accountNames {
 		if !kept[name] {
-			m.accounts.DeletePartialMatch(prometheus.Labels{"account": name})
-			delete(m.accountNames, name)
+			for _, v := range []*prometheus.CounterVec{m.accounts, m.quotas, m.amounts} {
+				v.DeletePartialMatch(prometheus.Labels{"account": name})
+			}
 		}
 	}
+	m.accountNames = kept
 }
 
 func newMetrics() *metrics {
