--- a/stage/relayer/authentication.go
+++ b/stage/relayer/authentication.go
@@ -34,11 +34,11 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
-	// outcome is counted for the account, unless it is empty.
+	// outcome is set if the request is refused for its key, and counted.
 	outcome accountOutcome
 }
 
-// onKey reports whether the request is refused for its key; such refusals are sent before the body is read.
+// onKey reports whether there is a refusal and it is for the request's key; such refusals are sent before the body is read.
 func (r *refusal) onKey() bool { return r != nil && r.outcome != "" }
 
 // decideHead decides on a request's head by a table; mayBeOld is set if a newer version may be in force elsewhere.
@@ -142,7 +142,7 @@
 
 // decideNow decides on a request's head by the table in force.
 func (e *Relayer) decideNow(req *request) headDecision {
-	// Read before the table: a version that comes in between is in the table.
+	// Read before the table: in the other order, a version that comes in between would have the older table count as the newest.
 	mayBeOld := e.control.disconnectedFor(time.Now()) > 0
 	return decideHead(e.table.Load(), e.headers, req, mayBeOld)
 }
@@ -156,7 +156,7 @@
 	return d
 }
 
-// skipBody discards a body that has arrived already; otherwise the connection must close after the answer.
+// skipBody discards a body that has arrived already; any other is left unread, and the connection closes after the answer.
 func (r *request) skipBody(br *bufio.Reader) error {
 	if r.chunked || r.length > br.Buffered() {
 		r.isBodyUnread, r.closeConn = true, true
