--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -150,6 +150,8 @@
 		reason := fmt.Sprintf("the servers of %s are full, %.0f %% of its requests are admitted", c.service, 100*a.Share)
 		return e.refuse(c, w, reason, a.RetryAfter)
 	}
+	ctx, release := e.withWithdrawal(ctx, w.conn, d)
+	defer release(nil)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(deadlineSlack))
 	defer cancel()
 	return e.tryServers(ctx, c, w)
@@ -316,6 +318,8 @@
 	switch {
 	case e.callerLeft(ctx, w):
 		return false
+	case isWithdrawn(ctx):
+		return e.failWithdrawn(c, w)
 	case w.streaming:
 		return e.abortResponse(c, w, r.reason)
 	case !c.mayHaveRun:
@@ -332,6 +336,8 @@
 	switch {
 	case e.callerLeft(ctx, w):
 		return false
+	case isWithdrawn(ctx):
+		return e.failWithdrawn(c, w)
 	case w.streaming:
 		return e.abortResponse(c, w, "no other server can be asked")
 	case c.mayHaveRun:
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -30,7 +30,7 @@
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
-	// accountNames are the accounts that have been counted.
+	// accountNames are the accounts that may have been counted.
 	accountNames map[string]bool
 }
 
@@ -44,6 +44,8 @@
 	accountKeyRefused accountOutcome = "refused_key"
 	// accountKeyUnsure counts 503 to requests without a known key, at an entry that may not know the newest keys.
 	accountKeyUnsure accountOutcome = "unsure_key"
+	// accountWithdrawn counts requests that were ended because their key was taken away.
+	accountWithdrawn accountOutcome = "withdrawn_key"
 )
 
 // unknownAccount is the label of requests whose key no account holds.
@@ -67,10 +69,12 @@
 	defer m.accountsMu.Unlock()
 	for name := range m.accountNames {
 		if !kept[name] {
-			m.accounts.DeletePartialMatch(prometheus.Labels{"account": name})
-			delete(m.accountNames, name)
+			for _, v := range []*prometheus.CounterVec{m.accounts, m.quotas, m.amounts} {
+				v.DeletePartialMatch(prometheus.Labels{"account": name})
+			}
 		}
 	}
+	m.accountNames = kept
 }
 
 func newMetrics() *metrics {
