--- a/serving/limiter/bucket.go
+++ b/serving/limiter/bucket.go
@@ -157,6 +157,11 @@
 	})
 }
 
+// isLastAnswered reports whether the latest report was answered.
+func (b *bucket) isLastAnswered() bool {
+	return len(b.sent) == 0 || b.sent[len(b.sent)-1].seq != b.seq
+}
+
 // answered removes the report with a sequence number and returns when it was sent; false if it isn't known or too old.
 func (b *bucket) answered(now time.Time, seq uint32) (time.Time, bool) {
 	i := slices.IndexFunc(b.sent, func(r sentReport) bool { return r.seq == seq })
@@ -164,6 +169,7 @@
 		return time.Time{}, false
 	}
 	at := b.sent[i].at
-	b.sent = slices.Delete(b.sent, i, i+1)
+	// The leader answers only the latest report that it has.
+	b.sent = slices.Delete(b.sent, 0, i+1)
 	return at, since(now, at) < additionLife
 }
--- a/serving/limiter/set.go
+++ b/serving/limiter/set.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// reportEvery is the shortest time between two reports on an account, urgentReportEvery that while requests wait.
-	reportEvery       = 200 * time.Millisecond
-	urgentReportEvery = 40 * time.Millisecond
+	// reportEvery is the shortest time between two reports on an account. While requests wait, it is urgentReportEvery, or
+	// unansweredReportEvery if the last one wasn't answered.
+	reportEvery           = 200 * time.Millisecond
+	urgentReportEvery     = 20 * time.Millisecond
+	unansweredReportEvery = 100 * time.Millisecond
 	// additionTime is how long a report's answer is expected to take while the pool has enough; from unmetAfter on it hasn't.
-	additionTime = 100 * time.Millisecond
+	additionTime = 60 * time.Millisecond
 	unmetAfter   = 150 * time.Millisecond
 	// minRetryAfter is the shortest time after which a refused request may come back.
 	minRetryAfter = 100 * time.Millisecond
@@ -224,8 +226,11 @@
 			continue
 		}
 		pause := reportEvery
-		if b.waiting > 0 {
+		switch {
+		case b.waiting > 0 && b.isLastAnswered():
 			pause = urgentReportEvery
+		case b.waiting > 0:
+			pause = unansweredReportEvery
 		}
 		if (low || b.waiting > 0) && since(now, b.reportedAt) >= pause {
 			due = append(due, b.newReport(now, name, l))
@@ -313,10 +318,10 @@
 	}
 }
 
-// income returns what an account gets a second at this entry.
+// income returns what an account gets a second at this entry: at least an equal share, with what comes from the pool.
 func (s *Set) income(now time.Time, b *bucket) float64 {
 	b.decayRates(now)
-	return b.quota.Rate*s.share(now) + b.inflow
+	return max(b.quota.Rate*s.share(now)+b.inflow, b.quota.Rate/float64(max(s.entries.n, 1)))
 }
 
 // expect returns the expected time until an amount has come in, at most the quota's window.
--- a/serving/limiter/simulation_test.go
+++ b/serving/limiter/simulation_test.go
@@ -89,14 +89,15 @@
 	accounts []*simAccount
 	mix      []requestKind
 	messages []simMessage
-	sentTo   map[EntryID]int
-	reports  int
-	// weight is an entry's share of the load; nil means an equal one.
-	weight func(entry int) float64
+	// reports and announcements count messages.
+	reports, announcements int
+	step                   int
+	// targets are the entries that callers send to; nil means all.
+	targets []*simEntry
 }
 
 func newSim(c *qt.C, seed uint64, b Bounds, entries int, accounts []matcher.Account) *sim {
-	s := &sim{c: c, rnd: rand.New(rand.NewPCG(seed, 1)), bounds: b, now: time.Unix(1000, 0), mix: lectureMix, sentTo: make(map[EntryID]int)}
+	s := &sim{c: c, rnd: rand.New(rand.NewPCG(seed, 1)), bounds: b, now: time.Unix(1000, 0), mix: lectureMix}
 	for _, a := range accounts {
 		s.accounts = append(s.accounts, &simAccount{Account: a})
 	}
@@ -154,7 +155,9 @@
 				m.deliver()
 			}
 		}
+		s.step++
 		s.lead()
+		s.playRequests()
 		for i, e := range s.entries {
 			s.playEntry(i, e)
 		}
@@ -175,7 +178,6 @@
 	s.pool.SetEntries(s.now, touched, touched)
 	for _, a := range s.pool.Distribute(s.now) {
 		e := s.entries[a.Entry.Entry]
-		s.sentTo[e.id]++
 		s.send(func() {
 			if !e.isCut && !e.isDead && !e.isFrozen {
 				e.set.Add(s.now, a.Account, a.Seq, a.Amount)
@@ -184,6 +186,7 @@
 	}
 	n, scarce, changed := s.pool.Announcement(s.now)
 	if changed {
+		s.announcements++
 		epoch := s.epoch
 		s.send(func() {
 			for _, e := range s.entries {
@@ -200,35 +203,50 @@
 		return
 	}
 	if !e.isFrozen && !e.isCut && s.pool != nil {
-		if e.tickAt--; e.tickAt <= 0 {
-			e.tickAt = 30
-			at := s.now
-			s.send(func() { e.set.Confirm(at) })
-		}
-		demands, entries := e.set.Reports(s.now)
-		pool := s.pool
-		s.reports += len(demands)
-		if len(demands) > 0 || entries > 0 {
-			s.send(func() {
-				pool.Hold(s.now, entries)
-				for _, d := range demands {
-					pool.Report(s.now, e.id, d)
-				}
-			})
+		s.playReports(i, e)
+	}
+	if !e.isFrozen {
+		s.playWaiting(e)
+	}
+}
+
+// playReports sends an entry's heartbeats and reports.
+func (s *sim) playReports(i int, e *simEntry) {
+	if e.tickAt--; e.tickAt <= 0 {
+		e.tickAt = 30
+		at := s.now
+		s.send(func() { e.set.Confirm(at) })
+	}
+	if (s.step+i)%5 > 0 && len(e.waiting) == 0 {
+		return
+	}
+	demands, entries := e.set.Reports(s.now)
+	pool := s.pool
+	s.reports += len(demands)
+	if len(demands) > 0 || entries > 0 {
+		s.send(func() {
+			pool.Hold(s.now, entries)
+			for _, d := range demands {
+				pool.Report(s.now, e.id, d)
+			}
+		})
+	}
+}
+
+// playRequests has callers send requests of all accounts to entries that live.
+func (s *sim) playRequests() {
+	targets := s.targets
+	if targets == nil {
+		for _, e := range s.entries {
+			if !e.isDead {
+				targets = append(targets, e)
+			}
 		}
 	}
 	for _, a := range s.accounts {
-		weight := 1.0
-		if s.weight != nil {
-			weight = s.weight(i)
+		for range s.poisson(a.load / meanTokens(s.mix) * simStep.Seconds()) {
+			s.offer(targets[s.rnd.IntN(len(targets))], a)
 		}
-		rate := a.load / meanTokens(s.mix) / float64(len(s.entries)) * weight * simStep.Seconds()
-		for range s.poisson(rate) {
-			s.offer(e, a)
-		}
-	}
-	if !e.isFrozen {
-		s.playWaiting(e)
 	}
 }
 
@@ -432,9 +450,11 @@
 			s := newLectures(c, seed, lectureEntries)
 			s.run(4 * time.Second)
 			s.surge(0, 5, 15)
+			s.reports, s.announcements = 0, 0
 			s.run(11 * time.Second)
 			s.checkBounds()
 			s.checkHot(11*time.Second, 0.9, 0, 5, 15)
+			t.Logf("%.1f reports a second and entry, %.1f announcements a second", float64(s.reports)/11/lectureEntries, float64(s.announcements)/11)
 			s.checkServed(200, 0, 5, 15)
 		})
 	}
@@ -574,12 +594,7 @@
 	accounts, _ := lectureAccounts()
 	s := newSim(c, 9, lectures, lectureEntries, accounts[8:9])
 	s.run(3 * time.Second)
-	s.weight = func(entry int) float64 {
-		if entry < 4 {
-			return lectureEntries / 4.0
-		}
-		return 0
-	}
+	s.targets = s.entries[:4]
 	s.accounts[0].load = 0.55 * accounts[8].Quota.Rate
 	s.run(10 * time.Second)
 	s.checkBounds()
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -127,15 +127,20 @@
 	if d.Entries > 0 && d.Entries != v.entries {
 		v.entries, v.changes.entries = d.Entries, true
 	}
-	if d.Quotas != nil && d.Quotas.Entries > 0 {
-		v.quotas, v.changes.quotas = *d.Quotas, true
-		v.quotas.Additions = nil
-	}
+	v.applyQuotas(d.Quotas)
 	if list := v.withZones(d.Replicas); len(list) > 0 && !slices.Equal(list, v.replicas) {
 		v.replicas, v.changes.replicas = list, true
 	}
 }
 
+// applyQuotas keeps an announcement; additions are for single entries.
+func (v *view) applyQuotas(u *QuotaUpdate) {
+	if u != nil && u.Entries > 0 {
+		v.quotas, v.changes.quotas = *u, true
+		v.quotas.Additions = nil
+	}
+}
+
 // clearStandings drops the standings of an earlier leader, which the next one has from the log or finds again.
 func (v *view) clearStandings() {
 	for d := range v.standings {
--- a/stage/relayer/quota.go
+++ b/stage/relayer/quota.go
@@ -19,7 +19,7 @@
 	// maxQuotaWaitShare is the share of a route's latency target that a request waits for its account's quota, and
 	// minQuotaWait the least on routes without one.
 	maxQuotaWaitShare = 0.25
-	minQuotaWait      = 50 * time.Millisecond
+	minQuotaWait      = 100 * time.Millisecond
 	// quotaSpread is by how much of it the time after which refused callers come back is spread.
 	quotaSpread = 0.5
 )
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -30,6 +31,7 @@
 	testDeadline = "X-Deadline"
 	testResume   = "X-Resume"
 	testLeaving  = "X-Leaving"
+	testUsage    = "X-Usage"
 )
 
 var testHeaders = Headers{
@@ -40,7 +42,19 @@
 		model, name, _ := strings.Cut(v, "/")
 		return tracker.Adapter{Model: model, Name: name}
 	},
-	ParseUsage: func(string) (int, int) { return 0, 0 },
+	Usage: testUsage,
+	ParseUsage: func(v string) (int, int) {
+		prompt, output, _ := strings.Cut(v, ",")
+		return testTokens(prompt), testTokens(output)
+	},
+}
+
+func testTokens(v string) int {
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		return 0
+	}
+	return n
 }
 
 // testTable returns a table with a route of each kind for one host.
