Balancer: plain servers decide themselves when they are full

Cause: with more than 8 entries, a plain server whose sum reached 2.5 requests a slot got none from any entry until the next sum, 100 ms later, and then all at once: in the simulated burst of 88 entries before three servers 63 % of the places were busy and 55 % of arrivals refused. Change: the sums limit a server only where requests stay longer than sums are old; the admitted share follows refusals alone (own ones, those of all entries as the prior) and rises fast while sums show free slots; queued requests count less in the choice, other data centres count as the own one fills up. Measured: TestServersStayBusyInBurst 0.98 to 1.00 busy, 0.11 to 0.15 of all arrivals refused; TestFewRefusalsAtHalfLoad none refused with queues of four times the slots, as the platform's sites have them.

--- a/serving/balancer/admission.go
+++ b/serving/balancer/admission.go
@@ -8,21 +8,21 @@
 const (
 	// targetRefusals is the share of requests that servers may refuse while entries admit as many as the servers can
 	// take; fewer refusals would leave places free.
-	targetRefusals = 0.16
+	targetRefusals = 0.1
 	// minAdmitted is the smallest admitted share; some requests must find out that places are free again.
 	minAdmitted = 0.05
-	// maxRise limits the rise of the admitted share over that of the last span of evidence; ownRise is the rise without sums.
-	maxRise = 2.0
-	ownRise = 1.6
-	// fullLoad is the load of all servers together up to which the admitted share rises.
-	fullLoad = 1.2
-	// busyLoad is the load from which refusals mean that servers are full.
+	// rise is how much the admitted share rises over that of the last answers while servers refuse few requests, fastRise
+	// while the sums of loads show free slots.
+	rise     = 1.6
+	fastRise = 2.5
+	// busyLoad is the load of all servers together from which no slots count as free.
 	busyLoad = 0.8
-	// priorAnswers are answers that an entry assumes beside those that it had, so that a few refusals are no evidence.
+	// priorAnswers are answers that an entry assumes beside its own, of which servers refused as many as they refused all
+	// entries, so that few requests of its own are little evidence.
 	priorAnswers = 3
 	// ownCountTime is the time constant of an entry's own counts of answers and refusals.
 	ownCountTime = 700 * time.Millisecond
-	// shareInterval is the time between two changes of the admitted share.
+	// shareInterval is the shortest time between two changes of the admitted share.
 	shareInterval = 50 * time.Millisecond
 	// minRetryAfter is the shortest time after which a refused caller may come back; maxRetryAfterShare limits the time
 	// to a share of what the caller has left.
@@ -31,39 +31,22 @@
 	retryAfterPerShare = 2 * time.Second
 )
 
-// admission decides which share of a plain service's requests an entry admits. All entries see the same sums of loads
-// and refusals, so that their shares agree without an exchange; an entry without sums goes by its own refusals.
+// admission decides which share of a plain service's requests an entry admits, from the refusals of its servers.
 type admission struct {
-	share float64
-	// shares are the admitted shares of the last intervals, as of updatedAt.
-	shares    [(countTime + 2*loadsAge) / shareInterval]float64
+	share     float64
 	updatedAt time.Time
-	// ownShare, answers and refusals are decayed with ownCountTime.
-	ownShare  float64
-	answers   float64
-	refusals  float64
-	countedAt time.Time
+	// earlierShare, answers and refusals are averages and counts that are decayed with ownCountTime.
+	earlierShare float64
+	answers      float64
+	refusals     float64
+	countedAt    time.Time
 }
 
-// evidence is what an entry knows of the places of a service, and which share was admitted when it was so.
-type evidence struct {
-	// refused is the share of requests that servers refused.
-	refused float64
-	// load is the requests at all servers as a share of their slots, negative if unknown.
-	load float64
-}
-
-func newAdmission() *admission {
-	a := &admission{share: 1, ownShare: 1}
-	for i := range a.shares {
-		a.shares[i] = 1
-	}
-	return a
-}
+func newAdmission() *admission { return &admission{share: 1, earlierShare: 1} }
 
 func (a *admission) decay(now time.Time) {
 	f := math.Exp(-float64(max(now.Sub(a.countedAt), 0)) / float64(ownCountTime))
-	a.answers, a.refusals, a.ownShare, a.countedAt = a.answers*f, a.refusals*f, a.share+(a.ownShare-a.share)*f, now
+	a.answers, a.refusals, a.earlierShare, a.countedAt = a.answers*f, a.refusals*f, a.share+(a.earlierShare-a.share)*f, now
 }
 
 // record counts an attempt's result.
@@ -77,45 +60,31 @@
 	}
 }
 
-// ownRefused returns the share of this entry's requests that servers refused.
-func (a *admission) ownRefused() float64 {
-	return a.refusals / (a.refusals + a.answers + priorAnswers)
+// evidence is what the sums of all entries tell of a service's servers.
+type evidence struct {
+	// refused is the share of requests that servers refused, 0 if unknown.
+	refused float64
+	// hasFreeSlots reports that servers are known to have free slots.
+	hasFreeSlots bool
 }
 
-// update sets the admitted share. The evidence came about under the shares of a while ago, so that the new share is a
-// multiple of theirs and not of the latest one.
+// update sets the admitted share. The refusals came about under earlier shares, so that the new share is a multiple of
+// those and not of the latest one.
 func (a *admission) update(now time.Time, e evidence) {
 	if now.Sub(a.updatedAt) < shareInterval {
 		return
 	}
 	a.decay(now)
-	before := a.ownShare
-	if e.load >= 0 {
-		before = a.earlierShare()
-	}
-	change := ownRise
-	switch isFull := e.load < 0 || e.load >= busyLoad; {
-	case isFull && e.refused > targetRefusals/2:
-		change = (1 - e.refused) / (1 - targetRefusals)
-	case e.load >= 0:
-		change = min(fullLoad/max(e.load, fullLoad/maxRise), maxRise)
-	}
-	a.share = min(max(before*change, minAdmitted), 1)
-	steps := int(min(now.Sub(a.updatedAt)/shareInterval, time.Duration(len(a.shares))))
-	copy(a.shares[steps:], a.shares[:len(a.shares)-steps])
-	for i := range steps {
-		a.shares[i] = a.share
-	}
 	a.updatedAt = now
-}
-
-// earlierShare returns the admitted share of the time that reported sums are about.
-func (a *admission) earlierShare() float64 {
-	sum, list := 0.0, a.shares[loadsAge/shareInterval:len(a.shares)-int(loadsAge/shareInterval)]
-	for _, v := range list {
-		sum += v
+	refused := (a.refusals + priorAnswers*e.refused) / (a.refusals + a.answers + priorAnswers)
+	change := rise
+	switch {
+	case e.hasFreeSlots:
+		change = fastRise
+	case refused > targetRefusals/2:
+		change = (1 - refused) / (1 - targetRefusals)
 	}
-	return sum / float64(len(list))
+	a.share = min(max(a.earlierShare*change, minAdmitted), 1)
 }
 
 // isCrowded reports whether so many entries share the servers that each knows little of the others' latest requests.
@@ -147,7 +116,7 @@
 		return Admission{Admitted: true, Share: 1}
 	}
 	a := b.admission(req.Service)
-	a.update(now, b.evidence(now, req.Service, a))
+	a.update(now, b.evidence(now, req.Service))
 	out := Admission{Admitted: a.share >= 1 || b.random() < a.share, Share: a.share}
 	if !out.Admitted {
 		out.RetryAfter = b.retryAfter(now, req, minRetryAfter)
@@ -176,8 +145,8 @@
 	return t + time.Duration(b.random()*float64(t))
 }
 
-// evidence returns what is known of the places of a service.
-func (b *Balancer) evidence(now time.Time, service string, a *admission) evidence {
+// evidence returns what the sums of all entries tell of a service's servers.
+func (b *Balancer) evidence(now time.Time, service string) evidence {
 	running, slots, refusals, fresh := 0.0, 0.0, 0.0, false
 	for _, s := range b.services[service] {
 		if s.Leaving {
@@ -191,11 +160,11 @@
 		}
 	}
 	if !fresh || slots == 0 {
-		return evidence{refused: a.ownRefused(), load: -1}
+		return evidence{}
 	}
 	perSecond := refusals / countTime.Seconds()
 	answers := running / b.stay(service).Seconds()
-	return evidence{refused: perSecond / max(perSecond+answers, 1), load: running / slots}
+	return evidence{refused: perSecond / max(perSecond+answers, 1), hasFreeSlots: running < busyLoad*slots}
 }
 
 func (b *Balancer) stay(service string) time.Duration { return b.stays[service].get() }
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -516,17 +516,18 @@
 // load returns a server's load as a share of its slots.
 func (b *Balancer) load(now time.Time, s *server) float64 {
 	if b.isCrowded() {
-		return b.expectedRunning(now, s) / float64(s.slots())
+		return b.expectedLoad(now, s)
 	}
 	return float64(b.totalRunning(now, s)) / float64(s.slots())
 }
 
 // isFull reports whether a server has as many requests as all entries together may have there: enough to keep it busy,
-// too few to overflow its queue. Without fresh loads of the others, each entry may use an equal part of the limit.
+// too few to overflow its queue. Without fresh loads of the others, each entry may use an equal part of the limit. With
+// many entries, sums of short requests say little of what is there now, and servers refuse what is too much.
 func (b *Balancer) isFull(now time.Time, s *server) bool {
 	limit := math.Ceil(maxRequestsPerSlot * float64(s.slots()))
 	if b.isCrowded() {
-		return float64(s.running)+s.others.last >= limit && b.hasFreshLoads(now, s)
+		return b.sumsAreCurrent(s.Service) && b.hasFreshLoads(now, s) && float64(s.running)+s.others.last >= limit
 	}
 	if b.hasFreshLoads(now, s) {
 		return float64(b.totalRunning(now, s)) >= limit
@@ -539,8 +540,7 @@
 	score := b.load(now, s) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
 	if b.isCrowded() {
 		score += b.refusalScore(now, s)
-	}
-	if s.Zone != req.Zone {
+	} else if s.Zone != req.Zone {
 		score += remotePenalty
 	}
 	if now.Before(s.ejectedUntil) {
--- a/serving/balancer/forecast.go
+++ b/serving/balancer/forecast.go
@@ -11,7 +11,9 @@
 	// initialStay is the assumed time that a request spends at a server of a service until answers were timed, stayWeight
 	// the weight of the latest answer in its average.
 	initialStay = 200 * time.Millisecond
-	stayWeight  = 1.0 / 16
+	stayWeight  = 1.0 / 8
+	// shortestWeight is the weight of a longer answer in the shortest stay.
+	shortestWeight = 1.0 / 64
 	// loadsAge is how old the loads of other entries are when they arrive: reports and sums are sent ten times a second.
 	loadsAge = 150 * time.Millisecond
 )
@@ -53,14 +55,17 @@
 // stays averages how long requests stay at the servers of a service.
 type stays struct {
 	mean time.Duration
+	// shortest follows the shortest stays: requests that found a free slot.
+	shortest time.Duration
 }
 
 func (s *stays) record(took time.Duration) {
 	if s.mean == 0 {
-		s.mean = took
+		s.mean, s.shortest = took, took
 		return
 	}
 	s.mean += time.Duration(stayWeight * float64(took-s.mean))
+	s.shortest = min(took, s.shortest+time.Duration(shortestWeight*float64(took-s.shortest)))
 }
 
 func (s *stays) get() time.Duration {
@@ -70,6 +75,12 @@
 	return s.mean
 }
 
+// sumsAreCurrent reports whether most requests that a sum is about are still at the servers of a service.
+func (b *Balancer) sumsAreCurrent(service string) bool {
+	s := b.stays[service]
+	return s == nil || s.shortest >= loadsAge
+}
+
 // countSpan is the length of the two spans that a recentCount covers.
 const countSpan = 200 * time.Millisecond
 
--- a/serving/balancer/selection.go
+++ b/serving/balancer/selection.go
@@ -9,8 +9,16 @@
 	// selectivity is how much a difference of score counts in the random choice among servers: a server whose score is
 	// higher by d is chosen e^(-selectivity d) times as often. Where sums are fresh in relation to a request's stay,
 	// freshSelectivity is added in proportion.
-	selectivity      = 6.0
+	selectivity      = 3.0
 	freshSelectivity = 20.0
+	// minQueueWeight is the least weight of queued requests against running ones. A queue grows with all that is sent too
+	// much, so that choices by sums that are older than a request's stay let queues grow and run empty by turns.
+	minQueueWeight = 0.1
+	// minRemoteShare is how often a server in another data centre is chosen for each choice of an equal local one; it rises
+	// to 1 while the load of the local ones rises from localBusy to localFull.
+	minRemoteShare = 0.2
+	localBusy      = 0.8
+	localFull      = 1.2
 	// refusalPenalty weighs the share of requests that a server refused against load.
 	refusalPenalty = 1.0
 	// fullPenalty is the load that a server counts for which refused this entry's request within a request's stay.
@@ -36,6 +44,16 @@
 	return float64(s.running) + s.others.running(now, b.stay(s.Service))
 }
 
+// expectedLoad returns the load that is expected at a server as a share of its slots; requests beyond its slots count less
+// if the sums are old in relation to a request's stay.
+func (b *Balancer) expectedLoad(now time.Time, s *server) float64 {
+	load := b.expectedRunning(now, s) / float64(s.slots())
+	if load <= 1 {
+		return load
+	}
+	return 1 + (load-1)*max(minQueueWeight, sumWeight(0, b.stay(s.Service)))
+}
+
 // recordRefusal records whether a server refused a request.
 func (s *server) recordRefusal(now time.Time, r Result) {
 	v := s.refusalRate(now)
@@ -72,16 +90,20 @@
 	if len(list) == 0 {
 		return nil
 	}
-	steepness := selectivity + freshSelectivity*sumWeight(0, b.stay(req.Service))
 	scores := make([]float64, len(list))
 	lowest := math.Inf(1)
 	for i, s := range list {
 		scores[i] = b.score(now, s, req)
 		lowest = min(lowest, scores[i])
 	}
-	total := 0.0
+	fresh := sumWeight(0, b.stay(req.Service))
+	steepness := selectivity + freshSelectivity*fresh*fresh
+	remote, total := b.remoteShare(now, req, list), 0.0
 	for i, v := range scores {
 		scores[i] = float64(list[i].slots()) * math.Exp(-steepness*(v-lowest))
+		if list[i].Zone != req.Zone {
+			scores[i] *= remote
+		}
 		total += scores[i]
 	}
 	point := b.random() * total
@@ -92,3 +114,16 @@
 	}
 	return list[len(list)-1]
 }
+
+// remoteShare returns how often a server in another data centre is chosen for each choice of an equal local one.
+func (b *Balancer) remoteShare(now time.Time, req Request, list []*server) float64 {
+	running, slots := 0.0, 0
+	for _, s := range list {
+		if s.Zone == req.Zone {
+			running += b.expectedRunning(now, s)
+			slots += s.slots()
+		}
+	}
+	full := (running/float64(max(slots, 1)) - localBusy) / (localFull - localBusy)
+	return minRemoteShare + (1-minRemoteShare)*min(max(full, 0), 1)
+}
