Room at engines: a reckoning of their memory that all entries share

Cause: nothing looked at the memory of engines; a request larger than what was left there interrupted others, which are then read anew. Change: serving/reckoner expects the length of answers and orders those that wait for room; loads carry the tokens held (Load field 4); the balancer sends a request only where it fits, draws servers by their room while sums are late, and lets large requests claim room. Takes effect where a service has MemoryTokens.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -77,6 +77,11 @@
 	// Priority is the request's priority; 0 is the most urgent. Deadline is when its caller leaves.
 	Priority int
 	Deadline time.Time
+	// Arrived is when the request came. Capacity is the memory of an engine in tokens, 0 if unknown; Room is the request's
+	// wait for room there, nil if it doesn't wait.
+	Arrived  time.Time
+	Capacity int
+	Room     *RoomTicket
 }
 
 // Choice is the server for one attempt.
@@ -93,6 +98,8 @@
 	pickedAt      time.Time
 	// pendingPrefill is the request's own prompt tokens until the server has prefilled them.
 	pendingPrefill *int
+	// memory is the room that the request takes there.
+	memory int
 }
 
 // PickStatus is the outcome of Pick.
@@ -110,6 +117,8 @@
 	NoServer
 	// PrefillBusy means that all usable servers are prefilling other prompts.
 	PrefillBusy
+	// NoRoom means that the memory of all usable servers is taken, or that earlier requests wait for it.
+	NoRoom
 )
 
 type server struct {
@@ -137,6 +146,8 @@
 	refusedAt    time.Time
 	refusals     recentCount
 	speed        speed
+	// memory is the tokens that this entry's requests hold there, claimed those that its waiting requests claim.
+	memory, claimed int
 }
 
 // Use counts the requests for an adapter at a server started since the last report, and those running.
@@ -173,6 +184,7 @@
 	// latest is the latest time that the balancer was told.
 	latest  time.Time
 	samples *profiler.Collector
+	rooms   map[string]*roomState
 	// randIntN returns a random number in [0, n).
 	randIntN func(n int) int
 }
@@ -183,7 +195,7 @@
 		servers: make(map[string]*server), services: make(map[string]map[string]*server),
 		leavingKeys: make(map[tracker.Key]bool), versions: make(map[tracker.Adapter][]version),
 		waiters: make(map[tracker.Adapter]chan struct{}), queues: make(map[string]*queue), prefillRates: make(map[string]*prefillRate), mustReport: make(map[string]bool),
-		stays: make(map[string]*stays), admissions: make(map[string]*admission), samples: profiler.NewCollector(), entries: 1, randIntN: rand.IntN,
+		stays: make(map[string]*stays), admissions: make(map[string]*admission), samples: profiler.NewCollector(), rooms: make(map[string]*roomState), entries: 1, randIntN: rand.IntN,
 	}
 }
 
@@ -381,13 +393,22 @@
 	if q := b.queues[req.Service]; q != nil && q.isBehind(req.Adapter, req.Ticket) {
 		return Choice{}, LimitReached
 	}
+	if b.mustWaitForRoom(now, &req) {
+		return Choice{}, NoRoom
+	}
 	usable, status := b.usableServers(now, req)
+	usable, ok := b.spreadByRoom(now, &req, usable)
+	if !ok {
+		status = NoRoom
+	}
 	best := b.selectServer(now, req, usable)
 	if best == nil {
+		b.claimRoom(now, &req)
 		return Choice{}, status
 	}
 	c := Choice{Instance: best.Instance, pickedAt: now, PrefillTokens: b.totalPrefill(now, best)}
 	best.running++
+	b.takeRoom(now, best, &req, &c)
 	if b.isLongPrompt(req) {
 		best.prefill += req.Tokens
 		c.pendingPrefill = &req.Tokens
@@ -473,7 +494,7 @@
 }
 
 // statusPrecedence orders the statuses of servers; Pick returns the highest one.
-var statusPrecedence = map[PickStatus]int{NoServer: 0, NotLoaded: 1, PrefillBusy: 2, LimitReached: 3}
+var statusPrecedence = map[PickStatus]int{NoServer: 0, NotLoaded: 1, PrefillBusy: 2, NoRoom: 3, LimitReached: 4}
 
 // status returns Picked if a server may take the request, otherwise why not.
 func (b *Balancer) status(now time.Time, s *server, req Request) PickStatus {
@@ -484,6 +505,8 @@
 		return NotLoaded
 	case b.isFull(now, s), now.Before(s.pausedUntil):
 		return LimitReached
+	case b.lacksRoom(now, s, req):
+		return NoRoom
 	case b.mustWaitForPrefill(now, s, req):
 		return PrefillBusy
 	}
@@ -539,7 +562,7 @@
 
 // score is lower for the better server; an unreachable one comes after all others.
 func (b *Balancer) score(now time.Time, s *server, req Request) float64 {
-	score := s.loadBySpeed(b.load(now, s)) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
+	score := s.loadBySpeed(b.loadOf(now, s, &req)) + failurePenalty*s.failureRate + b.prefillScore(now, s, req)
 	if b.isCrowded() {
 		score += b.refusalScore(now, s)
 	}
@@ -563,6 +586,7 @@
 		return
 	}
 	s.running = max(s.running-1, 0)
+	s.memory = max(s.memory-c.memory, 0)
 	s.endPrefill(c)
 	s.recordRefusal(now, r)
 	b.admission(c.Service).record(now, r)
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -11,10 +11,15 @@
 	// Running is the number of requests, PrefillTokens the number of long-prompt tokens that the server is prefilling.
 	Running       int
 	PrefillTokens int
+	// Memory is the tokens that requests take there or claim.
+	Memory int
 	// Refusals is the number of requests that the server refused within countTime, about.
 	Refusals int
 }
 
+// isEmpty reports whether there is nothing at the server.
+func (l Load) isEmpty() bool { return l == Load{Server: l.Server} }
+
 // Loads returns this entry's loads that changed since the last call.
 func (b *Balancer) Loads() []Load {
 	b.mu.Lock()
@@ -23,14 +28,15 @@
 	var out []Load
 	for id := range b.mustReport {
 		// Work at an earlier start is over; work at the current start is reported below.
-		if s := b.servers[id]; s == nil || s.running+s.prefill+s.refusals.count(now) == 0 {
+		if s := b.servers[id]; s == nil || s.ownLoad(now).isEmpty() {
 			out = append(out, Load{Server: id})
 		}
 	}
 	clear(b.mustReport)
-	for id, s := range b.servers {
-		own := Load{Server: id, Running: s.running, PrefillTokens: s.prefill, Refusals: s.refusals.count(now)}
-		if own.Running != s.reportedLoad.Running || own.PrefillTokens != s.reportedLoad.PrefillTokens || own.Refusals != s.reportedLoad.Refusals {
+	for _, s := range b.servers {
+		own := s.ownLoad(now)
+		reported := s.reportedLoad
+		if reported.Server = own.Server; own != reported {
 			s.reportedLoad = own
 			out = append(out, own)
 		}
@@ -38,6 +44,13 @@
 	return out
 }
 
+// ownLoad returns this entry's load at the server.
+func (s *server) ownLoad(now time.Time) Load {
+	return Load{
+		Server: s.Key.ID, Running: s.running, PrefillTokens: s.prefill, Memory: s.memory + s.claimed, Refusals: s.refusals.count(now),
+	}
+}
+
 // ResendLoads makes the next call of Loads return all servers that have work or were reported to have some, since the
 // receiver may have lost reports.
 func (b *Balancer) ResendLoads() {
@@ -62,7 +75,10 @@
 			continue
 		}
 		// The sum includes this entry's last report.
-		s.otherEntriesLoad = Load{Running: max(l.Running-s.reportedLoad.Running, 0), PrefillTokens: max(l.PrefillTokens-s.reportedLoad.PrefillTokens, 0)}
+		s.otherEntriesLoad = Load{
+			Running: max(l.Running-s.reportedLoad.Running, 0), PrefillTokens: max(l.PrefillTokens-s.reportedLoad.PrefillTokens, 0),
+			Memory: max(l.Memory-s.reportedLoad.Memory, 0),
+		}
 		s.otherEntriesLoadAt, s.sumRefusals = now, l.Refusals
 		s.others.set(now, float64(s.otherEntriesLoad.Running))
 	}
@@ -117,8 +133,4 @@
 }
 
 // hasReported reports whether the last report of the server's load was anything but zero.
-func (s *server) hasReported() bool {
-	l := s.reportedLoad
-	l.Server = ""
-	return l != Load{}
-}
+func (s *server) hasReported() bool { return !s.reportedLoad.isEmpty() }
--- a/serving/matcher/matcher.go
+++ b/serving/matcher/matcher.go
@@ -97,6 +97,8 @@
 	Models         []Model
 	// MemoryTokens is the memory of an engine in tokens, 0 if unknown.
 	MemoryTokens int
+	// EventTokens is the number of tokens in an event of a stream, 0 if unknown.
+	EventTokens int
 }
 
 // Limits holds the size and time limits of clients' requests.
--- /dev/null
+++ b/serving/reckoner/doc.go
@@ -0,0 +1,2 @@
+// Package reckoner reckons the memory that requests take at engines, in tokens, and orders the requests that wait for room.
+package reckoner
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -313,6 +313,9 @@
 	}
 	d, ok := h.leader.takeUpdate()
 	d.Loads = h.loads.takeChanged(now)
+	for _, l := range d.Loads {
+		h.metrics.setMemory(l)
+	}
 	for _, id := range d.RemovedServers {
 		h.metrics.removeServer(id)
 	}
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -115,7 +115,7 @@
 	}
 	h.log.Info("leads no more", h.cfg.Node)
 	h.leader, h.leaderSeenAt = nil, time.Now()
-	h.metrics.speeds.Reset()
+	h.metrics.resetServers()
 	for s := range h.relaySessions {
 		h.closeSession(s)
 	}
--- a/stage/governor/loads.go
+++ b/stage/governor/loads.go
@@ -68,6 +68,7 @@
 			sum.Running += v.Running
 			sum.PrefillTokens += v.PrefillTokens
 			sum.Refusals += v.Refusals
+			sum.Memory += v.Memory
 		}
 		if len(l.byServer[id]) == 0 {
 			delete(l.byServer, id)
--- a/stage/governor/metrics.go
+++ b/stage/governor/metrics.go
@@ -27,6 +27,8 @@
 	granted  *prometheus.CounterVec
 	// speeds has series for the servers that this leader sent a speed of.
 	speeds *prometheus.GaugeVec
+	// memory has series for the servers that requests take memory of.
+	memory *prometheus.GaugeVec
 }
 
 func newMetrics() *metrics {
@@ -54,11 +56,14 @@
 		speeds: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "redwingstage_control_server_speed_ratio", Help: "Speed of a server by the median of its service, between events and before the first one.",
 		}, []string{"server", "part"}),
+		memory: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "redwingstage_control_server_memory_tokens", Help: "Tokens that requests are reckoned to take in a server's memory, or claim.",
+		}, []string{"server"}),
 	}
 	m.granted = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_control_quota_granted_total", Help: "What the leader gave to entries of client accounts' quotas, in the quota's unit.",
 	}, []string{"account"})
-	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted, m.speeds)
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted, m.speeds, m.memory)
 	return m
 }
 
@@ -73,9 +78,24 @@
 	m.speeds.WithLabelValues(v.Server, "prefill").Set(float64(v.Prefill) / profiler.Usual)
 }
 
+func (m *metrics) setMemory(l Load) {
+	if l.Memory > 0 {
+		m.memory.WithLabelValues(l.Server).Set(float64(l.Memory))
+	} else {
+		m.memory.DeleteLabelValues(l.Server)
+	}
+}
+
 // removeServer deletes the series of a server.
 func (m *metrics) removeServer(id string) {
 	m.speeds.DeletePartialMatch(prometheus.Labels{"server": id})
+	m.memory.DeleteLabelValues(id)
+}
+
+// resetServers deletes the series of all servers.
+func (m *metrics) resetServers() {
+	m.speeds.Reset()
+	m.memory.Reset()
 }
 
 func (m *metrics) handler() http.Handler {
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -180,12 +180,14 @@
 	Zone string `cbor:"2,keyasint,omitempty"`
 }
 
-// Load is the work in flight at a server.
+// Load is the work in flight at a server; the fields are those of balancer.Load.
 type Load struct {
 	Server string `cbor:"1,keyasint"`
 	// Running is the number of requests; PrefillTokens is the number of tokens of prompts in prefill.
 	Running       int `cbor:"2,keyasint,omitempty"`
 	PrefillTokens int `cbor:"3,keyasint,omitempty"`
+	// Memory is the tokens of the requests' prompts and expected answers, and of the room that waiting requests claim.
+	Memory int `cbor:"4,keyasint,omitempty"`
 	// Refusals is the number of requests that the server refused lately.
 	Refusals int `cbor:"5,keyasint,omitempty"`
 }
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -27,6 +27,7 @@
 		requests: lineQuota{perSecond: requestLinesPerSecond}, attempts: lineQuota{perSecond: attemptLinesPerSecond},
 		late: lineQuota{perSecond: lateLinesPerSecond}, orders: lineQuota{perSecond: orderLinesPerSecond},
 		loads: lineQuota{perSecond: orderLinesPerSecond}, refusals: lineQuota{perSecond: refusalLinesPerSecond},
+		rooms: lineQuota{perSecond: roomLinesPerSecond},
 	}
 }
 
@@ -40,6 +41,7 @@
 	orders   lineQuota
 	loads    lineQuota
 	refusals lineQuota
+	rooms    lineQuota
 }
 
 // RequestTiming is the latency breakdown of a request.
@@ -111,6 +113,16 @@
 		Int("running", t.Running).Int("sends", t.Sends).Msg(c.prefix + "request served late")
 }
 
+// Room logs a decision on a request that engines have no room for; both sizes are in tokens.
+func (c *Component) Room(id, model, decision string, memory, capacity int) {
+	dropped, ok := c.rooms.allow(time.Now())
+	if !ok {
+		return
+	}
+	withDropped(c.log.Info(), dropped).Str("request", id).Str("model", model).Str("decision", decision).Int("memory", memory).
+		Int("capacity", capacity).Msg(c.prefix + "engines have no room for a request")
+}
+
 func (c *Component) write(e *log.Entry, msg, subject string) {
 	if subject != "" {
 		e = e.Str("subject", subject)
--- a/stage/logger/quota.go
+++ b/stage/logger/quota.go
@@ -13,6 +13,7 @@
 	lateLinesPerSecond    = 20
 	orderLinesPerSecond   = 200
 	refusalLinesPerSecond = 20
+	roomLinesPerSecond    = 10
 )
 
 // lineQuota limits one kind of line per second.
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -72,8 +72,9 @@
 	firstEventID string
 	// untilClose is set if the response's body ends with the connection.
 	untilClose bool
-	// blocks is the number of blocks of events that arrived, lastEventAt the time of the latest one with an event.
+	// blocks is the number of blocks of events that arrived, events that of events, lastEventAt the time of the latest one.
 	blocks      int
+	events      int
 	lastEventAt time.Time
 }
 
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -58,6 +58,9 @@
 	tokens int
 	// outputTokens is the most tokens that the response may have, 0 if unknown.
 	outputTokens int
+	// lengthHint is the caller's estimate of the tokens of the response, 0 if it gave none. memory is the room that the request
+	// needs at an engine, capacity an engine's memory, both in tokens and 0 if unknown; eventTokens is the tokens of one event.
+	lengthHint, memory, capacity, eventTokens int
 	// account is the client account of the request's key, nil if there is none.
 	account *matcher.Account
 	// charged is what the request counts of the account's quota, 0 if nothing; wasSent is set once a server may have run it.
@@ -121,6 +124,7 @@
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
 		c.adapter = e.headers.ParseModel(req.get(e.headers.Model))
 		c.tokens, c.outputTokens = e.headers.ParseUsage(req.get(e.headers.Usage))
+		e.reckonMemory(c, s)
 	}
 	c.deadline = c.arrived.Add(route.Timeout)
 	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
@@ -129,6 +133,9 @@
 	if route.Stream && e.draining.Load() && e.stopsBefore(c.deadline) {
 		return e.refuse(c, w, "the entry shuts down before the stream has to end", retryAfterShutdown)
 	}
+	if c.isTooLarge() {
+		return e.refuseTooLarge(c, w)
+	}
 	c.parts = e.partDigests(c)
 	if a := e.suspects.check(c); a != quarantiner.Admitted {
 		return e.refuseQuarantined(c, w, a)
@@ -338,6 +345,9 @@
 	case status == balancer.LimitReached:
 		e.metrics.countPlace(c, placeRefused, "queue")
 		return e.refuse(c, w, "all servers of "+c.service+" are busy", max(c.expectedWait, e.retryAfterBusy(c)))
+	case status == balancer.NoRoom:
+		e.recordRoom(c, roomRefuse)
+		return e.refuse(c, w, "no server of "+c.service+" has room for the request", e.retryAfterBusy(c))
 	}
 	return e.refuse(c, w, "no server answers for "+c.service+" now", retryAfterNoServer)
 }
@@ -393,20 +403,21 @@
 func (c *call) pickRequest(zone string) balancer.Request {
 	return balancer.Request{
 		Service: c.service, Adapter: c.adapter, Zone: zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause,
-		Priority: c.priority, Deadline: c.deadline,
+		Memory: c.memory, Capacity: c.capacity, Priority: c.priority, Arrived: c.arrived, Deadline: c.deadline,
 	}
 }
 
 // waitReasons names what a request waits for, in the log and in the metric of late responses.
 var waitReasons = map[balancer.PickStatus]string{
 	balancer.NotLoaded: "an adapter", balancer.LimitReached: "a place", balancer.NoServer: "a server",
-	balancer.PrefillBusy: "its turn among prompts",
+	balancer.PrefillBusy: "its turn among prompts", balancer.NoRoom: "room",
 }
 
 // chooseServer returns the server for the next attempt; it waits a bounded time for a free slot or for an adapter to be loaded.
 func (e *Relayer) chooseServer(ctx context.Context, c *call) (balancer.Choice, balancer.PickStatus) {
 	pickRequest := c.pickRequest(e.cfg.Zone)
 	defer func() {
+		e.stopRoomWait(c, &pickRequest)
 		if pickRequest.Ticket != nil {
 			e.balancer.Dequeue(c.service, pickRequest.Ticket)
 		}
@@ -452,6 +463,7 @@
 			ready = pickRequest.Ticket.Ready()
 		}
 		pause := min(chooseRetryInterval, time.Until(limit)+time.Millisecond)
+		pause = min(pause, e.updateRoomWait(c, &pickRequest, status))
 		if status == balancer.PrefillBusy {
 			pause = prefillPollInterval
 		}
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -26,6 +26,7 @@
 	wait      prometheus.Histogram
 	quotas    *prometheus.CounterVec
 	amounts   *prometheus.CounterVec
+	room      *prometheus.CounterVec
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
@@ -105,7 +106,10 @@
 	m.amounts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_amount_total", Help: "Amounts of client accounts' quotas, in the quota's unit, by what became of them.",
 	}, []string{"account", "kind"})
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places)
+	m.room = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_entry_room_total", Help: "Requests that the memory of engines has no room for, by what became of them.",
+	}, []string{"decision"})
+	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places, m.room)
 	return m
 }
 
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -91,6 +91,7 @@
 	balancer *balancer.Balancer
 	budget   *retryBudget
 	metrics  *metrics
+	lengths  *answerLengths
 	control  *controlClient
 	table    atomic.Pointer[matcher.Table]
 	ctx      context.Context
@@ -131,8 +132,8 @@
 		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(), suspects: newSuspects(cfg.Node),
 		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
-		metrics: newMetrics(),
-		budget:  newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
+		metrics: newMetrics(), lengths: newAnswerLengths(),
+		budget: newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.control = newControlClient(e)
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -55,6 +55,7 @@
 				if !out.streaming && !out.startStream(h) {
 					return callerLeft, -1
 				}
+				e.learnLength(a)
 				return attemptResult{outcome: outcomeForwarded, status: h.StatusCode(), result: balancer.OK}, keepAlive
 			}
 			r := unknownResult("stream", err)
@@ -105,6 +106,7 @@
 
 // recordEvents records the time since the stream's events before; n is the number of events that came now.
 func (e *Relayer) recordEvents(a *attempt, n int) {
+	a.events += n
 	if a.call.adapter.Model == "" || n == 0 {
 		return
 	}
@@ -169,10 +171,9 @@
 	excluded := maps.Clone(call.excluded)
 	excluded[s.attempt.choice.Key.ID] = true
 	now := time.Now()
-	choice, status := e.balancer.Pick(now, balancer.Request{
-		Service: call.service, Adapter: call.adapter, Zone: e.cfg.Zone, Except: excluded, Tokens: call.tokens, MaxPause: call.route.MaxPause,
-		IgnorePrefillLimit: true,
-	})
+	r := call.pickRequest(e.cfg.Zone)
+	r.Except, r.IgnorePrefillLimit = excluded, true
+	choice, status := e.balancer.Pick(now, r)
 	if status != balancer.Picked {
 		s.timer.Reset(silencePollInterval)
 		return
