--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -92,6 +92,7 @@
 	budget   *retryBudget
 	metrics  *metrics
 	keyUses  *keyUses
+	lengths  *answerLengths
 	control  *controlClient
 	table    atomic.Pointer[matcher.Table]
 	ctx      context.Context
@@ -132,7 +133,7 @@
 		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(), suspects: newSuspects(cfg.Node),
 		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
-		metrics: newMetrics(), keyUses: newKeyUses(),
+		metrics: newMetrics(), keyUses: newKeyUses(), lengths: newAnswerLengths(),
 		budget: newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
