--- /dev/null
+++ b/stage/acceptor/acceptor.go
@@ -0,0 +1,112 @@
+package acceptor
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// reservedFiles are the descriptors of a process for files and for connections to its own processes.
+	reservedFiles = 200
+	// connFilesShare and connMemoryShare are the shares of the remaining descriptors, and of the memory, for callers' connections.
+	connFilesShare  = 0.5
+	connMemoryShare = 0.25
+	// connBytes is what a connection takes in bytes without a body: its buffers and goroutines.
+	connBytes = 32 << 10
+	// minConns is the smallest bound, defaultConns the bound of a process whose descriptors and memory are unknown.
+	minConns     = 16
+	defaultConns = 1 << 14
+)
+
+// MaxConns returns the bound on callers' connections of a process with the given memory in bytes and descriptors, each 0 if unknown.
+func MaxConns(memory int64, files int) int {
+	n := defaultConns
+	if files > 0 {
+		n = min(n, int(connFilesShare*float64(files-reservedFiles)))
+	}
+	if memory > 0 {
+		n = min(n, int(connMemoryShare*float64(memory)/connBytes))
+	}
+	return max(n, minConns)
+}
+
+// Listener closes the connection that has been inactive longest whenever one more than the bound is accepted.
+type Listener struct {
+	net.Listener
+	limit int
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// New returns a listener that keeps at most limit connections of ln open.
+func New(ln net.Listener, limit int) *Listener {
+	return &Listener{Listener: ln, limit: limit, conns: make(map[*conn]struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, listener: l}
+	c.touch()
+	if old := l.add(c); old != nil {
+		_ = old.Close()
+	}
+	return c, nil
+}
+
+// add adds a connection; it returns the one to close, or nil.
+func (l *Listener) add(c *conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest *conn
+	if len(l.conns) >= l.limit {
+		for v := range l.conns {
+			if oldest == nil || v.active.Load() < oldest.active.Load() {
+				oldest = v
+			}
+		}
+	}
+	l.conns[c] = struct{}{}
+	return oldest
+}
+
+// conn is a connection with the time of its last activity, in nanoseconds.
+type conn struct {
+	net.Conn
+	listener *Listener
+	active   atomic.Int64
+}
+
+func (c *conn) touch() { c.active.Store(time.Now().UnixNano()) }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.touch()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.touch()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/stage/acceptor/acceptor_test.go
@@ -0,0 +1,61 @@
+package acceptor
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestMaxConns(t *testing.T) {
+	for _, row := range []struct {
+		memory int64
+		files  int
+		want   int
+	}{
+		{0, 0, defaultConns},
+		{144 << 20, 4100, 1152},
+		{424 << 20, 4100, 1950},
+		{0, 400, 100},
+		{0, 100, minConns},
+		{1 << 20, 0, minConns},
+	} {
+		qt.Check(t, MaxConns(row.memory, row.files), qt.Equals, row.want)
+	}
+}
+
+// One more connection than the bound closes the one that has been inactive longest, not the one that was opened first.
+func TestLongestInactiveConnectionIsClosed(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ln := New(raw, 3)
+	defer ln.Close()
+	open := func() (near, far net.Conn) {
+		far, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		near, err = ln.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() {
+			_ = near.Close()
+			_ = far.Close()
+		})
+		return near, far
+	}
+	near, first := open()
+	_, second := open()
+	_, third := open()
+	_, err = first.Write([]byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadFull(near, make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+	open()
+	_, err = second.Read(make([]byte, 1))
+	qt.Check(t, err, qt.Equals, io.EOF)
+	open()
+	_, err = third.Read(make([]byte, 1))
+	qt.Check(t, err, qt.Equals, io.EOF)
+	_, err = near.Write([]byte("y"))
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, len(ln.conns), qt.Equals, 3)
+}
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -150,15 +150,18 @@
 	if err := c.SetDeadline(a.call.deadline.Add(deadlineSlack)); err != nil {
 		return attemptResult{outcome: outcomeUnsent, reason: err.Error(), result: balancer.Unreachable}, -1
 	}
-	raw := e.serialize(a, remaining)
+	head, body := e.serializeHead(a, remaining), a.call.req.body
 	written := make(chan error, 1)
-	if len(raw) > largeRequestBytes {
+	if len(head)+len(body) > largeRequestBytes {
 		go func() {
-			_, err := c.Write(raw)
+			_, err := c.Write(head)
+			if err == nil {
+				_, err = c.Write(body)
+			}
 			written <- err
 		}()
 	} else {
-		_, err := c.Write(raw)
+		_, err := c.Write(append(head, body...))
 		if err != nil {
 			return unknownResult("write", err), -1
 		}
@@ -183,11 +186,11 @@
 	return r, -1
 }
 
-// serialize returns the request as it is sent to the server.
-func (e *Relayer) serialize(a *attempt, remaining time.Duration) []byte {
+// serializeHead returns the head of the request as it is sent to the server, with room for a small body.
+func (e *Relayer) serializeHead(a *attempt, remaining time.Duration) []byte {
 	n := e.headers
 	var b bytes.Buffer
-	b.Grow(len(a.call.head) + len(a.call.req.body) + 256)
+	b.Grow(len(a.call.head) + min(len(a.call.req.body), largeRequestBytes) + 256)
 	if a.lastEventID == "" {
 		b.Write(a.call.head)
 	} else {
@@ -202,7 +205,6 @@
 		fmt.Fprintf(&b, "%s: %d\r\n", n.Priority, min(a.call.priority, 9))
 	}
 	b.WriteString("\r\n")
-	b.Write(a.call.req.body)
 	return b.Bytes()
 }
 
@@ -273,8 +275,10 @@
 func (e *Relayer) bufferResponse(c *conn, h *fasthttp.ResponseHeader, a *attempt, out *responseWriter, keepAlive time.Duration) (attemptResult, time.Duration) {
 	b := newResponseBody(c.br, h, a.call.req.method)
 	a.untilClose = b.length == lengthUntilClose
-	data, complete, err := b.readPrefix(maxBufferedBytes)
+	data, complete, err := b.readPrefix(maxBufferedBytes, a.call.req.memory)
 	switch {
+	case isNoRoom(err):
+		return noRoomResult(err), -1
 	case err != nil:
 		return unknownResult("body", err), -1
 	case !complete && !isSuccess(a.status):
--- a/stage/relayer/authentication.go
+++ b/stage/relayer/authentication.go
@@ -15,7 +15,7 @@
 	// unreadBodyTime and unreadBodyBytes bound the discarding of a refused request's body after the answer: closing a
 	// connection with unread bytes resets it, which could take the answer from the caller.
 	unreadBodyTime  = 300 * time.Millisecond
-	unreadBodyBytes = 1 << 20
+	unreadBodyBytes = 8 << 20
 )
 
 // headDecision is what is decided on a request's head, by one table: its route and its client account, or its refusal.
@@ -166,11 +166,16 @@
 	return err
 }
 
-// discardUnread discards for a bounded time what comes of a request whose body wasn't read, so that its answer isn't lost.
+// discardUnread discards what comes of a request whose body wasn't read.
 func discardUnread(c net.Conn, br *bufio.Reader, req *request) {
-	if !req.isBodyUnread {
-		return
+	if req.isBodyUnread {
+		discardRest(c, br)
 	}
+}
+
+// discardRest discards for a bounded time what comes of a request that was refused, so that its answer isn't lost: closing a connection
+// with unread bytes resets it.
+func discardRest(c net.Conn, br *bufio.Reader) {
 	if half, ok := c.(interface{ CloseWrite() error }); ok && half.CloseWrite() != nil {
 		return
 	}
--- a/stage/relayer/faulty_engines_test.go
+++ b/stage/relayer/faulty_engines_test.go
@@ -314,6 +314,13 @@
 	return errors.Join(err, s.checkResponse(got), s.checkNextRequest(l, got))
 }
 
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // tryReceive reads a response; the status is 0 if the connection ended without one, and -1 for malformed bytes.
 func (l *caller) tryReceive(method string) (received, error) {
 	if _, err := l.br.Peek(1); err != nil {
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -10,6 +10,7 @@
 
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/stage/collector"
 )
 
 // metricsPath is the path of the metrics on the readiness listener.
@@ -24,8 +25,10 @@
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
-	quotas    *prometheus.CounterVec
-	amounts   *prometheus.CounterVec
+	// closedConns counts the connections that were closed for others.
+	closedConns prometheus.Counter
+	quotas      *prometheus.CounterVec
+	amounts     *prometheus.CounterVec
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
@@ -99,16 +102,40 @@
 			Name: "redwingstage_entry_wait_seconds", Help: "From a request's arrival to the choice of its first server.", Buckets: buckets,
 		}),
 	}
+	m.closedConns = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "redwingstage_entry_closed_connections_total", Help: "Callers' connections closed because there were too many.",
+	})
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_requests_total", Help: "Requests of client accounts with a quota by how it decided on them.",
 	}, []string{"account", "decision"})
 	m.amounts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_amount_total", Help: "Amounts of client accounts' quotas, in the quota's unit, by what became of them.",
 	}, []string{"account", "kind"})
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places)
+	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places)
 	return m
 }
 
+// observeMemory adds the metrics of the memory that connections share.
+func (m *metrics) observeMemory(c *collector.Collector) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "redwingstage_entry_buffered_bytes", Help: "Bytes that callers' connections hold.",
+		}, func() float64 {
+			used, _ := c.Used()
+			return float64(used)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "redwingstage_entry_buffered_limit_bytes", Help: "Bytes that callers' connections may hold.",
+		}, func() float64 {
+			_, limit := c.Used()
+			return float64(limit)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "redwingstage_entry_no_room_total", Help: "Requests and answers that found no room in the memory.",
+		}, func() float64 { return float64(c.Refused()) }),
+	)
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/stage/relayer/parse.go
+++ b/stage/relayer/parse.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/stage/collector"
 )
 
 // badRequestError is an invalid request, with the HTTP status and reason to respond with.
@@ -48,6 +50,8 @@
 	// decision is what was decided on the head; isBodyUnread is set if the request is refused and its body is left unread.
 	decision     headDecision
 	isBodyUnread bool
+	// memory counts what the request holds, from its body on.
+	memory *collector.Buffer
 }
 
 // get returns the first value of the header with the given canonical name.
@@ -181,33 +185,36 @@
 	return nil
 }
 
-// readBody reads a body of at most limit bytes.
+// readBody reads a body of at most limit bytes into r.memory.
 func (r *request) readBody(br *bufio.Reader, limit int) error {
-	tooLarge := &badRequestError{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 	if !r.chunked {
-		if r.length > limit {
-			return tooLarge
-		}
-		if r.length == 0 {
-			return nil
+		body, err := r.memory.ReadAll(br, r.length, limit)
+		if err == nil && len(body) < r.length {
+			err = io.ErrUnexpectedEOF
 		}
-		r.body = make([]byte, r.length)
-		_, err := io.ReadFull(br, r.body)
-		return err
+		r.body = body
+		return bodyError(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), int64(limit)+1))
+	body, err := r.memory.ReadAll(httputil.NewChunkedReader(br), -1, limit)
 	switch {
-	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !isTimeout(err):
+	case err == nil:
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, collector.ErrNoRoom), errors.Is(err, collector.ErrTooLarge), isTimeout(err):
+		return bodyError(err)
+	default:
 		return badRequestf("the chunks can't be read: %v", err)
-	case err != nil:
-		return err
-	case len(body) > limit:
-		return tooLarge
 	}
 	r.body = body
 	return discardTrailer(br)
 }
 
+// bodyError returns the error for a body that can't be read.
+func bodyError(err error) error {
+	if errors.Is(err, collector.ErrTooLarge) {
+		return &badRequestError{status: http.StatusRequestEntityTooLarge, reason: err.Error()}
+	}
+	return err
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -17,6 +17,8 @@
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/stage/acceptor"
+	"redwingstage.org/stage/collector"
 	"redwingstage.org/stage/governor"
 	"redwingstage.org/stage/logger"
 )
@@ -29,6 +31,9 @@
 	defaultCallerIdleTimeout = 15 * time.Second
 	defaultHeaderBytes       = 16 << 10
 	defaultBodyBytes         = 4 << 20
+	// readyIdleTimeout and maxReadyConns bound the connections of readiness probes and metrics.
+	readyIdleTimeout = 30 * time.Second
+	maxReadyConns    = 64
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 10 * time.Second
 	// shutdownAcceptTime is how long a shutdown still accepts connections, until the load balancer has noticed that it isn't ready.
@@ -106,14 +111,19 @@
 	// stopAt is when a shutdown ends the requests that remain, nil if there is no such time.
 	stopAt atomic.Pointer[time.Time]
 
+	// memory bounds what the callers' connections hold, maxConns how many there are.
+	memory   *collector.Collector
+	maxConns int
+
 	mu    sync.Mutex
 	conns map[net.Conn]connState
 }
 
-// connState is whether a caller's connection has a request, and since when.
+// connState is whether a caller's connection has a request, whether that is still being received, and since when.
 type connState struct {
-	busy  bool
-	since time.Time
+	busy      bool
+	receiving bool
+	since     time.Time
 }
 
 // New starts an entry; it is ready once a control replica has sent it a document.
@@ -131,17 +141,21 @@
 		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(), suspects: newSuspects(cfg.Node),
 		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
-		metrics: newMetrics(),
-		budget:  newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
+		memory: collector.New(cfg.MemoryLimit), maxConns: acceptor.MaxConns(cfg.MemoryLimit, cfg.MaxFiles), metrics: newMetrics(),
+		budget: newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.metrics.observeMemory(e.memory)
 	e.control = newControlClient(e)
 	mux := http.NewServeMux()
 	mux.HandleFunc(deps.Headers.ReadyPath, e.serveReadiness)
 	mux.Handle(metricsPath, e.metrics.handler())
-	e.ready = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout}
+	e.ready = &http.Server{
+		Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout,
+		IdleTimeout: readyIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+	}
 	e.wg.Go(func() {
-		if err := e.ready.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.ready.Serve(acceptor.New(ready, maxReadyConns)); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("listener ended", err)
 		}
 	})
@@ -187,9 +201,10 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		e.mu.Lock()
-		e.conns[c] = connState{since: time.Now()}
-		e.mu.Unlock()
+		if !e.admitConn(c) {
+			_ = c.Close()
+			continue
+		}
 		e.wg.Go(func() {
 			e.serveConn(c)
 			e.mu.Lock()
@@ -207,7 +222,7 @@
 	if _, ok := e.conns[c]; !ok {
 		return false
 	}
-	e.conns[c] = connState{busy: busy, since: time.Now()}
+	e.conns[c] = connState{busy: busy, receiving: busy, since: time.Now()}
 	return true
 }
 
@@ -252,11 +267,18 @@
 		req, err := e.readRequest(c, br, limits)
 		if err != nil {
 			rejectRequest(w, err)
+			if w.status > 0 {
+				discardRest(c, br)
+			}
 			return
 		}
-		w.method, w.closeConn = req.method, req.closeConn
+		e.endReceiving(c)
+		w.method, w.closeConn, w.memory = req.method, req.closeConn, req.memory
 		arrived := time.Now()
 		ok := e.serveWhileConnected(c, br, req, w)
+		if req.memory != nil {
+			req.memory.Close()
+		}
 		e.metrics.countRequest(arrived, w)
 		discardUnread(c, br, req)
 		if !ok || w.writeFailed || w.closeConn {
@@ -275,7 +297,7 @@
 	if readsBody, err := e.decideRequest(req, br); err != nil || !readsBody {
 		return req, err
 	}
-	if req.expectsContinue && (req.chunked || req.length > 0) {
+	if req.expectsContinue && (req.chunked || req.length > 0 && req.length <= limits.BodyBytes) {
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return nil, err
 		}
@@ -286,7 +308,7 @@
 	if err := c.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
-	return req, req.readBody(br, limits.BodyBytes)
+	return req, e.receiveBody(c, br, req, limits.BodyBytes)
 }
 
 // rejectRequest responds to a request that can't be read; the connection closes after the response.
@@ -296,6 +318,8 @@
 	switch {
 	case errors.As(err, &b):
 		w.writeError(b.status, b.reason, 0)
+	case errors.Is(err, collector.ErrNoRoom):
+		w.writeError(http.StatusServiceUnavailable, err.Error(), retryAfterNoRoom)
 	case isTimeout(err):
 		w.writeError(http.StatusRequestTimeout, "the request did not arrive in time", 0)
 	}
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/serving/balancer"
+	"redwingstage.org/stage/collector"
 	"redwingstage.org/stage/parser"
 )
 
@@ -142,25 +143,10 @@
 }
 
 // readPrefix reads limit bytes, one more if the body goes on, or the complete body if it is no longer.
-func (b *responseBody) readPrefix(limit int) (data []byte, complete bool, err error) {
-	data, err = io.ReadAll(io.LimitReader(b, int64(limit)))
-	if err != nil || len(data) < limit {
-		return data, err == nil, err
-	}
+func (b *responseBody) readPrefix(limit int, memory *collector.Buffer) (data []byte, complete bool, err error) {
 	// The body may have exactly limit bytes; the next byte shows whether it goes on.
-	var next [1]byte
-	n, err := io.ReadFull(b, next[:])
-	if n > 0 {
-		return append(data, next[0]), false, nil
-	}
-	return data, errors.Is(err, io.EOF), ignoreEOF(err)
-}
-
-func ignoreEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	return err
+	data, err = memory.ReadAll(b, limit+1, limit+1)
+	return data, err == nil && len(data) <= limit, err
 }
 
 // forwardBody forwards a large response as it arrives, after its first bytes; one that breaks off gets no last chunk.
--- a/stage/relayer/response_writer.go
+++ b/stage/relayer/response_writer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"redwingstage.org/stage/collector"
 )
 
 // writeTimeout bounds one write to a caller that doesn't read.
@@ -41,6 +43,8 @@
 	mediaType string
 	// buf holds a chunk while it is written.
 	buf []byte
+	// memory counts what the request holds, nil if there is none.
+	memory *collector.Buffer
 	// firstWriteAt is zero before the first write; maxGap is the longest time between two chunks.
 	firstWriteAt time.Time
 	lastChunkAt  time.Time
@@ -61,10 +65,13 @@
 		w.firstWriteAt = time.Now()
 	}
 	err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if w.memory != nil {
+		w.memory.Send()
+	}
 	if err == nil {
 		_, err = w.conn.Write(b)
 	}
-	w.writeFailed = err != nil
+	w.writeFailed = err != nil || w.memory != nil && !w.memory.Serve()
 	return !w.writeFailed
 }
 
@@ -89,7 +96,12 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	if !isBodiless(w.method, status) {
+	switch {
+	case isBodiless(w.method, status):
+	case len(body) > serverBufferBytes:
+		// A copy would take the same memory once more.
+		return w.write(b.Bytes()) && w.write(body)
+	default:
 		b.Write(body)
 	}
 	return w.write(b.Bytes())
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -37,7 +37,7 @@
 	if a.untilClose = b.length == lengthUntilClose; a.untilClose {
 		keepAlive = -1
 	}
-	events := &eventReader{br: bufio.NewReaderSize(b, serverBufferBytes), lastID: e.resumePoint(a)}
+	events := &eventReader{br: bufio.NewReaderSize(b, serverBufferBytes), lastID: e.resumePoint(a), take: a.call.req.memory.Take}
 	route := a.call.route
 	watch := e.watchSilence(c, a, max(time.Duration(firstEventFactor*float64(route.LatencyTarget)), firstEventFloor))
 	callerLeft := attemptResult{outcome: outcomeCallerLeft, reason: "the caller disconnected", result: balancer.NoEvidence}
@@ -58,6 +58,9 @@
 				return attemptResult{outcome: outcomeForwarded, status: h.StatusCode(), result: balancer.OK}, keepAlive
 			}
 			r := unknownResult("stream", err)
+			if isNoRoom(err) {
+				r = noRoomResult(err)
+			}
 			r.nextChoice = next
 			if out.streaming {
 				r.outcome = outcomeCut
@@ -219,6 +222,9 @@
 	count int
 	// err is returned by the next call of next, after the events before the error were returned.
 	err error
+	// take asks for memory unless it is nil, taken is how much of buf it was asked for.
+	take  func(n int) error
+	taken int
 }
 
 // next returns at least one event, with all further ones that are buffered completely; io.EOF comes only between events.
@@ -233,6 +239,9 @@
 	hasData := false
 	for {
 		part, err := r.br.ReadSlice('\n')
+		if err := r.reserve(len(r.buf) + len(part)); err != nil {
+			return nil, err
+		}
 		r.buf = append(r.buf, part...)
 		switch {
 		case len(r.buf)-eventStart > maxEventBytes:
@@ -268,6 +277,19 @@
 	}
 }
 
+// reserve asks for the memory of a buffer of n bytes and of its copy while it is written; small ones count with their connection.
+func (r *eventReader) reserve(n int) error {
+	if r.take == nil || n <= serverBufferBytes || n <= r.taken {
+		return nil
+	}
+	grown := max(2*r.taken, 4*serverBufferBytes, n)
+	if err := r.take(2 * (grown - r.taken)); err != nil {
+		return err
+	}
+	r.taken = grown
+	return nil
+}
+
 // recordEvent records a complete event; a block without data or id, such as a comment, is not an event.
 func (r *eventReader) recordEvent(id string, hasData bool) error {
 	switch {
