--- a/serving/budgeter/budgeter.go
+++ b/serving/budgeter/budgeter.go
@@ -12,6 +12,8 @@
 	patience = time.Second
 	// maxWait bounds the wait for room, from the first decision that is Wait.
 	maxWait = 2 * time.Second
+	// searchInterval is the shortest time between two searches for a connection to evict for one that isn't small.
+	searchInterval = 10 * time.Millisecond
 	// bytesPerWaiter bounds the connections that wait for more than a small room: their unread bytes take memory of the kernel.
 	bytesPerWaiter = 256 << 10
 )
@@ -58,6 +60,9 @@
 	used    int64
 	waiters int64
 	holders map[*Holder]struct{}
+	// evicting is what evicted connections hold that aren't closed yet.
+	evicting   int64
+	searchedAt time.Time
 }
 
 // New returns a budget of limit bytes.
@@ -80,7 +85,7 @@
 
 // Take asks for n more bytes. If a connection is evicted for them, it is returned: its bytes count until it is closed.
 func (b *Budget) Take(now time.Time, h *Holder, n int64) (d Decision, evicted *Holder) {
-	if h.evicted {
+	if h.evicted || h.held+n > b.limit {
 		b.stopWaiting(h)
 		return Refused, nil
 	}
@@ -106,11 +111,13 @@
 		b.stopWaiting(h)
 		return Refused, nil
 	}
-	if b.evicting() >= n {
+	if b.evicting >= n || !small && now.Sub(b.searchedAt) < searchInterval {
 		return Wait, nil
 	}
+	b.searchedAt = now
 	if v := b.worst(now, h, n, small); v != nil {
 		v.evicted = true
+		b.evicting += v.held
 		return Wait, v
 	}
 	return Wait, nil
@@ -123,17 +130,6 @@
 	}
 }
 
-// evicting returns the bytes of connections that were evicted and aren't closed yet.
-func (b *Budget) evicting() int64 {
-	var n int64
-	for v := range b.holders {
-		if v.evicted {
-			n += v.held
-		}
-	}
-	return n
-}
-
 // worst returns the connection to evict for n bytes of h, nil if there is none: the one that holds most, of equal ones the one that
 // has gone on longest.
 func (b *Budget) worst(now time.Time, h *Holder, n int64, small bool) *Holder {
@@ -173,6 +169,9 @@
 	n = min(n, h.held)
 	h.held -= n
 	b.used -= n
+	if h.evicted {
+		b.evicting -= n
+	}
 }
 
 // Close removes the connection and returns what it holds.
--- a/serving/budgeter/budgeter_test.go
+++ b/serving/budgeter/budgeter_test.go
@@ -153,6 +153,15 @@
 					waiters++
 				}
 			}
+			var evicting int64
+			for _, h := range open {
+				if h.evicted {
+					evicting += h.held
+				}
+			}
+			if b.evicting != evicting {
+				t.Fatalf("seed %d: %d bytes of evicted connections, %d counted", seed, evicting, b.evicting)
+			}
 			if b.Used() != sum || b.waiters != waiters || sum > limit {
 				t.Fatalf("seed %d: %d bytes used, %d held, %d waiting, %d counted", seed, b.Used(), sum, waiters, b.waiters)
 			}
--- a/stage/relayer/memory.go
+++ b/stage/relayer/memory.go
@@ -14,18 +14,19 @@
 const (
 	// retryAfterNoRoom is when a request that found no room may come again.
 	retryAfterNoRoom = time.Second
+	// newConnTime is how long a connection may be open before its first request without being closed ahead of unfinished requests.
+	newConnTime = time.Second
 )
 
 // past is a deadline that ends reads and writes at once.
 var past = time.Unix(1, 0)
 
-// admitConn adds a caller's connection. Beyond the bound another one is closed for it: the one that has been idle longest, or else the
-// one whose request has been arriving longest. False means that all have requests in service.
+// admitConn adds a caller's connection. Beyond the bound another one is closed for it; false means that all have requests in service.
 func (e *Relayer) admitConn(c net.Conn) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.conns) >= e.maxConns {
-		old := e.oldestConn()
+		old := e.connToClose(time.Now())
 		if old == nil {
 			e.metrics.closedConns.Inc()
 			return false
@@ -38,17 +39,23 @@
 	return true
 }
 
-// oldestConn returns the connection that is closed for another one, nil if there is none; e.mu must be held.
-func (e *Relayer) oldestConn() net.Conn {
-	var oldest net.Conn
-	var state connState
+// connToClose returns the connection that is closed for another one, nil if there is none: the one that has been idle longest, or, if
+// none has been for newConnTime, the one that was opened or whose request has been arriving longest. e.mu must be held.
+func (e *Relayer) connToClose(now time.Time) net.Conn {
+	var idle, oldest net.Conn
 	for c, s := range e.conns {
-		switch {
-		case s.busy && !s.receiving:
+		if s.busy && !s.receiving {
 			continue
-		case oldest == nil, state.busy && !s.busy, state.busy == s.busy && s.since.Before(state.since):
-			oldest, state = c, s
 		}
+		if !s.busy && now.Sub(s.since) >= newConnTime && (idle == nil || s.since.Before(e.conns[idle].since)) {
+			idle = c
+		}
+		if oldest == nil || s.since.Before(e.conns[oldest].since) {
+			oldest = c
+		}
+	}
+	if idle != nil {
+		return idle
 	}
 	return oldest
 }
