--- a/stage/relayer/memory.go
+++ b/stage/relayer/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -77,6 +78,9 @@
 	if evicted := !req.memory.Serve(); evicted {
 		err = collector.ErrNoRoom
 	}
+	if isNoRoom(err) {
+		e.log.Request(req.get(e.headers.AttemptID), "", "refused", err.Error(), http.StatusServiceUnavailable)
+	}
 	if err != nil {
 		req.body = nil
 		req.memory.Close()
