--- a/stage/relayer/memory.go
+++ b/stage/relayer/memory.go
@@ -10,6 +10,7 @@
 
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/stage/collector"
+	"redwingstage.org/stage/logger"
 )
 
 const (
@@ -79,7 +80,9 @@
 		err = collector.ErrNoRoom
 	}
 	if isNoRoom(err) {
-		e.log.Request(req.get(e.headers.AttemptID), "", "refused", err.Error(), http.StatusServiceUnavailable)
+		e.log.Request(logger.Request{
+			ID: req.get(e.headers.AttemptID), Outcome: "refused", Reason: err.Error(), Status: http.StatusServiceUnavailable,
+		})
 	}
 	if err != nil {
 		req.body = nil
