Receiver: bodies are read within a budget of all connections, and encoded ones are refused

The HTTP library allocated what was announced, up to 8 MB on 20000 connections, and inflated any body that declares a Content-Encoding without a limit. Bodies are now read in steps by stage/collector before their handler runs, within limits.buffered (512 MiB by default); what finds no room gets 503 memory, not-run; encoded bodies get 415.

--- a/stage/collector/collector.go
+++ b/stage/collector/collector.go
@@ -44,6 +44,14 @@
 	if memoryLimit > 0 {
 		limit = int64(budgetShare * float64(memoryLimit))
 	}
+	return NewWithBudget(limit)
+}
+
+// NewWithBudget returns a collector for connections that hold at most limit bytes together; 0 means the default.
+func NewWithBudget(limit int64) *Collector {
+	if limit <= 0 {
+		limit = defaultBudget
+	}
 	return &Collector{budget: budgeter.New(limit), evict: make(map[*budgeter.Holder]func()), released: make(chan struct{})}
 }
 
--- a/stage/loader/loader.go
+++ b/stage/loader/loader.go
@@ -14,12 +14,13 @@
 
 // Default limits of an entry.
 const (
-	defaultMaxBodyBytes   = 8 << 20
-	defaultMaxConns       = 20_000
-	defaultMaxUnreadBytes = 4 << 20
-	defaultReadTimeout    = 10 * time.Second
-	defaultIdleTimeout    = 2 * time.Minute
-	defaultWriteTimeout   = 10 * time.Second
+	defaultMaxBodyBytes     = 8 << 20
+	defaultMaxConns         = 20_000
+	defaultMaxUnreadBytes   = 4 << 20
+	defaultMaxBufferedBytes = 512 << 20
+	defaultReadTimeout      = 10 * time.Second
+	defaultIdleTimeout      = 2 * time.Minute
+	defaultWriteTimeout     = 10 * time.Second
 )
 
 // Bounds of settings.
@@ -104,7 +105,8 @@
 		controls: n.Addrs("controls", 1),
 		limits: Limits{
 			maxBodyBytes: defaultMaxBodyBytes, maxConns: defaultMaxConns, maxUnreadBytes: defaultMaxUnreadBytes,
-			readTimeout: defaultReadTimeout, idleTimeout: defaultIdleTimeout, writeTimeout: defaultWriteTimeout,
+			maxBufferedBytes: defaultMaxBufferedBytes,
+			readTimeout:      defaultReadTimeout, idleTimeout: defaultIdleTimeout, writeTimeout: defaultWriteTimeout,
 		},
 	}
 	if !n.Has("limits") {
@@ -113,6 +115,7 @@
 	l := n.Object("limits")
 	optionalSize(l, "body", &e.limits.maxBodyBytes)
 	optionalSize(l, "unread", &e.limits.maxUnreadBytes)
+	optionalSize(l, "buffered", &e.limits.maxBufferedBytes)
 	if l.Has("conns") {
 		e.limits.maxConns = l.Count("conns", 1, maxConns)
 	}
--- a/stage/loader/settings.go
+++ b/stage/loader/settings.go
@@ -69,12 +69,13 @@
 
 // Limits are the limits for callers.
 type Limits struct {
-	maxBodyBytes   int
-	maxConns       int
-	maxUnreadBytes int
-	readTimeout    time.Duration
-	idleTimeout    time.Duration
-	writeTimeout   time.Duration
+	maxBodyBytes     int
+	maxConns         int
+	maxUnreadBytes   int
+	maxBufferedBytes int
+	readTimeout      time.Duration
+	idleTimeout      time.Duration
+	writeTimeout     time.Duration
 }
 
 // MaxBodyBytes returns the largest request body in bytes.
@@ -86,6 +87,9 @@
 // MaxUnreadBytes returns a response's bytes that its caller may leave unread.
 func (l Limits) MaxUnreadBytes() int { return l.maxUnreadBytes }
 
+// MaxBufferedBytes returns the bytes of all requests that may be read or handled at a time.
+func (l Limits) MaxBufferedBytes() int { return l.maxBufferedBytes }
+
 // ReadTimeout returns the timeout for reading a whole request, including its body.
 func (l Limits) ReadTimeout() time.Duration { return l.readTimeout }
 
--- a/stage/receiver/announce.go
+++ b/stage/receiver/announce.go
@@ -32,7 +32,7 @@
 
 func (r *Receiver) handleAnnouncement(c fiber.Ctx) error {
 	var a announcement
-	if err := json.Unmarshal(append([]byte{}, c.Body()...), &a); err != nil {
+	if err := json.Unmarshal(body(c), &a); err != nil {
 		return r.refuse(c, *badRequest("", "the announcement is not valid JSON: "+err.Error()))
 	}
 	if p := a.validate(); p != nil {
--- a/stage/receiver/answer.go
+++ b/stage/receiver/answer.go
@@ -40,7 +40,7 @@
 func (r *Receiver) respondBuffered(c fiber.Ctx, req *streamer.Request) error {
 	ctx, cancel := context.WithDeadline(r.ctx, req.Deadline)
 	defer cancel()
-	answer := &collector{}
+	answer := &answerCollector{}
 	end := withDeadlineReason(ctx, r.Executor.Execute(ctx, req, answer))
 	if end.Outcome == retrier.Done && answer.opened && end.Reason == "" {
 		if err := answer.assemble(req.Stream); err != nil {
@@ -205,28 +205,28 @@
 	})
 }
 
-// collector buffers a whole answer.
-type collector struct {
+// answerCollector buffers a whole answer.
+type answerCollector struct {
 	head   streamer.Head
 	opened bool
 	body   []byte
 }
 
 // Head implements streamer.Sink; later calls, by resumed attempts, have no effect.
-func (c *collector) Head(h streamer.Head) {
+func (c *answerCollector) Head(h streamer.Head) {
 	if !c.opened {
 		c.head, c.opened = h, true
 	}
 }
 
 // Data implements streamer.Sink.
-func (c *collector) Data(b []byte) error {
+func (c *answerCollector) Data(b []byte) error {
 	c.body = append(c.body, b...)
 	return nil
 }
 
 // assemble merges a streamed answer into one JSON body.
-func (c *collector) assemble(streamed bool) error {
+func (c *answerCollector) assemble(streamed bool) error {
 	if !streamed || !isEventStream(c.head) {
 		return nil
 	}
@@ -244,4 +244,4 @@
 }
 
 // Opened implements streamer.Sink.
-func (c *collector) Opened() bool { return c.opened }
+func (c *answerCollector) Opened() bool { return c.opened }
--- a/stage/receiver/receiver.go
+++ b/stage/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"redwingstage.org/serving/configurer"
 	"redwingstage.org/serving/marker"
 	"redwingstage.org/serving/registrar"
+	"redwingstage.org/stage/collector"
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/stage/meter"
 	"redwingstage.org/stage/streamer"
@@ -47,6 +48,8 @@
 	MaxBody int
 	// MaxConns limits the open connections.
 	MaxConns int
+	// MaxBuffered limits the bytes of all requests that are being read or handled; 0 means 512 MiB.
+	MaxBuffered int64
 	// MaxUnread limits the bytes buffered for a slow caller.
 	MaxUnread int
 	// ReadTimeout limits the time to read a whole request.
@@ -105,16 +108,19 @@
 	wg            conc.WaitGroup
 	// keepBuffers is set by tests through reflection: use the HTTP library's buffers instead of copies.
 	keepBuffers bool
+	// memory bounds the bodies of all connections.
+	memory *collector.Collector
 }
 
 // New starts a receiver on the listener.
 func New(ln net.Listener, cfg Config, deps Deps) *Receiver {
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Receiver{Deps: deps, cfg: cfg, ctx: ctx, cancel: cancel}
+	r := &Receiver{Deps: deps, cfg: cfg, ctx: ctx, cancel: cancel, memory: collector.NewWithBudget(cfg.MaxBuffered)}
 	r.app = fiber.New(fiber.Config{
 		BodyLimit: cfg.MaxBody, ReadBufferSize: maxHeaderBytes, ReadTimeout: cfg.ReadTimeout, IdleTimeout: cfg.IdleTimeout,
 		Concurrency: cfg.MaxConns + 1, ErrorHandler: r.respondError, StrictRouting: true, CaseSensitive: true,
+		StreamRequestBody: true, DisablePreParseMultipartForm: true,
 	})
 	r.registerRoutes()
 	limited := newListener(ln, cfg.MaxConns, cfg.WriteTimeout)
@@ -128,6 +134,7 @@
 }
 
 func (r *Receiver) registerRoutes() {
+	r.app.Use(r.collectBody)
 	r.app.Post("/v1/chat/completions", r.countOpen(r.handleGeneration))
 	r.app.Post("/v1/completions", r.countOpen(r.handleGeneration))
 	r.app.Get("/v1/models", r.handleModels)
--- a/stage/receiver/request.go
+++ b/stage/receiver/request.go
@@ -35,8 +35,8 @@
 	if catalog == nil {
 		return nil, false, notReady()
 	}
-	body := r.copyBytes(c.Body())
-	doc, p := parseGeneration(body)
+	data := r.copyBytes(body(c))
+	doc, p := parseGeneration(data)
 	if p != nil {
 		return nil, false, p
 	}
@@ -48,7 +48,7 @@
 		Target: target, Kind: configurer.KindModel, Idempotent: true, Stream: true, MaxTokens: doc.maxTokens,
 		Method: http.MethodPost, URI: r.copyString(c.Path()), Type: "application/json",
 	}
-	if p := r.setCommonFields(c, catalog, req, body, now); p != nil {
+	if p := r.setCommonFields(c, catalog, req, data, now); p != nil {
 		return nil, false, p
 	}
 	req.Prefix = promptPrefixHash(doc)
@@ -82,7 +82,7 @@
 	req := &streamer.Request{
 		Target: configurer.Target{Service: name}, Kind: configurer.KindPlain, Idempotent: s.IsIdempotent(method, path),
 		Method: method, URI: uri, Type: r.copyString(c.Get(fiber.HeaderContentType)),
-		Accept: r.copyString(c.Get(fiber.HeaderAccept)), Body: r.copyBytes(c.Body()),
+		Accept: r.copyString(c.Get(fiber.HeaderAccept)), Body: r.copyBytes(body(c)),
 	}
 	if req.IsBooking() {
 		key, p := r.idempotencyKey(c)
--- a/stage/starter/starter.go
+++ b/stage/starter/starter.go
@@ -63,6 +63,7 @@
 		CallersAddr: s.Entry().CallersAddr(), PeersAddr: s.PeersAddr(), MetricsAddr: s.MetricsAddr(),
 		Limits: receiver.Config{
 			MaxBody: limits.MaxBodyBytes(), MaxConns: limits.MaxConns(), MaxUnread: limits.MaxUnreadBytes(),
+			MaxBuffered: int64(limits.MaxBufferedBytes()),
 			ReadTimeout: limits.ReadTimeout(), IdleTimeout: limits.IdleTimeout(), WriteTimeout: limits.WriteTimeout(),
 		},
 	}, client, dispatcher.WithLog(log))
