--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -10,6 +10,7 @@
 
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/stage/collector"
 )
 
 // metricsPath is the path of the metrics on the readiness listener.
@@ -24,10 +25,12 @@
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
 	wait      prometheus.Histogram
-	prompts   *prometheus.CounterVec
-	quotas    *prometheus.CounterVec
-	amounts   *prometheus.CounterVec
-	room      *prometheus.CounterVec
+	// closedConns counts the connections that were closed for others.
+	closedConns prometheus.Counter
+	prompts     *prometheus.CounterVec
+	quotas      *prometheus.CounterVec
+	amounts     *prometheus.CounterVec
+	room        *prometheus.CounterVec
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
@@ -108,6 +111,9 @@
 	m.prompts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_prompt_tokens_total", Help: "Tokens of prompts by whether the chosen engine was believed to hold them.",
 	}, []string{"state"})
+	m.closedConns = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "redwingstage_entry_closed_connections_total", Help: "Callers' connections closed because there were too many.",
+	})
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_requests_total", Help: "Requests of client accounts with a quota by how it decided on them.",
 	}, []string{"account", "decision"})
@@ -117,10 +123,31 @@
 	m.room = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_room_total", Help: "Requests that the memory of engines has no room for, by what became of them.",
 	}, []string{"decision"})
-	m.registry.MustRegister(m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places, m.room, m.prompts)
+	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places, m.room, m.prompts)
 	return m
 }
 
+// observeMemory adds the metrics of the memory that connections share.
+func (m *metrics) observeMemory(c *collector.Collector) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "redwingstage_entry_buffered_bytes", Help: "Bytes that callers' connections hold.",
+		}, func() float64 {
+			used, _ := c.Used()
+			return float64(used)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "redwingstage_entry_buffered_limit_bytes", Help: "Bytes that callers' connections may hold.",
+		}, func() float64 {
+			_, limit := c.Used()
+			return float64(limit)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "redwingstage_entry_no_room_total", Help: "Requests and answers that found no room in the memory.",
+		}, func() float64 { return float64(c.Refused()) }),
+	)
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
