Room: what is unseen at an adapter's engines, and no draw without sums

Change: the unseen tokens count in proportion to the engines that hold the adapter; without sums each entry keeps to its part and nothing is drawn.

--- a/serving/balancer/room.go
+++ b/serving/balancer/room.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"redwingstage.org/serving/reckoner"
@@ -117,7 +118,12 @@
 	if !req.reckonsRoom() || len(list) == 0 || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return list, true
 	}
-	coming := b.room(req.Service).sent.Unseen(now, b.entries)
+	if !slices.ContainsFunc(list, func(s *server) bool { return b.hasFreshLoads(now, s) }) {
+		// Without sums each entry keeps to its own part of each server.
+		return list, true
+	}
+	// What entries sent unseen went to all servers of the service, of which few may hold the adapter.
+	coming := b.room(req.Service).sent.Unseen(now, b.entries) * b.countHolders(now, req) / max(len(b.services[req.Service]), 1)
 	preferred := coming * min(b.entries, entriesPerServer) / len(list)
 	free := make([]int, len(list))
 	total, tight := 0, false
@@ -144,6 +150,17 @@
 	return list, true
 }
 
+// countHolders returns how many servers of the service hold the request's adapter.
+func (b *Balancer) countHolders(now time.Time, req *Request) int {
+	n := 0
+	for _, s := range b.services[req.Service] {
+		if req.Adapter.Model == "" || b.hasUsableVersion(now, s, req.Adapter) {
+			n++
+		}
+	}
+	return n
+}
+
 // claimRoom claims room for a request that has waited long, at the server that holds least: the room counts as taken for all
 // entries, so that the server takes no more until the request fits. It ends the claim when its time is over.
 func (b *Balancer) claimRoom(now time.Time, req *Request) {
