--- a/serving/limiter/pool.go
+++ b/serving/limiter/pool.go
@@ -205,9 +205,6 @@
 	if f.level <= 0 || len(f.demands) == 0 {
 		return out
 	}
-	ids := slices.SortedFunc(maps.Keys(f.demands), func(x, y EntryID) int {
-		return cmp.Or(cmp.Compare(f.served[x], f.served[y]), cmp.Compare(x.Relay, y.Relay), cmp.Compare(x.Entry, y.Entry))
-	})
 	var total float64
 	for _, d := range f.demands {
 		total += d.Want
@@ -221,15 +218,16 @@
 		delete(f.demands, id)
 		out = append(out, Addition{id, d.Account, d.Seq, amount})
 	}
+	queue := f.queue()
 	if total <= f.level {
-		for _, id := range ids {
-			grant(id, f.demands[id].Want)
+		for _, q := range queue {
+			grant(q.id, q.want)
 		}
 		f.forgetServed()
 		return out
 	}
-	for _, id := range ids {
-		must := min(f.demands[id].Must, l.pool+l.overdraft)
+	for _, q := range queue {
+		must := min(q.must, l.pool+l.overdraft)
 		if must <= 0 {
 			continue
 		}
@@ -237,16 +235,34 @@
 			// A large request waits until the pool has room for it, and others behind it.
 			return out
 		}
-		grant(id, must)
+		grant(q.id, must)
 	}
-	for i, id := range ids {
-		if d, ok := f.demands[id]; ok && f.level > 0 {
-			grant(id, min(d.Want, f.level/float64(len(ids)-i)))
+	for i, q := range queue {
+		if q.must <= 0 && f.level > 0 {
+			grant(q.id, min(q.want, f.level/float64(len(queue)-i)))
 		}
 	}
 	return out
 }
 
+// queuedDemand is a demand and what its entry got before.
+type queuedDemand struct {
+	id                 EntryID
+	want, must, served float64
+}
+
+// queue returns the demands in the order in which they are met.
+func (f *fund) queue() []queuedDemand {
+	out := make([]queuedDemand, 0, len(f.demands))
+	for id, d := range f.demands {
+		out = append(out, queuedDemand{id, d.Want, d.Must, f.served[id]})
+	}
+	slices.SortFunc(out, func(x, y queuedDemand) int {
+		return cmp.Or(cmp.Compare(x.served, y.served), cmp.Compare(x.id.Relay, y.id.Relay), cmp.Compare(x.id.Entry, y.id.Entry))
+	})
+	return out
+}
+
 // forgetServed drops what no longer makes a difference.
 func (f *fund) forgetServed() {
 	maps.DeleteFunc(f.served, func(_ EntryID, at float64) bool { return at <= f.virtual })
--- a/serving/limiter/set_test.go
+++ b/serving/limiter/set_test.go
@@ -336,23 +336,30 @@
 	c.Check(p.IsEmpty(), qt.IsTrue)
 }
 
-// BenchmarkDistribute is the leader's work on 320 entries that each report 5 of 300 accounts.
+// BenchmarkDistribute is the leader's work on 320 entries that each report 5 of 300 accounts, with enough for all of them and
+// with far too little.
 func BenchmarkDistribute(b *testing.B) {
-	p := NewPool(testBounds)
-	var accounts []*matcher.Account
-	for i := range 300 {
-		accounts = append(accounts, &matcher.Account{Name: fmt.Sprint("account-", i), Quota: matcher.Quota{Rate: 1e6, Burst: 1e6}})
-	}
-	p.Configure(testStart, accounts)
-	p.SetEntries(testStart, 320, 320)
-	now := testStart
-	for b.Loop() {
-		now = now.Add(200 * time.Millisecond)
-		for e := range uint64(320) {
-			for i := range 5 {
-				p.Report(now, EntryID{e % 5, e}, Demand{Account: accounts[(int(e)*7+i*13)%300].Name, Seq: 1, Want: 700, Must: 100})
+	for name, rate := range map[string]float64{"enough": 1e6, "short": 1000} {
+		b.Run(name, func(b *testing.B) {
+			p := NewPool(testBounds)
+			var accounts []*matcher.Account
+			for i := range 300 {
+				accounts = append(accounts, &matcher.Account{Name: fmt.Sprint("account-", i), Quota: matcher.Quota{Rate: rate, Burst: rate}})
 			}
-		}
-		p.Distribute(now)
+			p.Configure(testStart, accounts)
+			p.SetEntries(testStart, 320, 320)
+			now := testStart
+			for step := 0; b.Loop(); step++ {
+				now = now.Add(10 * time.Millisecond)
+				for e := range uint64(320) {
+					for i := range 5 {
+						if (int(e)+step)%20 == 0 {
+							p.Report(now, EntryID{e % 5, e}, Demand{Account: accounts[(int(e)*7+i*13)%300].Name, Seq: 1, Want: 700, Must: 100})
+						}
+					}
+				}
+				p.Distribute(now)
+			}
+		})
 	}
 }
--- a/stage/relayer/authentication_test.go
+++ b/stage/relayer/authentication_test.go
@@ -293,7 +293,7 @@
 	c.Check(text, qt.Not(qt.Contains), "secret")
 	c.Check(text, qt.Contains, `redwingstage_entry_accounts_total{account="large",outcome="admitted"} 2`)
 	c.Check(text, qt.Contains, `redwingstage_entry_accounts_total{account="unknown",outcome="refused_key"} 2`)
-	e.metrics.quotas.WithLabelValues("large", "refused").Inc()
+	e.metrics.amounts.WithLabelValues("large", "refused").Inc()
 	e.metrics.keepAccounts(accountTable(c, 3, account("other", 1, "k")))
 	c.Check(metricsText(e), qt.Not(qt.Contains), `account="large"`, qt.Commentf("the labels are bounded by the accounts in force"))
 }
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -383,9 +383,9 @@
 			e.log.Error("read the operator's document", err)
 			return
 		}
+		e.quotas.configure(time.Now(), t.Accounts())
 		e.table.Store(t)
 		e.metrics.keepAccounts(t)
-		e.quotas.configure(time.Now(), t.Accounts())
 		e.keyUses.withdraw(t)
 		e.log.Document(doc.Version)
 	}
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -28,7 +28,6 @@
 	// closedConns counts the connections that were closed for others.
 	closedConns prometheus.Counter
 	prompts     *prometheus.CounterVec
-	quotas      *prometheus.CounterVec
 	amounts     *prometheus.CounterVec
 	room        *prometheus.CounterVec
 
@@ -50,6 +49,10 @@
 	accountKeyUnsure accountOutcome = "unsure_key"
 	// accountWithdrawn counts requests that were ended because their key was taken away.
 	accountWithdrawn accountOutcome = "withdrawn_key"
+	// accountQuotaRefused counts 429 to requests that the account's quota has no room for.
+	accountQuotaRefused accountOutcome = "refused_quota"
+	// accountQuotaUnsure counts 503 at an entry that doesn't know its share of the account's quota.
+	accountQuotaUnsure accountOutcome = "unsure_quota"
 )
 
 // unknownAccount is the label of requests whose key no account holds.
@@ -73,7 +76,7 @@
 	defer m.accountsMu.Unlock()
 	for name := range m.accountNames {
 		if !kept[name] {
-			for _, v := range []*prometheus.CounterVec{m.accounts, m.quotas, m.amounts} {
+			for _, v := range []*prometheus.CounterVec{m.accounts, m.amounts} {
 				v.DeletePartialMatch(prometheus.Labels{"account": name})
 			}
 		}
@@ -114,16 +117,13 @@
 	m.closedConns = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "redwingstage_entry_closed_connections_total", Help: "Callers' connections closed because there were too many.",
 	})
-	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "redwingstage_entry_quota_requests_total", Help: "Requests of client accounts with a quota by how it decided on them.",
-	}, []string{"account", "decision"})
 	m.amounts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_quota_amount_total", Help: "Amounts of client accounts' quotas, in the quota's unit, by what became of them.",
 	}, []string{"account", "kind"})
 	m.room = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_room_total", Help: "Requests that the memory of engines has no room for, by what became of them.",
 	}, []string{"decision"})
-	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.quotas, m.amounts, m.places, m.room, m.prompts)
+	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts)
 	return m
 }
 
--- a/stage/relayer/quota.go
+++ b/stage/relayer/quota.go
@@ -136,13 +136,12 @@
 	switch d := e.awaitQuota(ctx, c, cost); {
 	case d.Verdict == limiter.Admitted:
 		c.charged = cost
-		e.metrics.quotas.WithLabelValues(c.account.Name, "admitted").Inc()
 		e.metrics.amounts.WithLabelValues(c.account.Name, "admitted").Add(cost)
 		return true, true
 	case e.callerLeft(ctx, w):
 		return false, false
 	case d.Verdict == limiter.Unknown:
-		e.metrics.quotas.WithLabelValues(c.account.Name, "unknown").Inc()
+		e.metrics.countAccount(c.account.Name, accountQuotaUnsure)
 		return false, e.refuse(c, w, "this entry doesn't know its share of the account's quota now", retryAfterNoServer)
 	default:
 		return false, e.refuseQuota(c, w, cost, d.Missing)
@@ -173,7 +172,7 @@
 func (e *Relayer) refuseQuota(c *call, w *responseWriter, cost, missing float64) bool {
 	account := c.account.Name
 	wait := e.quotas.retryAfter(account, cost, missing)
-	e.metrics.quotas.WithLabelValues(account, "refused").Inc()
+	e.metrics.countAccount(account, accountQuotaRefused)
 	e.metrics.amounts.WithLabelValues(account, "refused").Add(cost)
 	e.log.QuotaRefused(c.id, account, cost, missing, wait)
 	return w.writeError(http.StatusTooManyRequests, fmt.Sprintf("the quota of account %s has no room", account), wait)
