--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -102,12 +102,8 @@
 	for _, s := range d.Standings {
 		v.setStanding(s)
 	}
-	for _, in := range d.Engines {
-		v.setServer(in, d.Welcome != nil)
-	}
-	for _, in := range d.FullResidents {
-		v.setServer(in, true)
-	}
+	v.setServers(d.Engines, d.Welcome != nil)
+	v.setServers(d.FullResidents, true)
 	for _, id := range d.RemovedServers {
 		v.removeServer(id)
 	}
@@ -122,9 +118,7 @@
 		v.loads[l.Server] = l
 		v.changes.loads[l.Server] = true
 	}
-	for _, s := range d.Speeds {
-		v.setSpeed(s)
-	}
+	v.setSpeeds(d.Speeds)
 	v.changes.cached = appendPrefixes(v.changes.cached, d.Cached)
 	if d.Entries > 0 && d.Entries != v.entries {
 		v.entries, v.changes.entries = d.Entries, true
@@ -170,13 +164,15 @@
 	}
 }
 
-func (v *view) setSpeed(s Speed) {
-	if _, ok := v.engines[s.Server]; !ok {
-		return
-	}
-	v.changes.speeds[s.Server] = true
-	if v.speeds[s.Server] = s; s.Step == profiler.Usual && s.Prefill == profiler.Usual {
-		delete(v.speeds, s.Server)
+func (v *view) setSpeeds(list []Speed) {
+	for _, s := range list {
+		if _, ok := v.engines[s.Server]; !ok {
+			continue
+		}
+		v.changes.speeds[s.Server] = true
+		if v.speeds[s.Server] = s; s.Step == profiler.Usual && s.Prefill == profiler.Usual {
+			delete(v.speeds, s.Server)
+		}
 	}
 }
 
@@ -217,6 +213,12 @@
 	}
 }
 
+func (v *view) setServers(list []tracker.Instance, complete bool) {
+	for _, in := range list {
+		v.setServer(in, complete)
+	}
+}
+
 // setServer adds or updates a server. Its residents count if complete is set and any are listed: engines hold at least a
 // base model.
 func (v *view) setServer(in tracker.Instance, complete bool) {
