--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -387,6 +387,12 @@
 	})
 	e.acceptTime = 0
 	long, short := dial(c, e), dial(c, e)
+	// The end of the listener resets connections that wait to be accepted.
+	waitUntil(c, "both are accepted", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.conns) == 2
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	closed := make(chan error, 1)
