--- a/serving/limiter/bucket.go
+++ b/serving/limiter/bucket.go
@@ -14,6 +14,8 @@
 	rateTime = 1.0
 	// meanWeight is the weight of the newest request in the mean cost.
 	meanWeight = 0.1
+	// margin is added to what a request must have, for rounding.
+	margin = 0.01
 	// maxSentReports bounds the reports that may still be answered.
 	maxSentReports = 8
 )
@@ -47,7 +49,7 @@
 	sent             []sentReport
 	reportedAt       time.Time
 	scarce           bool
-	// returned is what was refunded or expired since the last call of Set.TakeReturned.
+	// returned is what expired since the last call of Set.TakeReturned.
 	returned float64
 }
 
@@ -71,12 +73,13 @@
 	})
 }
 
-// refill adds what the entry's own rate brought since the last call.
+// refill adds what the entry's own rate brought since the last call; what exceeds the most that it may save up is dropped.
 func (b *bucket) refill(now time.Time, rate func(from, to time.Time) float64, most float64) {
 	if now.After(b.refilledAt) {
-		b.saved = min(b.saved+b.quota.Rate*rate(b.refilledAt, now), max(most, b.saved))
+		b.saved += b.quota.Rate * rate(b.refilledAt, now)
 		b.refilledAt = now
 	}
+	b.saved = min(b.saved, most)
 	b.expire(now)
 }
 
@@ -145,6 +148,9 @@
 	} else {
 		d.Must = max(-d.Level, 0)
 	}
+	if d.Must > 0 {
+		d.Must += margin
+	}
 	d.Want = max(b.target(l)+b.waiting-d.Level, d.Must)
 	return d
 }
--- a/serving/limiter/pool.go
+++ b/serving/limiter/pool.go
@@ -12,6 +12,8 @@
 const (
 	// demandLife is how long a demand is kept that wasn't met; entries repeat it meanwhile.
 	demandLife = additionLife / 2
+	// maxServed bounds the entries of an account whose last service is known; beyond it, those that make no difference go.
+	maxServed = 1024
 	// maxRefillGap is the longest time between two calls of Distribute after which the pool goes on. After a longer one the
 	// process was suspended, and another leader may have given out the rate of that time.
 	maxRefillGap = 500 * time.Millisecond
@@ -205,9 +207,8 @@
 	if f.level <= 0 || len(f.demands) == 0 {
 		return out
 	}
-	var total float64
-	for _, d := range f.demands {
-		total += d.Want
+	if len(f.served) > maxServed {
+		f.forgetServed()
 	}
 	grant := func(id EntryID, amount float64) {
 		d := f.demands[id]
@@ -219,6 +220,10 @@
 		out = append(out, Addition{id, d.Account, d.Seq, amount})
 	}
 	queue := f.queue()
+	var total float64
+	for _, q := range queue {
+		total += q.want
+	}
 	if total <= f.level {
 		for _, q := range queue {
 			grant(q.id, q.want)
--- a/serving/limiter/set.go
+++ b/serving/limiter/set.go
@@ -189,7 +189,6 @@
 		return
 	}
 	s.refill(now, b)
-	b.returned += cost
 	b.add(cost, now, s.limits(b).savings)
 }
 
@@ -239,7 +238,7 @@
 	return due, entries
 }
 
-// TakeReturned returns, by account, the amounts that were refunded or expired since the last call.
+// TakeReturned returns, by account, the amounts that ended unused since the last call.
 func (s *Set) TakeReturned() map[string]float64 {
 	var out map[string]float64
 	for name, b := range s.buckets {
--- a/stage/governor/quota.go
+++ b/stage/governor/quota.go
@@ -77,7 +77,7 @@
 
 // scaleQuota returns an amount in thousandths, within what the message can carry.
 func scaleQuota(amount float64) int64 {
-	return int64(math.Floor(min(max(amount*quotaScale, math.MinInt64/2), math.MaxInt64/2)))
+	return int64(math.Round(min(max(amount*quotaScale, math.MinInt64/2), math.MaxInt64/2)))
 }
 
 // leaderQuotas is the leader's part of the quotas.
--- a/stage/relayer/quota.go
+++ b/stage/relayer/quota.go
@@ -181,6 +181,7 @@
 // refundQuota returns a request's charge if no server ran it.
 func (e *Relayer) refundQuota(c *call) {
 	if c.charged > 0 && !c.wasSent {
+		e.metrics.amounts.WithLabelValues(c.account.Name, "refunded").Add(c.charged)
 		e.quotas.refund(c.account.Name, c.charged)
 	}
 }
