--- a/serving/balancer/admission.go
+++ b/serving/balancer/admission.go
@@ -13,7 +13,7 @@
 	minAdmitted = 0.05
 	// rise is how much the admitted share rises over that of the last answers while servers refuse few requests, fastRise
 	// while the sums of loads show free slots.
-	rise     = 1.6
+	rise     = 2.0
 	fastRise = 2.5
 	// busyLoad is the load of all servers together from which no slots count as free.
 	busyLoad = 0.8
@@ -159,7 +159,7 @@
 			refusals += float64(s.sumRefusals)
 		}
 	}
-	if !fresh || slots == 0 {
+	if !fresh || slots == 0 || !b.hasCurrentSums(now) {
 		return evidence{}
 	}
 	perSecond := refusals / countTime.Seconds()
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -168,8 +168,9 @@
 	// mustReport are the servers with reported work that were removed or restarted, or whose reports may be lost.
 	mustReport map[string]bool
 	entries    int
-	// latest is the latest time that the balancer was told.
+	// latest is the latest time that the balancer was told, sumsAt when it was last told sums of loads.
 	latest time.Time
+	sumsAt time.Time
 	// randIntN returns a random number in [0, n).
 	randIntN func(n int) int
 }
@@ -479,7 +480,7 @@
 		return NoServer
 	case req.Adapter.Model != "" && !b.hasUsableVersion(now, s, req.Adapter):
 		return NotLoaded
-	case b.isFull(now, s), now.Before(s.pausedUntil):
+	case b.isFull(now, s, req), now.Before(s.pausedUntil):
 		return LimitReached
 	case b.mustWaitForPrefill(now, s, req):
 		return PrefillBusy
@@ -523,13 +524,15 @@
 
 // isFull reports whether a server has as many requests as all entries together may have there: enough to keep it busy,
 // too few to overflow its queue. Without fresh loads of the others, each entry may use an equal part of the limit. With
-// many entries, sums of short requests say little of what is there now, and servers refuse what is too much.
-func (b *Balancer) isFull(now time.Time, s *server) bool {
+// many entries, sums of short requests say little of what is there now, and plain servers refuse what is too much.
+func (b *Balancer) isFull(now time.Time, s *server, req Request) bool {
 	limit := math.Ceil(maxRequestsPerSlot * float64(s.slots()))
-	if b.isCrowded() {
-		return b.sumsAreCurrent(s.Service) && b.hasFreshLoads(now, s) && float64(s.running)+s.others.last >= limit
-	}
-	if b.hasFreshLoads(now, s) {
+	switch fresh := b.hasFreshLoads(now, s); {
+	case b.isCrowded() && req.Adapter.Model == "" && (!fresh || !b.sumsAreCurrent(s.Service)):
+		return false
+	case fresh && b.isCrowded():
+		return float64(s.running)+s.others.last >= limit
+	case fresh:
 		return float64(b.totalRunning(now, s)) >= limit
 	}
 	return s.running >= max(int(math.Ceil(limit/float64(b.entries))), 1)
--- a/serving/balancer/forecast.go
+++ b/serving/balancer/forecast.go
@@ -16,6 +16,10 @@
 	shortestWeight = 1.0 / 64
 	// loadsAge is how old the loads of other entries are when they arrive: reports and sums are sent ten times a second.
 	loadsAge = 150 * time.Millisecond
+	// sumsInterval is the longest time between two messages with sums while there is load.
+	sumsInterval = 400 * time.Millisecond
+	// fadeTime is the time constant with which averages fade once no sums arrive.
+	fadeTime = 500 * time.Millisecond
 )
 
 // forecast estimates the requests of other entries at a server from sums that are older than a short request takes: the
@@ -41,12 +45,20 @@
 	return f.last + (f.average-f.last)*math.Exp(-float64(max(now.Sub(f.at), 0))/float64(averageTime))
 }
 
-// running returns the expected number of requests of other entries; stay is how long requests stay at a server.
-func (f *forecast) running(now time.Time, stay time.Duration) float64 {
-	average := f.averageAt(now)
-	return average + (f.last-average)*sumWeight(now.Sub(f.at), stay)
+// othersRunning returns the expected number of requests of other entries at a server. Once no sums arrive, the average
+// no longer moves to the last sum, which may be far from it by chance, and fades: all entries know the same averages, so
+// that all would avoid the same servers.
+func (b *Balancer) othersRunning(now time.Time, s *server) float64 {
+	age := now.Sub(b.sumsAt)
+	missing := max(age-sumsInterval, 0)
+	average := s.others.averageAt(now.Add(-missing))
+	expected := average + (s.others.last-average)*sumWeight(age, b.stay(s.Service))
+	return expected * math.Exp(-float64(missing)/float64(fadeTime))
 }
 
+// hasCurrentSums reports whether sums of loads arrive.
+func (b *Balancer) hasCurrentSums(now time.Time) bool { return now.Sub(b.sumsAt) <= sumsInterval }
+
 // sumWeight returns which part of a difference from the average remains after the age of a sum.
 func sumWeight(age, stay time.Duration) float64 {
 	return math.Exp(-float64(age+loadsAge) / float64(max(stay, time.Millisecond)))
--- a/serving/balancer/loads.go
+++ b/serving/balancer/loads.go
@@ -56,6 +56,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.observe(now)
+	b.sumsAt = now
 	for _, l := range list {
 		s := b.servers[l.Server]
 		if s == nil {
--- a/serving/balancer/selection.go
+++ b/serving/balancer/selection.go
@@ -10,7 +10,7 @@
 	// higher by d is chosen e^(-selectivity d) times as often. Where sums are fresh in relation to a request's stay,
 	// freshSelectivity is added in proportion.
 	selectivity      = 3.0
-	freshSelectivity = 20.0
+	freshSelectivity = 40.0
 	// minQueueWeight is the least weight of queued requests against running ones. A queue grows with all that is sent too
 	// much, so that choices by sums that are older than a request's stay let queues grow and run empty by turns.
 	minQueueWeight = 0.1
@@ -41,7 +41,7 @@
 	if !b.hasFreshLoads(now, s) {
 		return float64(s.running)
 	}
-	return float64(s.running) + s.others.running(now, b.stay(s.Service))
+	return float64(s.running) + b.othersRunning(now, s)
 }
 
 // expectedLoad returns the load that is expected at a server as a share of its slots; requests beyond its slots count less
--- a/stage/governor/loads_test.go
+++ b/stage/governor/loads_test.go
@@ -25,3 +25,18 @@
 	c.Check(l.takeChanged(now.Add(time.Second)), qt.DeepEquals, []Load{{Server: "x"}})
 	c.Check(l.byServer, qt.HasLen, 0)
 }
+
+// Refusals are summed too, also of entries without requests at the server.
+func TestRefusalsAreSummedOverEntries(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	a, b := &session{}, &session{}
+	l := newLoads()
+	l.set(a, Load{Server: "x", Running: 1, Refusals: 2})
+	l.set(b, Load{Server: "x", Refusals: 3})
+	c.Check(l.takeChanged(now), qt.DeepEquals, []Load{{Server: "x", Running: 1, Refusals: 5}})
+	l.removeSession(a)
+	l.set(b, Load{Server: "x"})
+	c.Check(l.takeChanged(now.Add(time.Second)), qt.DeepEquals, []Load{{Server: "x"}})
+	c.Check(l.byServer, qt.HasLen, 0)
+}
