Room: a claim isn't held up, and room is waited for beside full engines

Cause: a request whose claim had drained an engine let a later one with less time go first and never ended its claim meanwhile; where some engines had no slot, a request that lacked room at the others waited for a slot and claimed nothing. Change: a request that claims room waits for nobody; NoRoom comes before LimitReached. Measured: the new test fails without the first change; go test -race of balancer and reckoner.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -512,7 +512,7 @@
 }
 
 // statusPrecedence orders the statuses of servers; Pick returns the highest one.
-var statusPrecedence = map[PickStatus]int{NoServer: 0, NotLoaded: 1, PrefillBusy: 2, NoRoom: 3, LimitReached: 4}
+var statusPrecedence = map[PickStatus]int{NoServer: 0, NotLoaded: 1, PrefillBusy: 2, LimitReached: 3, NoRoom: 4}
 
 // status returns Picked if a server may take the request, otherwise why not.
 func (b *Balancer) status(now time.Time, s *server, req Request) PickStatus {
--- a/serving/balancer/room.go
+++ b/serving/balancer/room.go
@@ -79,9 +79,9 @@
 	t.claimedAt = tracker.Key{}
 }
 
-// mustWaitForRoom reports whether a request has to let others go first that wait for room.
+// mustWaitForRoom reports whether a request has to let others go first that wait for room; not while it claims some.
 func (b *Balancer) mustWaitForRoom(now time.Time, req *Request) bool {
-	if !req.reckonsRoom() {
+	if !req.reckonsRoom() || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return false
 	}
 	q := &b.room(req.Service).queue
--- a/serving/balancer/room_test.go
+++ b/serving/balancer/room_test.go
@@ -402,3 +402,51 @@
 	c.Check(status, qt.Equals, balancer.Picked)
 	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Running: 1}})
 }
+
+// Some engines have no slot for a request and one has no room: it waits for room, where it may claim some, not for a slot.
+func TestRequestWaitsForRoomBesideFullEngines(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("full", "z"), server("x", "z")}, true)
+	b.SetLoads(start, []balancer.Load{{Server: "full", Running: 1000}, {Server: "x", Running: 1, Memory: 15_000}})
+	_, status := b.Pick(start, balancer.Request{Service: "s", Zone: "z", Memory: 9256, Capacity: 20_000})
+	c.Check(status, qt.Equals, balancer.NoRoom)
+	_, status = b.Pick(start, balancer.Request{Service: "s", Zone: "z", Memory: 700, Capacity: 20_000})
+	c.Check(status, qt.Equals, balancer.Picked)
+}
+
+// A claim ends in time, and one that has drained its engine isn't held up by a request that came later and has less time.
+func TestClaimIsUsedAndEnds(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.Set([]tracker.Instance{server("x", "z")}, true)
+	b.SetLoads(start, []balancer.Load{{Server: "x", Running: 1, Memory: 15_000}})
+	req := balancer.Request{Service: "s", Zone: "z", Memory: 9256, Capacity: 20_000, Arrived: start, Deadline: start.Add(4 * time.Second)}
+	_, status := b.Pick(start, req)
+	c.Assert(status, qt.Equals, balancer.NoRoom)
+	req.Room = b.WaitForRoom(req)
+	now := start.Add(600 * time.Millisecond)
+	b.Pick(now, req)
+	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Memory: 9256}})
+	urgent := req
+	urgent.Room, urgent.Arrived, urgent.Deadline = nil, now, now.Add(time.Second)
+	_, status = b.Pick(now, urgent)
+	c.Assert(status, qt.Equals, balancer.NoRoom)
+	urgent.Room = b.WaitForRoom(urgent)
+	_, status = b.Pick(now.Add(1100*time.Millisecond), req)
+	c.Check(status, qt.Equals, balancer.NoRoom)
+	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x"}}, qt.Commentf("the claim is over"))
+	now = now.Add(3 * time.Second)
+	b.SetLoads(now, []balancer.Load{{Server: "x", Running: 1, Memory: 15_000}})
+	b.StopWaiting("s", urgent.Room)
+	_, status = b.Pick(now.Add(-500*time.Millisecond), req)
+	c.Check(status, qt.Equals, balancer.NoRoom)
+	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Memory: 9256}}, qt.Commentf("the second claim"))
+	urgent.Room, urgent.Arrived, urgent.Deadline = nil, now, now.Add(time.Millisecond)
+	urgent.Room = b.WaitForRoom(urgent)
+	b.SetLoads(now, []balancer.Load{{Server: "x", Running: 1, Memory: 8000 + 9256}})
+	_, status = b.Pick(now, req)
+	c.Check(status, qt.Equals, balancer.Picked)
+	b.StopWaiting("s", req.Room)
+	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Running: 1, Memory: 9256}}, qt.Commentf("room that is taken isn't claimed as well"))
+}
