Room: idle engines have room, waits end in time, load decides among roomy engines

Change: a part waits only while half of the memory is held; a sum holds while others come; the draw is among engines of which none has enough room; the turn is given up; full memory counts as high load; the wait ends like that for a place.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -432,7 +432,7 @@
 		best.prefill += tokens
 		c.pendingPrefill = &tokens
 	}
-	c.Running, c.HighLoad = b.totalRunning(now, best), b.load(now, best) > highLoad
+	c.Running, c.HighLoad = b.totalRunning(now, best), b.loadOf(now, best, &req) > highLoad
 	if req.Adapter.Model != "" {
 		c.Version = best.residents[req.Adapter]
 	}
--- a/serving/balancer/room.go
+++ b/serving/balancer/room.go
@@ -8,8 +8,13 @@
 	"redwingstage.org/serving/tracker"
 )
 
-// remoteRoomShare divides the room of servers in other data centres when one is drawn by its room.
-const remoteRoomShare = 2
+const (
+	// remoteRoomShare divides the room of servers in other data centres when one is drawn by its room.
+	remoteRoomShare = 2
+	// scarceRoomShare is the share of the memory of all engines with the adapter from which a part of the requests waits for
+	// what other entries may have sent.
+	scarceRoomShare = 0.5
+)
 
 // RoomTicket is a request's wait for room at engines.
 type RoomTicket struct {
@@ -90,12 +95,18 @@
 
 // heldMemory returns the tokens that requests hold or claim at a server: this entry's, and the others' as last reported.
 func (b *Balancer) heldMemory(now time.Time, s *server) int {
-	if !b.hasFreshLoads(now, s) {
+	if !b.knowsRoom(now, s) {
 		return s.memory + s.claimed
 	}
 	return s.memory + s.claimed + s.otherEntriesLoad.Memory
 }
 
+// knowsRoom reports whether the room that all entries take at a server is known. Sums come only when they change: that of a quiet
+// server holds as long as those of others come in.
+func (b *Balancer) knowsRoom(now time.Time, s *server) bool {
+	return b.hasFreshLoads(now, s) || !s.otherEntriesLoadAt.IsZero() && now.Sub(b.sumsAt) <= loadsTTL
+}
+
 // lacksRoom reports whether a request doesn't fit into a server's memory beside what is held there.
 func (b *Balancer) lacksRoom(now time.Time, s *server, req Request) bool {
 	if !req.reckonsRoom() {
@@ -105,7 +116,7 @@
 	if req.Room != nil && req.Room.claimedAt == s.Key {
 		held -= req.Memory
 	}
-	if !b.hasFreshLoads(now, s) {
+	if !b.knowsRoom(now, s) {
 		return !reckoner.FitsShare(held, req.Memory, req.Capacity, b.entries)
 	}
 	return !reckoner.Fits(held, req.Memory, req.Capacity)
@@ -118,27 +129,37 @@
 	if !req.reckonsRoom() || len(list) == 0 || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return list, true
 	}
-	if !slices.ContainsFunc(list, func(s *server) bool { return b.hasFreshLoads(now, s) }) {
+	if !slices.ContainsFunc(list, func(s *server) bool { return b.knowsRoom(now, s) }) {
 		// Without sums each entry keeps to its own part of each server.
 		return list, true
 	}
 	// What entries sent unseen went to all servers of the service, of which few may hold the adapter.
 	coming := b.room(req.Service).sent.Unseen(now, b.entries) * b.countHolders(now, req) / max(len(b.services[req.Service]), 1)
 	preferred := coming * min(b.entries, entriesPerServer) / len(list)
+	roomy := make([]*server, 0, len(list))
+	held := 0
+	for _, s := range list {
+		memory := b.heldMemory(now, s)
+		held += memory
+		if reckoner.Free(memory, req.Capacity) >= preferred {
+			roomy = append(roomy, s)
+		}
+	}
+	if len(roomy) > 0 {
+		// Among servers with enough room load, speed and failures decide.
+		return roomy, true
+	}
 	free := make([]int, len(list))
-	total, tight := 0, false
+	total := 0
 	for i, s := range list {
 		free[i] = max(reckoner.Free(b.heldMemory(now, s), req.Capacity), 1)
-		tight = tight || free[i] < preferred
 		if s.Zone != req.Zone {
 			free[i] = (free[i] + 1) / remoteRoomShare
 		}
 		total += free[i]
 	}
-	if !tight {
-		return list, true
-	}
-	if coming > total && b.randIntN(coming) >= total {
+	isScarce := float64(held) >= scarceRoomShare*float64(len(list)*req.Capacity)
+	if isScarce && coming > total && b.randIntN(coming) >= total {
 		return nil, false
 	}
 	n := b.randIntN(total)
@@ -167,13 +188,23 @@
 	if req.Room == nil || !req.reckonsRoom() {
 		return
 	}
+	least := b.leastHeld(now, req)
+	if least == nil && req.Room.claimedAt == (tracker.Key{}) {
+		// There is nothing to claim, and a claim keeps others from one.
+		return
+	}
 	claims, started := b.room(req.Service).queue.Claim(now, req.Room.waiter)
 	if !claims || started {
 		b.releaseClaim(req.Room)
 	}
-	if !started {
-		return
+	if started && least != nil {
+		least.claimed += req.Memory
+		req.Room.claimedAt = least.Key
 	}
+}
+
+// leastHeld returns the server that holds least of those without room for a request, or nil.
+func (b *Balancer) leastHeld(now time.Time, req *Request) *server {
 	var least *server
 	for _, s := range b.services[req.Service] {
 		if b.status(now, s, *req) != NoRoom {
@@ -183,10 +214,7 @@
 			least = s
 		}
 	}
-	if least != nil {
-		least.claimed += req.Memory
-		req.Room.claimedAt = least.Key
-	}
+	return least
 }
 
 // takeRoom records that a request goes to a server.
--- a/serving/balancer/room_test.go
+++ b/serving/balancer/room_test.go
@@ -450,3 +450,69 @@
 	b.StopWaiting("s", req.Room)
 	c.Check(b.Loads(), qt.DeepEquals, []balancer.Load{{Server: "x", Running: 1, Memory: 9256}}, qt.Commentf("room that is taken isn't claimed as well"))
 }
+
+// Small services were refused room at idle engines: what one entry had sent lately, times the number of entries, was held against
+// them although it had ended. The load: large requests one after the other, 88 entries, two idle engines.
+func TestIdleEnginesHaveRoomForRequestsInARow(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.SetRandom(rand.New(rand.NewPCG(1, 1)).IntN)
+	b.SetEntries(88)
+	b.Set([]tracker.Instance{server("x", "z"), server("y", "z")}, true)
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		b.SetLoads(now, []balancer.Load{{Server: "x"}, {Server: "y"}})
+		ch, status := b.Pick(now, balancer.Request{Service: "s", Zone: "z", Memory: 9400, Capacity: 210_612, Arrived: now, Deadline: now.Add(5 * time.Second)})
+		c.Assert(status, qt.Equals, balancer.Picked)
+		b.End(now.Add(40*time.Millisecond), ch, tracker.Adapter{}, balancer.OK)
+	}
+}
+
+// A quiet engine counted as one whose room nobody knows: its sum came long ago, since it didn't change.
+func TestSumOfQuietEngineHoldsWhileOthersCome(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	b.SetEntries(88)
+	other := server("y", "z")
+	other.Service = "other"
+	b.Set([]tracker.Instance{server("x", "z"), other}, true)
+	b.SetLoads(start, []balancer.Load{{Server: "x"}})
+	now := start.Add(3 * time.Second)
+	b.SetLoads(now, []balancer.Load{{Server: "y", Running: 1}})
+	for _, memory := range []int{9400, 750} {
+		_, status := b.Pick(now, balancer.Request{Service: "s", Zone: "z", Memory: memory, Capacity: 210_612})
+		c.Check(status, qt.Equals, balancer.Picked, qt.Commentf("%d tokens", memory))
+	}
+}
+
+// Where some engine has enough room, an unreachable one was drawn all the same, as its memory was the emptiest.
+func TestUnreachableEngineIsNotDrawnByItsRoom(t *testing.T) {
+	c := qt.New(t)
+	req := balancer.Request{Service: "s", Zone: "z", Memory: 700, Capacity: 211_700}
+	for seed := range uint64(50) {
+		b := balancer.New()
+		b.SetRandom(rand.New(rand.NewPCG(1, seed)).IntN)
+		b.SetEntries(63)
+		b.Set([]tracker.Instance{server("x", "z"), server("y", "z"), server("w", "z")}, true)
+		b.SetLoads(start, []balancer.Load{{Server: "x"}, {Server: "y", Memory: 40_000}, {Server: "w", Memory: 185_000}})
+		onlyX := req
+		onlyX.Except = map[string]bool{"y": true, "w": true}
+		ch, _ := b.Pick(start, onlyX)
+		b.End(start, ch, tracker.Adapter{}, balancer.Unreachable)
+		ch, status := b.Pick(start, req)
+		c.Assert(status, qt.Equals, balancer.Picked)
+		c.Check(ch.Key.ID, qt.Equals, "y")
+	}
+}
+
+// A hot adapter whose engine's memory is nearly full gets another copy, whatever its slots say.
+func TestFullMemoryCountsAsHighLoad(t *testing.T) {
+	c := qt.New(t)
+	b := balancer.New()
+	x := server("x", "z")
+	x.Slots = 16
+	b.Set([]tracker.Instance{x}, true)
+	ch, status := b.Pick(start, balancer.Request{Service: "s", Zone: "z", Memory: 900, Capacity: 1000})
+	c.Assert(status, qt.Equals, balancer.Picked)
+	c.Check(ch.HighLoad, qt.IsTrue)
+}
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -74,6 +74,8 @@
 	// lastProgressAt is when the request arrived, or when its latest event was sent to the caller.
 	lastProgressAt time.Time
 	sends          int
+	// roomLimit is the end of the wait for room at engines, zero before it began.
+	roomLimit time.Time
 	// expectedWait is the expected wait in the queue if it was too long.
 	expectedWait time.Duration
 	// choice is the server of the latest attempt, chosenAt the time of that choice.
@@ -461,6 +463,9 @@
 		case now.After(limit):
 			return choice, status
 		}
+		if status == balancer.NoRoom {
+			limit = earlier(limit, e.beginRoomWait(c, &pickRequest))
+		}
 		c.waitedFor = waitReasons[status]
 		if status == balancer.NotLoaded && c.adapter.Name != "" {
 			e.control.requestAdapter(governor.Want{
--- a/stage/relayer/room.go
+++ b/stage/relayer/room.go
@@ -10,6 +10,7 @@
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/reckoner"
+	"redwingstage.org/stage/governor"
 )
 
 const (
@@ -100,6 +101,23 @@
 	}
 }
 
+// beginRoomWait gives up a request's turn among those that wait for a place, which would hold up smaller ones, and requests another
+// copy of the adapter. It returns the end of the wait for room: later, no answer would come in time.
+func (e *Relayer) beginRoomWait(c *call, r *balancer.Request) time.Time {
+	if r.Ticket != nil {
+		e.balancer.Dequeue(c.service, r.Ticket)
+		r.Ticket = nil
+	}
+	if c.adapter.Name != "" {
+		e.control.requestAdapter(governor.Want{Service: c.service, Adapter: c.adapter, Copy: true})
+	}
+	if c.roomLimit.IsZero() {
+		now := time.Now()
+		c.roomLimit = now.Add(time.Duration(maxQueueWaitShare * float64(c.deadline.Sub(now))))
+	}
+	return c.roomLimit
+}
+
 // updateRoomWait lets a request begin to wait for room, or end its wait if it now waits for something else. It returns the
 // longest pause until the next try.
 func (e *Relayer) updateRoomWait(c *call, r *balancer.Request, status balancer.PickStatus) time.Duration {
