--- a/serving/limiter/bounds.go
+++ b/serving/limiter/bounds.go
@@ -33,7 +33,7 @@
 	// leader or the return of all replicas takes, and shorter than the quota's window.
 	leaseTime = 7 * time.Second
 	// contactTime is how long after the leader's last sign of life an entry counts on the leader's pool.
-	contactTime = 1500 * time.Millisecond
+	contactTime = time.Second
 )
 
 // Bounds are the tolerances of quotas over all entries, whether they have contact with the leader or not.
--- a/serving/limiter/set.go
+++ b/serving/limiter/set.go
@@ -123,6 +123,10 @@
 // called for the request.
 func (s *Set) Take(now time.Time, account string, cost float64, queued bool) Decision {
 	b := s.buckets[account]
+	if b == nil && queued {
+		// The account was removed or lost its limit while the request waited.
+		return Decision{Verdict: Unknown}
+	}
 	if b == nil {
 		return Decision{}
 	}
