Test: refunds by the whole way of a request

Change: the request comes with a key over a connection; a panic in the other tests' writer ends their reading. The checks are the same, with one on the counter of what was admitted.

--- a/stage/relayer/quota_test.go
+++ b/stage/relayer/quota_test.go
@@ -26,20 +26,26 @@
 }
 
 // startLimitedEntry returns an entry that has contact with a leader and shares testAccounts' quotas with 9 others.
-func startLimitedEntry(c *qt.C, handlers ...http.HandlerFunc) *Relayer {
-	e := startEntry(c, handlers...)
+func startLimitedEntry(c *qt.C) *Relayer {
+	e := startEntry(c)
+	shareQuotas(e)
+	return e
+}
+
+// shareQuotas gives an entry contact with a leader and its share of testAccounts' quotas, and waits for its first refill.
+func shareQuotas(e *Relayer) {
 	now := time.Now()
 	e.quotas.configure(now, testAccounts)
 	e.quotas.apply(now, &governor.QuotaUpdate{Entries: 10, Epoch: 1})
 	e.quotas.confirm(now)
-	// The first refill of the bucket.
 	for {
 		e.quotas.mu.Lock()
 		s, _ := e.quotas.set.Share(time.Now(), "limited")
 		e.quotas.mu.Unlock()
 		if s.Level > 0 {
-			return e
+			return
 		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
@@ -56,9 +62,13 @@
 // respond returns the status and the header of the response that write writes.
 func respond(c *qt.C, write func(w *responseWriter)) (int, http.Header) {
 	server, client := net.Pipe()
-	defer func() { _, _ = server.Close(), client.Close() }()
+	defer func() { _ = client.Close() }()
 	var writing conc.WaitGroup
-	writing.Go(func() { write(&responseWriter{conn: server, stopping: new(atomic.Bool), draining: new(atomic.Bool)}) })
+	writing.Go(func() {
+		// A panic of write must end the reading below.
+		defer func() { _ = server.Close() }()
+		write(&responseWriter{conn: server, stopping: new(atomic.Bool), draining: new(atomic.Bool)})
+	})
 	r, err := http.ReadResponse(bufio.NewReader(client), nil)
 	c.Assert(err, qt.IsNil)
 	_, err = io.Copy(io.Discard, r.Body)
@@ -155,19 +165,21 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c := qt.New(t)
-			e := startLimitedEntry(c, row.handler)
-			l := newAccountCall(e, testAccounts[0], 10_000, 0)
-			l.head = []byte("GET /safe/x HTTP/1.1\r\nHost: " + testHost + "\r\n" + testAttempt + ": id-1\r\n")
-			admitted, _ := e.admitToQuota(context.Background(), l, nil)
-			c.Assert(admitted, qt.IsTrue)
-			_, _ = respond(c, func(w *responseWriter) {
-				e.tryServers(context.Background(), l, w)
-			})
-			e.refundQuota(l)
+			limited := account("limited", matcher.NoPriority, "k")
+			limited.Quota = testAccounts[0].Quota
+			e := startAccountEntry(c, io.Discard, row.handler, limited)
+			shareQuotas(e)
+			l := dial(c, e)
+			l.send(c, "POST", "/once/", "", "X-Key: Token k", testUsage+": 10000,0")
+			l.receive(c)
+			// The first request has ended when the next one on its connection is answered.
+			l.send(c, "POST", "/open/", "")
+			l.receive(c)
 			e.quotas.mu.Lock()
 			s, _ := e.quotas.set.Share(time.Now(), "limited")
 			e.quotas.mu.Unlock()
 			c.Check(s.Level > -5000, qt.Equals, row.refunded, qt.Commentf("%v", s.Level))
+			c.Check(metricsText(e), qt.Contains, `redwingstage_entry_quota_amount_total{account="limited",kind="admitted"} 10000`)
 		})
 	}
 }
