--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -352,6 +352,7 @@
 	case c.mayHaveRun:
 		return e.respondError(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
 	case status == balancer.NotLoaded:
+		e.metrics.countPlace(c, placeRefused, "adapter")
 		return e.refuse(c, w, "no server holds the adapter yet", retryAfterLoad)
 	case status == balancer.LimitReached:
 		e.metrics.countPlace(c, placeRefused, "queue")
@@ -360,6 +361,7 @@
 		e.recordRoom(c, roomRefuse)
 		return e.refuse(c, w, "no server of "+c.service+" has room for the request", e.retryAfterBusy(c))
 	}
+	e.metrics.countPlace(c, placeRefused, "server")
 	return e.refuse(c, w, "no server answers for "+c.service+" now", retryAfterNoServer)
 }
 
