--- a/serving/balancer/places_test.go
+++ b/serving/balancer/places_test.go
@@ -72,7 +72,9 @@
 	for service, d := range services {
 		for contact, leaderless := range contacts {
 			t.Run(service+", "+contact, func(t *testing.T) {
+				t.Parallel()
 				c := qt.New(t)
+				d := d
 				d.leaderless = leaderless
 				got := simulate(d, 2*time.Second, 12*time.Second)
 				t.Log(got)
@@ -108,6 +110,7 @@
 	for service, d := range map[string]site{"archive": archive(), "desk": desk(), "uneven archive": uneven(archive()), "archive, short queues": withShortQueues(archive())} {
 		for contact, leaderless := range contacts {
 			t.Run(service+", "+contact, func(t *testing.T) {
+				t.Parallel()
 				c := qt.New(t)
 				d, usual := d, d.rate
 				d.leaderless = leaderless
@@ -156,6 +159,7 @@
 	many.rate = func(time.Duration) float64 { return 0.7 * 56 * 12 / 0.5 }
 	for name, d := range map[string]site{"8 entries": few, "9 entries": nine, "busy engines": streams, "engines, no leader": apart, "195 entries": many} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			got := simulate(d, time.Second, 5*time.Second)
 			t.Log(got)
