--- a/stage/governor/empty_message_test.go
+++ b/stage/governor/empty_message_test.go
@@ -17,8 +17,8 @@
 		// apart are the fields that are no content.
 		apart []string
 	}{
-		{DownMessage{}, func(v any) bool { return isEmptyDown(v.(*DownMessage)) }, []string{"Welcome", "Redirect", "LeaderAge", "Compressed", "Dropped"}},
-		{UpMessage{}, func(v any) bool { return isEmptyUp(v.(*UpMessage)) }, []string{"Hello", "Heartbeat", "Dropped"}},
+		{DownMessage{}, func(v any) bool { d, ok := v.(*DownMessage); return ok && isEmptyDown(d) }, []string{"Welcome", "Redirect", "LeaderAge", "Compressed", "Dropped"}},
+		{UpMessage{}, func(v any) bool { up, ok := v.(*UpMessage); return ok && isEmptyUp(up) }, []string{"Hello", "Heartbeat", "Dropped"}},
 	} {
 		for i := range reflect.TypeOf(row.message).NumField() {
 			name := reflect.TypeOf(row.message).Field(i).Name
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -469,11 +469,8 @@
 			limit = earlier(limit, e.beginRoomWait(c, &pickRequest))
 		}
 		c.waitedFor = waitReasons[status]
-		if status == balancer.NotLoaded && c.adapter.Name != "" {
-			e.control.requestAdapter(governor.Want{
-				Service: c.service, Adapter: c.adapter, Remaining: time.Until(c.arrived.Add(c.route.LatencyTarget)),
-				FailedServers: c.failedServers,
-			})
+		if status == balancer.NotLoaded {
+			e.requestLoad(c)
 		}
 		if pickRequest.Ticket != nil {
 			ready = pickRequest.Ticket.Ready()
@@ -489,6 +486,17 @@
 	}
 }
 
+// requestLoad requests the adapter of a request that no server holds.
+func (e *Relayer) requestLoad(c *call) {
+	if c.adapter.Name == "" {
+		return
+	}
+	e.control.requestAdapter(governor.Want{
+		Service: c.service, Adapter: c.adapter, Remaining: time.Until(c.arrived.Add(c.route.LatencyTarget)),
+		FailedServers: c.failedServers,
+	})
+}
+
 // waitAny waits until a channel is ready or the pause is over; false means that ctx is done.
 func waitAny(ctx context.Context, pause time.Duration, loaded, ready <-chan struct{}) bool {
 	t := time.NewTimer(pause)
