--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -482,12 +482,17 @@
 
 // randomPart returns a random part of the servers, two at least; it reorders list.
 func (b *Balancer) randomPart(list []*server) []*server {
-	n := max(2, (len(list)*entriesPerServer+b.entries-1)/b.entries)
-	for i := range min(n, len(list)) {
+	n := b.partSize(len(list))
+	for i := range n {
 		j := i + b.randIntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
 	}
-	return list[:min(n, len(list))]
+	return list[:n]
+}
+
+// partSize returns how many of n servers this entry considers, with many entries.
+func (b *Balancer) partSize(n int) int {
+	return min(max(2, (n*entriesPerServer+b.entries-1)/b.entries), n)
 }
 
 // selectServer returns the server for a request, or nil.
--- a/serving/balancer/room.go
+++ b/serving/balancer/room.go
@@ -117,21 +117,11 @@
 	if !req.reckonsRoom() || len(list) == 0 || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return list, true
 	}
-	coming := b.room(req.Service).sent.Unseen(now, b.entries)
-	preferred := coming * min(b.entries, entriesPerServer) / len(list)
-	free := make([]int, len(list))
-	total, tight := 0, false
-	for i, s := range list {
-		free[i] = max(reckoner.Free(b.heldMemory(now, s), req.Capacity), 1)
-		tight = tight || free[i] < preferred
-		if s.Zone != req.Zone {
-			free[i] = (free[i] + 1) / remoteRoomShare
-		}
-		total += free[i]
-	}
-	if !tight {
+	r := b.roomToDraw(now, req, list)
+	if !r.tight {
 		return list, true
 	}
+	free, total, coming := r.free, r.total, r.coming
 	if coming > total && b.randIntN(coming) >= total {
 		return nil, false
 	}
@@ -144,6 +134,34 @@
 	return list, true
 }
 
+// roomDraw is the room by which a server is drawn.
+type roomDraw struct {
+	// free is the room of each server as it counts here, total their sum.
+	free  []int
+	total int
+	// coming is what other entries are expected to have sent; tight is set if the room of some server is small against it.
+	coming int
+	tight  bool
+}
+
+// roomToDraw returns the room of the servers; it changes nothing.
+func (b *Balancer) roomToDraw(now time.Time, req *Request, list []*server) roomDraw {
+	d := roomDraw{free: make([]int, len(list))}
+	if r := b.rooms[req.Service]; r != nil {
+		d.coming = r.sent.Unseen(now, b.entries)
+	}
+	preferred := d.coming * min(b.entries, entriesPerServer) / len(list)
+	for i, s := range list {
+		d.free[i] = max(reckoner.Free(b.heldMemory(now, s), req.Capacity), 1)
+		d.tight = d.tight || d.free[i] < preferred
+		if s.Zone != req.Zone {
+			d.free[i] = (d.free[i] + 1) / remoteRoomShare
+		}
+		d.total += d.free[i]
+	}
+	return d
+}
+
 // claimRoom claims room for a request that has waited long, at the server that holds least: the room counts as taken for all
 // entries, so that the server takes no more until the request fits. It ends the claim when its time is over.
 func (b *Balancer) claimRoom(now time.Time, req *Request) {
--- a/serving/balancer/selection.go
+++ b/serving/balancer/selection.go
@@ -96,11 +96,10 @@
 		scores[i] = b.score(now, s, req)
 		lowest = min(lowest, scores[i])
 	}
-	fresh := sumWeight(0, b.stay(req.Service))
-	steepness := selectivity + freshSelectivity*fresh*fresh
+	steepness := b.steepness(req.Service)
 	remote, total := b.remoteShare(now, req, list), 0.0
 	for i, v := range scores {
-		scores[i] = float64(list[i].slots()) * math.Exp(-steepness*(v-lowest))
+		scores[i] = selectionWeight(list[i].slots(), steepness, v-lowest)
 		if list[i].Zone != req.Zone {
 			scores[i] *= remote
 		}
@@ -115,6 +114,17 @@
 	return list[len(list)-1]
 }
 
+// steepness returns how much a difference of score counts in the random choice among a service's servers.
+func (b *Balancer) steepness(service string) float64 {
+	fresh := sumWeight(0, b.stay(service))
+	return selectivity + freshSelectivity*fresh*fresh
+}
+
+// selectionWeight returns how often a server is chosen whose score is that much above the lowest one.
+func selectionWeight(slots int, steepness, above float64) float64 {
+	return float64(slots) * math.Exp(-steepness*above)
+}
+
 // remoteShare returns how often a server in another data centre is chosen for each choice of an equal local one.
 func (b *Balancer) remoteShare(now time.Time, req Request, list []*server) float64 {
 	running, slots := 0.0, 0
@@ -124,6 +134,10 @@
 			slots += s.slots()
 		}
 	}
-	full := (running/float64(max(slots, 1)) - localBusy) / (localFull - localBusy)
+	return remoteShareOf(running, slots)
+}
+
+func remoteShareOf(localRunning float64, localSlots int) float64 {
+	full := (localRunning/float64(max(localSlots, 1)) - localBusy) / (localFull - localBusy)
 	return minRemoteShare + (1-minRemoteShare)*min(max(full, 0), 1)
 }
--- a/serving/limiter/set.go
+++ b/serving/limiter/set.go
@@ -271,6 +271,20 @@
 	return Share{Level: b.level(), Rate: b.quota.Rate * s.share(now), Scarce: b.scarce}, true
 }
 
+// Preview returns an account's share and what Take would decide on a request that doesn't wait yet; it changes nothing. It
+// returns false if the account has no limit here.
+func (s *Set) Preview(now time.Time, account string, cost float64) (Share, Decision, bool) {
+	b := s.buckets[account]
+	if b == nil {
+		return Share{}, Decision{}, false
+	}
+	scratch, own := *s, *b
+	own.grants, own.sent = slices.Clone(b.grants), slices.Clone(b.sent)
+	scratch.buckets, scratch.active = map[string]*bucket{account: &own}, make(map[string]bool)
+	share, _ := scratch.Share(now, account)
+	return share, scratch.Take(now, account, cost, false), true
+}
+
 func (s *Set) limits(b *bucket) limits { return s.bounds.limits(b.quota, s.entries.n) }
 
 func (s *Set) isLeased(now time.Time) bool {
--- a/serving/limiter/set_test.go
+++ b/serving/limiter/set_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"testing"
 	"time"
 
@@ -356,3 +357,28 @@
 		p.Distribute(now)
 	}
 }
+
+// A preview says what Take decides, and leaves the share as it is, also once it has expired.
+func TestPreviewChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	for _, after := range []time.Duration{0, time.Second, leaseTime + time.Second} {
+		s, now := newTestSet()
+		untouched, _ := newTestSet()
+		now = now.Add(after)
+		for range 20 {
+			s.Preview(now, "a", 10)
+		}
+		c.Check(reflect.DeepEqual(s, untouched), qt.IsTrue, qt.Commentf("after %v", after))
+		share, d, ok := s.Preview(now, "a", 10)
+		c.Check(ok, qt.IsTrue)
+		taken := untouched.Take(now, "a", 10, false)
+		c.Check(d, qt.Equals, taken)
+		s.Take(now, "a", 10, false)
+		left, _ := s.Share(now, "a")
+		if d.Verdict == Admitted {
+			c.Check(left.Level, qt.Equals, share.Level-10)
+		}
+		_, _, ok = s.Preview(now, "none", 10)
+		c.Check(ok, qt.IsFalse)
+	}
+}
