Entries and the command line: where a request would go, and why

The entry's readiness listener answers a POST to /explain with the decision on the head, the account's share, and what the balancer would choose, by the parts of the real path that change nothing; redwingstage explain asks it and prints text or JSON. Measured: go test -race -run Explan ./relayer and -run 'Explain|Local|Usage|ExitCodes|Complet|Help' ./operator pass. The whole of ./relayer beside other load ended by its limit of 8 min in TestRequestThatDidNotRunIsRefunded; cause not known yet.

--- a/stage/operator/args.go
+++ b/stage/operator/args.go
@@ -11,6 +11,7 @@
 	Apply      *applyArgs      `arg:"subcommand:apply" help:"change the configuration"`
 	Get        *getArgs        `arg:"subcommand:get" help:"show classes, services, adapters or drains"`
 	Status     *statusArgs     `arg:"subcommand:status" help:"show replicas, entries and backend servers"`
+	Explain    *explainArgs    `arg:"subcommand:explain" help:"tell where a request would go now, without sending it"`
 	Audit      *auditArgs      `arg:"subcommand:audit" help:"show the trail of changes"`
 	Drain      *drainArgs      `arg:"subcommand:drain" help:"take work away from a backend server or an entry"`
 	Replica    *replicaArgs    `arg:"subcommand:replica" help:"add or remove a control replica"`
@@ -31,8 +32,8 @@
 
 // Epilogue implements arg.Epilogued.
 func (args) Epilogue() string {
-	return `Exit codes: 0 done; 1 refused, nothing changed; 2 wrong command line; 3 no control replica reachable,
-nothing changed; 4 uncertain, send it again with the same --change; 5 accepted, but not in force in time.`
+	return `Exit codes: 0 done; 1 refused, nothing changed; 2 wrong command line; 3 no control replica or
+entry reachable, nothing changed; 4 uncertain, send it again with the same --change; 5 accepted, but not in force in time.`
 }
 
 type initArgs struct {
--- a/stage/operator/code.go
+++ b/stage/operator/code.go
@@ -20,7 +20,7 @@
 	Refused
 	// Usage means that the command line is wrong.
 	Usage
-	// Unreachable means that no control replica accepted the call; nothing changed.
+	// Unreachable means that no control replica accepted the call, or that the named entry doesn't answer; nothing changed.
 	Unreachable
 	// Uncertain means that a change may have been accepted; retry it with the same change id.
 	Uncertain
@@ -114,6 +114,7 @@
 	var usage *usageError
 	var unreachable *unreachableError
 	var uncertain *uncertainError
+	var entry *entryError
 	var api *apiError
 	switch {
 	case err == nil:
@@ -122,7 +123,7 @@
 		return Usage
 	case errors.As(err, &uncertain):
 		return Uncertain
-	case errors.As(err, &unreachable):
+	case errors.As(err, &unreachable), errors.As(err, &entry):
 		return Unreachable
 	case errors.As(err, &api) && api.detail.Code == codeNotInForce:
 		return NotInForce
--- a/stage/operator/operator.go
+++ b/stage/operator/operator.go
@@ -88,6 +88,8 @@
 		return c.version()
 	case c.Completion != nil:
 		return c.completion()
+	case c.Explain != nil:
+		return c.explain()
 	}
 	if err := c.initClient(); err != nil {
 		return err
--- a/stage/operator/operator_test.go
+++ b/stage/operator/operator_test.go
@@ -323,7 +323,7 @@
 		err  string
 	}{
 		{[]string{"version"}, OK, "redwingstage ", ""},
-		{[]string{"completion", "bash"}, OK, "init check apply get status audit drain replica version completion", ""},
+		{[]string{"completion", "bash"}, OK, "init check apply get status explain audit drain replica version completion", ""},
 		{[]string{"completion", "fish"}, Usage, "", `"fish" is not supported`},
 		{[]string{"--help"}, OK, "Exit codes: 0 done; 1 refused", ""},
 		{[]string{"apply", "--help"}, OK, "--expect REVISION", ""},
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -124,15 +124,9 @@
 		return w.writeError(http.StatusBadRequest, "the header "+e.headers.AttemptID+" is missing", 0)
 	}
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
-		c.adapter = e.headers.ParseModel(req.get(e.headers.Model))
-		c.tokens, c.outputTokens = e.headers.ParseUsage(req.get(e.headers.Usage))
-		c.prompt = e.promptOf(c, s)
-		e.reckonMemory(c, s)
-	}
-	c.deadline = c.arrived.Add(route.Timeout)
-	if ms, err := strconv.ParseInt(req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
-		c.deadline = earlier(c.deadline, c.arrived.Add(time.Duration(ms)*time.Millisecond))
+		e.describePrompt(c, s)
 	}
+	c.deadline = e.deadlineOf(c)
 	if route.Stream && e.draining.Load() && e.stopsBefore(c.deadline) {
 		return e.refuse(c, w, "the entry shuts down before the stream has to end", retryAfterShutdown)
 	}
@@ -164,6 +158,23 @@
 	return e.tryServers(ctx, c, w)
 }
 
+// describePrompt sets what a request to engines of a service says of its adapter, its prompt and its answer.
+func (e *Relayer) describePrompt(c *call, s *matcher.Service) {
+	c.adapter = e.headers.ParseModel(c.req.get(e.headers.Model))
+	c.tokens, c.outputTokens = e.headers.ParseUsage(c.req.get(e.headers.Usage))
+	c.prompt = e.promptOf(c, s)
+	e.reckonMemory(c, s)
+}
+
+// deadlineOf returns when a request's time is over, by its route and its caller.
+func (e *Relayer) deadlineOf(c *call) time.Time {
+	end := c.arrived.Add(c.route.Timeout)
+	if ms, err := strconv.ParseInt(c.req.get(e.headers.Deadline), 10, 64); err == nil && ms > 0 {
+		end = earlier(end, c.arrived.Add(time.Duration(ms)*time.Millisecond))
+	}
+	return end
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -51,6 +51,8 @@
 	// connect to next.
 	confirmedAt time.Time
 	preferred   string
+	// newsAt is when the last message of a session was applied.
+	newsAt      time.Time
 	requestedAt map[adapterRequest]time.Time
 }
 
@@ -292,6 +294,7 @@
 	c.entry.quotas.confirm(confirmed)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.newsAt = time.Now()
 	if confirmed.After(c.confirmedAt) {
 		c.confirmedAt = confirmed
 	}
--- a/stage/relayer/quota.go
+++ b/stage/relayer/quota.go
@@ -128,11 +128,7 @@
 	if c.account == nil || !c.account.Quota.Limited() {
 		return true, true
 	}
-	cost := c.account.Quota.Cost(0)
-	if c.account.Quota.Unit == matcher.Tokens {
-		prompt, output := e.headers.ParseUsage(c.req.get(e.headers.Usage))
-		cost = c.account.Quota.Cost(prompt + output)
-	}
+	cost := e.quotaCost(c.account, c.req)
 	switch d := e.awaitQuota(ctx, c, cost); {
 	case d.Verdict == limiter.Admitted:
 		c.charged = cost
@@ -149,11 +145,25 @@
 	}
 }
 
+// quotaCost returns what a request counts of an account's quota.
+func (e *Relayer) quotaCost(a *matcher.Account, req *request) float64 {
+	if a.Quota.Unit != matcher.Tokens {
+		return a.Quota.Cost(0)
+	}
+	prompt, output := e.headers.ParseUsage(req.get(e.headers.Usage))
+	return a.Quota.Cost(prompt + output)
+}
+
+// maxQuotaWait returns how long a request of a route waits for its account's quota.
+func maxQuotaWait(r *matcher.Route) time.Duration {
+	return max(time.Duration(maxQuotaWaitShare*float64(r.LatencyTarget)), minQuotaWait)
+}
+
 // awaitQuota decides on a request, after a wait if room is expected soon.
 func (e *Relayer) awaitQuota(ctx context.Context, c *call, cost float64) limiter.Decision {
 	account := c.account.Name
 	d, changed := e.quotas.take(account, cost, false)
-	end := time.Now().Add(max(time.Duration(maxQuotaWaitShare*float64(c.route.LatencyTarget)), minQuotaWait))
+	end := time.Now().Add(maxQuotaWait(c.route))
 	if d.Verdict != limiter.Short || d.Wait > time.Until(end) {
 		return d
 	}
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -119,6 +119,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
+	// explaining is held while a request is explained.
+	explaining sync.Mutex
 }
 
 // connState is whether a caller's connection has a request, whether that is still being received, and since when.
@@ -153,6 +155,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(deps.Headers.ReadyPath, e.serveReadiness)
 	mux.Handle(metricsPath, e.metrics.handler())
+	mux.HandleFunc(explainPath, e.serveExplanation)
 	e.ready = &http.Server{
 		Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout,
 		IdleTimeout: readyIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
