--- a/serving/balancer/export_test.go
+++ b/serving/balancer/export_test.go
@@ -2,7 +2,7 @@
 
 import "reflect"
 
-// SetRandom replaces the source of random numbers.
+// SetRandom replaces the source of random numbers in [0, n).
 func (b *Balancer) SetRandom(intN func(n int) int) { b.randIntN = intN }
 
 // HasSameState reports whether all state but the source of random numbers is that of another Balancer.
--- a/stage/operator/explain.go
+++ b/stage/operator/explain.go
@@ -102,9 +102,9 @@
 
 // explain tells where a request would go by the state of one entry, without sending it.
 func (c *command) explain() error {
-	for flag, value := range map[string]string{"--entry": c.Explain.Entry, "--host": c.Explain.Host, "--path": c.Explain.Path} {
-		if value == "" {
-			return &usageError{flag + " is missing"}
+	for _, f := range []struct{ flag, value string }{{"--entry", c.Explain.Entry}, {"--host", c.Explain.Host}, {"--path", c.Explain.Path}} {
+		if f.value == "" {
+			return &usageError{f.flag + " is missing"}
 		}
 	}
 	in := explainRequest{Method: c.Explain.Method, Host: c.Explain.Host, Path: c.Explain.Path}
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -54,7 +54,8 @@
 type Config struct {
 	Node string
 	Zone string
-	// CallersAddr is the address of the callers' listener, ReadyAddr that of readiness probes and metrics, as ip:port.
+	// CallersAddr is the address of the callers' listener, ReadyAddr that of readiness probes, metrics and explanations,
+	// as ip:port.
 	CallersAddr string
 	ReadyAddr   string
 	// Controls are the addresses of some control replicas, from which the others are discovered.
