--- a/stage/relayer/explain_test.go
+++ b/stage/relayer/explain_test.go
@@ -19,6 +19,7 @@
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
 	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/operator"
 )
 
 const explainedKey = "k-secret-1"
@@ -178,3 +179,33 @@
 	c.Check(body, qt.Contains, codeUnsure)
 	c.Check(log.String(), qt.Not(qt.Contains), "secret")
 }
+
+// The operators' command reads what an entry answers.
+func TestCommandReadsExplanation(t *testing.T) {
+	c := qt.New(t)
+	e := startExplainedEntry(c, io.Discard)
+	srv := httptest.NewServer(e.ready.Handler)
+	defer srv.Close()
+	for _, row := range []struct {
+		adapter string
+		code    operator.Code
+		out     []string
+	}{
+		{"m/a", operator.OK, []string{
+			"entry    n in z, configuration 7, 2 entries", "route    tuned, priority 2", "account  limited, this entry has ", "the request counts 700.0: ",
+			"adapter  m/a", "1500 of 10000", "version 3", "100 %", "2 of 20", "lacks the adapter", "full",
+		}},
+		{"m/b", operator.Refused, []string{"unknown_adapter: the adapter m/b is unknown at s"}},
+	} {
+		var out bytes.Buffer
+		code := operator.Run(operator.Env{Out: &out, Err: &out}, []string{
+			"explain", "--entry", srv.Listener.Addr().String(), "--host", testHost, "--path", "/tuned/x", "--header", keyHeaders.Key + ": Token " + explainedKey,
+			"--header", "X-Model: " + row.adapter, "--header", testUsage + ": 600,100",
+		})
+		c.Check(code, qt.Equals, row.code)
+		for _, text := range row.out {
+			c.Check(out.String(), qt.Contains, text)
+		}
+		c.Check(out.String(), qt.Not(qt.Contains), explainedKey)
+	}
+}
