--- a/serving/balancer/explain.go
+++ b/serving/balancer/explain.go
@@ -145,12 +145,12 @@
 	if v.Status == Picked {
 		v.Score = b.score(now, s, req)
 	}
-	v.Cause = b.cause(now, s, v)
+	v.Cause = b.cause(now, s, req, v)
 	return v
 }
 
 // cause returns why a server isn't considered.
-func (b *Balancer) cause(now time.Time, s *server, v ServerView) Cause {
+func (b *Balancer) cause(now time.Time, s *server, req Request, v ServerView) Cause {
 	switch {
 	case v.Status == NoServer && s.Leaving:
 		return CauseLeaving
@@ -160,7 +160,7 @@
 		return CauseOldVersion
 	case v.Status == NotLoaded:
 		return CauseNotLoaded
-	case v.Status == LimitReached && b.isFull(now, s):
+	case v.Status == LimitReached && b.isFull(now, s, req):
 		return CauseFull
 	case v.Status == LimitReached:
 		return CausePaused
@@ -182,9 +182,10 @@
 		}
 	}
 	if req.reckonsRoom() {
-		if d := b.roomToDraw(now, &req, usable); d.tight {
+		d := b.roomToDraw(now, &req, usable)
+		if d.byRoom {
 			drawn := 1.0
-			if d.coming > d.total {
+			if d.scarce() {
 				drawn = float64(d.total) / float64(d.coming)
 			}
 			x.WaitChance = 1 - drawn
@@ -193,6 +194,7 @@
 			}
 			return nil
 		}
+		usable = d.list
 	}
 	if !b.isCrowded() {
 		set(b.best(now, req, usable).Key.ID, 1)
@@ -255,7 +257,7 @@
 			slots += s.slots
 		}
 	}
-	remote, total := remoteShareOf(running, slots), 0.0
+	remote, total := remoteShareOf(running, slots, c.steepness), 0.0
 	weights := make([]float64, len(considered))
 	for i, s := range considered {
 		weights[i] = selectionWeight(s.slots, c.steepness, s.score-lowest)
--- a/serving/balancer/explain_test.go
+++ b/serving/balancer/explain_test.go
@@ -10,6 +10,7 @@
 
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/prefixer"
+	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -43,7 +44,8 @@
 	},
 	{
 		name: "less room than may come", entries: 8, servers: 3, remote: 1, sent: 10,
-		req: balancer.Request{Adapter: adapter, Tokens: 200, Memory: 600, Capacity: 4000},
+		req:   balancer.Request{Adapter: adapter, Tokens: 200, Memory: 600, Capacity: 4000},
+		loads: []balancer.Load{{Server: "s0", Memory: 2200}, {Server: "s1", Memory: 2400}, {Server: "s2", Memory: 2200}, {Server: "s3", Memory: 2500}},
 	},
 }
 
@@ -164,6 +166,9 @@
 			r.Memory, r.Capacity = 500, 1000
 			b.SetLoads(start, []balancer.Load{{Server: "x", Memory: 800}})
 		}, balancer.CauseNoRoom, balancer.NoRoom},
+		{"slow", func(b *balancer.Balancer, _ *balancer.Request) {
+			b.SetSpeeds([]profiler.Speed{{Server: "x", Step: profiler.Usual / 2, Prefill: profiler.Usual}}, false)
+		}, balancer.NoCause, balancer.Picked},
 		{"prefill", func(b *balancer.Balancer, r *balancer.Request) {
 			r.Tokens, r.MaxPause = 2000, 100*time.Millisecond
 			b.SetLoads(start, []balancer.Load{{Server: "x", PrefillTokens: 2000}})
--- a/serving/balancer/room.go
+++ b/serving/balancer/room.go
@@ -1,14 +1,20 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"redwingstage.org/serving/reckoner"
 	"redwingstage.org/serving/tracker"
 )
 
-// remoteRoomShare divides the room of servers in other data centres when one is drawn by its room.
-const remoteRoomShare = 2
+const (
+	// remoteRoomShare divides the room of servers in other data centres when one is drawn by its room.
+	remoteRoomShare = 2
+	// scarceRoomShare is the share of the memory of all engines with the adapter from which a part of the requests waits for
+	// what other entries may have sent.
+	scarceRoomShare = 0.5
+)
 
 // RoomTicket is a request's wait for room at engines.
 type RoomTicket struct {
@@ -78,9 +84,9 @@
 	t.claimedAt = tracker.Key{}
 }
 
-// mustWaitForRoom reports whether a request has to let others go first that wait for room.
+// mustWaitForRoom reports whether a request has to let others go first that wait for room; not while it claims some.
 func (b *Balancer) mustWaitForRoom(now time.Time, req *Request) bool {
-	if !req.reckonsRoom() {
+	if !req.reckonsRoom() || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return false
 	}
 	q := &b.room(req.Service).queue
@@ -89,12 +95,18 @@
 
 // heldMemory returns the tokens that requests hold or claim at a server: this entry's, and the others' as last reported.
 func (b *Balancer) heldMemory(now time.Time, s *server) int {
-	if !b.hasFreshLoads(now, s) {
+	if !b.knowsRoom(now, s) {
 		return s.memory + s.claimed
 	}
 	return s.memory + s.claimed + s.otherEntriesLoad.Memory
 }
 
+// knowsRoom reports whether the room that all entries take at a server is known. Sums come only when they change: that of a quiet
+// server holds as long as those of others come in.
+func (b *Balancer) knowsRoom(now time.Time, s *server) bool {
+	return b.hasFreshLoads(now, s) || !s.otherEntriesLoadAt.IsZero() && now.Sub(b.sumsAt) <= loadsTTL
+}
+
 // lacksRoom reports whether a request doesn't fit into a server's memory beside what is held there.
 func (b *Balancer) lacksRoom(now time.Time, s *server, req Request) bool {
 	if !req.reckonsRoom() {
@@ -104,7 +116,7 @@
 	if req.Room != nil && req.Room.claimedAt == s.Key {
 		held -= req.Memory
 	}
-	if !b.hasFreshLoads(now, s) {
+	if !b.knowsRoom(now, s) {
 		return !reckoner.FitsShare(held, req.Memory, req.Capacity, b.entries)
 	}
 	return !reckoner.Fits(held, req.Memory, req.Capacity)
@@ -117,64 +129,106 @@
 	if !req.reckonsRoom() || len(list) == 0 || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return list, true
 	}
-	r := b.roomToDraw(now, req, list)
-	if !r.tight {
-		return list, true
+	d := b.roomToDraw(now, req, list)
+	if !d.byRoom {
+		return d.list, true
 	}
-	free, total, coming := r.free, r.total, r.coming
-	if coming > total && b.randIntN(coming) >= total {
+	if d.scarce() && b.randIntN(d.coming) >= d.total {
 		return nil, false
 	}
-	n := b.randIntN(total)
-	for i, s := range list {
-		if n -= free[i]; n < 0 {
+	n := b.randIntN(d.total)
+	for i, s := range d.list {
+		if n -= d.free[i]; n < 0 {
 			return []*server{s}, true
 		}
 	}
-	return list, true
+	return d.list, true
 }
 
-// roomDraw is the room by which a server is drawn.
+// roomDraw is the servers to choose from and, if byRoom is set, the room by which one of them is drawn.
 type roomDraw struct {
+	list   []*server
+	byRoom bool
 	// free is the room of each server as it counts here, total their sum.
 	free  []int
 	total int
-	// coming is what other entries are expected to have sent; tight is set if the room of some server is small against it.
-	coming int
-	tight  bool
+	// coming is what other entries are expected to have sent; isFilled is set if much of the memory is taken.
+	coming   int
+	isFilled bool
 }
 
-// roomToDraw returns the room of the servers; it changes nothing.
+// scarce reports that a part of the requests waits.
+func (d *roomDraw) scarce() bool { return d.isFilled && d.coming > d.total }
+
+// roomToDraw returns the servers to choose from and their room; it changes nothing.
 func (b *Balancer) roomToDraw(now time.Time, req *Request, list []*server) roomDraw {
-	d := roomDraw{free: make([]int, len(list))}
+	if !slices.ContainsFunc(list, func(s *server) bool { return b.knowsRoom(now, s) }) {
+		// Without sums each entry keeps to its own part of each server.
+		return roomDraw{list: list}
+	}
+	d := roomDraw{list: list, byRoom: true, free: make([]int, len(list))}
 	if r := b.rooms[req.Service]; r != nil {
-		d.coming = r.sent.Unseen(now, b.entries)
+		// What entries sent unseen went to all servers of the service, of which few may hold the adapter.
+		d.coming = r.sent.Unseen(now, b.entries) * b.countHolders(now, req) / max(len(b.services[req.Service]), 1)
 	}
 	preferred := d.coming * min(b.entries, entriesPerServer) / len(list)
+	roomy := make([]*server, 0, len(list))
+	held := 0
 	for i, s := range list {
-		d.free[i] = max(reckoner.Free(b.heldMemory(now, s), req.Capacity), 1)
-		d.tight = d.tight || d.free[i] < preferred
+		memory := b.heldMemory(now, s)
+		held += memory
+		free := reckoner.Free(memory, req.Capacity)
+		if free >= preferred {
+			roomy = append(roomy, s)
+		}
+		d.free[i] = max(free, 1)
 		if s.Zone != req.Zone {
 			d.free[i] = (d.free[i] + 1) / remoteRoomShare
 		}
 		d.total += d.free[i]
 	}
+	if len(roomy) > 0 {
+		// Among servers with enough room load, speed and failures decide.
+		return roomDraw{list: roomy}
+	}
+	d.isFilled = float64(held) >= scarceRoomShare*float64(len(list)*req.Capacity)
 	return d
 }
 
+// countHolders returns how many servers of the service hold the request's adapter.
+func (b *Balancer) countHolders(now time.Time, req *Request) int {
+	n := 0
+	for _, s := range b.services[req.Service] {
+		if req.Adapter.Model == "" || b.hasUsableVersion(now, s, req.Adapter) {
+			n++
+		}
+	}
+	return n
+}
+
 // claimRoom claims room for a request that has waited long, at the server that holds least: the room counts as taken for all
 // entries, so that the server takes no more until the request fits. It ends the claim when its time is over.
 func (b *Balancer) claimRoom(now time.Time, req *Request) {
 	if req.Room == nil || !req.reckonsRoom() {
 		return
 	}
+	least := b.leastHeld(now, req)
+	if least == nil && req.Room.claimedAt == (tracker.Key{}) {
+		// There is nothing to claim, and a claim keeps others from one.
+		return
+	}
 	claims, started := b.room(req.Service).queue.Claim(now, req.Room.waiter)
 	if !claims || started {
 		b.releaseClaim(req.Room)
 	}
-	if !started {
-		return
+	if started && least != nil {
+		least.claimed += req.Memory
+		req.Room.claimedAt = least.Key
 	}
+}
+
+// leastHeld returns the server that holds least of those without room for a request, or nil.
+func (b *Balancer) leastHeld(now time.Time, req *Request) *server {
 	var least *server
 	for _, s := range b.services[req.Service] {
 		if b.status(now, s, *req) != NoRoom {
@@ -184,10 +238,7 @@
 			least = s
 		}
 	}
-	if least != nil {
-		least.claimed += req.Memory
-		req.Room.claimedAt = least.Key
-	}
+	return least
 }
 
 // takeRoom records that a request goes to a server.
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -74,6 +74,8 @@
 	// lastProgressAt is when the request arrived, or when its latest event was sent to the caller.
 	lastProgressAt time.Time
 	sends          int
+	// roomLimit is the end of the wait for room at engines, zero before it began.
+	roomLimit time.Time
 	// expectedWait is the expected wait in the queue if it was too long.
 	expectedWait time.Duration
 	// choice is the server of the latest attempt, chosenAt the time of that choice.
@@ -361,6 +363,7 @@
 	case c.mayHaveRun:
 		return e.respondError(c, w, http.StatusBadGateway, "the request may have run, and no other server can be asked")
 	case status == balancer.NotLoaded:
+		e.metrics.countPlace(c, placeRefused, "adapter")
 		return e.refuse(c, w, "no server holds the adapter yet", retryAfterLoad)
 	case status == balancer.LimitReached:
 		e.metrics.countPlace(c, placeRefused, "queue")
@@ -369,6 +372,7 @@
 		e.recordRoom(c, roomRefuse)
 		return e.refuse(c, w, "no server of "+c.service+" has room for the request", e.retryAfterBusy(c))
 	}
+	e.metrics.countPlace(c, placeRefused, "server")
 	return e.refuse(c, w, "no server answers for "+c.service+" now", retryAfterNoServer)
 }
 
@@ -472,6 +476,9 @@
 		case now.After(limit):
 			return choice, status
 		}
+		if status == balancer.NoRoom {
+			limit = earlier(limit, e.beginRoomWait(c, &pickRequest))
+		}
 		c.waitedFor = waitReasons[status]
 		if status == balancer.NotLoaded && c.adapter.Name != "" {
 			e.control.requestAdapter(governor.Want{
