--- a/serving/balancer/room.go
+++ b/serving/balancer/room.go
@@ -129,46 +129,70 @@
 	if !req.reckonsRoom() || len(list) == 0 || req.Room != nil && req.Room.claimedAt != (tracker.Key{}) {
 		return list, true
 	}
+	d := b.roomToDraw(now, req, list)
+	if !d.byRoom {
+		return d.list, true
+	}
+	if d.scarce() && b.randIntN(d.coming) >= d.total {
+		return nil, false
+	}
+	n := b.randIntN(d.total)
+	for i, s := range d.list {
+		if n -= d.free[i]; n < 0 {
+			return []*server{s}, true
+		}
+	}
+	return d.list, true
+}
+
+// roomDraw is the servers to choose from and, if byRoom is set, the room by which one of them is drawn.
+type roomDraw struct {
+	list   []*server
+	byRoom bool
+	// free is the room of each server as it counts here, total their sum.
+	free  []int
+	total int
+	// coming is what other entries are expected to have sent; isFilled is set if much of the memory is taken.
+	coming   int
+	isFilled bool
+}
+
+// scarce reports that a part of the requests waits.
+func (d *roomDraw) scarce() bool { return d.isFilled && d.coming > d.total }
+
+// roomToDraw returns the servers to choose from and their room; it changes nothing.
+func (b *Balancer) roomToDraw(now time.Time, req *Request, list []*server) roomDraw {
 	if !slices.ContainsFunc(list, func(s *server) bool { return b.knowsRoom(now, s) }) {
 		// Without sums each entry keeps to its own part of each server.
-		return list, true
+		return roomDraw{list: list}
+	}
+	d := roomDraw{list: list, byRoom: true, free: make([]int, len(list))}
+	if r := b.rooms[req.Service]; r != nil {
+		// What entries sent unseen went to all servers of the service, of which few may hold the adapter.
+		d.coming = r.sent.Unseen(now, b.entries) * b.countHolders(now, req) / max(len(b.services[req.Service]), 1)
 	}
-	// What entries sent unseen went to all servers of the service, of which few may hold the adapter.
-	coming := b.room(req.Service).sent.Unseen(now, b.entries) * b.countHolders(now, req) / max(len(b.services[req.Service]), 1)
-	preferred := coming * min(b.entries, entriesPerServer) / len(list)
+	preferred := d.coming * min(b.entries, entriesPerServer) / len(list)
 	roomy := make([]*server, 0, len(list))
 	held := 0
-	for _, s := range list {
+	for i, s := range list {
 		memory := b.heldMemory(now, s)
 		held += memory
-		if reckoner.Free(memory, req.Capacity) >= preferred {
+		free := reckoner.Free(memory, req.Capacity)
+		if free >= preferred {
 			roomy = append(roomy, s)
 		}
-	}
-	if len(roomy) > 0 {
-		// Among servers with enough room load, speed and failures decide.
-		return roomy, true
-	}
-	free := make([]int, len(list))
-	total := 0
-	for i, s := range list {
-		free[i] = max(reckoner.Free(b.heldMemory(now, s), req.Capacity), 1)
+		d.free[i] = max(free, 1)
 		if s.Zone != req.Zone {
-			free[i] = (free[i] + 1) / remoteRoomShare
+			d.free[i] = (d.free[i] + 1) / remoteRoomShare
 		}
-		total += free[i]
+		d.total += d.free[i]
 	}
-	isScarce := float64(held) >= scarceRoomShare*float64(len(list)*req.Capacity)
-	if isScarce && coming > total && b.randIntN(coming) >= total {
-		return nil, false
-	}
-	n := b.randIntN(total)
-	for i, s := range list {
-		if n -= free[i]; n < 0 {
-			return []*server{s}, true
-		}
+	if len(roomy) > 0 {
+		// Among servers with enough room load, speed and failures decide.
+		return roomDraw{list: roomy}
 	}
-	return list, true
+	d.isFilled = float64(held) >= scarceRoomShare*float64(len(list)*req.Capacity)
+	return d
 }
 
 // countHolders returns how many servers of the service hold the request's adapter.
--- a/serving/balancer/selection.go
+++ b/serving/balancer/selection.go
@@ -97,11 +97,10 @@
 		scores[i] = b.score(now, s, req)
 		lowest = min(lowest, scores[i])
 	}
-	fresh := sumWeight(0, b.stay(req.Service))
-	steepness := selectivity + freshSelectivity*fresh*fresh
+	steepness := b.steepness(req.Service)
 	remote, total := b.remoteShare(now, req, list, steepness), 0.0
 	for i, v := range scores {
-		scores[i] = float64(list[i].slots()) * math.Exp(-steepness*(v-lowest))
+		scores[i] = selectionWeight(list[i].slots(), steepness, v-lowest)
 		if list[i].Zone != req.Zone {
 			scores[i] *= remote
 		}
@@ -116,6 +115,17 @@
 	return list[len(list)-1]
 }
 
+// steepness returns how much a difference of score counts in the random choice among a service's servers.
+func (b *Balancer) steepness(service string) float64 {
+	fresh := sumWeight(0, b.stay(service))
+	return selectivity + freshSelectivity*fresh*fresh
+}
+
+// selectionWeight returns how often a server is chosen whose score is that much above the lowest one.
+func selectionWeight(slots int, steepness, above float64) float64 {
+	return float64(slots) * math.Exp(-steepness*above)
+}
+
 // remoteShare returns how often a server in another data centre is chosen for each choice of an equal local one.
 func (b *Balancer) remoteShare(now time.Time, req Request, list []*server, steepness float64) float64 {
 	running, slots := 0.0, 0
@@ -125,6 +135,10 @@
 			slots += s.slots()
 		}
 	}
+	return remoteShareOf(running, slots, steepness)
+}
+
+func remoteShareOf(running float64, slots int, steepness float64) float64 {
 	full := min(max((running/float64(max(slots, 1))-localBusy)/(localFull-localBusy), 0), 1)
 	share := min(maxRemoteShare, math.Exp(-steepness*remotePenalty))
 	return share + (1-share)*full
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -54,7 +54,8 @@
 type Config struct {
 	Node string
 	Zone string
-	// CallersAddr is the address of the callers' listener, ReadyAddr that of readiness probes and metrics, as ip:port.
+	// CallersAddr is the address of the callers' listener, ReadyAddr that of readiness probes, metrics and explanations,
+	// as ip:port.
 	CallersAddr string
 	ReadyAddr   string
 	// Controls are the addresses of some control replicas, from which the others are discovered.
@@ -119,6 +120,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]connState
+	// explaining is held while a request is explained.
+	explaining sync.Mutex
 }
 
 // connState is whether a caller's connection has a request, whether that is still being received, and since when.
@@ -153,6 +156,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(deps.Headers.ReadyPath, e.serveReadiness)
 	mux.Handle(metricsPath, e.metrics.handler())
+	mux.HandleFunc(explainPath, e.serveExplanation)
 	e.ready = &http.Server{
 		Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout,
 		IdleTimeout: readyIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
