--- a/stage/governor/worker.go
+++ b/stage/governor/worker.go
@@ -21,8 +21,6 @@
 	typicalReloadTime = 26 * time.Millisecond
 	// confirmEvery is how often an accepted order is repeated until it has ended.
 	confirmEvery = 25 * time.Millisecond
-	// maxConfirmInterval is what the interval of an adapter's order grows to.
-	maxConfirmInterval = 100 * time.Millisecond
 	// modelConfirmEvery is the same for base models, which take seconds, and modelLoadFactor how many times its load time
 	// one may take beside others.
 	modelConfirmEvery = 200 * time.Millisecond
@@ -288,11 +286,9 @@
 	return allocator.NotExecuted
 }
 
-// confirm repeats an accepted order until the engine reports it as done, at most for timeout. The interval grows: while many
-// adapters are in transit each takes longer, and their repetitions together would take the leader's whole processor.
+// confirm repeats an accepted order until the engine reports it as done, at most for timeout.
 func (w *worker) confirm(o EngineOrder, interval, timeout time.Duration) allocator.Outcome {
-	longest := max(interval, maxConfirmInterval)
-	for deadline := time.Now().Add(timeout); w.ctx.Err() == nil && time.Now().Before(deadline); interval = min(interval*3/2, longest) {
+	for deadline := time.Now().Add(timeout); w.ctx.Err() == nil && time.Now().Before(deadline); waiter.Wait(w.ctx, interval) {
 		v, err := w.submit(o, false)
 		if err == nil && v == InEffect {
 			return allocator.Done
@@ -300,7 +296,6 @@
 		if err == nil && v == Rejected {
 			break
 		}
-		waiter.Wait(w.ctx, interval)
 	}
 	w.requireSync()
 	return allocator.Unconfirmed
