--- a/serving/prefixer/prefixer.go
+++ b/serving/prefixer/prefixer.go
@@ -56,7 +56,6 @@
 // cached is a prefix at one engine.
 type cached struct {
 	adapter tracker.Adapter
-	tokens  int
 	usedAt  time.Time
 	// sharedAt is when the prefix was last returned by TakeShared.
 	sharedAt time.Time
@@ -122,7 +121,7 @@
 		if len(m) >= maxPrefixes {
 			dropOldest(now, m, retention)
 		}
-		c = &cached{adapter: ad, tokens: p.Tokens}
+		c = &cached{adapter: ad}
 		m[p.Digest] = c
 	}
 	c.usedAt = now
