--- a/serving/balancer/explain.go
+++ b/serving/balancer/explain.go
@@ -279,7 +279,7 @@
 
 // estimate sets the chances from draws of the servers to consider, the same ones each time.
 func (c *candidates) estimate(views []ServerView) {
-	r := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // an estimate needs no secret numbers
+	r := rand.New(rand.NewPCG(1, 1))
 	for range explainDraws {
 		var considered []candidate
 		for i, list := range [][]candidate{c.local, c.remote} {
