--- a/serving/balancer/selection.go
+++ b/serving/balancer/selection.go
@@ -143,3 +143,60 @@
 	share := min(maxRemoteShare, math.Exp(-steepness*remotePenalty))
 	return share + (1-share)*full
 }
+
+// sample returns the servers that this entry considers: random parts of those in its data centre and of the others, so
+// large that entriesPerServer entries consider each server.
+func (b *Balancer) sample(list []*server, zone string) []*server {
+	if b.entries <= entriesPerServer {
+		return list
+	}
+	local, remote := partition(list, func(s *server) bool { return s.Zone == zone })
+	return append(b.randomPart(local), b.randomPart(remote)...)
+}
+
+func partition(list []*server, match func(*server) bool) (matching, others []*server) {
+	for _, s := range list {
+		if match(s) {
+			matching = append(matching, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	return matching, others
+}
+
+// randomPart returns a random part of the servers, two at least; it reorders list.
+func (b *Balancer) randomPart(list []*server) []*server {
+	n := b.partSize(len(list))
+	for i := range n {
+		j := i + b.randIntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:n]
+}
+
+// partSize returns how many of n servers this entry considers, with many entries.
+func (b *Balancer) partSize(n int) int {
+	return min(max(2, (n*entriesPerServer+b.entries-1)/b.entries), n)
+}
+
+// selectServer returns the server for a request, or nil.
+func (b *Balancer) selectServer(now time.Time, req Request, usable []*server) *server {
+	if b.isCrowded() {
+		return b.choose(now, req, b.withHolders(now, req, b.sample(usable, req.Zone), usable))
+	}
+	return b.best(now, req, b.sample(usable, req.Zone))
+}
+
+// best returns the server with the lowest score, or nil.
+func (b *Balancer) best(now time.Time, req Request, list []*server) *server {
+	var best *server
+	bestScore := math.Inf(1)
+	for _, s := range list {
+		score := b.score(now, s, req)
+		if score < bestScore || score == bestScore && s.Key.ID < best.Key.ID {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
