--- a/stage/governor/quota_test.go
+++ b/stage/governor/quota_test.go
@@ -214,7 +214,7 @@
 	for _, demands := range []int{1, 4, 16} {
 		up, down := UpMessage{Quotas: &QuotaReport{}}, DownMessage{Quotas: &QuotaUpdate{}}
 		for i := range demands {
-			account := fmt.Sprintf("tenant-%02d", i)
+			account := fmt.Sprintf("account-%02d", i)
 			up.Quotas.Demands = append(up.Quotas.Demands, QuotaDemand{Account: account, Seq: 70_000, Level: -612_345, Want: 1_131_345, Must: 612_345})
 			down.Quotas.Additions = append(down.Quotas.Additions, QuotaAddition{Account: account, Seq: 70_000, Thousandths: 1_131_345})
 		}
