Replicator: elections and leads no longer end because writes are slow

Now a follower tells at once that it hears its leader, and once more when it has everything durably; the lead, its lease and reads depend on the first, commits and the replacement of silent voters on the second. Requests for votes don't wait. A candidate leads once its own vote is durable, and counts only votes for its present start, whose log may be shorter than the last one's. No replica begins another term while its vote of this one isn't durable, and the time for an election doubles with each that fails. A leader with a slow write steps down only if a quorum's writes are faster.

--- a/coord/carrier/wire.go
+++ b/coord/carrier/wire.go
@@ -21,6 +21,7 @@
 	Data      []byte         `cbor:"13,keyasint,omitempty"`
 	Snapshot  *snapshotFrame `cbor:"14,keyasint,omitempty"`
 	Resign    bool           `cbor:"15,keyasint,omitempty"`
+	Contact   bool           `cbor:"16,keyasint,omitempty"`
 }
 
 type entryFrame struct {
@@ -44,7 +45,7 @@
 func toFrame(m replicator.Message) (*frame, error) {
 	f := &frame{
 		Type: uint8(m.Type), Term: m.Term, Nonce: m.Nonce, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
-		SendStamp: m.SendStamp, Reject: m.Reject, Hint: m.Hint, ForceVote: m.ForceVote, Resign: m.Resign, Offset: m.Offset, Data: m.Data,
+		SendStamp: m.SendStamp, Reject: m.Reject, Hint: m.Hint, ForceVote: m.ForceVote, Resign: m.Resign, Contact: m.Contact, Offset: m.Offset, Data: m.Data,
 	}
 	for _, e := range m.Entries {
 		f.Entries = append(f.Entries, entryFrame{Term: e.Term, Kind: uint8(e.Kind), Data: e.Data})
@@ -64,7 +65,7 @@
 func (f *frame) message(from, to uint64) (replicator.Message, error) {
 	m := replicator.Message{
 		Type: replicator.Type(f.Type), From: from, To: to, Term: f.Term, Nonce: f.Nonce, Index: f.Index,
-		LogTerm: f.LogTerm, Commit: f.Commit, SendStamp: f.SendStamp, Reject: f.Reject, Hint: f.Hint, ForceVote: f.ForceVote, Resign: f.Resign,
+		LogTerm: f.LogTerm, Commit: f.Commit, SendStamp: f.SendStamp, Reject: f.Reject, Hint: f.Hint, ForceVote: f.ForceVote, Resign: f.Resign, Contact: f.Contact,
 		Offset: f.Offset, Data: f.Data,
 	}
 	for i, e := range f.Entries {
--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -12,7 +12,9 @@
 type peer struct {
 	matchIndex uint64
 	nextIndex  uint64
-	ackedStamp uint64
+	// contactStamp is the last stamp that the peer responded to, ackedStamp the last one of which it has all durably.
+	contactStamp uint64
+	ackedStamp   uint64
 	// addedStamp is the last stamp before the leader began to send to this peer.
 	addedStamp     uint64
 	isProbing      bool
@@ -100,6 +102,9 @@
 		return
 	}
 	r.isResignationDeclined = m.Resign
+	if r.seq > r.durableSeq {
+		r.send(Message{Type: TypeAppendResponse, To: m.From, SendStamp: m.SendStamp, Contact: true, Resign: r.isResigning})
+	}
 	match := m.Index + uint64(len(m.Entries))
 	ack := Message{Type: TypeAppendResponse, To: m.From, Index: match, SendStamp: m.SendStamp, Resign: r.isResigning}
 	if m.Index < r.log.base {
@@ -153,9 +158,14 @@
 	if r.role != leader || p == nil || m.SendStamp > r.lastStamp || m.Index > r.log.last() {
 		return
 	}
-	if m.SendStamp >= p.ackedStamp {
-		p.ackedStamp, p.isResigning = m.SendStamp, m.Resign
+	if m.SendStamp >= p.contactStamp {
+		p.contactStamp, p.isResigning = m.SendStamp, m.Resign
+	}
+	if m.Contact {
+		r.confirmReads(now)
+		return
 	}
+	p.ackedStamp = max(p.ackedStamp, m.SendStamp)
 	if m.Reject {
 		if m.Index <= p.matchIndex || (p.isProbing && m.SendStamp < p.probeStamp) {
 			return
@@ -219,13 +229,23 @@
 	}
 	if _, ok := r.membership.Find(r.cfg.ID); !ok && r.membershipIndex <= r.commitIndex {
 		r.becomeFollower(r.hardState.Term, 0)
-		r.lastContact = now
+		r.touch(now)
 	}
 }
 
+// quorumStamp returns the last stamp that a quorum responded to.
 func (r *Replicator) quorumStamp(now time.Time) uint64 {
-	own := max(r.lastStamp, uint64(max(now.Sub(r.stampBase), 0)))
-	return r.quorumValue(own, func(p *peer) uint64 { return p.ackedStamp })
+	return r.quorumValue(r.ownStamp(now), func(p *peer) uint64 { return p.contactStamp })
+}
+
+func (r *Replicator) ownStamp(now time.Time) uint64 {
+	return max(r.lastStamp, uint64(max(now.Sub(r.stampBase), 0)))
+}
+
+// quorumWriteTime returns about how long writes take at a quorum of which this replica's disk isn't part.
+func (r *Replicator) quorumWriteTime(now time.Time) time.Duration {
+	durable := r.quorumValue(r.ownStamp(now), func(p *peer) uint64 { return p.ackedStamp })
+	return time.Duration(r.quorumStamp(now) - durable)
 }
 
 func (r *Replicator) confirmReads(now time.Time) {
@@ -256,20 +276,24 @@
 	return r.stampTime(stamp).Add(r.cfg.ElectionTimeout * leasePercent / 100)
 }
 
-// isStalled reports whether the write in flight takes so long that another replica should lead.
+// isStalled reports whether the write in flight takes so long that another replica should lead: one with a faster disk.
 func (r *Replicator) isStalled(now time.Time) bool {
 	if r.isWriting && r.writeSeenAt.IsZero() {
 		r.writeSeenAt = now
 	}
 	r.isWriteSlow = r.isWriting && now.Sub(r.writeSeenAt) >= r.cfg.HeartbeatInterval
-	return r.isWriting && r.membership.quorum() > 1 && now.Sub(r.writeSeenAt) >= stallElectionTimeouts*r.cfg.ElectionTimeout
+	if !r.isWriting || r.membership.quorum() == 1 {
+		return false
+	}
+	took := now.Sub(r.writeSeenAt)
+	return took >= stallElectionTimeouts*r.cfg.ElectionTimeout && took > stallWriteTimes*r.quorumWriteTime(now)
 }
 
 func (r *Replicator) tickLeader(now time.Time) {
 	lastQuorumContact := r.stampTime(max(r.quorumStamp(now), r.electedStamp))
 	if now.Sub(lastQuorumContact) >= r.cfg.ElectionTimeout || r.isStalled(now) {
 		r.becomeFollower(r.hardState.Term, 0)
-		r.lastContact = now
+		r.touch(now)
 		return
 	}
 	if r.transfer.target != 0 {
--- a/coord/replicator/election.go
+++ b/coord/replicator/election.go
@@ -11,6 +11,7 @@
 	}
 	if term > r.hardState.Term {
 		r.hardState = HardState{Term: term}
+		r.elections++
 		r.bumpHardStateSeq()
 	}
 	r.role, r.leaderID = follower, leaderID
@@ -27,7 +28,7 @@
 
 // campaign starts a pre-vote, so that an isolated replica doesn't raise its term and depose the leader on its return.
 func (r *Replicator) campaign(now time.Time) {
-	r.lastContact = now
+	r.touch(now)
 	r.becomeFollower(r.hardState.Term, 0)
 	mb, ok := r.membership.Find(r.cfg.ID)
 	if !ok || mb.Learner {
@@ -44,10 +45,12 @@
 
 func (r *Replicator) startElection(now time.Time, force bool) {
 	r.hardState = HardState{Term: r.hardState.Term + 1, Vote: r.cfg.ID}
+	r.elections++
 	r.bumpHardStateSeq()
 	r.role, r.leaderID = candidate, 0
-	r.lastContact = now
+	r.touch(now)
 	r.votes = map[uint64]bool{r.cfg.ID: true}
+	r.electionID = r.cfg.Rand.Uint64() | 1
 	if r.membership.quorum() == 1 {
 		r.becomeLeader(now)
 		return
@@ -59,7 +62,7 @@
 	for _, mb := range r.membership.voters() {
 		if mb.ID != r.cfg.ID {
 			r.send(Message{
-				Type: t, To: mb.ID, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm(), ForceVote: force,
+				Type: t, To: mb.ID, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm(), ForceVote: force, Hint: r.electionID,
 			})
 		}
 	}
@@ -96,7 +99,7 @@
 
 func (r *Replicator) onVote(now time.Time, m Message) {
 	if m.Term < r.hardState.Term {
-		r.send(Message{Type: TypeVoteResponse, To: m.From, Reject: true})
+		r.send(Message{Type: TypeVoteResponse, To: m.From, Hint: m.Hint, Reject: true})
 		return
 	}
 	grant := (r.hardState.Vote == 0 || r.hardState.Vote == m.From) && r.leaderID == 0 && r.isUpToDate(m)
@@ -105,17 +108,22 @@
 		r.bumpHardStateSeq()
 	}
 	if grant {
-		r.lastContact = now
+		r.touch(now)
 	}
-	r.send(Message{Type: TypeVoteResponse, To: m.From, Reject: !grant})
+	r.send(Message{Type: TypeVoteResponse, To: m.From, Hint: m.Hint, Reject: !grant})
 }
 
 func (r *Replicator) onVoteResponse(now time.Time, m Message) {
-	if r.role != candidate || m.Term != r.hardState.Term {
+	if r.role != candidate || m.Term != r.hardState.Term || m.Hint != r.electionID {
 		return
 	}
 	r.votes[m.From] = !m.Reject
-	if r.hasVoteQuorum() {
+	r.tryLead(now)
+}
+
+// tryLead makes a candidate with the votes of a quorum the leader, once its own vote is durable.
+func (r *Replicator) tryLead(now time.Time) {
+	if r.role == candidate && !r.isVoting() && r.hasVoteQuorum() {
 		r.becomeLeader(now)
 	}
 }
@@ -132,7 +140,7 @@
 
 func (r *Replicator) becomeLeader(now time.Time) {
 	r.role, r.leaderID = leader, r.cfg.ID
-	r.votes = nil
+	r.votes, r.elections = nil, 0
 	r.nextHeartbeat = now
 	r.electedStamp = r.nextStamp(now)
 	r.peers = map[uint64]*peer{}
@@ -183,5 +191,5 @@
 	}
 	r.send(Message{Type: TypeTransfer, To: r.transfer.target})
 	r.becomeFollower(r.hardState.Term, 0)
-	r.lastContact = now
+	r.touch(now)
 }
--- a/coord/replicator/message.go
+++ b/coord/replicator/message.go
@@ -67,10 +67,13 @@
 	// SendStamp is the leader's monotonic send time in nanoseconds; responses echo it.
 	SendStamp uint64
 	Reject    bool
-	// Hint is the last index that may match, the next offset in a snapshot, or the sender's nonce in a hello.
+	// Hint is the last index that may match, the next offset in a snapshot, the sender's nonce in a hello, or the ID of an
+	// election.
 	Hint uint64
 	// ForceVote is set on vote requests after a transfer, when the leader has already given up its lease.
 	ForceVote bool
+	// Contact is set on a response that tells only that the sender follows the leader, before what it got is durable.
+	Contact bool
 	// Resign is set on the append responses of a replica that is about to stop and gives up its vote, and on appends by
 	// which the leader declines this.
 	Resign  bool
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -24,6 +24,9 @@
 	leasePercent          = 90
 	minElectionHeartbeats = 3
 	stallElectionTimeouts = 2
+	stallWriteTimes       = 2
+	// maxElectionDoublings bounds the growth of the time for an election.
+	maxElectionDoublings = 3
 )
 
 // Config holds the settings of a replica.
@@ -79,11 +82,19 @@
 	appliedIndex    uint64
 	durableIndex    uint64
 
-	role              role
-	leaderID          uint64
-	lastContact       time.Time
+	role     role
+	leaderID uint64
+	// lastContact is when a leader was heard or voted for last: until an election timeout later a lease may depend on it.
+	lastContact time.Time
+	// waitingSince is when the wait for a leader, or for the end of an election, began.
+	waitingSince      time.Time
 	randomizedTimeout time.Duration
-	votes             map[uint64]bool
+	// elections is the number of terms since a leader was heard.
+	elections int
+	votes     map[uint64]bool
+	// electionID is a random number that responses to this election's vote requests repeat. Votes for an earlier start of this
+	// replica don't count in the same term: its log may be shorter now.
+	electionID uint64
 
 	peers          map[uint64]*peer
 	electedStamp   uint64
@@ -177,7 +188,7 @@
 	}
 	r.becomeFollower(r.hardState.Term, 0)
 	// The replica may have granted a leader a lease just before it restarted.
-	r.lastContact = now
+	r.touch(now)
 	r.nextHeartbeat = now
 	return r, nil
 }
@@ -190,7 +201,11 @@
 		r.tickBootstrap(now)
 	case r.role == leader:
 		r.tickLeader(now)
-	case now.Sub(r.lastContact) >= r.campaignTimeout():
+	case now.Sub(r.waitingSince) < r.campaignTimeout():
+	case r.isVoting():
+		// The vote of this term isn't durable: another term would take one more write, and the others wait for this one.
+		r.waitingSince = now
+	default:
 		r.campaign(now)
 	}
 }
@@ -200,16 +215,24 @@
 	if r.role == leader || len(r.membership.Members) == 0 {
 		return r.nextHeartbeat
 	}
-	return r.lastContact.Add(r.campaignTimeout())
+	return r.waitingSince.Add(r.campaignTimeout())
 }
 
+// campaignTimeout returns how long to wait for a leader. It doubles with each election that failed, since writes may take
+// longer than an election.
 func (r *Replicator) campaignTimeout() time.Duration {
 	if vs := r.membership.voters(); len(vs) == 1 && vs[0].ID == r.cfg.ID {
 		return r.cfg.ElectionTimeout
 	}
-	return r.randomizedTimeout
+	return r.randomizedTimeout << min(max(r.elections-1, 0), maxElectionDoublings)
 }
 
+// touch records that a leader was heard or voted for.
+func (r *Replicator) touch(now time.Time) { r.lastContact, r.waitingSince = now, now }
+
+// isVoting reports whether this replica's term or vote isn't durable yet.
+func (r *Replicator) isVoting() bool { return r.hardStateSeq > r.durableSeq }
+
 // Propose appends commands and returns the first one's index and their term; only a leader returns ok.
 func (r *Replicator) Propose(now time.Time, cmds [][]byte) (index, term uint64, ok bool) {
 	if r.role != leader || r.transfer.target != 0 || r.err != nil {
@@ -299,8 +322,12 @@
 
 // Persisted records that w is durable.
 func (r *Replicator) Persisted(now time.Time, w *Write) {
+	wasVoting := r.isVoting()
 	r.isWriting, r.isWriteSlow, r.writeSeenAt = false, false, time.Time{}
 	r.durableSeq = max(r.durableSeq, w.seq)
+	if wasVoting && !r.isVoting() {
+		r.waitingSince = now
+	}
 	if t, ok := r.log.term(w.lastIndex); ok && t == w.lastTerm {
 		r.durableIndex = max(r.durableIndex, w.lastIndex)
 	}
@@ -313,6 +340,7 @@
 			r.log.compact(w.Snapshot.Index - r.cfg.TrailingEntries)
 		}
 	}
+	r.tryLead(now)
 	if r.role == leader {
 		r.advanceCommit(now)
 	}
@@ -344,7 +372,7 @@
 
 // Leader returns the ID of the known leader, or 0; an elected replica returns itself only once its own vote is durable.
 func (r *Replicator) Leader() uint64 {
-	if r.role == leader && r.hardStateSeq > r.durableSeq {
+	if r.role == leader && r.isVoting() {
 		return 0
 	}
 	return r.leaderID
@@ -370,7 +398,7 @@
 func (r *Replicator) bumpSeq()          { r.seq++ }
 func (r *Replicator) bumpHardStateSeq() { r.seq++; r.hardStateSeq = r.seq }
 
-// send queues m until the state that it reports is durable; a leader's requests depend only on its term and vote.
+// send queues m until the state that it reports is durable.
 func (r *Replicator) send(m Message) {
 	m.From = r.cfg.ID
 	if mb, ok := r.membership.Find(m.To); ok && m.Type != TypeHello {
@@ -379,9 +407,21 @@
 	if m.Term == 0 {
 		m.Term = r.hardState.Term
 	}
-	needSeq := r.seq
-	if m.Type == TypeAppend || m.Type == TypeSnapshot {
-		needSeq = r.hardStateSeq
+	r.outbox = append(r.outbox, outgoingMessage{msg: m, requiredSeq: r.requiredSeq(&m)})
+}
+
+// requiredSeq returns the change that must be durable before m is sent. Requests for votes promise nothing; what tells only
+// a term or a vote doesn't wait for entries, or slow disks would end leaderships and elections.
+func (r *Replicator) requiredSeq(m *Message) uint64 {
+	switch m.Type {
+	case TypePreVote, TypePreVoteResponse, TypeVote:
+		return 0
+	case TypeVoteResponse, TypeAppend, TypeSnapshot, TypeSnapshotResponse:
+		return r.hardStateSeq
+	case TypeAppendResponse:
+		if m.Contact || m.Reject {
+			return r.hardStateSeq
+		}
 	}
-	r.outbox = append(r.outbox, outgoingMessage{msg: m, requiredSeq: needSeq})
+	return r.seq
 }
--- a/coord/replicator/replicator_test.go
+++ b/coord/replicator/replicator_test.go
@@ -180,3 +180,57 @@
 		qt.Assert(t, n, qt.DeepEquals, m)
 	})
 }
+
+// startedVoter returns replica 1 of three with the entries, in term 1, and its random numbers.
+func startedVoter(t *testing.T, now time.Time, entries []Entry, random uint64) *Replicator {
+	founders := []Member{{ID: 1, Nonce: 1}, {ID: 2, Nonce: 2}, {ID: 3, Nonce: 3}}
+	membership, err := EncodeMembership(Membership{Members: founders, MaxID: 3})
+	qt.Assert(t, err, qt.IsNil)
+	st := Stored{HardState: HardState{Term: 1}, Entries: append([]Entry{{Index: 1, Term: 1, Kind: KindMembership, Data: membership}}, entries...)}
+	r, err := New(Config{ID: 1, Nonce: 1, Founders: founders, Rand: rand.New(rand.NewPCG(random, 1))}, st, now)
+	qt.Assert(t, err, qt.IsNil)
+	return r
+}
+
+// requestVote makes r a candidate and returns its vote request to replica 2.
+func requestVote(t *testing.T, r *Replicator, now time.Time) Message {
+	r.Tick(now.Add(2 * DefaultElectionTimeout))
+	r.Messages()
+	r.Step(now, Message{Type: TypePreVoteResponse, From: 2, To: 1, Term: r.Term() + 1})
+	for _, m := range r.Messages() {
+		if m.Type == TypeVote && m.To == 2 {
+			return m
+		}
+	}
+	t.Fatal("no vote is requested")
+	return Message{}
+}
+
+// Requests for votes don't wait for the disk: a vote for a start whose last entries were lost would elect a shorter log.
+func TestVoteForEarlierStartDoesNotCount(t *testing.T) {
+	now := time.Unix(0, 0)
+	earlier := startedVoter(t, now, []Entry{{Index: 2, Term: 1}}, 1)
+	vote := requestVote(t, earlier, now)
+	later := startedVoter(t, now, nil, 2)
+	own := requestVote(t, later, now)
+	qt.Assert(t, own.Term, qt.Equals, vote.Term)
+	grant := func(m Message) Message {
+		return Message{Type: TypeVoteResponse, From: 2, To: 1, Term: m.Term, Hint: m.Hint}
+	}
+	later.Persisted(now, later.Write())
+	later.Step(now, grant(vote))
+	qt.Check(t, later.Leader(), qt.Equals, uint64(0))
+	later.Step(now, grant(own))
+	qt.Check(t, later.Leader(), qt.Equals, uint64(1))
+}
+
+// A candidate that leads before its own vote is durable could vote again in the same term after a restart.
+func TestCandidateLeadsOnceItsVoteIsDurable(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := startedVoter(t, now, nil, 1)
+	m := requestVote(t, r, now)
+	r.Step(now, Message{Type: TypeVoteResponse, From: 2, To: 1, Term: m.Term, Hint: m.Hint})
+	qt.Check(t, r.role, qt.Equals, candidate)
+	r.Persisted(now, r.Write())
+	qt.Check(t, r.role, qt.Equals, leader)
+}
--- a/coord/replicator/snapshot.go
+++ b/coord/replicator/snapshot.go
@@ -77,7 +77,7 @@
 	if r.role != leader || p == nil || m.SendStamp > r.lastStamp {
 		return
 	}
-	p.ackedStamp = max(p.ackedStamp, m.SendStamp)
+	p.contactStamp, p.ackedStamp = max(p.contactStamp, m.SendStamp), max(p.ackedStamp, m.SendStamp)
 	if p.snapshotIndex == m.Index && m.Hint <= r.snapshot.Size && m.Hint != p.snapshotOffset {
 		p.snapshotOffset, p.chunkSentAt = m.Hint, time.Time{}
 		r.sendChunk(now, m.From, p)
--- a/coord/replicator/step.go
+++ b/coord/replicator/step.go
@@ -99,6 +99,7 @@
 	if r.role != follower || r.leaderID != from {
 		r.becomeFollower(r.hardState.Term, from)
 	}
-	r.lastContact = now
+	r.elections = 0
+	r.touch(now)
 	return true
 }
