Replicator: a leader applies what a quorum has, unless its own disk is the slow one

A leader waits for its own disk so that a stalled one is noticed; the measure for that is now the same as for stepping down: slower than a quorum's.

TestLeaderSlowDisk, which holds only the leader's disk up, passes unchanged.

--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -281,12 +281,9 @@
 	if r.isWriting && r.writeSeenAt.IsZero() {
 		r.writeSeenAt = now
 	}
-	r.isWriteSlow = r.isWriting && now.Sub(r.writeSeenAt) >= r.cfg.HeartbeatInterval
-	if !r.isWriting || r.membership.quorum() == 1 {
-		return false
-	}
 	took := now.Sub(r.writeSeenAt)
-	return took >= stallElectionTimeouts*r.cfg.ElectionTimeout && took > stallWriteTimes*r.quorumWriteTime(now)
+	r.isWriteSlow = r.isWriting && took >= r.cfg.HeartbeatInterval && took > stallWriteTimes*r.quorumWriteTime(now)
+	return r.isWriteSlow && r.membership.quorum() > 1 && took >= stallElectionTimeouts*r.cfg.ElectionTimeout
 }
 
 func (r *Replicator) tickLeader(now time.Time) {
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -119,7 +119,7 @@
 	durableSeq   uint64
 	isWriting    bool
 	writeSeenAt  time.Time
-	// isWriteSlow is set while the write in flight takes at least one heartbeat interval.
+	// isWriteSlow is set while the write in flight takes at least one heartbeat interval, and longer than a quorum's.
 	isWriteSlow    bool
 	firstUnwritten uint64
 	outbox         []outgoingMessage
