Control: refused calls leave a line and are counted

Callers saw reads of the configuration answered with a status for half a minute, while no control process logged a line: a refused call was neither logged nor counted, and ErrNoLeader stood for a closed log, an unknown leader and an expired lease alike.

A RefusedError now carries the reason of a call that the replica doesn't serve: no open log, no known leader, an expired lease, no quorum in time, a change of leader, an unknown outcome. ErrNoLeader and NotLeaderError are found by errors.Is and errors.As as before, and the texts of answers stay. Control logs each answer of 500 or more, each body that came too slowly, and each redirect by the log's own leader, 20 lines a second at most, and counts all calls by call and status with a histogram of their time at the replica's /metrics.

--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"redwingstage.org/coord/carrier"
@@ -144,24 +145,24 @@
 func (g *Governor) checkLeading() error {
 	r := g.membership.log()
 	if r == nil {
-		return ErrNoLeader
+		return &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
-	s := r.Status()
-	if s.IsLeader(time.Now()) {
-		return nil
-	}
-	for _, m := range s.Members {
-		if m.ID == s.Leader && s.Leader != s.ID {
-			host, _, err := net.SplitHostPort(m.Addr)
-			if err != nil {
-				return ErrNoLeader
-			}
-			return &NotLeaderError{Host: host}
-		}
+	return checkStatus(r.Status(), time.Now())
+}
+
+// LeadsLog reports whether this replica is the log's leader, with or without its quorum's lease.
+func (g *Governor) LeadsLog() bool {
+	r := g.membership.log()
+	if r == nil {
+		return false
 	}
-	return ErrNoLeader
+	s := r.Status()
+	return s.Leader == s.ID
 }
 
+// Registerer returns the registry whose metrics the replica's listener serves.
+func (g *Governor) Registerer() prometheus.Registerer { return g.hub.metrics.registry }
+
 // PutDoc replaces the operator's document by one of a higher version. It returns once that is committed and in force at
 // all entries, or ackWait after the commit.
 func (g *Governor) PutDoc(ctx context.Context, doc Doc) error {
@@ -181,10 +182,10 @@
 	defer cancel()
 	r := g.membership.log()
 	if r == nil {
-		return Doc{}, ErrNoLeader
+		return Doc{}, &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
 	if err := r.ReadBarrier(ctx); err != nil {
-		return Doc{}, errors.Wrap(err, "confirm the lead")
+		return Doc{}, refuse(errors.Wrap(err, "confirm the lead"), reasonUnconfirmed)
 	}
 	return g.membership.state().Doc, nil
 }
@@ -242,8 +243,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	_, err := g.membership.propose(ctx, cmd)
-	return err
+	if _, err := g.membership.propose(ctx, cmd); err != nil {
+		return refuse(err, reasonNotAppended)
+	}
+	return nil
 }
 
 var _ runner.StateMachine = (*machine)(nil)
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -129,7 +129,7 @@
 func (ms *membership) propose(ctx context.Context, cmd command) (result, error) {
 	r := ms.log()
 	if r == nil {
-		return result{}, ErrNoLeader
+		return result{}, &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
 	data, err := encoder.Marshal(cmd)
 	if err != nil {
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -27,7 +27,7 @@
 		requests: lineQuota{perSecond: requestLinesPerSecond}, attempts: lineQuota{perSecond: attemptLinesPerSecond},
 		late: lineQuota{perSecond: lateLinesPerSecond}, orders: lineQuota{perSecond: orderLinesPerSecond},
 		loads: lineQuota{perSecond: orderLinesPerSecond}, refusals: lineQuota{perSecond: refusalLinesPerSecond},
-		rooms: lineQuota{perSecond: roomLinesPerSecond},
+		rooms: lineQuota{perSecond: roomLinesPerSecond}, calls: lineQuota{perSecond: callLinesPerSecond},
 	}
 }
 
@@ -42,6 +42,7 @@
 	loads    lineQuota
 	refusals lineQuota
 	rooms    lineQuota
+	calls    lineQuota
 }
 
 // RequestTiming is the latency breakdown of a request.
--- a/stage/logger/quota.go
+++ b/stage/logger/quota.go
@@ -14,6 +14,7 @@
 	orderLinesPerSecond   = 200
 	refusalLinesPerSecond = 20
 	roomLinesPerSecond    = 10
+	callLinesPerSecond    = 20
 )
 
 // lineQuota limits one kind of line per second.
