Runner: the status says role, vote, cause of a step down, and write in flight

A group without a leader couldn't say whether its replicas campaign, wait for votes or for the disk, nor why the last leader had stepped down: the status had the term and the leader only. Nothing that the log decides changes.

--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -269,7 +269,10 @@
 	lastQuorumContact := r.stampTime(max(r.quorumStamp(now), r.electedStamp))
 	if now.Sub(lastQuorumContact) >= r.cfg.ElectionTimeout || r.isStalled(now) {
 		r.becomeFollower(r.hardState.Term, 0)
-		r.lastContact = now
+		r.lastContact, r.stepDownCause = now, CauseNoQuorum
+		if r.isStalled(now) {
+			r.stepDownCause = CauseSlowDisk
+		}
 		return
 	}
 	if r.transfer.target != 0 {
--- a/coord/replicator/election.go
+++ b/coord/replicator/election.go
@@ -6,6 +6,7 @@
 
 func (r *Replicator) becomeFollower(term, leaderID uint64) {
 	if r.role == leader {
+		r.stepDownCause = r.causeOfEnd(term)
 		r.failReads()
 		r.nonceRequest = nonceRequest{}
 	}
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -84,6 +84,7 @@
 	lastContact       time.Time
 	randomizedTimeout time.Duration
 	votes             map[uint64]bool
+	stepDownCause     Cause
 
 	peers          map[uint64]*peer
 	electedStamp   uint64
--- a/coord/runner/loop.go
+++ b/coord/runner/loop.go
@@ -159,7 +159,7 @@
 		r.err = errors.Wrap(j.err, "journal")
 		return
 	}
-	r.snapshotGeneration = j.generation
+	r.snapshotGeneration, r.writingSince = j.generation, time.Time{}
 	r.rep.Persisted(now, j.write)
 	if j.write.FromLeader {
 		r.restoreSnapshot(j.write)
@@ -183,7 +183,7 @@
 	r.finishReads()
 	r.startRead(now)
 	r.stepChanges(now)
-	r.startWrite()
+	r.startWrite(now)
 	r.sendAll(now)
 	r.apply()
 	r.finishReads()
@@ -237,7 +237,7 @@
 }
 
 // startWrite queues the next write; a snapshot that is due comes first.
-func (r *Runner) startWrite() {
+func (r *Runner) startWrite(now time.Time) {
 	if r.rep.IsWriting() {
 		return
 	}
@@ -258,6 +258,7 @@
 		}
 		j.data = j.write.Data
 	}
+	r.writingSince = now
 	r.writeJobs <- j
 }
 
@@ -386,6 +387,7 @@
 	s := &Status{
 		ID: r.cfg.ID, Leader: r.rep.Leader(), Term: r.rep.Term(), Commit: r.rep.Commit(), Applied: r.rep.Applied(),
 		LeaseEnd: r.rep.LeaseEnd(now),
+		Role:     r.rep.Role(), Vote: r.rep.Vote(), StepDown: r.rep.StepDownCause(), WritingSince: r.writingSince,
 	}
 	changed := index != r.membershipIndex || len(m.Members) != len(r.members)
 	if changed {
@@ -402,7 +404,7 @@
 	if index != r.peersMembershipIndex {
 		r.setPeers()
 	}
-	if r.observe != nil && (changed || old.Leader != s.Leader || old.Term != s.Term) {
+	if r.observe != nil && (changed || old.Leader != s.Leader || old.Term != s.Term || old.Role != s.Role || old.Vote != s.Vote) {
 		r.observe(*s)
 	}
 }
--- a/coord/runner/machine.go
+++ b/coord/runner/machine.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"redwingstage.org/coord/replicator"
 )
 
 // StateMachine is the replicated state machine; a Runner calls its methods from one goroutine.
@@ -37,6 +39,13 @@
 	Applied  uint64
 	Members  []Member
 	LeaseEnd time.Time
+	Role     replicator.Role
+	// Vote is the ID of the replica that got this one's vote in Term, or 0.
+	Vote uint64
+	// StepDown is why this replica's latest leadership ended.
+	StepDown replicator.Cause
+	// WritingSince is when the journal write in flight began; zero without one.
+	WritingSince time.Time
 }
 
 // IsLeader reports whether the replica holds a quorum-confirmed leader lease at now.
--- a/coord/runner/runner.go
+++ b/coord/runner/runner.go
@@ -68,11 +68,16 @@
 	return func(r *Runner) { r.fs = fs }
 }
 
-// WithObserver calls f after each change of leader, term or membership, in the event loop; f must not block.
+// WithObserver calls f after each change of leader, term, role, vote or membership, in the event loop; f must not block.
 func WithObserver(f func(Status)) Option {
 	return func(r *Runner) { r.observe = f }
 }
 
+// WithWriteObserver calls f with the time that each write to the journal took to be durable; f must not block.
+func WithWriteObserver(f func(time.Duration)) Option {
+	return func(r *Runner) { r.observeWrite = f }
+}
+
 // WithSnapshotEvery takes a snapshot after this many commands or bytes of journal, whichever comes first.
 func WithSnapshotEvery(commands uint64, bytes int64) Option {
 	return func(r *Runner) { r.snapshotCommands, r.snapshotBytes = commands, bytes }
@@ -85,6 +90,7 @@
 	machine          StateMachine
 	transport        Transport
 	observe          func(Status)
+	observeWrite     func(time.Duration)
 	random           func() uint32
 	snapshotCommands uint64
 	snapshotBytes    int64
@@ -104,6 +110,8 @@
 	queuedReads      []*readCall
 	confirmedReads   []*readRound
 	changes          []*change
+	// writingSince is when the write in flight began; zero without one.
+	writingSince time.Time
 
 	proposals      chan *proposal
 	readCalls      chan *readCall
@@ -237,7 +245,12 @@
 // runWrites makes writes durable in order, outside of the event loop, so that a slow disk doesn't delay heartbeats.
 func (r *Runner) runWrites() {
 	for j := range r.writeJobs {
-		r.finishedWrites <- r.store.execute(j)
+		start := time.Now()
+		j = r.store.execute(j)
+		if r.observeWrite != nil {
+			r.observeWrite(time.Since(start))
+		}
+		r.finishedWrites <- j
 	}
 }
 
