--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -114,7 +114,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.membership = newMembership(cfg, g.log)
 	g.hub = newHub(g.ctx, cfg, deps, g.membership, g.log, g.wg.Go)
-	g.membership.onStateChange = g.hub.stateChanged
+	g.membership.onStateChange, g.membership.onWrite = g.hub.stateChanged, g.hub.metrics.observeWrite
 	mux := http.NewServeMux()
 	mux.Handle(carrier.Path, http.HandlerFunc(g.membership.serveLog))
 	g.registerHandlers(mux)
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -58,6 +58,8 @@
 	cfg           Config
 	logger        *logger.Component
 	onStateChange func()
+	// onWrite gets the time that each write to the journal took.
+	onWrite func(took time.Duration)
 
 	mu      sync.Mutex
 	runner  *runner.Runner
@@ -223,7 +225,7 @@
 		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
 		ReplaceAfter: ms.cfg.replaceAfter(), Voters: ms.cfg.voters(),
-	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()))
+	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()), runner.WithWriteObserver(ms.writeEnded))
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
@@ -245,14 +247,23 @@
 	return cause
 }
 
-// memberLogger returns an observer of the log that logs each change of the group's members.
+// memberLogger returns an observer of the log that logs each change of the group's members and of its elections.
 func (ms *membership) memberLogger() func(runner.Status) {
 	logged := ""
+	var old *runner.Status
 	return func(st runner.Status) {
 		if s := describeMembers(st.Members); s != logged {
 			logged = s
 			ms.logger.Info("members changed", s)
 		}
+		for _, l := range electionLines(old, st) {
+			if l.isWarning {
+				ms.logger.Warn(l.msg, l.subject)
+			} else {
+				ms.logger.Info(l.msg, l.subject)
+			}
+		}
+		old = &st
 	}
 }
 
--- a/stage/governor/metrics.go
+++ b/stage/governor/metrics.go
@@ -29,6 +29,7 @@
 	speeds *prometheus.GaugeVec
 	// memory has series for the servers that requests take memory of.
 	memory *prometheus.GaugeVec
+	writes prometheus.Histogram
 }
 
 func newMetrics() *metrics {
@@ -63,7 +64,11 @@
 	m.granted = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_control_quota_granted_total", Help: "What the leader gave to entries of client accounts' quotas, in the quota's unit.",
 	}, []string{"account"})
-	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted, m.speeds, m.memory)
+	m.writes = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "redwingstage_control_journal_write_seconds", Help: "Time until a write to the log's journal is durable.",
+		Buckets: []float64{.0005, .002, .005, .01, .025, .05, .1, .25, .5, .7, 1.4, 3, 10},
+	})
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted, m.speeds, m.memory, m.writes)
 	return m
 }
 
@@ -113,3 +118,6 @@
 func (m *metrics) observeLoad(recent bool, took time.Duration) {
 	m.loads.WithLabelValues(strconv.FormatBool(recent)).Observe(took.Seconds())
 }
+
+// observeWrite observes the time that a write to the journal took; any goroutine may call it.
+func (m *metrics) observeWrite(took time.Duration) { m.writes.Observe(took.Seconds()) }
--- a/stage/logger/control.go
+++ b/stage/logger/control.go
@@ -13,3 +13,12 @@
 	withDropped(c.log.Warn(), dropped).Str("call", call).Int("status", status).Str("reason", reason).
 		Int64("ms", took.Milliseconds()).Msg(c.prefix + "call refused")
 }
+
+// SlowWrite logs a journal write that takes, or took, longer than an election.
+func (c *Component) SlowWrite(took time.Duration, ended bool) {
+	dropped, ok := c.writes.allow(time.Now())
+	if !ok {
+		return
+	}
+	withDropped(c.log.Warn(), dropped).Int64("ms", took.Milliseconds()).Bool("ended", ended).Msg(c.prefix + "journal write is slow")
+}
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -28,6 +28,7 @@
 		late: lineQuota{perSecond: lateLinesPerSecond}, orders: lineQuota{perSecond: orderLinesPerSecond},
 		loads: lineQuota{perSecond: orderLinesPerSecond}, refusals: lineQuota{perSecond: refusalLinesPerSecond},
 		rooms: lineQuota{perSecond: roomLinesPerSecond}, calls: lineQuota{perSecond: callLinesPerSecond},
+		writes: lineQuota{perSecond: writeLinesPerSecond},
 	}
 }
 
@@ -43,6 +44,7 @@
 	refusals lineQuota
 	rooms    lineQuota
 	calls    lineQuota
+	writes   lineQuota
 }
 
 // RequestTiming is the latency breakdown of a request.
--- a/stage/logger/quota.go
+++ b/stage/logger/quota.go
@@ -15,6 +15,7 @@
 	refusalLinesPerSecond = 20
 	roomLinesPerSecond    = 10
 	callLinesPerSecond    = 20
+	writeLinesPerSecond   = 2
 )
 
 // lineQuota limits one kind of line per second.
