Control: a replica without a leader says so

A replica that waits for votes, for its group or for a place in it logged nothing at all, so that a group without a quorum looked like one in calm. A replica that has known no leader for 2 s, or leads the log without its quorum's lease, now warns, again every 5 s: how long, its term and role, the voters and how long ago it heard from each, and the write in flight; without a log, the addresses that it asked for a place with the last outcome of each. The end leaves a line with the time it took. A request to join that fails leaves one line an address each 5 s, and a write that doesn't end is reported while it lasts. The carrier tells when it last received from a peer.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// LastReceived returns when a message of each other replica arrived last, the zero time if none has.
+func (c *Carrier) LastReceived() map[uint64]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[uint64]time.Time, len(c.peers))
+	for id, p := range c.peers {
+		out[id] = time.Time{}
+		if at := p.lastReceived.Load(); at != 0 {
+			out[id] = time.Unix(0, at)
+		}
+	}
+	return out
+}
+
 // Close ends all streams and waits for them.
 func (c *Carrier) Close() error {
 	c.mu.Lock()
--- a/coord/carrier/carrier_test.go
+++ b/coord/carrier/carrier_test.go
@@ -194,3 +194,26 @@
 	qt.Assert(t, a.Close(), qt.IsNil)
 	qt.Assert(t, b.Close(), qt.IsNil)
 }
+
+// A replica without a leader couldn't tell which voters it still heard from.
+func TestLastReceived(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("peers", func(t *testing.T) { // The subtest's cleanup ends before the leak check.
+		start := time.Now()
+		got := make(chan replicator.Message, 1)
+		b := New(2, "c")
+		b.SetReceiver(func(m replicator.Message) error { got <- m; return nil })
+		addr := serve(t, b.Handler())
+		b.SetPeers(map[uint64]string{1: "127.0.0.1:1", 3: "127.0.0.1:1"})
+		a := New(1, "c")
+		a.SetPeers(map[uint64]string{2: addr})
+		a.Send(replicator.Message{Type: replicator.TypeVote, From: 1, To: 2, Term: 3})
+		<-got
+		heard := b.LastReceived()
+		qt.Check(t, heard, qt.HasLen, 2)
+		qt.Check(t, heard[1].Before(start), qt.IsFalse)
+		qt.Check(t, heard[3].IsZero(), qt.IsTrue)
+		qt.Assert(t, a.Close(), qt.IsNil)
+		qt.Assert(t, b.Close(), qt.IsNil)
+	})
+}
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -125,6 +125,7 @@
 		}
 	})
 	g.wg.Go(func() { g.membership.run(g.ctx) })
+	g.wg.Go(func() { g.membership.watchLeader(g.ctx) })
 	g.wg.Go(g.hub.run)
 	g.wg.Go(g.hub.follow)
 	return g, nil
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -67,10 +67,12 @@
 	machine *machine
 	// knownAddrs are the known addresses of replicas, including the seeds.
 	knownAddrs []string
+	// joins are failed requests to join since the last one that succeeded, by address.
+	joins map[string]joinOutcome
 }
 
 func newMembership(cfg Config, l *logger.Component) *membership {
-	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {})}
+	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}), joins: make(map[string]joinOutcome)}
 }
 
 // log returns the open log, or nil.
@@ -412,12 +414,16 @@
 		}
 		for range 2 {
 			reply, err := ms.callJoin(ctx, addr, id)
+			if err == nil && reply.ID != 0 {
+				ms.clearJoins()
+				return reply.ID, true
+			}
+			if ctx.Err() == nil {
+				ms.recordJoin(time.Now(), addr, reply, err)
+			}
 			if err != nil {
 				break
 			}
-			if reply.ID != 0 {
-				return reply.ID, true
-			}
 			if reply.Redirect == "" || reply.Redirect == ms.cfg.Addr {
 				break
 			}
