Control: sessions by peer, their ends and the leader's age are metrics

Relays were without the leader for seconds at one to four of five replicas, and no metric told which ones a leader was connected to, why sessions had ended, or how old the leader's word was at a relay. redwingstage_control_peer_sessions has the entries at each replica and a series for each relay at its leader, redwingstage_control_sessions_ended_total counts ends by kind and reason, and redwingstage_control_leader_age_seconds is the age that entries are told.

--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -59,7 +59,7 @@
 		defer close(done)
 		for s := range leader.hub.relaySessions {
 			if s.isRelay() && s.hello.Replica == id {
-				leader.hub.closeSession(s)
+				leader.hub.closeSession(s, endBroken)
 			}
 		}
 	})
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -141,9 +141,9 @@
 // tick does the periodic work.
 func (h *hub) tick(now time.Time) {
 	h.updateLeadership(now)
-	h.metrics.sessions.Set(float64(len(h.sessions)))
 	h.metrics.leads.Set(0)
 	h.relay.tick(now)
+	h.measureSessions(now)
 	if h.leader == nil {
 		return
 	}
@@ -151,7 +151,7 @@
 	h.metrics.leads.Set(1)
 	for s := range h.relaySessions {
 		if s != h.ownSession && now.Sub(s.lastReceived) > sessionTimeout {
-			h.closeSession(s)
+			h.closeSession(s, endSilent)
 		}
 	}
 	h.broadcastReplicas()
@@ -172,6 +172,11 @@
 	h.record(now)
 }
 
+func (h *hub) measureSessions(now time.Time) {
+	h.metrics.sessions.Set(float64(len(h.sessions)))
+	h.metrics.setRelay(len(h.relay.sessions), h.relay.confirmedAt, now)
+}
+
 // logPlacement logs why adapters can't be placed, while some are wanted.
 func (h *hub) logPlacement(now time.Time) {
 	if now.Sub(h.placementLoggedAt) < placementLogEvery {
@@ -252,7 +257,7 @@
 	h.metrics.countSent("relay", len(data))
 	if !s.enqueue(data) {
 		h.log.Warn("queue of a relay's session is full, closing it", s.hello.Node)
-		h.closeSession(s)
+		h.closeSession(s, endQueueFull)
 	}
 }
 
@@ -278,14 +283,18 @@
 	return true
 }
 
-func (h *hub) closeSession(s *session) {
+func (h *hub) closeSession(s *session, why sessionEnd) {
 	delete(h.sessions, s)
-	h.relay.closeSession(s)
+	h.relay.closeSession(s, why)
+	h.metrics.countEnd(s, why)
 	s.close()
 	if !h.relaySessions[s] {
 		return
 	}
 	delete(h.relaySessions, s)
+	if !h.hasRelay(s.hello.Node) {
+		h.metrics.removeRelay(s.hello.Node)
+	}
 	h.loads.removeSession(s)
 	if h.leader != nil {
 		h.leader.quotas.pool.RemoveRelay(s.hello.Replica)
@@ -294,6 +303,16 @@
 	h.broadcastEntryCount()
 }
 
+// hasRelay reports whether a relay of a node, which may have come back under another ID, has a session with this leader.
+func (h *hub) hasRelay(node string) bool {
+	for s := range h.relaySessions {
+		if s.isRelay() && s.hello.Node == node {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *hub) broadcastEntryCount() {
 	n := 0
 	for s := range h.relaySessions {
@@ -424,7 +443,7 @@
 	s.lastReceived = now
 	h.logDropped(up.Dropped)
 	if up.Hello != nil && !h.beginSession(now, s, *up.Hello) {
-		h.closeSession(s)
+		h.closeSession(s, endRefused)
 	}
 	switch {
 	case s.closed || s.hello == nil:
@@ -456,10 +475,11 @@
 	}
 	for other := range h.relaySessions {
 		if other.hello.Replica == hello.Replica {
-			h.closeSession(other)
+			h.closeSession(other, endReplaced)
 		}
 	}
 	h.relaySessions[s] = true
+	h.metrics.addRelay(hello.Node)
 	h.send(s, h.fullState())
 	return true
 }
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -117,7 +117,7 @@
 	h.leader, h.leaderSeenAt = nil, time.Now()
 	h.metrics.resetServers()
 	for s := range h.relaySessions {
-		h.closeSession(s)
+		h.closeSession(s, endStepDown)
 	}
 	h.ownSession = nil
 	h.relay.clearUpstream(time.Now())
@@ -137,7 +137,7 @@
 	if h.post(func(time.Time) {
 		h.shuttingDown = true
 		h.stepDown()
-		h.relay.closeSessions()
+		h.relay.closeSessions(endShutdown)
 		close(done)
 	}) {
 		select {
--- a/stage/governor/metrics.go
+++ b/stage/governor/metrics.go
@@ -1,8 +1,10 @@
 package governor
 
 import (
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -30,6 +32,10 @@
 	// memory has series for the servers that requests take memory of.
 	memory *prometheus.GaugeVec
 	writes prometheus.Histogram
+	// peers has series for entries as a whole, and for each relay of this leader.
+	peers     *prometheus.GaugeVec
+	ends      *prometheus.CounterVec
+	leaderAge prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -68,7 +74,17 @@
 		Name: "redwingstage_control_journal_write_seconds", Help: "Time until a write to the log's journal is durable.",
 		Buckets: []float64{.0005, .002, .005, .01, .025, .05, .1, .25, .5, .7, 1.4, 3, 10},
 	})
-	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted, m.speeds, m.memory, m.writes)
+	m.peers = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "redwingstage_control_peer_sessions", Help: "Sessions of entries at this replica, and of each relay at this leader.",
+	}, []string{"kind", "node"})
+	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_control_sessions_ended_total", Help: "Sessions that ended, by kind and by why.",
+	}, []string{"kind", "reason"})
+	m.leaderAge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "redwingstage_control_leader_age_seconds", Help: "How long ago the leader is known to have served this replica's relay; infinite before that.",
+	})
+	m.leaderAge.Set(math.Inf(1))
+	m.registry.MustRegister(m.orders, m.loads, m.sessions, m.leads, m.bytes, m.messages, m.granted, m.speeds, m.memory, m.writes, m.peers, m.ends, m.leaderAge)
 	return m
 }
 
@@ -121,3 +137,28 @@
 
 // observeWrite observes the time that a write to the journal took; any goroutine may call it.
 func (m *metrics) observeWrite(took time.Duration) { m.writes.Observe(took.Seconds()) }
+
+// addRelay sets that a relay has a session with this leader.
+func (m *metrics) addRelay(node string) {
+	m.peers.WithLabelValues("relay", strings.ToValidUTF8(node, "?")).Set(1)
+}
+
+// removeRelay deletes the series of a relay.
+func (m *metrics) removeRelay(node string) {
+	m.peers.DeleteLabelValues("relay", strings.ToValidUTF8(node, "?"))
+}
+
+// setRelay sets the sessions of this replica's relay and the age of the leader's confirmation; confirmed is zero before it.
+func (m *metrics) setRelay(entries int, confirmed, now time.Time) {
+	m.peers.WithLabelValues("entry", "").Set(float64(entries))
+	if !confirmed.IsZero() {
+		m.leaderAge.Set(max(now.Sub(confirmed), 0).Seconds())
+	}
+}
+
+// countEnd counts the end of a session once; the leader's session with its own relay isn't counted.
+func (m *metrics) countEnd(s *session, why sessionEnd) {
+	if !s.closed && s.queue != nil {
+		m.ends.WithLabelValues(s.kind(), string(why)).Inc()
+	}
+}
--- a/stage/governor/quota_test.go
+++ b/stage/governor/quota_test.go
@@ -128,7 +128,7 @@
 		s := &session{queue: make(chan encoder.Raw, 9), hello: &Hello{Node: "late"}, lastReceived: f.now}
 		r := f.relays[0]
 		r.addSession(f.now, s)
-		defer r.closeSession(s)
+		defer r.closeSession(s, endBroken)
 		got := received(c, s)
 		c.Assert(got, qt.HasLen, 1)
 		c.Check(got[0].Epoch, qt.Equals, f.hub.leader.leaderEpoch)
@@ -136,7 +136,7 @@
 	}
 	c.Check(announced(), qt.Equals, 12)
 	for range 2 {
-		f.relays[0].closeSession(anySession(f.relays[0]))
+		f.relays[0].closeSession(anySession(f.relays[0]), endBroken)
 	}
 	f.wait(6 * time.Second)
 	c.Check(announced(), qt.Equals, 12)
@@ -181,7 +181,7 @@
 	ask(dead, 2)
 	f.now = f.now.Add(50 * time.Millisecond)
 	r.sendReport(f.now)
-	r.closeSession(dead)
+	r.closeSession(dead, endBroken)
 	f.exchange()
 	other := anySession(r)
 	c.Check(received(c, other), qt.HasLen, 0)
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -148,7 +148,7 @@
 func (r *relay) addSession(now time.Time, s *session) {
 	for other := range r.sessions {
 		if other != s && other.hello.Node == s.hello.Node {
-			r.closeSession(other)
+			r.closeSession(other, endReplaced)
 		}
 	}
 	r.sessions[s] = true
@@ -158,11 +158,12 @@
 	r.send(s, d, "whole")
 }
 
-func (r *relay) closeSession(s *session) {
+func (r *relay) closeSession(s *session, why sessionEnd) {
 	if !r.sessions[s] {
 		return
 	}
 	delete(r.sessions, s)
+	r.metrics.countEnd(s, why)
 	s.close()
 	r.quotas.remove(s)
 	r.pending.loads.removeSession(s)
@@ -174,9 +175,9 @@
 	}
 }
 
-func (r *relay) closeSessions() {
+func (r *relay) closeSessions(why sessionEnd) {
 	for s := range r.sessions {
-		r.closeSession(s)
+		r.closeSession(s, why)
 	}
 }
 
@@ -189,7 +190,7 @@
 	r.metrics.countSent(kind, len(data))
 	if !s.enqueue(data) {
 		r.log.Warn("queue of an entry's session is full, closing it", s.hello.Node)
-		r.closeSession(s)
+		r.closeSession(s, endQueueFull)
 	}
 }
 
@@ -293,13 +294,13 @@
 func (r *relay) tick(now time.Time) {
 	for s := range r.sessions {
 		if now.Sub(s.lastReceived) > sessionTimeout {
-			r.closeSession(s)
+			r.closeSession(s, endSilent)
 		}
 	}
 	r.quotas.countLive(now, r.sessions)
 	if r.upstream == nil && len(r.sessions) > 0 && now.Sub(r.upstreamLostAt) > upstreamGrace {
 		r.log.Warn("without a leader for too long, closing all sessions with entries", "")
-		r.closeSessions()
+		r.closeSessions(endNoLeader)
 	}
 }
 
@@ -336,7 +337,7 @@
 		r.metrics.countSent("news", len(data))
 		if !s.enqueue(data) {
 			r.log.Warn("queue of an entry's session is full, closing it", s.hello.Node)
-			r.closeSession(s)
+			r.closeSession(s, endQueueFull)
 		}
 	}
 	return max(wait, 0)
--- a/stage/governor/relay_test.go
+++ b/stage/governor/relay_test.go
@@ -181,7 +181,7 @@
 	c.Check(*sent[0].Entries, qt.Equals, 2)
 
 	// A closed session's use and load are removed, and a new leader receives the full report.
-	r.closeSession(b)
+	r.closeSession(b, endBroken)
 	r.clearUpstream(now)
 	r.setUpstream(func(up UpMessage) bool {
 		sent = append(sent, up)
--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -48,6 +48,33 @@
 	closed bool
 }
 
+// sessionEnd is why a session ended.
+type sessionEnd string
+
+const (
+	endClosed    sessionEnd = "closed_by_peer"
+	endBroken    sessionEnd = "connection_lost"
+	endSilent    sessionEnd = "silent"
+	endQueueFull sessionEnd = "queue_full"
+	endReplaced  sessionEnd = "replaced"
+	endNoLeader  sessionEnd = "no_leader"
+	endStepDown  sessionEnd = "step_down"
+	endShutdown  sessionEnd = "shutdown"
+	// endRefused is the end of a session whose hello came when there was no leader here.
+	endRefused sessionEnd = "refused"
+)
+
+// kind names the other side in metrics.
+func (s *session) kind() string {
+	switch {
+	case s.hello == nil:
+		return "none"
+	case s.isRelay():
+		return "relay"
+	}
+	return "entry"
+}
+
 func (s *session) isRelay() bool { return s.hello != nil && s.hello.Replica != 0 }
 
 // enqueue queues a message; false means that the queue is full and the session must be closed.
@@ -165,12 +192,17 @@
 	case <-g.ctx.Done():
 		return nil
 	}
-	defer g.hub.post(func(time.Time) { g.hub.closeSession(s) })
+	end := func(why sessionEnd) { g.hub.post(func(time.Time) { g.hub.closeSession(s, why) }) }
+	defer end(endBroken)
 	g.wg.Go(func() {
-		defer g.hub.post(func(time.Time) { g.hub.closeSession(s) })
 		for {
 			up, err := stream.Receive()
-			if err != nil {
+			switch {
+			case errors.Is(err, io.EOF):
+				end(endClosed)
+				return
+			case err != nil:
+				end(endBroken)
 				return
 			}
 			if !g.hub.post(func(now time.Time) { g.hub.receive(now, s, *up) }) {
