Control: a founder without a group names whom it hears

A founder that waits for the others has no members yet, so that its line on a missing leader named nobody: it took the replicas from the members. It lists all whose address it knows.

--- a/stage/governor/leaderless.go
+++ b/stage/governor/leaderless.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -111,14 +112,15 @@
 	}
 	var voters, ages []string
 	for _, m := range st.Members {
-		if m.Learner {
-			continue
+		if !m.Learner {
+			voters = append(voters, fmt.Sprint(m.ID))
 		}
-		voters = append(voters, fmt.Sprint(m.ID))
-		if at := heard[m.ID]; m.ID != st.ID && at.IsZero() {
-			ages = append(ages, fmt.Sprintf("%d never", m.ID))
-		} else if m.ID != st.ID {
-			ages = append(ages, fmt.Sprintf("%d %d ms ago", m.ID, now.Sub(at).Milliseconds()))
+	}
+	for _, id := range slices.Sorted(maps.Keys(heard)) {
+		if at := heard[id]; at.IsZero() {
+			ages = append(ages, fmt.Sprintf("%d never", id))
+		} else {
+			ages = append(ages, fmt.Sprintf("%d %d ms ago", id, now.Sub(at).Milliseconds()))
 		}
 	}
 	l.Voters, l.Heard = strings.Join(voters, " "), strings.Join(ages, ", ")
--- a/stage/governor/leaderless_test.go
+++ b/stage/governor/leaderless_test.go
@@ -79,6 +79,16 @@
 	c.Check(g.log.Await(testRecoverTime, "control: leader of the log"), qt.IsTrue)
 }
 
+// A founder that waited for the others logged nothing, and has no members to name yet.
+func TestFounderWithoutTheOthersSaysSo(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.loseMachine(1)
+	g.loseMachine(2)
+	c.Check(g.log.Await(testRecoverTime, "control: no leader is known", `"heard":"2 `), qt.IsTrue)
+}
+
 // A replica that nobody gave a place in the group logged nothing while it asked.
 func TestReplicaThatFindsNoGroupSaysSo(t *testing.T) {
 	t.Parallel()
--- a/stage/logger/control.go
+++ b/stage/logger/control.go
@@ -20,7 +20,7 @@
 	Duration time.Duration
 	Term     uint64
 	Role     string
-	// Voters are their IDs, Heard how long ago each other voter was heard from.
+	// Voters are their IDs, Heard how long ago each other replica was heard from.
 	Voters, Heard string
 	// Write is how long the journal write in flight has taken, 0 without one.
 	Write time.Duration
