Entry: lines name the version that decided a request and the leader's age

A request was run by a service that only an older version of the document names, and no line told which version had decided it, or how long the entry hadn't heard of the leader then. `request ended`, `attempt ended` and `request served late` have both now, a histogram has the age at each request's decision, and an entry says when its document hasn't been confirmed for longer than it may be. A refusal of an unknown route with 503 leaves a line too. Requests that are served in time still leave none.

--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -53,6 +53,7 @@
 	Model  string
 	// Account is the name of the request's client account, "" if it has none.
 	Account string
+	Basis   Basis
 	// Reason is the phase that took too long.
 	Reason string
 	// Wait ends when the last server is chosen, First at its response's first byte; Gap is the longest pause after it.
@@ -85,6 +86,26 @@
 	Account, Model  string
 	Outcome, Reason string
 	Status          int
+	Basis           Basis
+}
+
+// Basis is what an entry decided a request by.
+type Basis struct {
+	// Version is that of the operator's document, 0 if there was none.
+	Version uint64
+	// LeaderAge is how long before that the leader was known to have served the entry, negative if never.
+	LeaderAge time.Duration
+}
+
+// withBasis adds what a request was decided by, if that is known.
+func withBasis(e *log.Entry, b Basis) *log.Entry {
+	switch {
+	case b == Basis{}:
+		return e
+	case b.LeaderAge < 0:
+		return e.Uint64("version", b.Version).Int64("leader_ms", -1)
+	}
+	return e.Uint64("version", b.Version).Int64("leader_ms", b.LeaderAge.Milliseconds())
 }
 
 // Request logs the end of a request.
@@ -93,8 +114,9 @@
 	if !ok {
 		return
 	}
-	withAccount(withDropped(c.log.Info(), dropped).Str("request", r.ID), r.Account).Str("model", r.Model).Str("outcome", r.Outcome).
-		Str("reason", r.Reason).Int("status", r.Status).Msg(c.prefix + "request ended")
+	e := withAccount(withDropped(c.log.Info(), dropped).Str("request", r.ID), r.Account).Str("model", r.Model).Str("outcome", r.Outcome).
+		Str("reason", r.Reason).Int("status", r.Status)
+	withBasis(e, r.Basis).Msg(c.prefix + "request ended")
 }
 
 // withAccount adds the name of a client account if there is one.
@@ -111,9 +133,10 @@
 	if !ok {
 		return
 	}
-	withAccount(withDropped(c.log.Info(), dropped).Str("request", id), t.Account).Str("model", t.Model).Str("server", t.Server).Str("reason", t.Reason).
+	e := withAccount(withDropped(c.log.Info(), dropped).Str("request", id), t.Account).Str("model", t.Model).Str("server", t.Server).Str("reason", t.Reason).
 		Int64("wait_ms", t.Wait.Milliseconds()).Int64("first_ms", t.First.Milliseconds()).Int64("gap_ms", t.Gap.Milliseconds()).
-		Int("running", t.Running).Int("sends", t.Sends).Msg(c.prefix + "request served late")
+		Int("running", t.Running).Int("sends", t.Sends)
+	withBasis(e, t.Basis).Msg(c.prefix + "request served late")
 }
 
 // Room logs a decision on a request that engines have no room for; both sizes are in tokens.
@@ -156,6 +179,7 @@
 	// In streams, After is the last event that the caller had before; First and Last are this attempt's events.
 	After, First, Last string
 	Duration           time.Duration
+	Basis              Basis
 }
 
 // Attempt logs an attempt that got no response or that resumed a stream.
@@ -169,7 +193,7 @@
 	if a.After != "" || a.Last != "" {
 		e = e.Str("after", a.After).Str("first", a.First).Str("last", a.Last)
 	}
-	e.Int64("ms", a.Duration.Milliseconds()).Msg(c.prefix + "attempt ended")
+	withBasis(e.Int64("ms", a.Duration.Milliseconds()), a.Basis).Msg(c.prefix + "attempt ended")
 }
 
 // Document logs that a version of the operator's document is in force here.
@@ -177,6 +201,16 @@
 	c.log.Info().Uint64("version", version).Msg(c.prefix + "document is in force")
 }
 
+// DocumentUnconfirmed logs that the leader hasn't confirmed for some time which version of the operator's document is in force.
+func (c *Component) DocumentUnconfirmed(version uint64, age time.Duration) {
+	c.log.Warn().Uint64("version", version).Int64("leader_ms", age.Milliseconds()).Msg(c.prefix + "the document in force is unconfirmed")
+}
+
+// DocumentConfirmed logs that the leader has confirmed the version in force again.
+func (c *Component) DocumentConfirmed(version uint64) {
+	c.log.Info().Uint64("version", version).Msg(c.prefix + "the document in force is confirmed again")
+}
+
 // CrashCounted logs that a backend server's end counts against requests and parts that were in flight; highest is the
 // greatest number of ends that any of them has now.
 func (c *Component) CrashCounted(server string, digests, highest int) {
--- a/stage/relayer/authentication.go
+++ b/stage/relayer/authentication.go
@@ -27,6 +27,17 @@
 	account *matcher.Account
 	key     matcher.KeyHash
 	refusal *refusal
+	// leaderAge is how long before the decision the leader was known to have served this entry, negative if never.
+	leaderAge time.Duration
+}
+
+// basis returns what the decision stands on, for the log.
+func (d *headDecision) basis() logger.Basis {
+	b := logger.Basis{LeaderAge: d.leaderAge}
+	if d.table != nil {
+		b.Version = d.table.Version()
+	}
+	return b
 }
 
 // refusal is this entry's own answer to a request that isn't passed on.
@@ -143,8 +154,10 @@
 // decideNow decides on a request's head by the table in force.
 func (e *Relayer) decideNow(req *request) headDecision {
 	// Read before the table: in the other order, a version that comes in between would have the older table count as the newest.
-	mayBeOld := e.control.disconnectedFor(time.Now()) > 0
-	return decideHead(e.table.Load(), e.headers, req, mayBeOld)
+	disconnected, leaderAge := e.control.freshness(time.Now())
+	d := decideHead(e.table.Load(), e.headers, req, disconnected > 0)
+	d.leaderAge = leaderAge
+	return d
 }
 
 // currentDecision returns the decision on a request whose body was read, by the table that is in force then.
@@ -189,8 +202,10 @@
 func (e *Relayer) writeRefusal(req *request, w *responseWriter, r *refusal) bool {
 	if r.onKey() {
 		e.metrics.countAccount(unknownAccount, r.outcome)
+	}
+	if r.onKey() || r.status == http.StatusServiceUnavailable {
 		e.log.Request(logger.Request{
-			ID: req.get(e.headers.AttemptID), Outcome: "refused", Reason: r.reason, Status: r.status,
+			ID: req.get(e.headers.AttemptID), Outcome: "refused", Reason: r.reason, Status: r.status, Basis: req.decision.basis(),
 		})
 	}
 	return e.writeDenial(w, r)
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -114,6 +114,7 @@
 // serveRequest serves a request; false means that the connection must close.
 func (e *Relayer) serveRequest(ctx context.Context, req *request, w *responseWriter) bool {
 	d := e.currentDecision(req)
+	e.metrics.observeLeaderAge(d.leaderAge)
 	if d.refusal != nil {
 		return e.writeRefusal(req, w, d.refusal)
 	}
@@ -317,7 +318,7 @@
 func (e *Relayer) reportLate(c *call, w *responseWriter) {
 	t := logger.RequestTiming{
 		Server: c.choice.Key.ID, Model: c.adapter.Name, Account: c.req.decision.accountName(), Wait: c.chosenAt.Sub(c.arrived), First: w.firstWriteAt.Sub(c.arrived), Gap: w.maxGap,
-		Running: c.choice.Running, Sends: c.sends,
+		Running: c.choice.Running, Sends: c.sends, Basis: c.req.decision.basis(),
 	}
 	switch {
 	case c.route.LatencyTarget > 0 && t.First > c.route.LatencyTarget && t.Wait > t.First/2:
@@ -400,6 +401,7 @@
 func (e *Relayer) logEnd(c *call, outcome, reason string, status int) {
 	e.log.Request(logger.Request{
 		ID: c.id, Account: c.req.decision.accountName(), Model: c.adapter.Name, Outcome: outcome, Reason: reason, Status: status,
+		Basis: c.req.decision.basis(),
 	})
 }
 
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -138,12 +138,22 @@
 
 // disconnectedFor returns how long there has been no session with a replica that has a leader, 0 during one.
 func (c *controlClient) disconnectedFor(now time.Time) time.Duration {
+	disconnected, _ := c.freshness(now)
+	return disconnected
+}
+
+// freshness returns disconnectedFor and how long ago the leader is known to have served this entry, negative if never.
+func (c *controlClient) freshness(now time.Time) (disconnected, leaderAge time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	leaderAge = -1
+	if !c.confirmedAt.IsZero() {
+		leaderAge = max(now.Sub(c.confirmedAt), 0)
+	}
 	if c.disconnectedAt.IsZero() {
-		return c.staleFor(now)
+		return c.staleFor(now), leaderAge
 	}
-	return now.Sub(c.disconnectedAt)
+	return now.Sub(c.disconnectedAt), leaderAge
 }
 
 // requestAdapter requests an adapter from the leader; repeated requests for the same one are rate limited.
--- a/stage/relayer/memory.go
+++ b/stage/relayer/memory.go
@@ -82,6 +82,7 @@
 	if isNoRoom(err) {
 		e.log.Request(logger.Request{
 			ID: req.get(e.headers.AttemptID), Outcome: "refused", Reason: err.Error(), Status: http.StatusServiceUnavailable,
+			Basis: req.decision.basis(),
 		})
 	}
 	if err != nil {
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -30,6 +30,7 @@
 	prompts     *prometheus.CounterVec
 	amounts     *prometheus.CounterVec
 	room        *prometheus.CounterVec
+	leaderAge   prometheus.Histogram
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
@@ -123,7 +124,11 @@
 	m.room = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_room_total", Help: "Requests that the memory of engines has no room for, by what became of them.",
 	}, []string{"decision"})
-	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts)
+	m.leaderAge = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "redwingstage_entry_leader_age_seconds", Help: "How long before a request's decision the leader was known to have served this entry.",
+		Buckets: []float64{.3, .6, .9, 1.5, 2, 4, 10, 30},
+	})
+	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
 	return m
 }
 
@@ -184,6 +189,13 @@
 	m.places.WithLabelValues(c.service, result, reason).Inc()
 }
 
+// observeLeaderAge observes the age of the leader's confirmation at a request's decision, which is negative before the first one.
+func (m *metrics) observeLeaderAge(age time.Duration) {
+	if age >= 0 {
+		m.leaderAge.Observe(age.Seconds())
+	}
+}
+
 // countRequest counts a request by its outcome.
 func (m *metrics) countRequest(arrived time.Time, w *responseWriter) {
 	outcome := "unanswered"
--- a/stage/relayer/staleness.go
+++ b/stage/relayer/staleness.go
@@ -23,11 +23,15 @@
 // staleAfter returns the leader's age from which this entry looks for another replica: the rest of ApplyTime is for the
 // probes and the next session.
 func (c *controlClient) staleAfter() time.Duration {
-	apply := c.entry.cfg.ApplyTime
-	if apply == 0 {
-		apply = defaultApplyTime
+	return max(c.applyTime()/2, minStaleAfter)
+}
+
+// applyTime returns the time in which a version must be in force.
+func (c *controlClient) applyTime() time.Duration {
+	if c.entry.cfg.ApplyTime == 0 {
+		return defaultApplyTime
 	}
-	return max(apply/2, minStaleAfter)
+	return c.entry.cfg.ApplyTime
 }
 
 // staleFor returns how long the session's replica has been without a leader that serves it, 0 without a session. The
@@ -42,8 +46,10 @@
 // watchLeader leaves the session's replica if that one has lost the leader while another one has it. The session is kept
 // until then: during a change of leader no replica has one.
 func (c *controlClient) watchLeader(ctx context.Context) {
+	var w confirmationWatch
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, watchInterval)
+		c.logConfirmation(&w, time.Now())
 		for _, addr := range c.candidates(time.Now()) {
 			current, ok := c.staleReplica(time.Now())
 			if !ok || ctx.Err() != nil {
