--- a/coord/replicator/append.go
+++ b/coord/replicator/append.go
@@ -288,9 +288,14 @@
 
 func (r *Replicator) tickLeader(now time.Time) {
 	lastQuorumContact := r.stampTime(max(r.quorumStamp(now), r.electedStamp))
-	if now.Sub(lastQuorumContact) >= r.cfg.ElectionTimeout || r.isStalled(now) {
+	isStalled := r.isStalled(now)
+	if now.Sub(lastQuorumContact) >= r.cfg.ElectionTimeout || isStalled {
 		r.becomeFollower(r.hardState.Term, 0)
 		r.touch(now)
+		r.stepDownCause = CauseNoQuorum
+		if isStalled {
+			r.stepDownCause = CauseSlowDisk
+		}
 		return
 	}
 	if r.transfer.target != 0 {
--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -94,7 +94,8 @@
 	votes     map[uint64]bool
 	// electionID is a random number that responses to this election's vote requests repeat. Votes for an earlier start of this
 	// replica don't count in the same term: its log may be shorter now.
-	electionID uint64
+	electionID    uint64
+	stepDownCause Cause
 
 	peers          map[uint64]*peer
 	electedStamp   uint64
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"redwingstage.org/coord/carrier"
@@ -113,7 +114,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.membership = newMembership(cfg, g.log)
 	g.hub = newHub(g.ctx, cfg, deps, g.membership, g.log, g.wg.Go)
-	g.membership.onStateChange = g.hub.stateChanged
+	g.membership.onStateChange, g.membership.onWrite = g.hub.stateChanged, g.hub.metrics.observeWrite
 	mux := http.NewServeMux()
 	mux.Handle(carrier.Path, http.HandlerFunc(g.membership.serveLog))
 	g.registerHandlers(mux)
@@ -124,6 +125,7 @@
 		}
 	})
 	g.wg.Go(func() { g.membership.run(g.ctx) })
+	g.wg.Go(func() { g.membership.watchLeader(g.ctx) })
 	g.wg.Go(g.hub.run)
 	g.wg.Go(g.hub.follow)
 	return g, nil
@@ -144,24 +146,24 @@
 func (g *Governor) checkLeading() error {
 	r := g.membership.log()
 	if r == nil {
-		return ErrNoLeader
+		return &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
-	s := r.Status()
-	if s.IsLeader(time.Now()) {
-		return nil
-	}
-	for _, m := range s.Members {
-		if m.ID == s.Leader && s.Leader != s.ID {
-			host, _, err := net.SplitHostPort(m.Addr)
-			if err != nil {
-				return ErrNoLeader
-			}
-			return &NotLeaderError{Host: host}
-		}
+	return checkStatus(r.Status(), time.Now())
+}
+
+// LeadsLog reports whether this replica is the log's leader, with or without its quorum's lease.
+func (g *Governor) LeadsLog() bool {
+	r := g.membership.log()
+	if r == nil {
+		return false
 	}
-	return ErrNoLeader
+	s := r.Status()
+	return s.Leader == s.ID
 }
 
+// Registerer returns the registry whose metrics the replica's listener serves.
+func (g *Governor) Registerer() prometheus.Registerer { return g.hub.metrics.registry }
+
 // PutDoc replaces the operator's document by one of a higher version. It returns once that is committed and in force at
 // all entries, or ackWait after the commit.
 func (g *Governor) PutDoc(ctx context.Context, doc Doc) error {
@@ -181,10 +183,10 @@
 	defer cancel()
 	r := g.membership.log()
 	if r == nil {
-		return Doc{}, ErrNoLeader
+		return Doc{}, &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
 	if err := r.ReadBarrier(ctx); err != nil {
-		return Doc{}, errors.Wrap(err, "confirm the lead")
+		return Doc{}, refuse(errors.Wrap(err, "confirm the lead"), reasonUnconfirmed)
 	}
 	return g.membership.state().Doc, nil
 }
@@ -242,8 +244,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	_, err := g.membership.propose(ctx, cmd)
-	return err
+	if _, err := g.membership.propose(ctx, cmd); err != nil {
+		return refuse(err, reasonNotAppended)
+	}
+	return nil
 }
 
 var _ runner.StateMachine = (*machine)(nil)
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -58,6 +58,8 @@
 	cfg           Config
 	logger        *logger.Component
 	onStateChange func()
+	// onWrite gets the time that each write to the journal took.
+	onWrite func(took time.Duration)
 
 	mu      sync.Mutex
 	runner  *runner.Runner
@@ -65,10 +67,12 @@
 	machine *machine
 	// knownAddrs are the known addresses of replicas, including the seeds.
 	knownAddrs []string
+	// joins are failed requests to join since the last one that succeeded, by address.
+	joins map[string]joinOutcome
 }
 
 func newMembership(cfg Config, l *logger.Component) *membership {
-	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {})}
+	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}), joins: make(map[string]joinOutcome)}
 }
 
 // log returns the open log, or nil.
@@ -129,7 +133,7 @@
 func (ms *membership) propose(ctx context.Context, cmd command) (result, error) {
 	r := ms.log()
 	if r == nil {
-		return result{}, ErrNoLeader
+		return result{}, &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
 	data, err := encoder.Marshal(cmd)
 	if err != nil {
@@ -223,7 +227,7 @@
 		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
 		ReplaceAfter: ms.cfg.replaceAfter(), Voters: ms.cfg.voters(),
-	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()))
+	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()), runner.WithWriteObserver(ms.writeEnded))
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
@@ -245,14 +249,23 @@
 	return cause
 }
 
-// memberLogger returns an observer of the log that logs each change of the group's members.
+// memberLogger returns an observer of the log that logs each change of the group's members and of its elections.
 func (ms *membership) memberLogger() func(runner.Status) {
 	logged := ""
+	var old *runner.Status
 	return func(st runner.Status) {
 		if s := describeMembers(st.Members); s != logged {
 			logged = s
 			ms.logger.Info("members changed", s)
 		}
+		for _, l := range electionLines(old, st) {
+			if l.isWarning {
+				ms.logger.Warn(l.msg, l.subject)
+			} else {
+				ms.logger.Info(l.msg, l.subject)
+			}
+		}
+		old = &st
 	}
 }
 
@@ -401,12 +414,16 @@
 		}
 		for range 2 {
 			reply, err := ms.callJoin(ctx, addr, id)
+			if err == nil && reply.ID != 0 {
+				ms.clearJoins()
+				return reply.ID, true
+			}
+			if ctx.Err() == nil {
+				ms.recordJoin(time.Now(), addr, reply, err)
+			}
 			if err != nil {
 				break
 			}
-			if reply.ID != 0 {
-				return reply.ID, true
-			}
 			if reply.Redirect == "" || reply.Redirect == ms.cfg.Addr {
 				break
 			}
