Logger: an output that nobody reads no longer hangs processes

Callers saw requests run by a service that an older configuration names, and adapters that nobody loaded, while changes were acknowledged; no process ended, and the logs fell silent. Lines were written by the goroutine that had them: once the pipe of the output is full, it stands still. At an entry that is the receiver of the session (Document, in applyDocument), so that the entry keeps its routes for good and opens no other session; at a control process each call that logs, the control goroutine, and the log's event loop, whose observer must not block.

Goroutine dumps show the stacks above.

One goroutine writes from a queue of 1 MB now; lines that find no room are dropped and counted. The HTTP libraries' own lines, and the last words of a process, take the same way; the end waits 0.3 s for a reader.

--- a/stage/cmd/redwingstaged/main.go
+++ b/stage/cmd/redwingstaged/main.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-faster/errors"
@@ -17,6 +19,9 @@
 	"redwingstage.org/stage/starter"
 )
 
+// flushTimeout bounds the wait for a reader of the log at the end.
+const flushTimeout = 300 * time.Millisecond
+
 // devArgs are the flags of the dev role.
 type devArgs struct {
 	Folder    string `arg:"--data" help:"data folder [default: a temporary one]"`
@@ -49,26 +54,33 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, a, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "redwingstaged:", err)
+	errOut := logger.NewQueue(os.Stderr, 0)
+	// The HTTP library's own lines.
+	stdlog.SetOutput(errOut)
+	err := run(ctx, a, os.Stdout, logger.New(errOut, a.Level))
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "redwingstaged:", err)
+	}
+	errOut.Close(flushTimeout)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, a args, out io.Writer) error {
+func run(ctx context.Context, a args, out io.Writer, l *logger.Logger) error {
 	if a.Run != nil {
-		return runRole(ctx, a, out)
+		return runRole(ctx, a, out, l)
 	}
-	return runDev(ctx, a, out)
+	return runDev(ctx, a, out, l)
 }
 
 // runRole serves until ctx is cancelled and then drains open requests.
-func runRole(ctx context.Context, a args, out io.Writer) error {
+func runRole(ctx context.Context, a args, out io.Writer, l *logger.Logger) error {
 	s, err := loader.Load(a.Run.Settings)
 	if err != nil {
 		return err
 	}
-	proc, err := starter.Start(s, logger.New(os.Stderr, a.Level))
+	proc, err := starter.Start(s, l)
 	if err != nil {
 		return errors.Wrap(err, s.Name())
 	}
@@ -78,7 +90,7 @@
 	return errors.Join(err, proc.Close())
 }
 
-func runDev(ctx context.Context, a args, out io.Writer) (err error) {
+func runDev(ctx context.Context, a args, out io.Writer, l *logger.Logger) (err error) {
 	folder := a.Dev.Folder
 	if folder == "" {
 		if folder, err = os.MkdirTemp("", "redwingstage-"); err != nil {
@@ -88,7 +100,7 @@
 	}
 	d, err := demonstrator.New(ctx, demonstrator.Config{
 		Folder: folder, Callers: [2]string{a.Dev.Callers}, Operators: a.Dev.Operators, Metrics: a.Dev.Metrics,
-	}, logger.New(os.Stderr, a.Level))
+	}, l)
 	if err != nil {
 		return err
 	}
--- a/stage/logger/control.go
+++ b/stage/logger/control.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -14,6 +15,14 @@
 		Int64("ms", took.Milliseconds()).Msg(c.prefix + "call refused")
 }
 
+// Printf logs a line of the HTTP library.
+func (c *Component) Printf(format string, args ...any) {
+	dropped, ok := c.library.allow(time.Now())
+	if ok {
+		withDropped(c.log.Warn(), dropped).Msg(c.prefix + fmt.Sprintf(format, args...))
+	}
+}
+
 // Leaderless is the state of a replica that knows no leader.
 type Leaderless struct {
 	// Duration is how long it has known none.
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -7,13 +7,15 @@
 	"github.com/phuslu/log"
 )
 
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logger writes JSON lines for all components.
 type Logger struct{ log *log.Logger }
 
 // New returns a logger that writes to w from a level up, such as "info".
 func New(w io.Writer, level string) *Logger {
 	return &Logger{log: &log.Logger{
-		Level: log.ParseLevel(level), TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: w},
+		Level: log.ParseLevel(level), TimeFormat: timeFormat, Writer: &log.IOWriter{Writer: w},
 	}}
 }
 
@@ -28,7 +30,7 @@
 		late: lineQuota{perSecond: lateLinesPerSecond}, orders: lineQuota{perSecond: orderLinesPerSecond},
 		loads: lineQuota{perSecond: orderLinesPerSecond}, refusals: lineQuota{perSecond: refusalLinesPerSecond},
 		rooms: lineQuota{perSecond: roomLinesPerSecond}, calls: lineQuota{perSecond: callLinesPerSecond},
-		writes: lineQuota{perSecond: writeLinesPerSecond},
+		writes: lineQuota{perSecond: writeLinesPerSecond}, library: lineQuota{perSecond: libraryLinesPerSecond},
 	}
 }
 
@@ -45,6 +47,7 @@
 	rooms    lineQuota
 	calls    lineQuota
 	writes   lineQuota
+	library  lineQuota
 }
 
 // RequestTiming is the latency breakdown of a request.
--- a/stage/logger/quota.go
+++ b/stage/logger/quota.go
@@ -16,6 +16,7 @@
 	roomLinesPerSecond    = 10
 	callLinesPerSecond    = 20
 	writeLinesPerSecond   = 2
+	libraryLinesPerSecond = 5
 )
 
 // lineQuota limits one kind of line per second.
