Replicator: a leader that was just elected hands its lead over at a planned stop

Callers saw reads of the configuration refused for good, and adapters that nobody loaded, in a group all of whose replicas ran, without a line in any log. A leader took each voter that hadn't acknowledged its own writes yet for gone: between its election and the first acknowledgement, about one sync, Transfer had no target, so that a planned stop went on without giving up lead or vote, and said nothing. The group kept a voter that was gone; the loss of as many disks as it tolerates later left no quorum.

TestTransferRightAfterElection fails before.

How long a voter has been silent is now counted from the election, as where voters are replaced. A vote that isn't given up leaves a line.

--- a/coord/replicator/election.go
+++ b/coord/replicator/election.go
@@ -165,7 +165,7 @@
 	best := uint64(0)
 	for _, mb := range r.membership.voters() {
 		p := r.peers[mb.ID]
-		if p == nil || p.isResigning || now.Sub(r.stampTime(p.ackedStamp)) > r.cfg.ElectionTimeout {
+		if p == nil || p.isResigning || r.silence(now, mb.ID) > r.cfg.ElectionTimeout {
 			continue
 		}
 		if best == 0 || p.matchIndex > r.peers[best].matchIndex {
--- /dev/null
+++ b/coord/replicator/slow_writes_test.go
@@ -0,0 +1,20 @@
+package replicator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A leader that was just elected took all others for gone: a planned stop kept its vote, and later losses left no quorum.
+func TestTransferRightAfterElection(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := startedVoter(t, now, nil, 1)
+	m := requestVote(t, r, now)
+	now = now.Add(2 * DefaultElectionTimeout)
+	r.Step(now, Message{Type: TypeVoteResponse, From: 2, To: 1, Term: m.Term, Hint: m.Hint})
+	r.Persisted(now, r.Write())
+	qt.Assert(t, r.Leader(), qt.Equals, uint64(1))
+	qt.Check(t, r.Transfer(now), qt.IsTrue)
+}
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -179,7 +179,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
-	if err := r.Resign(ctx); err != nil && !errors.Is(err, runner.ErrNoTarget) {
+	if err := r.Resign(ctx); err != nil {
 		ms.logger.Error("give up the vote", err)
 	}
 }
