Replicator: a follower forgets a silent leader while its disk writes

Since elections no longer begin while the own vote isn't durable, a follower whose write hung went on naming a leader that was gone: calls were redirected to it, sessions dialled it, and the replica never asked whether it is still a member. TestFollowerForgetsSilentLeaderDuringWrite fails before and passed on.

--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -206,6 +206,9 @@
 	case r.isVoting():
 		// The vote of this term isn't durable: another term would take one more write, and the others wait for this one.
 		r.waitingSince = now
+		if r.role == follower {
+			r.leaderID = 0
+		}
 	default:
 		r.campaign(now)
 	}
