Replicator: the time for an election doubles from the second that fails

A group with a hung disk, or on a lossy network, took longer than before to elect a leader: a replica whose disk hangs may win one election now, which it can't use, and after that all waited twice as long.

--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -222,13 +222,13 @@
 	return r.waitingSince.Add(r.campaignTimeout())
 }
 
-// campaignTimeout returns how long to wait for a leader. It doubles with each election that failed, since writes may take
-// longer than an election.
+// campaignTimeout returns how long to wait for a leader. It doubles with each election that fails after the first one, since
+// writes may take longer than an election.
 func (r *Replicator) campaignTimeout() time.Duration {
 	if vs := r.membership.voters(); len(vs) == 1 && vs[0].ID == r.cfg.ID {
 		return r.cfg.ElectionTimeout
 	}
-	return r.randomizedTimeout << min(max(r.elections-1, 0), maxElectionDoublings)
+	return r.randomizedTimeout << min(max(r.elections-2, 0), maxElectionDoublings)
 }
 
 // touch records that a leader was heard or voted for.
