Governor: a replica that lost its disk joins a group on slow disks

Callers saw a group that stayed short of a replica, and no line that says why. The leader allocated an ID under the context of the call, which the replica gives up after 0.7 s: with syncs as long the answer never came, each request allocated one more, and the replica had none.

One allocation is made for all requests from an address, and it outlives them; the replica asks again and gets its ID. The test's file system is a new dependency of the control process, the operating system's without one.

--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -12,6 +12,7 @@
 
 	"redwingstage.org/coord/carrier"
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/coord/journaler"
 	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/limiter"
@@ -70,6 +71,8 @@
 	Decode  func(Doc) (*matcher.Table, error)
 	Engines Engines
 	Log     *logger.Logger
+	// FileSystem stores the replica's log; nil means the operating system's.
+	FileSystem journaler.FileSystem
 }
 
 // replaceAfter returns how long a voter may be silent: an election and the exchange must fit into SyncTime with it.
@@ -113,6 +116,9 @@
 	g := &Governor{cfg: cfg, deps: deps, log: deps.Log.Component("control")}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.membership = newMembership(cfg, g.log)
+	if deps.FileSystem != nil {
+		g.membership.fs = deps.FileSystem
+	}
 	g.hub = newHub(g.ctx, cfg, deps, g.membership, g.log, g.wg.Go)
 	g.membership.onStateChange, g.membership.onWrite = g.hub.stateChanged, g.hub.metrics.observeWrite
 	mux := http.NewServeMux()
--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"redwingstage.org/coord/journaler"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
@@ -24,13 +25,20 @@
 	// tolerated is Config.Tolerated.
 	tolerated int
 	running   map[int]*Governor
+	// disks are the replicas' file system, nil for the operating system's.
+	disks journaler.FileSystem
 	// log has the replicas' log lines; a failed test prints it.
 	log *LogBuffer
 }
 
 // newGroup starts n replicas; the first three are the group's initial members and the others join.
 func newGroup(c *qt.C, n int) *group {
-	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), running: make(map[int]*Governor), log: &LogBuffer{}}
+	return newGroupOn(c, n, nil)
+}
+
+// newGroupOn is newGroup on the given disks, nil for real ones.
+func newGroupOn(c *qt.C, n int, disks journaler.FileSystem) *group {
+	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), disks: disks, running: make(map[int]*Governor), log: &LogBuffer{}}
 	for range n {
 		addr, err := launcher.FreeAddr(context.Background())
 		c.Assert(err, qt.IsNil)
@@ -60,7 +68,7 @@
 			report: func() (EngineReport, error) { return EngineReport{}, nil },
 			order:  func(EngineOrder) (OrderResult, error) { return Rejected, nil },
 		},
-		Log: logger.New(g.log, "info"),
+		Log: logger.New(g.log, "info"), FileSystem: g.disks,
 	})
 	g.c.Assert(err, qt.IsNil)
 	g.running[i] = gov
--- a/stage/governor/join.go
+++ b/stage/governor/join.go
@@ -11,8 +11,19 @@
 	"redwingstage.org/coord/runner"
 )
 
-// addTimeout bounds the addition of a replica as a learner. A replica that isn't added asks again.
-const addTimeout = time.Second
+const (
+	// addTimeout bounds the addition of a replica as a learner. A replica that isn't added asks again.
+	addTimeout = time.Second
+	// allocateTimeout bounds the allocation of a replica's ID; it ends with the leadership.
+	allocateTimeout = 15 * time.Second
+)
+
+// allocation is a replica's ID, which the log may not have committed yet; id and err are set once done is closed.
+type allocation struct {
+	done chan struct{}
+	id   uint64
+	err  error
+}
 
 // joiner adds replicas for the leader, one at a time; the log's leader decides which of them vote. Other goroutines may
 // call only assignID.
@@ -22,6 +33,8 @@
 	leadership int
 	// assigned are assigned IDs of replicas that aren't members yet, by address.
 	assigned map[string]uint64
+	// allocations are those that aren't committed yet, by address.
+	allocations map[string]*allocation
 	// refused are IDs that can't be used again.
 	refused map[uint64]bool
 	adding  bool
@@ -29,13 +42,14 @@
 }
 
 func newJoiner(h *hub) *joiner {
-	return &joiner{hub: h, assigned: make(map[string]uint64), refused: make(map[uint64]bool)}
+	return &joiner{hub: h, assigned: make(map[string]uint64), allocations: make(map[string]*allocation), refused: make(map[uint64]bool)}
 }
 
 // reset clears the state of an earlier leadership.
 func (j *joiner) reset() {
 	j.leadership++
 	clear(j.assigned)
+	clear(j.allocations)
 	clear(j.refused)
 	j.adding, j.queue = false, nil
 }
@@ -58,26 +72,63 @@
 	if slices.ContainsFunc(st.Members, func(m runner.Member) bool { return m.ID == req.ID && m.Addr == req.Addr }) {
 		return joinReply{ID: req.ID}, nil
 	}
-	known := make(chan uint64, 1)
-	if !j.hub.post(func(time.Time) { known <- j.knownID(req) }) {
+	ids := make(chan *allocation, 1)
+	if !j.hub.post(func(time.Time) { ids <- j.identify(req, st.Members) }) {
 		return joinReply{}, ErrNoLeader
 	}
-	var id uint64
+	var a *allocation
+	select {
+	case a = <-ids:
+	case <-ctx.Done():
+		return joinReply{}, ctx.Err()
+	}
 	select {
-	case id = <-known:
+	case <-a.done:
+		return joinReply{ID: a.id}, a.err
 	case <-ctx.Done():
 		return joinReply{}, ctx.Err()
 	}
-	isMember := slices.ContainsFunc(st.Members, func(m runner.Member) bool { return m.ID == id })
+}
+
+// identify returns the ID that a replica has or was assigned, or allocates one.
+func (j *joiner) identify(req joinRequest, members []runner.Member) *allocation {
+	id := j.knownID(req)
+	isMember := slices.ContainsFunc(members, func(m runner.Member) bool { return m.ID == id })
 	if id == 0 || req.ID != 0 && req.ID != id || isMember {
-		res, err := j.hub.membership.propose(ctx, command{AllocateID: true})
-		if err != nil {
-			return joinReply{}, err
-		}
-		id = res.Number
+		return j.allocate(req.Addr)
 	}
-	j.hub.post(func(time.Time) { j.queueAdd(runner.Member{ID: id, Addr: req.Addr}) })
-	return joinReply{ID: id}, nil
+	j.queueAdd(runner.Member{ID: id, Addr: req.Addr})
+	a := &allocation{done: make(chan struct{}), id: id}
+	close(a.done)
+	return a
+}
+
+// allocate allocates an ID for the replica at addr, once for all its requests meanwhile: the commit may take longer than a
+// replica waits for a response.
+func (j *joiner) allocate(addr string) *allocation {
+	if a := j.allocations[addr]; a != nil {
+		return a
+	}
+	a := &allocation{done: make(chan struct{})}
+	j.allocations[addr] = a
+	leadership := j.leadership
+	j.hub.spawn(func() {
+		ctx, cancel := context.WithTimeout(j.hub.ctx, allocateTimeout)
+		defer cancel()
+		res, err := j.hub.membership.propose(ctx, command{AllocateID: true})
+		a.id, a.err = res.Number, err
+		j.hub.post(func(time.Time) {
+			defer close(a.done)
+			if j.leadership != leadership {
+				return
+			}
+			delete(j.allocations, addr)
+			if err == nil {
+				j.queueAdd(runner.Member{ID: a.id, Addr: addr})
+			}
+		})
+	})
+	return a
 }
 
 // knownID returns the ID that a replica has or was assigned and that may still be added, or 0.
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -57,6 +57,7 @@
 type membership struct {
 	cfg           Config
 	logger        *logger.Component
+	fs            journaler.FileSystem
 	onStateChange func()
 	// onWrite gets the time that each write to the journal took.
 	onWrite func(took time.Duration)
@@ -72,7 +73,7 @@
 }
 
 func newMembership(cfg Config, l *logger.Component) *membership {
-	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}), joins: make(map[string]joinOutcome)}
+	return &membership{cfg: cfg, logger: l, fs: journaler.OSFileSystem{}, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}), joins: make(map[string]joinOutcome)}
 }
 
 // log returns the open log, or nil.
@@ -227,7 +228,7 @@
 		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
 		ReplaceAfter: ms.cfg.replaceAfter(), Voters: ms.cfg.voters(),
-	}, m, c, runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()), runner.WithWriteObserver(ms.writeEnded))
+	}, m, c, runner.WithFileSystem(ms.fs), runner.WithSnapshotEvery(snapshotCommands, snapshotBytes), runner.WithObserver(ms.memberLogger()), runner.WithWriteObserver(ms.writeEnded))
 	if err != nil {
 		return errors.Join(err, c.Close())
 	}
