Governor: a leader on slow disks begins its epoch

Callers saw reads answered while no adapter was loaded and no entry had a session: the commit that begins a leader's epoch was given 3 s, as any command, and was proposed anew after that. With syncs of 3.2 s the log's leader held its lease and the control process never led, in 45 s of a trial; TestLeaderOnSlowDisksBeginsItsEpoch fails before, not within a minute. It gets 15 s now, and ends with the leadership in any case.

--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// epochTimeout bounds the commit that begins a leader epoch; it ends with the leadership, and slow disks take seconds.
+const epochTimeout = 15 * time.Second
+
 // updateLeadership starts or ends this replica's leadership.
 func (h *hub) updateLeadership(now time.Time) {
 	r := h.membership.log()
@@ -24,7 +27,7 @@
 	}
 	h.leaderEpochPending = true
 	h.spawn(func() {
-		ctx, cancel := context.WithTimeout(h.ctx, proposeTimeout)
+		ctx, cancel := context.WithTimeout(h.ctx, epochTimeout)
 		defer cancel()
 		res, err := h.membership.propose(ctx, command{BeginLeaderEpoch: true})
 		h.post(func(now time.Time) {
--- a/stage/governor/slow_disks_test.go
+++ b/stage/governor/slow_disks_test.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -74,3 +75,24 @@
 	}
 	c.Check(allocated-maxInitialID < 4, qt.IsTrue, qt.Commentf("%d IDs are allocated", allocated-maxInitialID))
 }
+
+// A leader whose epoch wasn't committed within the time for a command held its lease, and served no session and no engine.
+func TestLeaderOnSlowDisksBeginsItsEpoch(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	disks := &slowDisks{}
+	g := newGroupOn(c, 3, disks)
+	g.awaitVoters(3)
+	g.put(1)
+	for i := range 3 {
+		g.stop(i)
+	}
+	disks.sync.Store(int64(proposeTimeout + 200*time.Millisecond))
+	defer disks.sync.Store(0)
+	const leads = `control: leads"`
+	before := strings.Count(g.log.String(), leads)
+	for i := range 3 {
+		g.start(i, false)
+	}
+	awaitOnSlowDisks(c, "the leader's epoch", func() bool { return strings.Count(g.log.String(), leads) > before })
+}
