Governor: a shutdown doesn't wait for a blocked control goroutine

A replica whose control goroutine was blocked didn't stop when it was told to, and led on: Close waited for that goroutine before it gave up lead and vote. TestCloseEndsBesideBlockedControlGoroutine fails before, the lead hadn't moved within 15 s.

--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -7,8 +7,12 @@
 	"time"
 )
 
-// epochTimeout bounds the commit that begins a leader epoch; it ends with the leadership, and slow disks take seconds.
-const epochTimeout = 15 * time.Second
+const (
+	// shutdownTimeout bounds the wait for the control goroutine at a shutdown.
+	shutdownTimeout = electionTimeout
+	// epochTimeout bounds the commit that begins a leader epoch; it ends with the leadership, and slow disks take seconds.
+	epochTimeout = 15 * time.Second
+)
 
 // updateLeadership starts or ends this replica's leadership.
 func (h *hub) updateLeadership(now time.Time) {
@@ -134,7 +138,8 @@
 	h.versionWaits = nil
 }
 
-// shutDown refuses new sessions and closes the open ones before a shutdown.
+// shutDown refuses new sessions and closes the open ones before a shutdown. It waits shutdownTimeout at most: the lead and the
+// vote are given up in any case.
 func (h *hub) shutDown() {
 	done := make(chan struct{})
 	if h.post(func(time.Time) {
@@ -143,8 +148,12 @@
 		h.relay.closeSessions(endShutdown)
 		close(done)
 	}) {
+		t := time.NewTimer(shutdownTimeout)
+		defer t.Stop()
 		select {
 		case <-done:
+		case <-t.C:
+			h.log.Warn("the control goroutine is blocked, shutting down without it", "")
 		case <-h.ctx.Done():
 		}
 	}
