Governor: a leader whose control goroutine is blocked hands the lead over

Callers saw reads answered while no entry had a session and no engine got an order: the lead follows the log, whose event loop runs on while the goroutine that serves sessions and engines stands still, and relays dial the same leader again and again. TestLeaderWithBlockedControlGoroutineLosesLead fails before, no other replica led within 15 s.

--- a/stage/governor/blocked_test.go
+++ b/stage/governor/blocked_test.go
@@ -50,3 +50,14 @@
 	<-done
 	delete(g.running, i)
 }
+
+// A leader whose control goroutine was blocked kept the lead: no relay had a session, and no order was given.
+func TestLeaderWithBlockedControlGoroutineLosesLead(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.awaitVoters(3)
+	i, gov := g.leader()
+	release := gov.block()
+	defer release()
+	c.Check(g.otherLeads(i), qt.IsTrue)
+}
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -134,6 +134,7 @@
 	g.wg.Go(func() { g.membership.watchLeader(g.ctx) })
 	g.wg.Go(g.hub.run)
 	g.wg.Go(g.hub.follow)
+	g.wg.Go(func() { g.watchHub(g.ctx) })
 	return g, nil
 }
 
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"redwingstage.org/coord/encoder"
@@ -64,6 +65,8 @@
 	versionWaits []versionWait
 	shuttingDown bool
 	metrics      *metrics
+	// ticks is the number of periodic rounds of the control goroutine.
+	ticks atomic.Uint64
 }
 
 // versionWait is a wait until all entries have a version of the document; done is then closed.
@@ -140,6 +143,7 @@
 
 // tick does the periodic work.
 func (h *hub) tick(now time.Time) {
+	h.ticks.Add(1)
 	h.updateLeadership(now)
 	h.metrics.leads.Set(0)
 	h.relay.tick(now)
