Governor: a running replica asks the addresses that its settings get

A replica that looks for its group with addresses that are all gone never found it, though the platform had written new ones and said so: only entries read their settings again (trial: not joined 12 s after a new file and SIGHUP, joined within 6 s of a restart with the same file). TestReplicaAsksAddedPeers shows the new call; the trial with processes was not repeated.

--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -138,6 +138,15 @@
 	return g, nil
 }
 
+// AddPeers adds addresses of replicas, as ip:port, that this one may ask for its group.
+func (g *Governor) AddPeers(addrs []string) {
+	peers := make([]Peer, 0, len(addrs))
+	for _, addr := range addrs {
+		peers = append(peers, Peer{Addr: addr})
+	}
+	g.membership.addPeers(peers)
+}
+
 // Close transfers the leadership, gives up the vote if a learner can take it, and stops the replica.
 func (g *Governor) Close() error {
 	g.hub.shutDown()
--- a/stage/governor/join_test.go
+++ b/stage/governor/join_test.go
@@ -111,3 +111,29 @@
 	}
 	c.Error("the replica has no leader")
 }
+
+// A replica that looked for its group ignored the addresses that its settings had got meanwhile, until it was started again.
+func TestReplicaAsksAddedPeers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	g.awaitVoters(3)
+	addrs := g.addrs
+	for range 2 {
+		addr, err := launcher.FreeAddr(context.Background())
+		c.Assert(err, qt.IsNil)
+		g.addrs = append(g.addrs, addr)
+	}
+	gone, joining := g.addrs[3], g.addrs[4]
+	// The replica knows only an address that nobody listens on.
+	g.addrs = []string{gone, gone, gone, gone, joining}
+	g.start(4, false)
+	g.addrs = append(addrs, gone, joining)
+	g.running[4].AddPeers(addrs[1:2])
+	for {
+		if r := g.running[4].membership.log(); r != nil && r.Status().Leader != 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
