--- a/stage/governor/sessions_test.go
+++ b/stage/governor/sessions_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"math"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"redwingstage.org/coord/encoder"
 )
@@ -86,3 +89,23 @@
 	}
 	c.Error("the session's end isn't counted")
 }
+
+// Metrics of the process that runs the replica are served with its own.
+func TestRegisteredMetricsAreServed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGroup(c, 3)
+	counter := prometheus.NewCounter(prometheus.CounterOpts{Name: "calls_total", Help: "Calls."})
+	g.running[0].Registerer().MustRegister(counter)
+	counter.Inc()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+g.addrs[0]+metricsPath, nil)
+	c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	text, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Body.Close(), qt.IsNil)
+	for _, line := range []string{"calls_total 1\n", "redwingstage_control_journal_write_seconds_count", "redwingstage_control_leader_age_seconds"} {
+		c.Check(string(text), qt.Contains, line)
+	}
+}
