Encoder: a client's Close closes every connection that it opened

What callers saw: each session, probe, join, forwarded call and stream of the log that ended while its peer was silent left a TCP connection open. Once the peer ran again, it read what waited there, an old hello for one.

Cause: CloseIdleConnections closes no connection whose stream is open, and it ran before the stream was cancelled.

Change: encoder.Client keeps its connections. Close closes the idle ones, aborts the others without sending what the kernel still holds, ends the dials in progress and waits for them. Callers that make a client for one call or session close it; the forwarder closes a dropped peer's client once its last call has ended. In a session, Close takes the place of the wait for the transport.

--- a/coord/carrier/carrier_test.go
+++ b/coord/carrier/carrier_test.go
@@ -78,7 +78,7 @@
 		_ = s.Send(&frame{Type: 1})
 		_, err := s.CloseAndReceive()
 		qt.Check(t, err, qt.ErrorMatches, tt.want)
-		h.CloseIdleConnections()
+		h.Close()
 	}
 	qt.Assert(t, c.Close(), qt.IsNil)
 	r := httptest.NewRequest(http.MethodPost, procedure, nil)
@@ -121,7 +121,7 @@
 	// The second connection shows that the first one was abandoned.
 	for range 2 {
 		conn := <-conns
-		defer func() { _ = conn.Close() }()
+		defer conn.Close()
 	}
 	close(stop)
 	<-stopped
--- a/coord/encoder/encoder.go
+++ b/coord/encoder/encoder.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"time"
 
@@ -124,18 +123,6 @@
 	return connect.WithOptions(connect.WithCodec(Codec{}), connect.WithCompressMinBytes(minCompressedBytes))
 }
 
-// NewClient returns an HTTP client for unencrypted HTTP/2 that detects dead connections by pings.
-func NewClient() *http.Client {
-	d := net.Dialer{Timeout: dialTimeout}
-	var p http.Protocols
-	p.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &messageJoiner{&http.Transport{
-		DialContext: d.DialContext,
-		Protocols:   &p,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout},
-	}}}
-}
-
 // NewServer returns an HTTP server for handler that accepts HTTP/1 and unencrypted HTTP/2.
 func NewServer(handler http.Handler) *http.Server {
 	var p http.Protocols
--- a/coord/encoder/joiner_test.go
+++ b/coord/encoder/joiner_test.go
@@ -106,8 +106,8 @@
 			srv.Start()
 			defer srv.Close()
 			client := NewClient()
-			defer client.CloseIdleConnections()
-			rec := &flagRecorder{RoundTripper: client.Transport}
+			defer client.Close()
+			rec := &flagRecorder{RoundTripper: client.http.Transport}
 			s := connect.NewClient[sample, sample](&http.Client{Transport: rec}, srv.URL+"/echo", ConnectOption()).CallBidiStream(context.Background())
 			qt.Assert(t, s.Send(&sample{Name: strings.Repeat("a", tt.size)}), qt.IsNil)
 			m, err := s.Receive()
--- a/stage/controller/client.go
+++ b/stage/controller/client.go
@@ -189,7 +189,7 @@
 	defer cancel()
 	// Each stream has its own connection, since a shared one that went silent would also carry the next stream.
 	conn := encoder.NewClient()
-	defer conn.CloseIdleConnections()
+	defer conn.Close()
 	client := connect.NewClient[entryMessage, leaderMessage](conn, "http://"+addr+pathEntry, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessageBytes))
 	stream := client.CallBidiStream(ctx)
 	out := newQueue[entryMessage]()
--- a/stage/controller/link.go
+++ b/stage/controller/link.go
@@ -92,7 +92,8 @@
 	conn := encoder.NewClient()
 	client := connect.NewClient[linkUpBatch, linkDownBatch](conn, "http://"+addr+pathLink, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessageBytes))
 	h.spawn(func() {
-		defer conn.CloseIdleConnections()
+		defer conn.Close()
+		defer context.AfterFunc(ctx, conn.Close)()
 		stream := client.CallBidiStream(ctx)
 		defer h.post(h.ctx, func(time.Time) { h.closeUplink(u) })
 		h.spawn(func() {
--- a/stage/controller/operate.go
+++ b/stage/controller/operate.go
@@ -104,7 +104,7 @@
 		fctx, cancel := context.WithTimeout(ctx, maxInForceTimeout+leaderTimeout)
 		defer cancel()
 		conn := encoder.NewClient()
-		defer conn.CloseIdleConnections()
+		defer conn.Close()
 		client := connect.NewClient[opRequest, opResponse](conn, "http://"+m.Addr+pathOperate, encoder.ConnectOption())
 		res, err := client.CallUnary(fctx, connect.NewRequest(&req))
 		if err != nil {
--- a/stage/forwarder/claim.go
+++ b/stage/forwarder/claim.go
@@ -88,8 +88,10 @@
 func (c *Client) Claim(
 	ctx context.Context, addr string, d quarantiner.Digest, process quarantiner.ServerProcess, m quarantiner.Mode,
 ) (release func(), server string, ok bool, err error) {
-	p := c.peer(addr)
+	p := c.beginCall(addr)
+	endCall := func() { c.endCall(p) }
 	if p.inClaimBackoff(time.Now()) {
+		endCall()
 		return nil, "", false, errClaimBackoff
 	}
 	// The claim outlives a cancelled ctx: it is released once the attempt no longer runs.
@@ -108,12 +110,14 @@
 	}
 	if err != nil {
 		cancel()
+		endCall()
 		p.setClaimBackoff(time.Now().Add(claimBackoff))
 		return nil, "", false, err
 	}
 	closeCall := func() {
 		cancel()
 		_ = in.Close()
+		endCall()
 	}
 	if a := in.Msg(); !a.OK {
 		closeCall()
--- a/stage/forwarder/client.go
+++ b/stage/forwarder/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,11 +30,15 @@
 
 // peer is one entry, with its own connections so that stalled ones can be dropped.
 type peer struct {
-	http  *http.Client
+	http  *encoder.Client
 	serve *connect.Client[serveRequest, frame]
 	claim *connect.Client[claimRequest, claimAnswer]
 	// claimBackoffUntil is the Unix time in nanoseconds until which no claim is sent.
 	claimBackoffUntil atomic.Int64
+
+	// calls and dropped are guarded by the client's mutex.
+	calls   int
+	dropped bool
 }
 
 // NewClient returns a Client.
@@ -42,13 +46,13 @@
 	return &Client{silenceTimeout: defaultSilenceTimeout, peers: make(map[string]*peer)}
 }
 
-// Close closes the idle connections.
+// Close closes the connections, those in use once their last call ends.
 func (c *Client) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for addr, p := range c.peers {
-		p.http.CloseIdleConnections()
-		delete(c.peers, addr)
+	peers := maps.Clone(c.peers)
+	c.mu.Unlock()
+	for addr, p := range peers {
+		c.dropPeer(addr, p)
 	}
 }
 
@@ -58,7 +62,8 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(c.silenceTimeout, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	p := c.peer(addr)
+	p := c.beginCall(addr)
+	defer c.endCall(p)
 	in, err := p.serve.CallServerStream(ctx, connect.NewRequest(newServeRequest(req, server, lastCandidate, time.Now())))
 	if err != nil {
 		return c.forwardFailure(ctx, addr, p, err)
@@ -117,25 +122,42 @@
 	return streamer.End{Outcome: o, Reason: streamer.ReasonForwardFailed, Message: "the hop to the owner failed: " + err.Error()}
 }
 
-func (c *Client) peer(addr string) *peer {
+// beginCall returns the peer at addr, whose connections stay open until endCall.
+func (c *Client) beginCall(addr string) *peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p, ok := c.peers[addr]; ok {
+		p.calls++
 		return p
 	}
 	h := encoder.NewClient()
-	p := &peer{http: h, serve: connect.NewClient[serveRequest, frame](h, "http://"+addr+serveProcedure, encoder.ConnectOption(),
+	p := &peer{http: h, calls: 1, serve: connect.NewClient[serveRequest, frame](h, "http://"+addr+serveProcedure, encoder.ConnectOption(),
 		connect.WithReadMaxBytes(maxUnreadBytes+maxRequestBytes), connect.WithAcceptCompression("gzip", nil, nil))}
 	p.claim = connect.NewClient[claimRequest, claimAnswer](h, "http://"+addr+claimProcedure, encoder.ConnectOption(), connect.WithReadMaxBytes(maxClaimBytes))
 	c.peers[addr] = p
 	return p
 }
 
-// dropPeer makes the next request open a new connection.
+func (c *Client) endCall(p *peer) {
+	c.mu.Lock()
+	p.calls--
+	unused := p.dropped && p.calls == 0
+	c.mu.Unlock()
+	if unused {
+		p.http.Close()
+	}
+}
+
+// dropPeer makes the next call open a new connection, and closes the peer's own once its last call has ended.
 func (c *Client) dropPeer(addr string, p *peer) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.peers[addr] == p {
 		delete(c.peers, addr)
 	}
+	unused := !p.dropped && p.calls == 0
+	p.dropped = true
+	c.mu.Unlock()
+	if unused {
+		p.http.Close()
+	}
 }
--- a/stage/forwarder/forwarder_test.go
+++ b/stage/forwarder/forwarder_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/retrier"
@@ -65,3 +69,40 @@
 	qt.Check(t, end.Outcome, qt.Equals, retrier.Done)
 	qt.Check(t, owner.served, qt.Equals, 1)
 }
+
+// The connections of a peer that was dropped since it went silent stayed open, and requests that waited there reached it
+// late. Calls that share a dropped peer's connections still end by themselves.
+func TestDroppedPeersConnectionsAreClosed(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = lis.Close() }()
+	addr := lis.Addr().String()
+	c := NewClient()
+	c.silenceTimeout = 50 * time.Millisecond
+	r := streamer.Request{Kind: "plain", Method: "POST", URI: "/x", Key: "k"}
+	r.Target.Service = "orders"
+	shared := c.beginCall(addr)
+	end := c.Serve(context.Background(), addr, &r, "o1", true, streamer.New(1))
+	qt.Check(t, end.Message, qt.Contains, errSilent.Error())
+	conn, err := lis.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	qt.Check(t, isClosedByPeer(conn, 100*time.Millisecond), qt.IsFalse)
+	c.endCall(shared)
+	qt.Check(t, isClosedByPeer(conn, 5*time.Second), qt.IsTrue)
+
+	other := c.beginCall(addr)
+	qt.Check(t, other == shared, qt.IsFalse)
+	c.endCall(other)
+	c.Close()
+}
+
+// isClosedByPeer reports whether the peer closes the connection within d.
+func isClosedByPeer(conn net.Conn, d time.Duration) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := io.Copy(io.Discard, conn)
+	var netErr net.Error
+	return !errors.As(err, &netErr) || !netErr.Timeout()
+}
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := encoder.NewClient()
-	defer client.CloseIdleConnections()
+	defer client.Close()
 	call := connect.NewClient[UpMessage, DownMessage](client, "http://"+addr+pathSession, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage))
 	stream := call.CallBidiStream(ctx)
 	defer func() { _ = stream.CloseRequest() }()
@@ -87,7 +87,7 @@
 		case m = <-up:
 		case <-ctx.Done():
 			// The transport checks the context only after the request has ended.
-			_ = stream.CloseRequest()
+			client.Close()
 			if err := <-received; context.Cause(ctx) == nil {
 				return redirect, err
 			}
@@ -95,7 +95,7 @@
 		}
 		if err := stream.Send(&m); err != nil {
 			cancel(err)
-			_ = stream.CloseRequest()
+			client.Close()
 			return redirect, errors.Join(err, <-received)
 		}
 		if len(m.Dropped) > 0 {
--- a/stage/governor/link.go
+++ b/stage/governor/link.go
@@ -26,7 +26,7 @@
 // respond before ctx is done.
 func ProbeLink(ctx context.Context, addr string) (LeaderLink, error) {
 	client := encoder.NewClient()
-	defer client.CloseIdleConnections()
+	defer client.Close()
 	call := connect.NewClient[linkRequest, LeaderLink](client, "http://"+addr+pathLink, encoder.ConnectOption())
 	res, err := call.CallUnary(ctx, connect.NewRequest(&linkRequest{}))
 	if err != nil {
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -421,7 +421,7 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	client := encoder.NewClient()
-	defer client.CloseIdleConnections()
+	defer client.Close()
 	call := connect.NewClient[joinRequest, joinReply](client, "http://"+addr+pathJoin, encoder.ConnectOption())
 	res, err := call.CallUnary(ctx, connect.NewRequest(&joinRequest{Addr: ms.cfg.Addr, ID: id}))
 	if err != nil {
--- a/stage/relayer/early_answers_test.go
+++ b/stage/relayer/early_answers_test.go
@@ -53,7 +53,7 @@
 				return
 			}
 			go func() {
-				defer func() { _ = conn.Close() }()
+				defer conn.Close()
 				_, _ = io.CopyN(io.Discard, conn, int64(a.reads))
 				for _, p := range a.parts {
 					_, _ = io.WriteString(conn, p)
--- a/stage/relayer/faulty_engines_test.go
+++ b/stage/relayer/faulty_engines_test.go
@@ -270,7 +270,7 @@
 
 // serveConn serves the requests of one connection to an engine.
 func (s *scenario) serveConn(engine int, conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
+	defer conn.Close()
 	br := bufio.NewReader(conn)
 	for ok := true; ok; {
 		r, err := http.ReadRequest(br)
--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -36,7 +36,7 @@
 				return
 			}
 			go func() {
-				defer func() { _ = conn.Close() }()
+				defer conn.Close()
 				br := bufio.NewReader(conn)
 				for n := 0; ; n++ {
 					r, err := http.ReadRequest(br)
--- a/stage/relayer/quota_test.go
+++ b/stage/relayer/quota_test.go
@@ -62,7 +62,7 @@
 // respond returns the status and the header of the response that write writes.
 func respond(c *qt.C, write func(w *responseWriter)) (int, http.Header) {
 	server, client := net.Pipe()
-	defer func() { _ = client.Close() }()
+	defer client.Close()
 	var writing conc.WaitGroup
 	writing.Go(func() {
 		// A panic of write must end the reading below.
