Sessions: a send that waits for a silent peer ends with the session

What callers saw: a relay or an entry whose leader no longer read followed no leader and tried none until the transport's ping closed the connection, up to 33 s later.

Cause: the silence timer cancels the context, but a send that waits for the peer's window or its socket doesn't watch it.

Change: the end of the context closes the session's client, and with it the connection.

Evidence: TestSessionEndsWhileItsMessagesWait waits 10 s in vain before; after, the session ends with "the leader is silent" within 3 s. go test -race ./governor ./relayer passes.

--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// PathSession is the URL path of sessions.
+const PathSession = pathSession
+
 // LogBuffer collects the log lines of several processes.
 type LogBuffer struct {
 	mu   sync.Mutex
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -37,14 +37,15 @@
 	defer cancel(nil)
 	client := encoder.NewClient()
 	defer client.Close()
-	call := connect.NewClient[UpMessage, DownMessage](client, "http://"+addr+pathSession, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage))
-	stream := call.CallBidiStream(ctx)
+	// A send that waits for the peer doesn't watch the context.
+	defer context.AfterFunc(ctx, client.Close)()
+	stream := connect.NewClient[UpMessage, DownMessage](client, "http://"+addr+pathSession, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage)).CallBidiStream(ctx)
 	defer func() { _ = stream.CloseRequest() }()
 	silence := time.AfterFunc(firstMessageTimeout, func() { cancel(errors.New("the leader is silent")) })
 	defer silence.Stop()
 	sent := newSendTimes(time.Now())
 	if err := stream.Send(&UpMessage{Hello: &hello}); err != nil {
-		return "", errors.Wrap(err, "send hello")
+		return "", sessionError(ctx, errors.Wrap(err, "send hello"))
 	}
 	var sequence uint64
 	received := make(chan error, 1)
@@ -79,24 +80,22 @@
 		var m UpMessage
 		select {
 		case err := <-received:
-			return redirect, err
+			return redirect, sessionError(ctx, err)
 		case <-ticker.C:
 			sequence++
 			sent.add(sequence, time.Now())
 			m = UpMessage{Heartbeat: sequence}
 		case m = <-up:
 		case <-ctx.Done():
-			// The transport checks the context only after the request has ended.
-			client.Close()
-			if err := <-received; context.Cause(ctx) == nil {
-				return redirect, err
-			}
-			return redirect, context.Cause(ctx)
+			return redirect, sessionError(ctx, <-received)
 		}
 		if err := stream.Send(&m); err != nil {
+			cause := context.Cause(ctx)
 			cancel(err)
-			client.Close()
-			return redirect, errors.Join(err, <-received)
+			if rerr := <-received; cause == nil {
+				return redirect, errors.Join(err, rerr)
+			}
+			return redirect, cause
 		}
 		if len(m.Dropped) > 0 {
 			dropped(m.Dropped)
@@ -104,6 +103,14 @@
 	}
 }
 
+// sessionError returns the reason for which the session was cancelled, or else err.
+func sessionError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // isEmptyDown reports whether a message has no content, as from a replica that knows no leader.
 func isEmptyDown(d *DownMessage) bool {
 	return d.Doc == nil && d.Heartbeat == 0 && d.Entries == 0 && d.Quotas == nil && len(d.Replicas)+len(d.FullResidents)+len(d.Engines)+len(d.RemovedServers)+len(d.ResidentChanges)+len(d.Versions)+len(d.Leaving)+len(d.Loads)+len(d.Standings)+len(d.Speeds)+len(d.Cached) == 0
