--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -47,12 +47,18 @@
 	return func(c *Carrier) { c.responseTimeout = d }
 }
 
+// WithDialer opens the connections to peers by dial; nil stands for the DialContext of a net.Dialer.
+func WithDialer(dial encoder.DialFunc) Option {
+	return func(c *Carrier) { c.dial = dial }
+}
+
 // Carrier is the transport of one replica.
 type Carrier struct {
 	id              uint64
 	cluster         string
 	responseTimeout time.Duration
 	onError         func(peer uint64, err error)
+	dial            encoder.DialFunc
 	handler         http.Handler
 	receive         atomic.Pointer[func(replicator.Message) error]
 
@@ -196,7 +202,7 @@
 func (c *Carrier) sendStream(ctx context.Context, p *peer, m replicator.Message) (unsent replicator.Message, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	httpClient := encoder.NewClient()
+	httpClient := encoder.NewClient(encoder.WithDialer(c.dial))
 	defer httpClient.Close()
 	client := connect.NewClient[frame, ack](httpClient, "http://"+p.addr+procedure, encoder.ConnectOption())
 	s := client.CallClientStream(ctx)
--- a/coord/encoder/client.go
+++ b/coord/encoder/client.go
@@ -7,11 +7,14 @@
 	"sync"
 )
 
+// DialFunc opens a connection, like the method DialContext of net.Dialer.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // ClientOption configures a Client.
 type ClientOption func(*Client)
 
 // WithDialer opens the connections by dial; nil stands for the DialContext of a net.Dialer.
-func WithDialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) ClientOption {
+func WithDialer(dial DialFunc) ClientOption {
 	return func(c *Client) {
 		if dial != nil {
 			c.dial = dial
@@ -21,7 +24,7 @@
 
 // Client is an HTTP client for unencrypted HTTP/2 that detects dead connections by pings.
 type Client struct {
-	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	dial   DialFunc
 	http   http.Client
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -78,6 +78,29 @@
 
 // CallJoin requests an ID from the replica at addr.
 func CallJoin(ctx context.Context, addr string) error {
-	_, err := newMembership(Config{Addr: "127.0.0.1:1"}, nil).callJoin(ctx, addr, 0)
+	_, err := newMembership(Config{Addr: "127.0.0.1:1"}, nil, nil).callJoin(ctx, addr, 0)
 	return err
 }
+
+// PowerOff ends the replica as a loss of power does: it gives up neither its leadership nor its vote.
+func (g *Governor) PowerOff() error {
+	g.cancel()
+	err := g.server.Close()
+	g.wg.Wait()
+	return err
+}
+
+// LeaderAddr returns the address of the leader that this replica redirects to, or "".
+func (g *Governor) LeaderAddr() string {
+	r := g.membership.log()
+	if r == nil {
+		return ""
+	}
+	s := r.Status()
+	for _, m := range s.Members {
+		if m.ID == s.Leader && s.Leader != s.ID {
+			return m.Addr
+		}
+	}
+	return ""
+}
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -32,10 +32,10 @@
 // receive for each message it gets, with the latest time at which the leader is known to have served this session. It
 // returns the leader's address if the replica redirected to it. A message of which parts were dropped, since they couldn't be
 // encoded or decoded, goes on without them, and dropped is called with their fields.
-func Dial(ctx context.Context, addr string, hello Hello, up <-chan UpMessage, dropped func(fields []string), receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
+func Dial(ctx context.Context, addr string, dialer encoder.DialFunc, hello Hello, up <-chan UpMessage, dropped func(fields []string), receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	client := encoder.NewClient()
+	client := encoder.NewClient(encoder.WithDialer(dialer))
 	defer client.Close()
 	// A send that waits for the peer doesn't watch the context.
 	defer context.AfterFunc(ctx, client.Close)()
@@ -141,7 +141,7 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	defer cancel()
 	up := make(chan UpMessage, maxQueuedReports)
-	_, err := Dial(ctx, addr, hello, up, h.logDropped, func(d DownMessage, confirmed time.Time) {
+	_, err := Dial(ctx, addr, h.membership.dialer, hello, up, h.logDropped, func(d DownMessage, confirmed time.Time) {
 		h.membership.addPeers(d.Replicas)
 		h.post(func(now time.Time) {
 			h.leaderSeenAt = now
--- a/stage/governor/follow_test.go
+++ b/stage/governor/follow_test.go
@@ -32,7 +32,7 @@
 	defer srv.Close()
 	defer close(suspended)
 	welcomed := 0
-	_, err := Dial(context.Background(), srv.Listener.Addr().String(), Hello{Node: "n"}, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
+	_, err := Dial(context.Background(), srv.Listener.Addr().String(), nil, Hello{Node: "n"}, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
 		welcomed += d.Entries
 	})
 	c.Check(err, qt.ErrorMatches, "the leader is silent")
@@ -64,7 +64,7 @@
 	defer cancel()
 	start := time.Now()
 	var last time.Time
-	_, _ = Dial(ctx, srv.Listener.Addr().String(), Hello{Node: "n"}, make(chan UpMessage), func([]string) {}, func(_ DownMessage, confirmed time.Time) {
+	_, _ = Dial(ctx, srv.Listener.Addr().String(), nil, Hello{Node: "n"}, make(chan UpMessage), func([]string) {}, func(_ DownMessage, confirmed time.Time) {
 		last = confirmed
 		if time.Since(start) > 2*sessionHeartbeatEvery {
 			cancel()
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -69,6 +69,8 @@
 	Decode  func(Doc) (*matcher.Table, error)
 	Engines Engines
 	Log     *logger.Logger
+	// Dialer opens the connections to other replicas; nil stands for the DialContext of a net.Dialer.
+	Dialer encoder.DialFunc
 }
 
 // replaceAfter returns how long a voter may be silent: an election and the exchange must fit into SyncTime with it.
@@ -111,7 +113,7 @@
 	}
 	g := &Governor{cfg: cfg, deps: deps, log: deps.Log.Component("control")}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.membership = newMembership(cfg, g.log)
+	g.membership = newMembership(cfg, deps.Dialer, g.log)
 	g.hub = newHub(g.ctx, cfg, deps, g.membership, g.log, g.wg.Go)
 	g.membership.onStateChange = g.hub.stateChanged
 	mux := http.NewServeMux()
--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -199,7 +199,7 @@
 	entry := func(addr string) {
 		hello := Hello{Node: "entry", Zone: "z"}
 		for ctx.Err() == nil {
-			redirect, _ := Dial(ctx, addr, hello, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
+			redirect, _ := Dial(ctx, addr, nil, hello, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
 				if d.Doc != nil && d.Doc.Version > 0 {
 					versions <- d.Doc.Version
 				}
@@ -263,7 +263,7 @@
 	go func() {
 		defer close(dialEnded)
 		for ctx.Err() == nil {
-			_, _ = Dial(ctx, g.addrs[i], Hello{Node: "entry"}, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
+			_, _ = Dial(ctx, g.addrs[i], nil, Hello{Node: "entry"}, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
 				if d.Welcome != nil {
 					got <- d
 				}
--- a/stage/governor/link.go
+++ b/stage/governor/link.go
@@ -24,8 +24,8 @@
 
 // ProbeLink requests the LeaderLink of the replica at addr; it returns an error if the replica has no leader or doesn't
 // respond before ctx is done.
-func ProbeLink(ctx context.Context, addr string) (LeaderLink, error) {
-	client := encoder.NewClient()
+func ProbeLink(ctx context.Context, addr string, dialer encoder.DialFunc) (LeaderLink, error) {
+	client := encoder.NewClient(encoder.WithDialer(dialer))
 	defer client.Close()
 	call := connect.NewClient[linkRequest, LeaderLink](client, "http://"+addr+pathLink, encoder.ConnectOption())
 	res, err := call.CallUnary(ctx, connect.NewRequest(&linkRequest{}))
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -56,6 +56,7 @@
 // membership keeps this replica in the group: it joins, opens the log, and rejoins with a new ID after disk loss.
 type membership struct {
 	cfg           Config
+	dialer        encoder.DialFunc
 	logger        *logger.Component
 	onStateChange func()
 
@@ -67,8 +68,8 @@
 	knownAddrs []string
 }
 
-func newMembership(cfg Config, l *logger.Component) *membership {
-	return &membership{cfg: cfg, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {})}
+func newMembership(cfg Config, dialer encoder.DialFunc, l *logger.Component) *membership {
+	return &membership{cfg: cfg, dialer: dialer, logger: l, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {})}
 }
 
 // log returns the open log, or nil.
@@ -215,7 +216,7 @@
 	if err != nil {
 		return err
 	}
-	c := carrier.New(id, clusterName, carrier.WithResponseTimeout(carrierTimeout))
+	c := carrier.New(id, clusterName, carrier.WithResponseTimeout(carrierTimeout), carrier.WithDialer(ms.dialer))
 	m := newMachine(ms.onStateChange, func(index uint64, err error) {
 		ms.logger.Error("apply command "+strconv.FormatUint(index, 10), err)
 	})
@@ -420,7 +421,7 @@
 func (ms *membership) callJoin(ctx context.Context, addr string, id uint64) (joinReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	client := encoder.NewClient()
+	client := encoder.NewClient(encoder.WithDialer(ms.dialer))
 	defer client.Close()
 	call := connect.NewClient[joinRequest, joinReply](client, "http://"+addr+pathJoin, encoder.ConnectOption())
 	res, err := call.CallUnary(ctx, connect.NewRequest(&joinRequest{Addr: ms.cfg.Addr, ID: id}))
--- a/stage/governor/silent_test.go
+++ b/stage/governor/silent_test.go
@@ -28,13 +28,13 @@
 		want string
 	}{
 		{"session", func(ctx context.Context, addr string) error {
-			_, err := governor.Dial(ctx, addr, governor.Hello{Node: "entry"}, nil, func([]string) {}, func(governor.DownMessage, time.Time) {})
+			_, err := governor.Dial(ctx, addr, nil, governor.Hello{Node: "entry"}, nil, func([]string) {}, func(governor.DownMessage, time.Time) {})
 			return err
 		}, "the leader is silent"},
 		{"probe", func(ctx context.Context, addr string) error {
 			ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 			defer cancel()
-			_, err := governor.ProbeLink(ctx, addr)
+			_, err := governor.ProbeLink(ctx, addr, nil)
 			return err
 		}, ".*deadline.*"},
 		{"join", func(ctx context.Context, addr string) error { return governor.CallJoin(ctx, addr) }, ".*deadline.*"},
@@ -93,7 +93,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() {
-		_, err := governor.Dial(context.Background(), lis.Addr().String(), governor.Hello{Node: "entry"}, up, func([]string) {}, func(governor.DownMessage, time.Time) {})
+		_, err := governor.Dial(context.Background(), lis.Addr().String(), nil, governor.Hello{Node: "entry"}, up, func([]string) {}, func(governor.DownMessage, time.Time) {})
 		ended <- err
 	}()
 	select {
--- a/stage/governor/unreadable_test.go
+++ b/stage/governor/unreadable_test.go
@@ -35,7 +35,7 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			_, _ = Dial(ctx, addr, Hello{Node: "entry", Zone: "z"}, make(chan UpMessage), func([]string) {}, w.receive)
+			_, _ = Dial(ctx, addr, nil, Hello{Node: "entry", Zone: "z"}, make(chan UpMessage), func([]string) {}, w.receive)
 		}
 	}()
 	c.Cleanup(func() {
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -269,7 +269,7 @@
 	c.addr, c.cancel = addr, cancel
 	c.mu.Unlock()
 	hello := governor.Hello{Node: c.entry.cfg.Node, Zone: c.entry.cfg.Zone}
-	redirect, err = governor.Dial(ctx, addr, hello, c.queue, func(fields []string) {
+	redirect, err = governor.Dial(ctx, addr, c.entry.deps.Dialer, hello, c.queue, func(fields []string) {
 		c.entry.log.Warn("dropped unreadable elements", strings.Join(fields, ", "))
 	}, func(d governor.DownMessage, confirmed time.Time) {
 		if d.Welcome != nil {
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
+	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/limiter"
@@ -83,6 +84,8 @@
 	Headers Headers
 	Decode  func(governor.Doc) (*matcher.Table, error)
 	Log     *logger.Logger
+	// Dialer opens the connections to control replicas; nil stands for the DialContext of a net.Dialer.
+	Dialer encoder.DialFunc
 }
 
 // Relayer is a running entry.
--- a/stage/relayer/staleness.go
+++ b/stage/relayer/staleness.go
@@ -67,7 +67,7 @@
 func (c *controlClient) hasLeader(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	link, err := governor.ProbeLink(ctx, addr)
+	link, err := governor.ProbeLink(ctx, addr, c.entry.deps.Dialer)
 	return err == nil && link.Age < c.staleAfter() && link.ConnectedFor >= relayReconnectTime
 }
 
