Encoder: both ends close a connection whose other end is gone

What callers saw: a server whose client's machine was gone kept the connection until the kernel's keep-alive gave up, and a call whose peer took no byte waited for the ping after 30 s.

Cause: only clients sent pings, and no end had a bound on writes.

Change: servers send pings as clients do, and both close a connection that takes no byte for 5 s.

--- a/coord/encoder/client.go
+++ b/coord/encoder/client.go
@@ -47,7 +47,7 @@
 	c.http.Transport = &messageJoiner{&http.Transport{
 		DialContext: c.dialContext,
 		Protocols:   &p,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout},
+		HTTP2:       newHTTP2Config(),
 	}}
 	return c
 }
--- a/coord/encoder/encoder.go
+++ b/coord/encoder/encoder.go
@@ -18,7 +18,9 @@
 	maxElements     = 1 << 20
 	idleBeforePing  = 30 * time.Second
 	pingTimeout     = 3 * time.Second
-	dialTimeout     = 2 * time.Second
+	// writeTimeout is the time after which a connection that takes no byte is closed.
+	writeTimeout = 5 * time.Second
+	dialTimeout  = 2 * time.Second
 	// minCompressedBytes is the message size in bytes from which compression saves more than it costs.
 	minCompressedBytes = 4 << 10
 	// maxShownBytes bounds the text that an error quotes.
@@ -123,10 +125,16 @@
 	return connect.WithOptions(connect.WithCodec(Codec{}), connect.WithCompressMinBytes(minCompressedBytes))
 }
 
-// NewServer returns an HTTP server for handler that accepts HTTP/1 and unencrypted HTTP/2.
+// newHTTP2Config returns the settings with which both ends notice that the other one is gone.
+func newHTTP2Config() *http.HTTP2Config {
+	return &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout, WriteByteTimeout: writeTimeout}
+}
+
+// NewServer returns an HTTP server for handler that accepts HTTP/1 and unencrypted HTTP/2, and detects dead connections of
+// the latter by pings.
 func NewServer(handler http.Handler) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: handler, Protocols: &p, ReadHeaderTimeout: dialTimeout}
+	return &http.Server{Handler: handler, Protocols: &p, HTTP2: newHTTP2Config(), ReadHeaderTimeout: dialTimeout}
 }
