Carrier: a dead connection is replaced even while its peer sends

What callers saw: after links had been silent, three survivors of five elected no leader for up to 26 s, so that reads of the configuration failed and nothing said why.

Cause: a connection to a peer counted as sound as long as any message of the peer arrived, but those arrive on a connection of the peer's own. A voter whose connection to the candidate was dead answered each pre-vote into it, and the candidate's next request made it look sound again.

Change: the carrier's connections are pinged after half the response timeout without a frame, and closed without an answer within the other half, whatever the peer sends elsewhere. The message that finds its stream ended so is sent on the next one at once.

TestDeadConnectionIsReplacedWhilePeerSends fails before, in both directions of the exchange.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -31,7 +31,10 @@
 	maxBackoff             = time.Second
 )
 
-var errNoResponse = errors.New("the peer does not answer")
+var (
+	errNoResponse = errors.New("the peer does not answer")
+	errStreamEnd  = errors.New("the stream has ended")
+)
 
 // Option configures a Carrier.
 type Option func(*Carrier)
@@ -171,7 +174,7 @@
 		case m := <-p.queue:
 			start := time.Now()
 			unsent, err := c.sendStream(ctx, p, m)
-			for errors.Is(err, errNoResponse) && ctx.Err() == nil {
+			for (errors.Is(err, errNoResponse) || errors.Is(err, errStreamEnd)) && ctx.Err() == nil {
 				// The connection is replaced, but nothing shows that the peer is away.
 				c.onError(p.id, err)
 				unsent, err = c.sendStream(ctx, p, unsent)
@@ -198,11 +201,11 @@
 }
 
 // sendStream sends m and the queue on a new connection until it breaks or is idle, or the peer stops responding; with
-// errNoResponse it returns the next message, which it hasn't sent.
+// errNoResponse and errStreamEnd it returns the next message, which it hasn't sent.
 func (c *Carrier) sendStream(ctx context.Context, p *peer, m replicator.Message) (unsent replicator.Message, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	httpClient := encoder.NewClient(encoder.WithDialer(c.dial))
+	httpClient := encoder.NewClient(encoder.WithDialer(c.dial), encoder.WithPing(c.responseTimeout/2, c.responseTimeout/2))
 	defer httpClient.Close()
 	client := connect.NewClient[frame, ack](httpClient, "http://"+p.addr+procedure, encoder.ConnectOption())
 	s := client.CallClientStream(ctx)
@@ -212,8 +215,9 @@
 	setHeaders(s.RequestHeader(), c.cluster, c.id, p.id)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
+	start := time.Now()
 	var unansweredSince time.Time
-	for {
+	for sent := false; ; sent = true {
 		now := time.Now()
 		if time.Unix(0, p.lastReceived.Load()).After(unansweredSince) {
 			unansweredSince = time.Time{}
@@ -225,7 +229,11 @@
 			unansweredSince = now
 		}
 		if err := sendFrame(s, m, cancel); err != nil {
-			return m, c.streamError(s, err)
+			// A peer that refuses streams ends them early.
+			if err = c.streamError(s, err); sent && time.Since(start) >= c.responseTimeout {
+				err = errors.Join(errStreamEnd, err)
+			}
+			return m, err
 		}
 		idle.Reset(idleTimeout)
 		select {
--- a/coord/carrier/silent_test.go
+++ b/coord/carrier/silent_test.go
@@ -1,8 +1,11 @@
 package carrier
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,3 +70,59 @@
 	var netErr net.Error
 	return !errors.As(err, &netErr) || !netErr.Timeout()
 }
+
+// lossyConn drops what is written once it is dead, and then receives nothing.
+type lossyConn struct {
+	net.Conn
+	dead *atomic.Bool
+}
+
+func (c lossyConn) Write(b []byte) (int, error) {
+	if c.dead.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// A connection that delivered nothing any more was kept as long as the peer's own messages arrived, on a connection of
+// theirs. Replicas that were just a quorum elected no leader for up to 26 s, since a voter's answers were lost.
+func TestDeadConnectionIsReplacedWhilePeerSends(t *testing.T) {
+	for _, ty := range []replicator.Type{replicator.TypePreVoteResponse, replicator.TypePreVote} {
+		t.Run(fmt.Sprint(ty), func(t *testing.T) {
+			var dead atomic.Pointer[atomic.Bool]
+			dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+				var d net.Dialer
+				conn, err := d.DialContext(ctx, network, addr)
+				isDead := new(atomic.Bool)
+				dead.Store(isDead)
+				return lossyConn{conn, isDead}, err
+			}
+			a := New(1, "c", WithResponseTimeout(200*time.Millisecond), WithDialer(dial))
+			b := New(2, "c", WithResponseTimeout(200*time.Millisecond))
+			var received atomic.Int64
+			a.SetReceiver(func(replicator.Message) error { return nil })
+			b.SetReceiver(func(replicator.Message) error { received.Add(1); return nil })
+			addrA, addrB := serve(t, a.Handler()), serve(t, b.Handler())
+			a.SetPeers(map[uint64]string{1: addrA, 2: addrB})
+			b.SetPeers(map[uint64]string{1: addrA, 2: addrB})
+			// exchange has both send until b has received another message, for at most d.
+			exchange := func(d time.Duration) bool {
+				before := received.Load()
+				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+					b.Send(replicator.Message{Type: replicator.TypePreVote, From: 2, To: 1, Term: 3})
+					a.Send(replicator.Message{Type: ty, From: 1, To: 2, Term: 3})
+					if received.Load() > before {
+						return true
+					}
+				}
+				return false
+			}
+			qt.Assert(t, exchange(5*time.Second), qt.IsTrue)
+			dead.Load().Store(true)
+			time.Sleep(20 * time.Millisecond)
+			qt.Check(t, exchange(5*time.Second), qt.IsTrue)
+			qt.Assert(t, a.Close(), qt.IsNil)
+			qt.Assert(t, b.Close(), qt.IsNil)
+		})
+	}
+}
--- a/coord/encoder/client.go
+++ b/coord/encoder/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // DialFunc opens a connection, like the method DialContext of net.Dialer.
@@ -22,10 +23,16 @@
 	}
 }
 
+// WithPing pings a connection that has received nothing for idle, and closes it without an answer within timeout.
+func WithPing(idle, timeout time.Duration) ClientOption {
+	return func(c *Client) { c.http2.SendPingTimeout, c.http2.PingTimeout = idle, timeout }
+}
+
 // Client is an HTTP client for unencrypted HTTP/2 that detects dead connections by pings.
 type Client struct {
 	dial   DialFunc
 	http   http.Client
+	http2  *http.HTTP2Config
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -37,7 +44,7 @@
 
 // NewClient returns a Client, which must be closed.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{dial: new(net.Dialer).DialContext, conns: make(map[*clientConn]struct{})}
+	c := &Client{dial: new(net.Dialer).DialContext, http2: newHTTP2Config(), conns: make(map[*clientConn]struct{})}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
@@ -47,7 +54,7 @@
 	c.http.Transport = &messageJoiner{&http.Transport{
 		DialContext: c.dialContext,
 		Protocols:   &p,
-		HTTP2:       newHTTP2Config(),
+		HTTP2:       c.http2,
 	}}
 	return c
 }
--- a/stage/governor/links_test.go
+++ b/stage/governor/links_test.go
@@ -39,9 +39,10 @@
 	maxStepPause = 900 * time.Millisecond
 	// recoverTime bounds the time from the end of all faults until each replica answers or redirects, and each entry has
 	// the newest version.
-	recoverTime = steps*maxStepPause + // the next retransmission after the longest silence
-		2*time.Second + // a dial that began during a silence
-		12*time.Second + // the group serves again after all its replicas have restarted
+	recoverTime = 2*time.Second + // a dial that began during a silence ends
+		450*time.Millisecond + // a connection that is still silent is replaced
+		3*2*700*time.Millisecond + // an election is repeated twice
+		3*time.Second + // the leader's epoch is committed
 		linkReplicas*(400+100+200)*time.Millisecond + // an entry tries, waits for and probes all replicas
 		testApplyTime
 )
