Sessions: a late hello doesn't close its sender's newer session

What callers saw: a hello that had waited at a suspended replica, on a connection that its sender had given up, was read after the sender's next hello and closed the session of that one.

Cause: the session whose hello arrived last counted as the newest.

Change: hellos carry a random ID of the process and a number that grows with each session that it opens; the lower one is refused. Hellos of another process or of an earlier version close earlier sessions as before. The process isn't told by its start time, since clocks are set back.

--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,6 +30,12 @@
 
 var errNotLeading = errors.New("this replica does not lead")
 
+// processID and sessionCount number the sessions that this process opens. The ID is random, since clocks are set back.
+var (
+	processID    = rand.Uint64()
+	sessionCount atomic.Uint64
+)
+
 // Dial opens a session with a replica and runs it until it fails: it sends hello, then the messages from up, and calls
 // receive for each message it gets, with the latest time at which the leader is known to have served this session. It
 // returns the leader's address if the replica redirected to it. A message of which parts were dropped, since they couldn't be
@@ -44,7 +52,7 @@
 	silence := time.AfterFunc(firstMessageTimeout, func() { cancel(errors.New("the leader is silent")) })
 	defer silence.Stop()
 	sent := newSendTimes(time.Now())
-	if err := stream.Send(&UpMessage{Hello: &hello}); err != nil {
+	if err := stream.Send(&UpMessage{Hello: number(hello)}); err != nil {
 		return "", sessionError(ctx, errors.Wrap(err, "send hello"))
 	}
 	var sequence uint64
@@ -103,6 +111,11 @@
 	}
 }
 
+func number(hello Hello) *Hello {
+	hello.Process, hello.Session = processID, sessionCount.Add(1)
+	return &hello
+}
+
 // sessionError returns the reason for which the session was cancelled, or else err.
 func sessionError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -448,16 +448,19 @@
 		if !h.relay.isConnected(now) {
 			return false
 		}
-		h.relay.addSession(now, s)
-		return true
+		return h.relay.addSession(now, s)
 	}
 	if h.leader == nil {
 		return false
 	}
 	for other := range h.relaySessions {
-		if other.hello.Replica == hello.Replica {
-			h.closeSession(other)
+		if other.hello.Replica != hello.Replica {
+			continue
+		}
+		if hello.isBefore(other.hello) {
+			return false
 		}
+		h.closeSession(other)
 	}
 	h.relaySessions[s] = true
 	h.send(s, h.fullState())
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -144,18 +144,24 @@
 	}
 }
 
-// addSession adds an entry's session and closes an earlier one of the same entry.
-func (r *relay) addSession(now time.Time, s *session) {
+// addSession adds an entry's session and closes an earlier one of the same entry; it returns false if the entry has opened
+// a later one, since the hello may have waited on a connection that was given up.
+func (r *relay) addSession(now time.Time, s *session) bool {
 	for other := range r.sessions {
-		if other != s && other.hello.Node == s.hello.Node {
-			r.closeSession(other)
+		if other == s || other.hello.Node != s.hello.Node {
+			continue
+		}
+		if s.hello.isBefore(other.hello) {
+			return false
 		}
+		r.closeSession(other)
 	}
 	r.sessions[s] = true
 	r.quotas.add(s)
 	d := r.view.fullState()
 	d.LeaderAge = r.leaderAge(now)
 	r.send(s, d, "whole")
+	return true
 }
 
 func (r *relay) closeSession(s *session) {
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -100,6 +100,15 @@
 	Zone string `cbor:"2,keyasint"`
 	// Replica is the ID of a log replica, which is a relay to its entries; 0 for entries.
 	Replica uint64 `cbor:"4,keyasint,omitempty"`
+	// Process identifies the sender's process, and Session grows with each of its sessions; Dial sets both. They are 0 from
+	// earlier versions.
+	Process uint64 `cbor:"5,keyasint,omitempty"`
+	Session uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// isBefore reports whether the same process has sent other later.
+func (h *Hello) isBefore(other *Hello) bool {
+	return h.Process != 0 && h.Process == other.Process && h.Session < other.Session
 }
 
 // Want requests an adapter that no usable engine holds, or one more copy.
