Carrier: a replica that joined meanwhile gets its answers

What callers saw: in calm, a replica answered reads with neither the document nor a leader, for as long as it was watched (15 s), while another one led; its entries and its relay had no leader there, and no line said so.

Cause: a replica that was cut off while another joined and became the leader doesn't know that one's address and dropped its answers to it. The leader never learned which entries were missing there. The heartbeats kept the replica from asking for votes and from joining again.

Change: addresses are learned from each stream of an unknown replica, not only by replicas that know no other. The number of peers stays bounded.

TestUnknownPeerIsAnswered fails before.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -29,6 +29,8 @@
 	sendTimeout            = 5 * time.Second
 	minBackoff             = 50 * time.Millisecond
 	maxBackoff             = time.Second
+	// maxPeers bounds the peers, also those that aren't members here: removed replicas go on sending.
+	maxPeers = 4 * replicator.MaxMembers
 )
 
 var (
@@ -65,13 +67,12 @@
 	handler         http.Handler
 	receive         atomic.Pointer[func(replicator.Message) error]
 
-	mu          sync.Mutex
-	addr        string
-	learnsPeers bool
-	peers       map[uint64]*peer
-	inbound     map[uint64]*inbound
-	closed      bool
-	wg          conc.WaitGroup
+	mu      sync.Mutex
+	addr    string
+	peers   map[uint64]*peer
+	inbound map[uint64]*inbound
+	closed  bool
+	wg      conc.WaitGroup
 }
 
 // peer holds the outbound state for one replica.
@@ -100,8 +101,8 @@
 // SetReceiver sets the function that receives the peers' messages.
 func (c *Carrier) SetReceiver(receive func(replicator.Message) error) { c.receive.Store(&receive) }
 
-// SetPeers replaces the addresses, "host:port", of all replicas, including this one. A replica that knows no other
-// learns the address of each peer that opens a stream to it.
+// SetPeers replaces the addresses, "host:port", of all replicas, including this one. Those of other replicas are learned
+// when they open a stream to this one, since they may have joined while it was cut off.
 func (c *Carrier) SetPeers(addrs map[uint64]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,13 +116,8 @@
 			delete(c.peers, id)
 		}
 	}
-	c.learnsPeers = true
 	for id, addr := range addrs {
-		if id == c.id {
-			continue
-		}
-		c.learnsPeers = false
-		if c.peers[id] == nil {
+		if id != c.id && c.peers[id] == nil {
 			c.addPeer(id, addr)
 		}
 	}
--- a/coord/carrier/handler.go
+++ b/coord/carrier/handler.go
@@ -8,8 +8,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
-
-	"redwingstage.org/coord/replicator"
 )
 
 const (
@@ -81,7 +79,7 @@
 		old.abort()
 	}
 	c.inbound[from] = in
-	if c.learnsPeers && c.peers[from] == nil && addr != "" && len(c.peers) < replicator.MaxMembers {
+	if c.peers[from] == nil && addr != "" && len(c.peers) < maxPeers {
 		c.addPeer(from, addr)
 	}
 	c.wg.Go(func() { <-in.done })
--- a/coord/carrier/silent_test.go
+++ b/coord/carrier/silent_test.go
@@ -126,3 +126,27 @@
 		})
 	}
 }
+
+// A replica that had been cut off while another joined and became the leader didn't know that one, and its answers were
+// dropped. The leader never learned which entries it lacked, and it stayed behind for good, with a leader that it couldn't name.
+func TestUnknownPeerIsAnswered(t *testing.T) {
+	known, leader := New(2, "c"), New(9, "c")
+	addrKnown, addrLeader := serve(t, known.Handler()), serve(t, leader.Handler())
+	answers := make(chan replicator.Message, 10)
+	leader.SetReceiver(func(m replicator.Message) error { answers <- m; return nil })
+	known.SetReceiver(func(m replicator.Message) error {
+		known.Send(replicator.Message{Type: replicator.TypeAppendResponse, From: 2, To: m.From, Term: m.Term, Reject: true})
+		return nil
+	})
+	known.SetPeers(map[uint64]string{1: "127.0.0.1:1", 2: addrKnown})
+	leader.SetPeers(map[uint64]string{1: "127.0.0.1:1", 2: addrKnown, 9: addrLeader})
+	leader.Send(replicator.Message{Type: replicator.TypeAppend, From: 9, To: 2, Term: 3})
+	select {
+	case m := <-answers:
+		qt.Check(t, m.From, qt.Equals, uint64(2))
+	case <-time.After(5 * time.Second):
+		t.Error("the answer was dropped")
+	}
+	qt.Assert(t, known.Close(), qt.IsNil)
+	qt.Assert(t, leader.Close(), qt.IsNil)
+}
