--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -29,9 +29,14 @@
 	sendTimeout            = 5 * time.Second
 	minBackoff             = 50 * time.Millisecond
 	maxBackoff             = time.Second
+	// maxPeers bounds the peers, also those that aren't members here: removed replicas go on sending.
+	maxPeers = 4 * replicator.MaxMembers
 )
 
-var errNoResponse = errors.New("the peer does not answer")
+var (
+	errNoResponse = errors.New("the peer does not answer")
+	errStreamEnd  = errors.New("the stream has ended")
+)
 
 // Option configures a Carrier.
 type Option func(*Carrier)
@@ -47,22 +52,27 @@
 	return func(c *Carrier) { c.responseTimeout = d }
 }
 
+// WithDialer opens the connections to peers by dial; nil stands for the DialContext of a net.Dialer.
+func WithDialer(dial encoder.DialFunc) Option {
+	return func(c *Carrier) { c.dial = dial }
+}
+
 // Carrier is the transport of one replica.
 type Carrier struct {
 	id              uint64
 	cluster         string
 	responseTimeout time.Duration
 	onError         func(peer uint64, err error)
+	dial            encoder.DialFunc
 	handler         http.Handler
 	receive         atomic.Pointer[func(replicator.Message) error]
 
-	mu          sync.Mutex
-	addr        string
-	learnsPeers bool
-	peers       map[uint64]*peer
-	inbound     map[uint64]*inbound
-	closed      bool
-	wg          conc.WaitGroup
+	mu      sync.Mutex
+	addr    string
+	peers   map[uint64]*peer
+	inbound map[uint64]*inbound
+	closed  bool
+	wg      conc.WaitGroup
 }
 
 // peer holds the outbound state for one replica.
@@ -91,8 +101,8 @@
 // SetReceiver sets the function that receives the peers' messages.
 func (c *Carrier) SetReceiver(receive func(replicator.Message) error) { c.receive.Store(&receive) }
 
-// SetPeers replaces the addresses, "host:port", of all replicas, including this one. A replica that knows no other
-// learns the address of each peer that opens a stream to it.
+// SetPeers replaces the addresses, "host:port", of all replicas, including this one. Those of other replicas are learned
+// when they open a stream to this one, since they may have joined while it was cut off.
 func (c *Carrier) SetPeers(addrs map[uint64]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,13 +116,8 @@
 			delete(c.peers, id)
 		}
 	}
-	c.learnsPeers = true
 	for id, addr := range addrs {
-		if id == c.id {
-			continue
-		}
-		c.learnsPeers = false
-		if c.peers[id] == nil {
+		if id != c.id && c.peers[id] == nil {
 			c.addPeer(id, addr)
 		}
 	}
@@ -179,7 +184,7 @@
 		case m := <-p.queue:
 			start := time.Now()
 			unsent, err := c.sendStream(ctx, p, m)
-			for errors.Is(err, errNoResponse) && ctx.Err() == nil {
+			for (errors.Is(err, errNoResponse) || errors.Is(err, errStreamEnd)) && ctx.Err() == nil {
 				// The connection is replaced, but nothing shows that the peer is away.
 				c.onError(p.id, err)
 				unsent, err = c.sendStream(ctx, p, unsent)
@@ -206,12 +211,12 @@
 }
 
 // sendStream sends m and the queue on a new connection until it breaks or is idle, or the peer stops responding; with
-// errNoResponse it returns the next message, which it hasn't sent.
+// errNoResponse and errStreamEnd it returns the next message, which it hasn't sent.
 func (c *Carrier) sendStream(ctx context.Context, p *peer, m replicator.Message) (unsent replicator.Message, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	httpClient := encoder.NewClient()
-	defer httpClient.CloseIdleConnections()
+	httpClient := encoder.NewClient(encoder.WithDialer(c.dial), encoder.WithPing(c.responseTimeout/2, c.responseTimeout/2))
+	defer httpClient.Close()
 	client := connect.NewClient[frame, ack](httpClient, "http://"+p.addr+procedure, encoder.ConnectOption())
 	s := client.CallClientStream(ctx)
 	c.mu.Lock()
@@ -220,8 +225,9 @@
 	setHeaders(s.RequestHeader(), c.cluster, c.id, p.id)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
+	start := time.Now()
 	var unansweredSince time.Time
-	for {
+	for sent := false; ; sent = true {
 		now := time.Now()
 		if time.Unix(0, p.lastReceived.Load()).After(unansweredSince) {
 			unansweredSince = time.Time{}
@@ -233,7 +239,11 @@
 			unansweredSince = now
 		}
 		if err := sendFrame(s, m, cancel); err != nil {
-			return m, c.streamError(s, err)
+			// A peer that refuses streams ends them early.
+			if err = c.streamError(s, err); sent && time.Since(start) >= c.responseTimeout {
+				err = errors.Join(errStreamEnd, err)
+			}
+			return m, err
 		}
 		idle.Reset(idleTimeout)
 		select {
--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -1,11 +1,15 @@
 package governor
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"time"
 )
 
+// PathSession is the URL path of sessions.
+const PathSession = pathSession
+
 // LogBuffer collects the log lines of several processes.
 type LogBuffer struct {
 	mu   sync.Mutex
@@ -71,3 +75,32 @@
 	connected := make(chan bool, 1)
 	return g.hub.post(func(time.Time) { connected <- g.hub.relay.isConnected(time.Now()) }) && <-connected
 }
+
+// CallJoin requests an ID from the replica at addr.
+func CallJoin(ctx context.Context, addr string) error {
+	_, err := newMembership(Config{Addr: "127.0.0.1:1"}, nil, nil).callJoin(ctx, addr, 0)
+	return err
+}
+
+// PowerOff ends the replica as a loss of power does: it gives up neither its leadership nor its vote.
+func (g *Governor) PowerOff() error {
+	g.cancel()
+	err := g.server.Close()
+	g.wg.Wait()
+	return err
+}
+
+// LeaderAddr returns the address of the leader that this replica redirects to, or "".
+func (g *Governor) LeaderAddr() string {
+	r := g.membership.log()
+	if r == nil {
+		return ""
+	}
+	s := r.Status()
+	for _, m := range s.Members {
+		if m.ID == s.Leader && s.Leader != s.ID {
+			return m.Addr
+		}
+	}
+	return ""
+}
--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,23 +30,30 @@
 
 var errNotLeading = errors.New("this replica does not lead")
 
+// processID and sessionCount number the sessions that this process opens. The ID is random, since clocks are set back.
+var (
+	processID    = rand.Uint64()
+	sessionCount atomic.Uint64
+)
+
 // Dial opens a session with a replica and runs it until it fails: it sends hello, then the messages from up, and calls
 // receive for each message it gets, with the latest time at which the leader is known to have served this session. It
 // returns the leader's address if the replica redirected to it. A message of which parts were dropped, since they couldn't be
 // encoded or decoded, goes on without them, and dropped is called with their fields.
-func Dial(ctx context.Context, addr string, hello Hello, up <-chan UpMessage, dropped func(fields []string), receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
+func Dial(ctx context.Context, addr string, dialer encoder.DialFunc, hello Hello, up <-chan UpMessage, dropped func(fields []string), receive func(d DownMessage, confirmed time.Time)) (redirect string, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	client := encoder.NewClient()
-	defer client.CloseIdleConnections()
-	call := connect.NewClient[UpMessage, DownMessage](client, "http://"+addr+pathSession, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage))
-	stream := call.CallBidiStream(ctx)
+	client := encoder.NewClient(encoder.WithDialer(dialer))
+	defer client.Close()
+	// A send that waits for the peer doesn't watch the context.
+	defer context.AfterFunc(ctx, client.Close)()
+	stream := connect.NewClient[UpMessage, DownMessage](client, "http://"+addr+pathSession, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage)).CallBidiStream(ctx)
 	defer func() { _ = stream.CloseRequest() }()
 	silence := time.AfterFunc(firstMessageTimeout, func() { cancel(errors.New("the leader is silent")) })
 	defer silence.Stop()
 	sent := newSendTimes(time.Now())
-	if err := stream.Send(&UpMessage{Hello: &hello}); err != nil {
-		return "", errors.Wrap(err, "send hello")
+	if err := stream.Send(&UpMessage{Hello: number(hello)}); err != nil {
+		return "", sessionError(ctx, errors.Wrap(err, "send hello"))
 	}
 	var sequence uint64
 	received := make(chan error, 1)
@@ -79,24 +88,22 @@
 		var m UpMessage
 		select {
 		case err := <-received:
-			return redirect, err
+			return redirect, sessionError(ctx, err)
 		case <-ticker.C:
 			sequence++
 			sent.add(sequence, time.Now())
 			m = UpMessage{Heartbeat: sequence}
 		case m = <-up:
 		case <-ctx.Done():
-			// The transport checks the context only after the request has ended.
-			_ = stream.CloseRequest()
-			if err := <-received; context.Cause(ctx) == nil {
-				return redirect, err
-			}
-			return redirect, context.Cause(ctx)
+			return redirect, sessionError(ctx, <-received)
 		}
 		if err := stream.Send(&m); err != nil {
+			cause := context.Cause(ctx)
 			cancel(err)
-			_ = stream.CloseRequest()
-			return redirect, errors.Join(err, <-received)
+			if rerr := <-received; cause == nil {
+				return redirect, errors.Join(err, rerr)
+			}
+			return redirect, cause
 		}
 		if len(m.Dropped) > 0 {
 			dropped(m.Dropped)
@@ -104,6 +111,19 @@
 	}
 }
 
+func number(hello Hello) *Hello {
+	hello.Process, hello.Session = processID, sessionCount.Add(1)
+	return &hello
+}
+
+// sessionError returns the reason for which the session was cancelled, or else err.
+func sessionError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // isEmptyDown reports whether a message has no content, as from a replica that knows no leader.
 func isEmptyDown(d *DownMessage) bool {
 	return d.Doc == nil && d.Heartbeat == 0 && d.Entries == 0 && d.Quotas == nil && len(d.Replicas)+len(d.FullResidents)+len(d.Engines)+len(d.RemovedServers)+len(d.ResidentChanges)+len(d.Versions)+len(d.Leaving)+len(d.Loads)+len(d.Standings)+len(d.Speeds)+len(d.Cached) == 0
@@ -134,7 +154,7 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	defer cancel()
 	up := make(chan UpMessage, maxQueuedReports)
-	_, err := Dial(ctx, addr, hello, up, h.logDropped, func(d DownMessage, confirmed time.Time) {
+	_, err := Dial(ctx, addr, h.membership.dialer, hello, up, h.logDropped, func(d DownMessage, confirmed time.Time) {
 		h.membership.addPeers(d.Replicas)
 		h.post(func(now time.Time) {
 			h.leaderSeenAt = now
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -73,6 +73,8 @@
 	Log     *logger.Logger
 	// FileSystem stores the replica's log; nil means the operating system's.
 	FileSystem journaler.FileSystem
+	// Dialer opens the connections to other replicas; nil stands for the DialContext of a net.Dialer.
+	Dialer encoder.DialFunc
 }
 
 // replaceAfter returns how long a voter may be silent: an election and the exchange must fit into SyncTime with it.
@@ -115,7 +117,7 @@
 	}
 	g := &Governor{cfg: cfg, deps: deps, log: deps.Log.Component("control")}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.membership = newMembership(cfg, g.log)
+	g.membership = newMembership(cfg, deps.Dialer, g.log)
 	if deps.FileSystem != nil {
 		g.membership.fs = deps.FileSystem
 	}
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -56,6 +56,7 @@
 // membership keeps this replica in the group: it joins, opens the log, and rejoins with a new ID after disk loss.
 type membership struct {
 	cfg           Config
+	dialer        encoder.DialFunc
 	logger        *logger.Component
 	fs            journaler.FileSystem
 	onStateChange func()
@@ -72,8 +73,11 @@
 	joins map[string]joinOutcome
 }
 
-func newMembership(cfg Config, l *logger.Component) *membership {
-	return &membership{cfg: cfg, logger: l, fs: journaler.OSFileSystem{}, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}), joins: make(map[string]joinOutcome)}
+func newMembership(cfg Config, dialer encoder.DialFunc, l *logger.Component) *membership {
+	return &membership{
+		cfg: cfg, dialer: dialer, logger: l, fs: journaler.OSFileSystem{}, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}),
+		joins: make(map[string]joinOutcome),
+	}
 }
 
 // log returns the open log, or nil.
@@ -220,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	c := carrier.New(id, clusterName, carrier.WithResponseTimeout(carrierTimeout))
+	c := carrier.New(id, clusterName, carrier.WithResponseTimeout(carrierTimeout), carrier.WithDialer(ms.dialer))
 	m := newMachine(ms.onStateChange, func(index uint64, err error) {
 		ms.logger.Error("apply command "+strconv.FormatUint(index, 10), err)
 	})
@@ -438,8 +442,8 @@
 func (ms *membership) callJoin(ctx context.Context, addr string, id uint64) (joinReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	client := encoder.NewClient()
-	defer client.CloseIdleConnections()
+	client := encoder.NewClient(encoder.WithDialer(ms.dialer))
+	defer client.Close()
 	call := connect.NewClient[joinRequest, joinReply](client, "http://"+addr+pathJoin, encoder.ConnectOption())
 	res, err := call.CallUnary(ctx, connect.NewRequest(&joinRequest{Addr: ms.cfg.Addr, ID: id}))
 	if err != nil {
--- a/stage/governor/sessions_test.go
+++ b/stage/governor/sessions_test.go
@@ -70,7 +70,7 @@
 	go func() {
 		defer close(ended)
 		for ctx.Err() == nil {
-			_, _ = Dial(ctx, g.addrs[i], Hello{Node: "entry"}, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
+			_, _ = Dial(ctx, g.addrs[i], nil, Hello{Node: "entry"}, make(chan UpMessage), func([]string) {}, func(d DownMessage, _ time.Time) {
 				if d.Welcome != nil {
 					welcomed <- true
 				}
