Acceptor: what waits in the kernel for a connection is bounded

What callers saw: nothing yet; on a machine that counts unread bytes, callers that send requests and read no answers end a process. Cause: the bound on connections counted 32 KB for each and nothing for the kernel's buffers, which grow to megabytes in each direction. Evidence: TestUnreadAnswersStayWithinMemory, settings of 128 MB and 1000 descriptors. Change: with a known memory, listeners ask for buffers of 16 KB, which accepted connections inherit; connections to servers for a receive buffer of 16 KB. The bound on connections counts 120 KB for each: 0.45 of the memory at entries, 0.35 at control.

--- a/stage/acceptor/acceptor.go
+++ b/stage/acceptor/acceptor.go
@@ -10,24 +10,37 @@
 const (
 	// reservedFiles are the descriptors of a process for files and for connections to its own processes.
 	reservedFiles = 200
-	// connFilesShare and connMemoryShare are the shares of the remaining descriptors, and of the memory, for callers' connections.
-	connFilesShare  = 0.5
-	connMemoryShare = 0.25
-	// connBytes is what a connection takes in bytes without a body: its buffers and goroutines.
+	// connBytes is what a connection takes in bytes without a body and without the kernel: its buffers and goroutines.
 	connBytes = 32 << 10
 	// minConns is the smallest bound, defaultConns the bound of a process whose descriptors and memory are unknown.
 	minConns     = 16
 	defaultConns = 1 << 14
 )
 
-// MaxConns returns the bound on callers' connections of a process with the given memory in bytes and descriptors, each 0 if unknown.
-func MaxConns(memory int64, files int) int {
+// Class is a class of connections that a process accepts.
+type Class struct {
+	// files and memory are the shares of the process's descriptors and memory.
+	files, memory float64
+	// buffer is the size that the kernel is asked for, in bytes, for each direction of a connection.
+	buffer int
+}
+
+// Entry are callers at an entry, Control those at a control process, System the system's own processes there.
+var (
+	Entry   = Class{files: 0.5, memory: 0.45, buffer: 16 << 10}
+	Control = Class{files: 0.5, memory: 0.35, buffer: 16 << 10}
+	System  = Class{files: 0.25, memory: 0.15, buffer: 32 << 10}
+)
+
+// MaxConns returns the bound on the connections of a class in a process with the given memory in bytes and descriptors, each 0 if
+// unknown.
+func (c Class) MaxConns(memory int64, files int) int {
 	n := defaultConns
 	if files > 0 {
-		n = min(n, int(connFilesShare*float64(files-reservedFiles)))
+		n = min(n, int(c.files*float64(files-reservedFiles)))
 	}
 	if memory > 0 {
-		n = min(n, int(connMemoryShare*float64(memory)/connBytes))
+		n = min(n, int(c.memory*float64(memory))/(connBytes+c.kernelBytes()))
 	}
 	return max(n, minConns)
 }
--- a/stage/relayer/pool.go
+++ b/stage/relayer/pool.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/acceptor"
 )
 
 const (
@@ -57,13 +58,20 @@
 
 // pool holds the connections to backend servers, separately for each incarnation of a server.
 type pool struct {
+	dialer net.Dialer
+
 	mu   sync.Mutex
 	idle map[tracker.Key][]*conn
 	open map[tracker.Key]int
 }
 
-func newPool() *pool {
-	return &pool{idle: make(map[tracker.Key][]*conn), open: make(map[tracker.Key]int)}
+// newPool returns a pool; bounded bounds what waits unread in each connection.
+func newPool(bounded bool) *pool {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
+	if bounded {
+		d.Control = acceptor.BoundReceiveBuffer
+	}
+	return &pool{dialer: d, idle: make(map[tracker.Key][]*conn), open: make(map[tracker.Key]int)}
 }
 
 // get returns an idle or a new connection to the server, of which there may be at most limit. A connection on which the
@@ -87,8 +95,7 @@
 	}
 	p.open[in.Key]++
 	p.mu.Unlock()
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
-	raw, err := d.DialContext(ctx, "tcp", in.Addr)
+	raw, err := p.dialer.DialContext(ctx, "tcp", in.Addr)
 	if err != nil {
 		p.countClosed(in.Key)
 		return nil, err
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -133,20 +133,19 @@
 
 // New starts an entry; it is ready once a control replica has sent it a document.
 func New(cfg Config, deps Deps) (*Relayer, error) {
-	var lc net.ListenConfig
-	callers, err := lc.Listen(context.Background(), "tcp", cfg.CallersAddr)
+	callers, err := acceptor.Entry.Listen(context.Background(), cfg.CallersAddr, cfg.MemoryLimit)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.CallersAddr)
 	}
-	ready, err := lc.Listen(context.Background(), "tcp", cfg.ReadyAddr)
+	ready, err := acceptor.Entry.Listen(context.Background(), cfg.ReadyAddr, cfg.MemoryLimit)
 	if err != nil {
 		return nil, errors.Join(errors.Wrapf(err, "listen on %s", cfg.ReadyAddr), callers.Close())
 	}
 	e := &Relayer{
-		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(), suspects: newSuspects(cfg.Node),
+		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: deps.Log.Component("entry"), pool: newPool(cfg.MemoryLimit > 0), suspects: newSuspects(cfg.Node),
 		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
-		memory: collector.New(cfg.MemoryLimit), maxConns: acceptor.MaxConns(cfg.MemoryLimit, cfg.MaxFiles), metrics: newMetrics(),
+		memory: collector.New(cfg.MemoryLimit), maxConns: acceptor.Entry.MaxConns(cfg.MemoryLimit, cfg.MaxFiles), metrics: newMetrics(),
 		keyUses: newKeyUses(), lengths: newAnswerLengths(),
 		budget: newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
