Governor: connections at the system's own port are bounded

What callers saw: nothing yet; anyone who reaches the port of the system's own processes can use up a control process's descriptors and memory. Cause: its listener had no bound on connections, and the kernel's own buffers. Evidence: TestSystemListenerOutlivesCrowdOfBodies and TestUnreadAnswersStayWithinMemory/system. Change: the listener keeps a quarter of the descriptors and 0.15 of the memory, 200 KB a connection, with buffers of 32 KB each way; beyond, the connection that has been inactive longest is closed.

--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -16,6 +16,7 @@
 	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/acceptor"
 	"redwingstage.org/stage/logger"
 )
 
@@ -61,6 +62,9 @@
 	NewDeployment bool
 	// Quota are the tolerances of client accounts' quotas.
 	Quota limiter.Bounds
+	// MemoryLimit is the memory of the process in bytes, MaxFiles its file descriptors; 0 if unknown.
+	MemoryLimit int64
+	MaxFiles    int
 }
 
 // Deps are the dependencies of a Governor.
@@ -104,8 +108,7 @@
 
 // New starts a replica: it is listening when New returns and joins its group in the background.
 func New(cfg Config, deps Deps) (*Governor, error) {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(context.Background(), "tcp", cfg.Addr)
+	ln, err := acceptor.System.Listen(context.Background(), cfg.Addr, cfg.MemoryLimit)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Addr)
 	}
@@ -119,7 +122,7 @@
 	g.registerHandlers(mux)
 	g.server = encoder.NewServer(mux)
 	g.wg.Go(func() {
-		if err := g.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.server.Serve(acceptor.New(ln, acceptor.System.MaxConns(cfg.MemoryLimit, cfg.MaxFiles))); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("listener ended", err)
 		}
 	})
