Governor: messages that are being received share a budget

What callers saw: nothing yet; anyone who reaches the port of the system's own processes ends a control process by messages that stop short of their end. Cause: each call and each message of a session may have 8 MB, read whole before anything checks its sender; no bound covered them together. Evidence: TestSystemListenerOutlivesCrowdOfMessages. Change: messages over 16 KB are counted while they arrive, in a budget of 0.1 of the memory (at least 20 MB, as the largest message of the log has 16), with the same eviction as bodies; calls outside of sessions have at most 64 KB. The bound on callers' connections at control goes from 0.35 to a quarter of the memory, so that the sums hold. Wrong on the way: a session's reader outlives its handler, so that the count needs a lock; the race detector found it in the governor's tests, and TestReaderThatOutlivesItsHandlerHoldsNothing keeps it.

--- a/stage/acceptor/acceptor.go
+++ b/stage/acceptor/acceptor.go
@@ -28,7 +28,7 @@
 // Entry are callers at an entry, Control those at a control process, System the system's own processes there.
 var (
 	Entry   = Class{files: 0.5, memory: 0.45, buffer: 16 << 10}
-	Control = Class{files: 0.5, memory: 0.35, buffer: 16 << 10}
+	Control = Class{files: 0.5, memory: 0.25, buffer: 16 << 10}
 	System  = Class{files: 0.25, memory: 0.15, buffer: 32 << 10}
 )
 
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -10,7 +10,6 @@
 	"github.com/sourcegraph/conc"
 
 	"redwingstage.org/coord/carrier"
-	"redwingstage.org/coord/encoder"
 	"redwingstage.org/coord/replicator"
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/limiter"
@@ -120,7 +119,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(carrier.Path, http.HandlerFunc(g.membership.serveLog))
 	g.registerHandlers(mux)
-	g.server = encoder.NewServer(mux)
+	g.server = newServer(mux, cfg.MemoryLimit)
 	g.wg.Go(func() {
 		if err := g.server.Serve(acceptor.New(ln, acceptor.System.MaxConns(cfg.MemoryLimit, cfg.MaxFiles))); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error("listener ended", err)
--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -24,6 +24,8 @@
 	maxQueuedMessages = 256
 	maxQueuedBytes    = 4 << 20
 	maxMessage        = 8 << 20
+	// maxCall bounds a call outside of sessions in bytes.
+	maxCall = 64 << 10
 	// minCompressedSize is the size in bytes from which a message is compressed, once for all sessions.
 	minCompressedSize = 2 << 10
 	pathSession       = "/redwingstage.governor/Session"
@@ -133,9 +135,9 @@
 }
 
 func (g *Governor) registerHandlers(mux *http.ServeMux) {
-	opts := []connect.HandlerOption{encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage)}
 	mux.Handle(metricsPath, g.hub.metrics.handler())
-	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession, g.serveSession, opts...))
+	mux.Handle(pathSession, connect.NewBidiStreamHandler(pathSession, g.serveSession, encoder.ConnectOption(), connect.WithReadMaxBytes(maxMessage)))
+	opts := []connect.HandlerOption{encoder.ConnectOption(), connect.WithReadMaxBytes(maxCall)}
 	mux.Handle(pathLink, connect.NewUnaryHandler(pathLink, func(context.Context, *connect.Request[linkRequest]) (*connect.Response[LeaderLink], error) {
 		link, err := g.leaderLink()
 		if err != nil {
