Governor: streams and windows of an HTTP/2 connection are bounded

What callers saw: nothing yet; anyone who reaches the port of the system's own processes makes a control process hold up to 250 streams and 1 MB for each connection. Cause: the library's defaults for a connection, times the bound on connections, aren't within the process's memory. Evidence: TestSystemListenerOutlivesCrowdOfMessages/of_sessions and TestSystemListenerOutlivesCrowdOfStreams. Change: 16 streams and windows of 128 KB a connection; a client that needs more streams opens another connection.

--- a/stage/governor/server.go
+++ b/stage/governor/server.go
@@ -12,6 +12,10 @@
 	// needs in bytes.
 	messageShare     = 0.1
 	minMessageBudget = 20 << 20
+	// maxStreams bounds the streams of a connection: its peer opens another one beyond them. receiveWindow is what may wait for their
+	// readers in bytes.
+	maxStreams    = 16
+	receiveWindow = 128 << 10
 )
 
 // newServer returns the server of the system's own processes; memory is the process's in bytes, 0 if unknown.
@@ -21,5 +25,11 @@
 	if memory > 0 {
 		budget = max(int64(messageShare*float64(memory)), minMessageBudget)
 	}
-	return encoder.NewServer(collector.NewWithBudget(budget).Handler(handler))
+	s := encoder.NewServer(collector.NewWithBudget(budget).Handler(handler))
+	if s.HTTP2 == nil {
+		s.HTTP2 = &http.HTTP2Config{}
+	}
+	s.HTTP2.MaxConcurrentStreams = maxStreams
+	s.HTTP2.MaxReceiveBufferPerConnection, s.HTTP2.MaxReceiveBufferPerStream = receiveWindow, receiveWindow
+	return s
 }
