Entry: replicas are probed at once for one with a leader

What callers saw: by reading, an entry whose replica had lost the leader probed the others one after another, 200 ms each. With silent ones first, that alone could use up the rest of the time in which a document must be in force.

Change: one round of probes asks all candidates, and the first in their order that has a leader is taken.

--- a/stage/relayer/staleness.go
+++ b/stage/relayer/staleness.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"redwingstage.org/coord/waiter"
 	"redwingstage.org/stage/governor"
 )
@@ -44,19 +47,34 @@
 func (c *controlClient) watchLeader(ctx context.Context) {
 	for ctx.Err() == nil {
 		waiter.Wait(ctx, watchInterval)
-		for _, addr := range c.candidates(time.Now()) {
-			current, ok := c.staleReplica(time.Now())
-			if !ok || ctx.Err() != nil {
-				break
-			}
-			if addr != current && c.hasLeader(ctx, addr) {
-				c.leave(current, addr)
-				break
-			}
+		current, ok := c.staleReplica(time.Now())
+		if !ok || ctx.Err() != nil {
+			continue
+		}
+		if next := c.findLeader(ctx, current); next != "" {
+			c.leave(current, next)
 		}
 	}
 }
 
+// findLeader returns the first candidate besides current that has a leader, or "". It probes all at once: the sum of the
+// timeouts of silent ones may exceed ApplyTime.
+func (c *controlClient) findLeader(ctx context.Context, current string) string {
+	addrs := c.candidates(time.Now())
+	hasLeader := make([]bool, len(addrs))
+	var probes conc.WaitGroup
+	for i, addr := range addrs {
+		if addr != current {
+			probes.Go(func() { hasLeader[i] = c.hasLeader(ctx, addr) })
+		}
+	}
+	probes.Wait()
+	if i := slices.Index(hasLeader, true); i >= 0 {
+		return addrs[i]
+	}
+	return ""
+}
+
 // staleReplica returns the address of the session's replica if that one has lost the leader.
 func (c *controlClient) staleReplica(now time.Time) (string, bool) {
 	c.mu.Lock()
