Acceptor: connections count until their server lets go of them

What callers saw: nothing yet; callers at the port of the system's own processes that come back whenever they are refused end a control process. Cause: a connection that is closed for another one left the count at once, but its goroutine and request remain until the server closes it: net/http waits 500 ms when a body wasn't read to its end. Change: connections that the server hasn't closed are counted as well; when they are twice as many as may be open, new ones are closed at once.

--- a/stage/acceptor/acceptor.go
+++ b/stage/acceptor/acceptor.go
@@ -13,8 +13,10 @@
 	// connBytes is what a connection takes in bytes without a body and without the kernel: its buffers and goroutines.
 	connBytes = 32 << 10
 	// minConns is the smallest bound, defaultConns the bound of a process whose descriptors and memory are unknown.
-	minConns     = 16
-	defaultConns = 1 << 14
+	minConns = 16
+	// maxUnreleased bounds the connections that a server hasn't closed yet, as a multiple of those that may be open.
+	maxUnreleased = 2
+	defaultConns  = 1 << 14
 )
 
 // Class is a class of connections that a process accepts.
@@ -45,13 +47,17 @@
 	return max(n, minConns)
 }
 
-// Listener closes the connection that has been inactive longest whenever one more than the bound is accepted.
+// Listener closes the connection that has been inactive longest whenever one more than the bound is accepted; while the server hasn't
+// let go of as many again, new ones are closed.
 type Listener struct {
 	net.Listener
 	limit int
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// unreleased are the connections that the server hasn't closed, also those that were closed for another one: its goroutine and request
+	// remain until then.
+	unreleased int
 }
 
 // New returns a listener that keeps at most limit connections of ln open.
@@ -61,23 +67,32 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, listener: l}
-	c.touch()
-	if old := l.add(c); old != nil {
-		_ = old.Close()
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: raw, listener: l}
+		c.touch()
+		old, ok := l.add(c)
+		if !ok {
+			_ = raw.Close()
+			continue
+		}
+		if old != nil {
+			_ = old.Conn.Close()
+		}
+		return c, nil
 	}
-	return c, nil
 }
 
-// add adds a connection; it returns the one to close, or nil.
-func (l *Listener) add(c *conn) *conn {
+// add adds a connection; it returns the one to close, or nil. False means that too many aren't released yet.
+func (l *Listener) add(c *conn) (oldest *conn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var oldest *conn
+	if l.unreleased >= maxUnreleased*l.limit {
+		return nil, false
+	}
 	if len(l.conns) >= l.limit {
 		for v := range l.conns {
 			if oldest == nil || v.active.Load() < oldest.active.Load() {
@@ -85,8 +100,12 @@
 			}
 		}
 	}
+	if oldest != nil {
+		delete(l.conns, oldest)
+	}
 	l.conns[c] = struct{}{}
-	return oldest
+	l.unreleased++
+	return oldest, true
 }
 
 // conn is a connection with the time of its last activity, in nanoseconds.
@@ -94,6 +113,8 @@
 	net.Conn
 	listener *Listener
 	active   atomic.Int64
+	// released is set once the server has closed the connection; the listener's lock guards it.
+	released bool
 }
 
 func (c *conn) touch() { c.active.Store(time.Now().UnixNano()) }
@@ -120,6 +141,10 @@
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
+	if !c.released {
+		c.released = true
+		c.listener.unreleased--
+	}
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/stage/acceptor/acceptor_test.go
+++ b/stage/acceptor/acceptor_test.go
@@ -64,3 +64,41 @@
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, len(ln.conns), qt.Equals, 3)
 }
+
+// Connections that were closed for others count until their server lets go of them: a crowd that came back left ever more behind.
+func TestConnectionsCountUntilTheirServerClosesThem(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	const limit = 2
+	ln := New(raw, limit)
+	defer ln.Close()
+	dial := func() net.Conn {
+		far, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = far.Close() })
+		return far
+	}
+	var near []net.Conn
+	for range maxUnreleased * limit {
+		dial()
+		c, err := ln.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		near = append(near, c)
+	}
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, _ := ln.Accept()
+		accepted <- c
+	}()
+	_, err = dial().Read(make([]byte, 1))
+	qt.Check(t, err, qt.Equals, io.EOF)
+	for range 2 {
+		_ = near[0].Close()
+	}
+	dial()
+	near[0] = <-accepted
+	for _, c := range near {
+		_ = c.Close()
+	}
+	qt.Check(t, ln.unreleased, qt.Equals, 0)
+}
