Carrier: the time to send a large message isn't silence

A message that took longer to send than the response timeout never arrived: as soon as the next one was due, the connection was given up and its end was lost, and the replicas sent the whole again. A document of megabytes over a link between regions is such a message: nothing more is committed there. TestLargeMessageOverSlowLinkArrives (1 MB, 0.6 s at least, a timeout of 0.2 s) fails before, not within 20 s. The wait for a response begins when the message has been sent.

--- a/coord/carrier/carrier.go
+++ b/coord/carrier/carrier.go
@@ -235,9 +235,6 @@
 		if !unansweredSince.IsZero() && now.Sub(unansweredSince) > c.responseTimeout {
 			return m, errNoResponse
 		}
-		if unansweredSince.IsZero() && m.ExpectsResponse() {
-			unansweredSince = now
-		}
 		if err := sendFrame(s, m, cancel); err != nil {
 			// A peer that refuses streams ends them early.
 			if err = c.streamError(s, err); sent && time.Since(start) >= c.responseTimeout {
@@ -245,6 +242,10 @@
 			}
 			return m, err
 		}
+		if unansweredSince.IsZero() && m.ExpectsResponse() {
+			// The time to send a large message doesn't count: it would be sent again and again.
+			unansweredSince = time.Now()
+		}
 		idle.Reset(idleTimeout)
 		select {
 		case <-ctx.Done():
--- a/coord/carrier/silent_test.go
+++ b/coord/carrier/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -150,3 +151,64 @@
 	qt.Assert(t, known.Close(), qt.IsNil)
 	qt.Assert(t, leader.Close(), qt.IsNil)
 }
+
+// slowConn takes its bytes at a bounded rate.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(b []byte) (int, error) {
+	const block, pause = 32 << 10, 20 * time.Millisecond
+	written := 0
+	for len(b) > 0 {
+		time.Sleep(pause)
+		n, err := c.Conn.Write(b[:min(block, len(b))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		b = b[n:]
+	}
+	return written, nil
+}
+
+// A message that took longer than the response timeout on a slow link never arrived: the connection was given up as soon as the
+// next message was due.
+func TestLargeMessageOverSlowLinkArrives(t *testing.T) {
+	const size = 1 << 20
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, addr)
+		return slowConn{conn}, err
+	}
+	a := New(1, "c", WithResponseTimeout(200*time.Millisecond), WithDialer(dial))
+	b := New(2, "c", WithResponseTimeout(200*time.Millisecond))
+	arrived := make(chan bool, 1024)
+	a.SetReceiver(func(replicator.Message) error { return nil })
+	b.SetReceiver(func(m replicator.Message) error {
+		if len(m.Entries) > 0 {
+			arrived <- true
+		}
+		b.Send(replicator.Message{Type: replicator.TypeAppendResponse, From: 2, To: 1, Term: 3})
+		return nil
+	})
+	addrA, addrB := serve(t, a.Handler()), serve(t, b.Handler())
+	a.SetPeers(map[uint64]string{1: addrA, 2: addrB})
+	b.SetPeers(map[uint64]string{1: addrA, 2: addrB})
+	data := make([]byte, size)
+	rand.NewChaCha8([32]byte{}).Read(data)
+	a.Send(replicator.Message{Type: replicator.TypeAppend, From: 1, To: 2, Term: 3, LogTerm: 3, Entries: []replicator.Entry{{Index: 1, Term: 3, Data: data}}})
+	heartbeat := time.NewTicker(50 * time.Millisecond)
+	defer heartbeat.Stop()
+	for end := time.After(20 * time.Second); ; {
+		select {
+		case <-heartbeat.C:
+			a.Send(replicator.Message{Type: replicator.TypeAppend, From: 1, To: 2, Term: 3})
+			continue
+		case <-arrived:
+		case <-end:
+			t.Error("the message never arrived")
+		}
+		break
+	}
+	qt.Assert(t, a.Close(), qt.IsNil)
+	qt.Assert(t, b.Close(), qt.IsNil)
+}
