--- a/coord/carrier/silent_test.go
+++ b/coord/carrier/silent_test.go
@@ -194,7 +194,7 @@
 	a.SetPeers(map[uint64]string{1: addrA, 2: addrB})
 	b.SetPeers(map[uint64]string{1: addrA, 2: addrB})
 	data := make([]byte, size)
-	rand.NewChaCha8([32]byte{}).Read(data)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(data)
 	a.Send(replicator.Message{Type: replicator.TypeAppend, From: 1, To: 2, Term: 3, LogTerm: 3, Entries: []replicator.Entry{{Index: 1, Term: 3, Data: data}}})
 	heartbeat := time.NewTicker(50 * time.Millisecond)
 	defer heartbeat.Stop()
