Carrier: the test of a large message has time for a loaded machine

The timeout is 1 s now and the message 1.5 MB, so that its transfer still takes longer; it fails on the code before the mend as it did (not within 20 s), and passes 4 of 4 with the race detector beside load.

--- a/coord/carrier/silent_test.go
+++ b/coord/carrier/silent_test.go
@@ -173,14 +173,15 @@
 // A message that took longer than the response timeout on a slow link never arrived: the connection was given up as soon as the
 // next message was due.
 func TestLargeMessageOverSlowLinkArrives(t *testing.T) {
-	const size = 1 << 20
+	// The message takes 1.5 s at least, and less than the 5 s that a send may take.
+	const size = 3 << 19
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		var d net.Dialer
 		conn, err := d.DialContext(ctx, network, addr)
 		return slowConn{conn}, err
 	}
-	a := New(1, "c", WithResponseTimeout(200*time.Millisecond), WithDialer(dial))
-	b := New(2, "c", WithResponseTimeout(200*time.Millisecond))
+	a := New(1, "c", WithResponseTimeout(time.Second), WithDialer(dial))
+	b := New(2, "c", WithResponseTimeout(time.Second))
 	arrived := make(chan bool, 1024)
 	a.SetReceiver(func(replicator.Message) error { return nil })
 	b.SetReceiver(func(m replicator.Message) error {
@@ -195,9 +196,9 @@
 	b.SetPeers(map[uint64]string{1: addrA, 2: addrB})
 	data := make([]byte, size)
 	_, _ = rand.NewChaCha8([32]byte{}).Read(data)
-	a.Send(replicator.Message{Type: replicator.TypeAppend, From: 1, To: 2, Term: 3, LogTerm: 3, Entries: []replicator.Entry{{Index: 1, Term: 3, Data: data}}})
-	heartbeat := time.NewTicker(50 * time.Millisecond)
+	heartbeat := time.NewTicker(100 * time.Millisecond)
 	defer heartbeat.Stop()
+	a.Send(replicator.Message{Type: replicator.TypeAppend, From: 1, To: 2, Term: 3, LogTerm: 3, Entries: []replicator.Entry{{Index: 1, Term: 3, Data: data}}})
 	for end := time.After(20 * time.Second); ; {
 		select {
 		case <-heartbeat.C:
