--- a/stage/governor/server.go
+++ b/stage/governor/server.go
@@ -26,9 +26,6 @@
 		budget = max(int64(messageShare*float64(memory)), minMessageBudget)
 	}
 	s := encoder.NewServer(collector.NewWithBudget(budget).Handler(handler))
-	if s.HTTP2 == nil {
-		s.HTTP2 = &http.HTTP2Config{}
-	}
 	s.HTTP2.MaxConcurrentStreams = maxStreams
 	s.HTTP2.MaxReceiveBufferPerConnection, s.HTTP2.MaxReceiveBufferPerStream = receiveWindow, receiveWindow
 	return s
