--- a/coord/replicator/replicator.go
+++ b/coord/replicator/replicator.go
@@ -330,6 +330,7 @@
 	r.isWriting, r.isWriteSlow, r.writeSeenAt = false, false, time.Time{}
 	r.durableSeq = max(r.durableSeq, w.seq)
 	if wasVoting && !r.isVoting() {
+		// The wait for the others begins once this replica has done its own part.
 		r.waitingSince = now
 	}
 	if t, ok := r.log.term(w.lastIndex); ok && t == w.lastTerm {
--- a/stage/governor/elections_test.go
+++ b/stage/governor/elections_test.go
@@ -15,7 +15,7 @@
 func TestSlowWriteLeavesLineAndMetric(t *testing.T) {
 	c := qt.New(t)
 	log := &LogBuffer{}
-	ms := newMembership(Config{}, nil, logger.New(log, "info").Component("control"))
+	ms := newMembership(Config{}, Deps{}, logger.New(log, "info").Component("control"))
 	m := newMetrics()
 	ms.onWrite = m.observeWrite
 	ms.writeEnded(electionTimeout)
--- a/stage/governor/export_test.go
+++ b/stage/governor/export_test.go
@@ -78,7 +78,7 @@
 
 // CallJoin requests an ID from the replica at addr.
 func CallJoin(ctx context.Context, addr string) error {
-	_, err := newMembership(Config{Addr: "127.0.0.1:1"}, nil, nil).callJoin(ctx, addr, 0)
+	_, err := newMembership(Config{Addr: "127.0.0.1:1"}, Deps{}, nil).callJoin(ctx, addr, 0)
 	return err
 }
 
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -119,10 +119,7 @@
 	}
 	g := &Governor{cfg: cfg, deps: deps, log: deps.Log.Component("control")}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.membership = newMembership(cfg, deps.Dialer, g.log)
-	if deps.FileSystem != nil {
-		g.membership.fs = deps.FileSystem
-	}
+	g.membership = newMembership(cfg, deps, g.log)
 	g.hub = newHub(g.ctx, cfg, deps, g.membership, g.log, g.wg.Go)
 	g.membership.onStateChange, g.membership.onWrite = g.hub.stateChanged, g.hub.metrics.observeWrite
 	mux := http.NewServeMux()
--- a/stage/governor/leaderless_test.go
+++ b/stage/governor/leaderless_test.go
@@ -113,7 +113,7 @@
 func TestJoinFailuresAreLoggedOnceInAWhile(t *testing.T) {
 	c := qt.New(t)
 	log := &LogBuffer{}
-	ms := newMembership(Config{}, nil, logger.New(log, "info").Component("control"))
+	ms := newMembership(Config{}, Deps{}, logger.New(log, "info").Component("control"))
 	now := time.Unix(100, 0)
 	ms.recordJoin(now, "a", joinReply{}, ErrNoLeader)
 	ms.recordJoin(now.Add(leaderlessEvery-1), "a", joinReply{Redirect: "b"}, nil)
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -73,9 +73,13 @@
 	joins map[string]joinOutcome
 }
 
-func newMembership(cfg Config, dialer encoder.DialFunc, l *logger.Component) *membership {
+func newMembership(cfg Config, deps Deps, l *logger.Component) *membership {
+	var fs journaler.FileSystem = journaler.OSFileSystem{}
+	if deps.FileSystem != nil {
+		fs = deps.FileSystem
+	}
 	return &membership{
-		cfg: cfg, dialer: dialer, logger: l, fs: journaler.OSFileSystem{}, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}),
+		cfg: cfg, dialer: deps.Dialer, logger: l, fs: fs, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}),
 		joins: make(map[string]joinOutcome),
 	}
 }
--- a/stage/governor/worker_test.go
+++ b/stage/governor/worker_test.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	l := logger.New(io.Discard, "error").Component("test")
-	h := newHub(ctx, Config{Node: "n"}, Deps{Engines: engine}, newMembership(Config{}, nil, l), l, wg.Go)
+	h := newHub(ctx, Config{Node: "n"}, Deps{Engines: engine}, newMembership(Config{}, Deps{}, l), l, wg.Go)
 	h.leader = newLeaderState(1, time.Now(), &replicatedState{}, testCapacity(adapters))
 	h.leader.reportsCompleteAt = h.leaderSeenAt.Add(lateOrderTime)
 	h.leader.announce(time.Now(), tracker.Instance{Key: testKey, Service: "s", Addr: "a", Sequence: 1})
