--- a/coord/carrier/carrier_test.go
+++ b/coord/carrier/carrier_test.go
@@ -88,11 +88,9 @@
 	qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
 }
 
-// TestUnresponsiveConnection sends on connections that are accepted but never answered, as when a middlebox lost state.
-func TestUnresponsiveConnection(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	conns := make(chan net.Conn, 10)
+// acceptAll accepts connections and never answers on them; the channel is closed with lis.
+func acceptAll(lis net.Listener) <-chan net.Conn {
+	conns := make(chan net.Conn, 100)
 	go func() {
 		defer close(conns)
 		for {
@@ -103,6 +101,14 @@
 			conns <- conn
 		}
 	}()
+	return conns
+}
+
+// TestUnresponsiveConnection sends on connections that are accepted but never answered, as when a middlebox lost state.
+func TestUnresponsiveConnection(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	conns := acceptAll(lis)
 	a := New(1, "c", WithResponseTimeout(20*time.Millisecond))
 	a.SetPeers(map[uint64]string{2: lis.Addr().String()})
 	stop := make(chan struct{})
--- a/coord/carrier/silent_test.go
+++ b/coord/carrier/silent_test.go
@@ -22,17 +22,7 @@
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = lis.Close() })
-	conns := make(chan net.Conn, 100)
-	go func() {
-		defer close(conns)
-		for {
-			conn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			conns <- conn
-		}
-	}()
+	conns := acceptAll(lis)
 	a := New(1, "c", WithResponseTimeout(20*time.Millisecond))
 	a.SetPeers(map[uint64]string{2: lis.Addr().String()})
 	const replaced = 4
