Entry: a refusal of an unknown route leaves a line

Operators saw: a request refused with 404 by an older version of the document left no line, so that neither the version nor the leader's age at the decision could be told afterwards.

Change: all refusals by a request's head are logged, with version and leader_ms, as those with 401 and 503 were.

Evidence: TestRefusalOfUnknownRouteIsLogged fails before.

--- a/stage/relayer/authentication.go
+++ b/stage/relayer/authentication.go
@@ -203,11 +203,9 @@
 	if r.onKey() {
 		e.metrics.countAccount(unknownAccount, r.outcome)
 	}
-	if r.onKey() || r.status == http.StatusServiceUnavailable {
-		e.log.Request(logger.Request{
-			ID: req.get(e.headers.AttemptID), Outcome: "refused", Reason: r.reason, Status: r.status, Basis: req.decision.basis(),
-		})
-	}
+	e.log.Request(logger.Request{
+		ID: req.get(e.headers.AttemptID), Outcome: "refused", Reason: r.reason, Status: r.status, Basis: req.decision.basis(),
+	})
 	return e.writeDenial(w, r)
 }
 
--- a/stage/relayer/confirmation_test.go
+++ b/stage/relayer/confirmation_test.go
@@ -55,6 +55,21 @@
 	}})
 }
 
+// A 404 of an entry that had an older configuration left no line that told its version and the leader's age.
+func TestRefusalOfUnknownRouteIsLogged(t *testing.T) {
+	c := qt.New(t)
+	var log logBuffer
+	e := startEntryWithLog(c, logger.New(&log, "info"))
+	e.control.receive("replica", governor.DownMessage{}, time.Now().Add(time.Hour))
+	l := dial(c, e)
+	l.send(c, "POST", "/unknown/", "x", testDeadline+": 8000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusNotFound)
+	c.Check(log.requestLines(c, "id-1"), qt.DeepEquals, []map[string]any{{
+		"message": "entry: request ended", "outcome": "refused", "status": 404.0, "version": 1.0, "leader_ms": 0.0,
+		"reason": "no route matches " + testHost + "/unknown/",
+	}})
+}
+
 func TestConfirmationWatch(t *testing.T) {
 	c := qt.New(t)
 	const apply = 2 * time.Second
