Entry: freshness follows from the last confirmation alone

Callers saw: a route or a key that had been added was refused with 404 or 401 by an entry that hadn't heard of the leader for seconds, at the moment in which it gave its session up, and in one that can't read the newest document.

Cause: freshness was derived from the state of the session. Without cancel, which leave and returnToLocalZone clear, staleFor was 0, and disconnectedAt was set only once the session had ended; its end set readiness back, too. A document that couldn't be read confirmed the one before.

Change: one number decides, the age of the last confirmation, which only a message that was applied moves on. A session that begins, ends or is between the two brings nothing.

--- a/stage/operator/explain.go
+++ b/stage/operator/explain.go
@@ -180,7 +180,7 @@
 	fmt.Fprintf(&b, "entry    %s in %s, configuration %d, %d entries\n", x.Entry, x.Zone, x.Version, x.Entries)
 	fmt.Fprintf(&b, "state    last news %s, leader last confirmed %s", ageText(x.NewsAgeMS), ageText(x.ConfirmedAgeMS))
 	if x.DisconnectedMS > 0 {
-		fmt.Fprintf(&b, ", no session with a leader for %.1f s", float64(x.DisconnectedMS)/1000)
+		fmt.Fprintf(&b, ", may lack newer versions for %.1f s", float64(x.DisconnectedMS)/1000)
 	}
 	fmt.Fprintf(&b, "\nroute    %s, priority %d\n", x.Route, x.Priority)
 	if x.Account != "" {
--- a/stage/relayer/authentication.go
+++ b/stage/relayer/authentication.go
@@ -154,8 +154,8 @@
 // decideNow decides on a request's head by the table in force.
 func (e *Relayer) decideNow(req *request) headDecision {
 	// Read before the table: in the other order, a version that comes in between would have the older table count as the newest.
-	disconnected, leaderAge := e.control.freshness(time.Now())
-	d := decideHead(e.table.Load(), e.headers, req, disconnected > 0)
+	stale, leaderAge := e.control.freshness(time.Now())
+	d := decideHead(e.table.Load(), e.headers, req, stale > 0)
 	d.leaderAge = leaderAge
 	return d
 }
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -28,8 +28,8 @@
 	maxQueuedMessages = 1024
 	// failedReplicaDelay is how long a failed replica is tried last, and isn't returned to while another one serves.
 	failedReplicaDelay = 10 * time.Second
-	// readyGrace is how long an entry without a session stays ready: a leader change takes less, and after it other entries
-	// have newer state. Open connections are still served.
+	// readyGrace is how long an entry that may lack newer versions stays ready: a leader change takes less, and after it other
+	// entries have newer state. Open connections are still served.
 	readyGrace = 3 * time.Second
 )
 
@@ -41,16 +41,19 @@
 	mu       sync.Mutex
 	seeds    []string
 	replicas []governor.Peer
-	// addr is the session's replica, cancel ends the session; disconnectedAt is when the last one ended, zero during one.
-	addr           string
-	cancel         context.CancelFunc
-	disconnectedAt time.Time
+	// addr is the session's replica, or the one that is being connected to; cancel ends that and is nil once it was called.
+	addr   string
+	cancel context.CancelFunc
+	// inSession is set from a session's first message to its end.
+	inSession bool
 	// failedAt is the time of the last failure, by address.
 	failedAt map[string]time.Time
-	// confirmedAt is the latest time at which the leader is known to have served this entry; preferred is the replica to
-	// connect to next.
-	confirmedAt time.Time
-	preferred   string
+	// confirmedAt is the latest time at which the leader is known to have served this entry: it has all versions that were
+	// acknowledged before. startedAt stands in for it until there is one; preferred is the replica to connect to next.
+	confirmedAt, startedAt time.Time
+	preferred              string
+	// announced is the highest version of the document that came, whether or not it could be applied.
+	announced uint64
 	// newsAt is when the last message of a session was applied.
 	newsAt      time.Time
 	requestedAt map[adapterRequest]time.Time
@@ -66,7 +69,7 @@
 func newControlClient(e *Relayer) *controlClient {
 	return &controlClient{
 		entry: e, queue: make(chan governor.UpMessage, maxQueuedMessages), seeds: slices.Clone(e.cfg.Controls), requestedAt: make(map[adapterRequest]time.Time),
-		failedAt: make(map[string]time.Time), disconnectedAt: time.Now(),
+		failedAt: make(map[string]time.Time), startedAt: time.Now(),
 	}
 }
 
@@ -136,26 +139,6 @@
 	}
 }
 
-// disconnectedFor returns how long there has been no session with a replica that has a leader, 0 during one.
-func (c *controlClient) disconnectedFor(now time.Time) time.Duration {
-	disconnected, _ := c.freshness(now)
-	return disconnected
-}
-
-// freshness returns disconnectedFor and how long ago the leader is known to have served this entry, negative if never.
-func (c *controlClient) freshness(now time.Time) (disconnected, leaderAge time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	leaderAge = -1
-	if !c.confirmedAt.IsZero() {
-		leaderAge = max(now.Sub(c.confirmedAt), 0)
-	}
-	if c.disconnectedAt.IsZero() {
-		return c.staleFor(now), leaderAge
-	}
-	return now.Sub(c.disconnectedAt), leaderAge
-}
-
 // requestAdapter requests an adapter from the leader; repeated requests for the same one are rate limited.
 func (c *controlClient) requestAdapter(w governor.Want) {
 	now := time.Now()
@@ -248,9 +231,7 @@
 		now := time.Now()
 		c.mu.Lock()
 		returning = c.cancel == nil
-		if started && c.disconnectedAt.IsZero() {
-			c.disconnectedAt = now
-		}
+		c.inSession = false
 		if !started || !returning {
 			c.failedAt[addr] = now
 		}
@@ -291,11 +272,12 @@
 }
 
 // receive applies a message from the replica at addr, and then records that the leader is known to have served this entry at
-// a time: from then on this entry refuses routes and keys that it doesn't know.
+// a time: from then on this entry refuses routes and keys that it doesn't know. A document that can't be read confirms nothing.
 func (c *controlClient) receive(addr string, d governor.DownMessage, confirmed time.Time) {
 	if d.Welcome != nil {
 		c.mu.Lock()
 		delete(c.failedAt, addr)
+		c.inSession = true
 		c.mu.Unlock()
 		c.entry.balancer.ResendLoads()
 		c.entry.log.Info("session with a control replica", addr)
@@ -305,11 +287,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.newsAt = time.Now()
-	if confirmed.After(c.confirmedAt) {
+	if confirmed.After(c.confirmedAt) && c.hasAnnounced() {
 		c.confirmedAt = confirmed
 	}
 }
 
+// hasAnnounced reports whether the newest document that came is in force. The caller holds mu.
+func (c *controlClient) hasAnnounced() bool {
+	t := c.entry.table.Load()
+	return c.announced == 0 || t != nil && t.Version() >= c.announced
+}
+
 // applyMessage applies a message from the replica.
 func (c *controlClient) applyMessage(d governor.DownMessage) {
 	e := c.entry
@@ -363,9 +351,6 @@
 // reconcile compares the known servers with a session's first message. A settled leader's list is complete, so that unlisted
 // servers are removed; to any other leader they are reported.
 func (c *controlClient) reconcile(d *governor.DownMessage) {
-	c.mu.Lock()
-	c.disconnectedAt = time.Time{}
-	c.mu.Unlock()
 	listed := make(map[string]bool, len(d.Engines))
 	for _, in := range d.Engines {
 		listed[in.Key.ID] = true
@@ -390,6 +375,9 @@
 // applyDocument applies a version of the operator's document, never an older one, and acknowledges the version in force.
 func (c *controlClient) applyDocument(doc governor.Doc) {
 	e := c.entry
+	c.mu.Lock()
+	c.announced = max(c.announced, doc.Version)
+	c.mu.Unlock()
 	if t := e.table.Load(); t == nil || t.Version() < doc.Version {
 		t, err := e.deps.Decode(doc)
 		if err != nil {
--- a/stage/relayer/explain.go
+++ b/stage/relayer/explain.go
@@ -222,8 +222,9 @@
 	out := &explainAnswer{
 		Entry: e.cfg.Node, Zone: e.cfg.Zone, Version: d.table.Version(), Route: d.route.Name, Account: d.accountName(), Priority: d.priority(),
 		LatencyTargetMS: d.route.LatencyTarget.Milliseconds(), Entries: e.balancer.Entries(),
-		DisconnectedMS: e.control.disconnectedFor(now).Milliseconds(),
 	}
+	stale, _ := e.control.freshness(now)
+	out.DisconnectedMS = stale.Milliseconds()
 	out.NewsAgeMS, out.ConfirmedAgeMS = e.control.ages(now)
 	out.Quota = e.explainQuota(now, req)
 	if err := e.explainServices(now, req, out); err != nil {
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -179,7 +179,7 @@
 
 // serveReadiness responds to the load balancer's readiness probe.
 func (e *Relayer) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || e.table.Load() == nil || e.control.disconnectedFor(time.Now()) > readyGrace {
+	if stale, _ := e.control.freshness(time.Now()); e.stopping.Load() || e.table.Load() == nil || stale > readyGrace {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -104,9 +104,17 @@
 		})
 	}
 	e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Engines: engines, Entries: 1})
+	setConfirmation(e, time.Now().Add(time.Hour))
 	return e
 }
 
+// setConfirmation sets when the leader is known to have served an entry.
+func setConfirmation(e *Relayer, at time.Time) {
+	e.control.mu.Lock()
+	defer e.control.mu.Unlock()
+	e.control.confirmedAt = at
+}
+
 // caller is one connection to an entry.
 type caller struct {
 	net.Conn
--- a/stage/relayer/staleness.go
+++ b/stage/relayer/staleness.go
@@ -37,12 +37,20 @@
 	return c.entry.cfg.ApplyTime
 }
 
-// staleFor returns how long the session's replica has been without a leader that serves it, 0 without a session. The
-// caller holds mu.
-func (c *controlClient) staleFor(now time.Time) time.Duration {
-	if c.cancel == nil || !c.disconnectedAt.IsZero() {
-		return 0
+// freshness returns for how long this entry may have lacked versions that are in force elsewhere, 0 if it has them, and how
+// long ago the leader is known to have served it, negative if never. Both follow from the last confirmation alone: sessions
+// that begin or end bring no knowledge.
+func (c *controlClient) freshness(now time.Time) (stale, leaderAge time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmedAt.IsZero() {
+		return max(now.Sub(c.startedAt), 1), -1
 	}
+	return c.staleFor(now), max(now.Sub(c.confirmedAt), 0)
+}
+
+// staleFor returns how much longer than staleAfter the last confirmation is ago, or 0. The caller holds mu.
+func (c *controlClient) staleFor(now time.Time) time.Duration {
 	return max(now.Sub(c.confirmedAt)-c.staleAfter(), 0)
 }
 
@@ -85,7 +93,12 @@
 func (c *controlClient) staleReplica(now time.Time) (string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.addr, c.staleFor(now) > 0
+	return c.addr, c.canLeave(now)
+}
+
+// canLeave reports whether the session's replica has lost the leader and the session isn't ending. The caller holds mu.
+func (c *controlClient) canLeave(now time.Time) bool {
+	return c.inSession && c.cancel != nil && c.staleFor(now) > 0
 }
 
 func (c *controlClient) hasLeader(ctx context.Context, addr string) bool {
@@ -100,7 +113,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.addr != stale || c.staleFor(now) == 0 {
+	if c.addr != stale || !c.canLeave(now) {
 		return
 	}
 	c.entry.log.Warn("the control replica has lost the leader, going to another one", next)
