Control: a response to a heartbeat follows what it confirms

Callers saw: a route that had been added was refused with 404 by an entry whose relay had just found a leader again after a cut.

Cause: a response to a heartbeat tells an entry that it has all that the leader had sent by then, but it was queued when the heartbeat came, or when the leader's first message came, while the document that had come with it was queued at the end of the round. For the time between the two messages the entry took its old document, which may be older by the whole cut, for the newest. The leader did the same to relays with a committed document that it hadn't sent, and to an entry at its own relay with the first message.

Change: a heartbeat makes a response due; each round sends changes first and due responses last, for relays and entries alike.

--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -192,7 +192,7 @@
 	}
 	h.relay.apply(d)
 	if d.Welcome != nil {
-		h.relay.respondAll(now)
+		h.relay.repeatResponses()
 	}
 }
 
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -138,7 +138,21 @@
 	wait := shorterWait(h.relay.sendReport(now), h.distributeQuotas(now))
 	wait = shorterWait(wait, h.plan(now))
 	wait = shorterWait(wait, h.broadcastChanges(now))
-	return shorterWait(wait, h.relay.sendUpdate(now))
+	wait = shorterWait(wait, h.relay.sendUpdate(now))
+	h.sendResponses()
+	h.relay.sendResponses(now)
+	return wait
+}
+
+// sendResponses responds to relays' heartbeats. It must follow broadcastState: a response confirms that the relay has everything
+// that was committed when it sent the heartbeat.
+func (h *hub) sendResponses() {
+	for s := range h.relaySessions {
+		if s.responseDue {
+			s.responseDue = false
+			h.send(s, DownMessage{Heartbeat: s.heartbeat})
+		}
+	}
 }
 
 // tick does the periodic work.
@@ -449,19 +463,17 @@
 	if up.Hello != nil && !h.beginSession(now, s, *up.Hello) {
 		h.closeSession(s, endRefused)
 	}
-	switch {
-	case s.closed || s.hello == nil:
-	case s.isRelay():
+	if s.closed || s.hello == nil {
+		return
+	}
+	if up.Heartbeat > 0 {
+		s.heartbeat, s.responseDue = up.Heartbeat, true
+	}
+	if s.isRelay() {
 		h.applyReport(now, s, up)
-		if up.Heartbeat > 0 {
-			h.send(s, DownMessage{Heartbeat: up.Heartbeat})
-		}
-	default:
-		h.relay.receive(s, up)
-		if up.Heartbeat > 0 {
-			h.relay.respond(now, s, up.Heartbeat)
-		}
+		return
 	}
+	h.relay.receive(s, up)
 }
 
 // beginSession begins an entry's session with the relay, or a relay's with the leader.
@@ -471,6 +483,8 @@
 		if !h.relay.isConnected(now) {
 			return false
 		}
+		// The first message confirms, too.
+		h.broadcastState()
 		return h.relay.addSession(now, s)
 	}
 	if h.leader == nil {
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -72,7 +72,7 @@
 	h.relay.connectedAt = now
 	h.relay.confirm(now)
 	h.relay.apply(&d)
-	h.relay.respondAll(now)
+	h.relay.repeatResponses()
 }
 
 // fullState returns the full state for a relay.
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -129,17 +129,20 @@
 // leaderAge returns how long ago the leader is known to have served this relay.
 func (r *relay) leaderAge(now time.Time) time.Duration { return max(now.Sub(r.confirmedAt), 0) }
 
-// respond responds to an entry's heartbeat.
-func (r *relay) respond(now time.Time, s *session, heartbeat uint64) {
-	s.heartbeat = heartbeat
-	r.send(s, DownMessage{Heartbeat: heartbeat, LeaderAge: r.leaderAge(now)}, "beat")
+// repeatResponses makes the responses to the last heartbeats due again, so that entries know at once that there is a leader.
+func (r *relay) repeatResponses() {
+	for s := range r.sessions {
+		s.responseDue = s.heartbeat > 0
+	}
 }
 
-// respondAll repeats the responses to the last heartbeats, so that entries know at once that there is a leader again.
-func (r *relay) respondAll(now time.Time) {
+// sendResponses responds to entries' heartbeats. It must follow sendUpdate: a response confirms that the entry has everything that
+// the leader had sent when the relay was last served.
+func (r *relay) sendResponses(now time.Time) {
 	for s := range r.sessions {
-		if s.heartbeat > 0 {
-			r.respond(now, s, s.heartbeat)
+		if s.responseDue {
+			s.responseDue = false
+			r.send(s, DownMessage{Heartbeat: s.heartbeat, LeaderAge: r.leaderAge(now)}, "beat")
 		}
 	}
 }
--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -39,8 +39,9 @@
 	// queuedBytes is the number of bytes in queue.
 	queuedBytes  atomic.Int64
 	lastReceived time.Time
-	// heartbeat is an entry's last heartbeat.
-	heartbeat uint64
+	// heartbeat is the other side's last heartbeat; responseDue is set until the response is queued.
+	heartbeat   uint64
+	responseDue bool
 	// version is the document in force at the other side; entries is a relay's number of sessions with entries.
 	version uint64
 	entries int
