Streams go on only at the software version that began them

Cause: nobody read the heartbeat's version nor Resumes; a take-up, and a second attempt within an answer, went to any engine.

Entries remember where resumable streams began and, while a service has several versions, tell the control replicas, which they ask for streams of others. The log has the versions that may have begun a running stream, from before the first server of one is announced until 30 s after the last has gone; with one version there, a fresh entry needs no memory. What nobody knows is refused. Adapters for such streams are loaded at engines of their version.

--- a/serving/allocator/allocator.go
+++ b/serving/allocator/allocator.go
@@ -96,6 +96,8 @@
 	Deadline time.Time
 	// ExcludedEngines lists engines that hold the adapter and did not answer.
 	ExcludedEngines []string
+	// Software is the only software version of engines that the waiting request can use, "" for any.
+	Software string
 }
 
 type state int
@@ -166,6 +168,13 @@
 	adapter tracker.Adapter
 	zone    string
 	isCopy  bool
+	// software is the only software version of engines that the waiting request can use, "" for any.
+	software string
+}
+
+// fits reports whether an engine may serve the request that waits.
+func (k wantKey) fits(e *engine) bool {
+	return e.Service == k.service && (k.software == "" || e.Software == k.software)
 }
 
 // Capacity is what the engines of a service may hold.
@@ -395,7 +404,7 @@
 
 // Want records a request for an adapter; it counts as a use, since the waiting requests will use it.
 func (a *Allocator) Want(now time.Time, w Want) {
-	k := wantKey{w.Service, w.Adapter, w.Zone, w.Copy}
+	k := wantKey{w.Service, w.Adapter, w.Zone, w.Copy, w.Software}
 	a.recordWant(now, k, w.Deadline)
 	if len(w.ExcludedEngines) > 0 {
 		v := a.wants[k]
--- a/serving/allocator/allocator_test.go
+++ b/serving/allocator/allocator_test.go
@@ -565,3 +565,22 @@
 	c.Check(orders[0].Engine, qt.Equals, "x")
 	c.Check(orders[0].Version, qt.Equals, 3)
 }
+
+// A stream that only one software version can go on with waited for an adapter that was loaded at an engine of another.
+func TestAdapterIsLoadedAtSoftwareVersion(t *testing.T) {
+	c := qt.New(t)
+	for _, version := range []string{"v1", "v2"} {
+		a := allocator.New(allocator.Config{})
+		for i, id := range []string{"x", "y", "z"} {
+			in := tracker.Instance{Key: tracker.Key{ID: id, StartedMS: 1}, Service: "s", Software: []string{"v1", "v2", "v1"}[i]}
+			a.SetEngine(in, allocator.Capacity{Adapters: 4, LoadsPerSecond: 100})
+			a.Sync(start, id, []tracker.Resident{{Adapter: tracker.Adapter{Model: "m"}, Version: 1}}, nil, true)
+		}
+		w := allocator.Want{Service: "s", Adapter: tracker.Adapter{Model: "m", Name: "a"}, Deadline: start.Add(time.Second)}
+		w.Software = version
+		a.Want(start, w)
+		orders := a.Plan(start.Add(time.Millisecond))
+		c.Assert(orders, qt.HasLen, 1)
+		c.Check(orders[0].Engine == "y", qt.Equals, version == "v2")
+	}
+}
--- a/serving/allocator/place.go
+++ b/serving/allocator/place.go
@@ -47,7 +47,7 @@
 	version, excluded := a.version(k.adapter), a.wants[k].excluded
 	for id, e := range a.engines {
 		s := e.slots[k.adapter]
-		if e.Service != k.service || e.Leaving || s == nil || slices.Contains(excluded, id) {
+		if !k.fits(e) || e.Leaving || s == nil || slices.Contains(excluded, id) {
 			continue
 		}
 		if s.state == draining && len(s.inUse) == 0 && !k.isCopy {
@@ -88,7 +88,7 @@
 // canLoad reports whether an engine may be ordered to load the adapter.
 func (a *Allocator) canLoad(e *engine, k wantKey) bool {
 	_, hasModel := e.models[k.adapter.Model]
-	return e.Service == k.service && !e.Leaving && e.synced && hasModel && e.slots[k.adapter] == nil && e.loadsInFlight < a.cfg.MaxLoadsPerEngine
+	return k.fits(e) && !e.Leaving && e.synced && hasModel && e.slots[k.adapter] == nil && e.loadsInFlight < a.cfg.MaxLoadsPerEngine
 }
 
 // startLoad records a load and the eviction that frees its slot, and returns the order.
@@ -122,7 +122,7 @@
 // hasRecentHolder reports whether an engine that accepts work held the adapter recently and doesn't hold it now.
 func (a *Allocator) hasRecentHolder(k wantKey) bool {
 	for _, e := range a.engines {
-		if e.Service == k.service && !e.Leaving && e.synced && e.slots[k.adapter] == nil && e.onDisk.Contains(k.adapter) {
+		if k.fits(e) && !e.Leaving && e.synced && e.slots[k.adapter] == nil && e.onDisk.Contains(k.adapter) {
 			return true
 		}
 	}
--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -86,8 +86,14 @@
 	Arrived  time.Time
 	Capacity int
 	Room     *RoomTicket
+	// Software is the only software version of a server that may take the request if OnlySoftware is set.
+	Software     string
+	OnlySoftware bool
 }
 
+// mayTake reports whether the server's software version is one that may take the request.
+func (r *Request) mayTake(s *server) bool { return !r.OnlySoftware || s.Software == r.Software }
+
 // Choice is the server for one attempt.
 type Choice struct {
 	tracker.Instance
@@ -245,6 +251,17 @@
 	}
 }
 
+// Softwares returns the software versions of a service's servers, and whether one of each accepts requests.
+func (b *Balancer) Softwares(service string) map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]bool)
+	for _, s := range b.services[service] {
+		out[s.Software] = out[s.Software] || !s.Leaving
+	}
+	return out
+}
+
 // Remove removes servers.
 func (b *Balancer) Remove(ids []string) {
 	b.mu.Lock()
@@ -466,7 +483,7 @@
 // status returns Picked if a server may take the request, otherwise why not.
 func (b *Balancer) status(now time.Time, s *server, req Request) PickStatus {
 	switch {
-	case s.Leaving || req.Except[s.Key.ID]:
+	case s.Leaving || req.Except[s.Key.ID] || !req.mayTake(s):
 		return NoServer
 	case req.Adapter.Model != "" && !b.hasUsableVersion(now, s, req.Adapter):
 		return NotLoaded
--- a/serving/matcher/matcher.go
+++ b/serving/matcher/matcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -55,6 +56,11 @@
 // Idempotent reports whether a request of the route may run more than once.
 func (r *Route) Idempotent() bool { return r.Repeat == Repeatable || r.Stream && r.Resumable }
 
+// Serves reports whether the service is one of those that answer.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Pick returns the service for a point in [0, 1), or an empty string if no weight is above 0.
 func (r *Route) Pick(point float64) string {
 	var sum float64
--- a/serving/tracker/tracker.go
+++ b/serving/tracker/tracker.go
@@ -36,6 +36,8 @@
 	// Leaving reports that the server accepts no new work.
 	Leaving   bool       `cbor:"7,keyasint,omitempty"`
 	Residents []Resident `cbor:"8,keyasint,omitempty"`
+	// Software is the version of the server's software, "" if it names none.
+	Software string `cbor:"9,keyasint,omitempty"`
 }
 
 // Tracker keeps the instances; it has no clock and is not safe for concurrent use.
@@ -89,7 +91,7 @@
 // equalForCallers reports whether the fields are equal that callers of the instance depend on.
 func equalForCallers(a, b Instance) bool {
 	return a.Key == b.Key && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.Leaving == b.Leaving
+		a.Leaving == b.Leaving && a.Software == b.Software
 }
 
 // MarkLeaving permanently marks a start of an instance as leaving, whatever it announces later; StartedMS 0 means the
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -16,6 +16,7 @@
 	"redwingstage.org/coord/runner"
 	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/resumer"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/acceptor"
 	"redwingstage.org/stage/logger"
@@ -227,6 +228,9 @@
 	if in.Leaving {
 		return g.MarkLeaving(ctx, in.Key)
 	}
+	if err := g.recordSoftware(ctx, resumer.Version{Service: in.Service, Software: in.Software}); err != nil {
+		return err
+	}
 	g.hub.post(func(now time.Time) {
 		if g.hub.leader != nil {
 			g.hub.leader.announce(now, in)
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -60,6 +60,7 @@
 	leaderSeenAt time.Time
 	recorder     recorder
 	loads        *loads
+	streams      *leaderStreams
 	// cached are beginnings of prompts that entries reported and that aren't sent to relays yet.
 	cached       []CachedPrefix
 	versionWaits []versionWait
@@ -79,7 +80,7 @@
 	h := &hub{
 		cfg: cfg, deps: deps, membership: m, log: l, ctx: ctx, spawn: spawn, events: make(chan func(now time.Time), maxQueuedEvents),
 		relaySessions: make(map[*session]bool), sessions: make(map[*session]bool), workers: make(map[string]*worker), loads: newLoads(),
-		metrics: newMetrics(), leaderSeenAt: time.Now(),
+		metrics: newMetrics(), leaderSeenAt: time.Now(), streams: newLeaderStreams(),
 	}
 	h.joiner = newJoiner(h)
 	h.relay = newRelay(l, h.metrics)
@@ -161,6 +162,7 @@
 	h.updateLeadership(now)
 	h.metrics.leads.Set(0)
 	h.relay.tick(now)
+	h.relay.forgetQuestions(now)
 	h.measureSessions(now)
 	if h.leader == nil {
 		return
@@ -185,6 +187,7 @@
 	h.joiner.addNext()
 	h.completeVersionWaits()
 	h.recordQuarantine()
+	h.retireSoftware(now)
 	h.logPlacement(now)
 	h.logQuotas(now)
 	h.record(now)
@@ -242,7 +245,7 @@
 		return
 	}
 	h.applied = state.Applied
-	down := DownMessage{Versions: newVersions(h.sentState.Versions, state.Versions), Leaving: newLeaving(h.sentState.Leaving, state.Leaving)}
+	down := DownMessage{Softwares: newSoftwares(h.sentState.Softwares, state.Softwares), Versions: newVersions(h.sentState.Versions, state.Versions), Leaving: newLeaving(h.sentState.Leaving, state.Leaving)}
 	h.sentState = state
 	if h.table == nil || h.table.Version() != state.Doc.Version {
 		h.table = h.decode(state.Doc)
@@ -474,6 +477,7 @@
 		return
 	}
 	h.relay.receive(s, up)
+	h.relay.receiveStreams(now, s, up)
 }
 
 // beginSession begins an entry's session with the relay, or a relay's with the leader.
@@ -532,6 +536,7 @@
 	h.applyQuotaReport(now, s, up.Quotas)
 	h.leader.recordSpeeds(now, up.Speeds)
 	h.cached = appendPrefixes(h.cached, up.Cached)
+	h.applyStreams(now, s, up)
 	h.recordCrashes(now, up.Crashes)
 	h.leader.quarantine.reportSound(now, up.Sound)
 	h.applyTrials(now, up.Trials)
@@ -541,6 +546,7 @@
 	for _, w := range up.Wants {
 		h.leader.alloc.Want(now, allocator.Want{
 			Service: w.Service, Adapter: w.Adapter, Zone: w.Zone, Copy: w.Copy, Deadline: now.Add(w.Remaining), ExcludedEngines: w.FailedServers,
+			Software: w.Software,
 		})
 	}
 }
--- a/stage/governor/input.go
+++ b/stage/governor/input.go
@@ -41,7 +41,7 @@
 }
 
 func checkInstance(in tracker.Instance) error {
-	for _, f := range []struct{ place, text string }{{"id", in.Key.ID}, {"service", in.Service}, {"addr", in.Addr}, {"zone", in.Zone}} {
+	for _, f := range []struct{ place, text string }{{"id", in.Key.ID}, {"service", in.Service}, {"addr", in.Addr}, {"zone", in.Zone}, {"version", in.Software}} {
 		if err := checkText(f.place, f.text); err != nil {
 			return err
 		}
--- a/stage/governor/leader_state.go
+++ b/stage/governor/leader_state.go
@@ -179,6 +179,7 @@
 func (l *leaderState) fullState(state *replicatedState, now time.Time) DownMessage {
 	down := DownMessage{
 		Welcome: &Welcome{LeaderEpoch: l.leaderEpoch, Settled: now.Sub(l.startedAt) >= settleTime}, Doc: &state.Doc, Versions: state.Versions, Leaving: state.Leaving, Standings: l.quarantine.all(),
+		Softwares: state.Softwares,
 	}
 	for _, in := range l.engines.Instances() {
 		in.Residents = l.alloc.Residents(in.Key.ID)
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -8,6 +8,7 @@
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/resumer"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -51,6 +52,9 @@
 	// one in milliseconds, by the clock of the leader that proposes the command.
 	FailedTrials []string `cbor:"11,keyasint,omitempty"`
 	LastFailedMS int64    `cbor:"12,keyasint,omitempty"`
+	// Software is a software version of which a server may begin streams from now on; Retired is one whose streams have all ended.
+	Software *resumer.Version `cbor:"13,keyasint,omitempty"`
+	Retired  *resumer.Version `cbor:"14,keyasint,omitempty"`
 }
 
 // result is the result of a command.
@@ -84,6 +88,8 @@
 	Quarantined []quarantiner.Digest `cbor:"9,keyasint,omitempty"`
 	// FailedTrials are the quarantined digests with failed trials; releases before it had trials don't write it.
 	FailedTrials []failedTrials `cbor:"10,keyasint,omitempty"`
+	// Softwares are the software versions of which a server may have begun a stream that goes on, sorted.
+	Softwares []resumer.Version `cbor:"11,keyasint,omitempty"`
 }
 
 // failedTrials are the crashes under the trials of a quarantined digest.
@@ -143,6 +149,10 @@
 	case cmd.Released != nil:
 		next.Quarantined = slices.DeleteFunc(slices.Clone(next.Quarantined), func(d quarantiner.Digest) bool { return d == *cmd.Released })
 		next.FailedTrials = withFailedTrials(next.FailedTrials, next.Quarantined, failedTrials{Digest: *cmd.Released})
+	case cmd.Software != nil:
+		next.Softwares = withSoftware(next.Softwares, *cmd.Software)
+	case cmd.Retired != nil:
+		next.Softwares = slices.DeleteFunc(slices.Clone(next.Softwares), func(v resumer.Version) bool { return v == *cmd.Retired })
 	default:
 		next.Held = withHeld(next.Held, cmd.Held)
 		next.Servers = withServers(next.Servers, cmd.Servers, cmd.RemovedServers)
@@ -215,6 +225,15 @@
 	return quarantiner.FailedTrials{}
 }
 
+// withSoftware returns a sorted list that has the version.
+func withSoftware(list []resumer.Version, v resumer.Version) []resumer.Version {
+	i, ok := slices.BinarySearchFunc(list, v, resumer.Version.Compare)
+	if ok {
+		return list
+	}
+	return slices.Insert(slices.Clone(list), i, v)
+}
+
 // withHeld merges more into a copy of the list, without earlier incarnations of an engine and the oldest beyond the bounds.
 func withHeld(list, more []allocator.Holding) []allocator.Holding {
 	out := slices.Clone(list)
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -45,6 +45,7 @@
 	nextUpdateAt time.Time
 	pending      pendingReport
 	quotas       relayQuotas
+	streams      relayStreams
 }
 
 // pendingReport is a relay's next report to the leader.
@@ -78,10 +79,11 @@
 	adapter   tracker.Adapter
 	zone      string
 	extraCopy bool
+	software  string
 }
 
 func newRelay(l *logger.Component, m *metrics) *relay {
-	r := &relay{log: l, metrics: m, sessions: make(map[*session]bool), view: newView(), quotas: newRelayQuotas()}
+	r := &relay{log: l, metrics: m, sessions: make(map[*session]bool), view: newView(), quotas: newRelayQuotas(), streams: newRelayStreams()}
 	r.pending.loads = newLoads()
 	r.pending.uses = make(map[AdapterPlacement]*usage)
 	r.pending.speeds = profiler.NewCollector()
@@ -95,6 +97,7 @@
 	r.pending.crashes, r.pending.sound, r.pending.trials = nil, make(map[quarantiner.Digest]bool), nil
 	r.quotas.clearReport()
 	r.pending.cached = nil
+	r.streams.unsent, r.streams.questions = nil, nil
 }
 
 // setUpstream sets the connection to a leader, to which everything must be reported anew.
@@ -106,6 +109,7 @@
 		u.changed = true
 	}
 	r.quotas.restart(r.view.quotas.Entries)
+	r.streams.reportAll()
 }
 
 func (r *relay) clearUpstream(now time.Time) {
@@ -276,7 +280,7 @@
 
 // addWant merges equal wants; the latest deadline counts.
 func (r *relay) addWant(w Want) {
-	k := wantKey{w.Service, w.Adapter, w.Zone, w.Copy}
+	k := wantKey{w.Service, w.Adapter, w.Zone, w.Copy, w.Software}
 	old, ok := r.pending.wants[k]
 	switch {
 	case !ok && len(r.pending.wants) >= maxPendingRequests:
@@ -362,7 +366,7 @@
 		return 0
 	}
 	version := r.lowestVersion()
-	urgent := len(p.wants)+len(p.missing)+len(p.known)+len(p.crashes)+len(p.sound)+len(p.trials) > 0 || version != p.version || len(r.sessions) != p.entries || p.loads.due(now) || r.quotas.isDue()
+	urgent := len(p.wants)+len(p.missing)+len(p.known)+len(p.crashes)+len(p.sound)+len(p.trials)+len(r.streams.unsent)+len(r.streams.questions) > 0 || version != p.version || len(r.sessions) != p.entries || p.loads.due(now) || r.quotas.isDue()
 	usesDue := now.Sub(p.usesSentAt) >= useReportEvery
 	if !urgent && !usesDue {
 		return 0
@@ -373,6 +377,7 @@
 	up := UpMessage{Loads: p.loads.takeChanged(now), Missing: slices.Collect(maps.Keys(p.missing)), Known: slices.Collect(maps.Values(p.known))}
 	up.Quotas = r.quotas.report()
 	up.Crashes, up.Sound, up.Trials, up.Cached = p.crashes, slices.Collect(maps.Keys(p.sound)), p.trials, p.cached
+	up.Starts, up.Questions = r.streams.unsent, r.streams.questions
 	if version != p.version {
 		up.Version = version
 	}
@@ -409,7 +414,7 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds)+len(up.Cached) == 0
+	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds)+len(up.Cached)+len(up.Starts)+len(up.Questions) == 0
 }
 
 // takeSpeeds returns the samples of servers' speeds since the last call.
--- /dev/null
+++ b/stage/governor/streams.go
@@ -0,0 +1,189 @@
+package governor
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"redwingstage.org/serving/resumer"
+)
+
+const (
+	// StreamHorizon is the longest time between the first event of a stream and its end, over all attempts of its caller.
+	StreamHorizon = 30 * time.Second
+	// maxStreamStarts bounds the starts of streams that a replica keeps for one horizon.
+	maxStreamStarts = 1 << 16
+	// questionTimeout is how long a relay keeps a question that the leader hasn't answered; entries wait less.
+	questionTimeout = time.Second
+	// retireEvery is how often the leader checks which software versions have no server.
+	retireEvery = time.Second
+)
+
+// relayStreams are the starts of streams that a relay's entries reported, and the entries' questions for others.
+type relayStreams struct {
+	index *resumer.Index
+	// unsent and questions aren't sent to the leader yet.
+	unsent    []StreamStart
+	questions []string
+	// asking are the sessions that wait for an answer, by attempt.
+	asking map[string]*question
+}
+
+type question struct {
+	at       time.Time
+	sessions []*session
+}
+
+func newRelayStreams() relayStreams {
+	return relayStreams{index: resumer.NewIndex(StreamHorizon, maxStreamStarts), asking: make(map[string]*question)}
+}
+
+// reportAll makes all starts due for a new leader, and the questions too.
+func (r *relayStreams) reportAll() {
+	r.unsent, r.questions = nil, nil
+	for id, s := range r.index.All(time.Now()) {
+		r.unsent = append(r.unsent, StreamStart{id, s.Service, s.Software})
+	}
+	for id := range r.asking {
+		r.questions = append(r.questions, id)
+	}
+}
+
+// receiveStreams applies what an entry's message says of streams.
+func (r *relay) receiveStreams(now time.Time, s *session, up UpMessage) {
+	for _, v := range up.Starts {
+		if r.streams.index.Add(now, v.Attempt, resumer.Start{Service: v.Service, Software: v.Software}) && r.upstream != nil {
+			r.streams.unsent = append(r.streams.unsent, v)
+		}
+	}
+	var answers []StreamStart
+	for _, id := range up.Questions {
+		start, known := r.streams.index.Get(now, id)
+		if !known && r.upstream != nil && len(r.streams.asking) < maxPendingRequests {
+			r.ask(now, s, id)
+			continue
+		}
+		answers = append(answers, StreamStart{id, start.Service, start.Software})
+	}
+	if len(answers) > 0 {
+		r.send(s, DownMessage{Starts: answers}, "starts")
+	}
+}
+
+// ask makes a question of an entry due for the leader.
+func (r *relay) ask(now time.Time, s *session, id string) {
+	q := r.streams.asking[id]
+	if q == nil {
+		q = &question{at: now}
+		r.streams.asking[id] = q
+		r.streams.questions = append(r.streams.questions, id)
+	}
+	q.sessions = append(q.sessions, s)
+}
+
+// answer passes the leader's answers on to the entries that asked.
+func (r *relay) answer(now time.Time, list []StreamStart) {
+	for _, v := range list {
+		if v.Service != "" {
+			r.streams.index.Add(now, v.Attempt, resumer.Start{Service: v.Service, Software: v.Software})
+		}
+		q := r.streams.asking[v.Attempt]
+		if q == nil {
+			continue
+		}
+		delete(r.streams.asking, v.Attempt)
+		for _, s := range q.sessions {
+			if r.sessions[s] {
+				r.send(s, DownMessage{Starts: []StreamStart{v}}, "starts")
+			}
+		}
+	}
+}
+
+// forgetQuestions drops the questions that were asked too long ago.
+func (r *relay) forgetQuestions(now time.Time) {
+	for id, q := range r.streams.asking {
+		if now.Sub(q.at) > questionTimeout {
+			delete(r.streams.asking, id)
+		}
+	}
+}
+
+// leaderStreams are the starts of streams that relays reported to a leader, and the software versions that retire.
+type leaderStreams struct {
+	index      *resumer.Index
+	retirement *resumer.Retirement
+	checkedAt  time.Time
+	retiring   bool
+}
+
+func newLeaderStreams() *leaderStreams {
+	return &leaderStreams{index: resumer.NewIndex(StreamHorizon, maxStreamStarts), retirement: resumer.NewRetirement(StreamHorizon)}
+}
+
+// applyStreams applies what a relay's report says of streams.
+func (h *hub) applyStreams(now time.Time, s *session, up UpMessage) {
+	for _, v := range up.Starts {
+		h.streams.index.Add(now, v.Attempt, resumer.Start{Service: v.Service, Software: v.Software})
+	}
+	if len(up.Questions) == 0 {
+		return
+	}
+	answers := make([]StreamStart, 0, len(up.Questions))
+	for _, id := range up.Questions {
+		start, _ := h.streams.index.Get(now, id)
+		answers = append(answers, StreamStart{id, start.Service, start.Software})
+	}
+	if s == h.ownSession {
+		h.relay.answer(now, answers)
+		return
+	}
+	h.send(s, DownMessage{Starts: answers})
+}
+
+// retireSoftware proposes to the log that a software version has no stream any more, once its servers have been gone for long enough.
+func (h *hub) retireSoftware(now time.Time) {
+	if h.streams.retiring || now.Sub(h.streams.checkedAt) < retireEvery {
+		return
+	}
+	h.streams.checkedAt = now
+	listed := make(map[resumer.Version]bool)
+	for _, in := range h.leader.engines.Instances() {
+		listed[resumer.Version{Service: in.Service, Software: in.Software}] = true
+	}
+	v, due := h.streams.retirement.Due(now, h.membership.state().Softwares, listed)
+	if !due {
+		return
+	}
+	streams := h.streams
+	streams.retiring = true
+	h.spawn(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, proposeTimeout)
+		defer cancel()
+		_, err := h.membership.propose(ctx, command{Retired: &v})
+		if err != nil {
+			h.log.Error("retire a software version", err)
+		}
+		h.post(func(time.Time) { streams.retiring = false })
+	})
+}
+
+// recordSoftware commits that servers of a software version may begin streams, before entries hear of the first one.
+func (g *Governor) recordSoftware(ctx context.Context, v resumer.Version) error {
+	if _, ok := slices.BinarySearchFunc(g.membership.state().Softwares, v, resumer.Version.Compare); ok {
+		return nil
+	}
+	if err := g.propose(ctx, command{Software: &v}); err != nil {
+		return err
+	}
+	g.log.Software(v.Service, v.Software)
+	return nil
+}
+
+// newSoftwares returns the current software versions if they changed.
+func newSoftwares(old, current []resumer.Version) []resumer.Version {
+	if isSameList(old, current) {
+		return nil
+	}
+	return current
+}
--- /dev/null
+++ b/stage/governor/streams_test.go
@@ -0,0 +1,127 @@
+package governor
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/resumer"
+)
+
+// streamsFixture is a leader with its own relay, a second relay, and an entry at each.
+type streamsFixture struct {
+	c   *qt.C
+	now time.Time
+	hub *hub
+	// peer is the second relay's session at the leader, own and far are the sessions of the entries.
+	peer, own, far *session
+	other          *hub
+}
+
+func newStreamsFixture(c *qt.C) *streamsFixture {
+	f := &streamsFixture{c: c, now: time.Now(), hub: newLeadingHub(c, &stubEngines{}, 8), other: newLeadingHub(c, &stubEngines{}, 8)}
+	f.hub.startLeading(f.now, 1, 2)
+	f.other.stepDown()
+	f.connect()
+	f.own, f.far = newQueuedSession(f.now), newQueuedSession(f.now)
+	f.hub.receive(f.now, f.own, UpMessage{Hello: &Hello{Node: "own"}})
+	f.other.receive(f.now, f.far, UpMessage{Hello: &Hello{Node: "far"}})
+	return f
+}
+
+// connect opens a session of the second relay with the leader.
+func (f *streamsFixture) connect() {
+	f.peer = newQueuedSession(f.now)
+	f.hub.receive(f.now, f.peer, UpMessage{Hello: &Hello{Node: "relay", Replica: 2}})
+	up := make(chan UpMessage, 64)
+	f.other.applyLeaderMessage(f.now, f.now, up, takeMessages(f.c, f.peer)[0])
+	f.other.relay.upstream = func(m UpMessage) bool {
+		f.hub.receive(f.now, f.peer, m)
+		return true
+	}
+}
+
+// run delivers the messages between the relay and the leader.
+func (f *streamsFixture) run() {
+	for range 3 {
+		f.now = f.now.Add(reportEvery)
+		f.other.flush(f.now)
+		f.hub.flush(f.now)
+		for _, d := range takeMessages(f.c, f.peer) {
+			f.other.applyLeaderMessage(f.now, f.now, nil, d)
+		}
+	}
+}
+
+// startsOf returns the answers that a session gets.
+func (f *streamsFixture) startsOf(s *session) []StreamStart {
+	var out []StreamStart
+	for _, d := range takeMessages(f.c, s) {
+		out = append(out, d.Starts...)
+	}
+	return out
+}
+
+// Where a stream had begun was known to its entry and nobody else.
+func TestQuestionForStartIsAnsweredAcrossRelays(t *testing.T) {
+	c := qt.New(t)
+	f := newStreamsFixture(c)
+	a, b := StreamStart{"a", "s", "v1"}, StreamStart{"b", "s", "v2"}
+	f.hub.receive(f.now, f.own, UpMessage{Starts: []StreamStart{a}})
+	f.other.receive(f.now, f.far, UpMessage{Starts: []StreamStart{b}})
+	f.run()
+	takeMessages(c, f.own)
+	takeMessages(c, f.far)
+	f.hub.receive(f.now, f.own, UpMessage{Questions: []string{"a", "b", "c"}})
+	f.other.receive(f.now, f.far, UpMessage{Questions: []string{"a", "b", "c"}})
+	f.run()
+	for name, s := range map[string]*session{"at the leader": f.own, "at another relay": f.far} {
+		got := f.startsOf(s)
+		slices.SortFunc(got, func(x, y StreamStart) int { return int(x.Attempt[0]) - int(y.Attempt[0]) })
+		c.Check(got, qt.DeepEquals, []StreamStart{a, b, {Attempt: "c"}}, qt.Commentf("%s", name))
+	}
+}
+
+// A leader that had just taken over knew of no beginnings.
+func TestNewLeaderGetsStartsFromRelays(t *testing.T) {
+	c := qt.New(t)
+	f := newStreamsFixture(c)
+	f.other.receive(f.now, f.far, UpMessage{Starts: []StreamStart{{"b", "s", "v2"}}})
+	f.run()
+	f.hub.stepDown()
+	f.other.relay.clearUpstream(f.now)
+	f.hub.relay.streams = newRelayStreams()
+	f.hub.startLeading(f.now, 2, 3)
+	f.connect()
+	f.run()
+	f.own = newQueuedSession(f.now)
+	f.hub.receive(f.now, f.own, UpMessage{Hello: &Hello{Node: "own"}})
+	f.hub.receive(f.now, f.own, UpMessage{Questions: []string{"b"}})
+	f.run()
+	c.Check(f.startsOf(f.own), qt.DeepEquals, []StreamStart{{"b", "s", "v2"}})
+}
+
+// The software versions that may have begun streams come before the servers, stay in the log, and go with their last stream.
+func TestLogKeepsSoftwareVersions(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine(func() {}, func(uint64, error) {})
+	apply := func(cmd command) {
+		data, err := encoder.Marshal(cmd)
+		c.Assert(err, qt.IsNil)
+		m.Apply(1, data)
+	}
+	v1, v2 := resumer.Version{Service: "s", Software: "v1"}, resumer.Version{Service: "s", Software: "v2"}
+	for _, v := range []resumer.Version{v2, v1, v2} {
+		apply(command{Software: &v})
+	}
+	data, err := m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Check(m.current().Softwares, qt.DeepEquals, []resumer.Version{v1, v2})
+	apply(command{Retired: &v1})
+	c.Check(m.current().Softwares, qt.DeepEquals, []resumer.Version{v2})
+	c.Assert(m.Restore(data), qt.IsNil)
+	c.Check(m.current().Softwares, qt.DeepEquals, []resumer.Version{v1, v2})
+}
--- a/stage/governor/view.go
+++ b/stage/governor/view.go
@@ -7,6 +7,7 @@
 
 	"redwingstage.org/serving/profiler"
 	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/resumer"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -26,22 +27,24 @@
 	replicas  []Peer
 	standings map[quarantiner.Digest]DigestStanding
 	// quotas is the leader's latest announcement, without additions.
-	quotas  QuotaUpdate
-	speeds  map[string]Speed
-	changes changes
+	quotas QuotaUpdate
+	speeds map[string]Speed
+	// softwares are the software versions of which a server may have begun a stream that goes on.
+	softwares []resumer.Version
+	changes   changes
 }
 
 // changes are the parts of a view that entries don't have yet.
 type changes struct {
-	doc, entries, replicas, quotas bool
-	versions                       map[tracker.Adapter]bool
-	leaving                        map[tracker.Key]bool
-	engines                        map[string]bool
-	held                           map[AdapterPlacement]bool
-	loads                          map[string]bool
-	standings                      map[quarantiner.Digest]bool
-	speeds                         map[string]bool
-	cached                         []CachedPrefix
+	doc, entries, replicas, quotas, softwares bool
+	versions                                  map[tracker.Adapter]bool
+	leaving                                   map[tracker.Key]bool
+	engines                                   map[string]bool
+	held                                      map[AdapterPlacement]bool
+	loads                                     map[string]bool
+	standings                                 map[quarantiner.Digest]bool
+	speeds                                    map[string]bool
+	cached                                    []CachedPrefix
 }
 
 func newView() *view {
@@ -70,7 +73,7 @@
 
 // isUrgent reports whether a change is pending that breaks a guarantee if it reaches entries late.
 func (c *changes) isUrgent() bool {
-	return c.doc || c.replicas || len(c.versions)+len(c.leaving)+len(c.engines)+len(c.standings) > 0
+	return c.doc || c.replicas || c.softwares || len(c.versions)+len(c.leaving)+len(c.engines)+len(c.standings) > 0
 }
 
 func (c *changes) isEmpty() bool {
@@ -88,6 +91,9 @@
 	if d.Doc != nil && d.Doc.Version > v.doc.Version {
 		v.doc, v.changes.doc = *d.Doc, true
 	}
+	if len(d.Softwares) > 0 && !slices.Equal(d.Softwares, v.softwares) {
+		v.softwares, v.changes.softwares = d.Softwares, true
+	}
 	for _, r := range d.Versions {
 		if r.Version > v.versions[r.Adapter] {
 			v.versions[r.Adapter] = r.Version
@@ -255,7 +261,8 @@
 
 // isSameServer reports whether two announcements differ at most in Sequence and Residents.
 func isSameServer(a, b tracker.Instance) bool {
-	return a.Key == b.Key && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving
+	return a.Key == b.Key && a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving &&
+		a.Software == b.Software
 }
 
 func (v *view) removeServer(id string) {
@@ -310,6 +317,9 @@
 		doc := v.doc
 		d.Doc = &doc
 	}
+	if c.softwares {
+		d.Softwares = v.softwares
+	}
 	for ad := range c.versions {
 		d.Versions = append(d.Versions, tracker.Resident{Adapter: ad, Version: v.versions[ad]})
 	}
@@ -360,7 +370,7 @@
 // fullState returns the full state for an entry.
 func (v *view) fullState() DownMessage {
 	welcome, doc := v.welcome, v.doc
-	d := DownMessage{Welcome: &welcome, Doc: &doc, Leaving: sortedKeys(v.leaving), Entries: v.entries, Replicas: v.replicas}
+	d := DownMessage{Welcome: &welcome, Doc: &doc, Leaving: sortedKeys(v.leaving), Entries: v.entries, Replicas: v.replicas, Softwares: v.softwares}
 	if v.quotas.Entries > 0 {
 		quotas := v.quotas
 		d.Quotas = &quotas
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/serving/resumer"
 	"redwingstage.org/serving/tracker"
 )
 
@@ -33,6 +34,10 @@
 	Speeds []SpeedSample `cbor:"14,keyasint,omitempty"`
 	// Cached are beginnings of prompts that engines have read for the sender.
 	Cached []CachedPrefix `cbor:"15,keyasint,omitempty"`
+	// Starts are where streams began that may be taken up, while their service has several software versions; Questions are the
+	// attempts of streams for which that is asked.
+	Starts    []StreamStart `cbor:"16,keyasint,omitempty"`
+	Questions []string      `cbor:"17,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
@@ -111,6 +116,14 @@
 	return h.Process != 0 && h.Process == other.Process && h.Session < other.Session
 }
 
+// StreamStart is where a stream began; without a service that isn't known.
+type StreamStart struct {
+	// Attempt is the ID of the attempt that brought the first event.
+	Attempt  string `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint,omitempty"`
+	Software string `cbor:"3,keyasint,omitempty"`
+}
+
 // Want requests an adapter that no usable engine holds, or one more copy.
 type Want struct {
 	Service string          `cbor:"1,keyasint"`
@@ -122,6 +135,8 @@
 	FailedServers []string `cbor:"5,keyasint,omitempty"`
 	// Zone is the data centre of the entry, set by the relay.
 	Zone string `cbor:"6,keyasint,omitempty"`
+	// Software is the only software version of engines that the request can use, "" for any.
+	Software string `cbor:"7,keyasint,omitempty"`
 }
 
 // Use counts requests for an adapter at an engine: started since the last report, and running.
@@ -180,6 +195,10 @@
 	Speeds []Speed `cbor:"18,keyasint,omitempty"`
 	// Cached are beginnings of prompts that engines have read for any entry.
 	Cached []CachedPrefix `cbor:"19,keyasint,omitempty"`
+	// Softwares are, where they changed, all software versions of which a server may have begun a stream that goes on.
+	Softwares []resumer.Version `cbor:"21,keyasint,omitempty"`
+	// Starts answer Questions.
+	Starts []StreamStart `cbor:"22,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -181,8 +181,10 @@
 	Status          int
 	// In streams, After is the last event that the caller had before; First and Last are this attempt's events.
 	After, First, Last string
-	Duration           time.Duration
-	Basis              Basis
+	// Software is the software version of the server; TakeUp is how the one that began a stream was known, "" if no caller took one up.
+	Software, TakeUp string
+	Duration         time.Duration
+	Basis            Basis
 }
 
 // Attempt logs an attempt that got no response or that resumed a stream.
@@ -196,6 +198,12 @@
 	if a.After != "" || a.Last != "" {
 		e = e.Str("after", a.After).Str("first", a.First).Str("last", a.Last)
 	}
+	if a.Software != "" {
+		e = e.Str("software", a.Software)
+	}
+	if a.TakeUp != "" {
+		e = e.Str("take_up", a.TakeUp)
+	}
 	withBasis(e.Int64("ms", a.Duration.Milliseconds()), a.Basis).Msg(c.prefix + "attempt ended")
 }
 
@@ -204,6 +212,11 @@
 	c.log.Info().Uint64("version", version).Msg(c.prefix + "document is in force")
 }
 
+// Software logs a software version of a service's servers that wasn't recorded before.
+func (c *Component) Software(service, version string) {
+	c.log.Info().Str("service", service).Str("software", version).Msg(c.prefix + "software version is recorded")
+}
+
 // DocumentUnconfirmed logs that the leader hasn't confirmed for some time which version of the operator's document is in force.
 func (c *Component) DocumentUnconfirmed(version uint64, age time.Duration) {
 	c.log.Warn().Uint64("version", version).Int64("leader_ms", age.Milliseconds()).Msg(c.prefix + "the document in force is unconfirmed")
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -82,7 +82,7 @@
 func (a *attempt) logEntry(r attemptResult) logger.Attempt {
 	l := logger.Attempt{
 		Server: a.choice.Key.ID, Outcome: outcomeNames[r.outcome], Reason: r.reason, Status: a.status, After: a.resumedAfter,
-		First: a.firstEventID, Duration: time.Since(a.call.chosenAt), Basis: a.call.req.decision.basis(),
+		First: a.firstEventID, Software: a.choice.Software, TakeUp: string(a.call.takeUp), Duration: time.Since(a.call.chosenAt), Basis: a.call.req.decision.basis(),
 	}
 	if a.firstEventID != "" {
 		l.Last = a.lastEventID
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -96,6 +96,11 @@
 	allDigests []quarantiner.Digest
 	// prompt is the prompt, as far as engines may have cached its beginning.
 	prompt balancer.Prompt
+	// software is the version of the servers that may take the request if softwareFixed is set, since one of it began the stream.
+	software      string
+	softwareFixed bool
+	// takeUp is how that version was known for a stream that the caller takes up, "" for other requests.
+	takeUp takeUpSource
 	// onTrial is set if the latest attempt is a trial whose result isn't reported yet.
 	onTrial bool
 }
@@ -126,10 +131,14 @@
 	if c.id == "" {
 		return w.writeError(http.StatusBadRequest, "the header "+e.headers.AttemptID+" is missing", 0)
 	}
+	c.deadline = e.deadlineOf(c)
+	if r := e.placeTakeUp(ctx, c); r != nil {
+		e.metrics.countPlace(c, placeRefused, "take_up")
+		return e.refuse(c, w, r.reason, r.retryAfter)
+	}
 	if s, ok := table.Service(c.service); ok && s.AdapterSlots > 0 {
 		e.describePrompt(c, s)
 	}
-	c.deadline = e.deadlineOf(c)
 	if route.Stream && e.draining.Load() && e.stopsBefore(c.deadline) {
 		return e.refuse(c, w, "the entry shuts down before the stream has to end", retryAfterShutdown)
 	}
@@ -236,6 +245,10 @@
 		}
 		e.log.Attempt(c.id, a.logEntry(r))
 		next = r.nextChoice
+		if next != nil && !c.mayUse(next) {
+			e.releaseChoice(c, next)
+			next, r.nextChoice = nil, nil
+		}
 		if !e.allowRetry(ctx, c, w, r, try) {
 			e.releaseChoice(c, next)
 			return e.failRequest(ctx, c, w, r)
@@ -430,9 +443,15 @@
 	return balancer.Request{
 		Service: c.service, Adapter: c.adapter, Zone: zone, Except: c.excluded, Tokens: c.tokens, MaxPause: c.route.MaxPause,
 		Memory: c.memory, Capacity: c.capacity, Priority: c.priority, Arrived: c.arrived, Deadline: c.deadline, Prompt: c.prompt,
+		Software: c.software, OnlySoftware: c.softwareFixed,
 	}
 }
 
+// mayUse reports whether a server's software version is one that may go on with the request.
+func (c *call) mayUse(choice *balancer.Choice) bool {
+	return !c.softwareFixed || choice.Software == c.software
+}
+
 // waitReasons names what a request waits for, in the log and in the metric of late responses.
 var waitReasons = map[balancer.PickStatus]string{
 	balancer.NotLoaded: "an adapter", balancer.LimitReached: "a place", balancer.NoServer: "a server",
@@ -506,7 +525,7 @@
 	}
 	e.control.requestAdapter(governor.Want{
 		Service: c.service, Adapter: c.adapter, Remaining: time.Until(c.arrived.Add(c.route.LatencyTarget)),
-		FailedServers: c.failedServers,
+		FailedServers: c.failedServers, Software: c.software,
 	})
 }
 
--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -316,6 +316,8 @@
 	if d.Welcome != nil {
 		c.reconcile(&d)
 	}
+	// Before the servers: one of another version must not begin a stream that counts as that of the only version.
+	c.applyStarts(now, &d)
 	b.Set(d.Engines, d.Welcome != nil)
 	b.Set(d.FullResidents, true)
 	b.Remove(d.RemovedServers)
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -27,6 +27,8 @@
 	// Model names model and adapter, Resume the id of the last event that the caller received.
 	Model  string
 	Resume string
+	// Resumes names the attempt that brought the first event of a stream that a caller takes up.
+	Resumes string
 	// Usage is the number of tokens of the prompt, and the most that the response may have.
 	Usage string
 	// Parts names the parts of the prompt.
@@ -76,7 +78,7 @@
 		Headers: names, kept: make(map[string]bool), dropped: make(map[string]bool),
 		canonicalKey: http.CanonicalHeaderKey(names.Key), canonicalAccount: http.CanonicalHeaderKey(names.Account),
 	}
-	for _, h := range append([]string{names.AttemptID, names.Model, names.Resume, names.Usage, names.Parts, "Host"}, names.AlwaysForwarded...) {
+	for _, h := range append([]string{names.AttemptID, names.Model, names.Resume, names.Resumes, names.Usage, names.Parts, "Host"}, names.AlwaysForwarded...) {
 		n.kept[http.CanonicalHeaderKey(h)] = true
 	}
 	for _, h := range append([]string{names.Deadline, names.Expect, names.ExpectVersion, names.Priority}, names.Reserved...) {
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -31,6 +31,7 @@
 	amounts     *prometheus.CounterVec
 	room        *prometheus.CounterVec
 	leaderAge   prometheus.Histogram
+	takeUps     *prometheus.CounterVec
 
 	accountsMu sync.Mutex
 	accounts   *prometheus.CounterVec
@@ -128,7 +129,10 @@
 		Name: "redwingstage_entry_leader_age_seconds", Help: "How long before a request's decision the leader was known to have served this entry.",
 		Buckets: []float64{.3, .6, .9, 1.5, 2, 4, 10, 30},
 	})
-	m.registry.MustRegister(m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
+	m.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "redwingstage_entry_take_ups_total", Help: "Streams that callers took up, by how the software version that began them was known.",
+	}, []string{"source"})
+	m.registry.MustRegister(m.takeUps, m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
 	return m
 }
 
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -102,6 +102,7 @@
 	metrics  *metrics
 	keyUses  *keyUses
 	lengths  *answerLengths
+	starts   *streamStarts
 	control  *controlClient
 	table    atomic.Pointer[matcher.Table]
 	ctx      context.Context
@@ -149,7 +150,7 @@
 		quotas:   newQuotas(cfg.Quota),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
 		memory: collector.New(cfg.MemoryLimit), maxConns: acceptor.Entry.MaxConns(cfg.MemoryLimit, cfg.MaxFiles), metrics: newMetrics(),
-		keyUses: newKeyUses(), lengths: newAnswerLengths(),
+		keyUses: newKeyUses(), lengths: newAnswerLengths(), starts: newStreamStarts(),
 		budget: newRetryBudget(cfg.RetryShare, cfg.RetrySlack, cfg.RetryWindow, time.Now()),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -32,11 +32,12 @@
 	testResume   = "X-Resume"
 	testLeaving  = "X-Leaving"
 	testUsage    = "X-Usage"
+	testResumes  = "X-Resumes"
 )
 
 var testHeaders = Headers{
 	AttemptID: testAttempt, Deadline: testDeadline, Seal: testSeal, NotRun: testNotRun, Expect: "X-Expect",
-	ExpectVersion: "X-Version", Priority: "X-Priority", Model: "X-Model", Resume: testResume, ReadyPath: "/ready",
+	ExpectVersion: "X-Version", Priority: "X-Priority", Model: "X-Model", Resume: testResume, Resumes: testResumes, ReadyPath: "/ready",
 	Leaving: testLeaving, Reserved: []string{"X-Hold"},
 	ParseModel: func(v string) tracker.Adapter {
 		model, name, _ := strings.Cut(v, "/")
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -68,6 +68,12 @@
 			}
 			return r, -1
 		}
+		if !firstSeen {
+			firstSeen = true
+			watch.fixSoftware()
+			e.recordStart(a)
+			e.recordPrefillEnd(a)
+		}
 		if !out.streaming && !out.startStream(h) {
 			e.releaseChoice(a.call, watch.stop())
 			return callerLeft, -1
@@ -75,10 +81,6 @@
 		if a.blocks++; a.blocks == soundBlocks {
 			e.recordSound(a.call)
 		}
-		if !firstSeen {
-			firstSeen = true
-			e.recordPrefillEnd(a)
-		}
 		e.recordEvents(a, events.count)
 		if !out.writeChunk(block) || ctx.Err() != nil {
 			e.releaseChoice(a.call, watch.stop())
@@ -156,6 +158,13 @@
 	}
 }
 
+// fixSoftware restricts the stream to the software version that brings its first event.
+func (s *silenceWatch) fixSoftware() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempt.call.software, s.attempt.call.softwareFixed = s.attempt.choice.Software, true
+}
+
 // stop ends the monitoring; it returns the engine chosen to resume the stream, or nil.
 func (s *silenceWatch) stop() *balancer.Choice {
 	s.mu.Lock()
