Entry: a document that can't be read moves no entry

By reading: since the freshness of entries follows from confirmations, a document that an entry can't read stopped them, so that it left its replica every 100 ms for another one, whose document it can't read either.

Change: the leader's word counts as before; an unreadable document alone makes the entry stale, and says since when.

Evidence: TestUnreadableDocumentConfirmsNothing fails before with the check that the entry stays at its replica.

--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -52,8 +52,8 @@
 	// acknowledged before. startedAt stands in for it until there is one; preferred is the replica to connect to next.
 	confirmedAt, startedAt time.Time
 	preferred              string
-	// announced is the highest version of the document that came, whether or not it could be applied.
-	announced uint64
+	// unreadSince is when a document came that couldn't be read, zero if the newest one is in force.
+	unreadSince time.Time
 	// newsAt is when the last message of a session was applied.
 	newsAt      time.Time
 	requestedAt map[adapterRequest]time.Time
@@ -272,7 +272,7 @@
 }
 
 // receive applies a message from the replica at addr, and then records that the leader is known to have served this entry at
-// a time: from then on this entry refuses routes and keys that it doesn't know. A document that can't be read confirms nothing.
+// a time: from then on this entry refuses routes and keys that it doesn't know.
 func (c *controlClient) receive(addr string, d governor.DownMessage, confirmed time.Time) {
 	if d.Welcome != nil {
 		c.mu.Lock()
@@ -287,17 +287,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.newsAt = time.Now()
-	if confirmed.After(c.confirmedAt) && c.hasAnnounced() {
+	if confirmed.After(c.confirmedAt) {
 		c.confirmedAt = confirmed
 	}
 }
 
-// hasAnnounced reports whether the newest document that came is in force. The caller holds mu.
-func (c *controlClient) hasAnnounced() bool {
-	t := c.entry.table.Load()
-	return c.announced == 0 || t != nil && t.Version() >= c.announced
-}
-
 // applyMessage applies a message from the replica.
 func (c *controlClient) applyMessage(d governor.DownMessage) {
 	e := c.entry
@@ -377,24 +371,35 @@
 // applyDocument applies a version of the operator's document, never an older one, and acknowledges the version in force.
 func (c *controlClient) applyDocument(doc governor.Doc) {
 	e := c.entry
-	c.mu.Lock()
-	c.announced = max(c.announced, doc.Version)
-	c.mu.Unlock()
 	if t := e.table.Load(); t == nil || t.Version() < doc.Version {
 		t, err := e.deps.Decode(doc)
 		if err != nil {
 			e.log.Error("read the operator's document", err)
+			c.setReadable(false)
 			return
 		}
 		e.quotas.configure(time.Now(), t.Accounts())
 		e.table.Store(t)
 		e.metrics.keepAccounts(t)
 		e.keyUses.withdraw(t)
+		c.setReadable(true)
 		e.log.Document(doc.Version)
 	}
 	c.enqueue(governor.UpMessage{Version: e.table.Load().Version()})
 }
 
+// setReadable records whether the newest document could be read.
+func (c *controlClient) setReadable(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case ok:
+		c.unreadSince = time.Time{}
+	case c.unreadSince.IsZero():
+		c.unreadSince = time.Now()
+	}
+}
+
 // reportUsage periodically sends adapter usage and loads to the leader.
 func (c *controlClient) reportUsage(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/stage/relayer/freshness_test.go
+++ b/stage/relayer/freshness_test.go
@@ -58,12 +58,17 @@
 		d := e.decideNow(&request{host: testHost, path: "/new/"})
 		return d.refusal.status
 	}
-	confirm(governor.DownMessage{Heartbeat: 1})
+	confirm(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}})
 	c.Check(status(), qt.Equals, http.StatusNotFound)
+	e.control.mu.Lock()
+	e.control.addr, e.control.cancel = "relay", func() {}
+	e.control.mu.Unlock()
 	setConfirmation(e, time.Now().Add(-time.Minute))
 	confirm(governor.DownMessage{Doc: &governor.Doc{Version: 9}})
 	confirm(governor.DownMessage{Heartbeat: 2})
 	c.Check(status(), qt.Equals, http.StatusServiceUnavailable)
+	_, leaves := e.control.staleReplica(time.Now())
+	c.Check(leaves, qt.IsFalse, qt.Commentf("another replica has no other document"))
 	readable = true
 	confirm(governor.DownMessage{Doc: &governor.Doc{Version: 10}})
 	c.Check(status(), qt.Equals, http.StatusNotFound)
--- a/stage/relayer/staleness.go
+++ b/stage/relayer/staleness.go
@@ -38,15 +38,19 @@
 }
 
 // freshness returns for how long this entry may have lacked versions that are in force elsewhere, 0 if it has them, and how
-// long ago the leader is known to have served it, negative if never. Both follow from the last confirmation alone: sessions
-// that begin or end bring no knowledge.
+// long ago the leader is known to have served it, negative if never. Both follow from the last confirmation, of documents that
+// could be read: sessions that begin or end bring no knowledge.
 func (c *controlClient) freshness(now time.Time) (stale, leaderAge time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.confirmedAt.IsZero() {
 		return max(now.Sub(c.startedAt), 1), -1
 	}
-	return c.staleFor(now), max(now.Sub(c.confirmedAt), 0)
+	stale = c.staleFor(now)
+	if !c.unreadSince.IsZero() {
+		stale = max(stale, now.Sub(c.unreadSince), 1)
+	}
+	return stale, max(now.Sub(c.confirmedAt), 0)
 }
 
 // staleFor returns how much longer than staleAfter the last confirmation is ago, or 0. The caller holds mu.
