--- a/stage/governor/streams_test.go
+++ b/stage/governor/streams_test.go
@@ -125,3 +125,18 @@
 	c.Assert(m.Restore(data), qt.IsNil)
 	c.Check(m.current().Softwares, qt.DeepEquals, []resumer.Version{v1, v2})
 }
+
+// An attempt's ID that isn't UTF-8 must cost neither the message nor the other elements.
+func TestUnreadableAttemptCostsNothingElse(t *testing.T) {
+	c := qt.New(t)
+	up := UpMessage{
+		Questions: []string{"a\xff", "b"}, Starts: []StreamStart{{"c\xff", "s", "v"}, {"d", "s", "v"}}, Version: 7,
+	}
+	data, err := (encoder.Codec{}).Marshal(&up)
+	c.Assert(err, qt.IsNil)
+	var got UpMessage
+	c.Assert((encoder.Codec{}).Unmarshal(data, &got), qt.IsNil)
+	c.Check(got.Questions, qt.DeepEquals, []string{"b"})
+	c.Check(got.Starts, qt.DeepEquals, []StreamStart{{"d", "s", "v"}})
+	c.Check(got.Version, qt.Equals, uint64(7))
+}
--- a/stage/relayer/takeup.go
+++ b/stage/relayer/takeup.go
@@ -45,7 +45,7 @@
 	questions map[string]*startQuestion
 }
 
-// startQuestion is closed once it is answered; start then has a service if the answer is known.
+// startQuestion is a question that waits; done is closed once it is answered, and start then has a service if the answer is known.
 type startQuestion struct {
 	done    chan struct{}
 	start   resumer.Start
