Control: a stream is unknown only once all starts have been reported

By reading: a relay without a leader, and a leader before the relays had reported to it, answered that nobody knows where a stream began; the caller was told not to come back within its time, though the next second would have known.

Change: a relay keeps such questions for its next leader, and a leader says that a stream is unknown only 1 s after it began to lead. An entry that gets no answer refuses with 1 s to come back, as before.

Evidence: TestNothingIsUnknownBeforeStartsAreComplete fails before.

--- a/stage/governor/streams.go
+++ b/stage/governor/streams.go
@@ -15,6 +15,8 @@
 	maxStreamStarts = 1 << 16
 	// questionTimeout is how long a relay keeps a question that the leader hasn't answered; entries wait less.
 	questionTimeout = time.Second
+	// startsCompleteAfter is how long after a change of leader relays may take to report the starts that they know.
+	startsCompleteAfter = time.Second
 	// retireEvery is how often the leader checks which software versions have no server.
 	retireEvery = time.Second
 )
@@ -58,19 +60,19 @@
 	}
 	var answers []StreamStart
 	for _, id := range up.Questions {
-		start, known := r.streams.index.Get(now, id)
-		if !known && r.upstream != nil && len(r.streams.asking) < maxPendingRequests {
+		switch start, known := r.streams.index.Get(now, id); {
+		case known:
+			answers = append(answers, StreamStart{id, start.Service, start.Software})
+		case len(r.streams.asking) < maxPendingRequests:
 			r.ask(now, s, id)
-			continue
 		}
-		answers = append(answers, StreamStart{id, start.Service, start.Software})
 	}
 	if len(answers) > 0 {
 		r.send(s, DownMessage{Starts: answers}, "starts")
 	}
 }
 
-// ask makes a question of an entry due for the leader.
+// ask makes a question of an entry due for the leader, or for the next one.
 func (r *relay) ask(now time.Time, s *session, id string) {
 	q := r.streams.asking[id]
 	if q == nil {
@@ -131,8 +133,13 @@
 	}
 	answers := make([]StreamStart, 0, len(up.Questions))
 	for _, id := range up.Questions {
-		start, _ := h.streams.index.Get(now, id)
-		answers = append(answers, StreamStart{id, start.Service, start.Software})
+		start, known := h.streams.index.Get(now, id)
+		if known || now.Sub(h.leader.startedAt) >= startsCompleteAfter {
+			answers = append(answers, StreamStart{id, start.Service, start.Software})
+		}
+	}
+	if len(answers) == 0 {
+		return
 	}
 	if s == h.ownSession {
 		h.relay.answer(now, answers)
--- a/stage/governor/streams_test.go
+++ b/stage/governor/streams_test.go
@@ -75,6 +75,7 @@
 	f.run()
 	takeMessages(c, f.own)
 	takeMessages(c, f.far)
+	f.hub.leader.startedAt = f.now.Add(-2 * startsCompleteAfter)
 	f.hub.receive(f.now, f.own, UpMessage{Questions: []string{"a", "b", "c"}})
 	f.other.receive(f.now, f.far, UpMessage{Questions: []string{"a", "b", "c"}})
 	f.run()
@@ -104,6 +105,23 @@
 	c.Check(f.startsOf(f.own), qt.DeepEquals, []StreamStart{{"b", "s", "v2"}})
 }
 
+// A relay without a leader, and a leader before the relays' reports, said that nobody knew a stream, which was then given up.
+func TestNothingIsUnknownBeforeStartsAreComplete(t *testing.T) {
+	c := qt.New(t)
+	f := newStreamsFixture(c)
+	f.other.relay.clearUpstream(f.now)
+	f.other.receive(f.now, f.far, UpMessage{Questions: []string{"a"}})
+	f.hub.receive(f.now, f.own, UpMessage{Questions: []string{"a"}})
+	f.run()
+	c.Check(f.startsOf(f.far), qt.HasLen, 0)
+	c.Check(f.startsOf(f.own), qt.HasLen, 0)
+	f.hub.receive(f.now, f.own, UpMessage{Starts: []StreamStart{{"a", "s", "v1"}}})
+	f.run()
+	f.connect()
+	f.run()
+	c.Check(f.startsOf(f.far), qt.DeepEquals, []StreamStart{{"a", "s", "v1"}})
+}
+
 // The software versions that may have begun streams come before the servers, stay in the log, and go with their last stream.
 func TestLogKeepsSoftwareVersions(t *testing.T) {
 	c := qt.New(t)
