Control: the number of software versions is bounded

By reading: any writer of heartbeats may name ever new versions of its software, each of which entered the log and stayed for 30 s beyond its servers.

Change: 512 versions at most; a heartbeat with one more gets 400 with the place.

Evidence: TestSoftwareVersionsAreBounded.

--- a/stage/governor/streams.go
+++ b/stage/governor/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	questionTimeout = time.Second
 	// startsCompleteAfter is how long after a change of leader relays may take to report the starts that they know.
 	startsCompleteAfter = time.Second
+	// maxSoftwares bounds the software versions in the log, since any writer of heartbeats may name new ones.
+	maxSoftwares = 512
 	// retireEvery is how often the leader checks which software versions have no server.
 	retireEvery = time.Second
 )
@@ -31,6 +34,7 @@
 	asking map[string]*question
 }
 
+// question is an entry's question that the leader hasn't answered.
 type question struct {
 	at       time.Time
 	sessions []*session
@@ -177,9 +181,13 @@
 
 // recordSoftware commits that servers of a software version may begin streams, before entries hear of the first one.
 func (g *Governor) recordSoftware(ctx context.Context, v resumer.Version) error {
-	if _, ok := slices.BinarySearchFunc(g.membership.state().Softwares, v, resumer.Version.Compare); ok {
+	softwares := g.membership.state().Softwares
+	if _, ok := slices.BinarySearchFunc(softwares, v, resumer.Version.Compare); ok {
 		return nil
 	}
+	if len(softwares) >= maxSoftwares {
+		return &InputError{Place: "version", Reason: fmt.Sprintf("%d software versions are in use, no more are taken", len(softwares))}
+	}
 	if err := g.propose(ctx, command{Software: &v}); err != nil {
 		return err
 	}
--- a/stage/governor/streams_test.go
+++ b/stage/governor/streams_test.go
@@ -1,11 +1,14 @@
 package governor
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/resumer"
@@ -158,3 +161,20 @@
 	c.Check(got.Starts, qt.DeepEquals, []StreamStart{{"d", "s", "v"}})
 	c.Check(got.Version, qt.Equals, uint64(7))
 }
+
+// Heartbeats that named ever new software versions filled the log.
+func TestSoftwareVersionsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	g := &Governor{membership: newMembership(Config{}, Deps{}, nil)}
+	version := func(n int) resumer.Version { return resumer.Version{Service: "s", Software: fmt.Sprint(n)} }
+	for n := range maxSoftwares {
+		v := version(n)
+		data, err := encoder.Marshal(command{Software: &v})
+		c.Assert(err, qt.IsNil)
+		g.membership.machine.Apply(1, data)
+	}
+	c.Check(g.recordSoftware(context.Background(), version(3)), qt.IsNil)
+	var refused *InputError
+	c.Assert(errors.As(g.recordSoftware(context.Background(), version(maxSoftwares)), &refused), qt.IsTrue)
+	c.Check(refused.Place, qt.Equals, "version")
+}
