Entry: a stream that is taken up leaves a line

Operators saw: only attempts that failed or resumed within an answer had the software version and how it was known; a take-up that went on at once had no line.

Change: each answered take-up logs its attempt, within the rate of those lines.

Evidence: TestStreamThatIsTakenUpIsLogged fails before.

--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -226,7 +226,7 @@
 		}
 		switch r.outcome {
 		case outcomeAnswered, outcomeForwarded:
-			if a.resumedAfter != "" {
+			if a.resumedAfter != "" || c.takeUp != "" {
 				e.log.Attempt(c.id, a.logEntry(r))
 			}
 			return e.finishResponse(c, w, r)
--- a/stage/relayer/takeup_test.go
+++ b/stage/relayer/takeup_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -10,10 +11,15 @@
 	"redwingstage.org/serving/resumer"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
+	"redwingstage.org/stage/logger"
 )
 
 // startSoftwareEntry starts an entry before one server of each version, which all send one event.
 func startSoftwareEntry(c *qt.C, versions ...string) *Relayer {
+	return startSoftwareEntryWithLog(c, logger.New(io.Discard, "error"), versions...)
+}
+
+func startSoftwareEntryWithLog(c *qt.C, l *logger.Logger, versions ...string) *Relayer {
 	var handlers []http.HandlerFunc
 	for range versions {
 		handlers = append(handlers, func(w http.ResponseWriter, r *http.Request) {
@@ -21,7 +27,7 @@
 			writeEvent(w, 9)
 		})
 	}
-	e := startEntry(c, handlers...)
+	e := startEntryWithLog(c, l, handlers...)
 	list := e.balancer.Servers()
 	var recorded []resumer.Version
 	for i, v := range versions {
@@ -79,6 +85,19 @@
 	c.Check(e.starts.unanswered(), qt.HasLen, 0)
 }
 
+// A stream that went on after it was taken up left no line that told its version and how that was known.
+func TestStreamThatIsTakenUpIsLogged(t *testing.T) {
+	c := qt.New(t)
+	var log logBuffer
+	e := startSoftwareEntryWithLog(c, logger.New(&log, "info"), "v1")
+	status, _ := takeUp(c, e, "elsewhere")
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(log.requestLines(c, "id-1"), qt.DeepEquals, []map[string]any{{
+		"message": "entry: attempt ended", "server": "s0", "outcome": "passed", "reason": "", "status": 200.0, "after": "", "first": "9",
+		"last": "9", "software": "v1", "take_up": "only_version", "version": 1.0, "leader_ms": 0.0,
+	}})
+}
+
 // Streams were taken up at any version when nobody knew the one that had begun them.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
 	c := qt.New(t)
