Control: a software version is kept as long as the longest timeout

By reading: a software version left the log 30 s after its last server, whatever the routes' timeouts; a stream of a route with a longer one could then be taken up at the version that had remained as the only one.

Change: the retirement takes the longest timeout in force, 30 s at the least.

Evidence: TestLongTimeoutKeepsSoftwareVersion; the tests of the packages named here pass with the race detector.

--- a/serving/matcher/matcher.go
+++ b/serving/matcher/matcher.go
@@ -193,6 +193,17 @@
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
+// LongestTimeout returns the longest time that a route gives a request.
+func (t *Table) LongestTimeout() time.Duration {
+	var longest time.Duration
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Limits returns the limits of clients' requests.
 func (t *Table) Limits() Limits { return t.limits }
 
--- a/serving/resumer/resumer.go
+++ b/serving/resumer/resumer.go
@@ -98,18 +98,17 @@
 
 // Retirement decides when a version can't have a stream any more that goes on. It has no clock and is not safe for concurrent use.
 type Retirement struct {
-	horizon time.Duration
 	// unlistedAt is since when no server of a version is listed.
 	unlistedAt map[Version]time.Time
 }
 
-// NewRetirement returns a Retirement of versions without a listed server for the horizon, the longest time that a stream goes on.
-func NewRetirement(horizon time.Duration) *Retirement {
-	return &Retirement{horizon: horizon, unlistedAt: make(map[Version]time.Time)}
+// NewRetirement returns a Retirement that has seen no version unlisted.
+func NewRetirement() *Retirement {
+	return &Retirement{unlistedAt: make(map[Version]time.Time)}
 }
 
-// Due returns the first of the known versions that is due, given the versions of the listed servers.
-func (r *Retirement) Due(now time.Time, known []Version, listed map[Version]bool) (Version, bool) {
+// Due returns the first of the known versions without a listed server for the horizon, the longest time that a stream goes on.
+func (r *Retirement) Due(now time.Time, horizon time.Duration, known []Version, listed map[Version]bool) (Version, bool) {
 	for v := range r.unlistedAt {
 		if listed[v] || !slices.Contains(known, v) {
 			delete(r.unlistedAt, v)
@@ -121,7 +120,7 @@
 		case listed[v]:
 		case !ok:
 			r.unlistedAt[v] = now
-		case now.Sub(at) >= r.horizon:
+		case now.Sub(at) >= horizon:
 			return v, true
 		}
 	}
--- a/serving/resumer/resumer_test.go
+++ b/serving/resumer/resumer_test.go
@@ -49,7 +49,7 @@
 	c := qt.New(t)
 	v1, v2 := resumer.Version{Service: "s", Software: "v1"}, resumer.Version{Service: "s", Software: "v2"}
 	known := []resumer.Version{v1, v2}
-	r := resumer.NewRetirement(10 * time.Second)
+	r := resumer.NewRetirement()
 	for _, row := range []struct {
 		after  int
 		listed []resumer.Version
@@ -67,7 +67,7 @@
 		for _, v := range row.listed {
 			listed[v] = true
 		}
-		v, due := r.Due(begin.Add(time.Duration(row.after)*time.Second), known, listed)
+		v, due := r.Due(begin.Add(time.Duration(row.after)*time.Second), 10*time.Second, known, listed)
 		c.Check(due, qt.Equals, row.due, qt.Commentf("after %d s", row.after))
 		c.Check(!due || v == v1, qt.IsTrue)
 	}
--- a/stage/governor/streams.go
+++ b/stage/governor/streams.go
@@ -124,7 +124,7 @@
 }
 
 func newLeaderStreams() *leaderStreams {
-	return &leaderStreams{index: resumer.NewIndex(StreamHorizon, maxStreamStarts), retirement: resumer.NewRetirement(StreamHorizon)}
+	return &leaderStreams{index: resumer.NewIndex(StreamHorizon, maxStreamStarts), retirement: resumer.NewRetirement()}
 }
 
 // applyStreams applies what a relay's report says of streams.
@@ -162,7 +162,7 @@
 	for _, in := range h.leader.engines.Instances() {
 		listed[resumer.Version{Service: in.Service, Software: in.Software}] = true
 	}
-	v, due := h.streams.retirement.Due(now, h.membership.state().Softwares, listed)
+	v, due := h.streams.retirement.Due(now, h.streamHorizon(), h.membership.state().Softwares, listed)
 	if !due {
 		return
 	}
@@ -179,6 +179,14 @@
 	})
 }
 
+// streamHorizon returns the longest time for which a stream of any route goes on.
+func (h *hub) streamHorizon() time.Duration {
+	if h.table == nil {
+		return StreamHorizon
+	}
+	return max(StreamHorizon, h.table.LongestTimeout())
+}
+
 // recordSoftware commits that servers of a software version may begin streams, before entries hear of the first one.
 func (g *Governor) recordSoftware(ctx context.Context, v resumer.Version) error {
 	softwares := g.membership.state().Softwares
--- a/stage/governor/streams_test.go
+++ b/stage/governor/streams_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"redwingstage.org/coord/encoder"
+	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/resumer"
 )
 
@@ -178,3 +179,18 @@
 	c.Assert(errors.As(g.recordSoftware(context.Background(), version(maxSoftwares)), &refused), qt.IsTrue)
 	c.Check(refused.Place, qt.Equals, "version")
 }
+
+// A software version retired while streams of a route with a long timeout still went on.
+func TestLongTimeoutKeepsSoftwareVersion(t *testing.T) {
+	c := qt.New(t)
+	h := newLeadingHub(c, &stubEngines{}, 8)
+	c.Check(h.streamHorizon(), qt.Equals, StreamHorizon)
+	routes := []matcher.Route{
+		{Host: "h", Prefix: "/a/", Timeout: time.Minute, Attempts: 1, Shares: []matcher.Share{{Service: "s", Weight: 1}}},
+		{Host: "h", Prefix: "/b/", Timeout: time.Second, Attempts: 1, Shares: []matcher.Share{{Service: "s", Weight: 1}}},
+	}
+	table, err := matcher.New(1, routes, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	c.Assert(err, qt.IsNil)
+	h.table = table
+	c.Check(h.streamHorizon(), qt.Equals, time.Minute)
+}
