Entry: an adapter is requested for each software version

By reading: an entry limits how often it requests an adapter, without regard to the software version: a stream that only one version can go on with waited up to 0.4 s longer if a request for any version had just been made.

Change: the version is part of what the limit counts by.

Evidence: TestAdapterIsRequestedForEachSoftwareVersion fails before.

--- a/stage/relayer/control_client.go
+++ b/stage/relayer/control_client.go
@@ -61,9 +61,10 @@
 
 // adapterRequest identifies a request for an adapter, or for another copy of it.
 type adapterRequest struct {
-	service string
-	adapter tracker.Adapter
-	isCopy  bool
+	service  string
+	adapter  tracker.Adapter
+	isCopy   bool
+	software string
 }
 
 func newControlClient(e *Relayer) *controlClient {
@@ -147,7 +148,7 @@
 		minInterval = copyRequestInterval
 	}
 	c.mu.Lock()
-	k := adapterRequest{w.Service, w.Adapter, w.Copy}
+	k := adapterRequest{w.Service, w.Adapter, w.Copy, w.Software}
 	at, ok := c.requestedAt[k]
 	if ok && now.Sub(at) < minInterval {
 		c.mu.Unlock()
--- a/stage/relayer/takeup_test.go
+++ b/stage/relayer/takeup_test.go
@@ -98,6 +98,24 @@
 	}})
 }
 
+// A stream that only one version can go on with didn't request its adapter when another request had just done so for any version.
+func TestAdapterIsRequestedForEachSoftwareVersion(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	w := governor.Want{Service: "s", Adapter: tracker.Adapter{Model: "m", Name: "a"}}
+	for _, v := range []string{"", "v1", "v1", ""} {
+		w.Software = v
+		e.control.requestAdapter(w)
+	}
+	var got []string
+	for len(e.control.queue) > 0 {
+		for _, w := range (<-e.control.queue).Wants {
+			got = append(got, w.Software)
+		}
+	}
+	c.Check(got, qt.DeepEquals, []string{"", "v1"})
+}
+
 // Streams were taken up at any version when nobody knew the one that had begun them.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
 	c := qt.New(t)
