Entry: log and metrics show how the end of a server's response showed

Why: a stream that ends as complete had no line, and no line had the framing of its response, so that a response whose connection ended in order couldn't be told from a complete one afterwards.

Change: attempt lines have the framing (length, chunks, close); a response that ends with its connection has a line also if it counts as complete; redwingstage_entry_server_responses_total counts by framing and outcome.

Two tests compare whole lines and expect the new field now. TestResponseUntilCloseIsLogged failed before: no line.

--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -181,13 +181,15 @@
 	Status          int
 	// In streams, After is the last event that the caller had before; First and Last are this attempt's events.
 	After, First, Last string
+	// Framing is how the end of the response's body shows, "" if none was read.
+	Framing string
 	// Software is the software version of the server; TakeUp is how the one that began a stream was known, "" if no caller took one up.
 	Software, TakeUp string
 	Duration         time.Duration
 	Basis            Basis
 }
 
-// Attempt logs an attempt that got no response or that resumed a stream.
+// Attempt logs an attempt that got no response, that resumed a stream, or whose response ended with its connection.
 func (c *Component) Attempt(id string, a Attempt) {
 	dropped, ok := c.attempts.allow(time.Now())
 	if !ok {
@@ -198,6 +200,9 @@
 	if a.After != "" || a.Last != "" {
 		e = e.Str("after", a.After).Str("first", a.First).Str("last", a.Last)
 	}
+	if a.Framing != "" {
+		e = e.Str("framing", a.Framing)
+	}
 	if a.Software != "" {
 		e = e.Str("software", a.Software)
 	}
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -70,8 +70,8 @@
 	resumedAfter string
 	status       int
 	firstEventID string
-	// untilClose is set if the response's body ends with the connection.
-	untilClose bool
+	// framing is that of the response, "" if no body was read.
+	framing framing
 	// blocks is the number of blocks of events that arrived, events that of events, lastEventAt the time of the latest one.
 	blocks      int
 	events      int
@@ -87,6 +87,7 @@
 	if a.firstEventID != "" {
 		l.Last = a.lastEventID
 	}
+	l.Framing = string(a.framing)
 	return l
 }
 
@@ -177,7 +178,7 @@
 	default:
 		// The server responded before it read the whole request; on a reused connection the rest would look like a new request.
 	}
-	if a.untilClose && (r.outcome == outcomeAnswered || r.outcome == outcomeForwarded) {
+	if a.framing == framingClose && (r.outcome == outcomeAnswered || r.outcome == outcomeForwarded) {
 		// The write returns a reset's error; the read returns io.EOF as if the server had closed the connection.
 		r = unknownResult("body", errors.New("the connection ended before the request was written, and the answer has no length"))
 		if out.streaming {
@@ -292,7 +293,7 @@
 // bufferResponse reads a response that isn't an event stream into memory; a large one is forwarded as it arrives.
 func (e *Relayer) bufferResponse(c *conn, h *fasthttp.ResponseHeader, a *attempt, out *responseWriter, keepAlive time.Duration) (attemptResult, time.Duration) {
 	b := newResponseBody(c.br, h, a.call.req.method)
-	a.untilClose = b.length == lengthUntilClose
+	a.framing = b.framing()
 	data, complete, err := b.readPrefix(maxBufferedBytes, a.call.req.memory)
 	switch {
 	case isNoRoom(err):
@@ -303,7 +304,7 @@
 		return unknownResult("body", errors.New("a failure with a large body")), -1
 	case !complete:
 		return e.forwardBody(h, b, data, out, keepAlive)
-	case a.untilClose:
+	case a.framing == framingClose:
 		keepAlive = -1
 	}
 	r := attemptResult{outcome: outcomeAnswered, status: a.status, body: data, fields: responseFields(h), result: balancer.OK}
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -226,7 +226,7 @@
 		}
 		switch r.outcome {
 		case outcomeAnswered, outcomeForwarded:
-			if a.resumedAfter != "" || c.takeUp != "" {
+			if a.resumedAfter != "" || c.takeUp != "" || a.framing == framingClose {
 				e.log.Attempt(c.id, a.logEntry(r))
 			}
 			return e.finishResponse(c, w, r)
@@ -267,6 +267,7 @@
 		e.control.enqueueLoads()
 	}
 	e.metrics.countAttempt(r.result)
+	e.metrics.countResponse(a.framing, r.outcome)
 	c.wasSent = c.wasSent || r.outcome != outcomeUnsent && r.outcome != outcomeNotRun
 	if r.outcome != outcomeUnsent {
 		c.sends++
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -22,6 +22,7 @@
 	registry  *prometheus.Registry
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
+	responses *prometheus.CounterVec
 	places    *prometheus.CounterVec
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
@@ -100,6 +101,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_attempts_total", Help: "Tries at backend servers by what they tell of the server.",
 		}, []string{"result"}),
+		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_server_responses_total", Help: "Responses of backend servers by the framing of their bodies and by how they ended.",
+		}, []string{"framing", "outcome"}),
 		places: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_places_total",
 			Help: "Requests by service, by whether a server was chosen at once (admitted) or later (waited) or none took them (refused), and by why.",
@@ -133,7 +137,7 @@
 	m.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_take_ups_total", Help: "Streams that callers took up, by how the software version that began them was known.",
 	}, []string{"source"})
-	m.registry.MustRegister(m.takeUps, m.closedConns, m.requests, m.attempts, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
+	m.registry.MustRegister(m.takeUps, m.closedConns, m.requests, m.attempts, m.responses, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
 	return m
 }
 
@@ -180,6 +184,13 @@
 	balancer.NoEvidence: "void",
 }
 
+// countResponse counts a response of which the body was read.
+func (m *metrics) countResponse(f framing, o outcome) {
+	if f != "" {
+		m.responses.WithLabelValues(string(f), outcomeNames[o]).Inc()
+	}
+}
+
 func (m *metrics) countAttempt(r balancer.Result) { m.attempts.WithLabelValues(resultLabels[r]).Inc() }
 
 func (m *metrics) observeWait(c *call, now time.Time) {
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -38,6 +38,16 @@
 	lengthUntilClose = -2
 )
 
+// framing is how the end of a response's body shows, as the log and the metrics name it.
+type framing string
+
+const (
+	framingLength framing = "length"
+	framingChunks framing = "chunks"
+	// framingClose means that the body ends with its connection.
+	framingClose framing = "close"
+)
+
 // readResponseHead reads a response's head; a malformed status, ambiguous framing and a protocol switch are errors.
 func readResponseHead(br *bufio.Reader) (*fasthttp.ResponseHeader, error) {
 	raw, err := peekHead(br, br.Size())
@@ -118,6 +128,17 @@
 	return b
 }
 
+// framing returns how the body's end shows.
+func (b *responseBody) framing() framing {
+	switch b.length {
+	case lengthUntilClose:
+		return framingClose
+	case lengthChunked:
+		return framingChunks
+	}
+	return framingLength
+}
+
 // Read implements io.Reader; io.EOF means that the body is complete.
 func (b *responseBody) Read(p []byte) (int, error) {
 	if b.endErr != nil {
--- a/stage/relayer/resume_test.go
+++ b/stage/relayer/resume_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,15 +74,39 @@
 	c.Check(log.requestLines(c, "id-1"), qt.DeepEquals, []map[string]any{
 		{
 			"message": "entry: attempt ended", "server": "s0", "outcome": "cut", "reason": "stream: unexpected EOF",
-			"status": 200.0, "after": "", "first": "1", "last": "2", "version": 1.0, "leader_ms": 0.0,
+			"status": 200.0, "after": "", "first": "1", "last": "2", "framing": "chunks", "version": 1.0, "leader_ms": 0.0,
 		},
 		{
 			"message": "entry: attempt ended", "server": "s1", "outcome": "passed", "reason": "",
-			"status": 200.0, "after": "2", "first": "3", "last": "3", "version": 1.0, "leader_ms": 0.0,
+			"status": 200.0, "after": "2", "first": "3", "last": "3", "framing": "chunks", "version": 1.0, "leader_ms": 0.0,
 		},
 	})
 }
 
+// A response that ended with its connection left no line, so that a cut one couldn't be told from a complete one afterwards.
+func TestResponseUntilCloseIsLogged(t *testing.T) {
+	c := qt.New(t)
+	var log logBuffer
+	e := startEntryWithLog(c, logger.New(&log, "info"), func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, responseHead(r, http.StatusOK, "Content-Type: text/event-stream", "Connection: close")+"id: 1\ndata: 1\n\n")
+		_ = conn.Close()
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 8000")
+	c.Check(l.receive(c).err, qt.IsNil)
+	c.Check(log.requestLines(c, "id-1"), qt.DeepEquals, []map[string]any{{
+		"message": "entry: attempt ended", "server": "s0", "outcome": "passed", "reason": "", "status": 200.0, "after": "", "first": "1",
+		"last": "1", "framing": "close", "version": 1.0, "leader_ms": 0.0,
+	}})
+	w := httptest.NewRecorder()
+	e.metrics.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, metricsPath, nil))
+	c.Check(w.Body.String(), qt.Contains, `redwingstage_entry_server_responses_total{framing="close",outcome="passed"} 1`)
+}
+
 // A stream that could not be resumed ended without a log line, and was counted as served.
 func TestCutStreamIsLoggedAndCounted(t *testing.T) {
 	c := qt.New(t)
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -34,7 +34,7 @@
 // forwardEvents forwards a response's events as they arrive, each once it is complete.
 func (e *Relayer) forwardEvents(ctx context.Context, c *conn, h *fasthttp.ResponseHeader, a *attempt, out *responseWriter, keepAlive time.Duration) (attemptResult, time.Duration) {
 	b := newResponseBody(c.br, h, a.call.req.method)
-	if a.untilClose = b.length == lengthUntilClose; a.untilClose {
+	if a.framing = b.framing(); a.framing == framingClose {
 		keepAlive = -1
 	}
 	events := &eventReader{br: bufio.NewReaderSize(b, serverBufferBytes), lastID: e.resumePoint(a), take: a.call.req.memory.Take}
@@ -44,7 +44,7 @@
 	firstSeen := false
 	for {
 		block, err := events.next()
-		if a.untilClose && !out.streaming && errors.Is(err, io.EOF) {
+		if a.framing == framingClose && !out.streaming && errors.Is(err, io.EOF) {
 			// Nothing else tells the end of the server from the end of its answer.
 			err = io.ErrUnexpectedEOF
 		}
--- a/stage/relayer/takeup_test.go
+++ b/stage/relayer/takeup_test.go
@@ -94,7 +94,7 @@
 	c.Check(status, qt.Equals, http.StatusOK)
 	c.Check(log.requestLines(c, "id-1"), qt.DeepEquals, []map[string]any{{
 		"message": "entry: attempt ended", "server": "s0", "outcome": "passed", "reason": "", "status": 200.0, "after": "", "first": "9",
-		"last": "9", "software": "v1", "take_up": "only_version", "version": 1.0, "leader_ms": 0.0,
+		"last": "9", "framing": "chunks", "software": "v1", "take_up": "only_version", "version": 1.0, "leader_ms": 0.0,
 	}})
 }
 
