Entry: a response that ends with its connection is complete only if its server outlived it

Cause: the kernel closes a killed process's connections in order. For a response without a length or chunks the entry took that for its end. The class: the end of a connection taken for the end of a response.

Change: after such an end the entry asks the server over another connection, and sends the last chunk or the buffered body only if this start of the server answers. Otherwise the response counts as broken off: resumed, retried or failed as before. The question is sent after the end was read, so its answer was written by a process that lived then.

No message between own processes changes.

--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -170,15 +170,21 @@
 		written <- nil
 	}
 	r, keepAlive := e.readResponse(ctx, c, a, out)
+	endsWithConn := a.framing == framingClose && (r.outcome == outcomeAnswered || r.outcome == outcomeForwarded)
 	select {
 	case err := <-written:
-		if err == nil {
+		switch {
+		case err == nil && endsWithConn:
+			// The probe may need the connection's place.
+			_ = c.Close()
+			return e.confirmEnd(ctx, a, out, r), -1
+		case err == nil:
 			return r, keepAlive
 		}
 	default:
 		// The server responded before it read the whole request; on a reused connection the rest would look like a new request.
 	}
-	if a.framing == framingClose && (r.outcome == outcomeAnswered || r.outcome == outcomeForwarded) {
+	if endsWithConn {
 		// The write returns a reset's error; the read returns io.EOF as if the server had closed the connection.
 		r = unknownResult("body", errors.New("the connection ended before the request was written, and the answer has no length"))
 		if out.streaming {
--- a/stage/relayer/call.go
+++ b/stage/relayer/call.go
@@ -268,6 +268,9 @@
 	}
 	e.metrics.countAttempt(r.result)
 	e.metrics.countResponse(a.framing, r.outcome)
+	if r.outcome == outcomeForwarded && c.route.Stream {
+		e.learnLength(a)
+	}
 	c.wasSent = c.wasSent || r.outcome != outcomeUnsent && r.outcome != outcomeNotRun
 	if r.outcome != outcomeUnsent {
 		c.sends++
--- a/stage/relayer/faulty_engines_test.go
+++ b/stage/relayer/faulty_engines_test.go
@@ -42,6 +42,8 @@
 	// tornShare is the share of a torn body that is sent; tornAtPart is set if it ends with a complete part, reset if with a reset.
 	tornShare         float64
 	tornAtPart, reset bool
+	// ends is set if the engine's process ends with the response: its connections end in order, and it answers no probe.
+	ends bool
 	// pause is the delay before each of the first parts and before the end, stall the one before the second part.
 	pause, stall time.Duration
 }
@@ -65,6 +67,8 @@
 	mu       sync.Mutex
 	runs     []engineRun
 	requests [5]int
+	// ended are the engines whose processes have ended and got no request since.
+	ended [5]bool
 	// secondArrived is set if a request arrived on the same connection after the first one's response.
 	secondArrived bool
 }
@@ -152,8 +156,9 @@
 	case a.fault == "unended", a.length == lengthUntilClose && a.fault == "twice":
 		a.length = lengthChunked
 	case a.length == lengthUntilClose && a.fault == "torn":
-		// A body without a length ends with its connection; only a reset shows that it is incomplete, even after its last byte.
-		a.tornShare, a.reset = min(1.3*a.tornShare, 1), true
+		// A body without a length ends with its connection; a reset shows that it is incomplete, even after its last byte, or nothing but
+		// the end of its engine does.
+		a.tornShare, a.ends = min(1.3*a.tornShare, 1), !a.reset
 	}
 	return a
 }
@@ -247,8 +252,11 @@
 		a.write(w, a.head(r, seal, length), parts)
 	}
 	time.Sleep(a.pause)
-	if isTorn && a.reset {
+	switch {
+	case isTorn && a.reset:
 		_ = w.SetLinger(0)
+	case a.ends:
+		s.setEnded(engine, true)
 	}
 	return !isTorn && a.length != lengthUntilClose
 }
@@ -261,6 +269,7 @@
 		s.secondArrived = true
 		return engineResponse{status: 404, body: "second"}, "second"
 	}
+	s.ended[engine] = false
 	a := s.scripts[engine][min(s.requests[engine], len(s.scripts[engine])-1)]
 	s.requests[engine]++
 	seal := fmt.Sprintf("%d-%d", engine, s.requests[engine])
@@ -274,8 +283,31 @@
 	br := bufio.NewReader(conn)
 	for ok := true; ok; {
 		r, err := http.ReadRequest(br)
-		ok = err == nil && s.respond(conn, r, engine)
+		switch {
+		case err != nil:
+			return
+		case r.URL.Path == testHealthPath:
+			ok = s.respondToProbe(conn, engine)
+		default:
+			ok = s.respond(conn, r, engine)
+		}
+	}
+}
+
+// respondToProbe responds to a probe; false means that the engine's process has ended.
+func (s *scenario) respondToProbe(w io.Writer, engine int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended[engine] {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: s%d\r\nContent-Length: 0\r\n\r\n", testInstance, engine)
 	}
+	return !s.ended[engine]
+}
+
+func (s *scenario) setEnded(engine int, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[engine] = ended
 }
 
 // startEngine starts an engine.
@@ -298,7 +330,7 @@
 	e := startEntry(c)
 	plain := s.route
 	plain.Name, plain.Prefix, plain.Stream, plain.Resumable, plain.Attempts = "plain", "/plain/", false, false, 1
-	table, err := matcher.New(1, []matcher.Route{s.route, plain}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	table, err := matcher.New(1, []matcher.Route{s.route, plain}, []matcher.Service{{Name: "s", HealthPath: testHealthPath}}, matcher.Limits{})
 	c.Assert(err, qt.IsNil)
 	e.table.Store(table)
 	down := governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1}
--- a/stage/relayer/headers.go
+++ b/stage/relayer/headers.go
@@ -56,6 +56,13 @@
 	ParseParts func(value string) []string
 	// ParsePrompt parses from the header Parts all parts of the prompt with their tokens; nil means that they are unknown.
 	ParsePrompt func(value string) []prefixer.Part
+	// Instance names the server in answers to probes.
+	Instance string
+	// ReportPath is the path at which engines report on themselves without taking a slot; empty if they don't.
+	ReportPath string
+	// ParseStart parses from such a report, or from the body of a health check, the Unix time of the server's start in milliseconds; false
+	// means that it has none.
+	ParseStart func(body []byte) (ms int64, ok bool)
 	// ReadyPath is the path of the load balancer's readiness probe.
 	ReadyPath string
 }
--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -43,7 +43,9 @@
 					if err != nil {
 						return
 					}
-					seen.Add(1)
+					if r.URL.Path != testHealthPath {
+						seen.Add(1)
+					}
 					_, _ = io.Copy(io.Discard, r.Body)
 					if !s(conn, n, r) {
 						return
@@ -246,16 +248,15 @@
 	c.Check(resp.err, qt.Equals, io.ErrUnexpectedEOF)
 }
 
-// A server that ends at any byte of its response, in the head too, never looks as if it had responded completely. A body that
-// ends with its connection is only cut in its head.
+// A server that ends at any byte of its response, in the head too, never looks as if it had responded completely.
 func TestResponseCutAtAnyByteIsIncomplete(t *testing.T) {
 	t.Parallel()
 	for _, row := range []struct{ name, path, lines, body string }{
 		{"length", "/once/", "Content-Length: 4", "body"},
 		{"chunks", "/once/", "Transfer-Encoding: chunked", "4\r\nbody\r\n0\r\n\r\n"},
-		{"until close", "/once/", "X: y", ""},
+		{"until close", "/once/", "X: y", "body"},
 		{"events", "/stream/", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked", "7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n"},
-		{"events until close", "/stream/", "Content-Type: text/event-stream", ""},
+		{"events until close", "/stream/", "Content-Type: text/event-stream", "id: 1\n\nid: 2\n\n"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
@@ -263,6 +264,9 @@
 			for cut := range whole {
 				c := qt.New(t)
 				e, seen := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+					if r.URL.Path == testHealthPath {
+						return false
+					}
 					_, _ = io.WriteString(w, (responseHead(r, 200, row.lines) + row.body)[:cut])
 					return false
 				})
--- a/stage/relayer/metrics.go
+++ b/stage/relayer/metrics.go
@@ -23,6 +23,7 @@
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
 	responses *prometheus.CounterVec
+	probes    *prometheus.CounterVec
 	places    *prometheus.CounterVec
 	late      *prometheus.CounterVec
 	firstByte prometheus.Histogram
@@ -104,6 +105,10 @@
 		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_server_responses_total", Help: "Responses of backend servers by the framing of their bodies and by how they ended.",
 		}, []string{"framing", "outcome"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "redwingstage_entry_confirmed_ends_total",
+			Help: "Responses that ended with their connections, by whether the server is known to have outlived them (alive) or not (unknown).",
+		}, []string{"result"}),
 		places: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingstage_entry_places_total",
 			Help: "Requests by service, by whether a server was chosen at once (admitted) or later (waited) or none took them (refused), and by why.",
@@ -137,7 +142,7 @@
 	m.takeUps = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "redwingstage_entry_take_ups_total", Help: "Streams that callers took up, by how the software version that began them was known.",
 	}, []string{"source"})
-	m.registry.MustRegister(m.takeUps, m.closedConns, m.requests, m.attempts, m.responses, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
+	m.registry.MustRegister(m.takeUps, m.closedConns, m.requests, m.attempts, m.responses, m.probes, m.late, m.firstByte, m.wait, m.accounts, m.amounts, m.places, m.room, m.prompts, m.leaderAge)
 	return m
 }
 
@@ -184,6 +189,15 @@
 	balancer.NoEvidence: "void",
 }
 
+// countProbe counts a response that ended with its connection; alive is set if its server is known to have outlived it.
+func (m *metrics) countProbe(alive bool) {
+	result := "unknown"
+	if alive {
+		result = "alive"
+	}
+	m.probes.WithLabelValues(result).Inc()
+}
+
 // countResponse counts a response of which the body was read.
 func (m *metrics) countResponse(f framing, o outcome) {
 	if f != "" {
--- a/stage/relayer/relayer.go
+++ b/stage/relayer/relayer.go
@@ -104,6 +104,7 @@
 	pool     *pool
 	tunnels  *tunneler.Tunneler
 	suspects *suspects
+	liveness *liveness
 	quotas   *quotas
 	balancer *balancer.Balancer
 	budget   *retryBudget
@@ -157,7 +158,7 @@
 	l := newLinks(cfg.MemoryLimit > 0, cfg.Zone, deps.ServerDialer, log)
 	e := &Relayer{
 		cfg: cfg, deps: deps, headers: newHeaderNames(deps.Headers), log: log, links: l, pool: newPool(l), suspects: newSuspects(cfg.Node),
-		quotas:   newQuotas(cfg.Quota),
+		quotas: newQuotas(cfg.Quota), liveness: newLiveness(),
 		balancer: balancer.New(), listener: callers, conns: make(map[net.Conn]connState), acceptTime: shutdownAcceptTime,
 		memory: collector.New(cfg.MemoryLimit), maxConns: acceptor.Entry.MaxConns(cfg.MemoryLimit, cfg.MaxFiles), metrics: newMetrics(),
 		keyUses: newKeyUses(), lengths: newAnswerLengths(), starts: newStreamStarts(),
--- a/stage/relayer/relayer_test.go
+++ b/stage/relayer/relayer_test.go
@@ -34,12 +34,15 @@
 	testUsage    = "X-Usage"
 	testResumes  = "X-Resumes"
 	testBrittle  = "X-Brittle"
+	testInstance = "X-Instance"
+
+	testHealthPath = "/health"
 )
 
 var testHeaders = Headers{
 	AttemptID: testAttempt, Deadline: testDeadline, Seal: testSeal, NotRun: testNotRun, Expect: "X-Expect",
 	ExpectVersion: "X-Version", Priority: "X-Priority", Model: "X-Model", Resume: testResume, Resumes: testResumes, ReadyPath: "/ready",
-	Leaving: testLeaving, Brittle: testBrittle, Reserved: []string{"X-Hold"},
+	Leaving: testLeaving, Instance: testInstance, Brittle: testBrittle, Reserved: []string{"X-Hold"},
 	ParseModel: func(v string) tracker.Adapter {
 		model, name, _ := strings.Cut(v, "/")
 		return tracker.Adapter{Model: model, Name: name}
@@ -72,7 +75,7 @@
 	thrice.Name, thrice.Prefix, thrice.Attempts = "thrice", "/thrice/", 3
 	tuned := resumable
 	tuned.Name, tuned.Prefix, tuned.Shares = "tuned", "/tuned/", []matcher.Share{{Service: "adapters", Weight: 1}}
-	services := []matcher.Service{{Name: "s"}, {Name: "adapters", AdapterSlots: 4}}
+	services := []matcher.Service{{Name: "s", HealthPath: testHealthPath}, {Name: "adapters", AdapterSlots: 4, HealthPath: testHealthPath}}
 	t, err := matcher.New(1, []matcher.Route{once, safe, stream, resumable, thrice, tuned}, services, matcher.Limits{})
 	c.Assert(err, qt.IsNil)
 	return t
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -55,7 +55,6 @@
 				if !out.streaming && !out.startStream(h) {
 					return callerLeft, -1
 				}
-				e.learnLength(a)
 				return attemptResult{outcome: outcomeForwarded, status: h.StatusCode(), result: balancer.OK}, keepAlive
 			}
 			r := unknownResult("stream", err)
