Tunneler: only the server's end closes a tunnel in order

An entry that had lost its own links took the end of the entry that carries its connections for the end of an answer without a length: the caller got it as complete. So it was when the carrying entry was killed (its kernel closes the connections in order), when it stopped as planned, and when its listener closed the tunnel that had been silent longest for a newer one.

Cause: a close is an end in order unless the process says otherwise, and only a server's reset did.

Change: a tunnel is set to be reset when it is closed (SO_LINGER 0, which the kernel applies at the end of a process, too), until the server's own end has been read. Nothing changes on the wire; an older entry that asks this one gets the same resets.

--- a/stage/tunneler/tunneler.go
+++ b/stage/tunneler/tunneler.go
@@ -146,6 +146,8 @@
 		return
 	}
 	defer t.remove(server)
+	// Only the server's end may look like an end in order, not that of this process.
+	setLinger(c, 0)
 	if !t.add(server) || !respond(c, http.StatusOK) || c.SetDeadline(time.Time{}) != nil {
 		return
 	}
@@ -175,6 +177,7 @@
 		reset(src)
 		return
 	}
+	setLinger(dst, -1)
 	if w, ok := underlying(dst).(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite()
 	}
@@ -183,10 +186,15 @@
 
 // reset ends a connection such that its peer sees an error.
 func reset(c net.Conn) {
+	setLinger(c, 0)
+	_ = c.Close()
+}
+
+// setLinger sets what closing c does, also when the process ends: a reset if sec is 0, an end in order if it is negative.
+func setLinger(c net.Conn, sec int) {
 	if l, ok := underlying(c).(interface{ SetLinger(sec int) error }); ok {
-		_ = l.SetLinger(0)
+		_ = l.SetLinger(sec)
 	}
-	_ = c.Close()
 }
 
 // underlying returns the connection that c wraps, or c.
--- a/stage/tunneler/tunneler_test.go
+++ b/stage/tunneler/tunneler_test.go
@@ -3,8 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -13,11 +17,67 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"redwingstage.org/stage/acceptor"
 	"redwingstage.org/stage/logger"
 	"redwingstage.org/stage/tunneler"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// carrierEnv makes the test binary a process that carries connections until it is killed.
+const carrierEnv = "TUNNELER_TEST_CARRIER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(carrierEnv) != "" {
+		t, err := tunneler.New(tunneler.Config{Addr: "127.0.0.1:0"}, tunneler.Deps{DialServer: dialTCP, Log: logger.New(io.Discard, "error").Component("test")})
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(t.Addr())
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// startProcess starts a process that carries connections, and returns it with its address.
+func startProcess(c *qt.C) (*os.Process, string) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), carrierEnv+"=1")
+	stdin, err := cmd.StdinPipe()
+	c.Assert(err, qt.IsNil)
+	stdout, err := cmd.StdoutPipe()
+	c.Assert(err, qt.IsNil)
+	c.Assert(cmd.Start(), qt.IsNil)
+	c.Cleanup(func() {
+		_ = stdin.Close()
+		_ = cmd.Wait()
+	})
+	addr, err := bufio.NewReader(stdout).ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	return cmd.Process, strings.TrimSpace(addr)
+}
+
+// serveHalf serves half of an answer, and waits until the connection has ended.
+func serveHalf(c *qt.C) string {
+	return serve(c, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, "half")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+// readHalf has a server write half of an answer through the entry at peer, which end then ends, and returns the error that follows.
+func readHalf(c *qt.C, peer string, end func()) error {
+	conn, err := tunneler.Dial(c.Context(), &net.Dialer{}, peer, serveHalf(c))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "x")
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, len("half")))
+	c.Assert(err, qt.IsNil)
+	end()
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
 
 // start starts a Tunneler that opens connections with dial.
 func start(c *qt.C, dial func(ctx context.Context, addr string) (net.Conn, error)) *tunneler.Tunneler {
@@ -165,3 +225,38 @@
 	_, err = conn.Read(make([]byte, 1))
 	c.Check(err, qt.IsNotNil)
 }
+
+// An answer without a length must not look complete when the entry that carries it stops as planned.
+func TestCloseResetsTunnels(t *testing.T) {
+	c := qt.New(t)
+	for range 20 {
+		tn, err := tunneler.New(tunneler.Config{Addr: "127.0.0.1:0"}, tunneler.Deps{DialServer: dialTCP, Log: logger.New(io.Discard, "error").Component("test")})
+		c.Assert(err, qt.IsNil)
+		err = readHalf(c, tn.Addr(), func() { c.Check(tn.Close(), qt.IsNil) })
+		c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
+// An answer without a length must not look complete when the process of the entry that carries it is killed.
+func TestKilledProcessResetsTunnels(t *testing.T) {
+	c := qt.New(t)
+	process, addr := startProcess(c)
+	err := readHalf(c, addr, func() { c.Check(process.Kill(), qt.IsNil) })
+	c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// An answer without a length must not look complete when its tunnel is closed for a newer one.
+func TestCrowdResetsOldestTunnel(t *testing.T) {
+	c := qt.New(t)
+	tn, err := tunneler.New(tunneler.Config{Addr: "127.0.0.1:0", MaxFiles: 1}, tunneler.Deps{DialServer: dialTCP, Log: logger.New(io.Discard, "error").Component("test")})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(tn.Close(), qt.IsNil) })
+	err = readHalf(c, tn.Addr(), func() {
+		for range acceptor.System.MaxConns(0, 1) {
+			conn, err := net.Dial("tcp", tn.Addr())
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(func() { _ = conn.Close() })
+		}
+	})
+	c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
