Tunneler: the server's end is marked

An entry that goes through another one took any end of the tunnel's connection for the server's: an answer without a length then looked complete to its caller.

Cause: the end of the connection between the entries stood for the end of that to the server.

Change: the asking entry asks for frames with a header of its CONNECT request. What the server sends then comes with its length before each piece, and an empty piece is the server's end in order; without it, reads return io.ErrUnexpectedEOF. Nothing is buffered, so that the pool still sees what is left on an idle connection, and a read whose deadline passes within a frame goes on there. The head of the answer is read byte by byte: the mark may follow it at once, and what a server that speaks first sent was lost there until now.

Old and new builds: an older entry doesn't ask and gets the bytes as they are (TestOlderEntryGetsNoFrames). An older entry that is asked ignores the header and answers without it; the end of its tunnels reads as io.ErrUnexpectedEOF, so that answers without a length count as cut and all others are served (TestEndThroughOlderEntryIsUnexpected).

--- a/stage/relayer/links_test.go
+++ b/stage/relayer/links_test.go
@@ -240,3 +240,38 @@
 	cancel()
 	c.Check(e.Close(ctx), qt.IsNil)
 }
+
+// An idle connection through another entry is used again unless the server has ended it.
+func TestIdleCarriedConnectionIsUsedUntilItsEnd(t *testing.T) {
+	c := qt.New(t)
+	l, own, servers := startLinks(c, 1, dialServer)
+	srv := httptest.NewServer(http.NotFoundHandler())
+	c.Cleanup(srv.Close)
+	servers[0].Addr = srv.Listener.Addr().String()
+	own.set(servers[0].Addr, true)
+	p := newPool(l)
+	first, err := p.get(c.Context(), servers[0], 10, "a")
+	c.Assert(err, qt.IsNil)
+	for range 2 {
+		_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(first.br, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, resp.Body)
+		c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		p.put(first, 0)
+		again, err := p.get(c.Context(), servers[0], 10, "b")
+		c.Assert(err, qt.IsNil)
+		c.Check(again, qt.Equals, first)
+	}
+	p.put(first, 0)
+	srv.CloseClientConnections()
+	for end := time.Now().Add(time.Second); first.isUsable() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	other, err := p.get(c.Context(), servers[0], 10, "c")
+	c.Assert(err, qt.IsNil)
+	c.Check(other, qt.Not(qt.Equals), first)
+	c.Check(other.Close(), qt.IsNil)
+}
--- a/stage/tunneler/dial.go
+++ b/stage/tunneler/dial.go
@@ -23,45 +23,52 @@
 	ErrServer = errors.New("the server can't be reached through the other entry either")
 )
 
-// Dial opens a connection to the server at target, as ip:port, through the entry whose tunnels are at peer. The connection ends as the
-// server ends it: a reset arrives as a reset.
+// Dial opens a connection to the server at target, as ip:port, through the entry whose tunnels are at peer. A read returns io.EOF only
+// if the server ended the connection in order; io.ErrUnexpectedEOF means that the other entry or an older build of it did.
 func Dial(ctx context.Context, dialer *net.Dialer, peer, target string) (net.Conn, error) {
 	c, err := dialer.DialContext(ctx, "tcp", peer)
 	if err != nil {
 		return nil, errors.Wrap(ErrPeer, err.Error())
 	}
-	if err := connect(ctx, c, target); err != nil {
+	isFramed, err := connect(ctx, c, target)
+	if err != nil {
 		_ = c.Close()
 		return nil, err
 	}
-	return c, nil
+	return &conn{Conn: c, isFramed: isFramed}, nil
 }
 
-// connect asks the other side for a connection to target.
-func connect(ctx context.Context, c net.Conn, target string) error {
+// connect asks the other side for a connection to target; isFramed reports whether what the server sends comes in frames.
+func connect(ctx context.Context, c net.Conn, target string) (isFramed bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", http.MethodConnect, target, target); err != nil {
-		return errors.Wrap(ErrPeer, err.Error())
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", http.MethodConnect, target, target, framing, framed); err != nil {
+		return false, errors.Wrap(ErrPeer, err.Error())
 	}
-	// The server sends nothing before it has a request, so that nothing of its connection is in the buffer.
-	head := textproto.NewReader(bufio.NewReaderSize(io.LimitReader(c, maxHeadBytes), maxHeadBytes))
+	// What follows the head belongs to the server's connection.
+	head := textproto.NewReader(bufio.NewReaderSize(singleByteReader{io.LimitReader(c, maxHeadBytes)}, maxHeadBytes))
 	line, err := head.ReadLine()
+	var fields textproto.MIMEHeader
 	if err == nil {
-		_, err = head.ReadMIMEHeader()
+		fields, err = head.ReadMIMEHeader()
 	}
 	if err != nil {
-		return errors.Wrap(ErrPeer, err.Error())
+		return false, errors.Wrap(ErrPeer, err.Error())
 	}
 	if !stop() {
-		return errors.Wrap(ErrPeer, context.Cause(ctx).Error())
+		return false, errors.Wrap(ErrPeer, context.Cause(ctx).Error())
 	}
 	_, status, _ := strings.Cut(line, " ")
 	switch {
 	case strings.HasPrefix(status, strconv.Itoa(http.StatusOK)):
-		return nil
+		return fields.Get(framing) == framed, nil
 	case strings.HasPrefix(status, strconv.Itoa(http.StatusBadGateway)):
-		return ErrServer
+		return false, ErrServer
 	}
-	return errors.Wrap(ErrPeer, status)
+	return false, errors.Wrap(ErrPeer, status)
 }
+
+// singleByteReader reads one byte at a time.
+type singleByteReader struct{ r io.Reader }
+
+func (r singleByteReader) Read(p []byte) (int, error) { return r.r.Read(p[:min(len(p), 1)]) }
--- a/stage/tunneler/tunneler.go
+++ b/stage/tunneler/tunneler.go
@@ -130,8 +130,9 @@
 	if err != nil {
 		return
 	}
+	isFramed := req.Header.Get(framing) == framed
 	if req.Method != http.MethodConnect || br.Buffered() > 0 {
-		respond(c, http.StatusBadRequest)
+		respond(c, http.StatusBadRequest, false)
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, serverTimeout)
@@ -139,39 +140,49 @@
 	server, err := t.deps.DialServer(ctx, req.Host)
 	switch {
 	case errors.Is(err, ErrServer):
-		respond(c, http.StatusBadGateway)
+		respond(c, http.StatusBadGateway, false)
 		return
 	case err != nil:
-		respond(c, http.StatusServiceUnavailable)
+		respond(c, http.StatusServiceUnavailable, false)
 		return
 	}
 	defer t.remove(server)
 	// Only the server's end may look like an end in order, not that of this process.
 	setLinger(c, 0)
-	if !t.add(server) || !respond(c, http.StatusOK) || c.SetDeadline(time.Time{}) != nil {
+	if !t.add(server) || !respond(c, http.StatusOK, isFramed) || c.SetDeadline(time.Time{}) != nil {
 		return
 	}
 	var wg conc.WaitGroup
-	wg.Go(func() { carry(server, c) })
-	carry(c, server)
+	wg.Go(func() { carry(server, c, false) })
+	carry(c, server, isFramed)
 	wg.Wait()
 }
 
-// respond writes a response without a body.
-func respond(c net.Conn, status int) bool {
+// respond writes a response without a body; isFramed says that what the server sends follows in frames.
+func respond(c net.Conn, status int, isFramed bool) bool {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	if status != http.StatusOK {
 		head += "Content-Length: 0\r\n"
 	}
+	if isFramed {
+		head += framing + ": " + framed + "\r\n"
+	}
 	_, err := io.WriteString(c, head+"\r\n")
 	return err == nil
 }
 
-// carry copies from src to dst until one of them ends, and ends dst as src ended: an answer without a length that was cut must not
-// look complete.
-func carry(dst, src net.Conn) {
+// carry copies from src to dst, in frames if isFramed, until one of them ends, and ends dst as src ended: an answer without a length
+// that was cut must not look complete.
+func carry(dst, src net.Conn, isFramed bool) {
 	// Plain copies: the kernel's own need more descriptors.
-	_, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, make([]byte, copyBytes))
+	var w io.Writer = struct{ io.Writer }{dst}
+	if isFramed {
+		w = &frameWriter{w: dst}
+	}
+	_, err := io.CopyBuffer(w, struct{ io.Reader }{src}, make([]byte, copyBytes))
+	if err == nil && isFramed {
+		_, err = w.Write(nil)
+	}
 	if err != nil {
 		reset(dst)
 		reset(src)
