Tunneler: the end of an answer isn't lost for slow readers

A whole answer that came through another entry broke off (connection reset) for a caller that hadn't read it 1 s after the server's end: what the carrying entry's kernel still held was thrown away.

Cause: after the server's end the tunnel waits 1 s for the other side, then resets both, also the one that it has ended in order.

Change: only the side that hasn't been ended in order is reset, the other one is closed, and the kernel delivers the rest.

--- a/stage/tunneler/frames_test.go
+++ b/stage/tunneler/frames_test.go
@@ -159,3 +159,49 @@
 		c.Check(err == nil, qt.Equals, row.isIdle, qt.Commentf("%v", err))
 	}
 }
+
+// The end of an answer must not be lost for a caller that reads slowly.
+func TestSlowReaderGetsWholeAnswer(t *testing.T) {
+	c := qt.New(t)
+	want := bytes.Repeat([]byte("0123456789abcdef"), 3<<10)
+	addr := serve(c, func(conn *net.TCPConn) { _, _ = conn.Write(want) })
+	tn := start(c, dialTCP)
+	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	conn, err := tunneler.Dial(c.Context(), dialer, tn.Addr(), addr)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	time.Sleep(1500 * time.Millisecond)
+	got, err := io.ReadAll(conn)
+	c.Check(err, qt.IsNil)
+	c.Check(len(got), qt.Equals, len(want))
+}
+
+// A server that is given up after its caller has ended its side must not seem to have ended its answer.
+func TestServerGivenUpIsNoEnd(t *testing.T) {
+	c := qt.New(t)
+	conn, err := net.Dial("tcp", start(c, dialTCP).Addr())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	release := make(chan struct{})
+	defer close(release)
+	addr := serve(c, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, "half")
+		<-release
+	})
+	_, err = fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", addr, addr)
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, len(oldHead)))
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "x")
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, len("half")))
+	c.Assert(err, qt.IsNil)
+	half, ok := conn.(interface{ CloseWrite() error })
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(half.CloseWrite(), qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
--- a/stage/tunneler/tunneler.go
+++ b/stage/tunneler/tunneler.go
@@ -185,7 +185,8 @@
 	}
 	if err != nil {
 		reset(dst)
-		reset(src)
+		// What its peer hasn't read yet still arrives if it was ended in order before.
+		_ = src.Close()
 		return
 	}
 	setLinger(dst, -1)
