Sender: an answer without a length needs a server that outlived it

On the own interface, half of a plain service's answer passed as the whole one (200, done) if the service's process was killed in the middle of an answer without a length; of a booking, the half was also recorded as its answer.

Cause: the kernel ends the connections of a killed process in order, and the end of the connection stood for the end of the answer.

Change: after such an answer the sender asks the server for its load report on another connection. If it doesn't come, or names another incarnation, the call may have run: callers get 502 or another attempt, and a booking is recorded as unknown. A server that lives is served as before, one exchange later. Weighed: refusing all answers without a length, which breaks services that are sound.

--- a/stage/owner/serve.go
+++ b/stage/owner/serve.go
@@ -269,10 +269,10 @@
 	c := sender.Call{
 		Attempt: j.attempt.String(), Addr: j.server.Addr, Method: j.req.Method, URI: j.req.URI, Type: j.req.Type,
 		Accept: j.req.Accept, Request: j.req.ID, Body: j.req.Body, Stream: j.req.Stream, Key: j.req.Key,
-		NewConn: j.req.IsBooking(),
+		NewConn: j.req.IsBooking(), Incarnation: j.server.Incarnation,
 	}
 	if j.req.Kind == configurer.KindModel {
-		c.Model, c.Incarnation = j.req.Target.String(), j.server.Incarnation
+		c.Model = j.req.Target.String()
 	}
 	if !j.req.Stream {
 		c.FirstByteTimeout = bookingTimeout
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -23,6 +24,8 @@
 	defaultReadTimeout      = 1 * time.Second
 	defaultFirstByteTimeout = 2 * time.Second
 	bodyEndTimeout          = 20 * time.Millisecond
+	// lengthUntilClose is fasthttp's length of a body that ends with its connection.
+	lengthUntilClose = -2
 	// maxInterimAnswers bounds the 1xx responses before an answer.
 	maxInterimAnswers = 8
 )
@@ -121,7 +124,7 @@
 		return Reply{End: notRunEnd(streamer.ReasonUnreachable, err), Finished: true}
 	}
 	stop := context.AfterFunc(ctx, c.discard)
-	reply, reusable := s.exchange(c, call, sink)
+	reply, reusable := s.exchange(ctx, c, call, sink)
 	if !stop() {
 		reusable = false
 	}
@@ -137,7 +140,7 @@
 }
 
 // exchange returns the reply and whether the connection can be reused: it has no unread bytes.
-func (s *Sender) exchange(c *conn, call Call, sink streamer.Sink) (Reply, bool) {
+func (s *Sender) exchange(ctx context.Context, c *conn, call Call, sink streamer.Sink) (Reply, bool) {
 	if err := writeCall(c, call); err != nil {
 		if c.bytesWritten == 0 {
 			return Reply{End: notRunEnd(streamer.ReasonUnreachable, err), Finished: true}, false
@@ -170,9 +173,28 @@
 		return reply, reusable && !resp.ConnectionClose()
 	}
 	reusable := s.readWhole(body, call, &reply)
+	if reply.End.Outcome == retrier.Done && resp.Header.ContentLength() == lengthUntilClose && body != http.NoBody {
+		if err := s.confirmEnd(ctx, call, reply.Incarnation); err != nil {
+			reply.End, reply.Finished = unknownEnd(errors.Wrap(err, "answer without a length")), false
+		}
+	}
 	return reply, reusable && !resp.ConnectionClose()
 }
 
+// confirmEnd returns nil if the server's process outlived its answer: the kernel ends the connections of one that is killed in order, too.
+func (s *Sender) confirmEnd(ctx context.Context, call Call, incarnation string) error {
+	ctx, cancel := context.WithTimeout(ctx, s.firstByteTimeout)
+	defer cancel()
+	report, err := s.Poll(ctx, call.Addr, call.Attempt)
+	switch expected := cmp.Or(incarnation, call.Incarnation); {
+	case err != nil:
+		return err
+	case expected == "" || report.Incarnation != expected:
+		return errors.Errorf("it came from incarnation %q, and %q lives", expected, report.Incarnation)
+	}
+	return nil
+}
+
 // readAnswer reads an answer after the interim ones before it; 0 is no limit of its body. An answer without a status is an error.
 func readAnswer(br *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
 	for range maxInterimAnswers {
