Relayer: test of answers through an entry that ends

TestAnswerThroughEntryThatEndsIsCut: an entry without links of its own gets half of an answer without a length through another entry, which then stops as planned, or is of a build without frames and is killed.

--- a/stage/relayer/links_test.go
+++ b/stage/relayer/links_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -275,3 +276,85 @@
 	c.Check(other, qt.Not(qt.Equals), first)
 	c.Check(other.Close(), qt.IsNil)
 }
+
+// startOldCarrier starts an entry of a build that carries connections without frames; kill ends them in order, as the kernel does for a
+// process that is killed.
+func startOldCarrier(c *qt.C) (addr string, kill func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var mu sync.Mutex
+	var conns []net.Conn
+	kill = func() {
+		_ = ln.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			server, err := net.Dial("tcp", req.Host)
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			mu.Lock()
+			conns = append(conns, conn, server)
+			mu.Unlock()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			go func() { _, _ = io.Copy(server, conn) }()
+			go func() { _, _ = io.Copy(conn, server) }()
+		}
+	}()
+	c.Cleanup(kill)
+	return ln.Addr().String(), kill
+}
+
+// An answer without a length must not look complete when the entry that carries it ends, in whatever way and of whatever build.
+func TestAnswerThroughEntryThatEndsIsCut(t *testing.T) {
+	for _, carrier := range []string{"stopped", "older build, killed"} {
+		for _, path := range []string{"/stream/x", "/safe/x", "/once/x"} {
+			t.Run(carrier+path, func(t *testing.T) {
+				c := qt.New(t)
+				began, release := make(chan struct{}, 8), make(chan struct{})
+				e := startEntry(c, func(w http.ResponseWriter, r *http.Request) {
+					setSeal(w, r)
+					w.Header().Set("Transfer-Encoding", "identity")
+					writeEvent(w, 1)
+					began <- struct{}{}
+					<-release
+				})
+				defer close(release)
+				own := &partialLinks{lost: make(map[string]bool)}
+				for _, in := range e.balancer.Servers() {
+					own.set(in.Addr, true)
+				}
+				e.links.dialer = own.dial
+				addr, end := startOldCarrier(c)
+				if carrier == "stopped" {
+					tn, err := tunneler.New(tunneler.Config{Addr: "127.0.0.1:0"}, tunneler.Deps{DialServer: dialServer, Log: e.log})
+					c.Assert(err, qt.IsNil)
+					addr, end = tn.Addr(), func() { c.Check(tn.Close(), qt.IsNil) }
+				}
+				e.links.setPeers([]governor.Peer{{Addr: addr, Zone: "z"}}, "own")
+				l := dial(c, e)
+				l.send(c, "POST", path, "x")
+				<-began
+				time.Sleep(50 * time.Millisecond)
+				end()
+				resp := l.receive(c)
+				c.Check(resp.status != http.StatusOK || resp.err != nil, qt.IsTrue, qt.Commentf("%d %q", resp.status, resp.body))
+			})
+		}
+	}
+}
