Control: a leader waits with commands that a member doesn't know

A leader of a newer build proposed kinds of commands that replicas of an earlier build ignored, so that two replicas with the same log had different states.

A replica tells the level of the commands that it knows, in its session with the leader and when it asks to join; builds before this one tell none, which is level 0: everything up to retired software versions. The group's level is in the replicated state. A command of a higher level isn't proposed: its caller gets a RefusedError. A replica that doesn't know the group's level isn't added. A replica that meets a level above its own stops, as at an unknown command.

The level rises only when a command needs it. No command needs it yet: with this build the level stays 0, and builds before this one can come and go in its group as before.

Why it works: the level is in the log before every command that needs it, so that it holds for every later leader, whatever members it has heard from.

What the build before does with the changed messages: Hello 8 and joinRequest 3 are ignored by leaders of earlier builds.

--- a/stage/governor/follow.go
+++ b/stage/governor/follow.go
@@ -144,7 +144,7 @@
 		}
 		for _, m := range st.Members {
 			if m.ID == st.Leader {
-				h.runLeaderSession(m.Addr, Hello{Node: h.cfg.Node, Zone: h.cfg.Zone, Replica: st.ID})
+				h.runLeaderSession(m.Addr, Hello{Node: h.cfg.Node, Zone: h.cfg.Zone, Replica: st.ID, Level: h.membership.build.level})
 			}
 		}
 	}
--- a/stage/governor/governor.go
+++ b/stage/governor/governor.go
@@ -81,6 +81,8 @@
 	FileSystem journaler.FileSystem
 	// Dialer opens the connections to other replicas; nil stands for the DialContext of a net.Dialer.
 	Dialer encoder.DialFunc
+	// build is what the replica knows of commands, nil for this build.
+	build *build
 }
 
 // replaceAfter returns how long a voter may be silent: an election and the exchange must fit into SyncTime with it.
--- a/stage/governor/governor_test.go
+++ b/stage/governor/governor_test.go
@@ -27,6 +27,8 @@
 	running   map[int]*Governor
 	// disks are the replicas' file system, nil for the operating system's.
 	disks journaler.FileSystem
+	// builds are the replicas' builds, this one if there is none.
+	builds map[int]*build
 	// log has the replicas' log lines; a failed test prints it.
 	log *LogBuffer
 }
@@ -38,7 +40,7 @@
 
 // newGroupOn is newGroup on the given disks, nil for real ones.
 func newGroupOn(c *qt.C, n int, disks journaler.FileSystem) *group {
-	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), disks: disks, running: make(map[int]*Governor), log: &LogBuffer{}}
+	g := &group{c: c, folder: c.TempDir(), tolerated: max((n-1)/2, 1), disks: disks, running: make(map[int]*Governor), builds: make(map[int]*build), log: &LogBuffer{}}
 	for range n {
 		addr, err := launcher.FreeAddr(context.Background())
 		c.Assert(err, qt.IsNil)
@@ -68,7 +70,7 @@
 			report: func() (EngineReport, error) { return EngineReport{}, nil },
 			order:  func(EngineOrder) (OrderResult, error) { return Rejected, nil },
 		},
-		Log: logger.New(g.log, "info"), FileSystem: g.disks,
+		Log: logger.New(g.log, "info"), FileSystem: g.disks, build: g.builds[i],
 	})
 	g.c.Assert(err, qt.IsNil)
 	g.running[i] = gov
--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -52,6 +52,7 @@
 	sentReplicas      []Peer
 	workers           map[string]*worker
 	joiner            *joiner
+	levels            leveler
 	nextUpdateAt      time.Time
 	plans             pacer
 	standings         pacer
@@ -193,6 +194,7 @@
 		}
 	}
 	h.joiner.addNext()
+	h.raiseLevel(now)
 	h.completeVersionWaits()
 	h.recordQuarantine()
 	h.retireSoftware(now)
--- a/stage/governor/join.go
+++ b/stage/governor/join.go
@@ -92,6 +92,11 @@
 
 // identify returns the ID that a replica has or was assigned, or allocates one.
 func (j *joiner) identify(req joinRequest, members []runner.Member) *allocation {
+	if least := j.hub.leastLevel(); req.Level < least {
+		a := &allocation{done: make(chan struct{}), err: &laterLevelError{level: least, known: req.Level}}
+		close(a.done)
+		return a
+	}
 	id := j.knownID(req)
 	isMember := slices.ContainsFunc(members, func(m runner.Member) bool { return m.ID == id })
 	if id == 0 || req.ID != 0 && req.ID != id || isMember {
@@ -152,6 +157,9 @@
 	j.addNext()
 }
 
+// isIdle reports whether no replica is being added.
+func (j *joiner) isIdle() bool { return !j.adding && len(j.queue)+len(j.allocations) == 0 }
+
 // addNext starts the next addition.
 func (j *joiner) addNext() {
 	r := j.hub.membership.log()
--- a/stage/governor/machine.go
+++ b/stage/governor/machine.go
@@ -57,6 +57,8 @@
 	// Software is a software version of which a server may begin streams from now on; Retired is one whose streams have all ended.
 	Software *resumer.Version `cbor:"13,keyasint,omitempty"`
 	Retired  *resumer.Version `cbor:"14,keyasint,omitempty"`
+	// Level is the group's level from now on: all members know what builds of that level propose.
+	Level uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // result is the result of a command.
@@ -92,6 +94,8 @@
 	FailedTrials []failedTrials `cbor:"10,keyasint,omitempty"`
 	// Softwares are the software versions of which a server may have begun a stream that goes on, sorted.
 	Softwares []resumer.Version `cbor:"11,keyasint,omitempty"`
+	// Level is the highest level of which commands may be proposed.
+	Level uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // failedTrials are the crashes under the trials of a quarantined digest.
@@ -104,6 +108,8 @@
 
 // machine is the replicated state machine; only the log's goroutine writes it, others read the published state.
 type machine struct {
+	// level is the highest level that it knows.
+	level    uint64
 	state    atomic.Pointer[replicatedState]
 	onChange func()
 	// onUnreadable is called for a command that can't be decoded.
@@ -111,7 +117,7 @@
 }
 
 func newMachine(onChange func(), onUnreadable func(index uint64, err error)) *machine {
-	m := &machine{onChange: onChange, onUnreadable: onUnreadable}
+	m := &machine{level: commandLevel, onChange: onChange, onUnreadable: onUnreadable}
 	m.state.Store(&replicatedState{LastID: maxInitialID})
 	return m
 }
@@ -119,7 +125,7 @@
 // current returns the state after the last applied command.
 func (m *machine) current() *replicatedState { return m.state.Load() }
 
-// Apply implements runner.StateMachine. It returns an encoder.UnknownFieldError for a command of a later build.
+// Apply implements runner.StateMachine. It returns an encoder.UnknownFieldError or a laterLevelError for a command of a later build.
 func (m *machine) Apply(index uint64, data []byte) ([]byte, error) {
 	var cmd command
 	err := encoder.UnmarshalKnown(data, &cmd)
@@ -131,6 +137,8 @@
 		// It changes nothing, at any replica: it is of an earlier release, which didn't check it.
 		m.onUnreadable(index, err)
 		return encodeResult(result{IsUnreadable: true}), nil
+	case cmd.Level > m.level:
+		return nil, &laterLevelError{level: cmd.Level, known: m.level}
 	}
 	return encodeResult(m.execute(cmd)), nil
 }
@@ -166,6 +174,8 @@
 		next.Softwares = withSoftware(next.Softwares, *cmd.Software)
 	case cmd.Retired != nil:
 		next.Softwares = slices.DeleteFunc(slices.Clone(next.Softwares), func(v resumer.Version) bool { return v == *cmd.Retired })
+	case cmd.Level > 0:
+		next.Level = max(next.Level, cmd.Level)
 	default:
 		next.Held = withHeld(next.Held, cmd.Held)
 		next.Servers = withServers(next.Servers, cmd.Servers, cmd.RemovedServers)
@@ -288,12 +298,15 @@
 // Snapshot implements runner.StateMachine.
 func (m *machine) Snapshot() ([]byte, error) { return encoder.Marshal(m.current()) }
 
-// Restore implements runner.StateMachine. It returns an encoder.UnknownFieldError for a snapshot of a later build.
+// Restore implements runner.StateMachine. It returns an encoder.UnknownFieldError or a laterLevelError for a snapshot of a later build.
 func (m *machine) Restore(data []byte) error {
 	var next replicatedState
 	if err := encoder.UnmarshalKnown(data, &next); err != nil {
 		return err
 	}
+	if next.Level > m.level {
+		return &laterLevelError{level: next.Level, known: m.level}
+	}
 	m.state.Store(&next)
 	m.onChange()
 	return nil
--- a/stage/governor/membership.go
+++ b/stage/governor/membership.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -62,6 +63,9 @@
 	onStateChange func()
 	// onWrite gets the time that each write to the journal took.
 	onWrite func(took time.Duration)
+	// neededLevel is the highest level of a command that was held back.
+	neededLevel atomic.Uint64
+	build       build
 
 	mu      sync.Mutex
 	runner  *runner.Runner
@@ -78,10 +82,14 @@
 	if deps.FileSystem != nil {
 		fs = deps.FileSystem
 	}
-	return &membership{
+	ms := &membership{
 		cfg: cfg, dialer: deps.Dialer, logger: l, fs: fs, knownAddrs: slices.Clone(cfg.Seeds), machine: newMachine(func() {}, func(uint64, error) {}),
-		joins: make(map[string]joinOutcome),
+		joins: make(map[string]joinOutcome), build: thisBuild(),
 	}
+	if deps.build != nil {
+		ms.build = *deps.build
+	}
+	return ms
 }
 
 // log returns the open log, or nil.
@@ -144,6 +152,9 @@
 	if r == nil {
 		return result{}, &RefusedError{Reason: reasonNoLog, Err: ErrNoLeader}
 	}
+	if err := ms.checkLevel(&cmd); err != nil {
+		return result{}, err
+	}
 	data, err := encoder.Marshal(cmd)
 	if err != nil {
 		return result{}, err
@@ -155,6 +166,20 @@
 	return readResult(out)
 }
 
+// checkLevel returns a RefusedError for a command that the group doesn't know yet, and makes the leader raise the group's level.
+func (ms *membership) checkLevel(cmd *command) error {
+	level, needed := ms.state().Level, ms.build.levelOf(cmd)
+	if needed <= level || cmd.Level > 0 {
+		return nil
+	}
+	for {
+		old := ms.neededLevel.Load()
+		if old >= needed || ms.neededLevel.CompareAndSwap(old, needed) {
+			return &RefusedError{Reason: reasonHeldBack, Err: &heldBackError{needed: needed, level: level}}
+		}
+	}
+}
+
 // readResult returns the result of a command, or an error for one that no replica could decode.
 func readResult(out runner.Result) (result, error) {
 	var res result
@@ -200,8 +225,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		var unknown *encoder.UnknownFieldError
-		if errors.As(err, &unknown) {
+		if isOfLaterBuild(err) {
 			// A later build continues with this folder. Opening the log again here would only disturb the group's elections.
 			ms.logger.Error("the log stays closed until a later build is started", err)
 			<-ctx.Done()
@@ -219,6 +243,13 @@
 	}
 }
 
+// isOfLaterBuild reports whether the log has a command or a snapshot that this build doesn't know.
+func isOfLaterBuild(err error) bool {
+	var unknown *encoder.UnknownFieldError
+	var later *laterLevelError
+	return errors.As(err, &unknown) || errors.As(err, &later)
+}
+
 // mustRejoin reports whether the data folder must be wiped before joining again.
 func mustRejoin(err error) bool {
 	var lost *replicator.LostDiskError
@@ -239,6 +270,7 @@
 	m := newMachine(ms.onStateChange, func(index uint64, err error) {
 		ms.logger.Error("apply command "+strconv.FormatUint(index, 10), err)
 	})
+	m.level = ms.build.level
 	r, err := runner.New(runner.Config{
 		ID: id, Cluster: clusterName, DataFolder: filepath.Join(ms.cfg.DataFolder, "log"), InitialMembers: members,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
@@ -456,7 +488,7 @@
 	client := encoder.NewClient(encoder.WithDialer(ms.dialer))
 	defer client.Close()
 	call := connect.NewClient[joinRequest, joinReply](client, "http://"+addr+pathJoin, encoder.ConnectOption())
-	res, err := call.CallUnary(ctx, connect.NewRequest(&joinRequest{Addr: ms.cfg.Addr, ID: id}))
+	res, err := call.CallUnary(ctx, connect.NewRequest(&joinRequest{Addr: ms.cfg.Addr, ID: id, Level: ms.build.level}))
 	if err != nil {
 		return joinReply{}, err
 	}
--- a/stage/governor/refusal.go
+++ b/stage/governor/refusal.go
@@ -33,6 +33,7 @@
 	reasonNotAppended    = "the log didn't take it in time"
 	reasonLeaderChanged  = "the leader changed"
 	reasonOutcomeUnknown = "the outcome is unknown"
+	reasonHeldBack       = "replicas of earlier builds don't know the command"
 )
 
 // refuse returns err with the reason for which a call to the log failed; late is the reason if the time was up.
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -113,6 +113,8 @@
 	Session uint64 `cbor:"6,keyasint,omitempty"`
 	// Tunnel is the address at which an entry carries connections to backend servers for others, "" if it doesn't.
 	Tunnel string `cbor:"7,keyasint,omitempty"`
+	// Level is the highest level of commands that a replica knows; earlier builds tell none.
+	Level uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Tunnels are entries that carry connections for others.
@@ -265,6 +267,8 @@
 	Addr string `cbor:"1,keyasint"`
 	// ID is the ID that the replica got before, or 0.
 	ID uint64 `cbor:"2,keyasint,omitempty"`
+	// Level is that of Hello.
+	Level uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // joinReply carries the replica's ID, or the leader's address.
