Entry: a stream resumed after its last event is served without a length too

A caller that resumes a stream after the last event has nothing left to get. A live engine's response without a length got 502 then: a stream that ends before its first event was always taken for broken, since nothing told the end of the server from that of the response. The confirmation does now.

The new test failed before. A stream from its beginning still needs an event.

--- a/stage/relayer/malformed_test.go
+++ b/stage/relayer/malformed_test.go
@@ -448,6 +448,26 @@
 	c.Check(runs.Load(), qt.Equals, int64(1))
 }
 
+// A caller that resumed a stream after its last event got 502 if the server's response had no length.
+func TestResumedStreamWithoutMoreEventsIsServed(t *testing.T) {
+	for _, isAlive := range []bool{true, false} {
+		c := qt.New(t)
+		e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+			switch {
+			case r.URL.Path != testHealthPath:
+				_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream"))
+			case isAlive:
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			return false
+		})
+		l := dial(c, e)
+		l.send(c, "POST", "/resumable/", "x", testDeadline+": 900", testResume+": 7")
+		got := l.receive(c)
+		c.Check(got.status == http.StatusOK && got.err == nil, qt.Equals, isAlive, qt.Commentf("status %d, error %v", got.status, got.err))
+	}
+}
+
 // An answer whose status isn't 100 to 599 is none: the request may have run. The HTTP library takes 000 for 200, so that a caller
 // got such an answer as a success.
 func TestAnswerWithoutStatusIsNone(t *testing.T) {
--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -44,8 +44,8 @@
 	firstSeen := false
 	for {
 		block, err := events.next()
-		if a.framing == framingClose && !out.streaming && errors.Is(err, io.EOF) {
-			// Nothing else tells the end of the server from the end of its answer.
+		if a.framing == framingClose && !out.streaming && e.resumePoint(a) == "" && errors.Is(err, io.EOF) {
+			// A stream has events; one that is resumed after its last event has none left.
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
