Entry: a response without a length that its caller left unread isn't known to be complete

What callers saw: a server gives up a response that stays unread for some seconds, in order, and lives on.

Change: if a write to the caller took 1 s or more during a response that ends with its connection, its end counts as broken off, without a question and without evidence against the server. Framed responses aren't affected.

--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -125,6 +125,7 @@
 		return r
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	out.slowestWrite = 0
 	r, keepAlive := e.roundTrip(ctx, c, a, out)
 	if !stop() {
 		keepAlive = -1
--- a/stage/relayer/ended_engine_test.go
+++ b/stage/relayer/ended_engine_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -167,3 +168,66 @@
 	c.Cleanup(srv.Close)
 	return srv.Listener.Addr().String()
 }
+
+// A server that gives up on a response which its caller leaves unread ends the connection in order and lives on: the caller got what was
+// left of it as a complete response.
+func TestResponseGivenUpByServerIsIncomplete(t *testing.T) {
+	// bound bounds what the kernel takes, so that the server has to wait for the caller.
+	bound := func(conn net.Conn) {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(64 << 10)
+			_ = tcp.SetWriteBuffer(64 << 10)
+		}
+	}
+	const patience, parts, partSize = 1300 * time.Millisecond, 1000, 8 << 10
+	for _, row := range []struct{ name, path, part string }{
+		{"body", "/once/", strings.Repeat("x", partSize)},
+		{"events", "/stream/", "id: %d\ndata: " + strings.Repeat("x", partSize) + "\n\n"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			gaveUp := make(chan struct{})
+			e := startEntry(c, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == testHealthPath {
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				bound(conn)
+				_, _ = io.WriteString(conn, responseHead(r, http.StatusOK, "Content-Type: text/event-stream"))
+				for n := 1; n <= parts; n++ {
+					part := strings.ReplaceAll(row.part, "%d", strconv.Itoa(n))
+					_ = conn.SetWriteDeadline(time.Now().Add(patience))
+					sent, err := io.WriteString(conn, part)
+					if err != nil {
+						close(gaveUp)
+						// The rest of the event, as if the server had given up after it.
+						_ = conn.SetWriteDeadline(time.Time{})
+						_, _ = io.WriteString(conn, part[sent:])
+						return
+					}
+				}
+			})
+			e.links.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				var d net.Dialer
+				conn, err := d.DialContext(ctx, network, addr)
+				bound(conn)
+				return conn, err
+			}
+			l := dial(c, e)
+			bound(l.Conn)
+			l.send(c, "POST", row.path, "x", testDeadline+": 15000")
+			select {
+			case <-gaveUp:
+			case <-time.After(10 * time.Second):
+				c.Fatal("the server didn't give up")
+			}
+			got := l.receive(c)
+			c.Check(len(got.body) > 0 && len(got.body) < parts*partSize, qt.IsTrue, qt.Commentf("%d bytes", len(got.body)))
+			c.Check(got.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+		})
+	}
+}
--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -18,6 +18,8 @@
 const (
 	// livenessTimeout bounds the wait for a server's answer to a probe.
 	livenessTimeout = time.Second
+	// unreadTime is how long a server keeps a response that isn't read, at the least.
+	unreadTime = time.Second
 	// maxProbeBytes bounds the body of that answer.
 	maxProbeBytes = 64 << 10
 )
@@ -66,16 +68,23 @@
 	return p
 }
 
-// confirmEnd changes the result of an attempt whose response ended with its connection unless the server outlived that end.
+// confirmEnd changes the result of an attempt whose response ended with its connection unless the server outlived that end and can't have
+// given the response up.
 func (e *Relayer) confirmEnd(ctx context.Context, a *attempt, out *responseWriter, r attemptResult) attemptResult {
-	err := e.confirmAlive(ctx, a.choice.Instance)
+	isSlow := out.slowestWrite >= unreadTime
+	var err error
+	if isSlow {
+		err = errors.Errorf("the caller left it unread for %d ms", out.slowestWrite.Milliseconds())
+	} else {
+		err = e.confirmAlive(ctx, a.choice.Instance)
+	}
 	e.metrics.countProbe(err == nil)
 	if err == nil {
 		return r
 	}
-	r = unknownResult("body", errors.Wrap(err, "it ended with its connection, and the server isn't known to have outlived it"))
+	r = unknownResult("body", errors.Wrap(err, "it ended with its connection, which may not be its end"))
 	r.isBroken = true
-	if ctx.Err() != nil {
+	if isSlow || ctx.Err() != nil {
 		r.result, r.isBroken = balancer.NoEvidence, false
 	}
 	if out.streaming {
--- a/stage/relayer/response_writer.go
+++ b/stage/relayer/response_writer.go
@@ -49,6 +49,8 @@
 	firstWriteAt time.Time
 	lastChunkAt  time.Time
 	maxGap       time.Duration
+	// slowestWrite is the longest that a write took in the latest attempt: nothing is read from its server meanwhile.
+	slowestWrite time.Duration
 }
 
 // resumable reports whether another server may resume after the events sent; that needs a numeric last id, or none sent.
@@ -69,7 +71,9 @@
 		w.memory.Send()
 	}
 	if err == nil {
+		began := time.Now()
 		_, err = w.conn.Write(b)
+		w.slowestWrite = max(w.slowestWrite, time.Since(began))
 	}
 	w.writeFailed = err != nil || w.memory != nil && !w.memory.Serve()
 	return !w.writeFailed
