Dispatcher: test of answers without a length from killed services

TestAnswerWithoutLengthFromKilledService, through the owner's entry and another one. A service that lives is served.

--- a/stage/dispatcher/backend_test.go
+++ b/stage/dispatcher/backend_test.go
@@ -29,6 +29,8 @@
 	addr string
 	// fault may inject a fault into the n-th call that may run, counted from 0; it reports whether it did.
 	fault func(n int, c *call) bool
+	// stockFault is the same for calls that may be repeated.
+	stockFault func(c *call) bool
 	// loadFault may inject a fault into an order; it reports whether it did.
 	loadFault func(c *call) bool
 	// eventInterval is the time between events.
@@ -249,6 +251,9 @@
 	if c.fault != nil && !strings.HasPrefix(path, "/stock") && c.fault(n, c) {
 		return false
 	}
+	if c.stockFault != nil && strings.HasPrefix(path, "/stock") && c.stockFault(c) {
+		return false
+	}
 	if c.kind == configurer.KindModel {
 		return c.generate()
 	}
