Tunneler: frames need no second buffer

A carried connection held 8 KB more than before frames: each piece was copied behind its length. It is read there now. No change on the wire.

--- a/stage/tunneler/frames.go
+++ b/stage/tunneler/frames.go
@@ -17,17 +17,30 @@
 	frameLengthBytes = 2
 )
 
-// frameWriter writes each piece as a frame.
-type frameWriter struct {
-	w   io.Writer
-	buf [frameLengthBytes + copyBytes]byte
+// copyFrames copies from src to dst in frames, and marks the end of src.
+func copyFrames(dst io.Writer, src io.Reader) error {
+	buf := make([]byte, frameLengthBytes+copyBytes)
+	for {
+		n, err := src.Read(buf[frameLengthBytes:])
+		if n > 0 {
+			if err := writeFrame(dst, buf, n); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return writeFrame(dst, buf, 0)
+		case err != nil:
+			return err
+		}
+	}
 }
 
-// Write implements io.Writer for pieces of at most copyBytes.
-func (f *frameWriter) Write(p []byte) (int, error) {
-	binary.BigEndian.PutUint16(f.buf[:], uint16(len(p)))
-	n, err := f.w.Write(f.buf[:frameLengthBytes+copy(f.buf[frameLengthBytes:], p)])
-	return max(n-frameLengthBytes, 0), err
+// writeFrame writes the frame of n bytes that buf holds after the room for its length.
+func writeFrame(w io.Writer, buf []byte, n int) error {
+	binary.BigEndian.PutUint16(buf, uint16(n))
+	_, err := w.Write(buf[:frameLengthBytes+n])
+	return err
 }
 
 // conn is a connection to a server through another entry.
--- a/stage/tunneler/tunneler.go
+++ b/stage/tunneler/tunneler.go
@@ -174,14 +174,12 @@
 // carry copies from src to dst, in frames if isFramed, until one of them ends, and ends dst as src ended: an answer without a length
 // that was cut must not look complete.
 func carry(dst, src net.Conn, isFramed bool) {
-	// Plain copies: the kernel's own need more descriptors.
-	var w io.Writer = struct{ io.Writer }{dst}
+	var err error
 	if isFramed {
-		w = &frameWriter{w: dst}
-	}
-	_, err := io.CopyBuffer(w, struct{ io.Reader }{src}, make([]byte, copyBytes))
-	if err == nil && isFramed {
-		_, err = w.Write(nil)
+		err = copyFrames(dst, src)
+	} else {
+		// A plain copy: the kernel's own needs more descriptors.
+		_, err = io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, make([]byte, copyBytes))
 	}
 	if err != nil {
 		reset(dst)
