Control: software versions return to states that an earlier build left

What callers would see: streams taken up at another software version (ORDER), after an upgrade in place from a build before.

The relay of each replica knows the versions from the leader. A replica that begins to lead proposes what its relay knows and its state lacks, and counts it as known from before.

What the build before does with the changed message: leaders ignore UpMessage 19, so that states stay as they are until a leader of this build; replicas of earlier builds never send it.

--- a/stage/governor/hub.go
+++ b/stage/governor/hub.go
@@ -10,6 +10,7 @@
 	"redwingstage.org/coord/encoder"
 	"redwingstage.org/serving/allocator"
 	"redwingstage.org/serving/matcher"
+	"redwingstage.org/serving/resumer"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
 )
@@ -65,6 +66,9 @@
 	recorder     recorder
 	loads        *loads
 	streams      *leaderStreams
+	// lacking are the software versions that this replica's state lacked at lackingAt.
+	lacking   []resumer.Version
+	lackingAt time.Time
 	// cached are beginnings of prompts that entries reported and that aren't sent to relays yet.
 	cached       []CachedPrefix
 	versionWaits []versionWait
@@ -174,6 +178,7 @@
 	h.relay.forgetQuestions(now)
 	h.measureSessions(now)
 	if h.leader == nil {
+		h.reportLacking(now)
 		return
 	}
 	h.relay.confirm(now)
--- a/stage/governor/leadership.go
+++ b/stage/governor/leadership.go
@@ -54,7 +54,9 @@
 	h.leader.reportsCompleteAt = h.leaderSeenAt.Add(lateOrderTime)
 	h.applied = state.Applied
 	h.sentState = state
-	h.recorder, h.loads, h.streams = recorder{}, newLoads(), newLeaderStreams(state.Softwares)
+	lacking := h.lackingSoftwares()
+	h.recorder, h.loads, h.streams = recorder{}, newLoads(), newLeaderStreams(slices.Concat(state.Softwares, lacking))
+	h.recordLacking(lacking)
 	h.joiner.reset()
 	h.log.Info("leads", h.cfg.Node)
 	h.leader.adoptServers(now, h.relay.view.servers())
--- a/stage/governor/relay.go
+++ b/stage/governor/relay.go
@@ -427,7 +427,7 @@
 }
 
 func isEmptyUp(up *UpMessage) bool {
-	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && up.Tunnels == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds)+len(up.Cached)+len(up.Starts)+len(up.Questions) == 0
+	return up.Version == 0 && up.Entries == nil && up.Quotas == nil && up.Tunnels == nil && len(up.Wants)+len(up.Uses)+len(up.Missing)+len(up.Loads)+len(up.Known)+len(up.Crashes)+len(up.Sound)+len(up.Trials)+len(up.Speeds)+len(up.Cached)+len(up.Starts)+len(up.Questions)+len(up.Lacking) == 0
 }
 
 // takeSpeeds returns the samples of servers' speeds since the last call.
--- a/stage/governor/streams.go
+++ b/stage/governor/streams.go
@@ -124,6 +124,8 @@
 	retirement *resumer.Retirement
 	checkedAt  time.Time
 	retiring   bool
+	// recording is set while versions are recorded that some replica's state lacks.
+	recording bool
 	// softwareSince is when each software version came up, zero for those of before this leader.
 	softwareSince map[resumer.Version]time.Time
 }
@@ -144,6 +146,8 @@
 	for _, v := range up.Starts {
 		h.streams.index.Add(now, v.Attempt, resumer.Start{Service: v.Service, Software: v.Software})
 	}
+	softwares := h.membership.state().Softwares
+	h.recordLacking(slices.DeleteFunc(up.Lacking, func(v resumer.Version) bool { return !slices.Contains(softwares, v) }))
 	if len(up.Questions) == 0 {
 		return
 	}
@@ -191,6 +195,47 @@
 	})
 }
 
+// lackingSoftwares returns the software versions that a leader has named and this replica's state lacks. A build that doesn't know
+// them drops them from the state, which stays in use when the machine is upgraded in place.
+func (h *hub) lackingSoftwares() []resumer.Version {
+	softwares := h.membership.state().Softwares
+	return slices.DeleteFunc(slices.Clone(h.relay.view.softwares), func(v resumer.Version) bool { return slices.Contains(softwares, v) })
+}
+
+// reportLacking reports to the leader what this replica's state has lacked for two checks: the leader's message may come before the
+// commit is applied here.
+func (h *hub) reportLacking(now time.Time) {
+	if h.relay.upstream == nil || now.Sub(h.lackingAt) < retireEvery {
+		return
+	}
+	old := h.lacking
+	h.lacking, h.lackingAt = h.lackingSoftwares(), now
+	if both := slices.DeleteFunc(slices.Clone(h.lacking), func(v resumer.Version) bool { return !slices.Contains(old, v) }); len(both) > 0 {
+		h.relay.upstream(UpMessage{Lacking: both})
+	}
+}
+
+// recordLacking proposes software versions again that some replica's state lacks.
+func (h *hub) recordLacking(list []resumer.Version) {
+	if len(list) == 0 || h.streams.recording {
+		return
+	}
+	streams := h.streams
+	streams.recording = true
+	h.spawn(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, proposeTimeout)
+		defer cancel()
+		for _, v := range list {
+			if _, err := h.membership.propose(ctx, command{Software: &v}); err != nil {
+				h.log.Error("record software versions again", err)
+				break
+			}
+			h.log.Software(v.Service, v.Software)
+		}
+		h.post(func(time.Time) { streams.recording = false })
+	})
+}
+
 // streamHorizon returns the longest time for which a stream of any route goes on.
 func (h *hub) streamHorizon() time.Duration {
 	if h.table == nil {
--- a/stage/governor/streams_test.go
+++ b/stage/governor/streams_test.go
@@ -190,3 +190,63 @@
 	h.table = table
 	c.Check(h.streamHorizon(), qt.Equals, time.Minute)
 }
+
+// dropSoftwares removes the software versions from the states of all followers, as a build does that doesn't know them.
+func (g *group) dropSoftwares() {
+	leader, _ := g.leader()
+	for i, gov := range g.running {
+		if i != leader {
+			s := *gov.membership.state()
+			s.Softwares = nil
+			gov.membership.machine.state.Store(&s)
+		}
+	}
+}
+
+// awaitSoftware waits until all replicas' states have a software version.
+func (g *group) awaitSoftware(v resumer.Version) bool {
+	for end := time.Now().Add(testRecoverTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		have := 0
+		for _, gov := range g.running {
+			if slices.Contains(gov.membership.state().Softwares, v) {
+				have++
+			}
+		}
+		if have == len(g.running) {
+			return true
+		}
+	}
+	return false
+}
+
+// Replicas that had been upgraded in place lacked for good the software versions that their builds before didn't know. Once one of
+// them led, these were forgotten.
+func TestUpgradedReplicasGetSoftwareVersionsAgain(t *testing.T) {
+	t.Parallel()
+	for name, leads := range map[string]bool{"followers": false, "leader": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			g := newGroup(c, 3)
+			g.awaitVoters(3)
+			v := resumer.Version{Service: "s", Software: "v1"}
+			g.retry(func(gov *Governor) error { return gov.recordSoftware(context.Background(), v) })
+			c.Assert(g.awaitSoftware(v), qt.IsTrue)
+			for _, gov := range g.running {
+				told := make(chan bool, 1)
+				for end := time.Now().Add(testApplyTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					gov.hub.post(func(time.Time) { told <- slices.Contains(gov.hub.relay.view.softwares, v) })
+					if <-told {
+						break
+					}
+				}
+			}
+			g.dropSoftwares()
+			if leads {
+				_, old := g.leader()
+				old.membership.transferLeadership()
+			}
+			c.Check(g.awaitSoftware(v), qt.IsTrue)
+		})
+	}
+}
--- a/stage/governor/wire.go
+++ b/stage/governor/wire.go
@@ -40,6 +40,8 @@
 	Questions []string      `cbor:"17,keyasint,omitempty"`
 	// Tunnels are the addresses of a relay's entries that carry connections for others, where they changed.
 	Tunnels *Tunnels `cbor:"18,keyasint,omitempty"`
+	// Lacking are software versions that the leader has named and that are missing from a replica's own state.
+	Lacking []resumer.Version `cbor:"19,keyasint,omitempty"`
 	// Dropped names the fields of elements that couldn't be encoded or decoded.
 	Dropped []string `cbor:"-"`
 }
