Control: an acknowledged document leaves a line

The bound on a configuration counts from its acknowledgement, and no line told when that was: how near a version came to it couldn't be told from the logs. The line has the version, its size and how long the call took. Nothing else changes.

--- a/stage/logger/control.go
+++ b/stage/logger/control.go
@@ -15,6 +15,17 @@
 		Int64("ms", took.Milliseconds()).Msg(c.prefix + "call refused")
 }
 
+// DocumentAcknowledged logs that the operator got the acknowledgement of a version of the document, or of one that it has overtaken, of
+// a size in bytes.
+func (c *Component) DocumentAcknowledged(version uint64, size int, took time.Duration) {
+	dropped, ok := c.documents.allow(time.Now())
+	if !ok {
+		return
+	}
+	withDropped(c.log.Info(), dropped).Uint64("version", version).Int("bytes", size).Int64("ms", took.Milliseconds()).
+		Msg(c.prefix + "document is acknowledged")
+}
+
 // Printf logs a line of the HTTP library.
 func (c *Component) Printf(format string, args ...any) {
 	dropped, ok := c.library.allow(time.Now())
--- a/stage/logger/logger.go
+++ b/stage/logger/logger.go
@@ -30,24 +30,26 @@
 		late: lineQuota{perSecond: lateLinesPerSecond}, orders: lineQuota{perSecond: orderLinesPerSecond},
 		loads: lineQuota{perSecond: orderLinesPerSecond}, refusals: lineQuota{perSecond: refusalLinesPerSecond},
 		rooms: lineQuota{perSecond: roomLinesPerSecond}, calls: lineQuota{perSecond: callLinesPerSecond},
-		writes: lineQuota{perSecond: writeLinesPerSecond}, library: lineQuota{perSecond: libraryLinesPerSecond},
+		documents: lineQuota{perSecond: callLinesPerSecond},
+		writes:    lineQuota{perSecond: writeLinesPerSecond}, library: lineQuota{perSecond: libraryLinesPerSecond},
 	}
 }
 
 // Component is a component's logger; lines on requests, attempts, orders and loads are rate-limited by kind.
 type Component struct {
-	log      *log.Logger
-	prefix   string
-	requests lineQuota
-	attempts lineQuota
-	late     lineQuota
-	orders   lineQuota
-	loads    lineQuota
-	refusals lineQuota
-	rooms    lineQuota
-	calls    lineQuota
-	writes   lineQuota
-	library  lineQuota
+	log       *log.Logger
+	prefix    string
+	requests  lineQuota
+	attempts  lineQuota
+	late      lineQuota
+	orders    lineQuota
+	loads     lineQuota
+	refusals  lineQuota
+	rooms     lineQuota
+	calls     lineQuota
+	documents lineQuota
+	writes    lineQuota
+	library   lineQuota
 }
 
 // RequestTiming is the latency breakdown of a request.
