--- a/serving/balancer/admission_test.go
+++ b/serving/balancer/admission_test.go
@@ -169,3 +169,44 @@
 	ch, _ := b.Pick(start, plain)
 	c.Check(ch.Key.ID, qt.Equals, "y")
 }
+
+// Routes that were added with the highest priority were refused as often as all others of a full service.
+func TestUrgentRequestsAreAdmittedFirst(t *testing.T) {
+	c := qt.New(t)
+	b := newCrowded()
+	full := []balancer.Load{{Server: "x", Running: 6, Refusals: 20}, {Server: "y", Running: 6, Refusals: 20}}
+	urgent, other := plain, plain
+	other.Priority = 2
+	asked, admitted := make(map[int]float64), make(map[int]float64)
+	share := 0.0
+	const rounds = 4000
+	for i := range rounds {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		b.SetLoads(now, full)
+		ch, status := b.Pick(now, plain)
+		c.Assert(status, qt.Equals, balancer.Picked)
+		// Servers refuse more than half of what is admitted at first, and few once the admitted share has fallen.
+		r := balancer.OK
+		if float64(i%10) < 10*(1-min(0.3/max(share, 0.05), 1)) {
+			r = balancer.Rejected
+		}
+		b.End(now, ch, plain.Adapter, r)
+		req := other
+		if i%10 == 0 {
+			req = urgent
+		}
+		a := b.Admit(now, req)
+		share = a.Share
+		if i < rounds/10 {
+			continue
+		}
+		asked[req.Priority]++
+		if a.Admitted {
+			admitted[req.Priority]++
+		}
+	}
+	all := (admitted[0] + admitted[2]) / (asked[0] + asked[2])
+	c.Check(all > 0.1 && all < 0.5, qt.IsTrue, qt.Commentf("%.2f of all are admitted", all))
+	c.Check(admitted[0]/asked[0] > 0.9, qt.IsTrue, qt.Commentf("%.2f of the urgent ones are admitted", admitted[0]/asked[0]))
+	c.Check(admitted[2]/asked[2] > all/2, qt.IsTrue, qt.Commentf("%.2f of the others are admitted, %.2f of all", admitted[2]/asked[2], all))
+}
