Balance: a full plain service admits urgent requests first

What callers saw: while a plain service was full, requests of its most urgent routes were refused as often as all others.

Cause: an entry admits a share of a service's requests by chance, whatever their priority. Now half of the share goes to all priorities alike, and the rest to the most urgent ones, by the entry's counts of requests of the last seconds; the sum is the same share.

TestUrgentRequestsAreAdmittedFirst failed before: 0.28 to 0.31 of the urgent requests were admitted, as of all.

--- a/serving/balancer/admission.go
+++ b/serving/balancer/admission.go
@@ -24,6 +24,12 @@
 	ownCountTime = 700 * time.Millisecond
 	// shareInterval is the shortest time between two changes of the admitted share.
 	shareInterval = 50 * time.Millisecond
+	// evenPart is the part of the admitted share that all priorities get alike; the most urgent ones get the rest.
+	evenPart = 0.5
+	// demandTime is the time constant of an entry's counts of requests by priority, of which it sees a few in a second.
+	demandTime = 5 * time.Second
+	// minDemand is the count below which a priority is forgotten.
+	minDemand = 0.01
 	// minRetryAfter is the shortest time after which a refused caller may come back; maxRetryAfterShare limits the time
 	// to a share of what the caller has left.
 	minRetryAfter      = 200 * time.Millisecond
@@ -31,7 +37,7 @@
 	retryAfterPerShare = 2 * time.Second
 )
 
-// admission decides which share of a plain service's requests an entry admits, from the refusals of its servers.
+// admission decides which share of a plain service's requests of each priority an entry admits, from the refusals of its servers.
 type admission struct {
 	share     float64
 	updatedAt time.Time
@@ -40,9 +46,48 @@
 	answers      float64
 	refusals     float64
 	countedAt    time.Time
+	// demand is the number of requests by priority, decayed with demandTime.
+	demand   map[int]float64
+	demandAt time.Time
 }
 
-func newAdmission() *admission { return &admission{share: 1, earlierShare: 1} }
+func newAdmission() *admission {
+	return &admission{share: 1, earlierShare: 1, demand: make(map[int]float64)}
+}
+
+// ask counts a request.
+func (a *admission) ask(now time.Time, priority int) {
+	f := math.Exp(-float64(max(now.Sub(a.demandAt), 0)) / float64(demandTime))
+	for p, n := range a.demand {
+		if n *= f; n < minDemand {
+			delete(a.demand, p)
+		} else {
+			a.demand[p] = n
+		}
+	}
+	a.demand[priority]++
+	a.demandAt = now
+}
+
+// shareOf returns the share of the requests of a priority that are admitted. All priorities together have the admitted share.
+func (a *admission) shareOf(priority int) float64 {
+	if a.share >= 1 {
+		return 1
+	}
+	total, before := 0.0, 0.0
+	for p, n := range a.demand {
+		total += n
+		if p < priority {
+			before += n
+		}
+	}
+	even := evenPart * a.share
+	if a.demand[priority] == 0 {
+		return even
+	}
+	rest := (a.share-even)*total - (1-even)*before
+	return min(even+max(rest, 0)/a.demand[priority], 1)
+}
 
 func (a *admission) decay(now time.Time) {
 	f := math.Exp(-float64(max(now.Sub(a.countedAt), 0)) / float64(ownCountTime))
@@ -102,7 +147,7 @@
 // Admission is the answer to a request that asks for a place.
 type Admission struct {
 	Admitted bool
-	// Share is the share of the service's requests that are admitted now.
+	// Share is the share of the service's requests of all priorities that are admitted now.
 	Share float64
 	// RetryAfter is when the caller of a request that isn't admitted may come back.
 	RetryAfter time.Duration
@@ -117,7 +162,9 @@
 	}
 	a := b.admission(req.Service)
 	a.update(now, b.evidence(now, req.Service))
-	out := Admission{Admitted: a.share >= 1 || b.random() < a.share, Share: a.share}
+	a.ask(now, req.Priority)
+	share := a.shareOf(req.Priority)
+	out := Admission{Admitted: share >= 1 || b.random() < share, Share: a.share}
 	if !out.Admitted {
 		out.RetryAfter = b.retryAfter(now, req, minRetryAfter)
 	}
--- a/serving/balancer/explain.go
+++ b/serving/balancer/explain.go
@@ -76,7 +76,7 @@
 	WaitChance float64
 	// Behind reports that other requests that wait for the service come first.
 	Behind bool
-	// AdmittedShare is the share of the service's requests that may look for a server.
+	// AdmittedShare is the share of the service's requests of this priority that may look for a server.
 	AdmittedShare float64
 	Entries       int
 	// Estimated reports that the chances come from draws.
@@ -107,7 +107,7 @@
 	usable, status := b.usableServers(now, req)
 	x := Explanation{Status: status, AdmittedShare: 1, Entries: b.entries, AdapterKnown: len(b.versions[req.Adapter]) > 0}
 	if a := b.admissions[req.Service]; a != nil && req.Adapter.Model == "" && b.isCrowded() {
-		x.AdmittedShare = a.share
+		x.AdmittedShare = a.shareOf(req.Priority)
 	}
 	for _, s := range b.services[req.Service] {
 		v := b.view(now, s, req)
