Entry: servers are asked over a new connection whether they outlived a response

What callers saw: a part of a response framed as complete, though its server had been killed; and complete responses cut after a second.

Cause: the probe went over an idle connection. Bytes that the server had written on it before its end, and that its link delivers late, count as its answer, as a probe has no ID that an answer repeats. An idle connection whose other side is silent, as behind a lost link, takes the whole time of the probe, though a new connection would be answered.

Change: each probe opens a connection after the end was read. What comes on it is written by a process that lived then. It is kept for the next request, which would otherwise open one in place of the ended one.

--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -111,23 +111,19 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, livenessTimeout)
 	defer cancel()
-	for {
-		c, err := e.pool.get(ctx, in, e.connLimit(in.Service), "")
-		if err != nil {
-			return errors.Wrap(err, "connect")
-		}
-		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-		keepAlive, err := e.askServer(c, in, path)
-		if !stop() || err != nil || keepAlive < 0 {
-			_ = c.Close()
-		} else {
-			e.pool.put(c, keepAlive)
-		}
-		// The server may have closed an idle connection before it read the request.
-		if err == nil || !c.reused || ctx.Err() != nil {
-			return err
-		}
+	// What comes on an idle connection may have been written before, and its other side may be gone.
+	c, err := e.pool.dial(ctx, in, e.connLimit(in.Service))
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	keepAlive, err := e.askServer(c, in, path)
+	if !stop() || err != nil || keepAlive < 0 {
+		_ = c.Close()
+	} else {
+		e.pool.put(c, keepAlive)
 	}
+	return err
 }
 
 // probePath returns the path that a server of the service is probed at.
--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -1,10 +1,14 @@
 package relayer
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,11 +16,14 @@
 
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
 )
 
+const probeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
 // A response without a length counts as complete only by the answer of the start of the server that sent it.
 func TestProbeOfServerAfterItsResponse(t *testing.T) {
-	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	const answer = probeAnswer
 	for _, row := range []struct {
 		name, answer string
 		isComplete   bool
@@ -123,3 +130,90 @@
 	c.Check(got.body, qt.Contains, "may have run")
 	c.Check(time.Since(began) < livenessTimeout+time.Second, qt.IsTrue)
 }
+
+// A part of a response counted as complete by what its server had written on an idle connection before it was killed, and the link
+// delivered late.
+func TestEarlierBytesOnIdleConnectionAreNoConfirmation(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	context.AfterFunc(c.Context(), func() { _ = ln.Close() })
+	var arrived sync.WaitGroup
+	arrived.Add(2)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					switch r.URL.Path {
+					case testHealthPath:
+						// The link delivers what the server wrote on this connection while it lived.
+						_, _ = io.WriteString(conn, probeAnswer)
+						return
+					case "/once/framed":
+						arrived.Done()
+						arrived.Wait()
+						_, _ = io.WriteString(conn, responseHead(r, http.StatusOK, "Content-Length: 2", "Keep-Alive: timeout=9")+"ok")
+					default:
+						_, _ = io.WriteString(conn, responseHead(r, http.StatusOK)+"part")
+						_ = ln.Close()
+						return
+					}
+				}
+			}()
+		}
+	}()
+	e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{engineAt("s0", ln.Addr().String())}})
+	first, second := dial(c, e), dial(c, e)
+	first.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	second.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	c.Assert(first.receive(c).status, qt.Equals, http.StatusOK)
+	c.Assert(second.receive(c).status, qt.Equals, http.StatusOK)
+	first.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(first.receive(c).status, qt.Equals, http.StatusBadGateway)
+}
+
+// A complete response was cut since the probe went over an idle connection whose other side had fallen silent, as behind a lost link.
+func TestResponseIsCompleteBesideSilentIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	var arrived sync.WaitGroup
+	arrived.Add(2)
+	held := make(chan struct{})
+	e, _ := startScripted(c, func(w io.Writer, n int, r *http.Request) bool {
+		switch r.URL.Path {
+		case testHealthPath:
+			if n > 0 {
+				<-held
+				return false
+			}
+			_, _ = io.WriteString(w, probeAnswer)
+			return true
+		case "/once/framed":
+			arrived.Done()
+			arrived.Wait()
+			_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Length: 2", "Keep-Alive: timeout=9")+"ok")
+			return true
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		return false
+	})
+	c.Cleanup(func() { close(held) })
+	first, second := dial(c, e), dial(c, e)
+	first.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	second.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	c.Assert(first.receive(c).status, qt.Equals, http.StatusOK)
+	c.Assert(second.receive(c).status, qt.Equals, http.StatusOK)
+	first.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(first.receive(c).status, qt.Equals, http.StatusOK)
+}
--- a/stage/relayer/pool.go
+++ b/stage/relayer/pool.go
@@ -84,6 +84,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, in, limit)
+}
+
+// dial returns a new connection to the server, of which there may be at most limit.
+func (p *pool) dial(ctx context.Context, in tracker.Instance, limit int) (*conn, error) {
 	p.mu.Lock()
 	if p.open[in.Key] >= limit {
 		p.mu.Unlock()
