Entry: a response at the limit of connections to its server isn't cut

What callers saw: a complete stream without a length cut, or a 502 for a complete response, while the entry had as many connections to the server as it may have.

Cause: the probe took its connection under the same limit as requests. The ended response's place may be taken by another request before it, and the limit falls as entries join or the configuration changes.

Change: a probe's connection may go beyond the limit. There is one probe of a server at a time, and beyond the limit its connection isn't kept.

--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -112,13 +113,14 @@
 	ctx, cancel := context.WithTimeout(e.ctx, livenessTimeout)
 	defer cancel()
 	// What comes on an idle connection may have been written before, and its other side may be gone.
-	c, err := e.pool.dial(ctx, in, e.connLimit(in.Service))
+	// Another request may have taken the place of the connection that ended: one probe of a server at a time may go beyond the limit.
+	c, err := e.pool.dial(ctx, in, math.MaxInt)
 	if err != nil {
 		return errors.Wrap(err, "connect")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	keepAlive, err := e.askServer(c, in, path)
-	if !stop() || err != nil || keepAlive < 0 {
+	if !stop() || err != nil || keepAlive < 0 || !e.pool.holdsAtMost(in.Key, e.connLimit(in.Service)) {
 		_ = c.Close()
 	} else {
 		e.pool.put(c, keepAlive)
--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -217,3 +217,40 @@
 	first.send(c, "POST", "/once/", "x", testDeadline+": 9000")
 	c.Check(first.receive(c).status, qt.Equals, http.StatusOK)
 }
+
+// A complete response was cut since this entry had as many connections to its server as it may have: the limit had fallen meanwhile.
+func TestResponseAtConnectionLimitIsComplete(t *testing.T) {
+	c := qt.New(t)
+	end := map[string]chan struct{}{"a": make(chan struct{}), "b": make(chan struct{})}
+	e, seen := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			_, _ = io.WriteString(w, probeAnswer)
+			return true
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream")+"data: 1\n\n")
+		<-end[strings.TrimPrefix(r.URL.Path, "/stream/")]
+		return false
+	})
+	shares := []matcher.Share{{Service: "s", Weight: 1}}
+	route := matcher.Route{Name: "stream", Prefix: "/stream/", Host: testHost, Timeout: 20 * time.Second, LatencyTarget: time.Second, Attempts: 1, Stream: true, Shares: shares}
+	table, err := matcher.New(2, []matcher.Route{route}, []matcher.Service{{Name: "s", HealthPath: testHealthPath, MaxConns: 3}}, matcher.Limits{})
+	c.Assert(err, qt.IsNil)
+	e.table.Store(table)
+	a, b := dial(c, e), dial(c, e)
+	a.send(c, "POST", "/stream/a", "x", testDeadline+": 9000")
+	b.send(c, "POST", "/stream/b", "x", testDeadline+": 9000")
+	for _, l := range []*caller{a, b} {
+		_, err := l.br.Peek(1)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(seen.Load(), qt.Equals, int32(2))
+	e.control.applyMessage(governor.DownMessage{Entries: 3})
+	c.Assert(e.connLimit("s"), qt.Equals, 1)
+	close(end["a"])
+	c.Check(a.receive(c).err, qt.IsNil)
+	e.pool.mu.Lock()
+	c.Check(e.pool.open[tracker.Key{ID: "s0", StartedMS: 1}], qt.Equals, 1, qt.Commentf("the probe's connection isn't kept"))
+	e.pool.mu.Unlock()
+	close(end["b"])
+	c.Check(b.receive(c).err, qt.IsNil)
+}
--- a/stage/relayer/pool.go
+++ b/stage/relayer/pool.go
@@ -116,6 +116,13 @@
 	return c
 }
 
+// holdsAtMost reports whether at most limit connections to the server are open.
+func (p *pool) holdsAtMost(k tracker.Key, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[k] <= limit
+}
+
 // countClosed counts a connection as closed.
 func (p *pool) countClosed(k tracker.Key) {
 	p.mu.Lock()
