Entry: a large report of an engine confirms that it lives

What callers saw: every response without a length cut, or a 502 for it, of engines whose report has more than 64 KiB.

Cause: the entry took at most 64 KiB of the answer to a probe, where control takes 1 MiB of the same report (platform/engines.go).

No site is known whose reports are that large.

Change: both take 1 MiB.

--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -20,7 +20,7 @@
 	// livenessTimeout bounds the wait for a server's answer to a probe.
 	livenessTimeout = time.Second
 	// maxProbeBytes bounds the body of that answer.
-	maxProbeBytes = 64 << 10
+	maxProbeBytes = 1 << 20
 )
 
 // liveness asks servers whether they outlived responses that ended with their connections. A killed process's connections end in the
--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -254,3 +254,20 @@
 	close(end["b"])
 	c.Check(b.receive(c).err, qt.IsNil)
 }
+
+// Complete responses were cut if their engine's report had more than 64 KiB.
+func TestResponseOfServerWithLargeReportIsComplete(t *testing.T) {
+	c := qt.New(t)
+	report := `{"models":["` + strings.Repeat("x", 100<<10) + `"]}`
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+			return false
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 3000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
+}
