Entry: a server that can't be asked whether it lives isn't taken for a failing one

What callers saw: nothing yet. Each complete response without a length of a service without a health path counted as its server's failure and as a crash that may be the request's doing.

Cause: confirmEnd took every error for evidence about the server, also that of a probe that was never sent.

Evidence: TestServerThatCannotBeAskedIsNotFailing failed before (failed for void, broken for not); 5 of 5 runs pass with the race detector.

Change: errNoProbe marks these errors; they are no evidence. The response still isn't known to be complete.

--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -23,6 +23,9 @@
 	maxProbeBytes = 1 << 20
 )
 
+// errNoProbe means that there is no way to ask the server.
+var errNoProbe = errors.New("the server can't be asked")
+
 // liveness asks servers whether they outlived responses that ended with their connections. A killed process's connections end in the
 // same way.
 type liveness struct {
@@ -76,7 +79,7 @@
 	}
 	r = unknownResult("body", errors.Wrap(err, "it ended with its connection, and the server isn't known to have outlived it"))
 	r.isBroken = true
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, errNoProbe) {
 		r.result, r.isBroken = balancer.NoEvidence, false
 	}
 	if out.streaming {
@@ -132,7 +135,7 @@
 func (e *Relayer) probePath(service string) (string, error) {
 	t := e.table.Load()
 	if t == nil {
-		return "", errors.New("no document is in force")
+		return "", errors.Wrap(errNoProbe, "no document is in force")
 	}
 	s, ok := t.Service(service)
 	switch {
@@ -141,7 +144,7 @@
 	case ok && s.HealthPath != "":
 		return s.HealthPath, nil
 	}
-	return "", errors.Errorf("service %q has no health path", service)
+	return "", errors.Wrapf(errNoProbe, "service %q has no health path", service)
 }
 
 // askServer sends a probe and reads its answer; it returns the server's idle timeout as roundTrip does.
--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
@@ -271,3 +272,17 @@
 	l.send(c, "POST", "/once/", "x", testDeadline+": 3000")
 	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
 }
+
+// A server that can't be asked counted as one that fails, and as one that may have crashed, with each complete response.
+func TestServerThatCannotBeAskedIsNotFailing(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	table, err := matcher.New(2, nil, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	c.Assert(err, qt.IsNil)
+	e.table.Store(table)
+	a := &attempt{choice: balancer.Choice{Instance: engineAt("s0", "127.0.0.1:1")}}
+	r := e.confirmEnd(c.Context(), a, &responseWriter{}, attemptResult{outcome: outcomeAnswered, result: balancer.OK})
+	c.Check(r.outcome, qt.Equals, outcomeUnknown)
+	c.Check(r.result, qt.Equals, balancer.NoEvidence)
+	c.Check(r.isBroken, qt.IsFalse)
+}
