Entry: red tests of ends that are confirmed, or not, against the server's word

TestResponseThatServerCutForSlowCallerIsIncomplete: a live server that gives up on a slow caller between two events confirms its part. TestResponseOfServerThatResetsNewConnectionIsComplete and TestResponseOfServerWithQueuedHealthChecksIsComplete: a sound server at its limits isn't heard, and its complete response is cut.

--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -286,3 +286,94 @@
 	c.Check(r.result, qt.Equals, balancer.NoEvidence)
 	c.Check(r.isBroken, qt.IsFalse)
 }
+
+// A server that ended a response in order because its caller read too slowly was asked whether it lives, and its answer made the part a
+// complete response.
+func TestResponseThatServerCutForSlowCallerIsIncomplete(t *testing.T) {
+	c := qt.New(t)
+	event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+	hasCut := make(chan bool, 1)
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			_, _ = io.WriteString(w, probeAnswer)
+			return true
+		}
+		conn, ok := w.(net.Conn)
+		if !c.Check(ok, qt.IsTrue) {
+			return false
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream"))
+		for range 1000 {
+			_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+			n, err := io.WriteString(w, event)
+			if err != nil {
+				// The rest of the event still goes out, so that the end comes between two events.
+				_ = conn.SetWriteDeadline(time.Time{})
+				_, _ = io.WriteString(w, event[n:])
+				hasCut <- true
+				return false
+			}
+		}
+		hasCut <- false
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 9000")
+	time.Sleep(2 * time.Second)
+	got := l.receive(c)
+	c.Assert(<-hasCut, qt.IsTrue)
+	c.Check(got.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
+// A complete response was cut since its server, at its own limit of connections, reset the first new one.
+func TestResponseOfServerThatResetsNewConnectionIsComplete(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	context.AfterFunc(c.Context(), func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if l, ok := conn.(*net.TCPConn); ok && n == 1 {
+				_ = l.SetLinger(0)
+				_ = l.Close()
+				continue
+			}
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				answer := probeAnswer
+				if r.URL.Path != testHealthPath {
+					answer = responseHead(r, http.StatusOK) + "body"
+				}
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{engineAt("s0", ln.Addr().String())}})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 3000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
+}
+
+// A full server, whose health check waits in its queue, had its complete responses cut after a second.
+func TestResponseOfServerWithQueuedHealthChecksIsComplete(t *testing.T) {
+	c := qt.New(t)
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			time.Sleep(livenessTimeout + 300*time.Millisecond)
+			_, _ = io.WriteString(w, probeAnswer)
+			return false
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
+}
