--- a/stage/relayer/stream.go
+++ b/stage/relayer/stream.go
@@ -44,8 +44,7 @@
 	firstSeen := false
 	for {
 		block, err := events.next()
-		if a.framing == framingClose && !out.streaming && e.resumePoint(a) == "" && errors.Is(err, io.EOF) {
-			// A stream has events; one that is resumed after its last event has none left.
+		if errors.Is(err, io.EOF) && !out.streaming && e.mustHaveEvents(a) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -96,6 +95,12 @@
 	}
 }
 
+// mustHaveEvents reports whether a response without events is incomplete, as nothing else shows its end. A stream that is resumed after
+// its last event has none left.
+func (e *Relayer) mustHaveEvents(a *attempt) bool {
+	return a.framing == framingClose && e.resumePoint(a) == ""
+}
+
 // recordPrefillEnd records that the server has prefilled the prompt, as its first event shows.
 func (e *Relayer) recordPrefillEnd(a *attempt) {
 	if a.lastEventID == "" {
