--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -21,9 +22,12 @@
 	// unreadTime is how long a server keeps a response that isn't read, at the least.
 	unreadTime = time.Second
 	// maxProbeBytes bounds the body of that answer.
-	maxProbeBytes = 64 << 10
+	maxProbeBytes = 1 << 20
 )
 
+// errNoProbe means that there is no way to ask the server.
+var errNoProbe = errors.New("the server can't be asked")
+
 // liveness asks servers whether they outlived responses that ended with their connections. A killed process's connections end in the
 // same way.
 type liveness struct {
@@ -84,7 +88,7 @@
 	}
 	r = unknownResult("body", errors.Wrap(err, "it ended with its connection, which may not be its end"))
 	r.isBroken = true
-	if isSlow || ctx.Err() != nil {
+	if isSlow || ctx.Err() != nil || errors.Is(err, errNoProbe) {
 		r.result, r.isBroken = balancer.NoEvidence, false
 	}
 	if out.streaming {
@@ -120,30 +124,27 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, livenessTimeout)
 	defer cancel()
-	for {
-		c, err := e.pool.get(ctx, in, e.connLimit(in.Service), "")
-		if err != nil {
-			return errors.Wrap(err, "connect")
-		}
-		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-		keepAlive, err := e.askServer(c, in, path)
-		if !stop() || err != nil || keepAlive < 0 {
-			_ = c.Close()
-		} else {
-			e.pool.put(c, keepAlive)
-		}
-		// The server may have closed an idle connection before it read the request.
-		if err == nil || !c.reused || ctx.Err() != nil {
-			return err
-		}
+	// What comes on an idle connection may have been written before, and its other side may be gone.
+	// Another request may have taken the place of the connection that ended: one probe of a server at a time may go beyond the limit.
+	c, err := e.pool.dial(ctx, in, math.MaxInt)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	keepAlive, err := e.askServer(c, in, path)
+	if !stop() || err != nil || keepAlive < 0 || !e.pool.holdsAtMost(in.Key, e.connLimit(in.Service)) {
+		_ = c.Close()
+	} else {
+		e.pool.put(c, keepAlive)
 	}
+	return err
 }
 
 // probePath returns the path that a server of the service is probed at.
 func (e *Relayer) probePath(service string) (string, error) {
 	t := e.table.Load()
 	if t == nil {
-		return "", errors.New("no document is in force")
+		return "", errors.Wrap(errNoProbe, "no document is in force")
 	}
 	s, ok := t.Service(service)
 	switch {
@@ -152,7 +153,7 @@
 	case ok && s.HealthPath != "":
 		return s.HealthPath, nil
 	}
-	return "", errors.Errorf("service %q has no health path", service)
+	return "", errors.Wrapf(errNoProbe, "service %q has no health path", service)
 }
 
 // askServer sends a probe and reads its answer; it returns the server's idle timeout as roundTrip does.
--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -1,22 +1,30 @@
 package relayer
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
+	"redwingstage.org/stage/governor"
 )
 
+const probeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
 // A response without a length counts as complete only by the answer of the start of the server that sent it.
 func TestProbeOfServerAfterItsResponse(t *testing.T) {
-	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	const answer = probeAnswer
 	for _, row := range []struct {
 		name, answer string
 		isComplete   bool
@@ -123,3 +131,249 @@
 	c.Check(got.body, qt.Contains, "may have run")
 	c.Check(time.Since(began) < livenessTimeout+time.Second, qt.IsTrue)
 }
+
+// A part of a response counted as complete by what its server had written on an idle connection before it was killed, and the link
+// delivered late.
+func TestEarlierBytesOnIdleConnectionAreNoConfirmation(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	context.AfterFunc(c.Context(), func() { _ = ln.Close() })
+	var arrived sync.WaitGroup
+	arrived.Add(2)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					switch r.URL.Path {
+					case testHealthPath:
+						// The link delivers what the server wrote on this connection while it lived.
+						_, _ = io.WriteString(conn, probeAnswer)
+						return
+					case "/once/framed":
+						arrived.Done()
+						arrived.Wait()
+						_, _ = io.WriteString(conn, responseHead(r, http.StatusOK, "Content-Length: 2", "Keep-Alive: timeout=9")+"ok")
+					default:
+						_, _ = io.WriteString(conn, responseHead(r, http.StatusOK)+"part")
+						_ = ln.Close()
+						return
+					}
+				}
+			}()
+		}
+	}()
+	e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{engineAt("s0", ln.Addr().String())}})
+	first, second := dial(c, e), dial(c, e)
+	first.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	second.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	c.Assert(first.receive(c).status, qt.Equals, http.StatusOK)
+	c.Assert(second.receive(c).status, qt.Equals, http.StatusOK)
+	first.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(first.receive(c).status, qt.Equals, http.StatusBadGateway)
+}
+
+// A complete response was cut since the probe went over an idle connection whose other side had fallen silent, as behind a lost link.
+func TestResponseIsCompleteBesideSilentIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	var arrived sync.WaitGroup
+	arrived.Add(2)
+	held := make(chan struct{})
+	e, _ := startScripted(c, func(w io.Writer, n int, r *http.Request) bool {
+		switch r.URL.Path {
+		case testHealthPath:
+			if n > 0 {
+				<-held
+				return false
+			}
+			_, _ = io.WriteString(w, probeAnswer)
+			return true
+		case "/once/framed":
+			arrived.Done()
+			arrived.Wait()
+			_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Length: 2", "Keep-Alive: timeout=9")+"ok")
+			return true
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		return false
+	})
+	c.Cleanup(func() { close(held) })
+	first, second := dial(c, e), dial(c, e)
+	first.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	second.send(c, "POST", "/once/framed", "x", testDeadline+": 9000")
+	c.Assert(first.receive(c).status, qt.Equals, http.StatusOK)
+	c.Assert(second.receive(c).status, qt.Equals, http.StatusOK)
+	first.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(first.receive(c).status, qt.Equals, http.StatusOK)
+}
+
+// A complete response was cut since this entry had as many connections to its server as it may have: the limit had fallen meanwhile.
+func TestResponseAtConnectionLimitIsComplete(t *testing.T) {
+	c := qt.New(t)
+	end := map[string]chan struct{}{"a": make(chan struct{}), "b": make(chan struct{})}
+	e, seen := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			_, _ = io.WriteString(w, probeAnswer)
+			return true
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream")+"data: 1\n\n")
+		<-end[strings.TrimPrefix(r.URL.Path, "/stream/")]
+		return false
+	})
+	shares := []matcher.Share{{Service: "s", Weight: 1}}
+	route := matcher.Route{Name: "stream", Prefix: "/stream/", Host: testHost, Timeout: 20 * time.Second, LatencyTarget: time.Second, Attempts: 1, Stream: true, Shares: shares}
+	table, err := matcher.New(2, []matcher.Route{route}, []matcher.Service{{Name: "s", HealthPath: testHealthPath, MaxConns: 3}}, matcher.Limits{})
+	c.Assert(err, qt.IsNil)
+	e.table.Store(table)
+	a, b := dial(c, e), dial(c, e)
+	a.send(c, "POST", "/stream/a", "x", testDeadline+": 9000")
+	b.send(c, "POST", "/stream/b", "x", testDeadline+": 9000")
+	for _, l := range []*caller{a, b} {
+		_, err := l.br.Peek(1)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(seen.Load(), qt.Equals, int32(2))
+	e.control.applyMessage(governor.DownMessage{Entries: 3})
+	c.Assert(e.connLimit("s"), qt.Equals, 1)
+	close(end["a"])
+	c.Check(a.receive(c).err, qt.IsNil)
+	e.pool.mu.Lock()
+	c.Check(e.pool.open[tracker.Key{ID: "s0", StartedMS: 1}], qt.Equals, 1, qt.Commentf("the probe's connection isn't kept"))
+	e.pool.mu.Unlock()
+	close(end["b"])
+	c.Check(b.receive(c).err, qt.IsNil)
+}
+
+// Complete responses were cut if their engine's report had more than 64 KiB.
+func TestResponseOfServerWithLargeReportIsComplete(t *testing.T) {
+	c := qt.New(t)
+	report := `{"models":["` + strings.Repeat("x", 100<<10) + `"]}`
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+			return false
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 3000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
+}
+
+// A server that can't be asked counted as one that fails, and as one that may have crashed, with each complete response.
+func TestServerThatCannotBeAskedIsNotFailing(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	table, err := matcher.New(2, nil, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	c.Assert(err, qt.IsNil)
+	e.table.Store(table)
+	a := &attempt{choice: balancer.Choice{Instance: engineAt("s0", "127.0.0.1:1")}}
+	r := e.confirmEnd(c.Context(), a, &responseWriter{}, attemptResult{outcome: outcomeAnswered, result: balancer.OK})
+	c.Check(r.outcome, qt.Equals, outcomeUnknown)
+	c.Check(r.result, qt.Equals, balancer.NoEvidence)
+	c.Check(r.isBroken, qt.IsFalse)
+}
+
+// A server that ended a response in order because its caller read too slowly was asked whether it lives, and its answer made the part a
+// complete response.
+func TestResponseThatServerCutForSlowCallerIsIncomplete(t *testing.T) {
+	c := qt.New(t)
+	event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+	hasCut := make(chan bool, 1)
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			_, _ = io.WriteString(w, probeAnswer)
+			return true
+		}
+		conn, ok := w.(net.Conn)
+		if !c.Check(ok, qt.IsTrue) {
+			return false
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK, "Content-Type: text/event-stream"))
+		for range 1000 {
+			_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+			n, err := io.WriteString(w, event)
+			if err != nil {
+				// The rest of the event still goes out, so that the end comes between two events.
+				_ = conn.SetWriteDeadline(time.Time{})
+				_, _ = io.WriteString(w, event[n:])
+				hasCut <- true
+				return false
+			}
+		}
+		hasCut <- false
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 9000")
+	time.Sleep(2 * time.Second)
+	got := l.receive(c)
+	c.Assert(<-hasCut, qt.IsTrue)
+	c.Check(got.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
+// A complete response was cut since its server, at its own limit of connections, reset the first new one.
+func TestResponseOfServerThatResetsNewConnectionIsComplete(t *testing.T) {
+	c := qt.New(t)
+	e := startEntry(c)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	context.AfterFunc(c.Context(), func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if l, ok := conn.(*net.TCPConn); ok && n == 1 {
+				_ = l.SetLinger(0)
+				_ = l.Close()
+				continue
+			}
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				answer := probeAnswer
+				if r.URL.Path != testHealthPath {
+					answer = responseHead(r, http.StatusOK) + "body"
+				}
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	e.control.applyMessage(governor.DownMessage{Welcome: &governor.Welcome{LeaderEpoch: 1}, Entries: 1, Engines: []tracker.Instance{engineAt("s0", ln.Addr().String())}})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 3000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
+}
+
+// A full server, whose health check waits in its queue, had its complete responses cut after a second.
+func TestResponseOfServerWithQueuedHealthChecksIsComplete(t *testing.T) {
+	c := qt.New(t)
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			time.Sleep(livenessTimeout + 300*time.Millisecond)
+			_, _ = io.WriteString(w, probeAnswer)
+			return false
+		}
+		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		return false
+	})
+	l := dial(c, e)
+	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
+	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
+}
--- a/stage/relayer/pool.go
+++ b/stage/relayer/pool.go
@@ -84,6 +84,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, in, limit)
+}
+
+// dial returns a new connection to the server, of which there may be at most limit.
+func (p *pool) dial(ctx context.Context, in tracker.Instance, limit int) (*conn, error) {
 	p.mu.Lock()
 	if p.open[in.Key] >= limit {
 		p.mu.Unlock()
@@ -111,6 +116,13 @@
 	return c
 }
 
+// holdsAtMost reports whether at most limit connections to the server are open.
+func (p *pool) holdsAtMost(k tracker.Key, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[k] <= limit
+}
+
 // countClosed counts a connection as closed.
 func (p *pool) countClosed(k tracker.Key) {
 	p.mu.Lock()
