Entry: the question to a server fits its limits and the request's time

What callers saw, in tests of the review: 502 for a complete response without a length if the server, at its limit of connections, reset the question's connection, or if its health check waited for a slot for longer than a second though the request had 8 s left.

Change: a question whose connection breaks off is sent again, ten times 50 ms apart; a refused connection shows that the process has ended. A request that may run once waits as long as it has time, one that may be repeated 1 s. A question that nobody waits for is given up.

--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -12,13 +12,17 @@
 
 	"github.com/go-faster/errors"
 
+	"redwingstage.org/coord/waiter"
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/tracker"
 )
 
 const (
-	// livenessTimeout bounds the wait for a server's answer to a probe.
+	// livenessTimeout bounds the wait for a server's answer to a probe by a request that may be repeated.
 	livenessTimeout = time.Second
+	// probePause is the wait before a probe is repeated whose connection broke off, maxProbes how often it is sent.
+	probePause = 50 * time.Millisecond
+	maxProbes  = 10
 	// unreadTime is how long a server keeps a response that isn't read, at the least.
 	unreadTime = time.Second
 	// maxProbeBytes bounds the body of that answer.
@@ -39,27 +43,47 @@
 
 // probe is one question to a server; err is set before done is closed.
 type probe struct {
+	key  tracker.Key
 	done chan struct{}
 	err  error
+	// waiters is the number of those who wait for the answer; cancel ends the probe once there are none.
+	waiters int
+	cancel  context.CancelFunc
+	ctx     context.Context
 }
 
 func newLiveness() *liveness {
 	return &liveness{waiting: make(map[tracker.Key]*probe), running: make(map[tracker.Key]bool)}
 }
 
-// join returns a probe that is sent from now on; mustRun is set if the caller must run the server's probes.
-func (l *liveness) join(k tracker.Key) (p *probe, mustRun bool) {
+// join returns a probe that is sent from now on, and that the caller leaves; mustRun is set if the caller must run the server's probes.
+func (l *liveness) join(ctx context.Context, k tracker.Key) (p *probe, mustRun bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p = l.waiting[k]; p == nil {
-		p = &probe{done: make(chan struct{})}
+		p = &probe{key: k, done: make(chan struct{})}
+		p.ctx, p.cancel = context.WithCancel(ctx)
 		l.waiting[k] = p
 	}
+	p.waiters++
 	mustRun = !l.running[k]
 	l.running[k] = true
 	return p, mustRun
 }
 
+// leave ends a probe for which nobody waits any more.
+func (l *liveness) leave(p *probe) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.waiters--; p.waiters > 0 {
+		return
+	}
+	p.cancel()
+	if l.waiting[p.key] == p {
+		delete(l.waiting, p.key)
+	}
+}
+
 // next returns the server's next probe, or nil if none waits.
 func (l *liveness) next(k tracker.Key) *probe {
 	l.mu.Lock()
@@ -80,7 +104,7 @@
 	if isSlow {
 		err = errors.Errorf("the caller left it unread for %d ms", out.slowestWrite.Milliseconds())
 	} else {
-		err = e.confirmAlive(ctx, a.choice.Instance)
+		err = e.confirmAlive(ctx, a)
 	}
 	e.metrics.countProbe(err == nil)
 	if err == nil {
@@ -97,13 +121,21 @@
 	return r
 }
 
-// confirmAlive returns nil once the server has answered a probe that was sent after the call.
-func (e *Relayer) confirmAlive(ctx context.Context, in tracker.Instance) error {
-	p, mustRun := e.liveness.join(in.Key)
+// confirmAlive returns nil once the attempt's server has answered a probe that was sent after the call. A request that may run once waits
+// as long as it has time: nothing else can become of it.
+func (e *Relayer) confirmAlive(ctx context.Context, a *attempt) error {
+	in := a.choice.Instance
+	if a.call.route.Idempotent() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, livenessTimeout)
+		defer cancel()
+	}
+	p, mustRun := e.liveness.join(e.ctx, in.Key)
+	defer e.liveness.leave(p)
 	if mustRun {
 		e.wg.Go(func() {
 			for p := e.liveness.next(in.Key); p != nil; p = e.liveness.next(in.Key) {
-				p.err = e.probeServer(in)
+				p.err = e.probeServer(p.ctx, in)
 				close(p.done)
 			}
 		})
@@ -116,14 +148,23 @@
 	}
 }
 
-// probeServer returns nil if this start of the server answers a request that is sent now.
-func (e *Relayer) probeServer(in tracker.Instance) error {
+// probeServer returns nil if this start of the server answers a request that is sent now. A server at its limit of connections resets
+// new ones; one that has ended refuses them.
+func (e *Relayer) probeServer(ctx context.Context, in tracker.Instance) error {
 	path, err := e.probePath(in.Service)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, livenessTimeout)
-	defer cancel()
+	for range maxProbes {
+		if err = e.probeOnce(ctx, in, path); !isBroken(err) || !waiter.Wait(ctx, probePause) {
+			break
+		}
+	}
+	return err
+}
+
+// probeOnce sends a probe over a new connection.
+func (e *Relayer) probeOnce(ctx context.Context, in tracker.Instance, path string) error {
 	// What comes on an idle connection may have been written before, and its other side may be gone.
 	// Another request may have taken the place of the connection that ended: one probe of a server at a time may go beyond the limit.
 	c, err := e.pool.dial(ctx, in, math.MaxInt)
