Entry: red test of a leaving server whose end counts as a crash

A server that leaves and ends right after its last response without a length is reported as crashed by the request that it answered: confirmEnd marks the attempt as broken off.

--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -377,3 +377,23 @@
 	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
 	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
 }
+
+// A server that left and ended after its last response counted as crashed by the request that it had answered, which must not lead to the
+// quarantine of sound requests.
+func TestLeavingServerThatEndsAfterItsStreamIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	engine := endingEngine{last: 4, end: make(chan struct{})}
+	in := engine.start(c, "s0")
+	e := startEntryBefore(c, in)
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 900")
+	_, err := l.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	e.balancer.MarkLeaving([]tracker.Key{in.Key})
+	close(engine.end)
+	l.receive(c)
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		up, _ := e.suspects.takeReport(time.Now().Add(time.Hour))
+		c.Assert(up.Crashes, qt.HasLen, 0)
+	}
+}
