--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -290,11 +290,12 @@
 // A server that can't be asked counted as one that fails, and as one that may have crashed, with each complete response.
 func TestServerThatCannotBeAskedIsNotFailing(t *testing.T) {
 	c := qt.New(t)
-	e := startEntry(c)
+	in := engineAt("s0", "127.0.0.1:1")
+	e := startEntryBefore(c, in)
 	table, err := matcher.New(2, nil, []matcher.Service{{Name: "s"}}, matcher.Limits{})
 	c.Assert(err, qt.IsNil)
 	e.table.Store(table)
-	a := &attempt{call: &call{route: &matcher.Route{}}, choice: balancer.Choice{Instance: engineAt("s0", "127.0.0.1:1")}}
+	a := &attempt{call: &call{route: &matcher.Route{}}, choice: balancer.Choice{Instance: in}}
 	r := e.confirmEnd(c.Context(), a, &responseWriter{}, attemptResult{outcome: outcomeAnswered, result: balancer.OK})
 	c.Check(r.outcome, qt.Equals, outcomeUnknown)
 	c.Check(r.result, qt.Equals, balancer.NoEvidence)
@@ -391,3 +392,23 @@
 	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
 	c.Check(l.receive(c).status, qt.Equals, http.StatusOK)
 }
+
+// A server that left and ended after its last response counted as crashed by the request that it had answered, which must not lead to the
+// quarantine of sound requests.
+func TestLeavingServerThatEndsAfterItsStreamIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	engine := endingEngine{last: 4, end: make(chan struct{})}
+	in := engine.start(c, "s0")
+	e := startEntryBefore(c, in)
+	l := dial(c, e)
+	l.send(c, "POST", "/stream/", "x", testDeadline+": 900")
+	_, err := l.br.Peek(1)
+	c.Assert(err, qt.IsNil)
+	e.balancer.MarkLeaving([]tracker.Key{in.Key})
+	close(engine.end)
+	l.receive(c)
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		up, _ := e.suspects.takeReport(time.Now().Add(time.Hour))
+		c.Assert(up.Crashes, qt.HasLen, 0)
+	}
+}
