Entry: a server that leaves isn't taken for one that crashed

Found by the review: a server that leaves and ends right after its last response without a length doesn't answer whether it outlived it, and was reported as crashed under the request that it had answered, which counts towards the quarantine of sound requests.

Change: such an end is no evidence if the server leaves or has left. One that crashes is listed as serving until its heartbeats have been missing.

--- a/serving/balancer/balancer.go
+++ b/serving/balancer/balancer.go
@@ -388,6 +388,14 @@
 	return s != nil && s.Key == k
 }
 
+// IsLeaving reports whether a start of a server leaves or has left.
+func (b *Balancer) IsLeaving(k tracker.Key) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[k.ID]
+	return s == nil || s.Key != k || s.Leaving
+}
+
 // Pick returns the server for a request and counts the request as running there until End, which must follow.
 func (b *Balancer) Pick(now time.Time, req Request) (Choice, PickStatus) {
 	b.mu.Lock()
--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -112,7 +112,7 @@
 	}
 	r = unknownResult("body", errors.Wrap(err, "it ended with its connection, which may not be its end"))
 	r.isBroken = true
-	if isSlow || ctx.Err() != nil || errors.Is(err, errNoProbe) {
+	if isSlow || ctx.Err() != nil || errors.Is(err, errNoProbe) || e.balancer.IsLeaving(a.choice.Key) {
 		r.result, r.isBroken = balancer.NoEvidence, false
 	}
 	if out.streaming {
