--- a/stage/relayer/liveness.go
+++ b/stage/relayer/liveness.go
@@ -23,10 +23,10 @@
 	// probePause is the wait before a probe is repeated whose connection broke off, maxProbes how often it is sent.
 	probePause = 50 * time.Millisecond
 	maxProbes  = 10
+	// maxProbeBytes bounds the body of the answer to a probe.
+	maxProbeBytes = 1 << 20
 	// unreadTime is how long a server keeps a response that isn't read, at the least.
 	unreadTime = time.Second
-	// maxProbeBytes bounds the body of that answer.
-	maxProbeBytes = 1 << 20
 )
 
 // errNoProbe means that there is no way to ask the server.
@@ -46,10 +46,10 @@
 	key  tracker.Key
 	done chan struct{}
 	err  error
-	// waiters is the number of those who wait for the answer; cancel ends the probe once there are none.
+	// waiters is the number of those who wait for the answer; ctx ends once there are none.
 	waiters int
-	cancel  context.CancelFunc
 	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func newLiveness() *liveness {
