Control: Close waits for the receivers of sessions

Cause, by the race's stacks: the handler of a session started its receiving goroutine by the WaitGroup that Close was waiting for. A session that opens beside Close may begin one after Wait has returned, and Close didn't wait for it.

Change: the control goroutine starts it, for which Close waits.

--- a/stage/governor/session.go
+++ b/stage/governor/session.go
@@ -187,19 +187,8 @@
 // serveSession serves a session until either side ends it.
 func (g *Governor) serveSession(ctx context.Context, stream *connect.BidiStream[UpMessage, encoder.Raw]) error {
 	s := &session{queue: make(chan encoder.Raw, maxQueuedMessages), lastReceived: time.Now()}
-	opened := make(chan bool, 1)
-	g.hub.post(func(time.Time) { opened <- g.hub.openSession(s) })
-	select {
-	case ok := <-opened:
-		if !ok {
-			return g.redirect(stream)
-		}
-	case <-g.ctx.Done():
-		return nil
-	}
 	end := func(why sessionEnd) { g.hub.post(func(time.Time) { g.hub.closeSession(s, why) }) }
-	defer end(endBroken)
-	g.wg.Go(func() {
+	receive := func() {
 		for {
 			up, err := stream.Receive()
 			switch {
@@ -214,7 +203,25 @@
 				return
 			}
 		}
+	}
+	opened := make(chan bool, 1)
+	g.hub.post(func(time.Time) {
+		ok := g.hub.openSession(s)
+		if ok {
+			// Close waits for the control goroutine, and may no longer wait for one that begins beside it.
+			g.wg.Go(receive)
+		}
+		opened <- ok
 	})
+	select {
+	case ok := <-opened:
+		if !ok {
+			return g.redirect(stream)
+		}
+	case <-g.ctx.Done():
+		return nil
+	}
+	defer end(endBroken)
 	for {
 		select {
 		case <-ctx.Done():
