Test: a silent server costs each kind of request its own time

TestSilentProbeEndsWithItsTime took 502 or 504 for both requests, and its request that may run once had less time than a probe. It now asks for the status of each, and that the one waits past the time of the other. Four tests of probes had written the same server again; they share one.

--- a/stage/relayer/liveness_test.go
+++ b/stage/relayer/liveness_test.go
@@ -20,6 +20,19 @@
 	"redwingstage.org/stage/governor"
 )
 
+// startProbed runs an entry in front of a server that responds without a length and, with answer, to one probe on each connection.
+func startProbed(c *qt.C, answer func(w io.Writer, r *http.Request)) *Relayer {
+	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+		if r.URL.Path == testHealthPath {
+			answer(w, r)
+		} else {
+			_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
+		}
+		return false
+	})
+	return e
+}
+
 const probeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 // A response without a length counts as complete only by the answer of the start of the server that sent it.
@@ -46,15 +59,10 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c := qt.New(t)
-			e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
-				if r.URL.Path == testHealthPath {
-					c.Check(r.Header.Get("X-Expect"), qt.Equals, "s0")
-					c.Check(r.Header.Get(testAttempt), qt.Equals, "")
-					_, _ = io.WriteString(w, row.answer)
-					return false
-				}
-				_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
-				return false
+			e := startProbed(c, func(w io.Writer, r *http.Request) {
+				c.Check(r.Header.Get("X-Expect"), qt.Equals, "s0")
+				c.Check(r.Header.Get(testAttempt), qt.Equals, "")
+				_, _ = io.WriteString(w, row.answer)
 			})
 			e.headers.ParseStart = func(body []byte) (int64, bool) {
 				var ms int64
@@ -121,31 +129,30 @@
 
 // A server that is silent costs a request that may be repeated the time of a probe, and others what time they have.
 func TestSilentProbeEndsWithItsTime(t *testing.T) {
-	for _, row := range []struct{ path, deadline string }{{"/safe/", "9000"}, {"/once/", "900"}} {
-		t.Run(row.path, func(t *testing.T) { testSilentProbe(t, row.path, row.deadline) })
+	for _, row := range []struct {
+		path     string
+		deadline time.Duration
+		status   int
+		wait     time.Duration
+	}{
+		{"/safe/", 9 * time.Second, http.StatusBadGateway, livenessTimeout},
+		{"/once/", 1500 * time.Millisecond, http.StatusGatewayTimeout, 1500 * time.Millisecond},
+	} {
+		t.Run(row.path, func(t *testing.T) {
+			c := qt.New(t)
+			held := make(chan struct{})
+			c.Cleanup(func() { close(held) })
+			e := startProbed(c, func(io.Writer, *http.Request) { <-held })
+			began := time.Now()
+			l := dial(c, e)
+			l.send(c, "POST", row.path, "x", fmt.Sprintf("%s: %d", testDeadline, row.deadline.Milliseconds()))
+			c.Check(l.receive(c).status, qt.Equals, row.status)
+			took := time.Since(began)
+			c.Check(took >= row.wait && took < row.wait+time.Second, qt.IsTrue, qt.Commentf("%v", took))
+		})
 	}
 }
 
-func testSilentProbe(t *testing.T, path, deadline string) {
-	c := qt.New(t)
-	held := make(chan struct{})
-	c.Cleanup(func() { close(held) })
-	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
-		if r.URL.Path == testHealthPath {
-			<-held
-			return false
-		}
-		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
-		return false
-	})
-	began := time.Now()
-	l := dial(c, e)
-	l.send(c, "POST", path, "x", testDeadline+": "+deadline)
-	got := l.receive(c)
-	c.Check(got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("status %d", got.status))
-	c.Check(time.Since(began) < livenessTimeout+time.Second, qt.IsTrue)
-}
-
 // A part of a response counted as complete by what its server had written on an idle connection before it was killed, and the link
 // delivered late.
 func TestEarlierBytesOnIdleConnectionAreNoConfirmation(t *testing.T) {
@@ -274,13 +281,8 @@
 func TestResponseOfServerWithLargeReportIsComplete(t *testing.T) {
 	c := qt.New(t)
 	report := `{"models":["` + strings.Repeat("x", 100<<10) + `"]}`
-	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
-		if r.URL.Path == testHealthPath {
-			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
-			return false
-		}
-		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
-		return false
+	e := startProbed(c, func(w io.Writer, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 	})
 	l := dial(c, e)
 	l.send(c, "POST", "/once/", "x", testDeadline+": 3000")
@@ -379,14 +381,9 @@
 // A full server, whose health check waits in its queue, had its complete responses cut after a second.
 func TestResponseOfServerWithQueuedHealthChecksIsComplete(t *testing.T) {
 	c := qt.New(t)
-	e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
-		if r.URL.Path == testHealthPath {
-			time.Sleep(livenessTimeout + 300*time.Millisecond)
-			_, _ = io.WriteString(w, probeAnswer)
-			return false
-		}
-		_, _ = io.WriteString(w, responseHead(r, http.StatusOK)+"body")
-		return false
+	e := startProbed(c, func(w io.Writer, _ *http.Request) {
+		time.Sleep(livenessTimeout + 300*time.Millisecond)
+		_, _ = io.WriteString(w, probeAnswer)
 	})
 	l := dial(c, e)
 	l.send(c, "POST", "/once/", "x", testDeadline+": 9000")
