--- a/standin/launcher/launcher.go
+++ b/standin/launcher/launcher.go
@@ -19,6 +19,8 @@
 	Name string
 	Path string
 	Args []string
+	// Env are variables beside those of this process, as NAME=VALUE.
+	Env []string
 }
 
 // Launcher starts processes and controls only those that it started.
@@ -54,6 +56,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	cmd := exec.CommandContext(context.Background(), spec.Path, spec.Args...)
+	cmd.Env = append(os.Environ(), spec.Env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	// The kernel kills the process when this one dies, so that a crashed test leaves no processes.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
