--- a/stage/relayer/freshness_test.go
+++ b/stage/relayer/freshness_test.go
@@ -19,7 +19,11 @@
 		"returns to its data centre": func(cc *controlClient) {
 			cc.returnToLocalZone(time.Now())
 		},
-		"was refused a session": func(cc *controlClient) { cc.addr, cc.cancel = "", nil },
+		"was refused a session": func(cc *controlClient) {
+			cc.mu.Lock()
+			defer cc.mu.Unlock()
+			cc.addr, cc.cancel = "", nil
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
