Control: Close waits for the receivers of entries' and replicas' streams

Found by reading; no run shows it.

Change: the control goroutine starts them, for which Close waits.

go test -race ./stage/controller passes once (87 s).

--- a/stage/controller/stream.go
+++ b/stage/controller/stream.go
@@ -34,7 +34,14 @@
 // serveEntry serves an entry's stream until either side closes it.
 func (c *Controller) serveEntry(ctx context.Context, stream *connect.BidiStream[entryMessage, leaderMessage]) error {
 	opened := make(chan *session, 1)
-	if !c.hub.post(c.ctx, func(now time.Time) { opened <- c.hub.openSession(now) }) {
+	if !c.hub.post(c.ctx, func(now time.Time) {
+		s := c.hub.openSession(now)
+		if s != nil {
+			// Close waits for the control goroutine, and may no longer wait for one that begins beside it.
+			c.spawn(func() { c.receiveFromEntry(s, stream) })
+		}
+		opened <- s
+	}) {
 		return connect.NewError(connect.CodeUnavailable, errNoLeader)
 	}
 	var s *session
@@ -45,18 +52,6 @@
 	if s == nil {
 		return connect.NewError(connect.CodeUnavailable, errNoLeader)
 	}
-	c.spawn(func() {
-		defer c.hub.post(c.ctx, func(time.Time) { c.hub.closeSession(s) })
-		for {
-			f, err := stream.Receive()
-			if err != nil {
-				return
-			}
-			if !c.hub.post(c.ctx, func(now time.Time) { c.hub.receiveFromEntry(now, s, *f) }) {
-				return
-			}
-		}
-	})
 	return writeQueue(ctx, c.ctx, s.out, func(frames []leaderMessage) error {
 		for _, f := range mergeMessages(frames) {
 			if err := stream.Send(&f); err != nil {
@@ -67,6 +62,17 @@
 	})
 }
 
+// receiveFromEntry receives a session's messages until its stream ends.
+func (c *Controller) receiveFromEntry(s *session, stream *connect.BidiStream[entryMessage, leaderMessage]) {
+	defer c.hub.post(c.ctx, func(time.Time) { c.hub.closeSession(s) })
+	for {
+		f, err := stream.Receive()
+		if err != nil || !c.hub.post(c.ctx, func(now time.Time) { c.hub.receiveFromEntry(now, s, *f) }) {
+			return
+		}
+	}
+}
+
 // writeQueue sends a queue's items until it is closed.
 func writeQueue[T any](ctx, ended context.Context, q *queue[T], send func([]T) error) error {
 	for {
@@ -131,7 +137,13 @@
 // serveLink serves a follower's stream while this replica leads.
 func (c *Controller) serveLink(ctx context.Context, stream *connect.BidiStream[linkUpBatch, linkDownBatch]) error {
 	opened := make(chan *linkPeer, 1)
-	if !c.hub.post(c.ctx, func(now time.Time) { opened <- c.hub.openLink(now) }) {
+	if !c.hub.post(c.ctx, func(now time.Time) {
+		l := c.hub.openLink(now)
+		if l != nil {
+			c.spawn(func() { c.receiveFromLink(l, stream) })
+		}
+		opened <- l
+	}) {
 		return connect.NewError(connect.CodeUnavailable, errNoLeader)
 	}
 	var l *linkPeer
@@ -142,23 +154,22 @@
 	if l == nil {
 		return connect.NewError(connect.CodeUnavailable, errNoLeader)
 	}
-	c.spawn(func() {
-		defer c.hub.post(c.ctx, func(time.Time) { c.hub.closeLink(l) })
-		for {
-			msg, err := stream.Receive()
-			if err != nil {
-				return
-			}
-			if !c.hub.post(c.ctx, func(now time.Time) { c.hub.receiveFromLink(now, l, msg.Items) }) {
-				return
-			}
-		}
-	})
 	return writeQueue(ctx, c.ctx, l.out, func(items []linkDown) error {
 		return stream.Send(&linkDownBatch{Items: items})
 	})
 }
 
+// receiveFromLink receives a follower's messages until its stream ends.
+func (c *Controller) receiveFromLink(l *linkPeer, stream *connect.BidiStream[linkUpBatch, linkDownBatch]) {
+	defer c.hub.post(c.ctx, func(time.Time) { c.hub.closeLink(l) })
+	for {
+		msg, err := stream.Receive()
+		if err != nil || !c.hub.post(c.ctx, func(now time.Time) { c.hub.receiveFromLink(now, l, msg.Items) }) {
+			return
+		}
+	}
+}
+
 func (h *hub) openLink(now time.Time) *linkPeer {
 	if !h.isLeading(now) || h.shuttingDown {
 		return nil
