Relayer: an answer whose head has a malformed line is none

What callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer: with that line ("X Secret: v"), with a field that the engine hadn't sent ("X-Seal : s" as its seal, "Content-Type : t", "Connection : close"), or with the first 3 of 21 bytes as the whole body ("Content-Length : 3", or a bare line feed before "Content-Length: 3"). Other bytes in a name gave a 502 that quoted the head and the body behind it. A refusal in such a head was taken for one.

Cause: fasthttp trims blanks after a name, lets blanks within it pass, unfolds lines and takes bare line feeds; checkFraming split the same bytes at CRLF and compared names with their blanks, so that it missed the length that fasthttp acted on. Callers' heads were held to a token for a name, servers' heads weren't.

The class is that the library takes more than the protocol allows and that two readers of the same bytes differ.

Change: stage/parser checks a whole head before the library reads it: lines end in CRLF, names are tokens, values and the reason have no control character but the tab, no line is folded. The heads of callers, servers, interim answers and probes share it, and checkFraming reads the fields that were checked. Such an answer is an unknown outcome, as one without a status is: 502 "may have run", its connection closed, counted against the server.

Evidence: on the code before, all 21 lines of TestAnswerWithMalformedFieldIsNone failed (each before and after the server's own fields; by length, chunks and close; /once/ and /stream/; 200, 404, 503; raw bytes, as a client library hides these forms), and so did TestAnswerWithInvalidByteInFieldIsNone and the tests of status lines, skipped answers, refusals, probes, streams and connections in malformed_heads_test.go. All pass now.

--- a/stage/parser/doc.go
+++ b/stage/parser/doc.go
@@ -1,2 +1,2 @@
-// Package parser checks the status lines of HTTP responses more strictly than the libraries that read the rest of them.
+// Package parser checks the heads of HTTP messages more strictly than the libraries that read the rest of them.
 package parser
--- a/stage/relayer/explain.go
+++ b/stage/relayer/explain.go
@@ -14,6 +14,7 @@
 	"redwingstage.org/serving/limiter"
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/quarantiner"
+	"redwingstage.org/stage/parser"
 )
 
 const (
@@ -193,7 +194,7 @@
 	if r.method == "" {
 		r.method = http.MethodGet
 	}
-	if !isToken(r.method) {
+	if !parser.IsToken(r.method) {
 		return nil, invalid("the method is malformed")
 	}
 	if !strings.HasPrefix(r.uri, "/") || strings.ContainsAny(r.uri, " \r\n\x00\t") {
@@ -204,7 +205,7 @@
 		r.host = host
 	}
 	for i, h := range in.Headers {
-		if !isToken(h.Name) || strings.ContainsAny(h.Value, "\r\n\x00") {
+		if !parser.IsToken(h.Name) || strings.ContainsAny(h.Value, "\r\n\x00") {
 			return nil, invalid(fmt.Sprintf("header %d is malformed", i+1))
 		}
 		r.fields = append(r.fields, field{http.CanonicalHeaderKey(h.Name), strings.Trim(h.Value, " \t")})
--- a/stage/relayer/parse.go
+++ b/stage/relayer/parse.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/stage/collector"
+	"redwingstage.org/stage/parser"
 )
 
 // badRequestError is an invalid request, with the HTTP status and reason to respond with.
@@ -64,11 +65,12 @@
 	return ""
 }
 
-var headEnd = []byte("\r\n\r\n")
-
 // readHead reads a request's head of at most limit bytes; br's buffer must be at least as large.
 func readHead(br *bufio.Reader, limit int) (*request, error) {
-	raw, err := peekHead(br, limit)
+	raw, err := parser.PeekHead(br, limit)
+	if errors.Is(err, parser.ErrTooLarge) {
+		return nil, &badRequestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: err.Error()}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -94,47 +96,24 @@
 	return r, r.parseFraming()
 }
 
-// peekHead returns the bytes of a head without consuming them.
-func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
-	for n := 1; ; {
-		if _, err := br.Peek(n); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return nil, &badRequestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the head is too large"}
-			}
-			return nil, err
-		}
-		b, err := br.Peek(br.Buffered())
-		if err != nil {
-			return nil, err
-		}
-		if i := bytes.Index(b, headEnd); i >= 0 && i+len(headEnd) <= limit {
-			return b[:i+len(headEnd)], nil
-		}
-		if len(b) > limit {
-			return nil, &badRequestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the head is too large"}
-		}
-		n = len(b) + 1
-	}
-}
-
 // parseFields checks the request line and each header line strictly, against request smuggling.
 func parseFields(raw []byte) ([]field, error) {
-	lines := strings.Split(strings.TrimSuffix(string(raw), "\r\n\r\n"), "\r\n")
-	parts := strings.Split(lines[0], " ")
-	if len(parts) != 3 || parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" || !isToken(parts[0]) {
-		return nil, badRequestf("the request line %q is malformed", lines[0])
+	line, lines, _ := strings.Cut(string(raw), "\r\n")
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" || !parser.IsToken(parts[0]) {
+		return nil, badRequestf("the request line %q is malformed", line)
 	}
-	if strings.ContainsAny(lines[0], "\r\n\x00\t") {
+	if strings.ContainsAny(line, "\r\n\x00\t") {
 		return nil, badRequestf("the request line has a control character")
 	}
-	fields := make([]field, 0, len(lines)-1)
+	parsed, err := parser.ParseFields(lines)
+	if err != nil {
+		return nil, badRequestf("the head is malformed: %v", err)
+	}
+	fields := make([]field, 0, len(parsed))
 	hosts := 0
-	for i, line := range lines[1:] {
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || !isToken(name) || strings.ContainsAny(value, "\r\n\x00") {
-			return nil, badRequestf("header line %d is malformed", i+1)
-		}
-		f := field{http.CanonicalHeaderKey(name), strings.Trim(value, " \t")}
+	for _, p := range parsed {
+		f := field{http.CanonicalHeaderKey(p.Name), p.Value}
 		if f.name == "Host" {
 			hosts++
 		}
@@ -146,17 +125,6 @@
 	return fields, nil
 }
 
-// isToken reports whether s is valid as a header name or a method.
-func isToken(s string) bool {
-	for i := range len(s) {
-		c := s[i]
-		if c <= ' ' || c >= 0x7f || strings.IndexByte(`()<>@,;:\"/[]?={}`, c) >= 0 {
-			return false
-		}
-	}
-	return s != ""
-}
-
 // parseFraming finds the body's length or transfer coding; ambiguous framing is an error.
 func (r *request) parseFraming() error {
 	lengths, codings := 0, 0
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -48,16 +48,17 @@
 	framingClose framing = "close"
 )
 
-// readResponseHead reads a response's head; a malformed status, ambiguous framing and a protocol switch are errors.
+// readResponseHead reads a response's head; malformed lines, ambiguous framing and a protocol switch are errors.
 func readResponseHead(br *bufio.Reader) (*fasthttp.ResponseHeader, error) {
-	raw, err := peekHead(br, br.Size())
+	raw, err := parser.PeekHead(br, br.Size())
 	if err != nil {
 		return nil, err
 	}
-	if _, err := parser.ParseStatus(raw); err != nil {
+	head, err := parser.ParseResponse(raw)
+	if err != nil {
 		return nil, err
 	}
-	if err := checkFraming(raw); err != nil {
+	if err := checkFraming(head.Fields); err != nil {
 		return nil, err
 	}
 	var h fasthttp.ResponseHeader
@@ -72,21 +73,19 @@
 }
 
 // checkFraming returns an error for a head whose body length two parsers could take differently.
-func checkFraming(raw []byte) error {
+func checkFraming(fields []parser.Field) error {
 	lengths, codings := 0, 0
-	for _, line := range bytes.Split(raw, []byte("\r\n"))[1:] {
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		text := strings.TrimSpace(string(value))
+	for _, f := range fields {
 		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
+		case strings.EqualFold(f.Name, "Content-Length"):
 			lengths++
-			if _, err := strconv.ParseUint(text, 10, 63); err != nil || strings.HasPrefix(text, "+") {
-				return errors.Errorf("content length %q is no number", text)
+			if _, err := strconv.ParseUint(f.Value, 10, 63); err != nil || strings.HasPrefix(f.Value, "+") {
+				return errors.Errorf("content length %q is no number", f.Value)
 			}
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		case strings.EqualFold(f.Name, "Transfer-Encoding"):
 			codings++
-			if !strings.EqualFold(text, "chunked") {
-				return errors.Errorf("transfer encoding %q is not supported", text)
+			if !strings.EqualFold(f.Value, "chunked") {
+				return errors.Errorf("transfer encoding %q is not supported", f.Value)
 			}
 		}
 	}
