Relayer: the error for a refused answer quotes none of its head

What callers saw: a 502 whose text held the server's status line, length, coding or encoding, and for a head that fasthttp refuses ("Trailer: Content-Length") up to 400 bytes of the head and of what followed it, the seal included.

--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -263,7 +263,7 @@
 	case success && len(h.Peek(e.headers.Seal)) == 0:
 		return unknownResult("answer", errors.New("a success without the server's seal")), -1
 	case success && !isUnencoded(h):
-		return unknownResult("answer", errors.Errorf("the body is encoded as %q, which nobody asked for", h.Peek("Content-Encoding"))), -1
+		return unknownResult("answer", errors.New("the body is encoded, which nobody asked for")), -1
 	case success && out.streaming && !out.canContinueWith(h):
 		return unknownResult("answer", errors.Errorf("a stream that had begun can't go on with status %d and type %q", status, h.ContentType())), -1
 	case success && a.call.route.Stream && !isBodiless(a.call.req.method, status):
--- a/stage/relayer/malformed_heads_test.go
+++ b/stage/relayer/malformed_heads_test.go
@@ -123,6 +123,34 @@
 	}
 }
 
+// The error for an answer that was refused quoted its head, and with some of them what followed it: the seal, the body, or what
+// another request's answer held.
+func TestRefusedHeadIsNotQuoted(t *testing.T) {
+	for _, row := range []struct{ name, status, line string }{
+		{"status", "HTTP/1.1 secret", "X-Sound: v"},
+		{"status with a tab", "HTTP/1.1 200\tsecret", "X-Sound: v"},
+		{"length", "HTTP/1.1 200 X", "Content-Length: secret"},
+		{"length that no library takes", "HTTP/1.1 200 X", "Content-Length: 9223372036854775807"},
+		{"coding", "HTTP/1.1 200 X", "Transfer-Encoding: secret"},
+		{"trailer that no library takes", "HTTP/1.1 200 X", "Trailer: Content-Length"},
+		{"encoding", "HTTP/1.1 200 X", "Content-Encoding: secret"},
+	} {
+		for _, path := range []string{"/once/", "/stream/"} {
+			t.Run(row.name+path, func(t *testing.T) {
+				c := qt.New(t)
+				e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+					head := strings.Replace(responseHead(r, 200, row.line, "X-Note: secret"), "HTTP/1.1 200 X", row.status, 1)
+					_, _ = io.WriteString(w, head+"payload")
+					return false
+				})
+				l := dial(c, e)
+				l.send(c, "POST", path, "x", testDeadline+": 9000", "Connection: close")
+				checkNoAnswer(c, l.receiveRaw(c))
+			})
+		}
+	}
+}
+
 // An interim answer or one to another request, of which a caller gets nothing, is held to the same rules: what follows it can't be told.
 func TestSkippedAnswerWithMalformedFieldIsNone(t *testing.T) {
 	for name, before := range map[string]string{
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -48,7 +48,8 @@
 	framingClose framing = "close"
 )
 
-// readResponseHead reads a response's head; malformed lines, ambiguous framing and a protocol switch are errors.
+// readResponseHead reads a response's head; malformed lines, ambiguous framing and a protocol switch are errors. Callers may read the
+// errors, which hold no byte of the head.
 func readResponseHead(br *bufio.Reader) (*fasthttp.ResponseHeader, error) {
 	raw, err := parser.PeekHead(br, br.Size())
 	if err != nil {
@@ -64,7 +65,8 @@
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
 	if err := h.Read(br); err != nil {
-		return nil, err
+		// The error quotes the head and what follows it.
+		return nil, errors.New("the head can't be read")
 	}
 	if h.StatusCode() == http.StatusSwitchingProtocols {
 		return nil, errors.New("the server switches to another protocol, which nobody asked for")
@@ -80,12 +82,12 @@
 		case strings.EqualFold(f.Name, "Content-Length"):
 			lengths++
 			if _, err := strconv.ParseUint(f.Value, 10, 63); err != nil || strings.HasPrefix(f.Value, "+") {
-				return errors.Errorf("content length %q is no number", f.Value)
+				return errors.New("the content length is no number")
 			}
 		case strings.EqualFold(f.Name, "Transfer-Encoding"):
 			codings++
 			if !strings.EqualFold(f.Value, "chunked") {
-				return errors.Errorf("transfer encoding %q is not supported", f.Value)
+				return errors.New("the transfer encoding is not supported")
 			}
 		}
 	}
