Relayer: an answer with a malformed trailer isn't complete

What callers saw: an answer in chunks whose trailer had a line that no head may hold, as one with a blank in a name, came through as complete. The line itself wasn't passed on.

Cause: the trailer was skipped up to an empty line, with or without a carriage return, and its lines weren't looked at.

Such an answer breaks off: 502 if nothing was sent, no last chunk otherwise. Callers' trailers are skipped as before.

--- a/stage/parser/doc.go
+++ b/stage/parser/doc.go
@@ -1,2 +1,2 @@
-// Package parser checks the heads of HTTP messages more strictly than the libraries that read the rest of them.
+// Package parser reads the heads and bodies of HTTP messages more strictly than the libraries do, which take more than the protocol allows.
 package parser
--- a/stage/relayer/attempt.go
+++ b/stage/relayer/attempt.go
@@ -15,6 +15,7 @@
 	"redwingstage.org/serving/balancer"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/logger"
+	"redwingstage.org/stage/parser"
 )
 
 const (
@@ -266,7 +267,7 @@
 		return unknownResult("answer", errors.New("the body is encoded, which nobody asked for")), -1
 	case success && out.streaming && !out.canContinueWith(h):
 		return unknownResult("answer", errors.Errorf("a stream that had begun can't go on with status %d and type %q", status, h.ContentType())), -1
-	case success && a.call.route.Stream && !isBodiless(a.call.req.method, status):
+	case success && a.call.route.Stream && !parser.IsBodiless(a.call.req.method, status):
 		return e.forwardEvents(ctx, c, h, a, out, keepAlive)
 	}
 	return e.bufferResponse(c, h, a, out, keepAlive)
--- a/stage/relayer/faulty_engines_test.go
+++ b/stage/relayer/faulty_engines_test.go
@@ -23,6 +23,7 @@
 	"redwingstage.org/serving/matcher"
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
+	"redwingstage.org/stage/parser"
 )
 
 // exploreSeeds is the number of seeds, from 0; only this package has the flag.
@@ -34,7 +35,7 @@
 	// fault is one of: torn (cut short), twice (a second copy follows), anew (the entry's resume header is ignored), unsealed,
 	// unended (no event, and no last chunk), not run.
 	fault string
-	// length is lengthChunked, lengthUntilClose, or 0 for a Content-Length.
+	// length is parser.LengthChunked, parser.LengthUntilClose, or 0 for a Content-Length.
 	length int
 	// body is an error response's body, partSize the size in bytes of the parts written, 0 for one event each.
 	body     string
@@ -142,7 +143,7 @@
 	if a.status == 421 || a.status == 503 && r.IntN(3) > 0 {
 		a.fault = "not run"
 	}
-	a.length = []int{0, lengthChunked, lengthUntilClose}[r.IntN(3)]
+	a.length = []int{0, parser.LengthChunked, parser.LengthUntilClose}[r.IntN(3)]
 	a.tornShare, a.tornAtPart, a.reset = r.Float64(), r.IntN(2) == 0, r.IntN(2) == 0
 	a.pause = time.Duration(r.IntN(4)) * time.Millisecond
 	if r.IntN(3) == 0 {
@@ -153,9 +154,9 @@
 		a.body = []string{"", "failed"}[r.IntN(2)]
 	case a.status == 204:
 		a.length = 0
-	case a.fault == "unended", a.length == lengthUntilClose && a.fault == "twice":
-		a.length = lengthChunked
-	case a.length == lengthUntilClose && a.fault == "torn":
+	case a.fault == "unended", a.length == parser.LengthUntilClose && a.fault == "twice":
+		a.length = parser.LengthChunked
+	case a.length == parser.LengthUntilClose && a.fault == "torn":
 		// A body without a length ends with its connection; a reset shows that it is incomplete, even after its last byte, or nothing but
 		// the end of its engine does.
 		a.tornShare, a.ends = min(1.3*a.tornShare, 1), !a.reset
@@ -185,7 +186,7 @@
 			parts = append(parts, string(b))
 		}
 	}
-	if a.length == lengthChunked {
+	if a.length == parser.LengthChunked {
 		for i, p := range parts {
 			parts[i] = fmt.Sprintf("%x\r\n%s\r\n", len(p), p)
 		}
@@ -207,7 +208,7 @@
 func (a engineResponse) head(r *http.Request, seal string, length int) string {
 	seal = testSeal + ": " + seal
 	var headers []string
-	if a.length == lengthChunked {
+	if a.length == parser.LengthChunked {
 		headers = append(headers, "Transfer-Encoding: chunked")
 	} else if a.length == 0 && a.status != 204 {
 		headers = append(headers, fmt.Sprintf("Content-Length: %d", length))
@@ -258,7 +259,7 @@
 	case a.ends:
 		s.setEnded(engine, true)
 	}
-	return !isTorn && a.length != lengthUntilClose
+	return !isTorn && a.length != parser.LengthUntilClose
 }
 
 // recordRun records a request at an engine and returns how the engine responds to it, and with which seal.
--- a/stage/relayer/malformed_heads_test.go
+++ b/stage/relayer/malformed_heads_test.go
@@ -293,3 +293,35 @@
 		c.Check(counted, qt.Equals, line != "X-Sound: v")
 	}
 }
+
+// A trailer is held to the rules of a head: an answer with a malformed one isn't complete.
+func TestAnswerWithMalformedTrailerIsIncomplete(t *testing.T) {
+	const body = "id: 7\ndata: payload\n\n"
+	for name, line := range malformer.Lines(testSeal, testNotRun) {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var trailer atomic.Value
+			e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+				head := responseHead(r, 200, "Transfer-Encoding: chunked")
+				_, _ = fmt.Fprintf(w, "%s%x\r\n%s\r\n0\r\n%s\r\n", head, len(body), body, trailer.Load())
+				return true
+			})
+			for _, sound := range []string{"", "X-Sound: 1\r\n"} {
+				trailer.Store(sound + line + "\r\n")
+				l := dial(c, e)
+				l.send(c, "POST", "/once/", "x", testDeadline+": 9000", "Connection: close")
+				checkNoAnswer(c, l.receiveRaw(c))
+				l = dial(c, e)
+				l.send(c, "POST", "/stream/", "x", testDeadline+": 9000", "Connection: close")
+				resp := l.receive(c)
+				c.Check(resp.body, qt.Equals, body)
+				c.Check(resp.err, qt.Equals, io.ErrUnexpectedEOF)
+
+				trailer.Store(sound)
+				l = dial(c, e)
+				l.send(c, "POST", "/once/", "x", testDeadline+": 9000", "Connection: close")
+				c.Check(l.receive(c).body, qt.Equals, body)
+			}
+		})
+	}
+}
--- a/stage/relayer/parse.go
+++ b/stage/relayer/parse.go
@@ -17,6 +17,9 @@
 	"redwingstage.org/stage/parser"
 )
 
+// maxTrailerBytes bounds the trailer after a request's last chunk.
+const maxTrailerBytes = 8 << 10
+
 // badRequestError is an invalid request, with the HTTP status and reason to respond with.
 type badRequestError struct {
 	status int
@@ -175,6 +178,24 @@
 	return discardTrailer(br)
 }
 
+// discardTrailer discards the trailer after a request's last chunk.
+func discardTrailer(br *bufio.Reader) error {
+	for n := 0; n <= maxTrailerBytes; {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+		n += len(line)
+	}
+	return errors.Errorf("more than %d bytes follow the last chunk", maxTrailerBytes)
+}
+
 // bodyError returns the error for a body that can't be read.
 func bodyError(err error) error {
 	if errors.Is(err, collector.ErrTooLarge) {
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"time"
@@ -28,14 +26,6 @@
 	maxBufferedBytes = 64 << 10
 	// maxDiscardedBytes bounds a discarded body of a response to another request.
 	maxDiscardedBytes = 1 << 20
-	// maxTrailerBytes bounds the trailer after the last chunk.
-	maxTrailerBytes = 8 << 10
-)
-
-// Lengths of a body that has no Content-Length, as fasthttp reports them.
-const (
-	lengthChunked    = -1
-	lengthUntilClose = -2
 )
 
 // framing is how the end of a response's body shows, as the log and the metrics name it.
@@ -97,73 +87,28 @@
 	return nil
 }
 
-// responseBody reads a response's body up to its end.
-type responseBody struct {
-	io.Reader
-	br *bufio.Reader
-	// length is the length in bytes, lengthChunked or lengthUntilClose; consumed is how many bytes were read.
-	length   int
-	consumed int
-	// endErr is the error that all further reads return.
-	endErr error
-}
-
-// isBodiless reports whether a response has no body.
-func isBodiless(method string, status int) bool {
-	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-}
+// responseBody is the body of a response.
+type responseBody struct{ *parser.Body }
 
 func newResponseBody(br *bufio.Reader, h *fasthttp.ResponseHeader, method string) *responseBody {
-	b := &responseBody{Reader: br, br: br, length: h.ContentLength()}
-	switch {
-	case isBodiless(method, h.StatusCode()):
-		b.length = 0
-		b.Reader = http.NoBody
-	case b.length >= 0:
-		b.Reader = io.LimitReader(br, int64(b.length))
-	case b.length == lengthChunked:
-		b.Reader = httputil.NewChunkedReader(br)
-	default:
-		b.length = lengthUntilClose
+	length := h.ContentLength()
+	if parser.IsBodiless(method, h.StatusCode()) {
+		length = 0
 	}
-	return b
+	return &responseBody{parser.NewBody(br, length)}
 }
 
 // framing returns how the body's end shows.
 func (b *responseBody) framing() framing {
-	switch b.length {
-	case lengthUntilClose:
+	switch b.Length() {
+	case parser.LengthUntilClose:
 		return framingClose
-	case lengthChunked:
+	case parser.LengthChunked:
 		return framingChunks
 	}
 	return framingLength
 }
 
-// Read implements io.Reader; io.EOF means that the body is complete.
-func (b *responseBody) Read(p []byte) (int, error) {
-	if b.endErr != nil {
-		return 0, b.endErr
-	}
-	n, err := b.Reader.Read(p)
-	b.consumed += n
-	if err == nil {
-		return n, nil
-	}
-	b.endErr = err
-	if errors.Is(err, io.EOF) {
-		switch {
-		case b.length > b.consumed:
-			b.endErr = io.ErrUnexpectedEOF
-		case b.length == lengthChunked:
-			if err := discardTrailer(b.br); err != nil {
-				b.endErr = errors.Wrap(err, "trailer")
-			}
-		}
-	}
-	return n, b.endErr
-}
-
 // readPrefix reads limit bytes, one more if the body goes on, or the complete body if it is no longer.
 func (b *responseBody) readPrefix(limit int, memory *collector.Buffer) (data []byte, complete bool, err error) {
 	// The body may have exactly limit bytes; the next byte shows whether it goes on.
@@ -186,11 +131,11 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			if b.length == lengthUntilClose {
+			if b.framing() == framingClose {
 				keepAlive = -1
 			}
 			return attemptResult{outcome: outcomeForwarded, status: h.StatusCode(), result: balancer.OK}, keepAlive
-		case err == nil && b.consumed > maxResponseBytes:
+		case err == nil && b.Consumed() > maxResponseBytes:
 			err = errors.Errorf("the answer has more than %d bytes", maxResponseBytes)
 		}
 		if err != nil {
@@ -204,7 +149,7 @@
 // discardBody discards the body of a response to another request.
 func discardBody(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	b := newResponseBody(br, h, "")
-	if b.length == lengthUntilClose {
+	if b.framing() == framingClose {
 		return errors.New("it ends with its connection")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(b, maxDiscardedBytes+1))
@@ -213,21 +158,3 @@
 	}
 	return err
 }
-
-// discardTrailer discards the trailer after the last chunk.
-func discardTrailer(br *bufio.Reader) error {
-	for n := 0; n <= maxTrailerBytes; {
-		line, err := br.ReadSlice('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				return io.ErrUnexpectedEOF
-			}
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-		n += len(line)
-	}
-	return errors.Errorf("more than %d bytes follow the last chunk", maxTrailerBytes)
-}
--- a/stage/relayer/response_writer.go
+++ b/stage/relayer/response_writer.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/stage/collector"
+	"redwingstage.org/stage/parser"
 )
 
 // writeTimeout bounds one write to a caller that doesn't read.
@@ -101,7 +102,7 @@
 	}
 	b.WriteString("\r\n")
 	switch {
-	case isBodiless(w.method, status):
+	case parser.IsBodiless(w.method, status):
 	case len(body) > serverBufferBytes:
 		// A copy would take the same memory once more.
 		return w.write(b.Bytes()) && w.write(body)
