Sender: an answer whose head or trailer has a malformed line is none

What callers saw: the same as at the entry of the users' platform, on the own interface: an answer with a blank in a field's name came through, with 3 bytes of its body for "Content-Length : 3"; an order to an engine, a poll and a cancel took such an answer for a confirmation, and "Incarnation : i" for that field. The message of a refused answer quoted its head, and a poll's the trailer too.

Cause: readAnswer checked the status line and left the rest to fasthttp, which takes more than the protocol allows and quotes what it refuses.

Change: heads, interim ones too, are read by parser.ParseResponse before fasthttp, and bodies by parser.Body, as in the relayer. Control calls check the attempt before they read the body.

--- a/stage/sender/control.go
+++ b/stage/sender/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -163,9 +164,8 @@
 	if call.timeout > 0 {
 		c.readTimeout = call.timeout
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(call.method)
 	req.SetRequestURI(call.path)
 	req.Header.SetHost(call.addr)
@@ -191,15 +191,19 @@
 	if err := c.bw.Flush(); err != nil {
 		return controlReply{}, err
 	}
-	if err := readAnswer(c.br, resp, maxControlReplyBytes); err != nil {
+	h, err := readHead(c.br)
+	if err != nil {
 		return controlReply{}, err
 	}
-	if got := string(resp.Header.Peek(marker.Attempt)); got != call.attempt {
+	if got := string(h.Peek(marker.Attempt)); got != call.attempt {
 		return controlReply{}, errors.Wrapf(errMismatch, "%s: answer names attempt %q", call.path, got)
 	}
-	return controlReply{
-		status:      resp.StatusCode(),
-		incarnation: string(resp.Header.Peek(marker.Incarnation)),
-		body:        append([]byte{}, resp.Body()...),
-	}, nil
+	body, err := io.ReadAll(io.LimitReader(newBody(c.br, h, call.method), maxControlReplyBytes+1))
+	if err != nil {
+		return controlReply{}, err
+	}
+	if len(body) > maxControlReplyBytes {
+		return controlReply{}, errOversized
+	}
+	return controlReply{status: h.StatusCode(), incarnation: string(h.Peek(marker.Incarnation)), body: body}, nil
 }
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -24,8 +23,6 @@
 	defaultReadTimeout      = 1 * time.Second
 	defaultFirstByteTimeout = 2 * time.Second
 	bodyEndTimeout          = 20 * time.Millisecond
-	// lengthUntilClose is fasthttp's length of a body that ends with its connection.
-	lengthUntilClose = -2
 	// maxInterimAnswers bounds the 1xx responses before an answer.
 	maxInterimAnswers = 8
 )
@@ -147,38 +144,32 @@
 		}
 		return Reply{End: unknownEnd(err)}, false
 	}
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	resp.StreamBody, resp.SkipBody = true, call.Method == http.MethodHead
 	c.readTimeout = s.firstByteTimeout
 	if call.FirstByteTimeout > 0 {
 		c.readTimeout = call.FirstByteTimeout
 	}
-	if err := readAnswer(c.br, resp, 0); err != nil {
+	h, err := readHead(c.br)
+	if err != nil {
 		return Reply{End: unknownEnd(err)}, false
 	}
-	reply := Reply{Status: resp.StatusCode(), Incarnation: string(resp.Header.Peek(marker.Incarnation))}
-	reply.Type = string(resp.Header.ContentType())
-	if err := s.checkEcho(&resp.Header, call); err != nil {
+	reply := Reply{Status: h.StatusCode(), Incarnation: string(h.Peek(marker.Incarnation))}
+	reply.Type = string(h.ContentType())
+	if err := s.checkEcho(h, call); err != nil {
 		reply.End = unknownEnd(err)
 		return reply, false
 	}
-	body := resp.BodyStream()
-	if body == nil {
-		// fasthttp returns nil if the status or the method allows no body.
-		body = http.NoBody
-	}
+	body := newBody(c.br, h, call.Method)
 	if call.Stream && reply.Status == fasthttp.StatusOK {
 		reusable := s.readStream(c, body, call, sink, &reply)
-		return reply, reusable && !resp.ConnectionClose()
+		return reply, reusable && !h.ConnectionClose()
 	}
 	reusable := s.readWhole(body, call, &reply)
-	if reply.End.Outcome == retrier.Done && resp.Header.ContentLength() == lengthUntilClose && body != http.NoBody {
+	if reply.End.Outcome == retrier.Done && body.Length() == parser.LengthUntilClose {
 		if err := s.confirmEnd(ctx, call, reply.Incarnation); err != nil {
 			reply.End, reply.Finished = unknownEnd(errors.Wrap(err, "answer without a length")), false
 		}
 	}
-	return reply, reusable && !resp.ConnectionClose()
+	return reply, reusable && !h.ConnectionClose()
 }
 
 // confirmEnd returns nil if the server's process outlived its answer: the kernel ends the connections of one that is killed in order, too.
@@ -195,25 +186,38 @@
 	return nil
 }
 
-// readAnswer reads an answer after the interim ones before it; 0 is no limit of its body. An answer without a status is an error.
-func readAnswer(br *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
+// readHead reads the head of an answer after the interim ones before it. Callers may read the errors, which hold no byte of a head.
+func readHead(br *bufio.Reader) (*fasthttp.ResponseHeader, error) {
 	for range maxInterimAnswers {
-		status, err := parser.PeekStatus(br)
+		raw, err := parser.PeekHead(br, br.Size())
+		if err != nil {
+			return nil, err
+		}
+		head, err := parser.ParseResponse(raw)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if status == fasthttp.StatusSwitchingProtocols {
-			return errors.New("the server switches to another protocol, which nobody asked for")
+		if head.Status == fasthttp.StatusSwitchingProtocols {
+			return nil, errors.New("the server switches to another protocol, which nobody asked for")
 		}
-		if status >= fasthttp.StatusOK {
-			return resp.ReadLimitBody(br, maxBody)
+		var h fasthttp.ResponseHeader
+		if err := h.Read(br); err != nil {
+			// The error quotes the head and what follows it.
+			return nil, errors.New("the head can't be read")
 		}
-		var interim fasthttp.ResponseHeader
-		if err := interim.Read(br); err != nil {
-			return err
+		if head.Status >= fasthttp.StatusOK {
+			return &h, nil
 		}
 	}
-	return errors.New("too many interim answers")
+	return nil, errors.New("too many interim answers")
+}
+
+// newBody returns the body of the answer to a call with the method.
+func newBody(br *bufio.Reader, h *fasthttp.ResponseHeader, method string) *parser.Body {
+	if parser.IsBodiless(method, h.StatusCode()) {
+		return parser.NewBody(br, 0)
+	}
+	return parser.NewBody(br, h.ContentLength())
 }
 
 // checkEcho compares the identifiers echoed in the answer's header with those of the call.
