Tunneler: a malformed head opens no connection through another entry

What happened: whatever answered at another entry's tunnel address, such as another process that had got the address, opened a connection to a server if its first line had "200" at the right place ("HTTP/1.1 2000", "FTP/1.1 200"), with blanks in names, folded lines and bare line feeds in the head.

Cause: textproto takes such heads, and the status was compared as a prefix.

Change: Dial reads the head by parser.ParseResponse; anything malformed is ErrPeer, so that the next entry is tried.

--- a/stage/parser/head.go
+++ b/stage/parser/head.go
@@ -27,6 +27,16 @@
 	Fields []Field
 }
 
+// Get returns the value of the first field with the name, "" if there is none.
+func (r Response) Get(name string) string {
+	for _, f := range r.Fields {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
 // PeekHead returns the bytes of a head up to its empty line without consuming them; br's buffer must hold limit bytes. Errors are
 // those of reading, or ErrTooLarge.
 func PeekHead(br *bufio.Reader, limit int) ([]byte, error) {
--- a/stage/parser/head_test.go
+++ b/stage/parser/head_test.go
@@ -76,6 +76,13 @@
 	}
 }
 
+func TestGet(t *testing.T) {
+	r, err := ParseResponse([]byte("HTTP/1.1 200 OK\r\nA: b\r\nC: d\r\nc: e\r\n\r\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, r.Get("c"), qt.Equals, "d")
+	qt.Check(t, r.Get("X"), qt.Equals, "")
+}
+
 // All bytes that a name may hold, and no others.
 func TestIsToken(t *testing.T) {
 	const valid = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
--- a/stage/tunneler/dial.go
+++ b/stage/tunneler/dial.go
@@ -7,12 +7,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/textproto"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"redwingstage.org/stage/parser"
 )
 
 // Errors of Dial.
@@ -46,11 +45,10 @@
 		return false, errors.Wrap(ErrPeer, err.Error())
 	}
 	// What follows the head belongs to the server's connection.
-	head := textproto.NewReader(bufio.NewReaderSize(singleByteReader{io.LimitReader(c, maxHeadBytes)}, maxHeadBytes))
-	line, err := head.ReadLine()
-	var fields textproto.MIMEHeader
+	raw, err := parser.PeekHead(bufio.NewReaderSize(singleByteReader{c}, maxHeadBytes), maxHeadBytes)
+	var head parser.Response
 	if err == nil {
-		fields, err = head.ReadMIMEHeader()
+		head, err = parser.ParseResponse(raw)
 	}
 	if err != nil {
 		return false, errors.Wrap(ErrPeer, err.Error())
@@ -58,14 +56,13 @@
 	if !stop() {
 		return false, errors.Wrap(ErrPeer, context.Cause(ctx).Error())
 	}
-	_, status, _ := strings.Cut(line, " ")
-	switch {
-	case strings.HasPrefix(status, strconv.Itoa(http.StatusOK)):
-		return fields.Get(framing) == framed, nil
-	case strings.HasPrefix(status, strconv.Itoa(http.StatusBadGateway)):
+	switch head.Status {
+	case http.StatusOK:
+		return head.Get(framing) == framed, nil
+	case http.StatusBadGateway:
 		return false, ErrServer
 	}
-	return false, errors.Wrap(ErrPeer, status)
+	return false, errors.Wrapf(ErrPeer, "status %d", head.Status)
 }
 
 // singleByteReader reads one byte at a time.
