Operator: an answer whose head has a malformed line is none

What happened: whatever answered at a replica's address was taken for the operators' API with a status of 000, blanks in names, folded lines or bare line feeds in its head, so that a change looked as if it were in force; explain took such an answer for an entry's.

Cause: fasthttp's and net/http's clients read these heads.

--- a/stage/operator/client.go
+++ b/stage/operator/client.go
@@ -37,7 +37,7 @@
 	c := &client{addrs: addrs, token: token, scheme: "http://", sleep: sleep, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1, // client.send retries what is safe to repeat
 		MaxConnsPerHost:           1,
-		Dial:                      dial,
+		Dial:                      dialPlain,
 	}}
 	if tlsCfg != nil {
 		c.scheme = "https://"
--- a/stage/operator/dial.go
+++ b/stage/operator/dial.go
@@ -10,10 +10,15 @@
 	"github.com/valyala/fasthttp"
 
 	"redwingstage.org/stage/certifier"
+	"redwingstage.org/stage/parser"
 )
 
-// dialTimeout bounds one attempt to connect to a replica.
-const dialTimeout = 2 * time.Second
+const (
+	// dialTimeout bounds one attempt to connect to a replica.
+	dialTimeout = 2 * time.Second
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 4 << 10
+)
 
 func dial(addr string) (net.Conn, error) {
 	c, err := fasthttp.DialTimeout(addr, dialTimeout)
@@ -23,6 +28,20 @@
 	return c, nil
 }
 
+func dialPlain(addr string) (net.Conn, error) {
+	c, err := dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return parser.NewConn(c, maxHeadBytes), nil
+}
+
+// tlsConn is a connection over TLS.
+type tlsConn struct{ *parser.Conn }
+
+// Handshake is how fasthttp tells that a connection has TLS; the handshake was made.
+func (*tlsConn) Handshake() error { return nil }
+
 // dialTLS completes the handshake, so that a replica without a trusted certificate gets neither token nor change.
 func dialTLS(addr string, cfg *tls.Config) (net.Conn, error) {
 	c, err := dial(addr)
@@ -31,9 +50,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	tlsConn, err := certifier.Handshake(ctx, c, addr, cfg)
+	checked, err := certifier.Handshake(ctx, c, addr, cfg)
 	if err != nil {
 		return nil, &dialError{err: errors.Join(err, c.Close())}
 	}
-	return tlsConn, nil
+	return &tlsConn{parser.NewConn(checked, maxHeadBytes)}, nil
 }
--- a/stage/operator/explain.go
+++ b/stage/operator/explain.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"redwingstage.org/stage/parser"
 )
 
 const (
@@ -145,7 +148,8 @@
 		return nil, errors.Wrap(err, "make the call")
 	}
 	r.Header.Set("Content-Type", "application/json")
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	transport := &http.Transport{DialContext: parser.DialContext(new(net.Dialer), maxHeadBytes), DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: transport}).Do(r)
 	if err != nil {
 		return nil, &entryError{err: err}
 	}
--- a/stage/parser/conn.go
+++ b/stage/parser/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,17 @@
 // NewConn returns a Conn over c.
 func NewConn(c net.Conn, maxHead int) *Conn { return &Conn{Conn: c, maxHead: maxHead} }
 
+// DialContext returns a function for http.Transport that opens Conns by d.
+func DialContext(d *net.Dialer, maxHead int) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c, maxHead), nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.awaitsHead.Store(true)
--- a/stage/parser/conn_test.go
+++ b/stage/parser/conn_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -82,13 +81,7 @@
 	}
 	srv.Start()
 	defer srv.Close()
-	tr := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := new(net.Dialer).DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(c, 4096), nil
-	}}
+	tr := &http.Transport{DialContext: DialContext(new(net.Dialer), 4096)}
 	defer tr.CloseIdleConnections()
 	for i := range 20 {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("%s/%d", srv.URL, i), strings.NewReader(strings.Repeat("x", i)))
