Parser: chunks in an answer that isn't HTTP/1.1, and ambiguous lengths, are no answer wherever answers are read

What callers saw: the chunks' sizes as part of a complete body, for an answer in chunks whose version is HTTP/1.0 or 1.2 to 1.9; on the own interface also one of the readings of an answer with a length and chunks.

Cause: fasthttp ignores a transfer encoding outside HTTP/1.1 and reads up to the connection's end, which checkFraming didn't know; the sender had no such check.

Change: parser.ParseResponse checks the framing too, with the version. It was checkFraming of the relayer before; sender, orders, reports, tunnels and the operators' command line get it with the head.

Evidence: on the code before, 6 of 6 cases of TestChunksOutsideHTTP11AreNoAnswer and 2 of 7 of the sender's TestAnswerWithAmbiguousLengthIsUnknown failed; all pass now.

--- a/stage/parser/conn.go
+++ b/stage/parser/conn.go
@@ -46,7 +46,7 @@
 	return c.Conn.Write(p)
 }
 
-// Read implements net.Conn; errors of heads wrap ErrStatus, ErrField or ErrTooLarge.
+// Read implements net.Conn; errors of heads wrap ErrStatus, ErrField, ErrFraming or ErrTooLarge.
 func (c *Conn) Read(p []byte) (int, error) {
 	for c.headErr == nil && len(c.checked) == 0 {
 		n, err := c.Conn.Read(p)
--- a/stage/parser/head.go
+++ b/stage/parser/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -12,6 +13,8 @@
 var (
 	// ErrField is the error for a field line that is malformed.
 	ErrField = errors.New("malformed field line")
+	// ErrFraming is the error for a head whose body's length two readers could take differently.
+	ErrFraming = errors.New("ambiguous length")
 	// ErrTooLarge is the error for a head that doesn't end within its limit.
 	ErrTooLarge = errors.New("the head is too large")
 )
@@ -61,7 +64,7 @@
 	}
 }
 
-// ParseResponse parses the head of a response, up to its empty line; the error wraps ErrStatus or ErrField.
+// ParseResponse parses the head of a response, up to its empty line; the error wraps ErrStatus, ErrField or ErrFraming.
 func ParseResponse(head []byte) (Response, error) {
 	status, err := ParseStatus(head)
 	if err != nil {
@@ -75,9 +78,38 @@
 	if err != nil {
 		return Response{}, err
 	}
+	if err := checkFraming(strings.HasPrefix(line, "HTTP/1.1 "), fields); err != nil {
+		return Response{}, err
+	}
 	return Response{Status: status, Fields: fields}, nil
 }
 
+// checkFraming returns an error if two readers could take the length of a body differently; isHTTP11 is set for the version with chunks.
+func checkFraming(isHTTP11 bool, fields []Field) error {
+	lengths, codings := 0, 0
+	for _, f := range fields {
+		switch {
+		case strings.EqualFold(f.Name, "Content-Length"):
+			lengths++
+			if _, err := strconv.ParseUint(f.Value, 10, 63); err != nil || strings.HasPrefix(f.Value, "+") {
+				return errors.Wrap(ErrFraming, "the content length is no number")
+			}
+		case strings.EqualFold(f.Name, "Transfer-Encoding"):
+			codings++
+			if !strings.EqualFold(f.Value, "chunked") {
+				return errors.Wrap(ErrFraming, "the transfer encoding is not supported")
+			}
+		}
+	}
+	switch {
+	case lengths+codings > 1:
+		return errors.Wrap(ErrFraming, "more than one length or transfer encoding")
+	case codings > 0 && !isHTTP11:
+		return errors.Wrap(ErrFraming, "chunks in a version without them")
+	}
+	return nil
+}
+
 // ParseFields parses field lines up to the empty line after them; the error wraps ErrField.
 //
 // net/http and fasthttp also take lines without a carriage return, folded lines, and blanks within and after names.
--- a/stage/parser/head_test.go
+++ b/stage/parser/head_test.go
@@ -67,6 +67,13 @@
 		{"\r\nHTTP/1.1 200 OK\r\n\r\n", 0, ErrStatus},
 		{"HTTP/1.1 200 OK\r\nA : b\r\n\r\n", 0, ErrField},
 		{"HTTP/1.1 200 OK\r\n", 0, ErrField},
+		{"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n", 200, nil},
+		{"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n", 200, nil},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 0, ErrFraming},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", 0, ErrFraming},
+		{"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\n", 0, ErrFraming},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\ncontent-length: 2\r\n\r\n", 0, ErrFraming},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", 0, ErrFraming},
 	} {
 		t.Run(row.head, func(t *testing.T) {
 			got, err := ParseResponse([]byte(row.head))
--- a/stage/relayer/malformed_heads_test.go
+++ b/stage/relayer/malformed_heads_test.go
@@ -325,3 +325,20 @@
 		})
 	}
 }
+
+// Chunks in an answer that isn't HTTP/1.1 were passed on as its body, sizes included: the library doesn't read them there.
+func TestChunksOutsideHTTP11AreNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2", "HTTP/1.9"} {
+		for _, path := range []string{"/once/", "/stream/"} {
+			t.Run(version+path, func(t *testing.T) {
+				c := qt.New(t)
+				var answer atomic.Value
+				e, _ := startAnswering(c, &answer)
+				answer.Store(fmt.Sprintf("%s 200 X\r\n%s: id-1\r\n%s: seal\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nid: 7\ndata: payload\n\n\r\n0\r\n\r\n", version, testAttempt, testSeal))
+				l := dial(c, e)
+				l.send(c, "POST", path, "x", testDeadline+": 9000", "Connection: close")
+				checkNoAnswer(c, l.receiveRaw(c))
+			})
+		}
+	}
+}
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,11 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	head, err := parser.ParseResponse(raw)
-	if err != nil {
-		return nil, err
-	}
-	if err := checkFraming(head.Fields); err != nil {
+	if _, err := parser.ParseResponse(raw); err != nil {
 		return nil, err
 	}
 	var h fasthttp.ResponseHeader
@@ -64,29 +58,6 @@
 	return &h, nil
 }
 
-// checkFraming returns an error for a head whose body length two parsers could take differently.
-func checkFraming(fields []parser.Field) error {
-	lengths, codings := 0, 0
-	for _, f := range fields {
-		switch {
-		case strings.EqualFold(f.Name, "Content-Length"):
-			lengths++
-			if _, err := strconv.ParseUint(f.Value, 10, 63); err != nil || strings.HasPrefix(f.Value, "+") {
-				return errors.New("the content length is no number")
-			}
-		case strings.EqualFold(f.Name, "Transfer-Encoding"):
-			codings++
-			if !strings.EqualFold(f.Value, "chunked") {
-				return errors.New("the transfer encoding is not supported")
-			}
-		}
-	}
-	if lengths+codings > 1 {
-		return errors.New("the length of the answer is ambiguous")
-	}
-	return nil
-}
-
 // responseBody is the body of a response.
 type responseBody struct{ *parser.Body }
 
--- a/stage/sender/malformed_heads_test.go
+++ b/stage/sender/malformed_heads_test.go
@@ -123,3 +123,20 @@
 		checkNoAnswer(t, "HTTP/1.1 200 OK\r\n"+lines+"\r\npayload")
 	}
 }
+
+// An answer whose length two readers could take differently was read by one of them.
+func TestAnswerWithAmbiguousLengthIsUnknown(t *testing.T) {
+	for _, row := range []struct{ name, version, lines, body string }{
+		{"two lengths", "HTTP/1.1", "Content-Length: 2\r\nContent-Length: 2\r\n", "{}"},
+		{"a list of lengths", "HTTP/1.1", "Content-Length: 2, 2\r\n", "{}"},
+		{"a length with a sign", "HTTP/1.1", "Content-Length: +2\r\n", "{}"},
+		{"a length and chunks", "HTTP/1.1", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"},
+		{"two codings", "HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"},
+		{"another coding", "HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"},
+		{"chunks in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			checkNoAnswer(t, fmt.Sprintf("%s 200 OK\r\n%s: a\r\n%s\r\n%s", row.version, marker.Attempt, row.lines, row.body))
+		})
+	}
+}
