Relayer: an answer with several lines of Content-Encoding is judged by all of them

What callers saw: an encoded body as a plain one, for an answer with "Content-Encoding: gzip" and a second line with "identity" or nothing.

Cause: fasthttp keeps the last line of this field alone, so that neither the check for an encoding nor the caller saw the first.

Change: the field has the list of all lines.

--- a/stage/parser/head.go
+++ b/stage/parser/head.go
@@ -30,14 +30,15 @@
 	Fields []Field
 }
 
-// Get returns the value of the first field with the name, "" if there is none.
+// Get returns the values of the fields with the name, joined as a list, "" if there is none.
 func (r Response) Get(name string) string {
+	var values []string
 	for _, f := range r.Fields {
 		if strings.EqualFold(f.Name, name) {
-			return f.Value
+			values = append(values, f.Value)
 		}
 	}
-	return ""
+	return strings.Join(values, ", ")
 }
 
 // PeekHead returns the bytes of a head up to its empty line without consuming them; br's buffer must hold limit bytes. Errors are
--- a/stage/relayer/malformed_heads_test.go
+++ b/stage/relayer/malformed_heads_test.go
@@ -342,3 +342,24 @@
 		}
 	}
 }
+
+// The library keeps the last line of a repeated Content-Encoding: an encoded body was passed on as a plain one.
+func TestAnswerWithRepeatedEncodingIsNone(t *testing.T) {
+	for _, lines := range []string{
+		"Content-Encoding: gzip\r\nContent-Encoding: identity", "Content-Encoding: identity\r\ncontent-encoding: gzip",
+		"Content-Encoding: gzip\r\nContent-Encoding:", "Content-Encoding: identity, gzip",
+	} {
+		for _, path := range []string{"/once/", "/stream/"} {
+			t.Run(lines+path, func(t *testing.T) {
+				c := qt.New(t)
+				e, _ := startScripted(c, func(w io.Writer, _ int, r *http.Request) bool {
+					_, _ = io.WriteString(w, responseHead(r, 200, lines, "Content-Length: 21")+"id: 7\ndata: payload\n\n")
+					return true
+				})
+				l := dial(c, e)
+				l.send(c, "POST", path, "x", testDeadline+": 9000", "Connection: close")
+				checkNoAnswer(c, l.receiveRaw(c))
+			})
+		}
+	}
+}
--- a/stage/relayer/response_body.go
+++ b/stage/relayer/response_body.go
@@ -43,7 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := parser.ParseResponse(raw); err != nil {
+	head, err := parser.ParseResponse(raw)
+	if err != nil {
 		return nil, err
 	}
 	var h fasthttp.ResponseHeader
@@ -52,6 +53,10 @@
 		// The error quotes the head and what follows it.
 		return nil, errors.New("the head can't be read")
 	}
+	if v := head.Get("Content-Encoding"); v != "" {
+		// The library keeps the last one of several lines.
+		h.SetContentEncoding(v)
+	}
 	if h.StatusCode() == http.StatusSwitchingProtocols {
 		return nil, errors.New("the server switches to another protocol, which nobody asked for")
 	}
