--- a/stage/operator/malformed_heads_test.go
+++ b/stage/operator/malformed_heads_test.go
@@ -1,11 +1,7 @@
 package operator
 
 import (
-	"bufio"
-	"fmt"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,22 +14,9 @@
 // for what an entry tells.
 func TestAnswerWithMalformedHeadIsNone(t *testing.T) {
 	c := quicktest.New(t)
-	var answer atomic.Value
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	srv, err := malformer.NewServer()
 	c.Assert(err, quicktest.IsNil)
-	c.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = fmt.Fprint(conn, answer.Load())
-			}
-			_ = conn.Close()
-		}
-	}()
+	c.Cleanup(srv.Close)
 	answers := []string{
 		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 103 X\r\nX Secret: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
@@ -46,14 +29,13 @@
 		framing := []string{"Content-Length: 2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "\r\n{}"}[i%3]
 		answers = append(answers, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+framing)
 	}
-	addr := ln.Addr().String()
 	for _, text := range answers {
-		answer.Store(text)
-		cl := newClient([]string{addr}, testToken, nil, func(time.Duration) {})
+		srv.SetAnswer(text)
+		cl := newClient([]string{srv.Addr()}, testToken, nil, func(time.Duration) {})
 		b, err := cl.send(apiCall{method: http.MethodPost, path: "/x", body: struct{}{}, changeID: "c-1"})
 		c.Check(err, quicktest.IsNotNil, quicktest.Commentf("%q: %q", text, b))
 		cl.close()
-		b, err = askEntry(addr, explainRequest{})
+		b, err = askEntry(srv.Addr(), explainRequest{})
 		c.Check(err, quicktest.IsNotNil, quicktest.Commentf("%q: %q", text, b))
 	}
 }
--- a/stage/tunneler/tunneler_test.go
+++ b/stage/tunneler/tunneler_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"strings"
@@ -266,8 +265,9 @@
 // A head that isn't one of an entry, such as that of another process at its address, opened a connection.
 func TestMalformedHeadOpensNoConnection(t *testing.T) {
 	c := qt.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	srv, err := malformer.NewServer()
 	c.Assert(err, qt.IsNil)
+	c.Cleanup(srv.Close)
 	heads := []string{"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "FTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\nX: y\r\n\r\n", "HTTP/1.1 200 OK\n\n"}
 	for _, line := range malformer.Lines("Redwing-Framing") {
 		heads = append(heads, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n", "HTTP/1.1 502 Bad Gateway\r\n"+line+"\r\n\r\n")
@@ -275,29 +275,12 @@
 	for _, line := range malformer.Bytes() {
 		heads = append(heads, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n")
 	}
-	next := make(chan string, 1)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, <-next)
-			}
-			_ = conn.Close()
-		}
-	}()
 	for _, head := range heads {
-		next <- head
-		conn, err := tunneler.Dial(context.Background(), new(net.Dialer), ln.Addr().String(), "127.0.0.1:1")
+		srv.SetAnswer(head)
+		conn, err := tunneler.Dial(context.Background(), new(net.Dialer), srv.Addr(), "127.0.0.1:1")
 		c.Check(err, qt.ErrorIs, tunneler.ErrPeer, qt.Commentf("%q", head))
 		if err == nil {
 			_ = conn.Close()
 		}
 	}
-	_ = ln.Close()
-	<-done
 }
--- a/standin/malformer/doc.go
+++ b/standin/malformer/doc.go
@@ -1,2 +1,2 @@
-// Package malformer lists lines that no head of an HTTP message may hold, for tests of what reads heads.
+// Package malformer has malformed heads of HTTP messages and a server that sends them, for tests of what reads heads.
 package malformer
