Parser: a response's head has accessors, and PeekStatus goes

Nothing reads a status alone any more. Its rows in TestParseStatus go through PeekHead and ParseResponse now, which ask for the same and for a sound head.

--- a/stage/parser/conn.go
+++ b/stage/parser/conn.go
@@ -88,7 +88,7 @@
 			return err
 		}
 		c.checked, c.pending = append(c.checked, c.pending[:n]...), c.pending[n:]
-		if head.Status >= http.StatusOK || head.Status == http.StatusSwitchingProtocols {
+		if head.Status() >= http.StatusOK || head.Status() == http.StatusSwitchingProtocols {
 			c.awaitsHead.Store(false)
 		}
 	}
--- a/stage/parser/head.go
+++ b/stage/parser/head.go
@@ -26,14 +26,17 @@
 
 // Response is the head of a response.
 type Response struct {
-	Status int
-	Fields []Field
+	status int
+	fields []Field
 }
 
+// Status returns the status, from 100 to 599.
+func (r Response) Status() int { return r.status }
+
 // Get returns the values of the fields with the name, joined as a list, "" if there is none.
 func (r Response) Get(name string) string {
 	var values []string
-	for _, f := range r.Fields {
+	for _, f := range r.fields {
 		if strings.EqualFold(f.Name, name) {
 			values = append(values, f.Value)
 		}
@@ -82,7 +85,7 @@
 	if err := checkFraming(strings.HasPrefix(line, "HTTP/1.1 "), fields); err != nil {
 		return Response{}, err
 	}
-	return Response{Status: status, Fields: fields}, nil
+	return Response{status: status, fields: fields}, nil
 }
 
 // checkFraming returns an error if two readers could take the length of a body differently; isHTTP11 is set for the version with chunks.
--- a/stage/parser/head_test.go
+++ b/stage/parser/head_test.go
@@ -77,7 +77,7 @@
 	} {
 		t.Run(row.head, func(t *testing.T) {
 			got, err := ParseResponse([]byte(row.head))
-			qt.Check(t, got.Status, qt.Equals, row.status)
+			qt.Check(t, got.Status(), qt.Equals, row.status)
 			qt.Check(t, errors.Is(err, row.err), qt.IsTrue, qt.Commentf("%v", err))
 		})
 	}
--- a/stage/parser/status.go
+++ b/stage/parser/status.go
@@ -1,7 +1,6 @@
 package parser
 
 import (
-	"bufio"
 	"bytes"
 
 	"github.com/go-faster/errors"
@@ -37,15 +36,4 @@
 	return status, nil
 }
 
-// PeekStatus returns the status of the response that br returns next, without consuming it; errors are those of reading, or wrap
-// ErrStatus.
-func PeekStatus(br *bufio.Reader) (int, error) {
-	// A valid head has at least the line's end after its status.
-	head, err := br.Peek(statusEnd + 1)
-	if err != nil {
-		return 0, err
-	}
-	return ParseStatus(head)
-}
-
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- a/stage/parser/status_test.go
+++ b/stage/parser/status_test.go
@@ -41,8 +41,10 @@
 				qt.Check(t, err, qt.IsNil)
 			}
 			br := bufio.NewReader(strings.NewReader(row.line + "\r\nX: y\r\n\r\n"))
-			status, err = PeekStatus(br)
-			qt.Check(t, status, qt.Equals, row.status)
+			head, err := PeekHead(br, br.Size())
+			qt.Assert(t, err, qt.IsNil)
+			r, err := ParseResponse(head)
+			qt.Check(t, r.Status(), qt.Equals, row.status)
 			qt.Check(t, err == nil, qt.Equals, row.status > 0)
 		})
 	}
--- a/stage/sender/sender.go
+++ b/stage/sender/sender.go
@@ -197,7 +197,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if head.Status == fasthttp.StatusSwitchingProtocols {
+		if head.Status() == fasthttp.StatusSwitchingProtocols {
 			return nil, errors.New("the server switches to another protocol, which nobody asked for")
 		}
 		var h fasthttp.ResponseHeader
@@ -205,7 +205,7 @@
 			// The error quotes the head and what follows it.
 			return nil, errors.New("the head can't be read")
 		}
-		if head.Status >= fasthttp.StatusOK {
+		if head.Status() >= fasthttp.StatusOK {
 			return &h, nil
 		}
 	}
--- a/stage/tunneler/dial.go
+++ b/stage/tunneler/dial.go
@@ -56,13 +56,13 @@
 	if !stop() {
 		return false, errors.Wrap(ErrPeer, context.Cause(ctx).Error())
 	}
-	switch head.Status {
+	switch head.Status() {
 	case http.StatusOK:
 		return head.Get(framing) == framed, nil
 	case http.StatusBadGateway:
 		return false, ErrServer
 	}
-	return false, errors.Wrapf(ErrPeer, "status %d", head.Status)
+	return false, errors.Wrapf(ErrPeer, "status %d", head.Status())
 }
 
 // singleByteReader reads one byte at a time.
