Test: random streams over faulty engines have malformed heads too

The engines of TestRandomStreamsOverFaultyEngines drew no malformed head. A second test draws a malformed line for a third of their responses: none of these may reach the caller, and a refusal with one counts as a run. The seeds of the first test draw what they did.

--- a/stage/relayer/faulty_engines_test.go
+++ b/stage/relayer/faulty_engines_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 	"redwingstage.org/serving/tracker"
 	"redwingstage.org/stage/governor"
 	"redwingstage.org/stage/parser"
+	"redwingstage.org/standin/malformer"
 )
 
 // exploreSeeds is the number of seeds, from 0; only this package has the flag.
@@ -37,6 +39,8 @@
 	fault string
 	// length is parser.LengthChunked, parser.LengthUntilClose, or 0 for a Content-Length.
 	length int
+	// malformed is a line of the head that no head may hold, or "".
+	malformed string
 	// body is an error response's body, partSize the size in bytes of the parts written, 0 for one event each.
 	body     string
 	partSize int
@@ -219,6 +223,9 @@
 	case "unsealed":
 		seal = "X-Lost: 1"
 	}
+	if a.malformed != "" {
+		headers = append(headers, a.malformed)
+	}
 	return strings.Replace(responseHead(r, a.status, headers...), testSeal+": seal", seal, 1)
 }
 
@@ -374,7 +381,7 @@
 	defer s.mu.Unlock()
 	ran, err := 0, s.checkSeal(got)
 	for _, r := range s.runs {
-		if r.fault != "not run" {
+		if r.fault != "not run" || r.malformed != "" {
 			ran++
 		}
 		if len(r.resumes) > 1 || len(r.resumes) == 1 && !slices.Contains(s.ids, r.resumes[0]) {
@@ -405,6 +412,8 @@
 		return nil
 	case i < 0 || got.header.Get(testAttempt) != "id-1":
 		return errors.Errorf("a response with the unknown seal %q or another attempt id", seal)
+	case s.runs[i].malformed != "":
+		return errors.Errorf("the seal of a response with the malformed line %q", s.runs[i].malformed)
 	case s.runs[i].status != got.status:
 		return errors.Errorf("status %d with the seal of a response with status %d", got.status, s.runs[i].status)
 	case isSuccess(got.status) && strings.Join(s.runs[i].resumes, "") != s.resume:
@@ -486,3 +495,26 @@
 		})
 	}
 }
+
+// TestRandomStreamsOverMalformedHeads does the same with a malformed line in some of the heads: they are no responses, and prove
+// nothing. A seed runs alone by its subtest's name.
+func TestRandomStreamsOverMalformedHeads(t *testing.T) {
+	lines := slices.Sorted(maps.Values(malformer.Lines(testSeal, testNotRun)))
+	for seed := range uint64(max(*exploreSeeds/4, 0)) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			s := randomScenario(seed)
+			r := rand.New(rand.NewPCG(seed, 2))
+			for _, script := range s.scripts {
+				for i := range script {
+					if r.IntN(3) == 0 {
+						script[i].malformed = lines[r.IntN(len(lines))]
+					}
+				}
+			}
+			if err := s.check(qt.New(t)); err != nil {
+				t.Errorf("seed %d: %v\n%s", seed, err, s.describe())
+			}
+		})
+	}
+}
