Parser: a head that comes together with its connection's end is checked too

What happened: over TLS a read may return an answer's bytes and the end at once. parser.Conn passed such bytes on unchecked, or lost them after the beginning of a head: the operators' command line took a malformed head, or no sound answer.

Cause: Read looked at the error before the bytes. Its test made each kind of reader for the first size alone, and none returned bytes with an end.

Change: bytes are checked first, and the end is left to the next read, which returns it again.

--- a/stage/operator/dial.go
+++ b/stage/operator/dial.go
@@ -50,9 +50,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	checked, err := certifier.Handshake(ctx, c, addr, cfg)
+	secure, err := certifier.Handshake(ctx, c, addr, cfg)
 	if err != nil {
 		return nil, &dialError{err: errors.Join(err, c.Close())}
 	}
-	return &tlsConn{parser.NewConn(checked, maxHeadBytes)}, nil
+	return &tlsConn{parser.NewConn(secure, maxHeadBytes)}, nil
 }
--- a/stage/parser/conn.go
+++ b/stage/parser/conn.go
@@ -51,11 +51,14 @@
 	for c.headErr == nil && len(c.checked) == 0 {
 		n, err := c.Conn.Read(p)
 		switch {
-		case errors.Is(err, io.EOF) && len(c.pending) > 0:
-			return 0, io.ErrUnexpectedEOF
-		case err != nil || !c.awaitsHead.Load():
+		case !c.awaitsHead.Load():
 			return n, err
+		case n == 0 && errors.Is(err, io.EOF) && len(c.pending) > 0:
+			return 0, io.ErrUnexpectedEOF
+		case n == 0:
+			return 0, err
 		}
+		// An end that came with bytes, as over TLS, comes again with the next read.
 		c.pending = append(c.pending, p[:n]...)
 		c.headErr = c.checkHeads()
 	}
--- a/stage/parser/conn_test.go
+++ b/stage/parser/conn_test.go
@@ -46,19 +46,20 @@
 		{"cut", "HTTP/1.1 200 OK\r\nA: b", "", io.ErrUnexpectedEOF},
 		{"nothing", "", "", nil},
 	} {
-		for name, r := range map[string]io.Reader{
-			"at once": strings.NewReader(row.raw), "by bytes": iotest.OneByteReader(strings.NewReader(row.raw)),
-			"by halves": iotest.HalfReader(strings.NewReader(row.raw)),
+		for name, reader := range map[string]func(r io.Reader) io.Reader{
+			"at once":      func(r io.Reader) io.Reader { return r },
+			"by bytes":     iotest.OneByteReader,
+			"by halves":    iotest.HalfReader,
+			"with the end": iotest.DataErrReader,
 		} {
 			for _, size := range []int{1, 7, 4096} {
-				c := NewConn(&scriptedConn{r: r}, 100)
+				c := NewConn(&scriptedConn{r: reader(strings.NewReader(row.raw))}, 100)
 				_, _ = c.Write([]byte("request"))
 				var got bytes.Buffer
 				_, err := io.CopyBuffer(struct{ io.Writer }{&got}, struct{ io.Reader }{c}, make([]byte, size))
 				note := qt.Commentf("%s, %s, %d bytes: %q, %v", row.name, name, size, got.String(), err)
 				qt.Check(t, errors.Is(err, row.err), qt.IsTrue, note)
 				qt.Check(t, strings.HasPrefix(row.want, got.String()) && (row.err != nil || got.Len() == len(row.want)), qt.IsTrue, note)
-				r = strings.NewReader(row.raw)
 			}
 		}
 	}
