--- a/stage/parser/body.go
+++ b/stage/parser/body.go
@@ -97,7 +97,7 @@
 		case len(field) == 0:
 			return nil
 		}
-		if _, ok := ParseField(string(field)); !ok {
+		if _, ok := parseField(string(field)); !ok {
 			return errors.Wrapf(ErrField, "line %d", n)
 		}
 	}
--- a/stage/parser/head.go
+++ b/stage/parser/head.go
@@ -127,7 +127,7 @@
 		case line == "":
 			return fields, nil
 		}
-		f, ok := ParseField(line)
+		f, ok := parseField(line)
 		if !ok {
 			return nil, errors.Wrapf(ErrField, "line %d", n)
 		}
@@ -136,9 +136,9 @@
 	}
 }
 
-// ParseField parses a field line without its end; false means that it has no colon, that its name is no token, or that its value
+// parseField parses a field line without its end; false means that it has no colon, that its name is no token, or that its value
 // has a control character other than a tab.
-func ParseField(line string) (Field, bool) {
+func parseField(line string) (Field, bool) {
 	name, value, ok := strings.Cut(line, ":")
 	if !ok || !IsToken(name) || hasControl(value) {
 		return Field{}, false
